Lay out the package: errors, messages, interfaces, HTTP plumbing

Cause: the project starts empty; the path needs contracts before its parts can be written side by side.

--- /dev/null
+++ b/src/sardinetrack/cli/__init__.py
@@ -0,0 +1,3 @@
+"""The commands, one module each."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/sardinetrack/config/model.py
@@ -0,0 +1,85 @@
+"""Validated models of the settings files."""
+
+from __future__ import annotations
+
+from typing import Annotated, Final, Literal
+
+from pydantic import BaseModel, ConfigDict, Field, SecretStr
+
+_LAST_PORT: Final = 65_535
+_LONGEST_SECONDS: Final = 3_600
+
+Port = Annotated[int, Field(ge=0, le=_LAST_PORT)]
+Seconds = Annotated[float, Field(gt=0, le=_LONGEST_SECONDS)]
+Name = Annotated[str, Field(pattern='^[a-z0-9][a-z0-9-]{0,62}$')]
+
+
+class _Strict(BaseModel):
+    model_config = ConfigDict(extra='forbid', frozen=True)
+
+
+class Secret(_Strict):
+    """A secret given in place, by a file, or by an environment variable."""
+
+    value: SecretStr | None = None
+    file: str | None = None
+    environment: str | None = None
+
+
+class Listen(_Strict):
+    """An address to listen at."""
+
+    ip: str = '127.0.0.1'
+    port: Port = 0
+
+
+class PlatformSettings(_Strict):
+    """Where the platform is and how long to wait for it."""
+
+    url: str
+    token: Secret
+    call_timeout_seconds: Seconds = 2.0
+    watch_seconds: Seconds = 20.0
+    list_seconds: Seconds = 1.0
+
+
+class Bounds(_Strict):
+    """Bounds on what one caller may make an entry hold."""
+
+    max_body_bytes: Annotated[int, Field(gt=0)] = 4_000_000
+    body_seconds: Seconds = 15.0
+    max_connections: Annotated[int, Field(gt=0)] = 2000
+    keep_alive_seconds: Seconds = 15.0
+    send_seconds: Seconds = 20.0
+    wait_seconds: Seconds = 60.0
+
+
+class CommonSettings(_Strict):
+    """What entry and side settings share."""
+
+    instance: Name
+    failure_domain: Name
+    region: Name = 'local'
+    peer: Listen = Listen()
+    operator: Listen = Listen()
+    platform: PlatformSettings
+    peer_secret: Secret
+    drain_seconds: Seconds = 30.0
+
+
+class EntrySettings(CommonSettings):
+    """Settings of ``sardinetrack entry``."""
+
+    role: Literal['entry'] = 'entry'
+    callers: Listen = Listen()
+    bounds: Bounds = Bounds()
+
+
+class SideSettings(CommonSettings):
+    """Settings of ``sardinetrack side``."""
+
+    role: Literal['side'] = 'side'
+    pool: Name
+    backend_server: Name
+    backend_url: str
+    lease_seconds: Seconds = 10.0
--- /dev/null
+++ b/src/sardinetrack/errors/api.py
@@ -0,0 +1,57 @@
+"""Error kinds, and the exception that carries one to the border."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+
+class ErrorKind(StrEnum):
+    """Every way in which a call can fail; the value is the stable ``code``."""
+
+    BAD_REQUEST = 'bad_request'
+    BODY_TOO_LARGE = 'body_too_large'
+    HEADERS_TOO_LARGE = 'headers_too_large'
+    BODY_TIMEOUT = 'body_timeout'
+    UNAUTHENTICATED = 'unauthenticated'
+    PEER_REFUSED = 'peer_refused'
+    UNKNOWN_PATH = 'unknown_path'
+    METHOD_NOT_ALLOWED = 'method_not_allowed'
+    UNKNOWN_MODEL = 'unknown_model'
+    UNKNOWN_SERVICE = 'unknown_service'
+    IDEMPOTENCY_MISMATCH = 'idempotency_key_reused'
+    IN_PROGRESS = 'request_in_progress'
+    ALREADY_FINISHED = 'request_already_finished'
+    RATE_LIMITED = 'rate_limited'
+    QUEUE_FULL = 'queue_full'
+    NOT_RUN_DEADLINE = 'not_run_deadline'
+    NOT_RUN_NO_SERVER = 'not_run_no_server'
+    NOT_RUN_DRAINING = 'not_run_draining'
+    NOT_RUN_PLATFORM_DOWN = 'not_run_platform_down'
+    NOT_RUN_LOST = 'not_run_lost'
+    CRASHES_SERVERS = 'crashes_servers'
+    OUTCOME_UNKNOWN = 'outcome_unknown'
+    ANSWER_CUT = 'answer_cut'
+    SERVER_FAILED = 'server_failed'
+    INTERNAL = 'internal_error'
+
+
+class AnsweredError(Exception):
+    """A failure that has an answer in the table."""
+
+    def __init__(
+        self,
+        kind: ErrorKind,
+        detail: str = '',
+        *,
+        retry_after_seconds: float | None = None,
+    ) -> None:
+        """Remember the kind.
+
+        :param kind: which row of the table answers this.
+        :param detail: what the caller may read about this one case.
+        :param retry_after_seconds: when it is worth coming back.
+        """
+        super().__init__(f'{kind.value}: {detail}' if detail else kind.value)
+        self.kind = kind
+        self.detail = detail
+        self.retry_after_seconds = retry_after_seconds
--- /dev/null
+++ b/src/sardinetrack/fairness/__init__.py
@@ -0,0 +1,3 @@
+"""Virtual time of workspaces: the service ledger and its tags."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/sardinetrack/http/server.py
@@ -0,0 +1,141 @@
+"""Run an ASGI application under uvicorn inside an anyio task group."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager, contextmanager
+from dataclasses import dataclass
+from typing import Final
+
+import anyio
+import uvicorn
+from uvicorn.config import HTTPProtocolType
+
+from sardinetrack.http.asgi import Application
+
+_BACKLOG: Final = 2048
+
+
+@dataclass(frozen=True, slots=True)
+class ServerBounds:
+    """What connections may make a server hold."""
+
+    max_connections: int = 4096
+    keep_alive_seconds: int = 60
+
+
+class _Server(uvicorn.Server):
+    """A server that leaves signals to the daemon that owns it."""
+
+    def __init__(self, config: uvicorn.Config) -> None:
+        """Build a server that tells when it listens."""
+        super().__init__(config)
+        self.listening = anyio.Event()
+
+    async def startup(
+        self,
+        sockets: list[socket.socket] | None = None,
+    ) -> None:
+        """Listen, then tell."""
+        await super().startup(sockets=sockets)
+        self.listening.set()
+
+    @contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Install no handlers: one process may run several servers."""
+        yield
+
+
+class BoundServer:
+    """A running server."""
+
+    def __init__(self, server: uvicorn.Server, address: str) -> None:
+        """Remember the server.
+
+        :param address: ``IP:port`` where it listens.
+        """
+        self._server = server
+        self.address = address
+
+    @property
+    def port(self) -> int:
+        """The port that the system chose or was told."""
+        return int(self.address.rpartition(':')[2])
+
+    @property
+    def url(self) -> str:
+        """Base URL without a trailing slash."""
+        return f'http://{self.address}'
+
+    def stop(self) -> None:
+        """Close the listener; running exchanges finish."""
+        self._server.should_exit = True
+
+    def abort(self) -> None:
+        """Close everything at once."""
+        self._server.should_exit = True
+        self._server.force_exit = True
+
+
+def bind(ip: str, port: int) -> socket.socket:
+    """Open a listening socket.
+
+    :param ip: an IP number.
+    :param port: 0 lets the system choose.
+    :return: the bound socket.
+    """
+    family = socket.AF_INET6 if ':' in ip else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((ip, port))
+    listener.listen(_BACKLOG)
+    return listener
+
+
+@asynccontextmanager
+async def serving(
+    application: Application,
+    ip: str,
+    port: int,
+    *,
+    bounds: ServerBounds | None = None,
+    protocol: HTTPProtocolType | type[asyncio.Protocol] = 'httptools',
+) -> AsyncIterator[BoundServer]:
+    """Serve while the context lasts.
+
+    :param application: an ASGI application.
+    :param ip: an IP number to listen at.
+    :param port: 0 lets the system choose.
+    :param bounds: what connections may make the server hold.
+    :param protocol: uvicorn's name or class of the HTTP protocol.
+    :return: the running server.
+    """
+    held = bounds or ServerBounds()
+    listener = bind(ip, port)
+    host, bound_port = listener.getsockname()[:2]
+    server = _Server(
+        uvicorn.Config(
+            application,  # type: ignore[arg-type]
+            http=protocol,
+            ws='websockets-sansio',
+            loop='asyncio',
+            lifespan='off',
+            log_config=None,
+            access_log=False,
+            proxy_headers=False,
+            server_header=False,
+            date_header=False,
+            limit_concurrency=held.max_connections,
+            timeout_keep_alive=held.keep_alive_seconds,
+        ),
+    )
+    bound = BoundServer(server, f'{host}:{bound_port}')
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(server.serve, [listener])
+        await server.listening.wait()
+        try:
+            yield bound
+        finally:
+            bound.abort()
--- /dev/null
+++ b/src/sardinetrack/messages/__init__.py
@@ -0,0 +1,3 @@
+"""Typed messages between entries and sides, and their JSON codec."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/sardinetrack/standin/__init__.py
@@ -0,0 +1,3 @@
+"""Stand-ins for the outside systems, for tests and ``local``."""
+
+from __future__ import annotations
