--- a/src/sardinetrack/http/asgi.py
+++ b/src/sardinetrack/http/asgi.py
@@ -95,17 +95,11 @@
 
         :raises AnsweredError: it is too large or too slow.
         """
-        chunks: list[bytes] = []
-        size = 0
-        with anyio.move_on_after(within_seconds) as timeout:
-            async for chunk in self.body_chunks():
-                size += len(chunk)
-                if size > max_bytes:
-                    raise AnsweredError(ErrorKind.BODY_TOO_LARGE)
-                chunks.append(chunk)
-        if timeout.cancelled_caught:
-            raise AnsweredError(ErrorKind.BODY_TIMEOUT)
-        return b''.join(chunks)
+        try:
+            with anyio.fail_after(within_seconds):
+                return await self._bounded_body(max_bytes)
+        except TimeoutError as error:
+            raise AnsweredError(ErrorKind.BODY_TIMEOUT) from error
 
     async def gone(self) -> None:
         """Return when the peer has closed; call after reading the body."""
@@ -168,3 +162,13 @@
             msgspec.json.encode(content),
             [*_JSON, *headers],
         )
+
+    async def _bounded_body(self, max_bytes: int) -> bytes:
+        chunks: list[bytes] = []
+        size_bytes = 0
+        async for chunk in self.body_chunks():
+            size_bytes += len(chunk)
+            if size_bytes > max_bytes:
+                raise AnsweredError(ErrorKind.BODY_TOO_LARGE)
+            chunks.append(chunk)
+        return b''.join(chunks)
--- a/src/sardinetrack/http/server.py
+++ b/src/sardinetrack/http/server.py
@@ -117,7 +117,7 @@
     host, bound_port = listener.getsockname()[:2]
     server = _Server(
         uvicorn.Config(
-            application,  # type: ignore[arg-type]
+            application,
             http=protocol,
             ws='websockets-sansio',
             loop='asyncio',
