Close a server's listener when its owner is cancelled

Ruled out: uvicorn's force_exit alone, which is read only in that loop. Conclusion: the loop is shielded and ended by its owner's exit.

--- a/src/sardinetrack/http/server.py
+++ b/src/sardinetrack/http/server.py
@@ -133,9 +133,16 @@
     )
     bound = BoundServer(server, f'{host}:{bound_port}')
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(server.serve, [listener])
-        await server.listening.wait()
+        tasks.start_soon(_serve_shielded, server, listener)
         try:
+            await server.listening.wait()
             yield bound
         finally:
             bound.abort()
+
+
+async def _serve_shielded(server: _Server, listener: socket.socket) -> None:
+    # uvicorn stops serving in its own loop; a cancellation that reaches the
+    # loop leaves the listener open and answering. The owner's exit ends it.
+    with anyio.CancelScope(shield=True):
+        await server.serve([listener])
--- /dev/null
+++ b/tests/http/server.feature
@@ -0,0 +1,16 @@
+Feature: an HTTP server lives exactly as long as its owner
+
+  Scenario: a cancelled owner closes its listener
+    A process that stops cancels the scope around its servers. The caller then
+    connects and must be refused: uvicorn's loop used to be cancelled before
+    its shutdown ran, and the port went on answering.
+    Given a server inside a cancel scope
+    When the scope is cancelled
+    Then a call to the server is refused
+
+  Scenario: a handler that fails midway never looks complete
+    The handler sends a part of the body and raises. The connection must close
+    without the last chunk, so that the client reads a broken answer.
+    Given a server whose handler fails after part of the body
+    When a client reads the answer
+    Then the client reports a broken exchange
--- /dev/null
+++ b/tests/http/steps/server_steps.py
@@ -0,0 +1,80 @@
+"""Steps for the HTTP server and client."""
+
+from __future__ import annotations
+
+import anyio
+from behave import given, then, when
+
+from sardinetrack.http.asgi import Exchange, Receive, Scope, Send
+from sardinetrack.http.client import BrokenError, HttpClient, NotSentError
+from sardinetrack.http.server import serving
+
+_IP = '127.0.0.1'
+
+
+async def _answer(scope: Scope, receive: Receive, send: Send) -> None:
+    await Exchange(scope, receive, send).answer_json(200, {})
+
+
+async def _fail_midway(scope: Scope, receive: Receive, send: Send) -> None:
+    exchange = Exchange(scope, receive, send)
+    await exchange.start(200, ())
+    await exchange.write(b'part')
+    raise RuntimeError('fails midway')
+
+
+@given('a server inside a cancel scope')
+def given_scope(context):
+    context.application = _answer
+
+
+@when('the scope is cancelled')
+def when_cancelled(context):
+    async def run() -> str:
+        with anyio.CancelScope() as scope:
+            async with serving(context.application, _IP, 0) as server:
+                url = server.url
+                scope.cancel()
+                await anyio.sleep_forever()
+        return url
+
+    context.url = anyio.run(run)
+
+
+@then('a call to the server is refused')
+def then_refused(context):
+    async def run() -> None:
+        async with HttpClient() as client:
+            await client.call('GET', context.url)
+
+    try:
+        anyio.run(run)
+    except NotSentError:
+        return
+    raise AssertionError('the server still answers')
+
+
+@given('a server whose handler fails after part of the body')
+def given_failing(context):
+    context.application = _fail_midway
+
+
+@when('a client reads the answer')
+def when_read(context):
+    async def run() -> bool:
+        async with (
+            serving(context.application, _IP, 0) as server,
+            HttpClient() as client,
+        ):
+            try:
+                await client.call('GET', server.url)
+            except BrokenError:
+                return True
+        return False
+
+    context.broken = anyio.run(run)
+
+
+@then('the client reports a broken exchange')
+def then_broken(context):
+    assert context.broken
--- /dev/null
+++ b/tests/support/__init__.py
@@ -0,0 +1,3 @@
+"""Shared pieces of the tests: processes, callers, and counting."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/support/caller.py
@@ -0,0 +1,160 @@
+"""A caller: plain HTTP calls and streams, from threads if need be."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from types import MappingProxyType
+from typing import Any, Final
+
+import httpcore
+
+_TIMEOUT: Final = MappingProxyType(
+    {'connect': 5.0, 'read': 60.0, 'write': 60.0, 'pool': 5.0},
+)
+
+
+@dataclass
+class Answer:
+    """What a caller received."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    def json(self) -> Any:
+        """The body as JSON."""
+        return json.loads(self.body)
+
+    @property
+    def code(self) -> str:
+        """The stable code of an error answer."""
+        return str(self.json()['error']['code'])
+
+
+@dataclass
+class StreamedAnswer:
+    """The server-sent events that a caller received."""
+
+    status: int
+    headers: dict[str, str]
+    events: list[str] = field(default_factory=list)
+    broken: bool = False
+
+    @property
+    def whole(self) -> bool:
+        """Whether the protocol's own terminal arrived."""
+        return bool(self.events) and self.events[-1] == '[DONE]'
+
+    @property
+    def errors(self) -> list[dict[str, Any]]:
+        """The error events."""
+        return [
+            found['error']
+            for found in map(json.loads, self._json_events())
+            if 'error' in found
+        ]
+
+    @property
+    def text(self) -> str:
+        """The generated text so far."""
+        parts: list[str] = []
+        for event in map(json.loads, self._json_events()):
+            for choice in event.get('choices', []):
+                parts.append(choice['delta'].get('content') or '')
+        return ''.join(parts)
+
+    def _json_events(self) -> list[str]:
+        return [event for event in self.events if event != '[DONE]']
+
+
+class Caller:
+    """Calls with one bearer token."""
+
+    def __init__(self, token: str) -> None:
+        """Remember the token."""
+        self._token = token
+
+    def call(
+        self,
+        method: str,
+        url: str,
+        body: bytes | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> Answer:
+        """Make one call on a connection of its own."""
+        with self._response(method, url, body, headers) as response:
+            content = response.read()
+            return Answer(response.status, _headers(response), content)
+
+    def chat(
+        self,
+        entry_url: str,
+        request: dict[str, Any],
+        headers: dict[str, str] | None = None,
+    ) -> Answer:
+        """Ask for a completion, not streamed."""
+        return self.call(
+            'POST',
+            f'{entry_url}/v1/chat/completions',
+            json.dumps(request).encode(),
+            headers,
+        )
+
+    def stream(
+        self,
+        entry_url: str,
+        request: dict[str, Any],
+        headers: dict[str, str] | None = None,
+    ) -> StreamedAnswer:
+        """Ask for a streamed completion and read it to its end."""
+        url = f'{entry_url}/v1/chat/completions'
+        body = json.dumps({**request, 'stream': True}).encode()
+        with self._response('POST', url, body, headers) as response:
+            answer = StreamedAnswer(response.status, _headers(response))
+            rest = b''
+            try:
+                for chunk in response.iter_stream():
+                    rest = _take_events(rest + chunk, answer.events)
+            except (httpcore.NetworkError, httpcore.ProtocolError):
+                answer.broken = True
+            return answer
+
+    @contextmanager
+    def _response(
+        self,
+        method: str,
+        url: str,
+        body: bytes | None,
+        headers: dict[str, str] | None,
+    ) -> Iterator[httpcore.Response]:
+        sent = {'authorization': f'Bearer {self._token}', **(headers or {})}
+        with (
+            httpcore.ConnectionPool() as pool,
+            pool.stream(
+                method,
+                url,
+                headers=list(sent.items()),
+                content=body,
+                extensions={'timeout': dict(_TIMEOUT)},
+            ) as response,
+        ):
+            yield response
+
+
+def _headers(response: httpcore.Response) -> dict[str, str]:
+    return {
+        key.decode().lower(): text.decode() for key, text in response.headers
+    }
+
+
+def _take_events(buffer: bytes, events: list[str]) -> bytes:
+    *whole, rest = buffer.split(b'\n\n')
+    events.extend(
+        block.removeprefix(b'data: ').decode()
+        for block in whole
+        if block.startswith(b'data: ')
+    )
+    return rest
