Add stand-ins for model engines, plain services and a relay

Cause: the path and its failure tests need backend servers that can be crashed, frozen and cut, and that count what they ran themselves. Ruled out: cutting a connection by raising from the handler; uvicorn then answers 500 when nothing was sent yet, which is not a cut. A protocol class that registers transports lets a fault abort them instead.

--- /dev/null
+++ b/src/sardinetrack/standin/base.py
@@ -0,0 +1,160 @@
+"""What the stand-ins for backend servers share."""
+
+from __future__ import annotations
+
+import signal
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+from typing import Final
+
+import anyio
+from pydantic import ValidationError
+
+from sardinetrack.http.asgi import (
+    CallerGoneError,
+    Exchange,
+    Receive,
+    Scope,
+    Send,
+)
+from sardinetrack.standin.connections import Connections
+from sardinetrack.standin.executions import Execution, Executions, Outcome
+from sardinetrack.standin.faults import Faults, FaultSwitch
+from sardinetrack.standin.fencing import Fence
+
+FENCING_HEADER: Final = 'sardinetrack-fencing'
+OK: Final = 200
+NO_CONTENT: Final = 204
+BAD_REQUEST: Final = 400
+NOT_FOUND: Final = 404
+CONFLICT: Final = 409
+
+_MAX_BODY_BYTES: Final = 64_000_000
+_BODY_SECONDS: Final = 600.0
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """A request whose body has arrived."""
+
+    exchange: Exchange
+    body: bytes
+
+    @property
+    def route(self) -> str:
+        """Method and path."""
+        return ' '.join((self.exchange.method, self.exchange.path))
+
+
+class StandIn(ABC):
+    """An ASGI application with faults, fencing and counted executions."""
+
+    def __init__(self, faults: Faults, *, checks_fencing: bool) -> None:
+        """Build a stand-in; serve it with ``hosting``."""
+        self.faults = FaultSwitch(faults)
+        self.executions = Executions()
+        self.connections = Connections()
+        self.fence = Fence(checks=checks_fencing)
+        self.crashed = anyio.Event()
+        self._scopes: set[anyio.CancelScope] = set()
+
+    async def __call__(
+        self,
+        scope: Scope,
+        receive: Receive,
+        send: Send,
+    ) -> None:
+        """Answer one request."""
+        if scope['type'] != 'http':
+            return
+        exchange = Exchange(scope, receive, send)
+        # A crash cuts requests in whatever state they are: this scope also
+        # holds those that wait frozen and have no execution yet.
+        request_scope = anyio.CancelScope()
+        self._scopes.add(request_scope)
+        try:
+            with request_scope:
+                await self._receive(exchange)
+        finally:
+            self._scopes.discard(request_scope)
+        if request_scope.cancelled_caught:
+            await exchange.gone()
+
+    @abstractmethod
+    async def handle(self, request: Request) -> None:
+        """Answer a request that passed the faults common to all."""
+
+    async def crash(self) -> None:
+        """Cut everything at once; never returns."""
+        if self.faults.current.crash_kills_process:
+            signal.raise_signal(signal.SIGKILL)
+        self.cut_all()
+        self.crashed.set()
+        await anyio.sleep_forever()
+
+    def cut_all(self) -> None:
+        """Cut all requests and connections, and each new one."""
+        self.executions.cut_all()
+        for request_scope in tuple(self._scopes):
+            request_scope.cancel()
+        self.connections.cut_all()
+
+    def restart(self) -> None:
+        """Come back after a crash, with empty memory."""
+        self.fence.forget()
+        self.crashed = anyio.Event()
+        self.connections.admit()
+
+    async def cut(self, request: Request, execution: Execution) -> None:
+        """Cut the connection of one request; never returns."""
+        self.connections.cut(request.exchange.scope['client'])
+        execution.stop(Outcome.CUT)
+        await anyio.sleep_forever()
+
+    async def answer_error(self, request: Request, status: int) -> None:
+        """Answer a failure in the shape that model engines use."""
+        content = {'error': {'message': 'stand-in', 'code': status}}
+        await request.exchange.answer_json(status, content)
+
+    async def _receive(self, exchange: Exchange) -> None:
+        try:
+            body = await exchange.body(_MAX_BODY_BYTES, _BODY_SECONDS)
+        except CallerGoneError:
+            return
+        request = Request(exchange, body)
+        if exchange.path.startswith('/standin/'):
+            await self._control(request)
+            return
+        await self.faults.thawed()
+        status = self._refusal(request)
+        if status is None:
+            await self.handle(request)
+        else:
+            await self.answer_error(request, status)
+
+    async def _control(self, request: Request) -> None:
+        if request.route == 'GET /standin/executions':
+            await request.exchange.answer_json(OK, self.executions.counts)
+        elif request.route == 'PUT /standin/faults':
+            await self._put_faults(request)
+        else:
+            await self.answer_error(request, NOT_FOUND)
+
+    async def _put_faults(self, request: Request) -> None:
+        try:
+            self.faults.put_json(request.body)
+        except ValidationError as error:
+            await request.exchange.answer(BAD_REQUEST, str(error).encode())
+            return
+        await request.exchange.answer(NO_CONTENT)
+
+    def _refusal(self, request: Request) -> int | None:
+        faults = self.faults.current
+        if faults.error_status is not None and not faults.error_after_run:
+            return faults.error_status
+        number = request.exchange.header(FENCING_HEADER)
+        if number is None:
+            return None
+        if not number.isdecimal():
+            return BAD_REQUEST
+        return None if self.fence.admits(int(number)) else CONFLICT
--- /dev/null
+++ b/tests/standin/service.feature
@@ -0,0 +1,39 @@
+Feature: Stand-in for a plain service
+
+  Scenario: It echoes a request
+    Given a plain service
+    When it is sent PATCH "/a/b?c=1&header=x-shade:blue&status=207" with "hello"
+    Then the status is 207 and the header "x-shade" is "blue"
+    And the echo tells the method, target and digest of "hello"
+
+  Scenario: Lookups are deterministic
+    Given a plain service
+    When it is sent GET "/lookup/42" with ""
+    Then the looked up title is "title-42"
+
+  Scenario: Renders are counted by key
+    Given a plain service
+    When the render "k1" is sent twice
+    Then the second answer says that it was execution 2
+    And the service counted 2 executions of "k1"
+
+  Scenario: A large body
+    Given a plain service
+    When it is sent GET "/file?bytes=1000003" with ""
+    Then the body has 1000003 bytes
+
+  Scenario: A large body is cut
+    Given a plain service
+    And its faults are {"cut_after_chunks": 3}
+    When it is sent GET "/file?bytes=1000003" with ""
+    Then the exchange broke
+
+  Scenario: A render runs to its end though its caller left
+    The caller gives up while the service is frozen and the service thaws
+    later. The render then runs: a closed connection does not mean that
+    nothing happened.
+    Given a plain service
+    And its faults are {"frozen": true}
+    When the render "late" is sent and given up after 0.2 seconds
+    And its faults become {}
+    Then the service soon counts 1 finished execution of "late"
--- /dev/null
+++ b/tests/standin/steps/engine_steps.py
@@ -0,0 +1,342 @@
+"""Steps about the model engine."""
+
+from __future__ import annotations
+
+import json
+import math
+from concurrent.futures import TimeoutError as FutureTimeoutError
+from functools import partial
+from typing import Any
+
+from behave import given, step, then, when
+from standin_steps import PATIENCE_SECONDS, call, counts, host, put_faults, soon
+
+from sardinetrack.http.client import BrokenError, NotSentError
+from sardinetrack.standin.engine import Engine
+from sardinetrack.standin.engine_batch import EngineRates
+from sardinetrack.standin.engine_load import LoadMeter
+from sardinetrack.standin.engine_prompt import answer_text
+from sardinetrack.standin.settings import EngineSettings
+
+CHAT = '/v1/chat/completions'
+FAST = EngineRates(base_token_seconds=0.001, prefill_token_seconds=0)
+
+
+def chat_body(text: str, *, stream: bool = False) -> bytes:
+    message = {'role': 'user', 'content': text}
+    content = {
+        'model': 'standin-model',
+        'messages': [message],
+        'stream': stream,
+    }
+    return json.dumps(content).encode()
+
+
+def ask(context: Any, text: str) -> Any:
+    return call(context, 'POST', CHAT, chat_body(text))
+
+
+async def read_stream(context: Any, text: str, seen: list[bytes]) -> None:
+    async with context.http.stream(
+        'POST',
+        f'{context.url}{CHAT}',
+        body=chat_body(text, stream=True),
+        read_seconds=PATIENCE_SECONDS,
+    ) as reply:
+        async for chunk in reply.chunks():
+            seen.append(chunk)
+
+
+async def open_and_leave(context: Any, text: str) -> None:
+    async with context.http.stream(
+        'POST',
+        f'{context.url}{CHAT}',
+        body=chat_body(text, stream=True),
+    ) as reply:
+        await anext(reply.chunks())
+
+
+def events(seen: list[bytes]) -> list[str]:
+    lines = b''.join(seen).decode().split('\n\n')
+    return [line.removeprefix('data: ') for line in lines if line]
+
+
+def stream_text(seen: list[bytes]) -> str:
+    parts = [json.loads(line) for line in events(seen) if line != '[DONE]']
+    choices = [part['choices'][0] for part in parts if part['choices']]
+    return ''.join(choice['delta'].get('content', '') for choice in choices)
+
+
+@given('a model engine')
+def engine(context: Any) -> None:
+    host(context, lambda: Engine(EngineSettings(rates=FAST)))
+
+
+@given('a model engine that ignores fencing numbers')
+def engine_unfenced(context: Any) -> None:
+    settings = EngineSettings(rates=FAST, checks_fencing=False)
+    host(context, lambda: Engine(settings))
+
+
+@when('a stream is asked for with "{text}"')
+def ask_stream(context: Any, text: str) -> None:
+    context.seen = []
+    context.broke = False
+    try:
+        context.portal.call(read_stream, context, text, context.seen)
+    except BrokenError:
+        context.broke = True
+
+
+@then('the stream\'s text is "{text}"')
+def stream_has_text(context: Any, text: str) -> None:
+    assert not context.broke
+    assert stream_text(context.seen) == text, context.seen
+    assert answer_text('a1', 5) == text
+
+
+@then('the stream opens with the role and ends with usage and the terminal')
+def stream_shape(context: Any) -> None:
+    lines = events(context.seen)
+    assert lines[-1] == '[DONE]', lines
+    parts = [json.loads(line) for line in lines[:-1]]
+    assert {part['object'] for part in parts} == {'chat.completion.chunk'}
+    assert len({part['id'] for part in parts}) == 1, parts
+    opening, ending = (parts[index]['choices'][0] for index in (0, -2))
+    assert opening['delta']['role'] == 'assistant', parts
+    assert ending['finish_reason'] == 'stop', parts
+    assert not parts[-1]['choices'], parts
+    assert parts[-1]['usage']['completion_tokens'] == 5, parts
+
+
+@then('the stream broke after the text "{text}"')
+def stream_broke(context: Any, text: str) -> None:
+    assert context.broke
+    assert stream_text(context.seen) == text, context.seen
+    assert '[DONE]' not in events(context.seen)
+
+
+@step(
+    'the engine counted for "{key}": {started:d} started, '
+    '{finished:d} finished, {cancelled:d} cancelled, {cut:d} cut'
+)
+def counted(
+    context: Any,
+    key: str,
+    started: int,
+    finished: int,
+    cancelled: int,
+    cut: int,
+) -> None:
+    found = counts(context, key)
+    expected = (started, finished, cancelled, cut)
+    assert tuple(found.values()) == expected, found
+
+
+@then(
+    'the engine soon counts for "{key}": 1 started, 0 finished, '
+    '1 cancelled, 0 cut'
+)
+def cancelled_soon(context: Any, key: str) -> None:
+    soon(lambda: counts(context, key)['cancelled'] == 1)
+    counted(context, key, 1, 0, 1, 0)
+
+
+@when('"{text}" is asked')
+def ask_once(context: Any, text: str) -> None:
+    context.broke = False
+    try:
+        context.reply = ask(context, text)
+    except BrokenError:
+        context.broke = True
+
+
+@when('"{text}" is asked twice')
+def ask_twice(context: Any, text: str) -> None:
+    context.replies = [json.loads(ask(context, text).body) for _ in range(2)]
+
+
+@when('a prompt of {size:d} words is asked twice')
+def ask_long(context: Any, size: int) -> None:
+    ask_twice(context, ' '.join(f'word{index}' for index in range(size)))
+
+
+@then('both answers have the same text of {size:d} words')
+def same_text(context: Any, size: int) -> None:
+    texts = [
+        answer['choices'][0]['message']['content'] for answer in context.replies
+    ]
+    assert texts[0] == texts[1], texts
+    assert len(texts[0].split()) == size, texts
+
+
+@then('their ids differ in the ordinal of the execution only')
+def ids_differ(context: Any) -> None:
+    parts = [answer['id'].rpartition('-') for answer in context.replies]
+    assert parts[0][0] == parts[1][0], parts
+    assert [part[2] for part in parts] == ['1', '2'], parts
+
+
+@then('the second answer reports {cached:d} cached prompt tokens')
+def cached_prefix(context: Any, cached: int) -> None:
+    found = [
+        answer['usage']['prompt_tokens_details']['cached_tokens']
+        for answer in context.replies
+    ]
+    assert found == [0, cached], found
+
+
+@given('rates of {seconds:g} seconds a token with the knee at {knee:d}')
+def rates(context: Any, seconds: float, knee: int) -> None:
+    context.rates = EngineRates(base_token_seconds=seconds, knee=knee)
+
+
+@then('with {running:d} running a token takes {seconds:g} seconds')
+def token_time(context: Any, running: int, seconds: float) -> None:
+    found = context.rates.token_seconds(running)
+    assert math.isclose(found, seconds), found
+
+
+@given('a load meter with a lag of {lag:d} second')
+def meter(context: Any, lag: int) -> None:
+    context.meter = LoadMeter(lag, 1000, 0)
+
+
+@when('{requests:d} requests decode {tokens:d} tokens each at {now:g} seconds')
+def decode(context: Any, requests: int, tokens: int, now: float) -> None:
+    for _ in range(requests):
+        context.meter.prefill(now, 10)
+        context.meter.decode(now)
+        for _ in range(tokens):
+            context.meter.token(now)
+
+
+@then(
+    'the report at {now:g} seconds has {running:d} running and '
+    '{rate:d} tokens per second'
+)
+def report(context: Any, now: float, running: int, rate: int) -> None:
+    load = context.meter.report(now)
+    assert load.running == running, load
+    assert load.tokens_per_second == rate, load
+
+
+@when('a stream with "{text}" is left after its first event')
+def leave_stream(context: Any, text: str) -> None:
+    context.portal.call(open_and_leave, context, text)
+
+
+@when('a stream with "{text}" is running')
+def running_stream(context: Any, text: str) -> None:
+    context.seen = []
+    context.running = context.portal.start_task_soon(
+        read_stream,
+        context,
+        text,
+        context.seen,
+    )
+    soon(lambda: len(context.seen) > 1)
+
+
+@then('both requests are broken')
+def both_broken(context: Any) -> None:
+    assert context.broke
+    error = context.running.exception(PATIENCE_SECONDS)
+    assert isinstance(error, BrokenError), error
+    assert '[DONE]' not in events(context.seen)
+
+
+def refuses(context: Any) -> bool:
+    try:
+        ask(context, 'id=next')
+    except BrokenError:
+        return False
+    except NotSentError:
+        return True
+    raise AssertionError('the crashed engine answered')
+
+
+def answers(context: Any) -> bool:
+    try:
+        return ask(context, 'id=again').status == 200
+    except (BrokenError, NotSentError):
+        return False
+
+
+@then('the engine soon refuses connections')
+def refuses_soon(context: Any) -> None:
+    soon(lambda: refuses(context))
+
+
+@then('the engine object counted a cut of "{one}" and of "{two}"')
+def cut_both(context: Any, one: str, two: str) -> None:
+    found = context.standin.executions.counts
+    assert (found[one].started, found[one].cut) == (1, 1), found
+    assert (found[two].started, found[two].cut) == (1, 1), found
+
+
+@then('the engine soon answers again')
+def answers_again(context: Any) -> None:
+    soon(lambda: answers(context))
+
+
+@when('"{text}" is asked without waiting')
+def ask_in_background(context: Any, text: str) -> None:
+    context.running = context.portal.start_task_soon(
+        partial(
+            context.http.call,
+            'POST',
+            f'{context.url}{CHAT}',
+            body=chat_body(text),
+        ),
+    )
+
+
+@then('there is no answer within {seconds:g} seconds')
+def no_answer(context: Any, seconds: float) -> None:
+    try:
+        context.running.result(seconds)
+    except FutureTimeoutError:
+        return
+    raise AssertionError('a frozen engine answered')
+
+
+@then('after the faults are {faults} the answer is "{text}"')
+def thawed_answer(context: Any, faults: str, text: str) -> None:
+    put_faults(context, faults)
+    answer = json.loads(context.running.result(PATIENCE_SECONDS).body)
+    assert answer['choices'][0]['message']['content'] == text, answer
+
+
+@then("the answer's status is {status:d}")
+def answer_status(context: Any, status: int) -> None:
+    assert context.reply.status == status, context.reply
+
+
+def give_order(context: Any, number: int) -> int:
+    body = json.dumps({'fencing': number, 'content': {'load': 'm'}}).encode()
+    return call(context, 'POST', '/orders', body).status
+
+
+@step('an order with number {number:d} is accepted')
+def order_accepted(context: Any, number: int) -> None:
+    assert give_order(context, number) == 200
+
+
+@then('an order with number {number:d} is refused')
+def order_refused(context: Any, number: int) -> None:
+    assert give_order(context, number) == 409
+
+
+@then('a request with number {number:d} has status {status:d}')
+def fenced_request(context: Any, number: int, status: int) -> None:
+    headers = (('sardinetrack-fencing', str(number)),)
+    reply = call(context, 'POST', CHAT, chat_body('hello'), headers)
+    assert reply.status == status, reply
+
+
+@then('the accepted orders have the numbers {numbers}')
+def accepted_orders(context: Any, numbers: str) -> None:
+    orders = json.loads(call(context, 'GET', '/orders').body)
+    found = [order['fencing'] for order in orders]
+    assert found == [int(text) for text in numbers.split(',')], found
--- /dev/null
+++ b/tests/standin/steps/service_steps.py
@@ -0,0 +1,105 @@
+"""Steps about the plain service."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+from typing import Any
+
+import anyio
+from behave import given, then, when
+from standin_steps import call, counts, host, soon
+
+from sardinetrack.http.client import BrokenError
+from sardinetrack.standin.service import Service
+from sardinetrack.standin.settings import ServiceSettings
+
+
+async def leave_render(context: Any, key: str, seconds: float) -> None:
+    with anyio.move_on_after(seconds):
+        await context.http.call(
+            'POST',
+            f'{context.url}/render',
+            headers=(('x-standin-key', key),),
+        )
+
+
+@given('a plain service')
+def service(context: Any) -> None:
+    host(context, lambda: Service(ServiceSettings()))
+
+
+@when('it is sent {method} "{target}" with "{body}"')
+def send(context: Any, method: str, target: str, body: str) -> None:
+    context.sent = (method, target)
+    context.broke = False
+    try:
+        context.reply = call(context, method, target, body.encode())
+    except BrokenError:
+        context.broke = True
+
+
+@when('it is sent {method} "{target}" with ""')
+def send_bodiless(context: Any, method: str, target: str) -> None:
+    send(context, method, target, '')
+
+
+@then('the status is {status:d} and the header "{name}" is "{text}"')
+def answered(context: Any, status: int, name: str, text: str) -> None:
+    assert context.reply.status == status, context.reply
+    assert context.reply.header(name) == text, context.reply
+
+
+@then('the echo tells the method, target and digest of "{body}"')
+def echoed(context: Any, body: str) -> None:
+    echo = json.loads(context.reply.body)
+    assert (echo['method'], echo['target']) == context.sent, echo
+    digest = hashlib.sha256(body.encode()).hexdigest()
+    assert echo['body_sha256'] == digest, echo
+
+
+@then('the looked up title is "{title}"')
+def looked_up(context: Any, title: str) -> None:
+    echo = json.loads(context.reply.body)
+    assert echo['lookup']['title'] == title, echo
+
+
+@when('the render "{key}" is sent twice')
+def render_twice(context: Any, key: str) -> None:
+    headers = (('x-standin-key', key),)
+    call(context, 'POST', '/render', b'', headers)
+    body = json.dumps({'key': key}).encode()
+    context.reply = call(context, 'POST', '/render', body)
+
+
+@then('the second answer says that it was execution {ordinal:d}')
+def execution_ordinal(context: Any, ordinal: int) -> None:
+    assert json.loads(context.reply.body)['execution'] == ordinal
+
+
+@then('the service counted {number:d} executions of "{key}"')
+def executions(context: Any, number: int, key: str) -> None:
+    found = counts(context, key)
+    assert found['started'] == found['finished'] == number, found
+
+
+@then('the body has {size:d} bytes')
+def body_size(context: Any, size: int) -> None:
+    assert not context.broke
+    assert len(context.reply.body) == size
+
+
+@then('the exchange broke')
+def exchange_broke(context: Any) -> None:
+    assert context.broke
+
+
+@when('the render "{key}" is sent and given up after {seconds:g} seconds')
+def give_up(context: Any, key: str, seconds: float) -> None:
+    context.portal.call(leave_render, context, key, seconds)
+    assert counts(context, key)['started'] == 0
+
+
+@then('the service soon counts 1 finished execution of "{key}"')
+def finished_soon(context: Any, key: str) -> None:
+    soon(lambda: counts(context, key)['finished'] == 1)
--- /dev/null
+++ b/tests/standin/steps/standin_steps.py
@@ -0,0 +1,70 @@
+"""Steps shared by the stand-ins of backend servers."""
+
+from __future__ import annotations
+
+import json
+import time
+from collections.abc import Callable
+from functools import partial
+from typing import Any
+
+from behave import given, step, then
+
+from sardinetrack.standin.hosting import hosting
+
+PATIENCE_SECONDS = 10.0
+
+
+def host(context: Any, build: Callable[[], Any]) -> None:
+    context.standin = context.portal.call(build)
+    context.url = context.stack.enter_context(
+        context.portal.wrap_async_context_manager(
+            hosting(context.standin, '127.0.0.1', 0),
+        ),
+    )
+
+
+def call(
+    context: Any,
+    method: str,
+    path: str,
+    body: bytes = b'',
+    headers: tuple[tuple[str, str], ...] = (),
+) -> Any:
+    request = partial(
+        context.http.call,
+        method,
+        f'{context.url}{path}',
+        body=body,
+        headers=headers,
+        read_seconds=PATIENCE_SECONDS,
+    )
+    return context.portal.call(request)
+
+
+def soon(check: Callable[[], bool]) -> None:
+    """Wait until a check holds; fail when it never does."""
+    deadline = time.monotonic() + PATIENCE_SECONDS
+    while not check():
+        assert time.monotonic() < deadline, 'it never came so'
+        time.sleep(0.02)
+
+
+def counts(context: Any, key: str) -> dict[str, int]:
+    reply = call(context, 'GET', '/standin/executions')
+    none = {'started': 0, 'finished': 0, 'cancelled': 0, 'cut': 0}
+    return json.loads(reply.body).get(key, none)
+
+
+@given('its faults are {faults}')
+@step('its faults become {faults}')
+def put_faults(context: Any, faults: str) -> None:
+    reply = call(context, 'PUT', '/standin/faults', faults.encode())
+    assert reply.status == 204, reply
+
+
+@then('the faults {faults} are refused')
+def faults_refused(context: Any, faults: str) -> None:
+    reply = call(context, 'PUT', '/standin/faults', faults.encode())
+    assert reply.status == 400, reply
+    assert b'no_such_fault' in reply.body, reply
