--- a/src/sardinetrack/platform/api.py
+++ b/src/sardinetrack/platform/api.py
@@ -5,6 +5,10 @@
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
 from enum import StrEnum
+from typing import Final
+
+MAX_VALUE_BYTES: Final = 1_000_000
+"""Largest value that the platform holds."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,6 +84,10 @@
         self.current = current
 
 
+class RefusedError(PlatformError):
+    """The platform will never take this call: token, size or shape."""
+
+
 class WatchLostError(PlatformError):
     """The watch can't resume at this revision; list again."""
 
