--- /dev/null
+++ b/src/sardinetrack/catalogue/ask.py
@@ -0,0 +1,62 @@
+"""Ask an instance over HTTP what configuration it has in force."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+from typing import Final
+
+import anyio
+import msgspec
+
+from sardinetrack.catalogue.rollout import ConfigStatus
+from sardinetrack.http.client import BrokenError, HttpClient, NotSentError
+
+OPERATOR_PATH: Final = '/config'
+PEER_PATH: Final = '/peer/v1/status'
+_ASK_SECONDS: Final = 1.0
+
+
+class StatusClient:
+    """Asks the operator port or the peer endpoint of instances."""
+
+    def __init__(
+        self,
+        client: HttpClient,
+        path: str = OPERATOR_PATH,
+        headers: tuple[tuple[str, str], ...] = (),
+    ) -> None:
+        """Remember how to ask.
+
+        :param path: ``OPERATOR_PATH`` or ``PEER_PATH``.
+        :param headers: the peer secret, for the peer endpoint.
+        """
+        self._client = client
+        self._path = path
+        self._headers = headers
+
+    async def ask(self, address: str) -> ConfigStatus | None:
+        """Ask one instance.
+
+        :param address: ``IP:port``.
+        :return: its answer, ``None`` when there is none.
+        """
+        try:
+            with anyio.fail_after(_ASK_SECONDS):
+                reply = await self._client.call(
+                    'GET',
+                    f'http://{address}{self._path}',
+                    headers=self._headers,
+                    read_seconds=_ASK_SECONDS,
+                )
+        except (NotSentError, BrokenError, TimeoutError):
+            return None
+        return _status_of(reply.status, reply.body)
+
+
+def _status_of(status: int, body: bytes) -> ConfigStatus | None:
+    if status != HTTPStatus.OK:
+        return None
+    try:
+        return msgspec.json.decode(body, type=ConfigStatus)
+    except msgspec.DecodeError:
+        return None
--- /dev/null
+++ b/src/sardinetrack/membership/__init__.py
@@ -0,0 +1,3 @@
+"""Which instances there are, as the platform's lagging list tells."""
+
+from __future__ import annotations
