Show the feed, the editor and the list of instances under failure

A deletion now returns its version: an operator who removes an entry needs it to wait until the removal is in force, and reading the list for it could fail after the deletion was made and then say that it was not. A platform that repeats old news at once is asked at most ten times a second.

--- a/src/sardinetrack/catalogue/editor.py
+++ b/src/sardinetrack/catalogue/editor.py
@@ -108,11 +108,8 @@
         base_version = _base(key, current, expected_version)
         if current is None:
             return Edit(key, _NOTHING, changed=False)
-        await self._delete(key, base_version)
-        # The platform does not tell the version of a deletion; the revision
-        # now is not below it, so that who has it knows of the deletion.
-        after = await self.list()
-        return Edit(key, after.revision, changed=True)
+        version = await self._delete(key, base_version)
+        return Edit(key, version, changed=True)
 
     async def _write(self, entry: WrittenEntry, base_version: int) -> Edit:
         attempts = 0
@@ -135,35 +132,38 @@
                 expected_version=base_version,
             )
         except UncertainError:
-            current = await self._read_back(entry.key)
+            current = _find(await self._read_back(), entry.key)
         except ConflictError as error:
             current = error.current
         return _settled(entry, base_version, current)
 
-    async def _delete(self, key: str, base_version: int) -> None:
+    async def _delete(self, key: str, base_version: int) -> int:
         attempts = 0
         while attempts < _ATTEMPTS:
             attempts += 1
-            if await self._try_delete(key, base_version):
-                return
+            version = await self._try_delete(key, base_version)
+            if version is not None:
+                return version
         raise UncertainError('every reply was lost')
 
-    async def _try_delete(self, key: str, base_version: int) -> bool:
+    async def _try_delete(self, key: str, base_version: int) -> int | None:
         try:
-            await self._platform.delete(key, expected_version=base_version)
-        except UncertainError:
-            current = await self._read_back(key)
-        except ConflictError as error:
-            current = error.current
-        else:
-            return True
-        if current is not None and current.version != base_version:
+            return await self._platform.delete(
+                key,
+                expected_version=base_version,
+            )
+        except (UncertainError, ConflictError):
+            listing = await self._read_back()
+        current = _find(listing, key)
+        if current is None:
+            return listing.revision
+        if current.version != base_version:
             raise LostRaceError(key, base_version, current)
-        return current is None
+        return None
 
-    async def _read_back(self, key: str) -> StoredObject | None:
+    async def _read_back(self) -> Listing:
         try:
-            return await self._platform.get(key)
+            return await self.list()
         except PlatformError as error:
             raise UncertainError(f'can not read back: {error}') from error
 
--- a/src/sardinetrack/catalogue/feed.py
+++ b/src/sardinetrack/catalogue/feed.py
@@ -28,6 +28,8 @@
 have been answered, so this is part of the time until a change is in force.
 """
 
+_REPEAT_SECONDS: Final = 0.1
+
 _log = logging.getLogger(__name__)
 
 
@@ -105,6 +107,9 @@
             after_revision=after_revision,
             wait_seconds=self._watch_seconds,
         )
+        if listing.objects and listing.revision <= after_revision:
+            # Old news again: asking on at once would ask without end.
+            await anyio.sleep(_REPEAT_SECONDS)
         # Not after a list: a platform that answers each list but loses each
         # watch would be listed without a pause.
         self._backoff.reset()
--- a/src/sardinetrack/platform/api.py
+++ b/src/sardinetrack/platform/api.py
@@ -118,8 +118,11 @@
         """
 
     @abstractmethod
-    async def delete(self, key: str, *, expected_version: int) -> None:
-        """Delete conditionally; raises as ``put`` does."""
+    async def delete(self, key: str, *, expected_version: int) -> int:
+        """Delete conditionally; raises as ``put`` does.
+
+        :return: the version of the deletion.
+        """
 
     @abstractmethod
     async def list(self, prefix: str) -> Listing:
--- a/src/sardinetrack/platform/backoff.py
+++ b/src/sardinetrack/platform/backoff.py
@@ -37,7 +37,7 @@
         """Tell how long to wait after an error."""
         bound_seconds = self._next_seconds
         self._next_seconds = min(bound_seconds * _FACTOR, _LONGEST_SECONDS)
+        wait_seconds = bound_seconds * self._chance.uniform(_SPREAD, 1)
         if isinstance(error, ThrottledError):
-            asked_seconds = max(bound_seconds, error.retry_after_seconds)
-            bound_seconds = min(asked_seconds, _LONGEST_THROTTLED_SECONDS)
-        return bound_seconds * self._chance.uniform(_SPREAD, 1)
+            wait_seconds += error.retry_after_seconds
+        return min(wait_seconds, _LONGEST_THROTTLED_SECONDS)
--- a/src/sardinetrack/platform/http.py
+++ b/src/sardinetrack/platform/http.py
@@ -90,7 +90,7 @@
         )
         return object_of(_body_of(method, reply, ObjectBody))
 
-    async def delete(self, key: str, *, expected_version: int) -> None:
+    async def delete(self, key: str, *, expected_version: int) -> int:
         """Delete conditionally."""
         method = 'DELETE'
         reply = await self._call(
@@ -98,8 +98,7 @@
             _object_path(key),
             headers=_condition(expected_version),
         )
-        if reply.status != HTTPStatus.NO_CONTENT:
-            _raise_for(method, reply)
+        return _body_of(method, reply, ObjectBody).version
 
     async def list(self, prefix: str) -> Listing:
         """Read all objects under a prefix."""
--- a/src/sardinetrack/platform/in_process.py
+++ b/src/sardinetrack/platform/in_process.py
@@ -78,11 +78,12 @@
         self._written(key)
         return stored
 
-    async def delete(self, key: str, *, expected_version: int) -> None:
+    async def delete(self, key: str, *, expected_version: int) -> int:
         """Delete conditionally."""
         await self._enter()
-        self.store.delete(self._clock(), key, expected_version)
+        version = self.store.delete(self._clock(), key, expected_version)
         self._written(key)
+        return version
 
     async def list(self, prefix: str) -> Listing:
         """Read all objects under a prefix."""
--- a/src/sardinetrack/platform/memory.py
+++ b/src/sardinetrack/platform/memory.py
@@ -74,12 +74,16 @@
         self._record(now, stored)
         return stored
 
-    def delete(self, now: float, key: str, expected_version: int) -> None:
-        """Delete conditionally; raises as ``put`` does."""
+    def delete(self, now: float, key: str, expected_version: int) -> int:
+        """Delete conditionally; raises as ``put`` does.
+
+        :return: the version of the deletion.
+        """
         self._expect(key, expected_version)
         if self._objects.pop(key, None) is not None:
             gone = StoredObject(key, self.revision + 1, b'', deleted=True)
             self._record(now, gone)
+        return self.revision
 
     def list(self, prefix: str) -> Listing:
         """Read all objects whose key starts with the prefix."""
--- a/src/sardinetrack/standin/platform_objects.py
+++ b/src/sardinetrack/standin/platform_objects.py
@@ -64,11 +64,15 @@
             await exchange.answer(HTTPStatus.PRECONDITION_REQUIRED)
             return
         try:
-            await self._platform.delete(key, expected_version=expected_version)
+            version = await self._platform.delete(
+                key,
+                expected_version=expected_version,
+            )
         except ConflictError as error:
             await _answer_conflict(exchange, error)
             return
-        await self._answer_write(exchange, None)
+        gone = ObjectBody(key, version, deleted=True)
+        await self._answer_write(exchange, gone)
 
     async def list(self, exchange: Exchange, prefix: str) -> None:
         """Answer a read of all objects under a prefix."""
@@ -118,12 +122,10 @@
     async def _answer_write(
         self,
         exchange: Exchange,
-        body: ObjectBody | None,
+        body: ObjectBody,
     ) -> None:
         if self._gate.loses_reply():
             await _cut(exchange)
-        elif body is None:
-            await exchange.answer(HTTPStatus.NO_CONTENT)
         else:
             await exchange.answer_json(HTTPStatus.OK, body)
 
--- /dev/null
+++ b/tests/catalogue/steps/editor_steps.py
@@ -0,0 +1,289 @@
+"""Steps on an operator's hand on the catalogue."""
+
+from __future__ import annotations
+
+import json
+from functools import partial
+
+import anyio
+from behave import given, step, then, when
+from histories import row
+
+from sardinetrack.catalogue.editor import CatalogueEditor, LostRaceError
+from sardinetrack.catalogue.parse import read_entry
+from sardinetrack.catalogue.problems import InvalidEntryError
+from sardinetrack.catalogue.rollout import ConfigStatus, wait_in_force
+from sardinetrack.platform.api import PlatformError, UncertainError
+from sardinetrack.platform.in_process import Disturbance, MemoryPlatform
+
+_PILOT = 'catalogue/workspace/pilot'
+_POOL = 'catalogue/pool/ice'
+_ERRORS = (InvalidEntryError, LostRaceError, PlatformError)
+
+
+class _LossyPlatform(MemoryPlatform):
+    """A platform that does one odd thing after, or instead of, a write."""
+
+    def __init__(self):
+        """Start without oddities."""
+        super().__init__()
+        self.lose_writes = 0
+        self.after_write = None
+
+    async def put(self, key, value, *, expected_version):
+        """Write, or lose the write, or do what was asked after it."""
+        if self.lose_writes:
+            self.lose_writes -= 1
+            raise UncertainError('lost on its way')
+        write = partial(super().put, key, value)
+        if self.after_write is None:
+            return await write(expected_version=expected_version)
+        after = self.after_write
+        self.after_write = None
+        try:
+            return await write(expected_version=expected_version)
+        finally:
+            await after()
+
+
+def _text(owner):
+    entry = json.loads(row(_PILOT, 1).value)
+    return json.dumps(entry | {'owner': owner})
+
+
+def _apply(context, text, **options):
+    context.error = None
+    try:
+        entry = read_entry(text)
+        edit = partial(context.editor.apply, entry, **options)
+        context.edit = anyio.run(edit)
+    except _ERRORS as error:
+        context.error = error
+
+
+def _remove(context, key, **options):
+    context.error = None
+    try:
+        anyio.run(partial(context.editor.remove, key, **options))
+    except _ERRORS as error:
+        context.error = error
+
+
+def _stored(context, key):
+    return context.platform.store.get(key)
+
+
+@given('a platform with workspace "pilot" of "harbour"')
+def platform(context):
+    context.platform = _LossyPlatform()
+    context.editor = CatalogueEditor(context.platform)
+    _apply(context, _text('harbour'))
+    _apply(context, row(_POOL, 1, models=['m']).value)
+    context.before = context.platform.store.revision
+
+
+@when('an operator applies')
+def apply_text(context):
+    context.applied_text = context.text
+    _apply(context, context.text)
+
+
+@then('the edit is made and "{key}" holds plain JSON')
+def holds_json(context, key):
+    assert context.error is None, context.error
+    assert context.edit.changed
+    assert json.loads(_stored(context, key).value)['limits'] == {
+        'concurrency': 3
+    }
+
+
+@when('the operator applies the same again')
+def again(context):
+    _apply(context, context.applied_text)
+
+
+@then('nothing had to be changed')
+def not_changed(context):
+    assert not context.edit.changed
+
+
+@when('the operator removes "{key}"')
+def remove(context, key):
+    _remove(context, key)
+
+
+@then('"{key}" is gone')
+def gone(context, key):
+    assert context.error is None, context.error
+    assert _stored(context, key) is None
+
+
+@given('an operator has seen the version of "pilot"')
+def seen(context):
+    context.seen_version = _stored(context, _PILOT).version
+
+
+@when('another operator applies workspace "pilot" of "{owner}"')
+@when('the operator applies workspace "pilot" of "{owner}"')
+def apply_owner(context, owner):
+    _apply(context, _text(owner))
+
+
+@when('the operator applies workspace "pilot" of "{owner}" and it fails')
+def apply_fails(context, owner):
+    context.seen_version = _stored(context, _PILOT).version
+    _apply(context, _text(owner))
+    assert context.error
+
+
+@when('the operator applies workspace "pilot" of "first" over the version seen')
+def apply_over(context):
+    _apply(context, _text('first'), expected_version=context.seen_version)
+
+
+@when('the operator removes "pilot" over the version seen')
+def remove_over(context):
+    _remove(context, _PILOT, expected_version=context.seen_version)
+
+
+@then('the race is lost with both versions named')
+def lost(context):
+    assert isinstance(context.error, LostRaceError), repr(context.error)
+    now = _stored(context, _PILOT).version
+    assert f'version {context.seen_version}' in str(context.error)
+    assert f'version {now}' in str(context.error)
+    assert context.error.current.version == now
+
+
+@then('workspace "pilot" in the platform belongs to "{owner}"')
+def platform_owner(context, owner):
+    assert json.loads(_stored(context, _PILOT).value)['owner'] == owner
+
+
+@given('the replies of the next {count:d} writes are lost')
+def lose_replies(context, count):
+    context.before = context.platform.store.revision
+    context.platform.disturb(Disturbance(lose_replies=count))
+
+
+@given('the next {count:d} writes are lost on their way')
+def lose_writes(context, count):
+    context.platform.lose_writes = count
+
+
+@given('another operator writes over the next edit of "pilot"')
+def overwrite(context):
+    value = _text('faster').encode()
+    write = partial(MemoryPlatform.put, context.platform, _PILOT, value)
+    context.platform.after_write = partial(write, expected_version=None)
+
+
+@given('the platform goes down after the next write, its reply lost')
+def goes_down(context):
+    context.platform.disturb(Disturbance(lose_replies=1))
+    context.platform.after_write = partial(_take_down, context.platform)
+
+
+async def _take_down(platform):
+    await anyio.lowlevel.checkpoint()
+    platform.disturb(Disturbance(outage=True))
+
+
+@then('the operator hears that the outcome is uncertain')
+def uncertain(context):
+    assert isinstance(context.error, UncertainError), repr(context.error)
+
+
+@then('the edit is made once')
+def made_once(context):
+    assert context.error is None, context.error
+    assert context.platform.store.revision == context.before + 1
+    assert context.edit.version == context.before + 1
+
+
+@when('the operator applies {{{fields} and it fails')
+def apply_bad(context, fields):
+    _apply(context, f'{{{fields}')
+
+
+@when('the operator applies 5 and it fails')
+def apply_number(context):
+    _apply(context, '5')
+
+
+@then('the operator reads {place} and {reason}')
+def reads(context, place, reason):
+    assert isinstance(context.error, InvalidEntryError), repr(context.error)
+    assert place in str(context.error), context.error
+    assert reason in str(context.error), context.error
+
+
+@step('the platform was not written to')
+def not_written(context):
+    assert context.platform.store.revision == context.before
+
+
+@given('instances that come to know version 7 one after the other')
+def instances(context):
+    context.asked = 0
+    context.reasons = ()
+
+
+async def _discover(context):
+    context.asked += 1
+    joined = ['e4'] if context.asked > 1 else []
+    return ['e1', 'e2', 'e3', *joined]
+
+
+async def _fetch(context, address):
+    if address == 'e3' and context.asked < 2:
+        return None
+    late = address == 'e2' and context.asked < 3
+    rejected = {'k': context.reasons} if address == 'e1' else {}
+    return ConfigStatus(address, 6 if late else 7, 'digest', rejected)
+
+
+def _wait(context, version, seconds):
+    wait = partial(
+        wait_in_force,
+        partial(_discover, context),
+        partial(_fetch, context),
+        key='k',
+        version=version,
+        timeout_seconds=seconds,
+    )
+    context.rollout = anyio.run(wait)
+
+
+@when('the operator waits for version {version:d}')
+def wait(context, version):
+    _wait(context, version, 20)
+
+
+@when('the operator waits for version {version:d} for a short time')
+def wait_short(context, version):
+    _wait(context, version, 0.1)
+
+
+@then('all {count:d} instances have it in force')
+def all_in_force(context, count):
+    assert context.rollout.complete, context.rollout
+    assert len(context.rollout.in_force) == count, context.rollout
+
+
+@then('no instance has it in force and {count:d} are behind')
+def all_behind(context, count):
+    assert not context.rollout.in_force, context.rollout
+    assert len(context.rollout.behind) == count, context.rollout
+
+
+@given('an instance refuses "k" with "{reason}"')
+def refuses(context, reason):
+    context.reasons = (reason,)
+
+
+@then('the refusal of {count:d} instance is told')
+def refusal_told(context, count):
+    assert not context.rollout.complete, context.rollout
+    assert context.rollout.rejected == {'e1': context.reasons}
+    assert len(context.rollout.rejected) == count
