Add the command frame, settings loader, charts and logs

Cause: the daemons need one way to load settings, log and follow a state chart, and the commands need one frame, before the path can be wired.

- cli/: one module per command behind an abstract Command; global log options; examples and exit codes in every help text.
- config/: JSON with comments by pyjson5; pydantic reports every mistake at once with its place; secrets are resolved during validation, so that a missing file or variable stands in the same list.
IP numbers only.
- charts/: JSON files validated once, interpreted by transitions.
Ruled out: one machine model registered per state (it binds a method for each event to each instance); the machine's events are triggered on a slotted state.
- logs/: sentence, typed fields and a fixed prefix per part, as text or JSON lines on standard error; bearer tokens are masked as the last step.

--- /dev/null
+++ b/src/sardinetrack/cli/entry.py
@@ -0,0 +1,33 @@
+"""``sardinetrack entry``: the daemon that terminates callers."""
+
+from __future__ import annotations
+
+from argparse import ArgumentParser, Namespace
+
+import anyio
+
+from sardinetrack.cli.api import Command
+from sardinetrack.cli.lazy import compose
+from sardinetrack.config.loader import load_settings
+from sardinetrack.config.model import EntrySettings
+
+
+class EntryCommand(Command):
+    """Run an entry until it is drained."""
+
+    name = 'entry'
+    help = 'run an entry: it terminates callers and routes their requests'
+    examples = (
+        'sardinetrack entry entry.json',
+        'sardinetrack entry entry.json --log-format json',
+    )
+
+    def add_arguments(self, parser: ArgumentParser) -> None:
+        """Take the settings file."""
+        parser.add_argument('settings', help='settings file of this entry')
+
+    def run(self, options: Namespace) -> int:
+        """Run until a SIGTERM has drained the entry."""
+        settings = load_settings(options.settings, EntrySettings)
+        exit_code: int = anyio.run(compose().run_entry, settings)
+        return exit_code
--- /dev/null
+++ b/src/sardinetrack/cli/side.py
@@ -0,0 +1,33 @@
+"""``sardinetrack side``: the daemon beside one backend server."""
+
+from __future__ import annotations
+
+from argparse import ArgumentParser, Namespace
+
+import anyio
+
+from sardinetrack.cli.api import Command
+from sardinetrack.cli.lazy import compose
+from sardinetrack.config.loader import load_settings
+from sardinetrack.config.model import SideSettings
+
+
+class SideCommand(Command):
+    """Run a side until it is drained."""
+
+    name = 'side'
+    help = 'run a side: it hands requests to its backend server'
+    examples = (
+        'sardinetrack side side.json',
+        'sardinetrack side side.json --log-format json',
+    )
+
+    def add_arguments(self, parser: ArgumentParser) -> None:
+        """Take the settings file."""
+        parser.add_argument('settings', help='settings file of this side')
+
+    def run(self, options: Namespace) -> int:
+        """Run until a SIGTERM has drained the side."""
+        settings = load_settings(options.settings, SideSettings)
+        exit_code: int = anyio.run(compose().run_side, settings)
+        return exit_code
--- /dev/null
+++ b/src/sardinetrack/config/errors.py
@@ -0,0 +1,33 @@
+"""What is wrong with a settings file."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Problem:
+    """One mistake, with where it is."""
+
+    place: str
+    """Dotted path of the setting, or ``line L, column C``."""
+    reason: str
+
+    def __str__(self) -> str:
+        """Write the line that the operator reads."""
+        return f'{self.place}: {self.reason}'
+
+
+class SettingsError(Exception):
+    """The settings can't be used; every mistake is listed."""
+
+    def __init__(self, source: str, problems: tuple[Problem, ...]) -> None:
+        """Remember the mistakes.
+
+        :param source: the file's path.
+        :param problems: every mistake found.
+        """
+        lines = [f'{source}: {problem}' for problem in problems]
+        super().__init__('\n'.join(lines))
+        self.source = source
+        self.problems = problems
--- /dev/null
+++ b/src/sardinetrack/config/loader.py
@@ -0,0 +1,90 @@
+"""Load settings files and report every mistake at once."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+from types import MappingProxyType
+from typing import Any, Final, TypeVar
+
+from pydantic import BaseModel, ValidationError
+from pydantic_core import ErrorDetails
+
+from sardinetrack.config.errors import Problem, SettingsError
+from sardinetrack.config.model import EntrySettings, SideSettings
+from sardinetrack.config.secret import SecretSources
+from sardinetrack.config.syntax import SyntaxProblemError, parse_text
+
+Settings = TypeVar('Settings', bound=BaseModel)
+
+_WHOLE_FILE: Final = 'settings'
+_REASONS: Final = MappingProxyType(
+    {
+        'extra_forbidden': 'there is no such setting',
+        'missing': 'field required',
+        'model_type': 'a JSON object is needed',
+    },
+)
+
+
+def load_settings(path: str, model: type[Settings]) -> Settings:
+    """Load a settings file.
+
+    :param path: a file of JSON with comments.
+    :param model: what it must describe.
+    :return: valid settings, whose secrets can be resolved.
+    :raises SettingsError: with every mistake.
+    """
+    return _validate(path, _read(path), model)
+
+
+def load_any(path: str) -> EntrySettings | SideSettings:
+    """Load settings of the role that the file itself names.
+
+    :raises SettingsError: with every mistake.
+    """
+    content = _read(path)
+    role = content.get('role') if isinstance(content, dict) else None
+    if role == 'entry':
+        return _validate(path, content, EntrySettings)
+    if role == 'side':
+        return _validate(path, content, SideSettings)
+    problem = Problem('role', "must be 'entry' or 'side'")
+    raise SettingsError(path, (problem,))
+
+
+def _read(path: str) -> Any:
+    try:
+        return parse_text(Path(path).read_text(encoding='utf-8'))
+    except OSError as error:
+        reason = f"can't be read: {error.strerror}"
+        raise SettingsError(path, (Problem(_WHOLE_FILE, reason),)) from error
+    except UnicodeDecodeError as error:
+        problem = Problem(_WHOLE_FILE, 'not UTF-8 text')
+        raise SettingsError(path, (problem,)) from error
+    except SyntaxProblemError as error:
+        raise SettingsError(path, (error.problem,)) from error
+
+
+def _validate(
+    path: str,
+    content: Any,
+    model: type[Settings],
+) -> Settings:
+    try:
+        return model.model_validate(
+            content,
+            context=SecretSources(os.environ),
+        )
+    except ValidationError as error:
+        details = error.errors(include_url=False, include_input=False)
+        problems = tuple(_problem(detail) for detail in details)
+        # The cause would show the mistaken input, which may be a secret.
+        raise SettingsError(path, problems) from None
+
+
+def _problem(detail: ErrorDetails) -> Problem:
+    place = '.'.join(str(part) for part in detail['loc'])
+    message = detail['msg'].removeprefix('Value error, ')
+    reason = _REASONS.get(detail['type'], message)
+    return Problem(place or _WHOLE_FILE, reason[:1].lower() + reason[1:])
--- a/src/sardinetrack/config/model.py
+++ b/src/sardinetrack/config/model.py
@@ -4,7 +4,10 @@
 
 from typing import Annotated, Final, Literal
 
-from pydantic import BaseModel, ConfigDict, Field, SecretStr
+from pydantic import BaseModel, ConfigDict, Field
+
+from sardinetrack.config.address import HttpUrl, IpNumber
+from sardinetrack.config.secret import Secret
 
 _LAST_PORT: Final = 65_535
 _LONGEST_SECONDS: Final = 3_600
@@ -18,25 +21,17 @@
     model_config = ConfigDict(extra='forbid', frozen=True)
 
 
-class Secret(_Strict):
-    """A secret given in place, by a file, or by an environment variable."""
-
-    value: SecretStr | None = None
-    file: str | None = None
-    environment: str | None = None
-
-
 class Listen(_Strict):
     """An address to listen at."""
 
-    ip: str = '127.0.0.1'
+    ip: IpNumber = '127.0.0.1'
     port: Port = 0
 
 
 class PlatformSettings(_Strict):
     """Where the platform is and how long to wait for it."""
 
-    url: str
+    url: HttpUrl
     token: Secret
     call_timeout_seconds: Seconds = 2.0
     watch_seconds: Seconds = 20.0
@@ -81,5 +76,5 @@
     role: Literal['side'] = 'side'
     pool: Name
     backend_server: Name
-    backend_url: str
+    backend_url: HttpUrl
     lease_seconds: Seconds = 10.0
--- /dev/null
+++ b/src/sardinetrack/config/syntax.py
@@ -0,0 +1,57 @@
+"""Read JSON with comments; a mistake comes with its line and column."""
+
+from __future__ import annotations
+
+import re
+from typing import Any, Final
+
+import pyjson5
+
+from sardinetrack.config.errors import Problem
+
+_OFFSET: Final = re.compile(r'\s*\b(?:near|starting near) (\d+),?')
+_CODE_POINT: Final = re.compile(r'U\+([0-9a-fA-F]{4,6})')
+_BYTES: Final = re.compile(r"b'(\w+)'")
+_HEXADECIMAL: Final = 16
+
+
+class SyntaxProblemError(Exception):
+    """The text is no JSON."""
+
+    def __init__(self, problem: Problem) -> None:
+        """Remember the place and the reason."""
+        super().__init__(str(problem))
+        self.problem = problem
+
+
+def parse_text(text: str) -> Any:
+    """Read JSON with comments.
+
+    :param text: a whole file.
+    :return: its content, not yet validated.
+    :raises SyntaxProblemError: with line and column.
+    """
+    try:
+        return pyjson5.decode(text)
+    except pyjson5.Json5DecoderException as error:
+        raise SyntaxProblemError(_locate(text, error.args[0])) from error
+
+
+def _locate(text: str, message: str) -> Problem:
+    found = _OFFSET.search(message)
+    offset = max(int(found.group(1)) - 1, 0) if found else 0
+    before = text[:offset]
+    line = before.count('\n') + 1
+    column = offset - before.rfind('\n')
+    return Problem(f'line {line}, column {column}', _reason(message))
+
+
+def _reason(message: str) -> str:
+    plain = _OFFSET.sub('', message)
+    plain = _BYTES.sub(r'\1', plain).replace('JSON5Value', 'a value')
+    plain = _CODE_POINT.sub(_character, plain)
+    return plain[:1].lower() + plain[1:]
+
+
+def _character(found: re.Match[str]) -> str:
+    return repr(chr(int(found.group(1), _HEXADECIMAL)))
--- /dev/null
+++ b/src/sardinetrack/logs/__init__.py
@@ -0,0 +1,8 @@
+"""Log lines: short sentences with a fixed prefix for each part."""
+
+from __future__ import annotations
+
+from sardinetrack.logs.configure import LogFormat, configure
+from sardinetrack.logs.lines import DecisionRecord, Part, PartLogger
+
+__all__ = ['DecisionRecord', 'LogFormat', 'Part', 'PartLogger', 'configure']
