--- a/src/sardinetrack/config/syntax.py
+++ b/src/sardinetrack/config/syntax.py
@@ -34,12 +34,15 @@
     try:
         return pyjson5.decode(text)
     except pyjson5.Json5DecoderException as error:
-        raise SyntaxProblemError(_locate(text, error.args[0])) from error
+        problem = _locate(text, error.args[0], error.args[2] or '')
+        raise SyntaxProblemError(problem) from error
 
 
-def _locate(text: str, message: str) -> Problem:
+def _locate(text: str, message: str, character: str) -> Problem:
     found = _OFFSET.search(message)
-    offset = max(int(found.group(1)) - 1, 0) if found else 0
+    start = max(int(found.group(1)) - 1, 0) if found else 0
+    # The library points before the white space that leads to the character.
+    offset = max(text.find(character, start), start)
     before = text[:offset]
     line = before.count('\n') + 1
     column = offset - before.rfind('\n')
--- /dev/null
+++ b/tests/charts/steps/interpreter_steps.py
@@ -0,0 +1,154 @@
+"""Steps on the state charts."""
+
+from __future__ import annotations
+
+import json
+from importlib import resources
+
+from behave import given, then, when
+from behave.runner import Context
+from hypothesis import given as for_all
+from hypothesis import settings, strategies
+
+from sardinetrack.charts import Chart, IllegalEventError, InvalidChartError
+
+_CHARTS = ('attempt', 'breaker', 'drain', 'lease', 'link')
+_MANY = 100
+
+
+@when('the chart "{name}" is loaded twice')
+def step_load_twice(context: Context, name: str) -> None:
+    context.chart = Chart.load(name)
+    context.again = Chart.load(name)
+
+
+@then('both are the same chart')
+def step_same_chart(context: Context) -> None:
+    assert context.chart is context.again
+
+
+@then('it starts in "{state}"')
+def step_starts(context: Context, state: str) -> None:
+    assert context.chart.start().state == state
+
+
+@given('a start on the chart "{name}"')
+def step_start(context: Context, name: str) -> None:
+    context.chart = Chart.load(name)
+    context.state = context.chart.start()
+
+
+@given('another start on the same chart')
+def step_other_start(context: Context) -> None:
+    context.other = context.chart.start()
+
+
+@when('the events "{events}" are fired')
+def step_fire(context: Context, events: str) -> None:
+    for event in events.split():
+        assert context.state.allows(event)
+        assert context.state.fire(event) == context.state.state
+
+
+@then('the state is "{state}"')
+def step_state(context: Context, state: str) -> None:
+    assert context.state.state == state, context.state.state
+
+
+@then('the other state is "{state}"')
+def step_other_state(context: Context, state: str) -> None:
+    assert context.other.state == state
+
+
+@then('the event "{event}" is illegal')
+def step_illegal(context: Context, event: str) -> None:
+    before = context.state.state
+    assert not context.state.allows(event)
+    try:
+        context.state.fire(event)
+    except IllegalEventError as error:
+        place = (error.chart, error.state, error.event)
+        assert place == (context.chart.name, before, event)
+    else:
+        raise AssertionError('the event was taken')
+    assert context.state.state == before
+
+
+@given('a chart of the states "{states}" that starts in "{initial}"')
+def step_chart(context: Context, states: str, initial: str) -> None:
+    context.content = {
+        'about': 'A switch.',
+        'initial': initial,
+        'states': dict.fromkeys(states.split(), 'A state.'),
+    }
+
+
+@given('its events are "{events}" and its arrows "{arrows}"')
+def step_arrows(context: Context, events: str, arrows: str) -> None:
+    context.content['events'] = dict.fromkeys(events.split(), 'An event.')
+    context.content['transitions'] = [
+        dict(zip(('source', 'event', 'target'), arrow.split('-'), strict=True))
+        for arrow in arrows.split()
+    ]
+
+
+@when('the chart is read')
+def step_read(context: Context) -> None:
+    context.text_of_chart = json.dumps(context.content)
+
+
+@then('it is refused because "{reason}"')
+def step_refused(context: Context, reason: str) -> None:
+    _assert_refused(context.text_of_chart, reason)
+
+
+@then('the chart text "{text}" is refused because "{reason}"')
+def step_text_refused(context: Context, text: str, reason: str) -> None:
+    _assert_refused(text, reason)
+
+
+@then('the chart "{name}" is refused because "{reason}"')
+def step_name_refused(context: Context, name: str, reason: str) -> None:
+    try:
+        Chart.load(name)
+    except InvalidChartError as error:
+        assert reason in str(error)
+    else:
+        raise AssertionError('the chart was taken')
+
+
+def _assert_refused(text: str, reason: str) -> None:
+    try:
+        Chart.parse('switch', text)
+    except InvalidChartError as error:
+        assert any(reason in problem for problem in error.problems), error
+    else:
+        raise AssertionError('the chart was taken')
+
+
+@then('random events move each chart as a plain table does')
+def step_differential(context: Context) -> None:
+    _compare_with_table()
+
+
+@settings(max_examples=500, derandomize=True, database=None)
+@for_all(
+    name=strategies.sampled_from(_CHARTS),
+    choices=strategies.lists(strategies.integers(0, _MANY)),
+)
+def _compare_with_table(name: str, choices: list[int]) -> None:
+    path = resources.files('sardinetrack.charts') / f'{name}.json'
+    content = json.loads(path.read_bytes())
+    events = sorted(content['events'])
+    table = {
+        (arrow['source'], arrow['event']): arrow['target']
+        for arrow in content['transitions']
+    }
+    state = Chart.load(name).start()
+    naive = content['initial']
+    for choice in choices:
+        event = events[choice % len(events)]
+        assert state.allows(event) == ((naive, event) in table)
+        if state.allows(event):
+            naive = table[naive, event]
+            assert state.fire(event) == naive
