Add the test command, its verdict and features of the command line

- tests/runner/verdict.py: anything that is not "passed" counts as failed, skipped and undefined included; a part without a whole report, one that failed outside its scenarios and a run of nothing are red; known red scenarios are printed, at most three, each with cause and issue, and one that names no scenario is a fault.
Ruled out: trusting behave's exit code alone (it can't tell a known red scenario from a new one) and its printed summary (no stable format).

--- a/src/sardinetrack/run.py
+++ b/src/sardinetrack/run.py
@@ -17,7 +17,7 @@
 from sardinetrack.config.errors import SettingsError
 from sardinetrack.logs import LogFormat, configure
 
-_COMMANDS: Final[tuple[Command, ...]] = (
+COMMANDS: Final[tuple[Command, ...]] = (
     LocalCommand(),
     EntryCommand(),
     SideCommand(),
@@ -31,7 +31,7 @@
     :param arguments: the words after the program's name.
     :return: the exit code.
     """
-    options = build_parser(_COMMANDS).parse_args(arguments)
+    options = build_parser(COMMANDS).parse_args(arguments)
     configure(LogFormat(options.log_format), options.log_level)
     try:
         return _run(options)
--- /dev/null
+++ b/tests/cli/command_line.feature
@@ -0,0 +1,60 @@
+Feature: The command line explains itself and never shows a traceback
+
+  Scenario: The help shows every command, with examples and exit codes
+    When "sardinetrack --help" is run
+    Then the exit code is 0
+    And the output mentions every registered command
+    And every registered command's help shows its examples and exit codes
+    And every registered command's examples can be parsed
+
+  Scenario: The version
+    When "sardinetrack --version" is run
+    Then the exit code is 0
+    And the output is the package's version
+
+  Scenario Outline: A user's mistake is one clear line and exit code 2
+    When "sardinetrack <words>" is run
+    Then the exit code is 2
+    And the error output mentions "<reason>"
+    And there is no traceback
+
+    Examples:
+      | words                       | reason                  |
+      | dance                       | invalid choice          |
+      | entry                       | arguments are required  |
+      | local --port 70000          | 65535                   |
+      | entry /nowhere/x.json       | No such file            |
+      | side /nowhere/x.json        | No such file            |
+      | check /nowhere/x.json       | No such file            |
+      | --log-level loud check x    | invalid choice          |
+
+  Scenario: The effective settings are printed with secrets masked
+    Given a settings file of an entry with the secret "peer-word"
+    When "sardinetrack check SETTINGS" is run
+    Then the exit code is 0
+    And the output is JSON whose "drain_seconds" is 30
+    And neither output mentions "peer-word"
+
+  Scenario: The mistakes of a settings file are listed on standard error
+    Given a settings file of an entry with two mistakes
+    When "sardinetrack check SETTINGS" is run
+    Then the exit code is 2
+    And the output is empty
+    And the error output has 2 lines
+
+  Scenario: Settings that name no role can't be checked
+    Given a settings file that holds "{}"
+    When "sardinetrack check SETTINGS" is run
+    Then the exit code is 2
+    And the error output mentions "role: must be 'entry' or 'side'"
+
+  Scenario: An interrupted command says so by its exit code
+    Given a command that is interrupted
+    When "sardinetrack check x" is run
+    Then the exit code is 130
+    And there is no traceback
+
+  Scenario: The installed program is the same as the module
+    When the module is run as a process with "check /nowhere/x.json"
+    Then the exit code is 2
+    And there is no traceback
--- /dev/null
+++ b/tests/cli/steps/command_line_steps.py
@@ -0,0 +1,162 @@
+"""Steps on the command line."""
+
+from __future__ import annotations
+
+import io
+import json
+import shlex
+import subprocess
+import sys
+from contextlib import redirect_stderr, redirect_stdout
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from unittest.mock import patch
+
+from behave import given, then, when
+from behave.runner import Context
+
+from sardinetrack import __version__
+from sardinetrack.cli.check import CheckCommand
+from sardinetrack.cli.exit_codes import MEANINGS
+from sardinetrack.cli.parser import build_parser
+from sardinetrack.run import COMMANDS, main
+
+_ENTRY = """
+{
+  "role": "entry", "instance": "entry-1", "failure_domain": "galata",
+  "platform": {"url": "http://127.0.0.1:9000", "token": {"value": "SECRET"}},
+  "peer_secret": {"value": "SECRET"},
+}
+"""
+
+
+def _write(context: Context, text: str) -> None:
+    directory = TemporaryDirectory()
+    context.add_cleanup(directory.cleanup)
+    context.path = Path(directory.name) / 'settings.json'
+    context.path.write_text(text)
+
+
+def _run(context: Context, words: list[str]) -> None:
+    output, errors = io.StringIO(), io.StringIO()
+    with redirect_stdout(output), redirect_stderr(errors):
+        try:
+            context.code = main(words)
+        except SystemExit as leave:
+            context.code = leave.code
+    context.output = output.getvalue()
+    context.errors = errors.getvalue()
+
+
+@given('a settings file of an entry with the secret "{secret}"')
+def step_settings(context: Context, secret: str) -> None:
+    _write(context, _ENTRY.replace('SECRET', secret))
+
+
+@given('a settings file of an entry with two mistakes')
+def step_mistaken_settings(context: Context) -> None:
+    _write(context, _ENTRY.replace('127.0.0.1', 'x').replace('galata', ''))
+
+
+@given('a settings file that holds "{text}"')
+def step_settings_text(context: Context, text: str) -> None:
+    _write(context, text)
+
+
+@given('a command that is interrupted')
+def step_interrupted(context: Context) -> None:
+    broken = patch.object(CheckCommand, 'run', side_effect=KeyboardInterrupt)
+    broken.start()
+    context.add_cleanup(broken.stop)
+
+
+@when('"sardinetrack {words}" is run')
+def step_run(context: Context, words: str) -> None:
+    if 'path' in context:
+        words = words.replace('SETTINGS', str(context.path))
+    _run(context, shlex.split(words))
+
+
+@when('the module is run as a process with "{words}"')
+def step_process(context: Context, words: str) -> None:
+    done = subprocess.run(
+        [sys.executable, '-m', 'sardinetrack', *shlex.split(words)],
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    context.code = done.returncode
+    context.output = done.stdout
+    context.errors = done.stderr
+
+
+@then('the exit code is {code:d}')
+def step_code(context: Context, code: int) -> None:
+    assert context.code == code, (context.code, context.errors)
+
+
+@then('the output mentions "{text}"')
+def step_output(context: Context, text: str) -> None:
+    assert text in context.output, context.output
+
+
+@then('the error output mentions "{text}"')
+def step_errors(context: Context, text: str) -> None:
+    assert text in context.errors, context.errors
+
+
+@then('the output mentions every registered command')
+def step_commands(context: Context) -> None:
+    for command in COMMANDS:
+        assert f'    {command.name} ' in context.output, command.name
+
+
+@then("every registered command's help shows its examples and exit codes")
+def step_helps(context: Context) -> None:
+    for command in COMMANDS:
+        _run(context, [command.name, '--help'])
+        assert context.code == 0
+        for example in command.examples:
+            assert f'  {example}\n' in context.output, context.output
+        for code, meaning in MEANINGS.items():
+            assert f'  {int(code):<5}{meaning}\n' in context.output
+
+
+@then("every registered command's examples can be parsed")
+def step_examples(context: Context) -> None:
+    parser = build_parser(COMMANDS)
+    for command in COMMANDS:
+        assert command.examples
+        for example in command.examples:
+            words = shlex.split(example)[1:]
+            assert parser.parse_args(words).command is command
+
+
+@then("the output is the package's version")
+def step_version(context: Context) -> None:
+    assert context.output.strip() == __version__
+
+
+@then('there is no traceback')
+def step_no_traceback(context: Context) -> None:
+    assert 'Traceback' not in context.errors, context.errors
+
+
+@then('the output is JSON whose "{name}" is {number:g}')
+def step_json(context: Context, name: str, number: float) -> None:
+    assert json.loads(context.output)[name] == number
+
+
+@then('neither output mentions "{text}"')
+def step_neither(context: Context, text: str) -> None:
+    assert text not in context.output + context.errors
+
+
+@then('the output is empty')
+def step_empty(context: Context) -> None:
+    assert not context.output
+
+
+@then('the error output has {count:d} lines')
+def step_count(context: Context, count: int) -> None:
+    assert len(context.errors.splitlines()) == count, context.errors
--- /dev/null
+++ b/tests/runner/verdict.feature
@@ -0,0 +1,87 @@
+Feature: The verdict over all parts can't be eased
+
+  Background:
+    Given the scenarios
+      | place            | status |
+      | tests/a.feature:one   | passed |
+      | tests/a.feature:two   | failed |
+      | tests/b.feature:three | passed |
+
+  Scenario: A failure fails the run and is counted
+    When they are judged
+    Then the run is red
+    And the last line is "2 passed, 1 failed"
+
+  Scenario: A known red scenario is left out of the count and printed
+    Given the known red list
+      """
+      tests/a.feature:two | the lease is late | 5
+      """
+    When they are judged
+    Then the run is green
+    And the last line is "2 passed, 0 failed"
+    And a line is "KNOWN RED: tests/a.feature:two: failed; cause: the lease is late; issue: 5"
+
+  Scenario: A known red scenario that nothing ran is a fault
+    Given the known red list
+      """
+      tests/a.feature:two | the lease is late | 5
+      tests/a.feature:gone | renamed | 5
+      """
+    When they are judged
+    Then the run is red
+    And a line is "FAULT: the known red tests/a.feature:gone names no scenario that was run"
+
+  Scenario: More than three known red scenarios are refused
+    Given the known red list
+      """
+      tests/a.feature:one | x | 5
+      tests/a.feature:two | x | 5
+      tests/b.feature:three | x | 5
+      tests/b.feature:four | x | 5
+      """
+    Then the list is refused because "at most 3"
+
+  Scenario Outline: A line without cause and issue is refused
+    Given the known red list
+      """
+      <line>
+      """
+    Then the list is refused because "FEATURE_FILE:SCENARIO NAME"
+
+    Examples:
+      | line                             |
+      | tests/a.feature:two              |
+      | tests/a.feature:two \| late      |
+      | tests/a.feature:two \| \| 5      |
+
+  Scenario Outline: Whatever did not pass counts as failed
+    Given another scenario that ended as "<status>"
+    When they are judged
+    Then the last line is "2 passed, 2 failed"
+
+    Examples:
+      | status     |
+      | skipped    |
+      | untested   |
+      | undefined  |
+      | error      |
+      | hook_error |
+
+  Scenario Outline: A part that behave could not run whole fails the run
+    Given reports of a part with exit code <code> and <report>
+    When the reports are judged
+    Then the exit code of the verdict is <exit>
+    And its output mentions "<text>"
+
+    Examples:
+      | code | report          | exit | text                            |
+      | 0    | a passed report | 0    | 1 passed, 0 failed              |
+      | 1    | a passed report | 1    | failed outside its scenarios    |
+      | 1    | no report       | 1    | has no whole report             |
+      | 1    | half a report   | 1    | has no whole report             |
+
+  Scenario: A run without any scenario is red
+    Given no scenarios
+    When they are judged
+    Then the run is red
