--- a/tests/cli/command_line.feature
+++ b/tests/cli/command_line.feature
@@ -58,3 +58,6 @@
     When the module is run as a process with "check /nowhere/x.json"
     Then the exit code is 2
     And there is no traceback
+
+  Scenario: The operators' page lists the same exit codes as the help
+    Then docs/operators.md has one row for each exit code and no other
--- a/tests/cli/steps/command_line_steps.py
+++ b/tests/cli/steps/command_line_steps.py
@@ -4,6 +4,7 @@
 
 import io
 import json
+import re
 import shlex
 import subprocess
 import sys
@@ -160,3 +161,11 @@
 @then('the error output has {count:d} lines')
 def step_count(context: Context, count: int) -> None:
     assert len(context.errors.splitlines()) == count, context.errors
+
+
+@then('docs/operators.md has one row for each exit code and no other')
+def step_page(context: Context) -> None:
+    page = Path(__file__).parents[3] / 'docs' / 'operators.md'
+    found = re.findall(r'^\| (\d+) \| (.+) \|$', page.read_text(), re.MULTILINE)
+    wanted = [(str(int(code)), text) for code, text in MEANINGS.items()]
+    assert found == wanted, found
--- /dev/null
+++ b/tests/errors/steps/pages_steps.py
@@ -0,0 +1,90 @@
+"""Steps on the pages that describe the errors."""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass
+from pathlib import Path
+
+from behave import then, when
+from behave.runner import Context
+
+from sardinetrack.errors import ANSWERS, ErrorKind, answer_for
+
+_DOCS = Path(__file__).parents[3] / 'docs'
+_CODE = re.compile('`([a-z_]+)`')
+
+
+@dataclass(frozen=True)
+class _Row:
+    code: str
+    status: str
+    not_run: str
+    retry_after: str
+    meaning: str
+
+
+def _cells(page: str) -> list[list[str]]:
+    lines = (_DOCS / page).read_text().splitlines()
+    return [
+        [cell.strip() for cell in line.strip('|').split('|')]
+        for line in lines
+        if line.startswith('| `')
+    ]
+
+
+def _kind(row: _Row) -> ErrorKind:
+    return ErrorKind(row.code.strip('`'))
+
+
+@when('the table of docs/callers.md is read')
+def step_read(context: Context) -> None:
+    context.rows = [_Row(*cells) for cells in _cells('callers.md')]
+
+
+@then('its codes are the error kinds in their order')
+def step_codes(context: Context) -> None:
+    assert [_kind(row) for row in context.rows] == list(ErrorKind)
+
+
+@then('each row has the status of its answer')
+def step_status(context: Context) -> None:
+    for row in context.rows:
+        assert int(row.status) == answer_for(_kind(row)).status, row
+
+
+@then('each row promises "not run" exactly where the answer does')
+def step_not_run(context: Context) -> None:
+    for row in context.rows:
+        promise = 'yes' if answer_for(_kind(row)).not_run else 'no'
+        assert row.not_run == promise, row
+
+
+@then("each row has the answer's default for coming back")
+def step_retry_after(context: Context) -> None:
+    for row in context.rows:
+        seconds = answer_for(_kind(row)).retry_after_seconds
+        wanted = '-' if seconds is None else str(seconds)
+        assert row.retry_after == wanted, row
+
+
+@then('every code in the tables of docs/operators.md is an error kind')
+def step_operators(context: Context) -> None:
+    rows = [cells for cells in _cells('operators.md') if cells]
+    codes = [code for cells in rows for code in _CODE.findall(cells[0])]
+    assert codes
+    for code in codes:
+        assert ErrorKind(code)
+
+
+@then('every error kind has an answer')
+def step_every_kind(context: Context) -> None:
+    assert set(ANSWERS) == set(ErrorKind)
+
+
+@then(
+    'the words "not run" stand in no message of an answer that may have run',
+)
+def step_words(context: Context) -> None:
+    for answer in ANSWERS.values():
+        assert answer.not_run or 'not run' not in answer.message
