Add control links over WebSockets

A link is one WebSocket; messages posted in one turn of the event loop share a frame, one JSON message a line, so that one write carries them all. Frames of their own were ruled out: both libraries write once per frame.

Heartbeats are empty frames, sent only by an end that sent nothing for a beat. The library's pings were ruled out: traffic does not replace them and the server side would need uvicorn settings that close after 40 s.

--- /dev/null
+++ b/src/sardinetrack/links/server.py
@@ -0,0 +1,107 @@
+"""Accept links at an ASGI server."""
+
+from __future__ import annotations
+
+import logging
+from typing import Any, Final
+
+import msgspec
+
+from sardinetrack.http.asgi import Message, Receive, Scope, Send
+from sardinetrack.links.api import Hello, LinkBounds, LinkEvents
+from sardinetrack.links.frames import FrameSocket, LinkLostError
+from sardinetrack.links.link import FrameLink
+from sardinetrack.links.secret import (
+    AUTHORIZATION_HEADER,
+    HELLO_HEADER,
+    PeerSecret,
+    hello_header,
+    read_hello,
+)
+
+_LOG = logging.getLogger('sardinetrack.links')
+_LATIN: Final = 'latin-1'
+_TYPE: Final = 'type'
+
+
+class _ServerSocket(FrameSocket):
+    def __init__(self, receive: Receive, send: Send) -> None:
+        """Wrap the two callables of an accepted ASGI WebSocket."""
+        self._receive = receive
+        self._send = send
+
+    async def send(self, frame: bytes) -> None:
+        """Send one text frame."""
+        message: Message = {_TYPE: 'websocket.send', 'text': frame.decode()}
+        try:
+            await self._send(message)
+        except (OSError, RuntimeError) as error:
+            raise LinkLostError from error
+
+    async def receive(self) -> bytes | str:
+        """Wait for the next frame."""
+        message = await self._receive()
+        if message[_TYPE] != 'websocket.receive':
+            raise LinkLostError
+        text: bytes | str | None = message.get('text')
+        return message['bytes'] if text is None else text
+
+    def abort(self) -> None:
+        """Do nothing: the server closes when the application returns."""
+
+
+class LinkAcceptor:
+    """An ASGI application for WebSockets at the link's path."""
+
+    def __init__(
+        self,
+        hello: Hello,
+        secret: PeerSecret,
+        events: LinkEvents,
+        *,
+        bounds: LinkBounds | None = None,
+    ) -> None:
+        """Remember who answers and where events go."""
+        self._answer = [_encoded(*hello_header(hello))]
+        self._secret = secret
+        self._events = events
+        self._bounds = bounds or LinkBounds()
+
+    async def __call__(
+        self,
+        scope: Scope,
+        receive: Receive,
+        send: Send,
+    ) -> None:
+        """Check the peer, then work until the link closes."""
+        await receive()
+        peer = self._admitted(scope)
+        if peer is None:
+            # Before the accept this is answered with status 403.
+            await send({_TYPE: 'websocket.close'})
+            return
+        await send({_TYPE: 'websocket.accept', 'headers': self._answer})
+        link = FrameLink(_ServerSocket(receive, send), peer, self._bounds)
+        await link.run(self._events)
+
+    def _admitted(self, scope: Scope) -> Hello | None:
+        if not self._secret.matches(_header(scope, AUTHORIZATION_HEADER)):
+            _LOG.warning('link: refused, wrong secret: %s', scope['client'])
+            return None
+        try:
+            return read_hello(_header(scope, HELLO_HEADER))
+        except msgspec.DecodeError as error:
+            _LOG.warning('link: refused, bad hello: %s', error)
+            return None
+
+
+def _encoded(name: str, text: str) -> tuple[bytes, bytes]:
+    return name.encode(_LATIN), text.encode(_LATIN)
+
+
+def _header(scope: Any, name: str) -> str | None:
+    wanted = name.encode(_LATIN)
+    for key, text in scope['headers']:
+        if key == wanted:
+            return str(text.decode(_LATIN))
+    return None
