Serve orders at the side: run, fates, drain, links

The first working side: the decision object is owned by one task that takes typed events over a memory stream (the house style's tasks that own their state) and never waits for anybody; calling it straight from the handlers was weighed, saves two task switches an event, and was ruled out for the style. http.server can now tell when every connection is closed, which a drain needs so that the last bytes of finished answers leave.

--- a/src/sardinetrack/http/server.py
+++ b/src/sardinetrack/http/server.py
@@ -33,6 +33,14 @@
         """Build a server that tells when it listens."""
         super().__init__(config)
         self.listening = anyio.Event()
+        self.closed = anyio.Event()
+
+    async def serve(self, sockets: list[socket.socket] | None = None) -> None:
+        """Serve, then tell that every connection is closed."""
+        try:
+            await super().serve(sockets=sockets)
+        finally:
+            self.closed.set()
 
     async def startup(
         self,
@@ -51,7 +59,7 @@
 class BoundServer:
     """A running server."""
 
-    def __init__(self, server: uvicorn.Server, address: str) -> None:
+    def __init__(self, server: _Server, address: str) -> None:
         """Remember the server.
 
         :param address: ``IP:port`` where it listens.
@@ -73,6 +81,10 @@
         """Close the listener; running exchanges finish."""
         self._server.should_exit = True
 
+    async def closed(self) -> None:
+        """Return when every connection is closed after ``stop``."""
+        await self._server.closed.wait()
+
     def abort(self) -> None:
         """Close everything at once."""
         self._server.should_exit = True
--- /dev/null
+++ b/src/sardinetrack/side/backend_watch.py
@@ -0,0 +1,104 @@
+"""The task that watches the backend server and sizes the side's slots."""
+
+from __future__ import annotations
+
+import logging
+from dataclasses import dataclass
+from typing import Final
+
+import anyio
+from anyio.streams.memory import (
+    MemoryObjectReceiveStream,
+    MemoryObjectSendStream,
+)
+
+from sardinetrack.catalogue.api import Pool, PoolClass
+from sardinetrack.side.backend import BackendServer
+from sardinetrack.side.concurrency import ConcurrencyLimit
+from sardinetrack.side.configuration import SideConfiguration
+from sardinetrack.side.events import Resized, SideEvents
+from sardinetrack.side.load_report import LoadReport
+
+_LOG = logging.getLogger('sardinetrack.side')
+_POLL_SECONDS: Final = 1.0
+_RETRY_SECONDS: Final = 0.25
+_NO_SLOTS: Final = 0
+
+
+@dataclass(frozen=True, slots=True)
+class ProbeNow:
+    """Something happened: look at the backend server at once."""
+
+
+def ask_probe(probe: MemoryObjectSendStream[ProbeNow]) -> None:
+    """Wake the watch; one pending wake-up is as good as many."""
+    try:
+        probe.send_nowait(ProbeNow())
+    except (anyio.WouldBlock, anyio.BrokenResourceError):
+        return
+
+
+class BackendWatch:
+    """Offers no slots while the backend server can't be reached.
+
+    Without this a side whose server is gone refuses faster than any other
+    side answers, and so attracts all the work there is.
+    """
+
+    def __init__(
+        self,
+        backend: BackendServer,
+        configuration: SideConfiguration,
+        concurrency: ConcurrencyLimit,
+        owner: SideEvents,
+        probes: MemoryObjectReceiveStream[ProbeNow],
+    ) -> None:
+        """Prepare the task."""
+        self._backend = backend
+        self._configuration = configuration
+        self._concurrency = concurrency
+        self._owner = owner
+        self._probes = probes
+        self._limit = _NO_SLOTS
+        self._woken = False
+
+    async def run(self) -> None:
+        """Watch until cancelled."""
+        while True:
+            pool = self._configuration.pool()
+            if pool is not None:
+                await self._resize(await self._look(pool))
+            await self._pause()
+
+    async def _look(self, pool: Pool) -> int:
+        report: LoadReport | None = None
+        if pool.pool_class is PoolClass.MODEL:
+            report = await self._backend.load()
+        if report is None and self._in_doubt(pool):
+            if not await self._backend.reachable():
+                return _NO_SLOTS
+        return self._concurrency.limit(anyio.current_time(), pool, report)
+
+    def _in_doubt(self, pool: Pool) -> bool:
+        if pool.pool_class is PoolClass.MODEL:
+            return True
+        return self._woken or self._limit == _NO_SLOTS
+
+    async def _resize(self, limit: int) -> None:
+        if limit == self._limit:
+            return
+        _LOG.info(
+            'side: slots backend_server=%s limit=%d was=%d',
+            self._backend.name,
+            limit,
+            self._limit,
+        )
+        self._limit = limit
+        await self._owner.send(Resized(limit))
+
+    async def _pause(self) -> None:
+        self._woken = False
+        seconds = _POLL_SECONDS if self._limit else _RETRY_SECONDS
+        with anyio.move_on_after(seconds):
+            await self._probes.receive()
+            self._woken = True
--- /dev/null
+++ b/src/sardinetrack/side/daemon.py
@@ -0,0 +1,113 @@
+"""The side daemon as a context manager."""
+
+from __future__ import annotations
+
+import logging
+from contextlib import AsyncExitStack
+from types import TracebackType
+from typing import Final, Self
+
+import anyio
+
+from sardinetrack.config.model import Listen
+from sardinetrack.http.asgi import Application
+from sardinetrack.http.client import HttpClient
+from sardinetrack.http.server import BoundServer, serving
+from sardinetrack.side.events import DrainBegan
+from sardinetrack.side.parts import SideParts
+from sardinetrack.side.wiring import Wiring
+
+_LOG = logging.getLogger('sardinetrack.side')
+_LINGER_SECONDS: Final = 0.5
+"""Orders sent before the entries heard of the drain get a clear refusal."""
+_CLOSE_SECONDS: Final = 2.0
+
+
+class Side:
+    """Serves while the context lasts; ``run`` returns after a drain."""
+
+    def __init__(self, parts: SideParts) -> None:
+        """Prepare a side; entering the context starts it."""
+        self._parts = parts
+        self._stack = AsyncExitStack()
+        self._ended = anyio.Event()
+        self._wiring: Wiring
+        self.peer: BoundServer
+        self.operator: BoundServer
+
+    async def __aenter__(self) -> Self:
+        """Start the tasks and the servers."""
+        async with self._stack as stack:
+            await self._open(stack)
+            self._stack = stack.pop_all()
+        _LOG.info(
+            'side: serving peers=%s operators=%s backend_server=%s',
+            self.peer.address,
+            self.operator.address,
+            self._parts.settings.backend_server,
+        )
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> bool | None:
+        """Stop everything; running requests are cut."""
+        return await self._stack.__aexit__(kind, error, trace)
+
+    async def run(self) -> None:
+        """Return when a drain is over."""
+        await self._ended.wait()
+
+    async def drain(self) -> None:
+        """Refuse new orders, let running ones finish, then close.
+
+        Bounded by the settings: what runs longer is cut off.
+        """
+        idle = anyio.Event()
+        await self._wiring.events.send(DrainBegan(idle))
+        with anyio.move_on_after(self._parts.settings.drain_seconds):
+            await idle.wait()
+        if not idle.is_set():
+            _LOG.error('side: drain took too long, requests are cut')
+        await anyio.sleep(_LINGER_SECONDS)
+        await self._close_servers()
+        self._ended.set()
+
+    async def _open(self, stack: AsyncExitStack) -> None:
+        client = await stack.enter_async_context(HttpClient())
+        self._wiring = Wiring(self._parts, client)
+        tasks = await stack.enter_async_context(anyio.create_task_group())
+        stack.callback(tasks.cancel_scope.cancel)
+        tasks.start_soon(self._wiring.owner.run)
+        tasks.start_soon(self._wiring.watch.run)
+        settings = self._parts.settings
+        self.operator = await self._serve(
+            stack,
+            self._wiring.operator_application(),
+            settings.operator,
+        )
+        self.peer = await self._serve(
+            stack,
+            self._wiring.peer_application(),
+            settings.peer,
+        )
+
+    async def _serve(
+        self,
+        stack: AsyncExitStack,
+        application: Application,
+        listen: Listen,
+    ) -> BoundServer:
+        server = serving(application, listen.ip, listen.port)
+        return await stack.enter_async_context(server)
+
+    async def _close_servers(self) -> None:
+        # The last bytes of finished answers may still be on their way out.
+        self.peer.stop()
+        self.operator.stop()
+        with anyio.move_on_after(_CLOSE_SECONDS):
+            await self.peer.closed()
+            await self.operator.closed()
--- /dev/null
+++ b/src/sardinetrack/side/handover.py
@@ -0,0 +1,115 @@
+"""Hand a started request to the backend server and stream its answer."""
+
+from __future__ import annotations
+
+import logging
+
+import anyio
+from anyio.streams.memory import MemoryObjectSendStream
+
+from sardinetrack.catalogue.api import Pool
+from sardinetrack.http.asgi import Exchange
+from sardinetrack.http.client import BrokenError, NotSentError, StreamedReply
+from sardinetrack.messages.run import Fate, RunResult
+from sardinetrack.side.answers import answer_result, start_answer
+from sardinetrack.side.attempt import Attempt
+from sardinetrack.side.backend import BackendServer
+from sardinetrack.side.backend_watch import ProbeNow, ask_probe
+from sardinetrack.side.costs import meter_for
+from sardinetrack.side.events import Started
+from sardinetrack.side.refusals import DaemonRefusal
+
+_LOG = logging.getLogger('sardinetrack.side')
+
+
+class HandOver:
+    """One run at the backend server; ``run`` is called once."""
+
+    def __init__(
+        self,
+        attempt: Attempt,
+        exchange: Exchange,
+        pool: Pool,
+        backend: BackendServer,
+        probe: MemoryObjectSendStream[ProbeNow],
+    ) -> None:
+        """Prepare the run.
+
+        :param probe: wakes the watch when the backend server fails.
+        """
+        self._attempt = attempt
+        self._exchange = exchange
+        self._backend = backend
+        self._probe = probe
+        self._meter = meter_for(pool)
+        self._started_at = anyio.current_time()
+
+    async def run(self, body: bytes, started: Started) -> bool:
+        """Run the request.
+
+        :return: whether the entry got a complete answer of this side.
+        """
+        try:
+            await self._relay(body, started)
+        except NotSentError as error:
+            await self._failed(error)
+            await self._answer_unsent()
+        except BrokenError as error:
+            await self._failed(error)
+            return await self._answer_broken()
+        finally:
+            await self._over(whole=False)
+        return True
+
+    async def _relay(self, body: bytes, started: Started) -> None:
+        order = self._attempt.order
+        async with self._backend.run(order, body) as reply:
+            await self._start(reply, started)
+            async for chunk in reply.chunks():
+                self._meter.feed(chunk)
+                await self._exchange.write(chunk)
+        # Before the last word to the entry, so that the slot does not wait
+        # for an entry that reads slowly.
+        await self._over(whole=True)
+        await self._exchange.finish()
+
+    async def _start(self, reply: StreamedReply, started: Started) -> None:
+        run_result = RunResult(
+            Fate.RUNNING,
+            self._attempt.order.incarnation,
+            status=reply.status,
+            free=started.free,
+        )
+        await start_answer(self._exchange, run_result, reply)
+
+    async def _failed(self, error: Exception) -> None:
+        _LOG.warning(
+            'side: backend server failed attempt=%s backend_server=%s: %s',
+            self._attempt.order.attempt_id,
+            self._backend.name,
+            error,
+        )
+        ask_probe(self._probe)
+        await self._over(whole=False)
+
+    async def _answer_unsent(self) -> None:
+        run_result = RunResult(
+            Fate.NOT_STARTED,
+            self._attempt.order.incarnation,
+            reason=DaemonRefusal.NO_SERVER,
+        )
+        await answer_result(self._exchange, run_result)
+
+    async def _answer_broken(self) -> bool:
+        if self._exchange.started:
+            return False
+        run_result = RunResult(Fate.FAILED, self._attempt.order.incarnation)
+        await answer_result(self._exchange, run_result)
+        return True
+
+    async def _over(self, *, whole: bool) -> None:
+        run_seconds = anyio.current_time() - self._started_at
+        await self._attempt.over(
+            whole=whole,
+            cost=self._meter.cost(run_seconds),
+        )
--- /dev/null
+++ b/src/sardinetrack/side/identity.py
@@ -0,0 +1,40 @@
+"""Who a side is."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from sardinetrack.config.model import SideSettings
+from sardinetrack.links.api import Hello, PeerRole
+
+
+@dataclass(frozen=True, slots=True)
+class SideIdentity:
+    """Names of a side process and of its backend server."""
+
+    instance: str
+    incarnation: str
+    """Differs for each start of the process."""
+    pool: str
+    backend_server: str
+    failure_domain: str
+
+    @classmethod
+    def of(cls, settings: SideSettings, incarnation: str) -> SideIdentity:
+        """Take the names from the settings."""
+        return cls(
+            instance=settings.instance,
+            incarnation=incarnation,
+            pool=settings.pool,
+            backend_server=settings.backend_server,
+            failure_domain=settings.failure_domain,
+        )
+
+    def hello(self) -> Hello:
+        """Build what peers are told while a link opens."""
+        return Hello(
+            instance=self.instance,
+            role=PeerRole.SIDE,
+            incarnation=self.incarnation,
+            failure_domain=self.failure_domain,
+        )
--- /dev/null
+++ b/src/sardinetrack/side/load_report.py
@@ -0,0 +1,14 @@
+"""The load that a model engine reports."""
+
+from __future__ import annotations
+
+from msgspec import Struct
+
+
+class LoadReport(Struct, frozen=True):
+    """What a model engine says about itself, with a lag."""
+
+    running: int = 0
+    waiting: int = 0
+    tokens_per_second: float = 0
+    kv_cache_use: float = 0
--- /dev/null
+++ b/src/sardinetrack/side/operator_application.py
@@ -0,0 +1,71 @@
+"""The ASGI application for operators of a side."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+from typing import Any, Final
+
+from sardinetrack.http.asgi import Exchange, Receive, Scope, Send
+from sardinetrack.side.events import SideEvents
+from sardinetrack.side.metrics import SideMetrics
+from sardinetrack.side.routes import Routes
+from sardinetrack.side.status import StatusSource
+
+_TYPE: Final = 'type'
+_GET: Final = 'GET'
+
+
+class OperatorApplication:
+    """Health, metrics, status and settings for operators."""
+
+    def __init__(
+        self,
+        owner: SideEvents,
+        metrics: SideMetrics,
+        settings: Any,
+    ) -> None:
+        """Build the table.
+
+        :param settings: effective settings as JSON content, secrets masked.
+        """
+        self._status = StatusSource(owner)
+        self._metrics = metrics
+        self._settings = settings
+        self._routes = Routes(
+            {
+                (_GET, '/healthz'): _healthy,
+                (_GET, '/readyz'): self._ready,
+                (_GET, '/metrics'): self._show_metrics,
+                (_GET, '/status'): self._status,
+                (_GET, '/config'): self._show_settings,
+            },
+        )
+
+    async def __call__(
+        self,
+        scope: Scope,
+        receive: Receive,
+        send: Send,
+    ) -> None:
+        """Answer one request."""
+        if scope[_TYPE] == 'http':
+            await self._routes.answer(Exchange(scope, receive, send))
+        else:
+            await send({_TYPE: 'websocket.close'})
+
+    async def _ready(self, exchange: Exchange) -> None:
+        ready = (await self._status.read()).ready
+        status = HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE
+        await exchange.answer(status, b'ready\n' if ready else b'not ready\n')
+
+    async def _show_metrics(self, exchange: Exchange) -> None:
+        content_type = ('content-type', 'text/plain; version=0.0.4')
+        text = self._metrics.text()
+        await exchange.answer(HTTPStatus.OK, text, [content_type])
+
+    async def _show_settings(self, exchange: Exchange) -> None:
+        await exchange.answer_json(HTTPStatus.OK, self._settings)
+
+
+async def _healthy(exchange: Exchange) -> None:
+    await exchange.answer(HTTPStatus.OK, b'ok\n')
--- /dev/null
+++ b/src/sardinetrack/side/parts.py
@@ -0,0 +1,26 @@
+"""What the composition root hands to a side."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from sardinetrack.admission.api import Admission
+from sardinetrack.config.model import SideSettings
+from sardinetrack.links.api import LinkBounds
+from sardinetrack.links.secret import PeerSecret
+from sardinetrack.side.concurrency import ConcurrencyLimit, FixedLimit
+from sardinetrack.side.configuration import SideConfiguration
+
+
+@dataclass(frozen=True, slots=True)
+class SideParts:
+    """Settings, secret and decision objects of one side process."""
+
+    settings: SideSettings
+    peer_secret: PeerSecret
+    incarnation: str
+    """Differs for each start of the process."""
+    admission: Admission
+    configuration: SideConfiguration
+    concurrency: ConcurrencyLimit = field(default_factory=FixedLimit)
+    link_bounds: LinkBounds = field(default_factory=LinkBounds)
--- /dev/null
+++ b/src/sardinetrack/side/peer_application.py
@@ -0,0 +1,65 @@
+"""The ASGI application for peers of a side."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from sardinetrack.errors.api import AnsweredError, ErrorKind
+from sardinetrack.http.asgi import Exchange, Receive, Scope, Send
+from sardinetrack.links.api import LINK_PATH
+from sardinetrack.links.secret import AUTHORIZATION_HEADER, PeerSecret
+from sardinetrack.links.server import LinkAcceptor
+from sardinetrack.messages.run import ATTEMPT_PATH, RUN_PATH
+from sardinetrack.side.answers import answer_error
+from sardinetrack.side.attempt_endpoint import AttemptEndpoint
+from sardinetrack.side.events import SideEvents
+from sardinetrack.side.routes import Routes
+from sardinetrack.side.run_endpoint import RunEndpoint
+from sardinetrack.side.status import StatusSource
+
+STATUS_PATH: Final = '/peer/v1/status'
+_TYPE: Final = 'type'
+_POST: Final = 'POST'
+
+
+class PeerApplication:
+    """Everything that peers may call; nobody gets in without the secret."""
+
+    def __init__(
+        self,
+        secret: PeerSecret,
+        acceptor: LinkAcceptor,
+        owner: SideEvents,
+        run: RunEndpoint,
+    ) -> None:
+        """Build the table."""
+        self._secret = secret
+        self._acceptor = acceptor
+        self._routes = Routes(
+            {
+                (_POST, RUN_PATH): run,
+                (_POST, ATTEMPT_PATH): AttemptEndpoint(owner),
+                ('GET', STATUS_PATH): StatusSource(owner),
+            },
+        )
+
+    async def __call__(
+        self,
+        scope: Scope,
+        receive: Receive,
+        send: Send,
+    ) -> None:
+        """Answer one request or accept one link."""
+        if scope[_TYPE] == 'http':
+            await self._answer(Exchange(scope, receive, send))
+        elif scope['path'] == LINK_PATH:
+            await self._acceptor(scope, receive, send)
+        else:
+            await send({_TYPE: 'websocket.close'})
+
+    async def _answer(self, exchange: Exchange) -> None:
+        if self._secret.matches(exchange.header(AUTHORIZATION_HEADER)):
+            await self._routes.answer(exchange)
+        else:
+            error = AnsweredError(ErrorKind.PEER_REFUSED)
+            await answer_error(exchange, error)
--- /dev/null
+++ b/tests/links/link_ends.py
@@ -0,0 +1,135 @@
+"""Two ends of control links, for the steps."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from random import Random
+from typing import Any, Final
+
+import anyio
+
+from sardinetrack.http.server import serving
+from sardinetrack.links.api import (
+    Hello,
+    LinkBounds,
+    LinkDown,
+    LinkMessageReceived,
+    LinkUp,
+    PeerRole,
+)
+from sardinetrack.links.client import LinkDialer
+from sardinetrack.links.secret import PeerSecret
+from sardinetrack.links.server import LinkAcceptor
+
+SECRET: Final = 'winter-harbour'
+BOUNDS: Final = LinkBounds(
+    beat_seconds=0.1,
+    silence_seconds=0.5,
+    open_seconds=1.0,
+    longest_retry_seconds=0.2,
+    outbox_messages=8,
+)
+WAIT_SECONDS: Final = 15.0
+
+
+def hello(instance: str, role: PeerRole) -> Hello:
+    return Hello(instance, role, f'{instance}-first', 'galata')
+
+
+class End:
+    """One daemon's end of its links: collects the events."""
+
+    def __init__(self) -> None:
+        streams = anyio.create_memory_object_stream[Any](1000)
+        self.sink = streams[0]
+        self._events = streams[1]
+        self.kinds: list[type] = []
+
+    async def count(self) -> int:
+        """Count the events that nobody has read."""
+        return self._events.statistics().current_buffer_used
+
+    async def next(self, kind: type) -> Any:
+        """Skip events up to the next one of a kind."""
+        with anyio.fail_after(WAIT_SECONDS):
+            while True:
+                event = await self._events.receive()
+                self.kinds.append(type(event))
+                if isinstance(event, kind):
+                    return event
+
+    async def up(self) -> LinkUp:
+        return await self.next(LinkUp)
+
+    async def down(self) -> LinkDown:
+        return await self.next(LinkDown)
+
+    async def messages(self, count: int) -> list[Any]:
+        return [
+            (await self.next(LinkMessageReceived)).message for _ in range(count)
+        ]
+
+
+@asynccontextmanager
+async def accepting(end: End, bounds: LinkBounds = BOUNDS) -> AsyncIterator:
+    """Serve links of a side."""
+    acceptor = LinkAcceptor(
+        hello('side-1', PeerRole.SIDE),
+        PeerSecret(SECRET),
+        end.sink,
+        bounds=bounds,
+    )
+    async with serving(acceptor, '127.0.0.1', 0) as server:
+        yield server
+
+
+@asynccontextmanager
+async def dialling(
+    end: End,
+    address: str,
+    secret: str = SECRET,
+    bounds: LinkBounds = BOUNDS,
+) -> AsyncIterator[None]:
+    """Keep an entry's link up."""
+    dialer = LinkDialer(
+        address,
+        hello('entry-1', PeerRole.ENTRY),
+        PeerSecret(secret),
+        end.sink,
+        bounds=bounds,
+        random=Random(7),
+    )
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(dialer.run)
+        yield
+        tasks.cancel_scope.cancel()
+
+
+class SideProcess:
+    """A process that accepts links; it can be frozen."""
+
+    def __init__(self) -> None:
+        self.process = subprocess.Popen(
+            [sys.executable, __file__],
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        assert self.process.stdout is not None
+        self.address = self.process.stdout.readline().strip()
+
+    def close(self) -> None:
+        self.process.kill()
+        self.process.wait()
+
+
+async def _accept_for_ever() -> None:
+    async with accepting(End()) as server:
+        print(server.address, flush=True)
+        await anyio.sleep_forever()
+
+
+if __name__ == '__main__':
+    anyio.run(_accept_for_ever)
