Grant slots by shared tags: thin admission, routing and ledger

Cause: the path needs decisions behind the admission and routing interfaces. An entry sends at once where it believes in a free slot, else it bids; a side grants a free slot to the lowest tag; the entry picks its own lowest tag when the grant arrives. Tags are settled service per weight plus what running requests are charged, over the whole fleet. MESSAGES CHANGED (new fields with defaults, the interfaces stand as they are): ServiceRow.level and .outstanding, ServiceReport.synced, SideLoad.virtual_time. ServiceRow.service is settled cost per weight. Router(Identity(entry, incarnation), Random()); SlotAdmission(incarnation, limit). Tick both every 50 to 100 ms. Ruled out: tags merged by maximum between entries; a sum of counters mixed with a maximum counts service twice when reports cross. Levels add what each peer's absolute counter grew by, and drift is pulled in slowly. Ruled out: a strike for an attempt whose end is unknown; a partition would condemn all that ran behind it.

--- /dev/null
+++ b/src/sardinetrack/admission/board.py
@@ -0,0 +1,207 @@
+"""Bids of all entries at one side, and the grants not yet answered."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from typing import Final
+
+from sardinetrack.messages.api import BidRow, Bids
+
+BIDS_KEEP_SECONDS: Final = 10.0
+"""Bids not refreshed for so long are dropped."""
+
+
+@dataclass(slots=True)
+class OpenGrant:
+    """A slot set aside for an entry."""
+
+    number: int
+    workspace: str
+    """Whose bid earned it; the entry may pick another on receipt."""
+    charge: float
+    sent_seconds: float
+    expires_seconds: float
+    open: bool = True
+    """Neither used nor declined nor expired."""
+    included: bool = False
+    """The entry's bids speak of a time after it saw the grant."""
+
+
+@dataclass(slots=True)
+class _Link:
+    rows: dict[str, BidRow] = field(default_factory=dict)
+    grants: dict[int, OpenGrant] = field(default_factory=dict)
+    """Grants whose charge the rows don't include yet."""
+    last_number: int = 0
+    heard_seconds: float = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """The entry and workspace that come next."""
+
+    entry: str
+    row: BidRow
+    tag: float
+    spare: int
+    """Waiting requests that no grant covers."""
+
+
+class BidBoard:
+    """Orders workspaces by the freshest knowledge of their tags."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._links: dict[str, _Link] = {}
+        self.open_grants = 0
+
+    def put(self, now: float, entry: str, bids: Bids) -> None:
+        """Replace an entry's bids.
+
+        :param now: monotonic time.
+        :param entry: whose bids.
+        :param bids: all it has for this pool.
+        """
+        link = self._links.setdefault(entry, _Link())
+        link.heard_seconds = now
+        link.rows = {row.workspace: row for row in bids.rows}
+        for number in list(link.grants):
+            if number <= bids.grants_seen:
+                self._include(link, number)
+
+    def clear(self, entry: str) -> None:
+        """Drop the bids of an entry that has no work for a slot."""
+        link = self._links.get(entry)
+        if link is not None:
+            link.rows = {}
+
+    def lose(self, entry: str) -> None:
+        """Drop an entry's bids and grants; its numbers go on counting."""
+        link = self._links.get(entry)
+        if link is None:
+            return
+        link.rows = {}
+        for number in list(link.grants):
+            self.close(entry, number)
+        link.grants = {}
+
+    def best(self) -> Candidate | None:
+        """Find the lowest tag with waiting work that no grant covers."""
+        tags = self._tags()
+        candidates = (
+            Candidate(entry, row, tags[row.workspace], spare)
+            for entry, row, spare in self._spare()
+        )
+        return min(
+            candidates,
+            key=lambda one: (one.tag, -one.spare),
+            default=None,
+        )
+
+    def grant(
+        self,
+        now: float,
+        candidate: Candidate,
+        valid_seconds: float,
+    ) -> int:
+        """Open a grant for a candidate.
+
+        :param now: monotonic time.
+        :param candidate: as found by ``best``.
+        :param valid_seconds: how long the slot is set aside.
+        :return: the grant's number on this link.
+        """
+        link = self._links[candidate.entry]
+        link.last_number += 1
+        link.grants[link.last_number] = OpenGrant(
+            link.last_number,
+            candidate.row.workspace,
+            candidate.row.hint_cost,
+            now,
+            now + valid_seconds,
+        )
+        self.open_grants += 1
+        return link.last_number
+
+    def close(self, entry: str, number: int) -> OpenGrant | None:
+        """Close an open grant; its charge stays until bids include it.
+
+        :param entry: to whom it was sent.
+        :param number: its number on the link.
+        :return: the grant, ``None`` when it was not open any more.
+        """
+        link = self._links.get(entry)
+        if link is None:
+            return None
+        grant = link.grants.get(number)
+        if grant is None:
+            return None
+        if not grant.open:
+            return None
+        grant.open = False
+        self.open_grants -= 1
+        if grant.included:
+            link.grants.pop(number)
+        return grant
+
+    def expire(self, now: float) -> int:
+        """Close grants and drop bids that are too old.
+
+        A grant or its answer may be lost; the slot must not stay aside.
+
+        :param now: monotonic time.
+        :return: how many grants expired.
+        """
+        expired = 0
+        for entry, link in self._links.items():
+            if now - link.heard_seconds > BIDS_KEEP_SECONDS:
+                link.rows = {}
+            expired += self._expire_grants(now, entry, link)
+        return expired
+
+    def _expire_grants(self, now: float, entry: str, link: _Link) -> int:
+        expired = 0
+        for number, grant in list(link.grants.items()):
+            if grant.open and grant.expires_seconds <= now:
+                self.close(entry, number)
+                link.grants.pop(number, None)
+                expired += 1
+            elif now - grant.sent_seconds > BIDS_KEEP_SECONDS:
+                link.grants.pop(number)
+        return expired
+
+    def _include(self, link: _Link, number: int) -> None:
+        grant = link.grants[number]
+        grant.included = True
+        if not grant.open:
+            link.grants.pop(number)
+
+    def _tags(self) -> dict[str, float]:
+        tags: dict[str, float] = {}
+        for link in self._links.values():
+            for row in link.rows.values():
+                known = tags.get(row.workspace, row.tag)
+                tags[row.workspace] = max(known, row.tag)
+        for charged, charge in self._pending_charges():
+            tag = tags.get(charged)
+            if tag is not None:
+                tags[charged] = tag + charge
+        return tags
+
+    def _pending_charges(self) -> Iterator[tuple[str, float]]:
+        for link in self._links.values():
+            for grant in self._pending_of(link):
+                yield grant.workspace, grant.charge
+
+    def _pending_of(self, link: _Link) -> Iterator[OpenGrant]:
+        return (one for one in link.grants.values() if not one.included)
+
+    def _spare(self) -> Iterator[tuple[str, BidRow, int]]:
+        for entry, link in self._links.items():
+            taken = Counter(grant.workspace for grant in self._pending_of(link))
+            for row in link.rows.values():
+                spare = row.waiting - taken[row.workspace]
+                if spare > 0:
+                    yield entry, row, spare
--- /dev/null
+++ b/src/sardinetrack/fairness/ledger.py
@@ -0,0 +1,284 @@
+"""Service ledger of one pool: what workspaces received across the fleet.
+
+Each entry keeps its own ledger. Settled service only grows and travels as
+absolute counters, so that a lost report is mended by the next one. The tag
+orders workspaces: settled level plus what running requests are charged.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Final
+
+from sardinetrack.messages.api import ServiceReport, ServiceRow
+
+DRIFT_GAIN: Final = 0.125
+"""Part of the difference to a peer's level taken over from each report."""
+
+
+@dataclass(slots=True)
+class Account:
+    """What one workspace received and holds, in cost units per weight."""
+
+    level: float = 0
+    service: float = 0
+    outstanding: float = 0
+    running: int = 0
+    waiting: int = 0
+    peer_outstanding: float = 0
+    peer_running: int = 0
+    peer_waiting: int = 0
+    changed_seconds: float = 0
+
+    @property
+    def tag(self) -> float:
+        """Virtual time of the workspace."""
+        return self.level + self.outstanding + self.peer_outstanding
+
+    @property
+    def backlogged(self) -> bool:
+        """Whether work waits at any entry, as far as known."""
+        return self.waiting > 0 or self.peer_waiting > 0
+
+
+@dataclass(slots=True)
+class _Charge:
+    workspace: str
+    weight: float
+    hint: float
+    settled: float = 0
+
+    @property
+    def outstanding(self) -> float:
+        return max(0, self.hint - self.settled)
+
+
+@dataclass(slots=True)
+class _Peer:
+    incarnation: str
+    rows: dict[str, ServiceRow] = field(default_factory=dict)
+
+
+class Ledger:
+    """Tags of all workspaces of one pool, as one entry knows them."""
+
+    def __init__(self) -> None:
+        """Start empty and unsynced."""
+        self.virtual_time = float(0)
+        self.synced = False
+        self._accounts: dict[str, Account] = {}
+        self._charges: dict[str, _Charge] = {}
+        self._peers: dict[str, _Peer] = {}
+
+    def account(self, workspace: str) -> Account:
+        """Find or open an account.
+
+        :param workspace: its name.
+        :return: the live account.
+        """
+        account = self._accounts.get(workspace)
+        if account is None:
+            account = Account(level=self.virtual_time)
+            self._accounts[workspace] = account
+        return account
+
+    def tag(self, workspace: str) -> float:
+        """Tell the virtual time of a workspace."""
+        return self.account(workspace).tag
+
+    def backlogged(self) -> Iterable[Account]:
+        """Iterate over the accounts with waiting work anywhere."""
+        return (one for one in self._accounts.values() if one.backlogged)
+
+    def meet(self, virtual_time: float) -> None:
+        """Take over the fleet's virtual time when starting empty.
+
+        :param virtual_time: as a side tells it.
+        """
+        if self.synced or virtual_time <= self.virtual_time:
+            return
+        self.virtual_time = virtual_time
+        for account in self._accounts.values():
+            account.level = max(account.level, virtual_time)
+
+    def wait(self, now: float, workspace: str, waiting: int) -> None:
+        """Set how much work of a workspace waits here.
+
+        :param now: monotonic time.
+        :param workspace: its name.
+        :param waiting: requests that wait at this entry.
+        """
+        account = self.account(workspace)
+        was_backlogged = account.backlogged
+        account.waiting = waiting
+        account.changed_seconds = now
+        if account.backlogged and not was_backlogged:
+            self._lift(account)
+
+    def charge(
+        self,
+        now: float,
+        attempt_id: str,
+        workspace: str,
+        hint: float,
+        weight: float,
+    ) -> None:
+        """Charge an attempt with its expected cost.
+
+        :param now: monotonic time.
+        :param attempt_id: names the charge until it is settled.
+        :param workspace: who pays.
+        :param hint: expected cost units.
+        :param weight: the workspace's weight.
+        """
+        account = self.account(workspace)
+        self._advance(account)
+        charge = _Charge(workspace, weight, hint / weight)
+        self._charges[attempt_id] = charge
+        account.outstanding += charge.hint
+        account.running += 1
+        account.changed_seconds = now
+
+    def progress(self, now: float, attempt_id: str, cost: float) -> None:
+        """True up a charge to the cost so far.
+
+        :param now: monotonic time.
+        :param attempt_id: of a charge; unknown ones are ignored.
+        :param cost: cost units received so far.
+        """
+        charge = self._charges.get(attempt_id)
+        if charge is None:
+            return
+        account = self.account(charge.workspace)
+        account.outstanding -= charge.outstanding
+        grown = max(0, cost / charge.weight - charge.settled)
+        charge.settled += grown
+        account.level += grown
+        account.service += grown
+        account.outstanding += charge.outstanding
+        account.changed_seconds = now
+
+    def settle(self, now: float, attempt_id: str, cost: float) -> None:
+        """Close a charge at its final cost.
+
+        :param now: monotonic time.
+        :param attempt_id: of a charge; unknown ones are ignored.
+        :param cost: cost units received in all.
+        """
+        self.progress(now, attempt_id, cost)
+        charge = self._charges.pop(attempt_id, None)
+        if charge is None:
+            return
+        account = self.account(charge.workspace)
+        account.outstanding -= charge.outstanding
+        account.running -= 1
+        if not account.running:
+            account.outstanding = 0
+
+    def hear(self, now: float, report: ServiceReport) -> None:
+        """Take in a peer's report.
+
+        :param now: monotonic time.
+        :param report: its rows replace the peer's earlier rows.
+        """
+        peer = self._peers.get(report.entry)
+        if peer is None or peer.incarnation != report.incarnation:
+            self.lose(report.entry)
+            peer = _Peer(report.incarnation)
+            self._peers[report.entry] = peer
+        for row in report.rows:
+            self._hear_row(peer, row, report)
+        self.synced = self.synced or report.synced
+
+    def lose(self, entry: str) -> None:
+        """Note that a peer is gone; what it charged counts as received.
+
+        Dropping its charges instead would set tags back and hand its
+        workspaces a windfall. Its counters stay, so that a peer that comes
+        back adds only what it served meanwhile.
+
+        :param entry: name of the peer.
+        """
+        peer = self._peers.get(entry)
+        if peer is None:
+            return
+        for name, row in peer.rows.items():
+            account = self.account(name)
+            account.level += row.outstanding
+            gone = ServiceRow(name, row.service + row.outstanding, 0, 0)
+            self._replace(account, row, gone)
+            peer.rows[name] = gone
+
+    def rows(self, changed_since_seconds: float) -> tuple[ServiceRow, ...]:
+        """List the rows of a report.
+
+        :param changed_since_seconds: leave out accounts unchanged since.
+        :return: one row an account.
+        """
+        return tuple(
+            ServiceRow(
+                name,
+                account.service,
+                account.running,
+                account.waiting,
+                account.level,
+                account.outstanding,
+            )
+            for name, account in self._accounts.items()
+            if account.changed_seconds >= changed_since_seconds
+        )
+
+    def _hear_row(
+        self,
+        peer: _Peer,
+        row: ServiceRow,
+        report: ServiceReport,
+    ) -> None:
+        account = self._accounts.get(row.workspace)
+        if account is None:
+            account = self.account(row.workspace)
+            account.level = max(account.level, row.level)
+        was_backlogged = account.backlogged
+        earlier = peer.rows.get(row.workspace)
+        if earlier is not None:
+            account.level += max(0, row.service - earlier.service)
+        self._replace(account, earlier, row)
+        peer.rows[row.workspace] = row
+        if report.synced:
+            self._align(account, row.level)
+        if account.backlogged and not was_backlogged:
+            self._lift(account)
+
+    def _replace(
+        self,
+        account: Account,
+        earlier: ServiceRow | None,
+        row: ServiceRow,
+    ) -> None:
+        if earlier is not None:
+            account.peer_outstanding -= earlier.outstanding
+            account.peer_running -= earlier.running
+            account.peer_waiting -= earlier.waiting
+        account.peer_outstanding += row.outstanding
+        account.peer_running += row.running
+        account.peer_waiting += row.waiting
+
+    def _align(self, account: Account, level: float) -> None:
+        if not self.synced:
+            account.level = max(account.level, level)
+            return
+        account.level += DRIFT_GAIN * (level - account.level)
+
+    def _lift(self, account: Account) -> None:
+        others = (one.tag for one in self.backlogged() if one is not account)
+        floor = min(others, default=self.virtual_time)
+        self.virtual_time = floor
+        account.level += max(0, floor - account.tag)
+
+    def _advance(self, account: Account) -> None:
+        tags = [one.tag for one in self.backlogged()]
+        if tags:
+            self.virtual_time = min(tags)
+        else:
+            self.virtual_time = max(self.virtual_time, account.level)
--- a/src/sardinetrack/messages/api.py
+++ b/src/sardinetrack/messages/api.py
@@ -64,6 +64,8 @@
     running: int
     free: int
     """Slots that neither run nor are set aside."""
+    virtual_time: float = 0
+    """Tag of the last grant; an entry that starts empty begins there."""
 
 
 class ServiceRow(Struct, frozen=True, array_like=True):
@@ -71,9 +73,13 @@
 
     workspace: str
     service: float
-    """Cost units since the entry started; never falls but by true-up."""
+    """Settled cost per weight since the entry started; never falls."""
     running: int
     waiting: int
+    level: float = 0
+    """Settled tag of the workspace in the sender's view of the fleet."""
+    outstanding: float = 0
+    """Charged per weight for running requests, not settled yet."""
 
 
 class ServiceReport(Struct, frozen=True, tag='service'):
@@ -83,6 +89,8 @@
     incarnation: str
     pool: str
     rows: tuple[ServiceRow, ...]
+    synced: bool = True
+    """False while the sender has heard no peer since it started."""
 
 
 class ConfigObject(Struct, frozen=True, array_like=True):
--- /dev/null
+++ b/src/sardinetrack/routing/order.py
@@ -0,0 +1,111 @@
+"""Order of waiting work: the lowest tag that may run."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Final
+
+from sardinetrack.fairness.ledger import Ledger
+from sardinetrack.messages.api import BidRow, Bids
+from sardinetrack.routing.api import Work
+from sardinetrack.routing.attempt import Attempt
+from sardinetrack.routing.queue import Waiting, WorkQueue
+from sardinetrack.routing.shared import Shared
+from sardinetrack.routing.sides import Side, SideTable
+
+MAX_ROWS: Final = 16
+"""Bids sent to a side; those cut off have the highest tags."""
+
+
+class Order:
+    """Chooses among the workspaces of one pool."""
+
+    def __init__(
+        self,
+        shared: Shared,
+        ledger: Ledger,
+        queue: WorkQueue,
+        sides: SideTable,
+        attempts: Mapping[str, Attempt],
+    ) -> None:
+        """Wire the parts of one pool."""
+        self._shared = shared
+        self._ledger = ledger
+        self._queue = queue
+        self._sides = sides
+        self._attempts = attempts
+
+    def lowest(self, now: float, side: Side | None) -> str | None:
+        """Find the workspace that comes next.
+
+        :param now: monotonic time.
+        :param side: where its work would go, ``None`` while that is open.
+        :return: the workspace, ``None`` when nothing may run there.
+        """
+        names = [
+            name
+            for name in self._queue.workspaces()
+            if self.room(name) > 0 and not self._blocked(now, name, side)
+        ]
+        return min(names, key=self._place, default=None)
+
+    def room(self, workspace: str) -> int:
+        """Tell how many more requests a workspace may run."""
+        account = self._ledger.account(workspace)
+        running = account.running + account.peer_running
+        return self._shared.limits(workspace).concurrency - running
+
+    def suspect(self, now: float, work: Work) -> bool:
+        """Whether a request was running when a server crashed."""
+        return self._shared.strikes.count(now, work.fingerprint) > 0
+
+    def bids(self, pool: str, side: Side) -> Bids:
+        """Compute the present bids for a side."""
+        names = [one for one in self._queue.workspaces() if self.room(one) > 0]
+        names.sort(key=self._ledger.tag)
+        rows = tuple(self._row(name) for name in names[:MAX_ROWS])
+        return Bids(pool, side.grants_seen, rows)
+
+    def _place(self, workspace: str) -> tuple[float, int, float]:
+        account = self._ledger.account(workspace)
+        running = account.running + account.peer_running
+        return account.tag, running, self._queue.head(workspace).since_seconds
+
+    def _row(self, workspace: str) -> BidRow:
+        work = self._queue.head(workspace).work
+        weight = self._shared.limits(workspace).weight
+        waiting = min(self._queue.waiting(workspace), self.room(workspace))
+        return BidRow(
+            workspace,
+            self._ledger.tag(workspace),
+            waiting,
+            work.hint_cost / weight,
+        )
+
+    def _blocked(self, now: float, workspace: str, side: Side | None) -> bool:
+        """Whether the head must not go to a side.
+
+        Two suspects on one server would both be struck when it crashes, and
+        the innocent one condemned with the other. Kept apart, only the one
+        that crashes servers can collect a second strike.
+        """
+        if side is None:
+            return False
+        waiting = self._queue.head(workspace)
+        if side.info.side in waiting.avoid and self._elsewhere(now, waiting):
+            return True
+        if not self.suspect(now, waiting.work):
+            return False
+        return self._suspect_at(side.info.backend_server)
+
+    def _elsewhere(self, now: float, waiting: Waiting) -> bool:
+        return any(
+            side.info.side not in waiting.avoid
+            for side in self._sides.usable(now)
+        )
+
+    def _suspect_at(self, server: str) -> bool:
+        return any(
+            attempt.suspect and attempt.backend_server == server
+            for attempt in self._attempts.values()
+        )
--- /dev/null
+++ b/src/sardinetrack/routing/strikes.py
@@ -0,0 +1,55 @@
+"""Requests that were running when backend servers crashed."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from sardinetrack.messages.api import Strike
+
+STRIKE_SECONDS: Final = 600.0
+SERVERS_TO_CONDEMN: Final = 2
+_MAX_FINGERPRINTS: Final = 10_000
+
+
+class StrikeBook:
+    """Counts the different servers that crashed under a fingerprint."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._expiries: dict[str, dict[str, float]] = {}
+
+    def add(self, now: float, strike: Strike) -> None:
+        """Note a strike.
+
+        :param now: monotonic time.
+        :param strike: own or heard from a peer.
+        """
+        if not strike.fingerprint:
+            return
+        servers = self._expiries.pop(strike.fingerprint, {})
+        servers[strike.backend_server] = now + strike.expires_in_seconds
+        self._expiries[strike.fingerprint] = servers
+        if len(self._expiries) > _MAX_FINGERPRINTS:
+            self._expiries.pop(next(iter(self._expiries)))
+
+    def count(self, now: float, fingerprint: str) -> int:
+        """Count the servers with a strike that holds."""
+        expiries = self._expiries.get(fingerprint, {})
+        return sum(expiry > now for expiry in expiries.values())
+
+    def condemned_seconds(self, now: float, fingerprint: str) -> float:
+        """Tell how long a fingerprint is refused; 0 when it is not."""
+        if self.count(now, fingerprint) < SERVERS_TO_CONDEMN:
+            return 0
+        expiries = sorted(self._expiries[fingerprint].values(), reverse=True)
+        return max(0, expiries[SERVERS_TO_CONDEMN - 1] - now)
+
+    def clear(self, fingerprint: str) -> None:
+        """Forget the strikes of a request that ran to its end."""
+        self._expiries.pop(fingerprint, None)
+
+    def forget(self, now: float) -> None:
+        """Drop expired strikes."""
+        for fingerprint in list(self._expiries):
+            if not self.count(now, fingerprint):
+                self._expiries.pop(fingerprint)
--- /dev/null
+++ b/tests/admission/steps/slots_steps.py
@@ -0,0 +1,81 @@
+"""Steps for one side's admission."""
+
+from __future__ import annotations
+
+from behave import given, step, then, when
+
+from sardinetrack.admission.api import (
+    Arrival,
+    RefusalReason,
+    Refuse,
+    SendGrant,
+    Start,
+)
+from sardinetrack.admission.slots import SlotAdmission
+from sardinetrack.messages.api import BidRow, Bids
+
+
+@given('a side with {count:d} slot')
+@given('a side with {count:d} slots')
+def start_side(context, count):
+    context.now = 0
+    context.side = SlotAdmission('first', count)
+    context.effects = []
+
+
+@step('entry {entry} sends attempt {attempt} with tag {tag:g}')
+def send_attempt(context, entry, attempt, tag):
+    arrival = Arrival(attempt, entry, 'pilot', tag, 1.0, 0, 0)
+    context.effects.extend(context.side.arrive(context.now, arrival))
+
+
+@step('entry {entry} bids {workspace} {count:d} times at tag {tag:g}')
+def bid(context, entry, workspace, count, tag):
+    bids = Bids('ice-llm', 0, (BidRow(workspace, tag, count, 1.0),))
+    context.effects.extend(context.side.bids(context.now, entry, bids))
+
+
+@when('{attempt} finishes')
+def finish(context, attempt):
+    context.effects.extend(
+        context.side.finished(context.now, attempt, whole=True, cost=1.0),
+    )
+
+
+@when('{seconds:g} seconds pass')
+def pass_time(context, seconds):
+    context.now += seconds
+    context.effects.extend(context.side.tick(context.now))
+
+
+@when('the side drains')
+def drain(context):
+    context.effects.extend(context.side.drain(context.now))
+
+
+@then('{attempt} is started')
+def check_started(context, attempt):
+    assert Start(attempt) in context.effects, context.effects
+
+
+@then('{attempt} is refused as {reason}')
+def check_refused(context, attempt, reason):
+    refusal = Refuse(attempt, RefusalReason(reason))
+    assert refusal in context.effects, context.effects
+
+
+@step('entry {entry} holds grant {number:d}')
+def check_grant(context, entry, number):
+    grants = [
+        (effect.entry, effect.grant.number)
+        for effect in context.effects
+        if isinstance(effect, SendGrant)
+    ]
+    assert (entry, number) in grants, context.effects
+
+
+@step('the fate of {attempt} is {fate}')
+def check_fate(context, attempt, fate):
+    found, effects = context.side.query(context.now, attempt, cancel=False)
+    context.effects.extend(effects)
+    assert found == fate, found
--- /dev/null
+++ b/tests/routing/router.feature
@@ -0,0 +1,65 @@
+Feature: Routing at one entry
+
+  Background:
+    Given an entry with a side of 1 free slot
+
+  Scenario: A free side gets the request at once
+    When pilot submits p1 of cost 5
+    Then p1 is dispatched
+
+  Scenario: Work that finds no free slot waits and is bid for
+    Given agency submits a1 of cost 5
+    When pilot submits p1 of cost 5
+    Then the side hears a bid of pilot
+
+  Scenario: The entry picks its lowest tag when a grant arrives
+    Given agency submits a1 of cost 50
+    And agency submits a2 of cost 50
+    And pilot submits p1 of cost 5
+    When the side grants 1
+    Then p1 is dispatched
+    And a2 still waits
+
+  Scenario: A grant without waiting work is declined
+    When the side grants 1
+    Then grant 1 is declined
+
+  Scenario: A refused request goes back in line and is never lost
+    Given pilot submits p1 of cost 5
+    When the side refuses p1
+    And the side grants 1
+    Then p1 is dispatched 2 times
+
+  Scenario: A request past its deadline was not run
+    Given agency submits a1 of cost 5
+    And pilot submits p1 of cost 5
+    When 100 seconds pass at the entry
+    Then p1 is rejected as not_run_deadline
+
+  Scenario: Too much waiting work is refused at once
+    Given agency submits a1 of cost 5
+    And pilot fills its waiting line
+    When pilot submits p9 of cost 5
+    Then p9 is rejected as queue_full
+
+  Scenario: An idempotent request is tried again when its server fails
+    Given pilot submits p1 of cost 5
+    When the server fails under p1
+    And the side grants 1
+    Then p1 is dispatched 2 times
+
+  Scenario: A request that ran once is never called "not run"
+    The first server fails under an idempotent request, which waits for another
+    try. No server takes it before its deadline. The caller must not read that
+    it did not run: it ran once and failed.
+
+    Given pilot submits p1 of cost 5
+    When the server fails under p1
+    And 100 seconds pass at the entry
+    Then p1 is rejected as server_failed
+
+  Scenario: A request that crashed two servers is refused at once
+    Given a peer strikes print at server one
+    And a peer strikes print at server two
+    When pilot submits p1 of cost 5
+    Then p1 is rejected as crashes_servers
--- /dev/null
+++ b/tests/routing/steps/router_steps.py
@@ -0,0 +1,177 @@
+"""Steps for the routing of one entry."""
+
+from __future__ import annotations
+
+from random import Random
+
+from behave import given, step, then, when
+
+from sardinetrack.catalogue.api import (
+    Pool,
+    PoolClass,
+    ServiceClass,
+    Workspace,
+    WorkspaceLimits,
+)
+from sardinetrack.messages.api import (
+    Bids,
+    Decline,
+    Grant,
+    SideLoad,
+    SidePhase,
+    Strike,
+)
+from sardinetrack.routing.api import (
+    AttemptEnd,
+    Dispatch,
+    Reject,
+    SendToSide,
+    SideInfo,
+    Work,
+)
+from sardinetrack.routing.router import Router
+from sardinetrack.routing.shared import Identity
+
+POOL = 'ice-llm'
+WAITING = 8
+
+
+def workspace(name):
+    limits = WorkspaceLimits(1.0, 100, 1000.0, WAITING)
+    return Workspace(name, 'owner', ServiceClass.STANDARD, limits, frozenset())
+
+
+def pool():
+    return Pool(
+        POOL,
+        'owner',
+        PoolClass.MODEL,
+        8,
+        1000,
+        60.0,
+        (),
+        (),
+        frozenset(),
+        0.1,
+    )
+
+
+def submit(context, name, request):
+    work = Work(request, name, POOL, 5.0, context.now + 60, True, 'print')
+    context.effects.extend(context.router.submit(context.now, work))
+
+
+def attempts(context, request):
+    return [
+        effect
+        for effect in context.effects
+        if isinstance(effect, Dispatch) and effect.request_id == request
+    ]
+
+
+@given('an entry with a side of 1 free slot')
+def start_entry(context):
+    context.now = 0
+    context.effects = []
+    context.router = Router(Identity('a', 'first'), Random(1))
+    names = [workspace('pilot'), workspace('agency')]
+    context.router.configure(0, names, [pool()])
+    info = SideInfo('s1', POOL, 'engine1', 'galata', '127.0.0.1:1')
+    context.router.side_up(0, info)
+    load = SideLoad('first', SidePhase.SERVING, 1, 0, 1)
+    context.router.load(0, 's1', load)
+
+
+@step('{name} submits {request} of cost {cost:g}')
+def submit_work(context, name, request, cost):
+    work = Work(request, name, POOL, cost, context.now + 60, True, 'print')
+    context.effects.extend(context.router.submit(context.now, work))
+
+
+@given('{name} fills its waiting line')
+def fill_line(context, name):
+    for number in range(WAITING):
+        submit(context, name, f'fill{number}')
+
+
+@given('a peer strikes {fingerprint} at server {server}')
+def strike(context, fingerprint, server):
+    context.router.strike(context.now, Strike(fingerprint, server, 60.0))
+
+
+@when('the side grants {number:d}')
+def grant(context, number):
+    context.effects.extend(
+        context.router.grant(context.now, 's1', Grant(number, 1.0)),
+    )
+
+
+def end(context, request, how):
+    attempt = attempts(context, request)[-1]
+    context.effects.extend(
+        context.router.ended(
+            context.now,
+            attempt.attempt_id,
+            how,
+            cost=0,
+            answered=False,
+        ),
+    )
+
+
+@when('the side refuses {request}')
+def refuse(context, request):
+    end(context, request, AttemptEnd.NOT_STARTED)
+
+
+@when('the server fails under {request}')
+def fail(context, request):
+    end(context, request, AttemptEnd.FAILED)
+
+
+@when('{seconds:g} seconds pass at the entry')
+def pass_time(context, seconds):
+    context.now += seconds
+    context.effects.extend(context.router.tick(context.now))
+
+
+@then('{request} is dispatched')
+def check_dispatched(context, request):
+    assert len(attempts(context, request)) == 1, context.effects
+
+
+@then('{request} is dispatched {count:d} times')
+def check_dispatched_times(context, request, count):
+    assert len(attempts(context, request)) == count, context.effects
+
+
+@then('{request} still waits')
+def check_waits(context, request):
+    assert not attempts(context, request), context.effects
+
+
+@then('the side hears a bid of {name}')
+def check_bid(context, name):
+    rows = [
+        row.workspace
+        for effect in context.effects
+        if isinstance(effect, SendToSide) and isinstance(effect.message, Bids)
+        for row in effect.message.rows
+    ]
+    assert name in rows, context.effects
+
+
+@then('grant {number:d} is declined')
+def check_declined(context, number):
+    decline = SendToSide('s1', Decline(number))
+    assert decline in context.effects, context.effects
+
+
+@then('{request} is rejected as {kind}')
+def check_rejected(context, request, kind):
+    kinds = [
+        effect.kind.value
+        for effect in context.effects
+        if isinstance(effect, Reject) and effect.request_id == request
+    ]
+    assert kinds == [kind], context.effects
