--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Commands that measure the project."""
--- /dev/null
+++ b/benchmarks/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Measures the admission and routing decisions under fake clocks and links."""
--- /dev/null
+++ b/benchmarks/policy/carrier.py
@@ -0,0 +1,251 @@
+"""Carries out the effects of decisions: orders, answers, control messages."""
+
+from __future__ import annotations
+
+from functools import partial
+from typing import TYPE_CHECKING
+
+from benchmarks.policy.nodes import EntryNode, Request, Running, SideNode
+from sardinetrack.admission.api import (
+    Announce,
+    Arrival,
+    Refuse,
+    SendGrant,
+    SideEffect,
+    Start,
+)
+from sardinetrack.messages.api import Bids, Decline, ServiceReport
+from sardinetrack.routing.api import (
+    AttemptEnd,
+    Dispatch,
+    EntryEffect,
+    Reject,
+    SendToEntries,
+    SendToSide,
+)
+
+if TYPE_CHECKING:
+    from benchmarks.policy.world import World
+
+BATCH_SECONDS = 0.01
+DETECT_SECONDS = 2.0
+
+
+class Carrier:
+    """Hands effects of one node to others, after their delay."""
+
+    def __init__(self, world: World) -> None:
+        """Act on a world."""
+        self._world = world
+
+    def from_entry(self, node: EntryNode, effect: EntryEffect) -> None:
+        """Carry out an entry's effect."""
+        if isinstance(effect, Dispatch):
+            self._dispatch(node, effect)
+        elif isinstance(effect, Reject):
+            self._reject(effect)
+        elif isinstance(effect, SendToSide):
+            self._to_side(node, effect)
+        else:
+            self._to_entries(node, effect)
+
+    def from_side(self, side: SideNode, effect: SideEffect) -> None:
+        """Carry out a side's effect."""
+        if isinstance(effect, Start):
+            self._start(side, effect.attempt_id)
+        elif isinstance(effect, Refuse):
+            self._refuse(side, effect)
+        elif isinstance(effect, SendGrant):
+            self._grant(side, effect)
+        elif isinstance(effect, Announce):
+            self._batch(side)
+
+    def end(
+        self,
+        node: EntryNode,
+        attempt_id: str,
+        end: AttemptEnd,
+        cost: float,
+    ) -> None:
+        """Tell an entry, once, how an attempt ended."""
+        found = node.attempts.pop(attempt_id, None)
+        if found is None:
+            return
+        self._world.at_entry(
+            node,
+            node.routing.ended,
+            attempt_id,
+            end,
+            cost=cost,
+            answered=False,
+        )
+
+    def _reject(self, effect: Reject) -> None:
+        request = self._world.requests[effect.request_id]
+        self._world.meter.counts[effect.kind.value] += 1
+        self._world.stop_waiting(request)
+
+    def _dispatch(self, node: EntryNode, effect: Dispatch) -> None:
+        request = self._world.requests[effect.request_id]
+        side = self._world.sides[effect.side]
+        bids = node.routing.bids_for(effect.side)
+        node.attempts[effect.attempt_id] = (effect.side, request)
+        self._world.meter.counts['orders'] += 1
+        arrival = Arrival(
+            effect.attempt_id,
+            node.name,
+            request.demand.workspace,
+            effect.tag,
+            request.demand.hint,
+            effect.grant,
+            effect.wait_seconds,
+        )
+        links = self._world.links
+        if links.cut(node.name, side.name):
+            lost = partial(
+                self.end,
+                node,
+                effect.attempt_id,
+                AttemptEnd.NOT_STARTED,
+                0,
+            )
+            self._world.events.after(DETECT_SECONDS, lost)
+            return
+        arrive = partial(self._arrive, side, side.epoch, arrival, bids)
+        self._world.events.after(links.delay(), arrive)
+
+    def _arrive(
+        self,
+        side: SideNode,
+        epoch: int,
+        arrival: Arrival,
+        bids: Bids,
+    ) -> None:
+        node = self._world.entries[arrival.entry]
+        found = node.attempts.get(arrival.attempt_id)
+        if found is None:
+            return
+        if side.epoch != epoch or side.name in self._world.links.down:
+            self.end(node, arrival.attempt_id, AttemptEnd.NOT_STARTED, 0)
+            return
+        side.orders[arrival.attempt_id] = found[1]
+        admission = side.admission
+        world = self._world
+        world.at_side(side, epoch, admission.bids, arrival.entry, bids)
+        world.at_side(side, epoch, admission.arrive, arrival)
+
+    def _to_side(self, node: EntryNode, effect: SendToSide) -> None:
+        side = self._world.sides[effect.side]
+        message = effect.message
+        call = partial(self._world.at_side, side, side.epoch)
+        if isinstance(message, Decline):
+            decline = side.admission.decline
+            action = partial(call, decline, node.name, message.number)
+        else:
+            action = partial(call, side.admission.bids, node.name, message)
+        links = self._world.links
+        links.control(node.name, side.name, message, action)
+
+    def _to_entries(self, node: EntryNode, effect: SendToEntries) -> None:
+        message = effect.message
+        for other in self._world.live_entries():
+            if other is node:
+                continue
+            call = partial(self._world.at_entry, other)
+            if isinstance(message, ServiceReport):
+                action = partial(call, other.routing.peer_service, message)
+            else:
+                action = partial(call, other.routing.strike, message)
+            links = self._world.links
+            links.control(node.name, other.name, message, action)
+
+    def _refuse(self, side: SideNode, effect: Refuse) -> None:
+        request = side.orders.pop(effect.attempt_id, None)
+        if request is None:
+            return
+        reason = effect.reason.value
+        self._world.meter.counts[f'refused {reason}'] += 1
+        self._answer(
+            side,
+            request,
+            effect.attempt_id,
+            AttemptEnd.NOT_STARTED,
+            0,
+        )
+
+    def _grant(self, side: SideNode, effect: SendGrant) -> None:
+        node = self._world.entries[effect.entry]
+        action = partial(
+            self._world.at_entry,
+            node,
+            node.routing.grant,
+            side.name,
+            effect.grant,
+        )
+        links = self._world.links
+        links.control(side.name, node.name, effect.grant, action)
+
+    def _batch(self, side: SideNode) -> None:
+        if side.announcing:
+            return
+        side.announcing = True
+        later = partial(self._announce, side)
+        self._world.events.after(BATCH_SECONDS, later)
+
+    def _announce(self, side: SideNode) -> None:
+        side.announcing = False
+        if side.name in self._world.links.down:
+            return
+        load = side.admission.load()
+        for node in self._world.live_entries():
+            action = partial(
+                self._world.at_entry,
+                node,
+                node.routing.load,
+                side.name,
+                load,
+            )
+            self._world.links.control(side.name, node.name, load, action)
+
+    def _start(self, side: SideNode, attempt_id: str) -> None:
+        request = side.orders.pop(attempt_id)
+        demand = request.demand
+        now = self._world.events.now
+        if request.waits:
+            waits = self._world.meter.waits[demand.workspace]
+            waits.append(now - demand.at_seconds)
+        self._world.stop_waiting(request)
+        running = Running(request, attempt_id, now)
+        side.running[attempt_id] = running
+        self._world.events.after(
+            demand.cost * self._world.unit_seconds,
+            partial(self._finish, side, running),
+        )
+
+    def _finish(self, side: SideNode, running: Running) -> None:
+        if running.ended:
+            return
+        self._world.stop(side, running, whole=True)
+        self._world.meter.counts['whole'] += 1
+        self._answer(
+            side,
+            running.request,
+            running.attempt_id,
+            AttemptEnd.WHOLE,
+            running.request.demand.cost,
+        )
+
+    def _answer(
+        self,
+        side: SideNode,
+        request: Request,
+        attempt_id: str,
+        end: AttemptEnd,
+        cost: float,
+    ) -> None:
+        links = self._world.links
+        if links.cut(side.name, request.entry):
+            return
+        node = self._world.entries[request.entry]
+        action = partial(self.end, node, attempt_id, end, cost)
+        self._world.events.after(links.delay(), action)
--- /dev/null
+++ b/benchmarks/policy/fair.py
@@ -0,0 +1,23 @@
+"""The product's own decisions as a policy under measurement."""
+
+from __future__ import annotations
+
+from random import Random
+
+from sardinetrack.admission.api import Admission
+from sardinetrack.admission.slots import SlotAdmission
+from sardinetrack.routing.api import Routing
+from sardinetrack.routing.router import Router
+from sardinetrack.routing.shared import Identity
+
+
+class FairPolicy:
+    """What the daemons run."""
+
+    def routing(self, identity: Identity, random: Random) -> Routing:
+        """Build an entry's decisions."""
+        return Router(identity, random)
+
+    def admission(self, incarnation: str, limit: int) -> Admission:
+        """Build a side's decisions."""
+        return SlotAdmission(incarnation, limit)
--- /dev/null
+++ b/benchmarks/policy/faults.py
@@ -0,0 +1,182 @@
+"""Faults that a run can meet."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from functools import partial
+from types import MappingProxyType
+
+from benchmarks.policy.carrier import DETECT_SECONDS
+from benchmarks.policy.nodes import EntryNode, SideNode
+from benchmarks.policy.world import World
+from sardinetrack.routing.api import AttemptEnd
+
+FAULT_SECONDS = 30.0
+PARTITION_SECONDS = 60.0
+RESTART_SECONDS = 3.0
+
+Fault = Callable[[World], None]
+
+
+def none(world: World) -> None:
+    """Meet no fault."""
+
+
+def loss(world: World) -> None:
+    """Lose 5 % of the control messages."""
+    world.links.loss = 0.05
+
+
+def delay(world: World) -> None:
+    """Delay every message by 200 ms."""
+    world.links.added_seconds = 0.2
+
+
+def partition(world: World) -> None:
+    """Cut the fleet into halves for a minute."""
+    world.events.after(FAULT_SECONDS, partial(_cut, world))
+
+
+def _cut(world: World) -> None:
+    world.account()
+    domains = world.shape.domains
+    for side in world.sides.values():
+        world.links.half[side.name] = domains.index(side.domain) % 2
+    for number, name in enumerate(world.entries):
+        world.links.half[name] = number % 2
+    world.events.after(DETECT_SECONDS, partial(_notice, world))
+    world.events.after(PARTITION_SECONDS, partial(_heal, world))
+
+
+def _notice(world: World) -> None:
+    for node in list(world.entries.values()):
+        for side in world.sides.values():
+            if world.links.cut(node.name, side.name):
+                break_link(world, node, side)
+        for other in list(world.entries.values()):
+            if world.links.cut(node.name, other.name):
+                world.at_entry(node, node.routing.peer_lost, other.name)
+
+
+def break_link(world: World, node: EntryNode, side: SideNode) -> None:
+    """Let an entry and a side notice that their link broke."""
+    world.at_entry(node, node.routing.side_down, side.name)
+    _forget_entry(world, node, side)
+    costs = _stop_all(world, node, side)
+    for attempt_id, (name, _) in list(node.attempts.items()):
+        if name != side.name:
+            continue
+        cost = costs.get(attempt_id)
+        if cost is None:
+            world.ask_side(side, attempt_id)
+            world.carrier.end(node, attempt_id, AttemptEnd.NOT_STARTED, 0)
+        else:
+            world.carrier.end(node, attempt_id, AttemptEnd.UNKNOWN, cost)
+
+
+def _stop_all(
+    world: World,
+    node: EntryNode,
+    side: SideNode,
+) -> dict[str, float]:
+    return {
+        running.attempt_id: world.stop(side, running, whole=False)
+        for running in list(side.running.values())
+        if running.entry == node.name
+    }
+
+
+def _forget_entry(world: World, node: EntryNode, side: SideNode) -> None:
+    lost = side.admission.entry_lost
+    world.at_side(side, side.epoch, lost, node.name)
+
+
+def _heal(world: World) -> None:
+    cut = [
+        (node, side)
+        for node in world.entries.values()
+        for side in world.sides.values()
+        if world.links.cut(node.name, side.name)
+    ]
+    world.account()
+    world.links.half.clear()
+    for node, side in cut:
+        world.link_up(node, side)
+
+
+def entry_restarts(world: World) -> None:
+    """Replace an entry by one that starts empty."""
+    world.events.after(FAULT_SECONDS, partial(_kill_entry, world))
+    world.events.after(
+        FAULT_SECONDS + RESTART_SECONDS,
+        partial(_revive_entry, world),
+    )
+
+
+def entry_lost(world: World) -> None:
+    """Lose an entry, and what only its ledger held, for good."""
+    world.events.after(FAULT_SECONDS, partial(_kill_entry, world))
+
+
+def _kill_entry(world: World) -> None:
+    node = world.entries['e1']
+    node.attempts.clear()
+    for side in world.sides.values():
+        _forget_entry(world, node, side)
+        _stop_all(world, node, side)
+    world.links.down.add(node.name)
+    for request in world.requests.values():
+        if request.entry == node.name:
+            world.stop_waiting(request)
+    for other in list(world.entries.values()):
+        if other is not node:
+            world.at_entry(other, other.routing.peer_lost, node.name)
+
+
+def _revive_entry(world: World) -> None:
+    world.links.down.discard('e1')
+    world.add_entry('e1', 1)
+
+
+def side_restarts(world: World) -> None:
+    """Restart a side with an empty memory."""
+    world.events.after(FAULT_SECONDS, partial(_kill_side, world))
+    world.events.after(
+        FAULT_SECONDS + RESTART_SECONDS,
+        partial(_revive_side, world),
+    )
+
+
+def _kill_side(world: World) -> None:
+    side = world.sides['s1']
+    for node in list(world.entries.values()):
+        break_link(world, node, side)
+    world.account()
+    world.links.down.add(side.name)
+
+
+def _revive_side(world: World) -> None:
+    side = world.sides['s1']
+    world.account()
+    world.links.down.discard(side.name)
+    side.epoch += 1
+    side.orders.clear()
+    side.admission = world.policy.admission(
+        f's1.{side.epoch}',
+        world.shape.slots,
+    )
+    for node in list(world.entries.values()):
+        world.link_up(node, side)
+
+
+FAULTS = MappingProxyType(
+    {
+        'none': none,
+        'loss': loss,
+        'delay': delay,
+        'partition': partition,
+        'entry restarts': entry_restarts,
+        'entry lost': entry_lost,
+        'side restarts': side_restarts,
+    },
+)
--- /dev/null
+++ b/benchmarks/policy/nodes.py
@@ -0,0 +1,69 @@
+"""Nodes of the fake fleet and what they hold."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from random import Random
+from typing import Protocol
+
+from benchmarks.policy.shapes import Demand
+from sardinetrack.admission.api import Admission
+from sardinetrack.routing.api import Routing
+from sardinetrack.routing.shared import Identity
+
+
+class Policy(Protocol):
+    """Builds the decision objects under measurement."""
+
+    def routing(self, identity: Identity, random: Random) -> Routing:
+        """Build an entry's decisions."""
+
+    def admission(self, incarnation: str, limit: int) -> Admission:
+        """Build a side's decisions."""
+
+
+@dataclass(slots=True)
+class Request:
+    """A caller's request with what became of it."""
+
+    request_id: str
+    demand: Demand
+    entry: str
+    waits: bool = True
+
+
+@dataclass(slots=True)
+class Running:
+    """An attempt on a slot."""
+
+    request: Request
+    attempt_id: str
+    since_seconds: float
+    ended: bool = False
+
+    @property
+    def entry(self) -> str:
+        """Who sent it."""
+        return self.request.entry
+
+
+@dataclass(slots=True)
+class EntryNode:
+    """An entry with the attempts it watches, by attempt: side and request."""
+
+    name: str
+    routing: Routing
+    attempts: dict[str, tuple[str, Request]] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class SideNode:
+    """A side with its backend server's slots."""
+
+    name: str
+    domain: str
+    admission: Admission
+    running: dict[str, Running] = field(default_factory=dict)
+    orders: dict[str, Request] = field(default_factory=dict)
+    announcing: bool = False
+    epoch: int = 0
--- /dev/null
+++ b/benchmarks/policy/run.py
@@ -0,0 +1,106 @@
+"""Runs one case and reduces it to figures."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from random import Random
+from typing import Final
+
+from benchmarks.policy.faults import (
+    FAULT_SECONDS,
+    FAULTS,
+    PARTITION_SECONDS,
+)
+from benchmarks.policy.nodes import Policy
+from benchmarks.policy.shapes import (
+    PILOT,
+    Demand,
+    Shape,
+    demand,
+    draw_cost,
+    flood,
+    tenants,
+)
+from benchmarks.policy.world import World
+
+WARM_SECONDS: Final = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class Figures:
+    """What one run showed."""
+
+    gap: float
+    gap_after: float
+    idle: float
+    busy: float
+    messages: float
+    message_bytes: float
+    decision_microseconds: float
+    pilot_waits: tuple[float, ...]
+    requests: int
+    counts: dict[str, int]
+
+
+def run_case(
+    shape: Shape,
+    policy: Policy,
+    case: str,
+    seed: int,
+) -> Figures:
+    """Run one seed of one case.
+
+    :param shape: pool and load.
+    :param policy: decisions under measurement.
+    :param case: a fault, ``flood`` or ``same minute``.
+    :param seed: of everything drawn.
+    :return: the figures.
+    """
+    random = Random(f'{shape.pool} {case} {seed}')
+    several = tenants(shape, random)
+    if case == 'flood':
+        several = flood(several, shape.entries)
+    demands = demand(shape, several, random)
+    if case == 'same minute':
+        demands = _same_minute(shape, several, random)
+    world = World(shape, several, policy, seed)
+    FAULTS.get(case, FAULTS['none'])(world)
+    healed = FAULT_SECONDS + PARTITION_SECONDS
+    world.events.after(healed + WARM_SECONDS, world.meter.reset_pairs)
+    world.run(demands)
+    return _figures(world, healed + WARM_SECONDS)
+
+
+def _same_minute(
+    shape: Shape,
+    several: tuple,
+    random: Random,
+) -> list[Demand]:
+    """Let everybody arrive within some seconds, then ask for little."""
+    quiet = demand(shape, several, random, until_seconds=1.0)
+    for tenant in several:
+        for _ in range(4 * shape.servers * shape.slots // len(several)):
+            at_seconds = 10 + random.random() * 5
+            entry = random.choices(range(shape.entries), tenant.spread)[0]
+            cost = draw_cost(random)
+            hint = cost * shape.hint_factor ** random.uniform(-1, 1)
+            quiet.append(Demand(at_seconds, tenant.name, entry, cost, hint))
+    return sorted(quiet, key=lambda one: one.at_seconds)
+
+
+def _figures(world: World, healed: float) -> Figures:
+    meter = world.meter
+    requests = max(1, meter.counts['whole'])
+    mean = world.shape.mean_run_seconds
+    return Figures(
+        gap=meter.gap(0, healed),
+        gap_after=meter.gap(healed, world.shape.seconds),
+        idle=meter.idle_seconds / meter.slot_seconds,
+        busy=meter.busy_seconds / meter.slot_seconds,
+        messages=sum(world.links.messages.values()) / requests,
+        message_bytes=world.links.sent_bytes / requests,
+        decision_microseconds=meter.decision_seconds * 1e6 / requests,
+        pilot_waits=tuple(wait / mean for wait in meter.waits[PILOT]),
+        requests=requests,
+        counts={**meter.counts, **world.links.messages},
+    )
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Features, their steps, and what the steps share."""
