--- /dev/null
+++ b/src/sardinetrack/entry/applications.py
@@ -0,0 +1,78 @@
+"""ASGI applications of an entry: for callers, peers and operators."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from http import HTTPStatus
+from typing import Final
+
+from sardinetrack.entry.operator import answer_failure
+from sardinetrack.entry.status import EntryStatus
+from sardinetrack.errors.api import ErrorKind
+from sardinetrack.http.asgi import Exchange, Receive, Scope, Send
+from sardinetrack.links.api import LINK_PATH
+from sardinetrack.links.secret import AUTHORIZATION_HEADER, PeerSecret
+from sardinetrack.links.server import LinkAcceptor
+
+STATUS_PATH: Final = '/peer/v1/status'
+_TYPE: Final = 'type'
+_HTTP: Final = 'http'
+
+
+class HttpApplication:
+    """Answers HTTP requests and refuses WebSockets."""
+
+    def __init__(self, handle: Callable[[Exchange], Awaitable[None]]) -> None:
+        """Remember what answers a request."""
+        self._handle = handle
+
+    async def __call__(
+        self,
+        scope: Scope,
+        receive: Receive,
+        send: Send,
+    ) -> None:
+        """Answer one request."""
+        if scope[_TYPE] == _HTTP:
+            await self._handle(Exchange(scope, receive, send))
+        else:
+            await send({_TYPE: 'websocket.close'})
+
+
+class PeerApplication:
+    """What peers may call; nobody gets in without the secret."""
+
+    def __init__(
+        self,
+        secret: PeerSecret,
+        acceptor: LinkAcceptor,
+        status: Callable[[], EntryStatus],
+    ) -> None:
+        """Remember the parts."""
+        self._secret = secret
+        self._acceptor = acceptor
+        self._status = status
+
+    async def __call__(
+        self,
+        scope: Scope,
+        receive: Receive,
+        send: Send,
+    ) -> None:
+        """Answer one request or accept one link."""
+        if scope[_TYPE] == _HTTP:
+            await self._answer(Exchange(scope, receive, send))
+        elif scope['path'] == LINK_PATH:
+            await self._acceptor(scope, receive, send)
+        else:
+            await send({_TYPE: 'websocket.close'})
+
+    async def _answer(self, exchange: Exchange) -> None:
+        if not self._secret.matches(exchange.header(AUTHORIZATION_HEADER)):
+            await answer_failure(exchange, ErrorKind.PEER_REFUSED)
+        elif exchange.path != STATUS_PATH:
+            await answer_failure(exchange, ErrorKind.UNKNOWN_PATH)
+        elif exchange.method != 'GET':
+            await answer_failure(exchange, ErrorKind.METHOD_NOT_ALLOWED)
+        else:
+            await exchange.answer_json(HTTPStatus.OK, self._status())
--- /dev/null
+++ b/src/sardinetrack/entry/attempt.py
@@ -0,0 +1,195 @@
+"""One attempt at running a call: the order to a side and its answer."""
+
+from __future__ import annotations
+
+import logging
+from dataclasses import dataclass
+from typing import Final
+
+import anyio
+
+from sardinetrack.entry.answers import error_event
+from sardinetrack.entry.call import Call
+from sardinetrack.entry.caller import Caller
+from sardinetrack.entry.dispatcher import Dispatcher
+from sardinetrack.entry.fate import FateQuery
+from sardinetrack.entry.meters import Meter, meter_for
+from sardinetrack.entry.relay import Relay
+from sardinetrack.entry.sides import KnownSide, Sides
+from sardinetrack.errors.api import AnsweredError, ErrorKind
+from sardinetrack.http.asgi import CallerGoneError
+from sardinetrack.http.client import BrokenError, NotSentError, StreamedReply
+from sardinetrack.links.run_reply import RunReply
+from sardinetrack.messages.run import RUN_HEADER, RUN_PATH, Fate, RunOrder
+from sardinetrack.messages.run_codec import order_text
+from sardinetrack.routing.api import AttemptEnd, Dispatch
+
+_LOG: Final = logging.getLogger('sardinetrack.entry')
+_MARGIN_SECONDS: Final = 5.0
+"""The side ends a run by its own clock first."""
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptResult:
+    """How an attempt ended and what it cost."""
+
+    end: AttemptEnd
+    cost: float = 0
+
+
+_NOT_STARTED: Final = AttemptResult(AttemptEnd.NOT_STARTED)
+
+
+class Attempt:
+    """Sends one order and relays its answer."""
+
+    def __init__(
+        self,
+        call: Call,
+        dispatch: Dispatch,
+        caller: Caller,
+        sides: Sides,
+        dispatcher: Dispatcher,
+    ) -> None:
+        """Prepare the attempt."""
+        self._call = call
+        self._dispatch = dispatch
+        self._caller = caller
+        self._sides = sides
+        self._dispatcher = dispatcher
+        self._began = dispatcher.clock()
+        self._meter: Meter | None = None
+
+    async def run(self) -> AttemptResult:
+        """Run to the end.
+
+        :return: the end; the caller has the whole answer when it is
+            ``WHOLE``, and maybe a part of it otherwise.
+        """
+        side = self._sides.find(self._dispatch.side)
+        if side is None:
+            return _NOT_STARTED
+        result = await self._watched(side)
+        if result is not None:
+            return result
+        if self._caller.started:
+            # The caller's error goes out before anybody is asked.
+            await self._cut()
+        end = await FateQuery(self._sides, side).ask(self._dispatch)
+        return AttemptResult(end, self._cost())
+
+    async def _cut(self) -> None:
+        failure = AnsweredError(ErrorKind.ANSWER_CUT)
+        last = error_event(failure) if self._call.streams else b''
+        await self._caller.cut(last)
+
+    async def _watched(self, side: KnownSide) -> AttemptResult | None:
+        result: AttemptResult | None = None
+        run_seconds = self._call.pool.max_run_seconds + _MARGIN_SECONDS
+        async with anyio.create_task_group() as tasks:
+            scope = tasks.cancel_scope
+            scope.deadline = anyio.current_time() + (
+                run_seconds + self._dispatch.wait_seconds
+            )
+            tasks.start_soon(self._cancel_when_lost, side, scope)
+            result = await self._exchange(side)
+            scope.cancel()
+        return result
+
+    async def _cancel_when_lost(
+        self,
+        side: KnownSide,
+        scope: anyio.CancelScope,
+    ) -> None:
+        await self._sides.lost(side)
+        _LOG.warning(
+            'entry: side %s lost during attempt %s',
+            side.name,
+            self._dispatch.attempt_id,
+        )
+        scope.cancel()
+
+    async def _exchange(self, side: KnownSide) -> AttemptResult | None:
+        try:
+            async with self._sides.http.stream(
+                'POST',
+                side.url(RUN_PATH),
+                headers=self._headers(side),
+                body=self._call.body,
+            ) as reply:
+                return await self._read(reply)
+        except NotSentError:
+            return _NOT_STARTED
+        except CallerGoneError:
+            return AttemptResult(AttemptEnd.ABANDONED, self._cost())
+        except BrokenError as error:
+            _LOG.info(
+                'entry: exchange broke attempt=%s side=%s: %s',
+                self._dispatch.attempt_id,
+                side.name,
+                error,
+            )
+            return None
+
+    async def _read(self, streamed: StreamedReply) -> AttemptResult | None:
+        reply = RunReply(streamed)
+        match reply.run_result.fate:
+            case Fate.NOT_STARTED:
+                return _NOT_STARTED
+            case Fate.FAILED:
+                return AttemptResult(AttemptEnd.FAILED)
+            case Fate.UNKNOWN:
+                return None
+        await self._relay(reply)
+        return AttemptResult(AttemptEnd.WHOLE, self._cost())
+
+    async def _relay(self, reply: RunReply) -> None:
+        self._meter = meter_for(
+            self._call,
+            reply.header('content-type') or '',
+            self._dispatcher.clock,
+            self._began,
+        )
+        relay = Relay(
+            self._call,
+            self._caller,
+            self._meter,
+            self._progress,
+        )
+        await relay.run(reply)
+
+    def _progress(self, cost: float) -> None:
+        self._dispatcher.progress(self._dispatch, cost)
+
+    def _cost(self) -> float:
+        return self._meter.cost() if self._meter else 0
+
+    def _headers(self, side: KnownSide) -> list[tuple[str, str]]:
+        return [
+            self._sides.secret.header(),
+            (RUN_HEADER, order_text(self._order(side))),
+            ('content-type', 'application/octet-stream'),
+        ]
+
+    def _order(self, side: KnownSide) -> RunOrder:
+        bids = self._dispatcher.routing.bids_for(side.name)
+        work = self._call.work
+        return RunOrder(
+            attempt_id=self._dispatch.attempt_id,
+            incarnation=side.incarnation,
+            entry=self._sides.entry,
+            workspace=work.workspace,
+            tag=self._dispatch.tag,
+            hint_cost=work.hint_cost,
+            grant=self._dispatch.grant,
+            wait_seconds=self._dispatch.wait_seconds,
+            idempotent=work.idempotent,
+            method=self._call.method,
+            path=self._call.path,
+            headers=self._call.headers,
+            fingerprint=work.fingerprint,
+            bids=tuple(
+                (row.workspace, row.tag, row.waiting, row.hint_cost)
+                for row in bids.rows
+            ),
+        )
--- /dev/null
+++ b/src/sardinetrack/entry/border.py
@@ -0,0 +1,140 @@
+"""The callers' border: every request ends in an answer of the closed table."""
+
+from __future__ import annotations
+
+import hashlib
+import logging
+from collections.abc import Awaitable, Callable
+from http import HTTPStatus
+from itertools import count
+from typing import Final
+
+from sardinetrack.catalogue.view import CatalogueView
+from sardinetrack.entry.answers import (
+    REQUEST_ID_HEADER,
+    error_document,
+    error_headers,
+)
+from sardinetrack.entry.gate import Gate
+from sardinetrack.entry.headers import bearer_token, caller_request_id
+from sardinetrack.entry.metrics import EntryMetrics
+from sardinetrack.entry.models import model_answer
+from sardinetrack.entry.reader import COMPLETIONS_PATH, CallReader, Origin
+from sardinetrack.entry.runner import CallRunner
+from sardinetrack.entry.services import SERVICES_PATH
+from sardinetrack.errors.api import AnsweredError, ErrorKind
+from sardinetrack.errors.table import answer_for
+from sardinetrack.http.asgi import CallerGoneError, Exchange
+
+_LOG: Final = logging.getLogger('sardinetrack.entry')
+_MODELS_PATH: Final = '/v1/models'
+
+Handler = Callable[[Exchange, Origin], Awaitable[None]]
+
+
+class CallerBorder:
+    """Answers callers."""
+
+    def __init__(
+        self,
+        catalogue: CatalogueView,
+        reader: CallReader,
+        runner: CallRunner,
+        gate: Gate,
+        metrics: EntryMetrics,
+    ) -> None:
+        """Remember the parts."""
+        self._catalogue = catalogue
+        self._reader = reader
+        self._runner = runner
+        self._gate = gate
+        self._metrics = metrics
+        self._numbers = count(1)
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one request."""
+        caller_id = caller_request_id(exchange.header(REQUEST_ID_HEADER))
+        try:
+            await self._serve(exchange, caller_id)
+        except AnsweredError as failure:
+            await self._fail(exchange, caller_id, failure)
+        except CallerGoneError:
+            self._metrics.vanished()
+            _LOG.info('entry: caller vanished request=%s', caller_id)
+        except Exception:
+            _LOG.exception('entry: fault in request=%s', caller_id)
+            fault = AnsweredError(ErrorKind.INTERNAL)
+            await self._fail(exchange, caller_id, fault)
+
+    async def _serve(self, exchange: Exchange, caller_id: str) -> None:
+        handler = self._handler(exchange)
+        with self._gate.passed():
+            origin = self._origin(exchange, caller_id)
+            await handler(exchange, origin)
+
+    def _origin(self, exchange: Exchange, caller_id: str) -> Origin:
+        token = bearer_token(exchange.header('authorization'))
+        if token is None:
+            raise AnsweredError(ErrorKind.UNAUTHENTICATED)
+        digest = hashlib.sha256(token.encode('latin-1')).hexdigest()
+        workspace = self._catalogue.workspace_by_token_hash(digest)
+        if workspace is None:
+            raise AnsweredError(ErrorKind.UNAUTHENTICATED)
+        # Callers choose their ids freely and may use one twice.
+        request_id = f'{caller_id}~{next(self._numbers)}'
+        return Origin(workspace, caller_id, request_id)
+
+    def _handler(self, exchange: Exchange) -> Handler:
+        path = exchange.path
+        if exchange.target.startswith(SERVICES_PATH):
+            return self._service
+        if path == COMPLETIONS_PATH:
+            _require(exchange, 'POST')
+            return self._completion
+        if path == _MODELS_PATH or path.startswith(f'{_MODELS_PATH}/'):
+            _require(exchange, 'GET')
+            return self._models
+        raise AnsweredError(ErrorKind.UNKNOWN_PATH)
+
+    async def _service(self, exchange: Exchange, origin: Origin) -> None:
+        call = await self._reader.service(exchange, origin)
+        await self._runner.run(call, exchange)
+
+    async def _completion(self, exchange: Exchange, origin: Origin) -> None:
+        call = await self._reader.completion(exchange, origin)
+        await self._runner.run(call, exchange)
+
+    async def _models(self, exchange: Exchange, origin: Origin) -> None:
+        name = exchange.path[len(_MODELS_PATH) :].lstrip('/')
+        content = model_answer(self._catalogue.pools(), name)
+        await exchange.answer_json(
+            HTTPStatus.OK,
+            content,
+            [(REQUEST_ID_HEADER, origin.caller_id)],
+        )
+
+    async def _fail(
+        self,
+        exchange: Exchange,
+        caller_id: str,
+        failure: AnsweredError,
+    ) -> None:
+        self._metrics.failed(failure.kind)
+        if exchange.started:
+            return
+        headers = [(REQUEST_ID_HEADER, caller_id), *error_headers(failure)]
+        if not self._gate.open:
+            headers.append(('connection', 'close'))
+        await exchange.answer_json(
+            answer_for(failure.kind).status,
+            error_document(failure),
+            headers,
+        )
+
+
+def _require(exchange: Exchange, method: str) -> None:
+    if exchange.method != method:
+        raise AnsweredError(
+            ErrorKind.METHOD_NOT_ALLOWED,
+            f'use {method}',
+        )
--- /dev/null
+++ b/src/sardinetrack/entry/fate.py
@@ -0,0 +1,84 @@
+"""Ask a side what became of an attempt whose connection broke."""
+
+from __future__ import annotations
+
+import logging
+from types import MappingProxyType
+from typing import Final
+
+import anyio
+import msgspec
+
+from sardinetrack.entry.sides import KnownSide, Sides
+from sardinetrack.http.client import BrokenError, NotSentError
+from sardinetrack.messages.run import (
+    ATTEMPT_PATH,
+    AttemptAnswer,
+    AttemptQuery,
+    Fate,
+)
+from sardinetrack.routing.api import AttemptEnd, Dispatch
+
+_LOG: Final = logging.getLogger('sardinetrack.entry')
+_PAUSES_SECONDS: Final = (0, 0.2, 0.6)
+_ASK_SECONDS: Final = 1.0
+_ENDS: Final = MappingProxyType(
+    {
+        Fate.NOT_STARTED: AttemptEnd.NOT_STARTED,
+        # Only the way back broke: calling it a failure would strike the
+        # request for a crash that did not happen.
+        Fate.RUNNING: AttemptEnd.UNKNOWN,
+        Fate.FINISHED: AttemptEnd.UNKNOWN,
+        Fate.FAILED: AttemptEnd.FAILED,
+        Fate.UNKNOWN: AttemptEnd.UNKNOWN,
+    },
+)
+
+
+class FateQuery:
+    """Asks one side; only its word makes "not run" true.
+
+    The question also cancels: after it a delayed order can't start, and an
+    answer that nobody would receive isn't produced any longer.
+    """
+
+    def __init__(self, sides: Sides, side: KnownSide) -> None:
+        """Remember whom to ask."""
+        self._sides = sides
+        self._side = side
+
+    async def ask(self, dispatch: Dispatch) -> AttemptEnd:
+        """Ask a few times.
+
+        :param dispatch: the attempt.
+        :return: its end; ``UNKNOWN`` when nobody can tell.
+        """
+        for pause_seconds in _PAUSES_SECONDS:
+            await anyio.sleep(pause_seconds)
+            fate = await self._fate(dispatch.attempt_id)
+            if fate is not None:
+                return _ENDS[fate]
+        return AttemptEnd.UNKNOWN
+
+    async def _fate(self, attempt_id: str) -> Fate | None:
+        query = AttemptQuery(attempt_id, self._side.incarnation, cancel=True)
+        with anyio.move_on_after(_ASK_SECONDS):
+            try:
+                return await self._call(attempt_id, query)
+            except (NotSentError, BrokenError, msgspec.DecodeError) as error:
+                _LOG.info(
+                    'entry: no answer about attempt=%s from %s: %s',
+                    attempt_id,
+                    self._side.name,
+                    error,
+                )
+        return None
+
+    async def _call(self, attempt_id: str, query: AttemptQuery) -> Fate:
+        reply = await self._sides.http.call(
+            'POST',
+            self._side.url(f'{ATTEMPT_PATH}{attempt_id}'),
+            headers=[self._sides.secret.header()],
+            body=msgspec.json.encode(query),
+        )
+        return msgspec.json.decode(reply.body, type=AttemptAnswer).fate
--- /dev/null
+++ b/src/sardinetrack/entry/linked.py
@@ -0,0 +1,138 @@
+"""The open control links of an entry, and the sides behind them."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from typing import Final
+
+import anyio
+
+from sardinetrack.entry.dispatcher import Outbox
+from sardinetrack.entry.sides import KnownSide, Sides
+from sardinetrack.http.client import HttpClient
+from sardinetrack.links.api import Link, PeerRole
+from sardinetrack.links.secret import PeerSecret
+from sardinetrack.links.table import LinkTable
+from sardinetrack.messages.api import (
+    Bids,
+    Decline,
+    LinkMessage,
+    ServiceReport,
+    SideLoad,
+    Strike,
+)
+from sardinetrack.messages.codec import encode
+from sardinetrack.platform.api import ListedInstance
+
+_GRACE_SECONDS: Final = 1.5
+"""A link that is redialled within it has not lost its side."""
+
+
+@dataclass(slots=True)
+class LinkedSide:
+    """A side while its link is up."""
+
+    known: KnownSide
+    row: ListedInstance
+    load: SideLoad | None = None
+    in_use: bool = False
+    """The routing decisions know it: it is not leaving."""
+    down: anyio.Event = field(default_factory=anyio.Event)
+
+
+class LinkedPeers(Sides, Outbox):
+    """Links by the peer's instance, and what is known of each side."""
+
+    def __init__(
+        self, entry: str, http: HttpClient, secret: PeerSecret
+    ) -> None:
+        """Start with no links.
+
+        :param entry: name of this instance.
+        :param http: calls sides.
+        :param secret: shown to sides.
+        """
+        self.entry = entry
+        self.http = http
+        self.secret = secret
+        self._links = LinkTable()
+        self._sides: dict[str, LinkedSide] = {}
+
+    def sides(self) -> Iterator[LinkedSide]:
+        """Iterate over the linked sides."""
+        return iter(tuple(self._sides.values()))
+
+    def links(self, role: PeerRole) -> list[Link]:
+        """List the open links to peers of a role."""
+        return [link for link in self._links if link.peer.role is role]
+
+    def is_linked(self, name: str) -> bool:
+        """Tell whether a link to an instance is up."""
+        return self._links.get(name) is not None
+
+    def side(self, name: str) -> LinkedSide | None:
+        """Look up a linked side with all that is known of it."""
+        return self._sides.get(name)
+
+    def find(self, name: str) -> KnownSide | None:
+        """Look up a linked side."""
+        linked = self._sides.get(name)
+        return linked.known if linked else None
+
+    async def lost(self, side: KnownSide) -> None:
+        """Return when the side process has been unreachable for a while."""
+        linked = self._sides.get(side.name)
+        while linked is not None and linked.known == side:
+            await linked.down.wait()
+            await anyio.sleep(_GRACE_SECONDS)
+            linked = self._sides.get(side.name)
+
+    def add(self, link: Link) -> Link | None:
+        """Note a link; return an older one that it replaces."""
+        return self._links.add(link)
+
+    def add_side(self, link: Link, row: ListedInstance) -> LinkedSide:
+        """Note the side behind a link."""
+        known = KnownSide(
+            row.instance,
+            row.address,
+            link.peer.incarnation,
+            row.backend_server,
+        )
+        linked = LinkedSide(known, row)
+        self._sides[row.instance] = linked
+        return linked
+
+    def remove(self, link: Link) -> bool:
+        """Forget a link; ``False`` when a newer one has replaced it."""
+        if not self._links.remove(link):
+            return False
+        self.remove_side(link.peer.instance)
+        return True
+
+    def remove_side(self, name: str) -> None:
+        """Forget a side whose link is gone or replaced."""
+        linked = self._sides.pop(name, None)
+        if linked is not None:
+            linked.down.set()
+
+    def to_side(self, side: str, message: Bids | Decline) -> None:
+        """Post to the link of a side."""
+        link = self._links.get(side)
+        if link is not None:
+            link.post(message)
+
+    def to_entries(self, message: ServiceReport | Strike) -> None:
+        """Post to the links of all other entries."""
+        self.to_role(PeerRole.ENTRY, message)
+
+    def to_role(self, role: PeerRole, message: LinkMessage) -> None:
+        """Post to all peers of a role; the message is encoded once."""
+        text = encode(message)
+        for link in self.links(role):
+            link.post_encoded(text)
+
+    def to_all(self, message: LinkMessage) -> None:
+        """Post to all peers."""
+        self._links.post_all(message)
--- /dev/null
+++ b/src/sardinetrack/entry/operator.py
@@ -0,0 +1,100 @@
+"""The operators' listener: health, readiness, metrics, status, settings."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from http import HTTPStatus
+from types import MappingProxyType
+from typing import Final
+
+from prometheus_client import CONTENT_TYPE_LATEST
+
+from sardinetrack.entry.answers import error_document, error_headers
+from sardinetrack.entry.metrics import EntryMetrics
+from sardinetrack.entry.status import EntryStatus
+from sardinetrack.errors.api import AnsweredError, ErrorKind
+from sardinetrack.errors.table import answer_for
+from sardinetrack.http.asgi import Exchange
+
+Page = Callable[[Exchange], Awaitable[None]]
+
+_TEXT: Final = (('content-type', 'text/plain; charset=utf-8'),)
+
+
+class OperatorPages:
+    """Answers operators."""
+
+    def __init__(
+        self,
+        status: Callable[[], EntryStatus],
+        metrics: EntryMetrics,
+        settings: object,
+    ) -> None:
+        """Build the table of pages.
+
+        :param status: reads the present status.
+        :param settings: effective settings as JSON content, secrets masked.
+        """
+        self._status = status
+        self._metrics = metrics
+        self._settings = settings
+        self._pages: MappingProxyType[str, Page] = MappingProxyType(
+            {
+                '/healthz': self._health,
+                '/readyz': self._readiness,
+                '/metrics': self._exposition,
+                '/status': self._show_status,
+                '/config': self._show_settings,
+            },
+        )
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one request."""
+        page = self._pages.get(exchange.path)
+        if page is None:
+            await answer_failure(exchange, ErrorKind.UNKNOWN_PATH)
+        elif exchange.method == 'GET':
+            await page(exchange)
+        else:
+            await answer_failure(exchange, ErrorKind.METHOD_NOT_ALLOWED)
+
+    async def _health(self, exchange: Exchange) -> None:
+        await exchange.answer(HTTPStatus.OK, b'ok\n', _TEXT)
+
+    async def _readiness(self, exchange: Exchange) -> None:
+        reasons = self._status().not_ready
+        if reasons:
+            text = '; '.join(reasons).encode()
+            await exchange.answer(
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                b'not ready: %b\n' % text,
+                _TEXT,
+            )
+        else:
+            await exchange.answer(HTTPStatus.OK, b'ready\n', _TEXT)
+
+    async def _exposition(self, exchange: Exchange) -> None:
+        await exchange.answer(
+            HTTPStatus.OK,
+            self._metrics.text(),
+            [('content-type', CONTENT_TYPE_LATEST)],
+        )
+
+    async def _show_status(self, exchange: Exchange) -> None:
+        await exchange.answer_json(HTTPStatus.OK, self._status())
+
+    async def _show_settings(self, exchange: Exchange) -> None:
+        await exchange.answer_json(HTTPStatus.OK, self._settings)
+
+
+async def answer_failure(exchange: Exchange, kind: ErrorKind) -> None:
+    """Answer with a row of the table.
+
+    :param kind: the row.
+    """
+    failure = AnsweredError(kind)
+    await exchange.answer_json(
+        answer_for(kind).status,
+        error_document(failure),
+        error_headers(failure),
+    )
--- a/src/sardinetrack/errors/api.py
+++ b/src/sardinetrack/errors/api.py
@@ -21,6 +21,7 @@
     IDEMPOTENCY_MISMATCH = 'idempotency_key_reused'
     IN_PROGRESS = 'request_in_progress'
     ALREADY_FINISHED = 'request_already_finished'
+    TOO_MANY_CONNECTIONS = 'too_many_connections'
     RATE_LIMITED = 'rate_limited'
     QUEUE_FULL = 'queue_full'
     NOT_RUN_DEADLINE = 'not_run_deadline'
--- a/src/sardinetrack/errors/table.py
+++ b/src/sardinetrack/errors/table.py
@@ -111,6 +111,13 @@
             'The request with this idempotency key has already run.',
             not_run=False,
         ),
+        ErrorKind.TOO_MANY_CONNECTIONS: Answer(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            _BUSY,
+            'The instance holds too many connections; not run.',
+            not_run=True,
+            retry_after_seconds=1,
+        ),
         ErrorKind.RATE_LIMITED: Answer(
             HTTPStatus.TOO_MANY_REQUESTS,
             _LIMIT,
--- /dev/null
+++ b/tests/entry/entry_world.py
@@ -0,0 +1,229 @@
+"""An entry between a caller, fake sides and a platform in memory."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import logging
+import random
+import time
+from collections.abc import Callable
+from contextlib import ExitStack
+from typing import Any
+
+from anyio.from_thread import start_blocking_portal
+from fake_side import SECRET, FakeSide, Script
+from raw_http import TOKEN_TEXT, WAIT_SECONDS, Answer, Connection
+
+from sardinetrack.config.model import Bounds, EntrySettings
+from sardinetrack.entry.daemon import Entry
+from sardinetrack.entry.heads import HeadBounds
+from sardinetrack.entry.parts import EntryParts
+from sardinetrack.once.claims import PlatformClaims
+from sardinetrack.once.settler import Settler
+from sardinetrack.platform.api import ListedInstance
+from sardinetrack.platform.in_process import MemoryPlatform
+from sardinetrack.routing.router import Router
+from sardinetrack.routing.shared import Identity
+
+MODEL = 'ice-1'
+POLL_SECONDS = 0.02
+BOUNDS = Bounds(
+    max_body_bytes=100_000,
+    body_seconds=0.5,
+    max_connections=20,
+    keep_alive_seconds=1,
+    send_seconds=1,
+    wait_seconds=2,
+)
+HEADS = HeadBounds(head_seconds=0.5, linger_seconds=0.5)
+CATALOGUE = (
+    {
+        'kind': 'workspace',
+        'name': 'pilot',
+        'owner': 'Varna',
+        'token_hashes': [hashlib.sha256(TOKEN_TEXT.encode()).hexdigest()],
+    },
+    {
+        'kind': 'pool',
+        'name': 'ice-llm',
+        'owner': 'Varna',
+        'class': 'model',
+        'models': [MODEL],
+    },
+    {
+        'kind': 'pool',
+        'name': 'chart-api',
+        'owner': 'Varna',
+        'class': 'service',
+        'limits': {'max_body_bytes': 50_000},
+        'repeatable': [{'method': 'GET', 'path_prefix': '/charts'}],
+    },
+)
+
+
+class LogLines(logging.Handler):
+    """Keeps every line that the program writes."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.lines: list[str] = []
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Keep a line."""
+        self.lines.append(f'{record.getMessage()} {record.__dict__}')
+
+
+class EntryWorld:
+    """Owns everything of a scenario."""
+
+    def __init__(self) -> None:
+        self.stack = ExitStack()
+        self.portal = self.stack.enter_context(start_blocking_portal())
+        self.platform = MemoryPlatform()
+        self.sides: dict[str, FakeSide] = {}
+        self.entries: dict[str, Entry] = {}
+        self.connections: list[Connection] = []
+        self.answer: Answer | None = None
+        self.log = LogLines()
+        logging.getLogger().addHandler(self.log)
+        logging.getLogger().setLevel(logging.DEBUG)
+        for content in CATALOGUE:
+            self.write(content)
+
+    def close(self) -> None:
+        """Close everything, newest first."""
+        logging.getLogger().removeHandler(self.log)
+        for connection in self.connections:
+            connection.close()
+        self.stack.close()
+
+    def write(self, content: dict[str, Any]) -> None:
+        """Write a catalogue entry."""
+        self.portal.call(self._write, content)
+
+    def side(self, name: str, pool: str) -> FakeSide:
+        """Start a side and list it."""
+        side = FakeSide(name, pool)
+        self.enter(side.serving())
+        self.sides[name] = side
+        row = ListedInstance(
+            name,
+            'side',
+            side.address,
+            'galata',
+            pool,
+            f'{name}-server',
+        )
+        self.portal.call(self.platform.set_instance, row)
+        return side
+
+    def script(self, name: str, script: Script) -> None:
+        """Add to what a side answers."""
+        self.sides[name].scripts.append(script)
+
+    def entry(self, name: str = 'entry-a', **overrides: Any) -> Entry:
+        """Start an entry, list it and wait until it is linked."""
+        settings = EntrySettings.model_validate(
+            {
+                'instance': name,
+                'failure_domain': 'galata',
+                'platform': {'url': 'memory', 'token': {'value': 'p'}},
+                'peer_secret': {'value': 'fleet'},
+                'bounds': BOUNDS,
+                'drain_seconds': 3,
+            },
+        )
+        settler = self.enter(self.portal.call(Settler, self.platform))
+        identity = Identity(name, f'{name}-1')
+        parts = EntryParts(
+            settings=settings,
+            peer_secret=SECRET,
+            incarnation=identity.incarnation,
+            routing=Router(identity, random.Random(7)),
+            platform=self.platform,
+            claims=PlatformClaims(self.platform, settler),
+            head_bounds=HEADS,
+            balancer_seconds=0.3,
+            **overrides,
+        )
+        entry: Entry = self.enter(self.portal.call(Entry, parts))
+        self.entries[name] = entry
+        row = ListedInstance(name, 'entry', entry.peer.address, 'galata')
+        self.portal.call(self.platform.set_instance, row)
+        self.until(lambda: self.ready(entry))
+        return entry
+
+    def ready(self, entry: Entry) -> bool:
+        """Tell whether every side is linked and has told its load."""
+        told = self.status(entry)
+        loads = [
+            side['limit'] for pool in told['pools'] for side in pool['sides']
+        ]
+        return bool(told['revision']) and loads.count(8) == len(self.sides)
+
+    def status(self, entry: Entry) -> dict[str, Any]:
+        """Read the operators' status."""
+        content = json.loads(self.operator(entry, '/status').body)
+        assert isinstance(content, dict)
+        return content
+
+    def operator(self, entry: Entry, path: str, method: str = 'GET') -> Answer:
+        """Call the operators' listener."""
+        return self._call(entry.operator.port, method, path)
+
+    def peer(self, entry: Entry, path: str, token: str | None) -> Answer:
+        """Call the peers' listener."""
+        return self._call(entry.peer.port, 'GET', path, token=token)
+
+    def connect(self, name: str = 'entry-a') -> Connection:
+        """Open a caller's connection."""
+        connection = Connection(self.entries[name].callers.port)
+        self.connections.append(connection)
+        return connection
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b'',
+        **named: Any,
+    ) -> Answer:
+        """Send one request and read its answer."""
+        entry = named.pop('entry', 'entry-a')
+        connection = self.connect(entry)
+        connection.request(method, path, body, **named)
+        self.answer = connection.answer(method)
+        return self.answer
+
+    def enter(self, manager: Any) -> Any:
+        """Enter an asynchronous context until the scenario ends."""
+        return self.stack.enter_context(
+            self.portal.wrap_async_context_manager(manager),
+        )
+
+    def until(self, holds: Callable[[], bool]) -> None:
+        """Wait until something holds."""
+        deadline = time.monotonic() + WAIT_SECONDS
+        while not holds():
+            assert time.monotonic() < deadline, 'waited in vain'
+            time.sleep(POLL_SECONDS)
+
+    def _call(
+        self,
+        port: int,
+        method: str,
+        path: str,
+        token: str | None = None,
+    ) -> Answer:
+        connection = Connection(port)
+        try:
+            connection.request(method, path, token=token)
+            return connection.answer(method)
+        finally:
+            connection.close()
+
+    async def _write(self, content: dict[str, Any]) -> None:
+        key = f'catalogue/{content["kind"]}/{content["name"]}'
+        text = json.dumps(content).encode()
+        await self.platform.put(key, text, expected_version=None)
--- /dev/null
+++ b/tests/entry/fake_side.py
@@ -0,0 +1,204 @@
+"""A side whose answers are scripted."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+import anyio
+import msgspec
+from raw_http import TOKEN_TEXT
+
+from sardinetrack.http.asgi import Exchange, Receive, Scope, Send
+from sardinetrack.http.server import BoundServer, serving
+from sardinetrack.links.api import (
+    Hello,
+    Link,
+    LinkEvent,
+    LinkMessageReceived,
+    LinkUp,
+    PeerRole,
+)
+from sardinetrack.links.secret import PeerSecret
+from sardinetrack.links.server import LinkAcceptor
+from sardinetrack.messages.api import (
+    ConfigDigest,
+    ConfigUpdate,
+    LinkMessage,
+    SideLoad,
+    SidePhase,
+)
+from sardinetrack.messages.run import (
+    RESULT_HEADER,
+    RUN_HEADER,
+    AttemptAnswer,
+    AttemptQuery,
+    Fate,
+    RunOrder,
+    RunResult,
+)
+from sardinetrack.messages.run_codec import (
+    SERVER_HEADERS_HEADER,
+    read_order,
+    result_text,
+    server_headers_text,
+)
+
+SECRET = PeerSecret('fleet')
+SLOTS = 8
+
+
+@dataclass
+class Script:
+    """How the side answers one order."""
+
+    fate: Fate = Fate.RUNNING
+    status: int = 200
+    headers: tuple[tuple[str, str], ...] = ()
+    chunks: tuple[bytes, ...] = ()
+    pause_seconds: float = 0
+    """Between two chunks."""
+    ends: bool = True
+    """False: the connection breaks after the chunks."""
+    breaks_before: bool = False
+    """The connection breaks before a word of the side."""
+    hold: bool = False
+    """Waits for ``release`` before the first word."""
+
+
+@dataclass
+class FakeSide:
+    """Records orders and answers them by script, the last one repeated."""
+
+    name: str
+    pool: str
+    scripts: deque[Script] = field(default_factory=deque)
+    fates: deque[Fate] = field(default_factory=deque)
+    """Answers to questions about attempts; empty: nobody answers."""
+    orders: list[RunOrder] = field(default_factory=list)
+    bodies: list[bytes] = field(default_factory=list)
+    asked: list[AttemptQuery] = field(default_factory=list)
+    heard: list[LinkMessage] = field(default_factory=list)
+    links: list[Link] = field(default_factory=list)
+    broken_off: int = 0
+    free: int = SLOTS
+    incarnation: str = 'first'
+    address: str = ''
+
+    def __post_init__(self) -> None:
+        self.release = anyio.Event()
+
+    @asynccontextmanager
+    async def serving(self) -> AsyncIterator[BoundServer]:
+        """Answer on loopback."""
+        streams = anyio.create_memory_object_stream[LinkEvent](100)
+        hello = Hello(self.name, PeerRole.SIDE, self.incarnation, 'galata')
+        self._acceptor = LinkAcceptor(hello, SECRET, streams[0])
+        async with (
+            serving(self, '127.0.0.1', 0) as server,
+            anyio.create_task_group() as tasks,
+        ):
+            self.address = server.address
+            tasks.start_soon(self._listen, streams[1])
+            yield server
+            self.release.set()
+            tasks.cancel_scope.cancel()
+
+    def announce(self) -> None:
+        """Tell all linked entries the load."""
+        load = SideLoad(
+            self.incarnation,
+            SidePhase.SERVING,
+            limit=SLOTS,
+            running=SLOTS - self.free,
+            free=self.free,
+        )
+        for link in self.links:
+            link.post(load)
+
+    def configuration(self) -> set[str]:
+        """Name the catalogue keys that entries have told of."""
+        return {
+            row.key
+            for message in self.heard
+            if isinstance(message, ConfigUpdate)
+            for row in message.objects
+        }
+
+    async def _listen(self, events: anyio.abc.ObjectReceiveStream) -> None:
+        async for event in events:
+            if isinstance(event, LinkUp):
+                self.links.append(event.link)
+                event.link.post(ConfigDigest(0, ''))
+                self.announce()
+            elif isinstance(event, LinkMessageReceived):
+                self.heard.append(event.message)
+
+    async def __call__(
+        self,
+        scope: Scope,
+        receive: Receive,
+        send: Send,
+    ) -> None:
+        """Answer an entry."""
+        if scope['type'] != 'http':
+            await self._acceptor(scope, receive, send)
+            return
+        exchange = Exchange(scope, receive, send)
+        assert SECRET.matches(exchange.header('authorization'))
+        assert TOKEN_TEXT not in str(exchange.headers())
+        if RUN_HEADER in dict(exchange.headers()):
+            await self._run(exchange)
+        else:
+            await self._asked(exchange)
+
+    async def _asked(self, exchange: Exchange) -> None:
+        body = await exchange.body(10_000, 1)
+        self.asked.append(msgspec.json.decode(body, type=AttemptQuery))
+        if not self.fates:
+            await exchange.gone()
+            return
+        fate = self.fates.popleft()
+        answer = AttemptAnswer(fate, self.incarnation)
+        await exchange.answer_json(200, answer)
+
+    async def _run(self, exchange: Exchange) -> None:
+        script = self.scripts[0]
+        if len(self.scripts) > 1:
+            self.scripts.popleft()
+        self.orders.append(read_order(exchange.header(RUN_HEADER) or ''))
+        self.bodies.append(await exchange.body(10_000_000, 5))
+        if script.hold:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._note_gone, exchange, tasks.cancel_scope)
+                await self.release.wait()
+                tasks.cancel_scope.cancel()
+        if not script.breaks_before:
+            await self._answer(exchange, script)
+
+    async def _note_gone(
+        self,
+        exchange: Exchange,
+        scope: anyio.CancelScope,
+    ) -> None:
+        await exchange.gone()
+        self.broken_off += 1
+        scope.cancel()
+
+    async def _answer(self, exchange: Exchange, script: Script) -> None:
+        result = RunResult(script.fate, self.incarnation, script.status)
+        hop_status = 409 if script.fate is Fate.NOT_STARTED else 200
+        await exchange.start(
+            hop_status,
+            [
+                (RESULT_HEADER, result_text(result)),
+                (SERVER_HEADERS_HEADER, server_headers_text(script.headers)),
+            ],
+        )
+        for chunk in script.chunks:
+            await exchange.write(chunk)
+            await anyio.sleep(script.pause_seconds)
+        if script.ends:
+            await exchange.finish()
--- /dev/null
+++ b/tests/entry/raw_http.py
@@ -0,0 +1,94 @@
+"""A caller that sees each byte: sockets and a minimal HTTP reader."""
+
+from __future__ import annotations
+
+import json
+import socket
+from dataclasses import dataclass, field
+from http.client import HTTPResponse, IncompleteRead
+from typing import Any
+
+TOKEN_TEXT = 'galata-token'
+WAIT_SECONDS = 10.0
+
+
+@dataclass
+class Answer:
+    """What a caller received."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    whole: bool
+    """The framing's own end was seen."""
+    pairs: list[tuple[str, str]] = field(default_factory=list)
+
+    @property
+    def error(self) -> dict[str, Any]:
+        """The error object."""
+        return json.loads(self.body)['error']
+
+
+class Connection:
+    """One connection to the callers' listener."""
+
+    def __init__(self, port: int) -> None:
+        self.socket = socket.create_connection(
+            ('127.0.0.1', port),
+            timeout=WAIT_SECONDS,
+        )
+
+    def send(self, raw: bytes) -> None:
+        """Send bytes as they are."""
+        self.socket.sendall(raw)
+
+    def request(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b'',
+        headers: tuple[tuple[str, str], ...] = (),
+        token: str | None = TOKEN_TEXT,
+    ) -> None:
+        """Send a whole request."""
+        lines = [f'{method} {path} HTTP/1.1', 'host: entry']
+        if token is not None:
+            lines.append(f'authorization: Bearer {token}')
+        if body:
+            lines.append(f'content-length: {len(body)}')
+        lines.extend(f'{name}: {text}' for name, text in headers)
+        self.send('\r\n'.join([*lines, '', '']).encode('latin-1') + body)
+
+    def answer(self, method: str = 'GET') -> Answer:
+        """Read one answer."""
+        response = HTTPResponse(self.socket, method=method)
+        response.begin()
+        body, whole = _read(response)
+        pairs = [(name.lower(), text) for name, text in response.getheaders()]
+        return Answer(response.status, dict(pairs), body, whole, pairs)
+
+    def closed(self) -> bool:
+        """Wait for the other end to close; drop what still comes."""
+        dropped = b'-'
+        try:
+            while dropped:
+                dropped = self.socket.recv(65_536)
+        except ConnectionResetError:
+            return True
+        except TimeoutError:
+            return False
+        return True
+
+    def close(self) -> None:
+        """Vanish."""
+        self.socket.close()
+
+
+def _read(response: HTTPResponse) -> tuple[bytes, bool]:
+    """Read a body; it is whole only with its framing's own end."""
+    try:
+        return response.read(), True
+    except IncompleteRead as error:
+        return error.partial, False
+    except OSError:
+        return b'', False
