--- a/src/sardinetrack/entry/protocol.py
+++ b/src/sardinetrack/entry/protocol.py
@@ -21,6 +21,7 @@
 from sardinetrack.errors.table import answer_for
 
 _LATIN: Final = 'latin-1'
+_VERSIONS: Final = frozenset(('1.0', '1.1'))
 _END: Final = '\r\n'
 
 
@@ -128,6 +129,8 @@
     def _check_head(self) -> None:
         if self.parser.should_upgrade():
             raise AnsweredError(ErrorKind.BAD_REQUEST, 'no upgrades here')
+        if self.parser.get_http_version() not in _VERSIONS:
+            raise AnsweredError(ErrorKind.BAD_REQUEST, 'use HTTP/1.1')
         check_head(self.headers)
 
     def _checked(self, check: Callable[[], None]) -> None:
--- a/tests/entry/entry_world.py
+++ b/tests/entry/entry_world.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from anyio.from_thread import start_blocking_portal
-from fake_side import SECRET, FakeSide, Script
+from fake_side import SECRET, SLOTS, FakeSide, Script
 from raw_http import TOKEN_TEXT, WAIT_SECONDS, Answer, Connection
 
 from sardinetrack.config.model import Bounds, EntrySettings
@@ -160,7 +160,7 @@
         loads = [
             side['limit'] for pool in told['pools'] for side in pool['sides']
         ]
-        return bool(told['revision']) and loads.count(8) == len(self.sides)
+        return bool(told['revision']) and loads.count(SLOTS) == len(self.sides)
 
     def status(self, entry: Entry) -> dict[str, Any]:
         """Read the operators' status."""
@@ -168,6 +168,17 @@
         assert isinstance(content, dict)
         return content
 
+    def open_requests(self, name: str = 'entry-a') -> int:
+        """Count the requests that wait or run at an entry."""
+        return int(self.status(self.entries[name])['open_requests'])
+
+    def fill(self) -> None:
+        """Let no side have a free slot."""
+        for side in self.sides.values():
+            side.free = 0
+            self.portal.call(side.announce)
+        self.until(self._all_full)
+
     def operator(self, entry: Entry, path: str, method: str = 'GET') -> Answer:
         """Call the operators' listener."""
         return self._call(entry.operator.port, method, path)
@@ -223,6 +234,13 @@
         finally:
             connection.close()
 
+    def _all_full(self) -> bool:
+        told = [self.status(entry) for entry in self.entries.values()]
+        pools = [pool for status in told for pool in status['pools']]
+        return not any(
+            side['free'] for pool in pools for side in pool['sides']
+        )
+
     async def _write(self, content: dict[str, Any]) -> None:
         key = f'catalogue/{content["kind"]}/{content["name"]}'
         text = json.dumps(content).encode()
--- a/tests/entry/fake_side.py
+++ b/tests/entry/fake_side.py
@@ -47,7 +47,7 @@
 )
 
 SECRET = PeerSecret('fleet')
-SLOTS = 8
+SLOTS = 50
 
 
 @dataclass
@@ -64,6 +64,8 @@
     """False: the connection breaks after the chunks."""
     breaks_before: bool = False
     """The connection breaks before a word of the side."""
+    fills: bool = False
+    """The side tells first that it has no free slot any more."""
     hold: bool = False
     """Waits for ``release`` before the first word."""
 
@@ -84,6 +86,8 @@
     links: list[Link] = field(default_factory=list)
     broken_off: int = 0
     free: int = SLOTS
+    deaf: bool = False
+    """Drops every connection of an order before reading it."""
     incarnation: str = 'first'
     address: str = ''
 
@@ -170,6 +174,10 @@
             self.scripts.popleft()
         self.orders.append(read_order(exchange.header(RUN_HEADER) or ''))
         self.bodies.append(await exchange.body(10_000_000, 5))
+        if script.fills:
+            self.free = 0
+            self.announce()
+            await anyio.sleep(0.05)
         if script.hold:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._note_gone, exchange, tasks.cancel_scope)
--- a/tests/entry/raw_http.py
+++ b/tests/entry/raw_http.py
@@ -4,12 +4,14 @@
 
 import json
 import socket
+import time
 from dataclasses import dataclass, field
-from http.client import HTTPResponse, IncompleteRead
+from http.client import HTTPException, HTTPResponse, IncompleteRead
 from typing import Any
 
 TOKEN_TEXT = 'galata-token'
 WAIT_SECONDS = 10.0
+PAUSE_SECONDS = 0.01
 
 
 @dataclass
@@ -67,17 +69,49 @@
         pairs = [(name.lower(), text) for name, text in response.getheaders()]
         return Answer(response.status, dict(pairs), body, whole, pairs)
 
-    def closed(self) -> bool:
-        """Wait for the other end to close; drop what still comes."""
-        dropped = b'-'
+    def answers(self) -> list[Answer]:
+        """Read answers until the other end closes."""
+        found = []
+        while True:
+            try:
+                found.append(self.answer())
+            except (HTTPException, OSError):
+                return found
+
+    def drain(self) -> bytes:
+        """Wait for the other end to close; return what still came."""
+        rest = b''
         try:
-            while dropped:
-                dropped = self.socket.recv(65_536)
+            while piece := self.socket.recv(65_536):
+                rest += piece
         except ConnectionResetError:
-            return True
-        except TimeoutError:
-            return False
-        return True
+            return rest
+        return rest
+
+    def send_quietly(self, raw: bytes) -> None:
+        """Send bytes to an end that may have closed."""
+        try:
+            self.send(raw)
+        except OSError:
+            return
+
+    def send_until_broken(self, raw: bytes) -> None:
+        """Send on until the other end has closed."""
+        deadline = time.monotonic() + WAIT_SECONDS
+        while time.monotonic() < deadline:
+            try:
+                self.send(raw)
+            except OSError:
+                return
+            time.sleep(PAUSE_SECONDS)
+        raise AssertionError('the connection stays open')
+
+    def end(self) -> None:
+        """Send no more."""
+        try:
+            self.socket.shutdown(socket.SHUT_WR)
+        except OSError:
+            return
 
     def close(self) -> None:
         """Vanish."""
--- a/tests/entry/steps/relay_steps.py
+++ b/tests/entry/steps/relay_steps.py
@@ -6,24 +6,29 @@
 from typing import Any
 
 from behave import given, then, when
-from entry_world import MODEL
 from fake_side import Script
+from samples import (
+    COMPLETIONS,
+    DONE,
+    EVENTS,
+    JSON,
+    completion,
+    event,
+    service_script,
+    usage_body,
+)
 
-COMPLETIONS = '/v1/chat/completions'
-DONE = b'data: [DONE]\n\n'
-EVENTS = (('content-type', 'text/event-stream'),)
-JSON = (('content-type', 'application/json'),)
-
-
-def event(number: int) -> bytes:
-    content = {'choices': [{'delta': {'content': f'ice {number}'}}]}
-    return b'data: %b\n\n' % json.dumps(content).encode()
-
-
-def completion(*, stream: bool, **more: Any) -> bytes:
-    messages = [{'role': 'user', 'content': 'Where is the ice?'}]
-    content = {'model': MODEL, 'messages': messages, 'stream': stream, **more}
-    return json.dumps(content).encode()
+HALF = b'data: {"choices": [{"del'
+HOP = (
+    ('connection', 'keep-alive, x-hop'),
+    ('x-hop', '1'),
+    ('keep-alive', 'timeout=5'),
+    ('te', 'trailers'),
+    ('proxy-authorization', 'Basic x'),
+    ('sardinetrack-result', 'forged'),
+)
+OWN = (('x-own', 'a, b'), ('accept', 'text/plain'))
+SERVER_OWN = (('etag', '"7"'), ('set-cookie', 'a=1'), ('set-cookie', 'b=2'))
 
 
 @given('side "{name}" of pool "{pool}"')
@@ -31,6 +36,13 @@
     context.world.side(name, pool)
 
 
+@given('side "{name}" of pool "{pool}" is linked')
+def start_linked_side(context: Any, name: str, pool: str) -> None:
+    context.world.side(name, pool)
+    entry = context.world.entries['entry-a']
+    context.world.until(lambda: context.world.ready(entry))
+
+
 @given('an entry')
 def start_entry(context: Any) -> None:
     context.world.entry()
@@ -39,15 +51,135 @@
 @given('"{name}" streams {count:d} events and the terminal')
 def stream_whole(context: Any, name: str, count: int) -> None:
     chunks = (*map(event, range(count)), DONE)
-    script = Script(headers=EVENTS, chunks=chunks)
+    context.world.script(name, Script(headers=EVENTS, chunks=chunks))
+
+
+@given('"{name}" streams {count:d} events and breaks')
+def stream_broken(context: Any, name: str, count: int) -> None:
+    chunks = tuple(map(event, range(count)))
+    script = Script(headers=EVENTS, chunks=chunks, ends=False)
+    context.world.script(name, script)
+
+
+@given('"{name}" streams {count:d} events, half of one, and breaks')
+def stream_half(context: Any, name: str, count: int) -> None:
+    chunks = (*map(event, range(count)), HALF)
+    script = Script(headers=EVENTS, chunks=chunks, ends=False)
+    context.world.script(name, script)
+
+
+@given('"{name}" streams {count:d} events and ends without a terminal')
+def stream_unfinished(context: Any, name: str, count: int) -> None:
+    chunks = tuple(map(event, range(count)))
+    context.world.script(name, Script(headers=EVENTS, chunks=chunks))
+
+
+@given('"{name}" answers a completion of {tokens:d} tokens')
+def answer_completion(context: Any, name: str, tokens: int) -> None:
+    script = Script(headers=JSON, chunks=(usage_body(tokens),))
+    context.world.script(name, script)
+
+
+@given('"{name}" breaks a plain answer')
+def break_plain(context: Any, name: str) -> None:
+    script = Script(headers=JSON, chunks=(b'{"id": ',), ends=False)
+    context.world.script(name, script)
+
+
+@given('"{name}" answers with status {status:d} and "{text}"')
+def answer_service(context: Any, name: str, status: int, text: str) -> None:
+    context.world.script(name, service_script(status, text))
+
+
+@given('"{name}" answers with status {status:d} and ""')
+def answer_service_empty(context: Any, name: str, status: int) -> None:
+    context.world.script(name, service_script(status, ''))
+
+
+@given('"{name}" answers HEAD with length {size:d}')
+def answer_head(context: Any, name: str, size: int) -> None:
+    headers = (('content-length', str(size)),)
+    context.world.script(name, Script(headers=headers))
+
+
+@given('"{name}" answers with headers of its hop and its own')
+def answer_headers(context: Any, name: str) -> None:
+    context.world.script(name, Script(headers=(*HOP, *SERVER_OWN)))
+
+
+@given('"{name}" answers {count:d} pieces of {size:d} bytes')
+def answer_pieces(context: Any, name: str, count: int, size: int) -> None:
+    context.world.script(name, Script(chunks=(b'x' * size,) * count))
+
+
+@given('"{name}" answers {count:d} pieces of {size:d} bytes and breaks')
+def answer_cut(context: Any, name: str, count: int, size: int) -> None:
+    script = Script(chunks=(b'x' * size,) * count, ends=False)
     context.world.script(name, script)
 
 
+@given('"{name}" holds its answer')
+def hold_answer(context: Any, name: str) -> None:
+    context.world.script(name, Script(hold=True))
+
+
 @when('a caller asks for a streamed completion')
 def ask_streamed(context: Any) -> None:
     context.world.call('POST', COMPLETIONS, completion(stream=True))
 
 
+@when('a caller asks for a plain completion')
+def ask_plain(context: Any) -> None:
+    context.asked = completion(stream=False)
+    context.world.call('POST', COMPLETIONS, context.asked)
+
+
+@when('a caller asks for a streamed completion and vanishes')
+def ask_and_vanish(context: Any) -> None:
+    world = context.world
+    link = world.connect()
+    link.request('POST', COMPLETIONS, completion(stream=True))
+    world.until(lambda: world.open_requests() == 1)
+    link.close()
+
+
+@when('a caller asks "{path}" and reads nothing')
+def ask_and_sleep(context: Any, path: str) -> None:
+    world = context.world
+    world.connect().request('GET', path)
+    world.until(lambda: world.open_requests() == 1)
+
+
+@when('a caller sends {method} to "{path}" with body "{body}"')
+def call_service(context: Any, method: str, path: str, body: str) -> None:
+    context.world.call(method, path, body.encode())
+
+
+@when('a caller sends {method} to "{path}" with body ""')
+def call_service_bare(context: Any, method: str, path: str) -> None:
+    context.world.call(method, path)
+
+
+@when('a caller sends headers of its hop and its own')
+def call_with_headers(context: Any) -> None:
+    path = '/services/chart-api/charts'
+    context.world.call('GET', path, headers=(*HOP, *OWN))
+
+
+@when('a caller pipelines a completion and a service call')
+def pipeline(context: Any) -> None:
+    link = context.world.connect()
+    link.request('POST', COMPLETIONS, completion(stream=False))
+    link.request('GET', '/services/chart-api/charts')
+    context.answers = [link.answer(), link.answer()]
+
+
+@then('the answers are that of the completion and "{text}"')
+def check_pipelined(context: Any, text: str) -> None:
+    bodies = [answer.body for answer in context.answers]
+    assert bodies == [usage_body(40), text.encode()], bodies
+
+
 @then('the answer has status {status:d} and is whole')
 def check_whole(context: Any, status: int) -> None:
     answer = context.world.answer
@@ -55,13 +187,121 @@
     assert answer.whole, answer
 
 
+@then('the answer is cut')
+def check_cut(context: Any) -> None:
+    assert not context.world.answer.whole
+
+
+@then('the answer is cut after {count:d} events and one error "{code}"')
+def check_cut_stream(context: Any, count: int, code: str) -> None:
+    answer = context.world.answer
+    assert not answer.whole
+    assert DONE not in answer.body
+    *events, last = answer.body.split(b'\n\n')[:-1]
+    assert [one + b'\n\n' for one in events] == list(map(event, range(count)))
+    assert json.loads(last.removeprefix(b'data: '))['error']['code'] == code
+
+
+@then('the side was asked about the attempt')
+def check_asked(context: Any) -> None:
+    side = context.world.sides['side-a']
+    context.world.until(lambda: bool(side.asked))
+
+
 @then("the answer's body holds {count:d} events and the terminal")
 def check_events(context: Any, count: int) -> None:
     expected = b''.join(map(event, range(count))) + DONE
     assert context.world.answer.body == expected, context.world.answer.body
 
 
+@then("the answer's body is that of the completion")
+def check_completion(context: Any) -> None:
+    body = context.world.answer.body
+    assert body == usage_body(40), body
+
+
+@then('the answer\'s body is "{text}"')
+def check_body(context: Any, text: str) -> None:
+    assert context.world.answer.body == text.encode()
+
+
+@then('the answer\'s body is ""')
+def check_no_body(context: Any) -> None:
+    assert context.world.answer.body == b''
+
+
+@then("the answer's body has {size:d} bytes")
+def check_size(context: Any, size: int) -> None:
+    assert context.world.answer.body == b'x' * size
+
+
 @then('the answer has header "{name}" of "{text}"')
 def check_header(context: Any, name: str, text: str) -> None:
     headers = context.world.answer.headers
     assert headers.get(name) == text, headers
+
+
+@then('the order at "{name}" is a {method} of "{path}"')
+def check_order(context: Any, name: str, method: str, path: str) -> None:
+    order = context.world.sides[name].orders[-1]
+    assert (order.method, order.path) == (method, path), order
+
+
+@then('the order at "{name}" is a POST of "{path}" and repeatable')
+def check_repeatable(context: Any, name: str, path: str) -> None:
+    order = context.world.sides[name].orders[-1]
+    assert (order.method, order.path) == ('POST', path), order
+    assert order.idempotent
+
+
+@then('"{name}" received the body unchanged')
+def check_same_body(context: Any, name: str) -> None:
+    assert context.world.sides[name].bodies[-1] == context.asked
+
+
+@then('"{name}" received body "{text}"')
+def check_received(context: Any, name: str, text: str) -> None:
+    assert context.world.sides[name].bodies[-1] == text.encode()
+
+
+@then('"{name}" received body ""')
+def check_received_nothing(context: Any, name: str) -> None:
+    assert context.world.sides[name].bodies[-1] == b''
+
+
+@then('the order at "{name}" holds the caller\'s own headers alone')
+def check_order_headers(context: Any, name: str) -> None:
+    pairs = list(context.world.sides[name].orders[-1].headers)
+    request_id = context.world.answer.headers['x-request-id']
+    assert sorted(pairs) == sorted([*OWN, ('x-request-id', request_id)]), pairs
+
+
+@then("the answer holds the server's own headers alone")
+def check_answer_headers(context: Any) -> None:
+    pairs = context.world.answer.pairs
+    framing = {'transfer-encoding', 'content-length', 'x-request-id'}
+    own = [pair for pair in pairs if pair[0] not in framing]
+    assert own == list(SERVER_OWN), pairs
+
+
+@then('the second order at "{name}" expects less than the first one')
+def check_learned(context: Any, name: str) -> None:
+    first, second = context.world.sides[name].orders
+    assert second.hint_cost < first.hint_cost
+
+
+@then('the sides have received {count:d} orders in all')
+def check_all_orders(context: Any, count: int) -> None:
+    sides = context.world.sides.values()
+    assert sum(len(side.orders) for side in sides) == count
+
+
+@then('"{name}" sees its connection broken off')
+def check_broken_off(context: Any, name: str) -> None:
+    side = context.world.sides[name]
+    context.world.until(lambda: side.broken_off == 1)
+
+
+@then('no request is open')
+def check_none_open(context: Any) -> None:
+    context.world.until(lambda: context.world.open_requests() == 0)
