Harden the side: hung engines, frozen entries, a task that never dies

Verdicts to tasks that left or have a stop waiting are now dropped. - A frozen engine keeps taking connections; its side now offers no slots after three seconds without an answer to GET /load. - A frozen entry kept its slot until the end of the run time; a piece that stays unread for send_seconds ends the run. - A drain that takes too long cuts running requests itself instead of leaving them to the end of the process. - Events that wait when the owner ends are turned away instead of hanging.

--- a/src/sardinetrack/side/attempt_endpoint.py
+++ b/src/sardinetrack/side/attempt_endpoint.py
@@ -2,16 +2,17 @@
 
 from __future__ import annotations
 
+from functools import partial
 from http import HTTPStatus
 from typing import Final
 
-import anyio
 import msgspec
 
 from sardinetrack.errors.api import AnsweredError, ErrorKind
 from sardinetrack.http.asgi import Exchange
-from sardinetrack.messages.run import ATTEMPT_PATH, AttemptAnswer, AttemptQuery
+from sardinetrack.messages.run import ATTEMPT_PATH, AttemptQuery
 from sardinetrack.side.events import Asked, SideEvents
+from sardinetrack.side.questions import ask_owner
 
 _MAX_QUERY_BYTES: Final = 4096
 _QUERY_SECONDS: Final = 5.0
@@ -27,10 +28,7 @@
     async def __call__(self, exchange: Exchange) -> None:
         """Answer one question."""
         query = await _read_query(exchange)
-        streams = anyio.create_memory_object_stream[AttemptAnswer](1)
-        await self._owner.send(Asked(query, streams[0]))
-        with streams[1] as answers:
-            answer = await answers.receive()
+        answer = await ask_owner(self._owner, partial(Asked, query))
         await exchange.answer_json(HTTPStatus.OK, answer)
 
 
--- a/src/sardinetrack/side/backend.py
+++ b/src/sardinetrack/side/backend.py
@@ -13,6 +13,7 @@
     BrokenError,
     HttpClient,
     NotSentError,
+    Reply,
     StreamedReply,
 )
 from sardinetrack.messages.run import RunOrder
@@ -21,6 +22,14 @@
 _PROBE_SECONDS: Final = 1.0
 
 
+class UnreachableError(Exception):
+    """No connection to the backend server can be opened."""
+
+
+class SilentError(Exception):
+    """The backend server takes connections but does not answer."""
+
+
 class BackendServer:
     """The one backend server of a side."""
 
@@ -51,31 +60,37 @@
         )
 
     async def load(self) -> LoadReport | None:
-        """Ask for the load; ``None`` when no report came in time."""
-        with anyio.move_on_after(_PROBE_SECONDS):
-            try:
+        """Ask for the load.
+
+        :return: ``None`` when the server does not report it.
+        :raises UnreachableError: there is no connection.
+        :raises SilentError: no answer came in time.
+        """
+        try:
+            with anyio.fail_after(_PROBE_SECONDS):
                 reply = await self._client.call('GET', f'{self._url}/load')
-            except (NotSentError, BrokenError):
-                return None
-            if reply.status == HTTPStatus.OK:
-                return _report(reply.body)
-        return None
+        except NotSentError as unsent:
+            raise UnreachableError from unsent
+        except (BrokenError, TimeoutError) as error:
+            raise SilentError from error
+        return _report(reply) if reply.status == HTTPStatus.OK else None
 
-    async def reachable(self) -> bool:
-        """Try to open a connection."""
+    async def connect(self) -> None:
+        """Open a connection and close it again.
+
+        :raises UnreachableError: that is not possible.
+        """
         host, _, port = self._url.rpartition('/')[2].rpartition(':')
-        with anyio.move_on_after(_PROBE_SECONDS):
-            try:
+        try:
+            with anyio.fail_after(_PROBE_SECONDS):
                 stream = await anyio.connect_tcp(host.strip('[]'), int(port))
-            except OSError:
-                return False
-            await stream.aclose()
-            return True
-        return False
+        except (OSError, TimeoutError) as error:
+            raise UnreachableError from error
+        await stream.aclose()
 
 
-def _report(body: bytes) -> LoadReport | None:
+def _report(reply: Reply) -> LoadReport | None:
     try:
-        return msgspec.json.decode(body, type=LoadReport)
+        return msgspec.json.decode(reply.body, type=LoadReport)
     except msgspec.DecodeError:
         return None
--- a/src/sardinetrack/side/backend_watch.py
+++ b/src/sardinetrack/side/backend_watch.py
@@ -13,7 +13,11 @@
 )
 
 from sardinetrack.catalogue.api import Pool, PoolClass
-from sardinetrack.side.backend import BackendServer
+from sardinetrack.side.backend import (
+    BackendServer,
+    SilentError,
+    UnreachableError,
+)
 from sardinetrack.side.concurrency import ConcurrencyLimit
 from sardinetrack.side.configuration import SideConfiguration
 from sardinetrack.side.events import Resized, SideEvents
@@ -22,6 +26,7 @@
 _LOG = logging.getLogger('sardinetrack.side')
 _POLL_SECONDS: Final = 1.0
 _RETRY_SECONDS: Final = 0.25
+_SILENT_SECONDS: Final = 3.0
 _NO_SLOTS: Final = 0
 
 
@@ -39,10 +44,11 @@
 
 
 class BackendWatch:
-    """Offers no slots while the backend server can't be reached.
+    """Offers no slots while the backend server can't be reached or is hung.
 
     Without this a side whose server is gone refuses faster than any other
-    side answers, and so attracts all the work there is.
+    side answers, and so attracts all the work there is; one whose server is
+    frozen swallows it.
     """
 
     def __init__(
@@ -61,6 +67,7 @@
         self._probes = probes
         self._limit = _NO_SLOTS
         self._woken = False
+        self._answered_at = anyio.current_time()
 
     async def run(self) -> None:
         """Watch until cancelled."""
@@ -72,17 +79,29 @@
 
     async def _look(self, pool: Pool) -> int:
         report: LoadReport | None = None
-        if pool.pool_class is PoolClass.MODEL:
-            report = await self._backend.load()
-        if report is None and self._in_doubt(pool):
-            if not await self._backend.reachable():
+        try:
+            report = await self._probe(pool)
+        except UnreachableError:
+            return _NO_SLOTS
+        except SilentError:
+            if self._silent_for_long():
                 return _NO_SLOTS
+        else:
+            self._answered_at = anyio.current_time()
         return self._concurrency.limit(anyio.current_time(), pool, report)
 
-    def _in_doubt(self, pool: Pool) -> bool:
+    async def _probe(self, pool: Pool) -> LoadReport | None:
         if pool.pool_class is PoolClass.MODEL:
-            return True
-        return self._woken or self._limit == _NO_SLOTS
+            return await self._backend.load()
+        # Plain services have nothing that is safe to call: a connection must
+        # do, and only when there is a doubt.
+        if self._woken or self._limit == _NO_SLOTS:
+            await self._backend.connect()
+        return None
+
+    def _silent_for_long(self) -> bool:
+        silent_seconds = anyio.current_time() - self._answered_at
+        return silent_seconds > _SILENT_SECONDS or self._limit == _NO_SLOTS
 
     async def _resize(self, limit: int) -> None:
         if limit == self._limit:
--- a/src/sardinetrack/side/daemon.py
+++ b/src/sardinetrack/side/daemon.py
@@ -13,7 +13,7 @@
 from sardinetrack.http.asgi import Application
 from sardinetrack.http.client import HttpClient
 from sardinetrack.http.server import BoundServer, serving
-from sardinetrack.side.events import DrainBegan
+from sardinetrack.side.events import CutOff, DrainBegan
 from sardinetrack.side.parts import SideParts
 from sardinetrack.side.wiring import Wiring
 
@@ -71,7 +71,7 @@
         with anyio.move_on_after(self._parts.settings.drain_seconds):
             await idle.wait()
         if not idle.is_set():
-            _LOG.error('side: drain took too long, requests are cut')
+            await self._wiring.events.send(CutOff())
         await anyio.sleep(_LINGER_SECONDS)
         await self._close_servers()
         self._ended.set()
--- a/src/sardinetrack/side/events.py
+++ b/src/sardinetrack/side/events.py
@@ -81,6 +81,11 @@
     idle: anyio.Event
 
 
+@dataclass(frozen=True, slots=True)
+class CutOff:
+    """Stop everything that still runs."""
+
+
 class SideStatus(Struct, frozen=True):
     """What operators and peers may read about a side."""
 
@@ -104,6 +109,13 @@
 
 
 SideEvent = (
-    LinkEvent | Arrived | Left | Asked | Resized | DrainBegan | StatusAsked
+    LinkEvent
+    | Arrived
+    | Left
+    | Asked
+    | Resized
+    | DrainBegan
+    | CutOff
+    | StatusAsked
 )
 SideEvents = MemoryObjectSendStream[SideEvent]
--- a/src/sardinetrack/side/handover.py
+++ b/src/sardinetrack/side/handover.py
@@ -5,7 +5,6 @@
 import logging
 
 import anyio
-from anyio.streams.memory import MemoryObjectSendStream
 
 from sardinetrack.catalogue.api import Pool
 from sardinetrack.http.asgi import Exchange
@@ -13,11 +12,11 @@
 from sardinetrack.messages.run import Fate, RunResult
 from sardinetrack.side.answers import answer_result, start_answer
 from sardinetrack.side.attempt import Attempt
-from sardinetrack.side.backend import BackendServer
-from sardinetrack.side.backend_watch import ProbeNow, ask_probe
+from sardinetrack.side.backend_watch import ask_probe
 from sardinetrack.side.costs import meter_for
 from sardinetrack.side.events import Started
 from sardinetrack.side.refusals import DaemonRefusal
+from sardinetrack.side.run_parts import RunParts
 
 _LOG = logging.getLogger('sardinetrack.side')
 
@@ -30,17 +29,12 @@
         attempt: Attempt,
         exchange: Exchange,
         pool: Pool,
-        backend: BackendServer,
-        probe: MemoryObjectSendStream[ProbeNow],
+        parts: RunParts,
     ) -> None:
-        """Prepare the run.
-
-        :param probe: wakes the watch when the backend server fails.
-        """
+        """Prepare the run."""
         self._attempt = attempt
         self._exchange = exchange
-        self._backend = backend
-        self._probe = probe
+        self._parts = parts
         self._meter = meter_for(pool)
         self._started_at = anyio.current_time()
 
@@ -57,22 +51,35 @@
         except BrokenError as error:
             await self._failed(error)
             return await self._answer_broken()
+        except TimeoutError:
+            _LOG.warning(
+                'side: entry does not read attempt=%s entry=%s',
+                self._attempt.order.attempt_id,
+                self._attempt.order.entry,
+            )
+            return False
         finally:
             await self._over(whole=False)
         return True
 
     async def _relay(self, body: bytes, started: Started) -> None:
         order = self._attempt.order
-        async with self._backend.run(order, body) as reply:
+        async with self._parts.backend.run(order, body) as reply:
             await self._start(reply, started)
             async for chunk in reply.chunks():
                 self._meter.feed(chunk)
-                await self._exchange.write(chunk)
+                await self._pass_on(chunk)
         # Before the last word to the entry, so that the slot does not wait
         # for an entry that reads slowly.
         await self._over(whole=True)
         await self._exchange.finish()
 
+    async def _pass_on(self, chunk: bytes) -> None:
+        # A frozen entry leaves its connection open and reads nothing: the
+        # request would keep its slot until the end of its run time.
+        with anyio.fail_after(self._parts.send_seconds):
+            await self._exchange.write(chunk)
+
     async def _start(self, reply: StreamedReply, started: Started) -> None:
         run_result = RunResult(
             Fate.RUNNING,
@@ -86,10 +93,10 @@
         _LOG.warning(
             'side: backend server failed attempt=%s backend_server=%s: %s',
             self._attempt.order.attempt_id,
-            self._backend.name,
+            self._parts.backend.name,
             error,
         )
-        ask_probe(self._probe)
+        ask_probe(self._parts.probe)
         await self._over(whole=False)
 
     async def _answer_unsent(self) -> None:
@@ -98,6 +105,7 @@
             self._attempt.order.incarnation,
             reason=DaemonRefusal.NO_SERVER,
         )
+        self._parts.note_refusal(self._attempt.order, DaemonRefusal.NO_SERVER)
         await answer_result(self._exchange, run_result)
 
     async def _answer_broken(self) -> bool:
--- a/src/sardinetrack/side/live.py
+++ b/src/sardinetrack/side/live.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import Final
 
 import anyio
 from anyio.streams.memory import MemoryObjectSendStream
@@ -19,6 +20,12 @@
 from sardinetrack.side.log import DecisionLog
 from sardinetrack.side.metrics import SideMetrics
 
+_UNHEARD: Final = (
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    anyio.WouldBlock,
+)
+
 
 @dataclass(slots=True)
 class LiveAttempt:
@@ -38,9 +45,10 @@
         """Hand a verdict to the order's task."""
         try:
             self.verdicts.send_nowait(verdict)
-        except anyio.BrokenResourceError:
-            # The task has left; its report of that is on the way.
-            self.verdicts.close()
+        except _UNHEARD:
+            # The task has left and its report is on the way, or it has not
+            # read its verdicts yet and the last of them is a stop already.
+            return
 
 
 class LiveAttempts:
--- a/src/sardinetrack/side/owner.py
+++ b/src/sardinetrack/side/owner.py
@@ -31,6 +31,7 @@
 from sardinetrack.side.events import (
     Arrived,
     Asked,
+    CutOff,
     DrainBegan,
     Left,
     Resized,
@@ -76,6 +77,7 @@
                 LinkMessageReceived: links.received,
                 Resized: self._resized,
                 DrainBegan: self._drain_began,
+                CutOff: self._cut_off,
                 StatusAsked: self._status_asked,
             },
         )
@@ -88,6 +90,7 @@
                     await self._turn()
             finally:
                 self._core.live.close()
+                self._turn_away()
 
     async def _turn(self) -> None:
         event = await self._next_event()
@@ -103,6 +106,15 @@
         if self._idle is not None and not self._core.live:
             self._idle.set()
 
+    def _turn_away(self) -> None:
+        # Tasks whose events nobody will handle would wait for ever.
+        while self._events.statistics().current_buffer_used:
+            event = self._events.receive_nowait()
+            if isinstance(event, Arrived):
+                event.verdicts.close()
+            elif isinstance(event, (Asked, StatusAsked)):
+                event.answers.close()
+
     async def _next_event(self) -> SideEvent | None:
         due_at = self._core.announcer.due_at()
         deadline = min(self._tick_at, math.inf if due_at is None else due_at)
@@ -143,6 +155,11 @@
         effects = self._core.admission.drain(now)
         return [*effects, Announce()]
 
+    def _cut_off(self, now: float, event: CutOff) -> Effects:
+        _LOG.error('side: cut off, %d requests', len(self._core.live))
+        self._core.live.close()
+        return ()
+
     def _status_asked(self, now: float, event: StatusAsked) -> Effects:
         identity = self._core.identity
         load = self._core.admission.load()
--- a/src/sardinetrack/side/parts.py
+++ b/src/sardinetrack/side/parts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from typing import Final
 
 from sardinetrack.admission.api import Admission
 from sardinetrack.config.model import SideSettings
@@ -11,6 +12,8 @@
 from sardinetrack.side.concurrency import ConcurrencyLimit, FixedLimit
 from sardinetrack.side.configuration import SideConfiguration
 
+_SEND_SECONDS: Final = 20.0
+
 
 @dataclass(frozen=True, slots=True)
 class SideParts:
@@ -24,3 +27,5 @@
     configuration: SideConfiguration
     concurrency: ConcurrencyLimit = field(default_factory=FixedLimit)
     link_bounds: LinkBounds = field(default_factory=LinkBounds)
+    send_seconds: float = _SEND_SECONDS
+    """How long an entry may leave a piece of its answer unread."""
--- a/src/sardinetrack/side/run_endpoint.py
+++ b/src/sardinetrack/side/run_endpoint.py
@@ -39,27 +39,19 @@
         try:
             order = _read_order(exchange)
         except msgspec.DecodeError:
-            await self._refuse(
-                exchange,
-                DaemonRefusal.BAD_ORDER,
-                HTTPStatus.BAD_REQUEST,
-            )
+            reason = DaemonRefusal.BAD_ORDER
+            await self._refuse(exchange, None, reason, HTTPStatus.BAD_REQUEST)
             return
-        reason = self._reason_to_refuse(order)
         pool = self._parts.configuration.pool()
-        if reason is None and pool is not None:
+        if pool is None:
+            reason = DaemonRefusal.NO_CONFIGURATION
+            await self._refuse(exchange, order, reason)
+        elif order.incarnation == self._parts.identity.incarnation:
             await self._take(exchange, order, pool)
         else:
-            await self._refuse(
-                exchange,
-                reason or DaemonRefusal.NO_CONFIGURATION,
-            )
-
-    def _reason_to_refuse(self, order: RunOrder) -> DaemonRefusal | None:
-        if order.incarnation == self._parts.identity.incarnation:
-            return None
-        # The entry means a process that this one has replaced.
-        return DaemonRefusal.OTHER_INCARNATION
+            # The entry means a process that this one has replaced.
+            reason = DaemonRefusal.OTHER_INCARNATION
+            await self._refuse(exchange, order, reason)
 
     async def _take(
         self,
@@ -71,22 +63,17 @@
             body = await exchange.body(pool.max_body_bytes, _BODY_SECONDS)
         except AnsweredError as error:
             status = answer_for(error.kind).status
-            await self._refuse(exchange, error.kind, status)
+            await self._refuse(exchange, order, error.kind, status)
             return
         async with Attempt(order, self._parts.owner) as attempt:
-            hand_over = HandOver(
-                attempt,
-                exchange,
-                pool,
-                self._parts.backend,
-                self._parts.probe,
-            )
+            hand_over = HandOver(attempt, exchange, pool, self._parts)
             task = RunTask(exchange, attempt, pool.max_run_seconds)
             await task.run(hand_over, body)
 
     async def _refuse(
         self,
         exchange: Exchange,
+        order: RunOrder | None,
         reason: str,
         status: HTTPStatus = HTTPStatus.CONFLICT,
     ) -> None:
@@ -97,6 +84,7 @@
             self._parts.identity.incarnation,
             reason=reason,
         )
+        self._parts.note_refusal(order, reason)
         await answer_result(exchange, run_result, status)
 
 
--- a/src/sardinetrack/side/run_parts.py
+++ b/src/sardinetrack/side/run_parts.py
@@ -6,11 +6,14 @@
 
 from anyio.streams.memory import MemoryObjectSendStream
 
+from sardinetrack.messages.run import RunOrder
 from sardinetrack.side.backend import BackendServer
 from sardinetrack.side.backend_watch import ProbeNow
 from sardinetrack.side.configuration import SideConfiguration
 from sardinetrack.side.events import SideEvents
 from sardinetrack.side.identity import SideIdentity
+from sardinetrack.side.log import DecisionLog
+from sardinetrack.side.metrics import SideMetrics
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,3 +25,13 @@
     backend: BackendServer
     owner: SideEvents
     probe: MemoryObjectSendStream[ProbeNow]
+    """Wakes the watch when the backend server fails."""
+    log: DecisionLog
+    metrics: SideMetrics
+    send_seconds: float
+
+    def note_refusal(self, order: RunOrder | None, reason: str) -> None:
+        """Log and count an order that the daemon itself refuses."""
+        self.metrics.refused.labels(reason).inc()
+        if order is not None:
+            self.log.decided('refuse', order, reason)
--- a/src/sardinetrack/side/status.py
+++ b/src/sardinetrack/side/status.py
@@ -4,10 +4,9 @@
 
 from http import HTTPStatus
 
-import anyio
-
 from sardinetrack.http.asgi import Exchange
 from sardinetrack.side.events import SideEvents, SideStatus, StatusAsked
+from sardinetrack.side.questions import ask_owner
 
 
 class StatusSource:
@@ -19,10 +18,7 @@
 
     async def read(self) -> SideStatus:
         """Ask now."""
-        streams = anyio.create_memory_object_stream[SideStatus](1)
-        await self._owner.send(StatusAsked(streams[0]))
-        with streams[1] as answers:
-            return await answers.receive()
+        return await ask_owner(self._owner, StatusAsked)
 
     async def __call__(self, exchange: Exchange) -> None:
         """Answer with the status as JSON."""
--- a/src/sardinetrack/side/wiring.py
+++ b/src/sardinetrack/side/wiring.py
@@ -13,6 +13,7 @@
 from sardinetrack.side.core import OwnerCore
 from sardinetrack.side.events import SideEvent
 from sardinetrack.side.identity import SideIdentity
+from sardinetrack.side.log import DecisionLog
 from sardinetrack.side.metrics import SideMetrics
 from sardinetrack.side.operator_application import OperatorApplication
 from sardinetrack.side.owner import AdmissionOwner
@@ -75,6 +76,9 @@
                 backend=self._backend,
                 owner=self.events,
                 probe=self._probe,
+                log=DecisionLog(self._identity),
+                metrics=self._metrics,
+                send_seconds=self._parts.send_seconds,
             ),
         )
         secret = self._parts.peer_secret
--- a/tests/links/link_ends.py
+++ b/tests/links/link_ends.py
@@ -62,12 +62,15 @@
                     return event
 
     async def up(self) -> LinkUp:
+        """Wait for a link."""
         return await self.next(LinkUp)
 
     async def down(self) -> LinkDown:
+        """Wait for the end of a link."""
         return await self.next(LinkDown)
 
     async def messages(self, count: int) -> list[Any]:
+        """Wait for messages."""
         return [
             (await self.next(LinkMessageReceived)).message for _ in range(count)
         ]
@@ -121,13 +124,15 @@
         self.address = self.process.stdout.readline().strip()
 
     def close(self) -> None:
+        """End the process."""
         self.process.kill()
         self.process.wait()
 
 
 async def _accept_for_ever() -> None:
     async with accepting(End()) as server:
-        print(server.address, flush=True)
+        sys.stdout.write(f'{server.address}\n')
+        sys.stdout.flush()
         await anyio.sleep_forever()
 
 
--- a/tests/links/steps/links_steps.py
+++ b/tests/links/steps/links_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import signal
+from types import MappingProxyType
 from typing import Any
 
 import anyio
@@ -24,12 +25,14 @@
 from sardinetrack.links.secret import PeerSecret, hello_header
 from sardinetrack.messages.api import Decline
 
-FRAMES = {
-    'no JSON': 'hail',
-    'an unknown tag': '{"type":"anchor"}',
-    'a wrong type': '{"type":"decline","number":"one"}',
-    'an oversized message': ' ' * (BOUNDS.max_frame_bytes + 1),
-}
+FRAMES = MappingProxyType(
+    {
+        'no JSON': 'hail',
+        'an unknown tag': '{"type":"anchor"}',
+        'a wrong type': '{"type":"decline","number":"one"}',
+        'an oversized message': ' ' * (BOUNDS.max_frame_bytes + 1),
+    },
+)
 
 
 def _enter(context: Any, manager: Any) -> Any:
--- a/tests/side/drain.feature
+++ b/tests/side/drain.feature
@@ -9,7 +9,7 @@
     When an order for "/gated" has brought its first piece
     And the side begins to drain
     Then the entry hears that the side drains
-    When an order for "/echo" brings "too late"
+    When another order for "/echo" brings "too late"
     Then the order is refused with status 409 for "draining"
     And the side has not ended
     And the backend server's last piece follows once it comes
@@ -22,4 +22,4 @@
     When an order for "/gated" has brought its first piece
     And the side begins to drain
     Then the side has ended
-    And the rest of the answer is broken once the side is closed
+    And the rest of the answer is broken
--- a/tests/side/runs.feature
+++ b/tests/side/runs.feature
@@ -53,6 +53,22 @@
     And the rest of the answer is broken
     And attempt "a1" has fate failed
 
+  Scenario: Many questions with cancel stop it once
+    Several questions arrive before the request's own task gets a turn. They
+    must not disturb the task that owns the slots.
+    When an order for "/gated" has brought its first piece
+    And 20 entries ask and cancel attempt "a1" at once
+    Then the backend server sees the request cancelled
+    And attempt "a1" has fate failed
+
+  Scenario: An entry that stops reading costs no slot for long
+    The entry is frozen: its connection stays open, and it reads nothing more.
+    The buffers on the way fill up; the side gives the entry a bounded time,
+    cancels the request and frees the slot.
+    When an order for "/flood" runs and nobody reads the answer
+    Then the backend server sees the request cancelled
+    And attempt "a1" has fate failed
+
   Scenario: A question before the late order keeps it from ever running
     The order is delayed on its way. The entry asks, hears "not started" and
     tells its caller "not run". When the order arrives after all, it must not
--- /dev/null
+++ b/tests/side/side_backend.py
@@ -0,0 +1,121 @@
+"""A backend server that does what the path says."""
+
+from __future__ import annotations
+
+from typing import Final
+
+import anyio
+from anyio.lowlevel import checkpoint
+
+from sardinetrack.catalogue.api import Pool, PoolClass
+from sardinetrack.http.asgi import Exchange, Receive, Scope, Send
+from sardinetrack.messages.run import RunOrder
+
+INCARNATION: Final = 'side-1-second'
+_BODY_SECONDS: Final = 15.0
+POOL: Final = Pool(
+    name='chart-api',
+    owner='varna',
+    pool_class=PoolClass.SERVICE,
+    slots_per_server=2,
+    max_body_bytes=1000,
+    max_run_seconds=60,
+    models=(),
+    repeatable=(),
+    checks_fencing=frozenset(),
+    prompt_token_cost=0.1,
+)
+ORDER: Final = RunOrder(
+    attempt_id='a1',
+    incarnation=INCARNATION,
+    entry='entry-1',
+    workspace='pilots',
+    tag=0,
+    hint_cost=1,
+    grant=0,
+    wait_seconds=5,
+    idempotent=False,
+    method='POST',
+    path='/echo',
+    headers=(('x-caller', 'pilot'),),
+    fingerprint='f',
+)
+
+
+class Backend:
+    """A backend server that does what its path says."""
+
+    def __init__(self) -> None:
+        self.executions: list[str] = []
+        self.bodies: list[bytes] = []
+        self.cancelled = anyio.Event()
+        self.gate = anyio.Event()
+        self.thawed = anyio.Event()
+        self.thawed.set()
+
+    async def __call__(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        """Do what the path says."""
+        exchange = Exchange(scope, receive, send)
+        body = await exchange.body(10_000, _BODY_SECONDS)
+        if exchange.path == '/load':
+            await self.thawed.wait()
+            await exchange.answer_json(200, {'running': 0})
+            return
+        self.executions.append(exchange.target)
+        self.bodies.append(body)
+        name = exchange.path.replace('/', '_')
+        await getattr(self, name)(exchange, body)
+
+    async def _echo(self, exchange: Exchange, body: bytes) -> None:
+        pairs = [
+            ('x-server', 'galata \xe9'),
+            ('x-seen', exchange.header('x-caller') or ''),
+        ]
+        await exchange.answer(201, body, pairs)
+
+    async def _empty(self, exchange: Exchange, body: bytes) -> None:
+        await exchange.start(204, ())
+        await exchange.finish()
+
+    async def _head(self, exchange: Exchange, body: bytes) -> None:
+        await exchange.start(200, [('content-length', '4711')])
+        await exchange.finish()
+
+    async def _events(self, exchange: Exchange, body: bytes) -> None:
+        await exchange.start(200, [('content-type', 'text/event-stream')])
+        for chunk in (b'da', b'ta: 1\n\ndata: 2\n\n', b'data: [DONE]\n\n'):
+            await exchange.write(chunk)
+            await anyio.sleep(0.02)
+        await exchange.finish()
+
+    async def _usage(self, exchange: Exchange, body: bytes) -> None:
+        usage = {'prompt_tokens': 100, 'completion_tokens': 30}
+        await exchange.answer_json(200, {'choices': [], 'usage': usage})
+
+    async def _gated(self, exchange: Exchange, body: bytes) -> None:
+        await exchange.start(200, ())
+        await exchange.write(b'first ')
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._note_cancel, exchange)
+            await self.gate.wait()
+            tasks.cancel_scope.cancel()
+        await exchange.finish(b'last')
+
+    async def _flood(self, exchange: Exchange, body: bytes) -> None:
+        await exchange.start(200, ())
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._note_cancel, exchange)
+            while not self.cancelled.is_set():
+                await exchange.write(b'x' * 65_536)
+                await checkpoint()
+
+    async def _note_cancel(self, exchange: Exchange) -> None:
+        await exchange.gone()
+        self.cancelled.set()
+
+    async def _cut(self, exchange: Exchange, body: bytes) -> None:
+        await exchange.start(200, ())
+        await exchange.write(b'half of it')
+        raise ConnectionError('the backend server breaks its stream')
--- /dev/null
+++ b/tests/side/side_fakes.py
@@ -0,0 +1,158 @@
+"""Scripted decision object and configuration of a side."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from side_backend import INCARNATION
+
+from sardinetrack.admission.api import (
+    Admission,
+    Announce,
+    Arrival,
+    RefusalReason,
+    Refuse,
+    SendGrant,
+    SideEffect,
+    Start,
+    Stop,
+)
+from sardinetrack.catalogue.api import Pool
+from sardinetrack.messages.api import (
+    Bids,
+    ConfigDigest,
+    ConfigObject,
+    ConfigUpdate,
+    Grant,
+    SideLoad,
+    SidePhase,
+)
+from sardinetrack.messages.run import Fate
+from sardinetrack.side.configuration import SideConfiguration
+from sardinetrack.side.events import Left
+
+
+class FakeAdmission(Admission):
+    """Starts whatever fits into its slots, refuses the rest."""
+
+    def __init__(self) -> None:
+        self.limit = 0
+        self.fates: dict[str, Fate] = {}
+        self.draining = False
+        self.calls: list[str] = []
+        self.ends: list[Left] = []
+
+    @property
+    def running(self) -> int:
+        """Count running attempts."""
+        return list(self.fates.values()).count(Fate.RUNNING)
+
+    def arrive(self, now: float, arrival: Arrival) -> Sequence[SideEffect]:
+        """Start what fits."""
+        known = self.fates.get(arrival.attempt_id)
+        if known is not None:
+            tombstone = known is Fate.NOT_STARTED
+            return [
+                Refuse(
+                    arrival.attempt_id,
+                    RefusalReason.TOMBSTONED
+                    if tombstone
+                    else RefusalReason.DUPLICATE,
+                )
+            ]
+        if self.draining:
+            return [Refuse(arrival.attempt_id, RefusalReason.DRAINING)]
+        if self.running >= self.limit:
+            return [Refuse(arrival.attempt_id, RefusalReason.BUSY)]
+        self.fates[arrival.attempt_id] = Fate.RUNNING
+        return [Start(arrival.attempt_id), Announce()]
+
+    def bids(self, now: float, entry: str, bids: Bids) -> Sequence[SideEffect]:
+        """Grant number 7 for any bids."""
+        self.calls.append(f'bids {entry}')
+        return [SendGrant(entry, Grant(7, valid_seconds=1))]
+
+    def decline(
+        self, now: float, entry: str, number: int
+    ) -> Sequence[SideEffect]:
+        """Note the call."""
+        self.calls.append(f'decline {entry} {number}')
+        return ()
+
+    def entry_lost(self, now: float, entry: str) -> Sequence[SideEffect]:
+        """Note the call."""
+        self.calls.append(f'lost {entry}')
+        return ()
+
+    def finished(
+        self, now: float, attempt_id: str, *, whole: bool, cost: float
+    ) -> Sequence[SideEffect]:
+        """Note the end."""
+        self.fates[attempt_id] = Fate.FINISHED if whole else Fate.FAILED
+        self.ends.append(Left(attempt_id, whole, cost))
+        return [Announce()]
+
+    def query(
+        self, now: float, attempt_id: str, *, cancel: bool
+    ) -> tuple[Fate, Sequence[SideEffect]]:
+        """Tell the fate; an unseen attempt never starts."""
+        fate = self.fates.setdefault(attempt_id, Fate.NOT_STARTED)
+        stop = cancel and fate is Fate.RUNNING
+        return fate, [Stop(attempt_id)] if stop else []
+
+    def resize(self, now: float, limit: int) -> Sequence[SideEffect]:
+        """Change the slots."""
+        self.limit = limit
+        return [Announce()]
+
+    def drain(self, now: float) -> Sequence[SideEffect]:
+        """Refuse from now on."""
+        self.draining = True
+        return ()
+
+    def tick(self, now: float) -> Sequence[SideEffect]:
+        """Do nothing."""
+        return ()
+
+    def load(self) -> SideLoad:
+        """Describe the slots."""
+        return SideLoad(
+            INCARNATION,
+            SidePhase.DRAINING if self.draining else SidePhase.SERVING,
+            self.limit,
+            self.running,
+            self.limit - self.running,
+        )
+
+
+class FakeConfiguration(SideConfiguration):
+    """One pool, in force from the first update on."""
+
+    def __init__(self, pool: Pool) -> None:
+        self.revision = 0
+        self._pool = pool
+
+    def pool(self) -> Pool | None:
+        """Hand out the pool once configured."""
+        return self._pool if self.revision else None
+
+    def apply(self, update: ConfigUpdate) -> bool:
+        """Take a newer revision."""
+        newer = update.revision > self.revision
+        self.revision = max(update.revision, self.revision)
+        return newer
+
+    def digest(self) -> ConfigDigest:
+        """Name the revision."""
+        return ConfigDigest(self.revision, f'digest {self.revision}')
+
+    def update_for(self, peer: ConfigDigest) -> ConfigUpdate | None:
+        """Send everything to a peer that is behind."""
+        if peer.revision >= self.revision:
+            return None
+        return configured(self.revision)
+
+
+def configured(revision: int) -> ConfigUpdate:
+    row = ConfigObject('catalogue/pool/chart-api', revision, '{}', False)
+    return ConfigUpdate(revision, (row,))
--- a/tests/side/steps/side_steps.py
+++ b/tests/side/steps/side_steps.py
@@ -4,17 +4,20 @@
 
 import logging
 from dataclasses import replace
+from functools import partial
+from types import MappingProxyType
 from typing import Any
 
 import anyio
 import msgspec
 from behave import given, then, when
+from side_backend import ORDER, POOL
+from side_fakes import configured
 from side_world import (
-    ORDER,
-    POOL,
+    MOST_TRIES,
+    PAUSE_SECONDS,
     SECRET,
     World,
-    configured,
     linked,
     read_all,
     running_side,
@@ -35,22 +38,27 @@
 )
 from sardinetrack.messages.run import RUN_HEADER, RUN_PATH, Fate
 from sardinetrack.messages.run_codec import order_text, read_result
-
-SECRETS = {
-    'no secret': (),
-    'a wrong secret': (('authorization', 'Bearer summer-harbour'),),
-    "a caller's token": (('authorization', 'Bearer caller-1'),),
-}
-ORDER_HEADERS = {
-    'none': (),
-    'no JSON': ((RUN_HEADER, 'run!'),),
-    'a path elsewhere': (
-        (
-            RUN_HEADER,
-            order_text(msgspec.structs.replace(ORDER, path='@127.0.0.1/')),
+from sardinetrack.side.events import Left
+
+SECRETS = MappingProxyType(
+    {
+        'no secret': (),
+        'a wrong secret': (('authorization', 'Bearer summer-harbour'),),
+        "a caller's token": (('authorization', 'Bearer caller-1'),),
+    }
+)
+ORDER_HEADERS = MappingProxyType(
+    {
+        'none': (),
+        'no JSON': ((RUN_HEADER, 'run!'),),
+        'a path elsewhere': (
+            (
+                RUN_HEADER,
+                order_text(msgspec.structs.replace(ORDER, path='@127.0.0.1/')),
+            ),
         ),
-    ),
-}
+    }
+)
 
 
 def _enter(context: Any, manager: Any) -> Any:
@@ -146,6 +154,12 @@
     step_order(context, path, '')
 
 
+@when('another order for "{path}" brings "{body}"')
+def step_another(context: Any, path: str, body: str) -> None:
+    context.order = msgspec.structs.replace(context.order, attempt_id='a2')
+    step_order(context, path, body)
+
+
 @when('an order with method {method} for "{path}" comes')
 def step_order_method(context: Any, method: str, path: str) -> None:
     context.order = msgspec.structs.replace(context.order, method=method)
@@ -217,12 +231,31 @@
 
 @when('an entry asks and cancels attempt "{attempt_id}"')
 def step_ask_cancel(context: Any, attempt_id: str) -> None:
-    async def ask() -> Fate:
-        return await context.world.ask(attempt_id, cancel=True)
-
+    ask = partial(context.world.ask, attempt_id, cancel=True)
     context.fate = context.portal.call(ask)
 
 
+@when('{count:d} entries ask and cancel attempt "{attempt_id}" at once')
+def step_ask_often(context: Any, count: int, attempt_id: str) -> None:
+    context.portal.call(_ask_often, context.world, count, attempt_id)
+
+
+@when('an order for "{path}" runs and nobody reads the answer')
+def step_unread(context: Any, path: str) -> None:
+    order = msgspec.structs.replace(context.order, path=path)
+    _enter(context, context.world.streamed(order))
+
+
+@when('the engine freezes')
+def step_freeze(context: Any) -> None:
+    context.world.backend.thawed = anyio.Event()
+
+
+@when('the engine thaws')
+def step_thaw(context: Any) -> None:
+    context.portal.call(_thaw, context.world)
+
+
 @when('the backend server goes away')
 def step_server_gone(context: Any) -> None:
     context.portal.call(_stop_server, context.world)
@@ -249,7 +282,8 @@
 
 @then('the answer\'s body is ""')
 def step_no_body(context: Any) -> None:
-    assert context.answer.body == b'', context.answer
+    assert not context.answer.body, context.answer
+    assert context.answer.body is not None, context.answer
 
 
 @then("the answer's body is broken")
@@ -277,7 +311,7 @@
 
 @then('the backend server has run nothing')
 def step_run_nothing(context: Any) -> None:
-    assert context.world.backend.executions == []
+    assert not context.world.backend.executions
 
 
 @then("the backend server's last piece follows once it comes")
@@ -314,12 +348,7 @@
 
 @then('the rest of the answer is broken')
 def step_rest_broken(context: Any) -> None:
-    assert context.portal.call(read_all, context.reply) is None
-
-
-@then('the rest of the answer is broken once the side is closed')
-def step_rest_broken_closed(context: Any) -> None:
-    step_rest_broken(context)
+    assert context.portal.call(read_all, context.pieces) is None
 
 
 @then('the order is refused with status {status:d} for "{reason}"')
@@ -350,14 +379,14 @@
 
 @then('the attempt has ended whole with cost {cost:d}')
 def step_cost(context: Any, cost: int) -> None:
-    assert context.world.admission.ends == [('a1', True, cost)]
+    assert context.world.admission.ends == [Left('a1', whole=True, cost=cost)]
 
 
 @then('the attempt has ended whole with a cost above nothing')
 def step_some_cost(context: Any) -> None:
-    ((_, whole, cost),) = context.world.admission.ends
-    assert whole
-    assert cost > 0, cost
+    end = context.world.admission.ends[0]
+    assert end.whole, end
+    assert end.cost > 0, end
 
 
 @when('the side begins to drain')
@@ -368,9 +397,7 @@
 
 @then('the entry hears that the side drains')
 def step_hears_drain(context: Any) -> None:
-    _hear(
-        context, SideLoad, lambda load: load.phase is SidePhase.DRAINING
-    )
+    _hear(context, SideLoad, lambda load: load.phase is SidePhase.DRAINING)
 
 
 @then('the side has not ended')
@@ -390,7 +417,7 @@
         _call,
         context.world,
         method,
-        f'{context.world.side.peer.url}{path}',
+        context.world.peer_url(path),
         SECRETS[secret],
     )
 
@@ -403,28 +430,28 @@
 @then('operators see that it is {word}')
 def step_ready(context: Any, word: str) -> None:
     wanted = 200 if word == 'ready' else 503
-    url = f'{context.world.side.operator.url}/readyz'
+    url = context.world.operator_url('/readyz')
     context.portal.call(_until_status, context.world, url, wanted)
 
 
 @when('an operator reads {path}')
 def step_read(context: Any, path: str) -> None:
-    url = f'{context.world.side.operator.url}{path}'
+    url = context.world.operator_url(path)
     if path == '/metrics':
         context.portal.call(anyio.sleep, 0.2)
     reply = context.portal.call(context.world.get, url)
     assert reply.status == 200, reply
-    context.text = reply.body.decode()
+    context.page = reply.body.decode()
 
 
 @then('the text holds "{text}"')
 def step_holds(context: Any, text: str) -> None:
-    assert text in context.text, context.text
+    assert text in context.page, context.page
 
 
 @then('the text does not hold "{text}"')
 def step_holds_not(context: Any, text: str) -> None:
-    assert text not in context.text, context.text
+    assert text not in context.page, context.page
 
 
 @then('a log line starts with "{text}"')
@@ -492,7 +519,9 @@
     context.portal.call(
         context.world.next,
         LinkMessageReceived,
-        lambda event: isinstance(event.message, kind) and matches(event.message),
+        lambda event: (
+            isinstance(event.message, kind) and matches(event.message)
+        ),
     )
 
 
@@ -504,6 +533,17 @@
     world.backend.gate.set()
 
 
+async def _thaw(world: World) -> None:
+    world.backend.thawed.set()
+
+
+async def _ask_often(world: World, count: int, attempt_id: str) -> None:
+    ask = partial(world.ask, attempt_id, cancel=True)
+    async with anyio.create_task_group() as tasks:
+        for _ in range(count):
+            tasks.start_soon(ask)
+
+
 async def _stop_server(world: World) -> None:
     world.server.stop()
     await world.server.closed()
@@ -514,14 +554,16 @@
 
 
 async def _post_run(world: World, pairs: Any) -> Any:
-    url = f'{world.side.peer.url}{RUN_PATH}'
+    url = world.peer_url(RUN_PATH)
     return await _call(world, 'POST', url, [SECRET.header(), *pairs])
 
 
 async def _until_status(world: World, url: str, status: int) -> None:
-    with anyio.fail_after(15):
-        while (await world.get(url)).status != status:
-            await anyio.sleep(0.02)
+    for _ in range(MOST_TRIES):
+        if (await world.get(url)).status == status:
+            return
+        await anyio.sleep(PAUSE_SECONDS)
+    raise AssertionError(f'{url} never answered {status}')
 
 
 async def _half_body(world: World) -> None:
