--- a/src/sardinetrack/catalogue/in_force.py
+++ b/src/sardinetrack/catalogue/in_force.py
@@ -6,11 +6,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field, replace
 
 from sardinetrack.catalogue.api import Pool, Workspace
-from sardinetrack.catalogue.record import KeyRecord
+from sardinetrack.catalogue.record import Change, KeyRecord
 
 
 @dataclass
@@ -35,7 +35,10 @@
 
     def _add_workspace(self, entry: Workspace) -> tuple[str, ...]:
         taken = entry.token_hashes & self.by_token_hash.keys()
-        granted = replace(entry, token_hashes=entry.token_hashes - taken)
+        granted = entry
+        if taken:
+            left = entry.token_hashes - taken
+            granted = replace(entry, token_hashes=left)
         self.workspaces[granted.name] = granted
         self.by_token_hash.update(
             dict.fromkeys(granted.token_hashes, granted),
@@ -44,32 +47,37 @@
 
     def _add_pool(self, entry: Pool) -> tuple[str, ...]:
         taken = self.by_model.keys() & set(entry.models)
-        models = tuple(model for model in entry.models if model not in taken)
-        granted = replace(entry, models=models)
+        granted = entry
+        if taken:
+            left = (model for model in entry.models if model not in taken)
+            granted = replace(entry, models=tuple(left))
         self.pools[granted.name] = granted
-        self.by_model.update(dict.fromkeys(models, granted))
+        self.by_model.update(dict.fromkeys(granted.models, granted))
         return _denials('models', taken, self.by_model)
 
 
 def settle(records: Iterable[KeyRecord]) -> InForce:
     """Put all good entries in force, oldest version first."""
     in_force = InForce()
-    for record in sorted(records, key=_in_force_version):
-        if record.in_force is not None:
-            in_force.add(record.settled.origin.key, record.in_force)
+    settled = [record.settled for record in records if record.in_force]
+    for change in sorted(settled, key=_version_of):
+        if change.entry is not None:
+            in_force.add(change.origin.key, change.entry)
     return in_force
 
 
 def _denials(
     place: str,
-    taken: Iterable[str],
+    taken: Collection[str],
     owners: Mapping[str, Workspace | Pool],
 ) -> tuple[str, ...]:
+    if not taken:
+        return ()
     return tuple(
         f'{place}: {claim} belongs to {owners[claim].name}'
         for claim in sorted(taken)
     )
 
 
-def _in_force_version(record: KeyRecord) -> int:
-    return record.in_force_version
+def _version_of(change: Change) -> int:
+    return change.version
--- a/src/sardinetrack/catalogue/record.py
+++ b/src/sardinetrack/catalogue/record.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from typing import Final
 
+from xxhash import xxh3_64_intdigest
+
 from sardinetrack.catalogue.api import Pool, Workspace
 from sardinetrack.catalogue.parse import parse_entry
 from sardinetrack.catalogue.problems import InvalidEntryError
@@ -55,6 +57,8 @@
         """Start with what stood there before the first change."""
         self.latest = before
         self.settled = before
+        self.digest = _NEVER
+        """Hash of key and versions, 0 for a key that is not live."""
 
     def knows(self, version: int) -> bool:
         """Tell whether a change of this version can't add anything."""
@@ -69,6 +73,8 @@
             self.latest = change
         if better:
             self.settled = change
+        if newer or better:
+            self.digest = self._digest()
         return newer or better
 
     @property
@@ -86,6 +92,13 @@
         """Version of the entry in force, 0 for none."""
         return self.settled.version if self.settled.entry else _NEVER
 
+    def _digest(self) -> int:
+        if not self.live:
+            return _NEVER
+        newest = self.latest.origin
+        text = f'{newest.key} {newest.version} {self.in_force_version}'
+        return xxh3_64_intdigest(text.encode())
+
     def origins(self) -> tuple[ConfigObject, ...]:
         """All that another node needs to build the same record."""
         if self.settled is self.latest:
--- a/src/sardinetrack/catalogue/view.py
+++ b/src/sardinetrack/catalogue/view.py
@@ -11,11 +11,10 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from functools import reduce
+from operator import xor
 from typing import Final
 
-import msgspec
-from xxhash import xxh3_64_hexdigest
-
 from sardinetrack.catalogue.api import Pool, PoolClass, Workspace
 from sardinetrack.catalogue.coverage import (
     changes_in,
@@ -181,9 +180,5 @@
 
 
 def _digest_of(records: dict[str, KeyRecord]) -> str:
-    rows = sorted(
-        (key, record.latest.version, record.in_force_version)
-        for key, record in records.items()
-        if record.live
-    )
-    return xxh3_64_hexdigest(msgspec.json.encode(rows))
+    combined = reduce(xor, [record.digest for record in records.values()], 0)
+    return format(combined, 'x')
--- a/tests/catalogue/editor.feature
+++ b/tests/catalogue/editor.feature
@@ -47,6 +47,14 @@
     When the operator applies workspace "pilot" of "third" and it fails
     Then the race is lost with both versions named
 
+  Scenario: Another operator writes between the read and the deletion
+    The deletion was decided on a text that no longer stands there; it must
+    not take the new one with it.
+    Given another operator writes over "pilot" before the next deletion
+    When the operator removes workspace "pilot" and it fails
+    Then the race is lost with both versions named
+    And workspace "pilot" in the platform belongs to "faster"
+
   Scenario: A write that never arrives is written again under its condition
     Given the next 1 writes are lost on their way
     When the operator applies workspace "pilot" of "third"
--- a/tests/catalogue/steps/editor_steps.py
+++ b/tests/catalogue/steps/editor_steps.py
@@ -29,6 +29,13 @@
         super().__init__()
         self.lose_writes = 0
         self.after_write = None
+        self.before_delete = None
+
+    async def delete(self, key, *, expected_version):
+        """Do what was asked, then delete."""
+        if self.before_delete is not None:
+            await self.before_delete()
+        return await super().delete(key, expected_version=expected_version)
 
     async def put(self, key, value, *, expected_version):
         """Write, or lose the write, or do what was asked after it."""
@@ -173,9 +180,25 @@
 
 @given('another operator writes over the next edit of "pilot"')
 def overwrite(context):
+    context.platform.after_write = _overwriting(context)
+
+
+@given('another operator writes over "pilot" before the next deletion')
+def overwrite_before(context):
+    context.platform.before_delete = _overwriting(context)
+
+
+def _overwriting(context):
     value = _text('faster').encode()
     write = partial(MemoryPlatform.put, context.platform, _PILOT, value)
-    context.platform.after_write = partial(write, expected_version=None)
+    return partial(write, expected_version=None)
+
+
+@when('the operator removes workspace "pilot" and it fails')
+def remove_fails(context):
+    context.seen_version = _stored(context, _PILOT).version
+    _remove(context, _PILOT)
+    assert context.error
 
 
 @given('the platform goes down after the next write, its reply lost')
