Learn the grant round trip from grants that came too late

Cause: under 200 ms of delay each grant expired (0.25 s) before its request came (0.4 s), and only unexpired grants taught the round trip. The estimate never rose, everything was refused as busy. Ruled out: a longer first validity alone; a lost grant would then idle its slot that long where the network is fast.

--- a/src/sardinetrack/admission/board.py
+++ b/src/sardinetrack/admission/board.py
@@ -69,7 +69,7 @@
         link.rows = {row.workspace: row for row in bids.rows}
         for number in list(link.grants):
             if number <= bids.grants_seen:
-                self._include(link, number)
+                link.grants[number].included = True
 
     def clear(self, entry: str) -> None:
         """Drop the bids of an entry that has no work for a slot."""
@@ -142,10 +142,14 @@
             return None
         grant.open = False
         self.open_grants -= 1
-        if grant.included:
-            link.grants.pop(number)
         return grant
 
+    def sent_seconds(self, entry: str, number: int) -> float | None:
+        """Tell when a grant was sent, also when it has expired since."""
+        link = self._links.get(entry)
+        grant = link.grants.get(number) if link else None
+        return None if grant is None else grant.sent_seconds
+
     def expire(self, now: float) -> int:
         """Close grants and drop bids that are too old.
 
@@ -165,19 +169,14 @@
         expired = 0
         for number, grant in list(link.grants.items()):
             if grant.open and grant.expires_seconds <= now:
-                self.close(entry, number)
-                link.grants.pop(number, None)
+                grant.open = False
+                grant.included = True
+                self.open_grants -= 1
                 expired += 1
             elif now - grant.sent_seconds > BIDS_KEEP_SECONDS:
                 link.grants.pop(number)
         return expired
 
-    def _include(self, link: _Link, number: int) -> None:
-        grant = link.grants[number]
-        grant.included = True
-        if not grant.open:
-            link.grants.pop(number)
-
     def _tags(self) -> dict[str, float]:
         tags: dict[str, float] = {}
         for link in self._links.values():
--- a/src/sardinetrack/admission/slots.py
+++ b/src/sardinetrack/admission/slots.py
@@ -171,12 +171,24 @@
         taken = len(self._running) + len(self._held) + self._board.open_grants
         return max(0, self._limit - taken)
 
+    @property
+    def _room(self) -> int:
+        taken = len(self._running) + len(self._held) + self._board.open_grants
+        return self._limit + self._staging.depth(self._limit) - taken
+
     def _take_grant(self, now: float, arrival: Arrival) -> bool:
-        grant = self._board.close(arrival.entry, arrival.grant)
-        if grant is None:
+        """Close the grant of an arrival, and learn how long it took.
+
+        One that comes after its grant expired teaches most: were its time
+        left out, a round trip longer than the first guess would never be
+        learned, every grant would expire and nothing would start.
+        """
+        sent = self._board.sent_seconds(arrival.entry, arrival.grant)
+        if sent is None:
             return False
-        self._staging.answered(now - grant.sent_seconds)
-        return True
+        self._staging.answered(now - sent)
+        granted = self._board.close(arrival.entry, arrival.grant) is not None
+        return granted or self._room > 0
 
     def _objection(
         self,
@@ -241,14 +253,11 @@
 
     def _grant_spare(self, now: float) -> Sequence[SideEffect]:
         effects: list[SideEffect] = []
-        room = self._limit + self._staging.depth(self._limit)
-        room -= len(self._running) + len(self._held) + self._board.open_grants
-        while room > 0:
+        for _ in range(self._room):
             candidate = self._board.best()
             if candidate is None:
                 break
             effects.append(self._grant(now, candidate))
-            room -= 1
         return effects
 
     def _grant(self, now: float, candidate: Candidate) -> SideEffect:
--- a/src/sardinetrack/admission/staging.py
+++ b/src/sardinetrack/admission/staging.py
@@ -8,7 +8,8 @@
 _FIRST_ROUND_TRIP_SECONDS: Final = 0.02
 _FIRST_RUN_SECONDS: Final = 1.0
 _GAIN: Final = 0.1
-_IDLE_PART: Final = 0.003
+_RISE_GAIN: Final = 0.5
+_IDLE_PART: Final = 0.006
 """Slot-time that may idle for want of a staged request."""
 _MAX_DEPTH: Final = 64
 _VALID_ROUND_TRIPS: Final = 4.0
@@ -47,7 +48,9 @@
 
     def answered(self, seconds: float) -> None:
         """Learn from a grant that came back as a request."""
-        self.round_trip_seconds += _GAIN * (seconds - self.round_trip_seconds)
+        longer = seconds > self.round_trip_seconds
+        gain = _RISE_GAIN if longer else _GAIN
+        self.round_trip_seconds += gain * (seconds - self.round_trip_seconds)
 
     def ran(self, seconds: float) -> None:
         """Learn from a request that ended."""
--- a/src/sardinetrack/routing/pool.py
+++ b/src/sardinetrack/routing/pool.py
@@ -33,7 +33,7 @@
 REFRESH_SECONDS: Final = 3.0
 REPORT_SECONDS: Final = 1.0
 _REPEAT_SECONDS: Final = 4.0
-_HOLD_SECONDS: Final = 2.0
+_HOLD_SECONDS: Final = 4.0
 _NO_SIDE_SECONDS: Final = 2.0
 
 
