Find a dispatched attempt in its pool, so that no refusal is lost

Cause: dispatches made when a side announced its load were not listed in the router's index of attempts; a refusal of such an order was then ignored, and the request neither waited nor ran. Ruled out: staleness of the ledger; the tags of the pair agreed everywhere. A scenario failed before and passes now.

--- a/src/sardinetrack/routing/router.py
+++ b/src/sardinetrack/routing/router.py
@@ -17,7 +17,6 @@
 )
 from sardinetrack.routing.api import (
     AttemptEnd,
-    Dispatch,
     EntryEffect,
     Reject,
     Routing,
@@ -46,7 +45,6 @@
         self._outcome = Outcome(self._shared)
         self._pools: dict[str, PoolRouter] = {}
         self._pool_of_side: dict[str, PoolRouter] = {}
-        self._pool_of_attempt: dict[str, PoolRouter] = {}
         self._forget_seconds = float(0)
 
     def configure(
@@ -61,7 +59,7 @@
             self._pool(pool.name)
         effects: list[EntryEffect] = []
         for router in self._pools.values():
-            effects.extend(self._listed(router, router.pump(now)))
+            effects.extend(router.pump(now))
         return effects
 
     def side_up(self, now: float, info: SideInfo) -> Sequence[EntryEffect]:
@@ -95,7 +93,7 @@
         pool = self._pools.get(work.pool)
         if pool is None:
             return (Reject(work.request_id, ErrorKind.NOT_RUN_NO_SERVER),)
-        return self._listed(pool, pool.submit(now, work))
+        return pool.submit(now, work)
 
     def cancel(self, now: float, request_id: str) -> Sequence[EntryEffect]:
         """Forget a waiting request whose caller went away."""
@@ -113,7 +111,7 @@
         pool = self._pool_of_side.get(side)
         if pool is None:
             return (SendToSide(side, Decline(grant.number)),)
-        return self._listed(pool, pool.grant(now, side, grant))
+        return pool.grant(now, side, grant)
 
     def progress(
         self,
@@ -122,7 +120,7 @@
         cost: float,
     ) -> Sequence[EntryEffect]:
         """True up the charge of a running attempt to its cost so far."""
-        pool = self._pool_of_attempt.get(attempt_id)
+        pool = self._running_in(attempt_id)
         if pool is not None:
             pool.ledger.progress(now, attempt_id, cost)
         return ()
@@ -137,7 +135,7 @@
         answered: bool,
     ) -> Sequence[EntryEffect]:
         """Settle an attempt; may queue the request again or reject it."""
-        pool = self._pool_of_attempt.pop(attempt_id, None)
+        pool = self._running_in(attempt_id)
         if pool is None:
             return ()
         attempt = pool.attempts.pop(attempt_id)
@@ -149,7 +147,7 @@
             end,
             answered=answered,
         )
-        return self._listed(pool, effects)
+        return effects
 
     def peer_service(
         self,
@@ -175,7 +173,7 @@
         """Expire deadlines; refresh bids and reports that are due."""
         effects: list[EntryEffect] = []
         for pool in self._pools.values():
-            effects.extend(self._listed(pool, pool.tick(now)))
+            effects.extend(pool.tick(now))
         if now - self._forget_seconds >= _FORGET_SECONDS:
             self._forget_seconds = now
             self._shared.strikes.forget(now)
@@ -196,12 +194,8 @@
             self._pools[name] = pool
         return pool
 
-    def _listed(
-        self,
-        pool: PoolRouter,
-        effects: Sequence[EntryEffect],
-    ) -> Sequence[EntryEffect]:
-        for effect in effects:
-            if isinstance(effect, Dispatch):
-                self._pool_of_attempt[effect.attempt_id] = pool
-        return effects
+    def _running_in(self, attempt_id: str) -> PoolRouter | None:
+        for pool in self._pools.values():
+            if attempt_id in pool.attempts:
+                return pool
+        return None
--- a/tests/routing/router.feature
+++ b/tests/routing/router.feature
@@ -63,3 +63,14 @@
     And a peer strikes print at server two
     When pilot submits p1 of cost 5
     Then p1 is rejected as crashes_servers
+
+  Scenario: A request sent on a load announcement is not lost when refused
+    The side tells all entries of its free slot. Several send at once; the one
+    that comes second is refused as busy and must wait again.
+
+    Given agency submits a1 of cost 5
+    And pilot submits p1 of cost 5
+    When the side announces 1 free slot
+    And the side refuses p1
+    And the side grants 1
+    Then p1 is dispatched 2 times
--- a/tests/routing/steps/router_steps.py
+++ b/tests/routing/steps/router_steps.py
@@ -175,3 +175,9 @@
         if isinstance(effect, Reject) and effect.request_id == request
     ]
     assert kinds == [kind], context.effects
+
+
+@when('the side announces {count:d} free slot')
+def announce(context, count):
+    load = SideLoad('first', SidePhase.SERVING, 1, 0, count)
+    context.effects.extend(context.router.load(context.now, 's1', load))
