--- a/src/sardinetrack/catalogue/ask.py
+++ b/src/sardinetrack/catalogue/ask.py
@@ -10,6 +10,7 @@
 
 from sardinetrack.catalogue.rollout import ConfigStatus
 from sardinetrack.http.client import BrokenError, HttpClient, NotSentError
+from sardinetrack.platform.api import InstanceState, Platform
 
 OPERATOR_PATH: Final = '/config'
 PEER_PATH: Final = '/peer/v1/status'
@@ -60,3 +61,9 @@
         return msgspec.json.decode(body, type=ConfigStatus)
     except msgspec.DecodeError:
         return None
+
+
+async def listed_addresses(platform: Platform) -> tuple[str, ...]:
+    """Tell the peer addresses of all live instances."""
+    rows = await platform.instances()
+    return tuple(row.address for row in rows if row.state is InstanceState.LIVE)
--- a/src/sardinetrack/catalogue/editor.py
+++ b/src/sardinetrack/catalogue/editor.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass
 from typing import Final
 
@@ -22,6 +24,7 @@
 
 _NOTHING: Final = 0
 _ATTEMPTS: Final = 4
+_NO_REPLY: Final = 'every reply was lost'
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,13 +115,15 @@
         return Edit(key, version, changed=True)
 
     async def _write(self, entry: WrittenEntry, base_version: int) -> Edit:
-        attempts = 0
-        while attempts < _ATTEMPTS:
-            attempts += 1
-            stored = await self._try_write(entry, base_version)
-            if stored is not None:
-                return Edit(entry.key, stored.version, changed=True)
-        raise UncertainError('every reply was lost')
+        stored = await self._try_write(entry, base_version)
+        attempts = 1
+        with _uncertain_now():
+            while stored is None and attempts < _ATTEMPTS:
+                stored = await self._try_write(entry, base_version)
+                attempts += 1
+        if stored is None:
+            raise UncertainError(_NO_REPLY)
+        return Edit(entry.key, stored.version, changed=True)
 
     async def _try_write(
         self,
@@ -138,13 +143,15 @@
         return _settled(entry, base_version, current)
 
     async def _delete(self, key: str, base_version: int) -> int:
-        attempts = 0
-        while attempts < _ATTEMPTS:
-            attempts += 1
-            version = await self._try_delete(key, base_version)
-            if version is not None:
-                return version
-        raise UncertainError('every reply was lost')
+        version = await self._try_delete(key, base_version)
+        attempts = 1
+        with _uncertain_now():
+            while version is None and attempts < _ATTEMPTS:
+                version = await self._try_delete(key, base_version)
+                attempts += 1
+        if version is None:
+            raise UncertainError(_NO_REPLY)
+        return version
 
     async def _try_delete(self, key: str, base_version: int) -> int | None:
         try:
@@ -162,10 +169,18 @@
         return None
 
     async def _read_back(self) -> Listing:
-        try:
+        with _uncertain_now():
             return await self.list()
-        except PlatformError as error:
-            raise UncertainError(f'can not read back: {error}') from error
+
+
+@contextmanager
+def _uncertain_now() -> Iterator[None]:
+    # The first write may still be on its way: that a later call was refused
+    # does not mean that nothing was or will be written.
+    try:
+        yield
+    except PlatformError as error:
+        raise UncertainError(str(error)) from error
 
 
 def _settled(
--- a/tests/catalogue/editor.feature
+++ b/tests/catalogue/editor.feature
@@ -65,6 +65,14 @@
     When the operator applies workspace "pilot" of "third" and it fails
     Then the operator hears that the outcome is uncertain
 
+  Scenario: A write is lost and the next one is refused
+    The first write hangs somewhere and may still arrive; the second is refused
+    for an outage. "Refused" alone would let the operator believe that nothing
+    can come of it.
+    Given the next 1 writes are lost and the ones after refused
+    When the operator applies workspace "pilot" of "third" and it fails
+    Then the operator hears that the outcome is uncertain
+
   Scenario Outline: A bad entry is never written
     When the operator applies <entry> and it fails
     Then the operator reads <place> and <reason>
--- a/tests/catalogue/steps/editor_steps.py
+++ b/tests/catalogue/steps/editor_steps.py
@@ -13,7 +13,11 @@
 from sardinetrack.catalogue.parse import read_entry
 from sardinetrack.catalogue.problems import InvalidEntryError
 from sardinetrack.catalogue.rollout import ConfigStatus, wait_in_force
-from sardinetrack.platform.api import PlatformError, UncertainError
+from sardinetrack.platform.api import (
+    PlatformError,
+    UnavailableError,
+    UncertainError,
+)
 from sardinetrack.platform.in_process import Disturbance, MemoryPlatform
 
 _PILOT = 'catalogue/workspace/pilot'
@@ -28,6 +32,7 @@
         """Start without oddities."""
         super().__init__()
         self.lose_writes = 0
+        self.refuses_writes = False
         self.after_write = None
         self.before_delete = None
 
@@ -42,6 +47,8 @@
         if self.lose_writes:
             self.lose_writes -= 1
             raise UncertainError('lost on its way')
+        if self.refuses_writes:
+            raise UnavailableError('outage')
         write = partial(super().put, key, value)
         if self.after_write is None:
             return await write(expected_version=expected_version)
@@ -178,6 +185,12 @@
     context.platform.lose_writes = count
 
 
+@given('the next {count:d} writes are lost and the ones after refused')
+def lose_then_refuse(context, count):
+    context.platform.lose_writes = count
+    context.platform.refuses_writes = True
+
+
 @given('another operator writes over the next edit of "pilot"')
 def overwrite(context):
     context.platform.after_write = _overwriting(context)
