Charge a running request ahead by at most two mean costs

Cause: with costs from 1 to 50 (mean 2.6) and hints wrong by up to 4, a large request was charged up to 200 units at its start. Its workspace had to wait until all others caught up with service that nobody had received.

--- a/src/sardinetrack/admission/staging.py
+++ b/src/sardinetrack/admission/staging.py
@@ -9,7 +9,7 @@
 _FIRST_RUN_SECONDS: Final = 1.0
 _GAIN: Final = 0.1
 _RISE_GAIN: Final = 0.5
-_IDLE_PART: Final = 0.006
+_IDLE_PART: Final = 0.003
 """Slot-time that may idle for want of a staged request."""
 _MAX_DEPTH: Final = 64
 _VALID_ROUND_TRIPS: Final = 4.0
--- a/src/sardinetrack/fairness/ledger.py
+++ b/src/sardinetrack/fairness/ledger.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import Final
@@ -16,6 +17,15 @@
 DRIFT_GAIN: Final = 0.125
 """Part of the difference to a peer's level taken over from each report."""
 
+CHARGED_MEANS: Final = 2.0
+"""Most that a running request is charged ahead, in mean costs of the pool.
+
+A hint may be four times too high, and the largest cost twenty times the
+mean. Charged in full at the start, such a request shuts its workspace out
+for as long as others need to catch up with work that was not done yet.
+"""
+_COST_GAIN: Final = 0.05
+
 
 @dataclass(slots=True)
 class Account:
@@ -47,11 +57,12 @@
     workspace: str
     weight: float
     hint: float
+    most: float
     settled: float = 0
 
     @property
     def outstanding(self) -> float:
-        return max(0, self.hint - self.settled)
+        return min(self.most, max(0, self.hint - self.settled))
 
 
 @dataclass(slots=True)
@@ -70,6 +81,7 @@
         self._accounts: dict[str, Account] = {}
         self._charges: dict[str, _Charge] = {}
         self._peers: dict[str, _Peer] = {}
+        self._mean_cost = math.inf
 
     def account(self, workspace: str) -> Account:
         """Find or open an account.
@@ -134,9 +146,10 @@
         """
         account = self.account(workspace)
         self._advance(account)
-        charge = _Charge(workspace, weight, hint / weight)
+        most = CHARGED_MEANS * self._mean_cost / weight
+        charge = _Charge(workspace, weight, hint / weight, most)
         self._charges[attempt_id] = charge
-        account.outstanding += charge.hint
+        account.outstanding += charge.outstanding
         account.running += 1
         account.changed_seconds = now
 
@@ -170,6 +183,7 @@
         charge = self._charges.pop(attempt_id, None)
         if charge is None:
             return
+        self._learn(cost)
         account = self.account(charge.workspace)
         account.outstanding -= charge.outstanding
         account.running -= 1
@@ -229,6 +243,13 @@
             if account.changed_seconds >= changed_since_seconds
         )
 
+    def _learn(self, cost: float) -> None:
+        if not cost:
+            return
+        if math.isinf(self._mean_cost):
+            self._mean_cost = cost
+        self._mean_cost += _COST_GAIN * (cost - self._mean_cost)
+
     def _hear_row(
         self,
         peer: _Peer,
