Report after a number of dispatches; tell two sides of new backlog

Cause: 3.9 control messages a request on ice-llm: reports of every entry to every other each second, bids to three sides for each new backlog, bids refreshed every 3 s. On pools with short requests one report a second is too rare, on those with long ones too dear.

--- a/src/sardinetrack/admission/board.py
+++ b/src/sardinetrack/admission/board.py
@@ -9,7 +9,7 @@
 
 from sardinetrack.messages.api import BidRow, Bids
 
-BIDS_KEEP_SECONDS: Final = 10.0
+BIDS_KEEP_SECONDS: Final = 20.0
 """Bids not refreshed for so long are dropped."""
 
 
--- a/src/sardinetrack/fairness/ledger.py
+++ b/src/sardinetrack/fairness/ledger.py
@@ -68,6 +68,7 @@
 @dataclass(slots=True)
 class _Peer:
     incarnation: str
+    live: bool = True
     rows: dict[str, ServiceRow] = field(default_factory=dict)
 
 
@@ -83,6 +84,11 @@
         self._peers: dict[str, _Peer] = {}
         self._mean_cost = math.inf
 
+    @property
+    def live_peers(self) -> int:
+        """Count the entries that report."""
+        return sum(peer.live for peer in self._peers.values())
+
     def account(self, workspace: str) -> Account:
         """Find or open an account.
 
@@ -201,6 +207,7 @@
             self.lose(report.entry)
             peer = _Peer(report.incarnation)
             self._peers[report.entry] = peer
+        peer.live = True
         for row in report.rows:
             self._hear_row(peer, row, report)
         self.synced = self.synced or report.synced
@@ -217,6 +224,7 @@
         peer = self._peers.get(entry)
         if peer is None:
             return
+        peer.live = False
         for name, row in peer.rows.items():
             account = self.account(name)
             account.level += row.outstanding
--- a/src/sardinetrack/routing/pool.py
+++ b/src/sardinetrack/routing/pool.py
@@ -11,14 +11,12 @@
     Bids,
     Decline,
     Grant,
-    ServiceReport,
     SideLoad,
 )
 from sardinetrack.routing.api import (
     Dispatch,
     EntryEffect,
     Reject,
-    SendToEntries,
     SendToSide,
     Work,
 )
@@ -26,13 +24,12 @@
 from sardinetrack.routing.gate import Gate
 from sardinetrack.routing.order import Order
 from sardinetrack.routing.queue import Waiting, WorkQueue
+from sardinetrack.routing.reporting import Reporter
 from sardinetrack.routing.shared import Shared
 from sardinetrack.routing.sides import Side, SideTable
 
-SIDES_TOLD: Final = 3
-REFRESH_SECONDS: Final = 3.0
-REPORT_SECONDS: Final = 1.0
-_REPEAT_SECONDS: Final = 4.0
+SIDES_TOLD: Final = 2
+REFRESH_SECONDS: Final = 6.0
 _HOLD_SECONDS: Final = 4.0
 _NO_SIDE_SECONDS: Final = 2.0
 
@@ -60,7 +57,7 @@
             self.attempts,
         )
         self._gate = Gate(shared, self.ledger, self.queue)
-        self._report_seconds = float('-inf')
+        self._reporter = Reporter(name, shared.identity, self.ledger)
         self._side_seconds = float('-inf')
 
     def submit(self, now: float, work: Work) -> Sequence[EntryEffect]:
@@ -173,7 +170,7 @@
             effects.extend(self._give_up_all(now))
         effects.extend(self.pump(now))
         effects.extend(self._refresh(now))
-        effects.extend(self._report(now))
+        effects.extend(self._reporter.due(now))
         return effects
 
     def cancel(self, now: float, request_id: str) -> None:
@@ -240,6 +237,7 @@
             self._order.suspect(now, work),
         )
         self.attempts[attempt.attempt_id] = attempt
+        self._reporter.dispatched()
         tag = self.ledger.tag(work.workspace)
         weight = self._shared.limits(work.workspace).weight
         self.ledger.charge(
@@ -279,23 +277,6 @@
             if now - side.bid_seconds >= REFRESH_SECONDS
         ]
 
-    def _report(self, now: float) -> Sequence[EntryEffect]:
-        if now - self._report_seconds < REPORT_SECONDS:
-            return ()
-        rows = self.ledger.rows(now - _REPEAT_SECONDS)
-        if not rows:
-            return ()
-        self._report_seconds = now
-        identity = self._shared.identity
-        report = ServiceReport(
-            identity.entry,
-            identity.incarnation,
-            self._name,
-            rows,
-            self.ledger.synced,
-        )
-        return (SendToEntries(report),)
-
     def _no_side(self, now: float) -> bool:
         return now - self._side_seconds > _NO_SIDE_SECONDS
 
