Add the stand-in and status commands

Cause: tests across processes need stand-ins as processes, operators a look at an instance. A port that is taken shows as a group of one system error out of the task group that opens it; the frame now unwraps such groups and prints one line. Ruled out: catching errors in each command, which every new one would forget. The status is printed as the instance gives it, as JSON.

--- a/src/sardinetrack/run.py
+++ b/src/sardinetrack/run.py
@@ -14,6 +14,8 @@
 from sardinetrack.cli.local import LocalCommand
 from sardinetrack.cli.parser import PROGRAM, build_parser
 from sardinetrack.cli.side import SideCommand
+from sardinetrack.cli.stand_in import StandInCommand
+from sardinetrack.cli.status import StatusCommand
 from sardinetrack.config.errors import SettingsError
 from sardinetrack.logs import LogFormat, configure
 
@@ -22,6 +24,8 @@
     EntryCommand(),
     SideCommand(),
     CheckCommand(),
+    StatusCommand(),
+    StandInCommand(),
 )
 
 
@@ -37,10 +41,8 @@
         return _run(options)
     except KeyboardInterrupt:
         return ExitCode.INTERRUPTED
-    except CommandError as error:
-        return _explain(error, error.exit_code)
-    except SettingsError as error:
-        return _explain(error, ExitCode.BAD_USAGE)
+    except Exception as error:
+        return _explain(error)
 
 
 def _run(options: Namespace) -> int:
@@ -48,7 +50,26 @@
     return command.run(options)
 
 
-def _explain(error: Exception, exit_code: ExitCode) -> int:
-    for line in str(error).splitlines():
+def _explain(error: Exception) -> int:
+    # A port that is taken shows inside the task group that opens it.
+    cause = error
+    while isinstance(cause, ExceptionGroup) and len(cause.exceptions) == 1:
+        cause = cause.exceptions[0]
+    exit_code = _exit_code(cause)
+    if exit_code is None:
+        raise error
+    for line in str(cause).splitlines():
         sys.stderr.write(f'{PROGRAM}: {line}\n')
     return exit_code
+
+
+def _exit_code(error: Exception) -> ExitCode | None:
+    match error:
+        case CommandError():
+            return error.exit_code
+        case SettingsError():
+            return ExitCode.BAD_USAGE
+        case OSError():
+            return ExitCode.FAILED
+        case _:
+            return None
--- a/src/sardinetrack/standin/hosting.py
+++ b/src/sardinetrack/standin/hosting.py
@@ -40,12 +40,17 @@
 async def run(standin: StandIn, ip: str, port: int) -> None:
     """Serve until cancelled; one line of JSON tells when it is ready."""
     async with hosting(standin, ip, port) as url:
-        sys.stdout.write(json.dumps({'url': url}))
-        sys.stdout.write('\n')
-        sys.stdout.flush()
+        announce(url)
         await anyio.sleep_forever()
 
 
+def announce(url: str) -> None:
+    """Tell on standard output, as one line of JSON, where it is served."""
+    line = json.dumps({'url': url})
+    sys.stdout.write(f'{line}\n')
+    sys.stdout.flush()
+
+
 async def _serve(
     standin: StandIn,
     ip: str,
--- a/tests/cli/steps/command_line_steps.py
+++ b/tests/cli/steps/command_line_steps.py
@@ -75,6 +75,8 @@
 def step_run(context: Context, words: str) -> None:
     if 'path' in context:
         words = words.replace('SETTINGS', str(context.path))
+    if 'port' in context:
+        words = words.replace('PORT', str(context.port))
     _run(context, shlex.split(words))
 
 
--- /dev/null
+++ b/tests/cli/steps/process_steps.py
@@ -0,0 +1,112 @@
+"""Steps on commands that run as processes or call others."""
+
+from __future__ import annotations
+
+import json
+import signal
+import socket
+import subprocess
+import sys
+from http.client import HTTPConnection
+from http.server import BaseHTTPRequestHandler, HTTPServer
+from threading import Thread
+from urllib.parse import urlsplit
+
+from behave import given, then, when
+from behave.runner import Context
+
+_SECONDS = 20
+
+
+def _listen(context: Context) -> socket.socket:
+    listener = socket.create_server(('127.0.0.1', 0))
+    context.add_cleanup(listener.close)
+    context.port = listener.getsockname()[1]
+    return listener
+
+
+class _StatusPage(BaseHTTPRequestHandler):
+    status = 200
+    text = ''
+
+    def do_GET(self) -> None:
+        """Answer as the class says."""
+        self.send_response(self.status)
+        self.end_headers()
+        self.wfile.write(self.text.encode())
+
+    def log_message(self, *_: object) -> None:
+        """Say nothing."""
+
+
+def _stop(process: subprocess.Popen[str]) -> None:
+    process.kill()
+    process.communicate()
+
+
+@given('a port that is taken')
+def step_taken(context: Context) -> None:
+    _listen(context)
+
+
+@given('a port that nobody listens at')
+def step_free(context: Context) -> None:
+    _listen(context).close()
+
+
+@given('an operator port that answers {status:d} with "{text}"')
+def step_operator(context: Context, status: int, text: str) -> None:
+    page = type('Page', (_StatusPage,), {'status': status, 'text': text})
+    server = HTTPServer(('127.0.0.1', 0), page)
+    thread = Thread(target=server.serve_forever)
+    thread.start()
+    context.add_cleanup(thread.join)
+    context.add_cleanup(server.server_close)
+    context.add_cleanup(server.shutdown)
+    context.port = server.server_port
+
+
+@when('the status of that port is read')
+def step_status(context: Context) -> None:
+    url = f'http://127.0.0.1:{context.port}'
+    context.execute_steps(f'When "sardinetrack status --url {url}" is run')
+
+
+@when('the process "{words}" is started')
+def step_start(context: Context, words: str) -> None:
+    if 'path' in context:
+        words = words.replace('SETTINGS', str(context.path))
+    context.process = subprocess.Popen(
+        [sys.executable, '-m', 'sardinetrack', *words.split()],
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+    context.add_cleanup(_stop, context.process)
+
+
+@when('the process is interrupted')
+def step_interrupt(context: Context) -> None:
+    context.process.send_signal(signal.SIGINT)
+    context.errors = context.process.communicate(timeout=_SECONDS)[1]
+    context.code = context.process.returncode
+
+
+@then('its first line is JSON with a URL')
+def step_first_line(context: Context) -> None:
+    context.url = json.loads(context.process.stdout.readline())['url']
+    assert context.url.startswith('http://127.0.0.1:')
+
+
+@then('a call of that URL is answered')
+def step_answered(context: Context) -> None:
+    address = urlsplit(context.url).netloc
+    connection = HTTPConnection(address, timeout=_SECONDS)
+    connection.request('GET', '/')
+    assert connection.getresponse().status
+    connection.close()
+
+
+@then('the output is JSON whose text "{name}" is "{text}"')
+def step_json_text(context: Context, name: str, text: str) -> None:
+    assert json.loads(context.output)[name] == text
