--- a/tests/entry/entry_world.py
+++ b/tests/entry/entry_world.py
@@ -128,7 +128,10 @@
             {
                 'instance': name,
                 'failure_domain': 'galata',
-                'platform': {'url': 'http://127.0.0.1:1', 'token': {'value': 'p'}},
+                'platform': {
+                    'url': 'http://127.0.0.1:1',
+                    'token': {'value': 'p'},
+                },
                 'peer_secret': {'value': 'fleet'},
                 'bounds': BOUNDS,
                 'drain_seconds': 3,
--- a/tests/system/steps/path_steps.py
+++ b/tests/system/steps/path_steps.py
@@ -9,69 +9,31 @@
 
 from support.caller import Caller
 from support.fleet import Fleet, eventually
+from support.standard import (
+    ENTRIES,
+    TOKEN,
+    completion,
+    start_standard,
+    words,
+)
 
-_MODEL = 'ice-llm'
-_TOKEN = 'pilot-token'
 _NEW_TOKEN = 'agent-token'
-_ENTRIES = ('entry-a', 'entry-b')
 _IN_FORCE_SECONDS = 4.0
 _SERVICE_TARGET = '/services/chart-api/a/b?status=207'
 
 
-def standard_fleet() -> Fleet:
-    """Start two engines, one service, their sides and two entries."""
-    fleet = Fleet()
-    fleet.start_platform()
-    fleet.workspace('pilot', _TOKEN)
-    fleet.model_pool('ice-llm', _MODEL)
-    repeatable = [{'method': 'GET', 'path_prefix': '/'}]
-    fleet.service_pool('chart-api', repeatable)
-    for number in range(2):
-        name = f'engine-{number}'
-        url = fleet.start_engine(name, model=_MODEL)
-        fleet.start_side('ice-llm', name, url)
-    url = fleet.start_service('chart-0')
-    fleet.start_side('chart-api', 'chart-0', url)
-    for entry in _ENTRIES:
-        fleet.start_entry(entry)
-    fleet.wait_ready(*fleet_daemons(fleet))
-    for entry in _ENTRIES:
-        fleet.wait_linked(entry, 3)
-    return fleet
-
-
-def fleet_daemons(fleet: Fleet) -> list[str]:
-    """Name the system's own processes."""
-    return [
-        name
-        for name, process in fleet.processes.items()
-        if 'operator_url' in process.ready
-    ]
-
-
-def _request(marker: str, tokens: int = 5) -> dict[str, object]:
-    content = f'draft a bulletin id={marker} tokens={tokens}'
-    return {
-        'model': _MODEL,
-        'messages': [{'role': 'user', 'content': content}],
-    }
-
-
-def _words(marker: str, tokens: int = 5) -> list[str]:
-    return [f'w{number}-{marker}' for number in range(tokens)]
-
-
 @given('a fleet with two engines, one service and two entries')
 def given_fleet(context):
-    context.fleet = standard_fleet()
-    context.caller = Caller(_TOKEN)
+    context.fleet = Fleet()
+    start_standard(context.fleet)
+    context.caller = Caller(TOKEN)
 
 
 @when('callers send a plain completion through each entry')
 def when_plain(context):
     context.answers = {
-        entry: context.caller.chat(context.fleet.url(entry), _request(entry))
-        for entry in _ENTRIES
+        entry: context.caller.chat(context.fleet.url(entry), completion(entry))
+        for entry in ENTRIES
     }
 
 
@@ -80,14 +42,16 @@
     for entry, answer in context.answers.items():
         assert answer.status == 200, answer
         text = answer.json()['choices'][0]['message']['content']
-        assert text.split() == _words(entry), text
+        assert text.split() == words(entry), text
 
 
 @when('callers stream a completion through each entry')
 def when_stream(context):
     context.streams = {
-        entry: context.caller.stream(context.fleet.url(entry), _request(entry))
-        for entry in _ENTRIES
+        entry: context.caller.stream(
+            context.fleet.url(entry), completion(entry)
+        )
+        for entry in ENTRIES
     }
 
 
@@ -96,7 +60,7 @@
     for entry, stream in context.streams.items():
         assert stream.status == 200, stream
         assert stream.whole, stream
-        assert stream.text.split() == _words(entry), stream.text
+        assert stream.text.split() == words(entry), stream.text
 
 
 @when('callers use the service through each entry')
@@ -107,7 +71,7 @@
             context.fleet.url(entry) + _SERVICE_TARGET,
             entry.encode(),
         )
-        for entry in _ENTRIES
+        for entry in ENTRIES
     }
 
 
@@ -143,7 +107,7 @@
 
 def _expect_status(context, status: int) -> None:
     caller = Caller(_NEW_TOKEN)
-    for entry in _ENTRIES:
+    for entry in ENTRIES:
         url = context.fleet.url(entry)
         eventually(
             partial(_answers, caller, url, status),
