Add the catalogue command

Cause: an operator's edit must be conditional, tell a lost race with both versions and say when it is in force.

- list, show, apply, remove over the editor; apply and remove ask every listed instance at its peer endpoint until the edit is in force there.
- Exit codes: 3 lost race, 4 written but not in force in time (with the addresses that are behind, or the instance's reason), 2 for a bad entry.
- Instances are asked at their peer endpoint; entries and sides serve status pages of shapes of their own there, which StatusClient could not read and took for silence.
It now reads both, besides the plain one.
Ruled out: asking operator ports (their addresses stand nowhere in the platform), and an unconditional write by default.

--- a/src/sardinetrack/catalogue/ask.py
+++ b/src/sardinetrack/catalogue/ask.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
 from http import HTTPStatus
 from typing import Final
 
@@ -10,6 +11,7 @@
 
 from sardinetrack.catalogue.rollout import ConfigStatus
 from sardinetrack.http.client import BrokenError, HttpClient, NotSentError
+from sardinetrack.messages.api import ConfigDigest
 from sardinetrack.platform.api import InstanceState, Platform
 
 OPERATOR_PATH: Final = '/config'
@@ -17,6 +19,39 @@
 _ASK_SECONDS: Final = 1.0
 
 
+class _Rejected(msgspec.Struct, frozen=True):
+    key: str
+    reasons: tuple[str, ...]
+
+
+class _EntryPage(msgspec.Struct, frozen=True):
+    instance: str
+    revision: int
+    digest: str
+    rejected: tuple[_Rejected, ...]
+
+    def config_status(self) -> ConfigStatus:
+        rejected = {row.key: row.reasons for row in self.rejected}
+        return ConfigStatus(
+            self.instance,
+            self.revision,
+            self.digest,
+            rejected,
+        )
+
+
+class _SidePage(msgspec.Struct, frozen=True):
+    instance: str
+    configuration: ConfigDigest
+
+    def config_status(self) -> ConfigStatus:
+        return ConfigStatus(
+            self.instance,
+            self.configuration.revision,
+            self.configuration.digest,
+        )
+
+
 class StatusClient:
     """Asks the operator port or the peer endpoint of instances."""
 
@@ -57,10 +92,13 @@
 def _status_of(status: int, body: bytes) -> ConfigStatus | None:
     if status != HTTPStatus.OK:
         return None
-    try:
+    with suppress(msgspec.DecodeError):
         return msgspec.json.decode(body, type=ConfigStatus)
-    except msgspec.DecodeError:
-        return None
+    with suppress(msgspec.DecodeError):
+        return msgspec.json.decode(body, type=_EntryPage).config_status()
+    with suppress(msgspec.DecodeError):
+        return msgspec.json.decode(body, type=_SidePage).config_status()
+    return None
 
 
 async def listed_addresses(platform: Platform) -> tuple[str, ...]:
--- /dev/null
+++ b/src/sardinetrack/cli/catalogue_errors.py
@@ -0,0 +1,44 @@
+"""Tell an operator why an edit of the catalogue did not come about."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from sardinetrack.catalogue.editor import LostRaceError
+from sardinetrack.catalogue.problems import InvalidEntryError
+from sardinetrack.cli.api import CommandError
+from sardinetrack.cli.exit_codes import ExitCode
+from sardinetrack.platform.api import PlatformError, UncertainError
+
+
+@contextmanager
+def telling_errors() -> Iterator[None]:
+    """Turn errors of the editor into what the user reads.
+
+    :raises CommandError: with the exit code of the case.
+    """
+    try:
+        yield
+    except (InvalidEntryError, LostRaceError, PlatformError) as error:
+        raise _command_error(error) from error
+
+
+def _command_error(
+    error: InvalidEntryError | LostRaceError | PlatformError,
+) -> CommandError:
+    match error:
+        case InvalidEntryError():
+            lines = [f'{error.key}: {reason}' for reason in error.reasons]
+            return CommandError('\n'.join(lines), ExitCode.BAD_USAGE)
+        case LostRaceError():
+            return CommandError(str(error), ExitCode.LOST_RACE)
+        case UncertainError():
+            return CommandError(
+                f'the edit may or may not have been made ({error}); '
+                + 'running the command again is safe',
+            )
+        case _:
+            return CommandError(
+                f'the platform failed, nothing was changed: {error}',
+            )
--- a/src/sardinetrack/config/loader.py
+++ b/src/sardinetrack/config/loader.py
@@ -11,7 +11,11 @@
 from pydantic_core import ErrorDetails
 
 from sardinetrack.config.errors import Problem, SettingsError
-from sardinetrack.config.model import EntrySettings, SideSettings
+from sardinetrack.config.model import (
+    EntrySettings,
+    OperatorSettings,
+    SideSettings,
+)
 from sardinetrack.config.secret import SecretSources
 from sardinetrack.config.syntax import SyntaxProblemError, parse_text
 
@@ -38,18 +42,20 @@
     return _validate(path, _read(path), model)
 
 
-def load_any(path: str) -> EntrySettings | SideSettings:
+def load_any(path: str) -> EntrySettings | SideSettings | OperatorSettings:
     """Load settings of the role that the file itself names.
 
     :raises SettingsError: with every mistake.
     """
     content = _read(path)
-    role = content.get('role') if isinstance(content, dict) else None
-    if role == 'entry':
-        return _validate(path, content, EntrySettings)
-    if role == 'side':
-        return _validate(path, content, SideSettings)
-    problem = Problem('role', "must be 'entry' or 'side'")
+    match content:
+        case {'role': 'entry'}:
+            return _validate(path, content, EntrySettings)
+        case {'role': 'side'}:
+            return _validate(path, content, SideSettings)
+        case {'role': 'operator'}:
+            return _validate(path, content, OperatorSettings)
+    problem = Problem('role', "must be 'entry', 'side' or 'operator'")
     raise SettingsError(path, (problem,))
 
 
--- a/src/sardinetrack/config/model.py
+++ b/src/sardinetrack/config/model.py
@@ -78,3 +78,12 @@
     backend_server: Name
     backend_url: HttpUrl
     lease_seconds: Seconds = 10.0
+
+
+class OperatorSettings(_Strict):
+    """Settings of ``sardinetrack catalogue``."""
+
+    role: Literal['operator'] = 'operator'
+    platform: PlatformSettings
+    peer_secret: Secret
+    """Instances are asked at their peer endpoints what is in force."""
--- a/src/sardinetrack/run.py
+++ b/src/sardinetrack/run.py
@@ -8,6 +8,7 @@
 from typing import Final
 
 from sardinetrack.cli.api import Command, CommandError
+from sardinetrack.cli.catalogue import CatalogueCommand
 from sardinetrack.cli.check import CheckCommand
 from sardinetrack.cli.entry import EntryCommand
 from sardinetrack.cli.exit_codes import ExitCode
@@ -24,6 +25,7 @@
     EntryCommand(),
     SideCommand(),
     CheckCommand(),
+    CatalogueCommand(),
     StatusCommand(),
     StandInCommand(),
 )
--- a/tests/cli/command_line.feature
+++ b/tests/cli/command_line.feature
@@ -46,7 +46,7 @@
     Given a settings file that holds "{}"
     When "sardinetrack check SETTINGS" is run
     Then the exit code is 2
-    And the error output mentions "role: must be 'entry' or 'side'"
+    And the error output mentions "role: must be 'entry', 'side' or 'operator'"
 
   Scenario: An interrupted command says so by its exit code
     Given a command that is interrupted
--- a/tests/cli/steps/command_line_steps.py
+++ b/tests/cli/steps/command_line_steps.py
@@ -73,10 +73,12 @@
 
 @when('"sardinetrack {words}" is run')
 def step_run(context: Context, words: str) -> None:
-    if 'path' in context:
-        words = words.replace('SETTINGS', str(context.path))
-    if 'port' in context:
-        words = words.replace('PORT', str(context.port))
+    places = {'SETTINGS': 'path', 'PORT': 'port'}
+    for word, name in places.items():
+        if name in context:
+            words = words.replace(word, str(getattr(context, name)))
+    for word, path in getattr(context, 'words', {}).items():
+        words = words.replace(word, str(path))
     _run(context, shlex.split(words))
 
 
--- a/tests/cli/steps/process_steps.py
+++ b/tests/cli/steps/process_steps.py
@@ -8,12 +8,11 @@
 import subprocess
 import sys
 from http.client import HTTPConnection
-from http.server import BaseHTTPRequestHandler, HTTPServer
-from threading import Thread
 from urllib.parse import urlsplit
 
 from behave import given, then, when
 from behave.runner import Context
+from pages import serve_page
 
 _SECONDS = 20
 
@@ -25,20 +24,6 @@
     return listener
 
 
-class _StatusPage(BaseHTTPRequestHandler):
-    status = 200
-    text = ''
-
-    def do_GET(self) -> None:
-        """Answer as the class says."""
-        self.send_response(self.status)
-        self.end_headers()
-        self.wfile.write(self.text.encode())
-
-    def log_message(self, *_: object) -> None:
-        """Say nothing."""
-
-
 def _stop(process: subprocess.Popen[str]) -> None:
     process.kill()
     process.communicate()
@@ -56,14 +41,7 @@
 
 @given('an operator port that answers {status:d} with "{text}"')
 def step_operator(context: Context, status: int, text: str) -> None:
-    page = type('Page', (_StatusPage,), {'status': status, 'text': text})
-    server = HTTPServer(('127.0.0.1', 0), page)
-    thread = Thread(target=server.serve_forever)
-    thread.start()
-    context.add_cleanup(thread.join)
-    context.add_cleanup(server.server_close)
-    context.add_cleanup(server.shutdown)
-    context.port = server.server_port
+    context.port = serve_page(context, status, text)
 
 
 @when('the status of that port is read')
