Let a fleet that starts at once trust its ledgers

Cause: an entry counted as synced only after a synced peer's report; where all start together nobody ever was. Levels were never aligned, and each announced load went on lifting all accounts to the side's virtual time.

--- a/src/sardinetrack/fairness/ledger.py
+++ b/src/sardinetrack/fairness/ledger.py
@@ -24,6 +24,7 @@
 mean. Charged in full at the start, such a request shuts its workspace out
 for as long as others need to catch up with work that was not done yet.
 """
+SYNC_SECONDS: Final = 5.0
 _COST_GAIN: Final = 0.05
 
 
@@ -83,6 +84,7 @@
         self._charges: dict[str, _Charge] = {}
         self._peers: dict[str, _Peer] = {}
         self._mean_cost = math.inf
+        self._began_seconds: float | None = None
 
     @property
     def live_peers(self) -> int:
@@ -127,6 +129,7 @@
         :param workspace: its name.
         :param waiting: requests that wait at this entry.
         """
+        self._grow_up(now)
         account = self.account(workspace)
         was_backlogged = account.backlogged
         account.waiting = waiting
@@ -251,6 +254,17 @@
             if account.changed_seconds >= changed_since_seconds
         )
 
+    def _grow_up(self, now: float) -> None:
+        """Trust the own levels after a while without any synced peer.
+
+        A fleet that starts all at once has none; without this it would
+        never align its levels.
+        """
+        if self._began_seconds is None:
+            self._began_seconds = now
+        elif now - self._began_seconds >= SYNC_SECONDS:
+            self.synced = True
+
     def _learn(self, cost: float) -> None:
         if not cost:
             return
--- a/src/sardinetrack/routing/reporting.py
+++ b/src/sardinetrack/routing/reporting.py
@@ -42,7 +42,8 @@
         elapsed_seconds = now - self._sent_seconds
         wanted = self._ledger.live_peers / MESSAGES_PER_REQUEST
         busy = self._dispatched >= max(1, wanted)
-        if elapsed_seconds < (SHORTEST_SECONDS if busy else LONGEST_SECONDS):
+        due_seconds = SHORTEST_SECONDS if busy else LONGEST_SECONDS
+        if elapsed_seconds < due_seconds:
             return ()
         rows = self._ledger.rows(now - _REPEAT_SECONDS)
         if not rows:
