--- a/src/sardinetrack/catalogue/editor.py
+++ b/src/sardinetrack/catalogue/editor.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass
 from typing import Final
 
@@ -22,6 +24,7 @@
 
 _NOTHING: Final = 0
 _ATTEMPTS: Final = 4
+_NO_REPLY: Final = 'every reply was lost'
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,20 +111,19 @@
         base_version = _base(key, current, expected_version)
         if current is None:
             return Edit(key, _NOTHING, changed=False)
-        await self._delete(key, base_version)
-        # The platform does not tell the version of a deletion; the revision
-        # now is not below it, so that who has it knows of the deletion.
-        after = await self.list()
-        return Edit(key, after.revision, changed=True)
+        version = await self._delete(key, base_version)
+        return Edit(key, version, changed=True)
 
     async def _write(self, entry: WrittenEntry, base_version: int) -> Edit:
-        attempts = 0
-        while attempts < _ATTEMPTS:
-            attempts += 1
-            stored = await self._try_write(entry, base_version)
-            if stored is not None:
-                return Edit(entry.key, stored.version, changed=True)
-        raise UncertainError('every reply was lost')
+        stored = await self._try_write(entry, base_version)
+        attempts = 1
+        with _uncertain_now():
+            while stored is None and attempts < _ATTEMPTS:
+                stored = await self._try_write(entry, base_version)
+                attempts += 1
+        if stored is None:
+            raise UncertainError(_NO_REPLY)
+        return Edit(entry.key, stored.version, changed=True)
 
     async def _try_write(
         self,
@@ -135,37 +137,50 @@
                 expected_version=base_version,
             )
         except UncertainError:
-            current = await self._read_back(entry.key)
+            current = _find(await self._read_back(), entry.key)
         except ConflictError as error:
             current = error.current
         return _settled(entry, base_version, current)
 
-    async def _delete(self, key: str, base_version: int) -> None:
-        attempts = 0
-        while attempts < _ATTEMPTS:
-            attempts += 1
-            if await self._try_delete(key, base_version):
-                return
-        raise UncertainError('every reply was lost')
-
-    async def _try_delete(self, key: str, base_version: int) -> bool:
+    async def _delete(self, key: str, base_version: int) -> int:
+        version = await self._try_delete(key, base_version)
+        attempts = 1
+        with _uncertain_now():
+            while version is None and attempts < _ATTEMPTS:
+                version = await self._try_delete(key, base_version)
+                attempts += 1
+        if version is None:
+            raise UncertainError(_NO_REPLY)
+        return version
+
+    async def _try_delete(self, key: str, base_version: int) -> int | None:
         try:
-            await self._platform.delete(key, expected_version=base_version)
-        except UncertainError:
-            current = await self._read_back(key)
-        except ConflictError as error:
-            current = error.current
-        else:
-            return True
-        if current is not None and current.version != base_version:
+            return await self._platform.delete(
+                key,
+                expected_version=base_version,
+            )
+        except (UncertainError, ConflictError):
+            listing = await self._read_back()
+        current = _find(listing, key)
+        if current is None:
+            return listing.revision
+        if current.version != base_version:
             raise LostRaceError(key, base_version, current)
-        return current is None
+        return None
 
-    async def _read_back(self, key: str) -> StoredObject | None:
-        try:
-            return await self._platform.get(key)
-        except PlatformError as error:
-            raise UncertainError(f'can not read back: {error}') from error
+    async def _read_back(self) -> Listing:
+        with _uncertain_now():
+            return await self.list()
+
+
+@contextmanager
+def _uncertain_now() -> Iterator[None]:
+    # The first write may still be on its way: that a later call was refused
+    # does not mean that nothing was or will be written.
+    try:
+        yield
+    except PlatformError as error:
+        raise UncertainError(str(error)) from error
 
 
 def _settled(
