Bound the bytes of waiting bodies; keep flowing answers past a broken link

Cause: waiting work is bounded by number only. 2,000 connections with bodies of 4 MB would hold 8 GB on an instance of 256 MB, and one workspace could take it all. Bodies now draw on a budget, a part of it for each workspace, before they are read; refused with queue_full beyond it.

Cause: a running attempt was given up 1.5 s after its side's control link had broken, also while the answer still flowed over its own connection. Now the answer must have been silent for 2 s as well. Shown first failing by the scenario "A stream that flows outlives the link of its side"?

--- a/src/sardinetrack/entry/attempt.py
+++ b/src/sardinetrack/entry/attempt.py
@@ -25,6 +25,7 @@
 from sardinetrack.routing.api import AttemptEnd, Dispatch
 
 _LOG: Final = logging.getLogger('sardinetrack.entry')
+_SILENCE_SECONDS: Final = 2.0
 _MARGIN_SECONDS: Final = 5.0
 """The side ends a run by its own clock first."""
 
@@ -59,6 +60,7 @@
         self._dispatcher = dispatcher
         self._began = dispatcher.clock()
         self._meter: Meter | None = None
+        self._relay: Relay | None = None
 
     async def run(self) -> AttemptResult:
         """Run to the end.
@@ -102,6 +104,10 @@
         scope: anyio.CancelScope,
     ) -> None:
         await self._sides.lost(side)
+        # The link may break alone while the answer still flows.
+        while self._silent_seconds() < _SILENCE_SECONDS:
+            await anyio.sleep(_SILENCE_SECONDS / 2)
+            await self._sides.lost(side)
         _LOG.warning(
             'entry: side %s lost during attempt %s',
             side.name,
@@ -140,23 +146,27 @@
                 return AttemptResult(AttemptEnd.FAILED)
             case Fate.UNKNOWN:
                 return None
-        await self._relay(reply)
+        await self._pass_on(reply)
         return AttemptResult(AttemptEnd.WHOLE, self._cost())
 
-    async def _relay(self, reply: RunReply) -> None:
+    async def _pass_on(self, reply: RunReply) -> None:
         self._meter = meter_for(
             self._call,
             reply.header('content-type') or '',
             self._dispatcher.clock,
             self._began,
         )
-        relay = Relay(
+        self._relay = Relay(
             self._call,
             self._caller,
             self._meter,
             self._progress,
         )
-        await relay.run(reply)
+        await self._relay.run(reply)
+
+    def _silent_seconds(self) -> float:
+        heard_at = self._relay.heard_at if self._relay else self._began
+        return anyio.current_time() - heard_at
 
     def _progress(self, cost: float) -> None:
         self._dispatcher.progress(self._dispatch, cost)
--- a/src/sardinetrack/entry/border.py
+++ b/src/sardinetrack/entry/border.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hashlib
 import logging
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
@@ -15,13 +14,15 @@
     error_document,
     error_headers,
 )
+from sardinetrack.entry.bodies import BodyBudget
 from sardinetrack.entry.gate import Gate
-from sardinetrack.entry.headers import bearer_token, caller_request_id
+from sardinetrack.entry.headers import caller_request_id
 from sardinetrack.entry.metrics import EntryMetrics
 from sardinetrack.entry.models import model_answer
 from sardinetrack.entry.reader import COMPLETIONS_PATH, CallReader, Origin
 from sardinetrack.entry.runner import CallRunner
 from sardinetrack.entry.services import SERVICES_PATH
+from sardinetrack.entry.tokens import authenticated
 from sardinetrack.errors.api import AnsweredError, ErrorKind
 from sardinetrack.errors.table import answer_for
 from sardinetrack.http.asgi import CallerGoneError, Exchange
@@ -49,6 +50,7 @@
         self._runner = runner
         self._gate = gate
         self._metrics = metrics
+        self._bodies = BodyBudget()
         self._numbers = count(1)
 
     async def handle(self, exchange: Exchange) -> None:
@@ -69,20 +71,12 @@
     async def _serve(self, exchange: Exchange, caller_id: str) -> None:
         handler = self._handler(exchange)
         with self._gate.passed():
-            origin = self._origin(exchange, caller_id)
-            await handler(exchange, origin)
-
-    def _origin(self, exchange: Exchange, caller_id: str) -> Origin:
-        token = bearer_token(exchange.header('authorization'))
-        if token is None:
-            raise AnsweredError(ErrorKind.UNAUTHENTICATED)
-        digest = hashlib.sha256(token.encode('latin-1')).hexdigest()
-        workspace = self._catalogue.workspace_by_token_hash(digest)
-        if workspace is None:
-            raise AnsweredError(ErrorKind.UNAUTHENTICATED)
-        # Callers choose their ids freely and may use one twice.
-        request_id = f'{caller_id}~{next(self._numbers)}'
-        return Origin(workspace, caller_id, request_id)
+            workspace = authenticated(exchange, self._catalogue)
+            # Callers choose their ids freely and may use one twice.
+            request_id = f'{caller_id}~{next(self._numbers)}'
+            with self._bodies.account(workspace.name) as account:
+                origin = Origin(workspace, caller_id, request_id, account)
+                await handler(exchange, origin)
 
     def _handler(self, exchange: Exchange) -> Handler:
         path = exchange.path
--- a/src/sardinetrack/entry/completions.py
+++ b/src/sardinetrack/entry/completions.py
@@ -24,7 +24,7 @@
 
     model: Annotated[str, msgspec.Meta(min_length=1, max_length=_LONGEST_NAME)]
     messages: Annotated[list[msgspec.Raw], msgspec.Meta(min_length=1)]
-    stream: bool = False
+    stream: bool | None = None
     max_tokens: _Count | None = None
     max_completion_tokens: _Count | None = None
 
--- a/src/sardinetrack/entry/dispatcher.py
+++ b/src/sardinetrack/entry/dispatcher.py
@@ -32,6 +32,10 @@
 class Outbox(ABC):
     """Where messages of the decisions go; posting never blocks."""
 
+    @abstractmethod
+    def backend_server(self, side: str) -> str:
+        """Name the backend server of a linked side, for the log."""
+
     @abstractmethod
     def to_side(self, side: str, message: Bids | Decline) -> None:
         """Post to the link of a side; dropped when it is down."""
@@ -102,10 +106,10 @@
         if ticket is not None:
             ticket.settled(dispatch)
         _LOG.info(
-            'entry: ended request=%s attempt=%s side=%s end=%s cost=%.3f',
+            'entry: ended request=%s attempt=%s server=%s end=%s cost=%.3f',
             dispatch.request_id,
             dispatch.attempt_id,
-            dispatch.side,
+            self._outbox.backend_server(dispatch.side),
             end.value,
             cost,
         )
@@ -157,10 +161,10 @@
                 answered=False,
             )
         _LOG.info(
-            'entry: dispatch request=%s workspace=%s side=%s reason=%s',
+            'entry: dispatch request=%s workspace=%s server=%s reason=%s',
             dispatch.request_id,
             ticket.work.workspace,
-            dispatch.side,
+            self._outbox.backend_server(dispatch.side),
             dispatch.reason,
         )
         ticket.decide(dispatch)
--- a/src/sardinetrack/entry/headers.py
+++ b/src/sardinetrack/entry/headers.py
@@ -70,18 +70,6 @@
     return uuid.uuid4().hex
 
 
-def bearer_token(given: str | None) -> str | None:
-    """Read the token of an ``Authorization`` header.
-
-    :param given: the header.
-    :return: the token, ``None`` when there is none.
-    """
-    scheme, _, token = (given or '').partition(' ')
-    if scheme.lower() != 'bearer':
-        return None
-    return token.strip() or None
-
-
 def _end_to_end(pairs: Pairs) -> Pairs:
     dropped = _HOP_BY_HOP | _named_by_connection(pairs)
     return [
--- a/src/sardinetrack/entry/linked.py
+++ b/src/sardinetrack/entry/linked.py
@@ -117,6 +117,11 @@
         if linked is not None:
             linked.down.set()
 
+    def backend_server(self, side: str) -> str:
+        """Name the backend server of a linked side."""
+        linked = self._sides.get(side)
+        return linked.known.backend_server if linked else ''
+
     def to_side(self, side: str, message: Bids | Decline) -> None:
         """Post to the link of a side."""
         link = self._links.get(side)
--- a/src/sardinetrack/entry/reader.py
+++ b/src/sardinetrack/entry/reader.py
@@ -9,6 +9,7 @@
 from sardinetrack.catalogue.api import Pool, Workspace
 from sardinetrack.catalogue.view import CatalogueView
 from sardinetrack.config.model import Bounds
+from sardinetrack.entry.bodies import BodyAccount
 from sardinetrack.entry.call import Call
 from sardinetrack.entry.completions import (
     ChatCompletion,
@@ -35,6 +36,8 @@
     caller_id: str
     request_id: str
     """Unique at this entry."""
+    account: BodyAccount
+    """Counts the bytes of the body."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,7 +74,11 @@
         :raises AnsweredError: it is refused.
         """
         key = _idempotency_key(exchange)
-        body = await self._body(exchange, self._bounds.max_body_bytes)
+        body = await self._body(
+            exchange,
+            origin.account,
+            self._bounds.max_body_bytes,
+        )
         asked = parse_completion(body)
         pool = self._catalogue.pool_by_model(asked.model)
         if pool is None:
@@ -100,6 +107,7 @@
             raise AnsweredError(ErrorKind.UNKNOWN_SERVICE)
         body = await self._body(
             exchange,
+            origin.account,
             min(self._bounds.max_body_bytes, pool.max_body_bytes),
         )
         repeatable = is_repeatable(
@@ -110,11 +118,19 @@
         target = _Target(pool, service.path, body, key, repeatable)
         return self._call(exchange, origin, target)
 
-    async def _body(self, exchange: Exchange, max_bytes: int) -> bytes:
-        told = exchange.header('content-length') or ''
-        if told.isdecimal() and int(told) > max_bytes:
+    async def _body(
+        self,
+        exchange: Exchange,
+        account: BodyAccount,
+        max_bytes: int,
+    ) -> bytes:
+        told_bytes = _told_bytes(exchange)
+        if told_bytes is not None and told_bytes > max_bytes:
             raise AnsweredError(ErrorKind.BODY_TOO_LARGE)
-        return await exchange.body(max_bytes, self._bounds.body_seconds)
+        account.hold(max_bytes if told_bytes is None else told_bytes)
+        body = await exchange.body(max_bytes, self._bounds.body_seconds)
+        account.hold(len(body))
+        return body
 
     def _call(
         self,
@@ -161,6 +177,13 @@
         )
 
 
+def _told_bytes(exchange: Exchange) -> int | None:
+    """Return the body's size, ``None`` when it comes in chunks."""
+    if exchange.header('transfer-encoding') is not None:
+        return None
+    return int(exchange.header('content-length') or 0)
+
+
 def _prompt_cost(target: _Target) -> float:
     if target.completion is None:
         return 0
--- a/src/sardinetrack/entry/relay.py
+++ b/src/sardinetrack/entry/relay.py
@@ -47,6 +47,8 @@
         self._meter = meter
         self._on_progress = on_progress
         self._told_at = anyio.current_time()
+        self.heard_at = self._told_at
+        """When the side was last heard, for a watch over its silence."""
 
     async def run(self, reply: RunReply) -> None:
         """Relay the answer.
@@ -78,12 +80,17 @@
         reply: RunReply,
     ) -> AsyncIterator[bytes]:
         try:
-            async for chunk in reply.chunks():
+            async for chunk in self._heard(reply):
                 yield chunk
         except BrokenError:
             if not self._meter.has_terminal:
                 raise
 
+    async def _heard(self, reply: RunReply) -> AsyncIterator[bytes]:
+        async for chunk in reply.chunks():
+            self.heard_at = anyio.current_time()
+            yield chunk
+
     async def _pass_on(self, status: int, headers: Pairs, ready: bytes) -> None:
         if not ready:
             return
@@ -93,7 +100,7 @@
 
     async def _relay_held(self, reply: RunReply, headers: Pairs) -> None:
         held = bytearray()
-        async for chunk in reply.chunks():
+        async for chunk in self._heard(reply):
             held += self._meter.feed(chunk)
             if len(held) > _MOST_HELD_BYTES:
                 await self._pass_on(reply.status, headers, bytes(held))
@@ -105,7 +112,7 @@
 
     async def _relay_pieces(self, reply: RunReply, headers: Pairs) -> None:
         await self._caller.begin(reply.status, headers)
-        async for chunk in reply.chunks():
+        async for chunk in self._heard(reply):
             await self._caller.write(self._meter.feed(chunk))
             self._tell_progress()
         await self._caller.finish()
--- a/tests/entry/relay.feature
+++ b/tests/entry/relay.feature
@@ -76,6 +76,14 @@
       | streams 2 events and ends without a terminal |
       | streams 2 events, half of one, and breaks    |
 
+  Scenario: A stream that flows outlives the link of its side
+    The control link breaks for good while events still come. The answer is
+    not given up for that, and the caller gets the whole of it.
+    Given "side-a" streams 8 events slowly and the terminal
+    And a caller waits for a streamed completion
+    When the link of "side-a" is cut for good
+    Then all waiting callers get their whole answers
+
   Scenario: A service's answer that is cut never looks complete
     Given "side-c" answers 2 pieces of 200000 bytes and breaks
     When a caller sends GET to "/services/chart-api/charts" with body ""
