--- a/tests/entry/relay.feature
+++ b/tests/entry/relay.feature
@@ -76,6 +76,14 @@
       | streams 2 events and ends without a terminal |
       | streams 2 events, half of one, and breaks    |
 
+  Scenario: A stream that flows outlives the link of its side
+    The control link breaks for good while events still come. The answer is
+    not given up for that, and the caller gets the whole of it.
+    Given "side-a" streams 8 events slowly and the terminal
+    And a caller waits for a streamed completion
+    When the link of "side-a" is cut for good
+    Then all waiting callers get their whole answers
+
   Scenario: A service's answer that is cut never looks complete
     Given "side-c" answers 2 pieces of 200000 bytes and breaks
     When a caller sends GET to "/services/chart-api/charts" with body ""
@@ -86,10 +94,8 @@
     the caller, and the request may be repeated: the caller only sees the
     second engine's answer.
     Given side "side-b" of pool "ice-llm" is linked
-    And "side-a" breaks a plain answer
-    And "side-b" breaks a plain answer
-    And "side-a" answers a completion of 40 tokens
-    And "side-b" answers a completion of 40 tokens
+    And whichever side is asked first breaks a plain answer
+    And the next one answers a completion of 40 tokens
     And the sides answer questions with "failed"
     When a caller asks for a plain completion
     Then the answer has status 200 and is whole
@@ -105,13 +111,13 @@
 
   Scenario: A caller that vanishes stops its request
     Given "side-a" holds its answer
-    When a caller asks for a streamed completion and vanishes
+    When a caller asks for a streamed completion and vanishes while it runs
     Then "side-a" sees its connection broken off
     And no request is open
 
   Scenario: A caller that vanishes while it waits is forgotten
     Given all sides are busy
-    When a caller asks for a streamed completion and vanishes
+    When a caller asks for a streamed completion and vanishes while it waits
     Then no request is open
     And no side has received an order
 
