Set the log level that a side's test reads lines at

Cause: the test of the decision line relied on behave's default level, which a setting of behave had raised to WARNING; the lines were hidden, not missing. Ruled out: the side itself (its lines show in local mode). Also: one import of msgspec in catalogue.ask, a shorter line in local mode.

--- a/src/sardinetrack/catalogue/ask.py
+++ b/src/sardinetrack/catalogue/ask.py
@@ -8,7 +8,6 @@
 
 import anyio
 import msgspec
-from msgspec import Struct
 
 from sardinetrack.catalogue.rollout import ConfigStatus
 from sardinetrack.http.client import BrokenError, HttpClient, NotSentError
@@ -20,12 +19,12 @@
 _ASK_SECONDS: Final = 1.0
 
 
-class _Rejected(Struct, frozen=True):
+class _Rejected(msgspec.Struct, frozen=True):
     key: str
     reasons: tuple[str, ...]
 
 
-class _EntryPage(Struct, frozen=True):
+class _EntryPage(msgspec.Struct, frozen=True):
     instance: str
     revision: int
     digest: str
@@ -41,7 +40,7 @@
         )
 
 
-class _SidePage(Struct, frozen=True):
+class _SidePage(msgspec.Struct, frozen=True):
     instance: str
     configuration: ConfigDigest
 
--- a/src/sardinetrack/compose/local.py
+++ b/src/sardinetrack/compose/local.py
@@ -76,12 +76,13 @@
                 open_entry(self._entry_settings()),
             )
             await wait_ready(self._operator_urls())
+            operator_url = self._entry.operator.url
             yield LocalReady(
                 entry_url=self._entry.callers.url,
                 token=self._token,
                 model=MODEL,
                 service=SERVICE_POOL,
-                metrics_url=f'{self._entry.operator.url}/metrics',
+                metrics_url=f'{operator_url}/metrics',
             )
 
     async def run(self) -> None:
--- a/tests/side/steps/side_steps.py
+++ b/tests/side/steps/side_steps.py
@@ -69,7 +69,9 @@
 
 def _open(context: Any, pool: Any, *, revision: int) -> None:
     context.lines = _Lines()
-    logging.getLogger('sardinetrack.side').addHandler(context.lines)
+    logger = logging.getLogger('sardinetrack.side')
+    logger.setLevel(logging.INFO)
+    logger.addHandler(context.lines)
     context.world = _enter(context, running_side(pool))
     if revision:
         context.portal.call(_configure, context.world, revision)
