Place a newcomer one charge lower, and judge bids by the youngest knowledge

A workspace that becomes backlogged started at the least tag, but tags include what running requests are charged ahead. And sides compared its fresh tag with stale, too low tags of others until each entry had sent another order. Now the floor lies one charge (two mean costs) below the least tag; bids also tell the tags of workspaces that wait only at other entries (rows with no waiting work); a side takes the highest tag among rows younger than 0.5 s, else the youngest. MESSAGES: a BidRow may now have waiting 0.

--- a/src/sardinetrack/admission/board.py
+++ b/src/sardinetrack/admission/board.py
@@ -9,6 +9,13 @@
 
 from sardinetrack.messages.api import BidRow, Bids
 
+FRESH_SECONDS: Final = 0.5
+"""Among rows so young the highest tag counts, else the youngest row.
+
+Of two entries that speak of one workspace, the one that saw more of its
+service tells the higher tag; but an old row may be high because a charge
+was trued down since.
+"""
 BIDS_KEEP_SECONDS: Final = 20.0
 """Bids not refreshed for so long are dropped."""
 
@@ -179,10 +186,17 @@
 
     def _tags(self) -> dict[str, float]:
         tags: dict[str, float] = {}
-        for link in self._links.values():
+        links = sorted(
+            self._links.values(),
+            key=lambda link: link.heard_seconds,
+            reverse=True,
+        )
+        for link in links:
+            age_seconds = links[0].heard_seconds - link.heard_seconds
             for row in link.rows.values():
                 known = tags.get(row.workspace, row.tag)
-                tags[row.workspace] = max(known, row.tag)
+                higher = row.tag > known and age_seconds < FRESH_SECONDS
+                tags[row.workspace] = row.tag if higher else known
         for charged, charge in self._pending_charges():
             tag = tags.get(charged)
             if tag is not None:
--- a/src/sardinetrack/fairness/ledger.py
+++ b/src/sardinetrack/fairness/ledger.py
@@ -111,6 +111,14 @@
         """Iterate over the accounts with waiting work anywhere."""
         return (one for one in self._accounts.values() if one.backlogged)
 
+    def backlogged_elsewhere(self) -> Iterable[tuple[str, float]]:
+        """Iterate over tags of workspaces with work at peers."""
+        return (
+            (name, account.tag)
+            for name, account in self._accounts.items()
+            if account.peer_waiting > 0
+        )
+
     def meet(self, virtual_time: float) -> None:
         """Take over the fleet's virtual time when starting empty.
 
@@ -314,9 +322,17 @@
         account.level += DRIFT_GAIN * (level - account.level)
 
     def _lift(self, account: Account) -> None:
+        """Lift an account that becomes backlogged, so idle time earns nothing.
+
+        The floor is one charge below the least tag: the others were charged
+        for what they run, and a newcomer at their level would have to wait
+        until all that is charged ahead has been delivered.
+        """
         others = (one.tag for one in self.backlogged() if one is not account)
         floor = min(others, default=self.virtual_time)
         self.virtual_time = floor
+        if not math.isinf(self._mean_cost):
+            floor -= CHARGED_MEANS * self._mean_cost
         account.level += max(0, floor - account.tag)
 
     def _advance(self, account: Account) -> None:
--- a/src/sardinetrack/routing/order.py
+++ b/src/sardinetrack/routing/order.py
@@ -63,8 +63,19 @@
         """Compute the present bids for a side."""
         names = [one for one in self._queue.workspaces() if self.room(one) > 0]
         names.sort(key=self._ledger.tag)
-        rows = tuple(self._row(name) for name in names[:MAX_ROWS])
-        return Bids(pool, side.grants_seen, rows)
+        rows = [self._row(name) for name in names[:MAX_ROWS]]
+        rows.extend(self._known(names, MAX_ROWS - len(rows)))
+        return Bids(pool, side.grants_seen, tuple(rows))
+
+    def _known(self, names: list[str], count: int) -> list[BidRow]:
+        """Tell tags of workspaces that wait only at other entries."""
+        others = [
+            BidRow(name, tag, 0, 0)
+            for name, tag in self._ledger.backlogged_elsewhere()
+            if name not in names
+        ]
+        others.sort(key=lambda row: row.tag)
+        return others[: max(0, count)]
 
     def _place(self, workspace: str) -> tuple[float, int, float]:
         account = self._ledger.account(workspace)
