Serve a workspace's requests evenly across entries

Cause: where several entries held work of one workspace, a side granted to the longest line, and the entry then picked by its own tags, which differ a little between entries. Some entries' requests waited ten to twenty times longer than others of the same workspace. Now a side weighs waiting work by the time without a grant, and a grant names the workspace that earned it, which the entry takes if its tag is at most one charge above its lowest. MESSAGES: Grant.workspace, default empty. Ruled out: starvation as the cause of waits of 100 s; those lines were full and drained at their share.

--- a/src/sardinetrack/admission/board.py
+++ b/src/sardinetrack/admission/board.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -42,6 +42,8 @@
     grants: dict[int, OpenGrant] = field(default_factory=dict)
     """Grants whose charge the rows don't include yet."""
     last_number: int = 0
+    granted_seconds: dict[str, float] = field(default_factory=dict)
+    """When each workspace last got a grant here."""
     heard_seconds: float = 0
 
 
@@ -52,8 +54,8 @@
     entry: str
     row: BidRow
     tag: float
-    spare: int
-    """Waiting requests that no grant covers."""
+    claim: float
+    """Waiting requests that no grant covers, times seconds without one."""
 
 
 class BidBoard:
@@ -94,16 +96,20 @@
             self.close(entry, number)
         link.grants = {}
 
-    def best(self) -> Candidate | None:
-        """Find the lowest tag with waiting work that no grant covers."""
+    def best(self, now: float) -> Candidate | None:
+        """Find the lowest tag with waiting work that no grant covers.
+
+        Where several entries bid for one workspace, all have its tag; each
+        gets grants in proportion to its waiting work. By the longest line
+        alone, one entry's requests would wait for ever.
+
+        :param now: monotonic time.
+        :return: who comes next, ``None`` when nobody waits.
+        """
         tags = self._tags()
-        candidates = (
-            Candidate(entry, row, tags[row.workspace], spare)
-            for entry, row, spare in self._spare()
-        )
         return min(
-            candidates,
-            key=lambda one: (one.tag, -one.spare),
+            self._candidates(now, tags),
+            key=lambda one: (one.tag, -one.claim),
             default=None,
         )
 
@@ -129,6 +135,7 @@
             now,
             now + valid_seconds,
         )
+        link.granted_seconds[candidate.row.workspace] = now
         self.open_grants += 1
         return link.last_number
 
@@ -211,10 +218,16 @@
     def _pending_of(self, link: _Link) -> Iterator[OpenGrant]:
         return (one for one in link.grants.values() if not one.included)
 
-    def _spare(self) -> Iterator[tuple[str, BidRow, int]]:
+    def _candidates(
+        self,
+        now: float,
+        tags: Mapping[str, float],
+    ) -> Iterator[Candidate]:
         for entry, link in self._links.items():
             taken = Counter(grant.workspace for grant in self._pending_of(link))
-            for row in link.rows.values():
-                spare = row.waiting - taken[row.workspace]
+            for name, row in link.rows.items():
+                spare = row.waiting - taken[name]
                 if spare > 0:
-                    yield entry, row, spare
+                    last_seconds = link.granted_seconds.get(name, 0)
+                    claim = spare * (now - last_seconds)
+                    yield Candidate(entry, row, tags[name], claim)
--- a/src/sardinetrack/admission/slots.py
+++ b/src/sardinetrack/admission/slots.py
@@ -254,7 +254,7 @@
     def _grant_spare(self, now: float) -> Sequence[SideEffect]:
         effects: list[SideEffect] = []
         for _ in range(self._room):
-            candidate = self._board.best()
+            candidate = self._board.best(now)
             if candidate is None:
                 break
             effects.append(self._grant(now, candidate))
@@ -264,7 +264,8 @@
         valid_seconds = self._staging.valid_seconds
         number = self._board.grant(now, candidate, valid_seconds)
         self._virtual_time = max(self._virtual_time, candidate.tag)
-        return SendGrant(candidate.entry, Grant(number, valid_seconds))
+        grant = Grant(number, valid_seconds, candidate.row.workspace)
+        return SendGrant(candidate.entry, grant)
 
     def _announce(self, now: float) -> SideEffect:
         self._announced = (self._free, now)
--- a/src/sardinetrack/fairness/ledger.py
+++ b/src/sardinetrack/fairness/ledger.py
@@ -86,6 +86,11 @@
         self._mean_cost = math.inf
         self._began_seconds: float | None = None
 
+    @property
+    def charge_ahead(self) -> float:
+        """Most that one request is charged ahead at weight 1."""
+        return CHARGED_MEANS * self._mean_cost
+
     @property
     def live_peers(self) -> int:
         """Count the entries that report."""
@@ -163,7 +168,7 @@
         """
         account = self.account(workspace)
         self._advance(account)
-        most = CHARGED_MEANS * self._mean_cost / weight
+        most = self.charge_ahead / weight
         charge = _Charge(workspace, weight, hint / weight, most)
         self._charges[attempt_id] = charge
         account.outstanding += charge.outstanding
@@ -331,8 +336,8 @@
         others = (one.tag for one in self.backlogged() if one is not account)
         floor = min(others, default=self.virtual_time)
         self.virtual_time = floor
-        if not math.isinf(self._mean_cost):
-            floor -= CHARGED_MEANS * self._mean_cost
+        if math.isfinite(self.charge_ahead):
+            floor -= self.charge_ahead
         account.level += max(0, floor - account.tag)
 
     def _advance(self, account: Account) -> None:
--- a/src/sardinetrack/messages/api.py
+++ b/src/sardinetrack/messages/api.py
@@ -47,6 +47,8 @@
     number: int
     """Counts up for each link."""
     valid_seconds: float
+    workspace: str = ''
+    """Whose bid earned it; taken if its tag is still near the lowest."""
 
 
 class Decline(Struct, frozen=True, tag='decline'):
--- a/src/sardinetrack/routing/order.py
+++ b/src/sardinetrack/routing/order.py
@@ -35,11 +35,22 @@
         self._sides = sides
         self._attempts = attempts
 
-    def lowest(self, now: float, side: Side | None) -> str | None:
+    def lowest(
+        self,
+        now: float,
+        side: Side | None,
+        granted: str = '',
+    ) -> str | None:
         """Find the workspace that comes next.
 
+        A grant's workspace is taken when its tag is at most one charge above
+        the lowest. Tags of different entries differ by that much; by the own
+        lowest alone, a workspace that is served through other entries would
+        be passed over here for ever.
+
         :param now: monotonic time.
         :param side: where its work would go, ``None`` while that is open.
+        :param granted: the workspace that a grant names.
         :return: the workspace, ``None`` when nothing may run there.
         """
         names = [
@@ -47,7 +58,11 @@
             for name in self._queue.workspaces()
             if self.room(name) > 0 and not self._blocked(now, name, side)
         ]
-        return min(names, key=self._place, default=None)
+        lowest = min(names, key=self._place, default=None)
+        if lowest is None or granted not in names:
+            return lowest
+        ahead = self._ledger.tag(granted) - self._ledger.tag(lowest)
+        return granted if ahead <= self._ledger.charge_ahead else lowest
 
     def room(self, workspace: str) -> int:
         """Tell how many more requests a workspace may run."""
--- a/src/sardinetrack/routing/pool.py
+++ b/src/sardinetrack/routing/pool.py
@@ -32,6 +32,8 @@
 REFRESH_SECONDS: Final = 6.0
 _HOLD_SECONDS: Final = 4.0
 _NO_SIDE_SECONDS: Final = 2.0
+_DIRECT: Final = Grant(0, 0)
+"""Stands for no grant."""
 
 
 class PoolRouter:
@@ -104,7 +106,7 @@
             side = self.sides.free(now, affinity)
             if side is None:
                 return effects
-            step = self._next(now, side, 0, 'free slot')
+            step = self._next(now, side, _DIRECT, 'free slot')
             if step is None:
                 return effects
             effects.append(step)
@@ -122,7 +124,7 @@
         side.grants_seen = max(side.grants_seen, grant.number)
         effects: list[EntryEffect] = []
         while side.breaker.allows(now):
-            step = self._next(now, side, grant.number, 'granted')
+            step = self._next(now, side, grant, 'granted')
             if step is None:
                 break
             effects.append(step)
@@ -199,10 +201,10 @@
         self,
         now: float,
         side: Side,
-        grant: int,
+        grant: Grant,
         reason: str,
     ) -> Dispatch | Reject | None:
-        workspace = self._order.lowest(now, side)
+        workspace = self._order.lowest(now, side, grant.workspace)
         if workspace is None:
             return None
         affinity = self.queue.head(workspace).work.affinity
@@ -216,7 +218,7 @@
         strikes = self._shared.strikes
         if strikes.condemned_seconds(now, waiting.work.fingerprint) > 0:
             return give_up(waiting, ErrorKind.CRASHES_SERVERS)
-        return self._dispatch(now, waiting, side, grant, reason)
+        return self._dispatch(now, waiting, side, grant.number, reason)
 
     def _dispatch(
         self,
