Assert the promises inside the program, and the gap's bound in the driver

Cause: the promises were only measured. The driver asserts the gap against the promised bound: per slot that a workspace held (by weight), one largest request and what a slot delivers while a report is stale. The mean cost starts with the first hint, so that the first charges are bounded too.

--- a/benchmarks/policy/__main__.py
+++ b/benchmarks/policy/__main__.py
@@ -35,6 +35,7 @@
     'policy',
     'gap',
     'after',
+    'bound',
     'idle %',
     'messages',
     'bytes',
@@ -80,6 +81,7 @@
     numbers = (
         max(one.gap for one in figures),
         max(one.gap_after for one in figures),
+        max(one.bound for one in figures),
         100 * max(one.idle for one in figures),
         mean([one.messages for one in figures]),
         mean([one.message_bytes for one in figures]),
--- a/benchmarks/policy/carrier.py
+++ b/benchmarks/policy/carrier.py
@@ -217,6 +217,7 @@
         self._world.stop_waiting(request)
         running = Running(request, attempt_id, now)
         side.running[attempt_id] = running
+        self._world.meter.hold(demand.workspace)
         self._world.events.after(
             demand.cost * self._world.unit_seconds,
             partial(self._finish, side, running),
--- a/benchmarks/policy/faults.py
+++ b/benchmarks/policy/faults.py
@@ -34,21 +34,24 @@
 
 def partition(world: World) -> None:
     """Cut the fleet into halves for a minute."""
-    world.events.after(FAULT_SECONDS, partial(_cut, world))
+    world.events.after(FAULT_SECONDS, partial(cut, world))
+    healed_seconds = FAULT_SECONDS + PARTITION_SECONDS
+    world.events.after(healed_seconds, partial(heal, world))
 
 
-def _cut(world: World) -> None:
+def cut(world: World) -> None:
+    """Cut all links between the halves."""
     world.account()
     domains = world.shape.domains
     for side in world.sides.values():
         world.links.half[side.name] = domains.index(side.domain) % 2
     for number, name in enumerate(world.entries):
         world.links.half[name] = number % 2
-    world.events.after(DETECT_SECONDS, partial(_notice, world))
-    world.events.after(PARTITION_SECONDS, partial(_heal, world))
+    world.events.after(DETECT_SECONDS, partial(notice, world))
 
 
-def _notice(world: World) -> None:
+def notice(world: World) -> None:
+    """Let both ends of all cut links notice."""
     for node in list(world.entries.values()):
         for side in world.sides.values():
             if world.links.cut(node.name, side.name):
@@ -91,7 +94,8 @@
     world.at_side(side, side.epoch, lost, node.name)
 
 
-def _heal(world: World) -> None:
+def heal(world: World) -> None:
+    """Mend all cut links."""
     cut = [
         (node, side)
         for node in world.entries.values()
@@ -106,20 +110,21 @@
 
 def entry_restarts(world: World) -> None:
     """Replace an entry by one that starts empty."""
-    world.events.after(FAULT_SECONDS, partial(_kill_entry, world))
+    world.events.after(FAULT_SECONDS, partial(kill_entry, world))
     world.events.after(
         FAULT_SECONDS + RESTART_SECONDS,
-        partial(_revive_entry, world),
+        partial(revive_entry, world),
     )
 
 
 def entry_lost(world: World) -> None:
     """Lose an entry, and what only its ledger held, for good."""
-    world.events.after(FAULT_SECONDS, partial(_kill_entry, world))
+    world.events.after(FAULT_SECONDS, partial(kill_entry, world))
 
 
-def _kill_entry(world: World) -> None:
-    node = world.entries['e1']
+def kill_entry(world: World, name: str = 'e1') -> None:
+    """End an entry with all that only it knew."""
+    node = world.entries[name]
     node.attempts.clear()
     for side in world.sides.values():
         _forget_entry(world, node, side)
@@ -133,36 +138,39 @@
             world.at_entry(other, other.routing.peer_lost, node.name)
 
 
-def _revive_entry(world: World) -> None:
-    world.links.down.discard('e1')
-    world.add_entry('e1', 1)
+def revive_entry(world: World, name: str = 'e1', epoch: int = 1) -> None:
+    """Start an entry that knows nothing."""
+    world.links.down.discard(name)
+    world.add_entry(name, epoch)
 
 
 def side_restarts(world: World) -> None:
     """Restart a side with an empty memory."""
-    world.events.after(FAULT_SECONDS, partial(_kill_side, world))
+    world.events.after(FAULT_SECONDS, partial(kill_side, world))
     world.events.after(
         FAULT_SECONDS + RESTART_SECONDS,
-        partial(_revive_side, world),
+        partial(revive_side, world),
     )
 
 
-def _kill_side(world: World) -> None:
-    side = world.sides['s1']
+def kill_side(world: World, name: str = 's1') -> None:
+    """End a side and what runs at it."""
+    side = world.sides[name]
     for node in list(world.entries.values()):
         break_link(world, node, side)
     world.account()
     world.links.down.add(side.name)
 
 
-def _revive_side(world: World) -> None:
-    side = world.sides['s1']
+def revive_side(world: World, name: str = 's1') -> None:
+    """Start a side that knows nothing."""
+    side = world.sides[name]
     world.account()
     world.links.down.discard(side.name)
     side.epoch += 1
     side.orders.clear()
     side.admission = world.policy.admission(
-        f's1.{side.epoch}',
+        f'{name}.{side.epoch}',
         world.shape.slots,
     )
     for node in list(world.entries.values()):
--- a/benchmarks/policy/meter.py
+++ b/benchmarks/policy/meter.py
@@ -22,8 +22,11 @@
         self.idle_seconds: float = 0
         self.busy_seconds: float = 0
         self.slot_seconds: float = 0
+        self.peak: Counter[str] = Counter()
+        """Most slots that each workspace held at once."""
         self._service = _Gaps()
         self._waiting: Counter[str] = Counter()
+        self._held: Counter[str] = Counter()
         self._largest: float = 0
         self._accounted: float = 0
 
@@ -41,6 +44,19 @@
         if not self._waiting[workspace]:
             self._service.emptied.add(workspace)
 
+    def hold(self, workspace: str) -> None:
+        """Note a slot taken."""
+        self._held[workspace] += 1
+        self.peak[workspace] = max(
+            self.peak[workspace],
+            self._held[workspace],
+        )
+
+    def release(self, workspace: str, cost: float) -> None:
+        """Note a slot freed, and what it delivered."""
+        self._held[workspace] -= 1
+        self.delivered[workspace] += cost
+
     def elapsed(self, now: float) -> float:
         """Tell the time since the last call."""
         seconds = now - self._accounted
@@ -73,6 +89,18 @@
         }
         self._service.sample(now, service)
 
+    def bound(self, stale_units: float) -> float:
+        """Compute the promised gap in units of the largest request.
+
+        A workspace may be ahead by one largest request for each slot that it
+        holds, and by what it gets there before others hear of it.
+
+        :param stale_units: service of one slot in the staleness of ledgers.
+        :return: the bound for the slots that were held in this run.
+        """
+        slots = max(self.peak[one.name] / one.weight for one in self.tenants)
+        return slots * (self._largest + stale_units) / self._largest
+
     def reset_pairs(self) -> None:
         """Start all intervals anew, to see the gap after a fault."""
         self._service.pairs = {}
--- a/benchmarks/policy/run.py
+++ b/benchmarks/policy/run.py
@@ -6,6 +6,7 @@
 from random import Random
 from typing import Final
 
+from benchmarks.policy.fair import FairPolicy
 from benchmarks.policy.faults import (
     FAULT_SECONDS,
     FAULTS,
@@ -22,8 +23,13 @@
     tenants,
 )
 from benchmarks.policy.world import World
+from sardinetrack.fairness.invariant import ensure
 
 WARM_SECONDS: Final = 5.0
+STALE_SECONDS: Final = 2.0
+"""Longest time between reports of an entry."""
+BOUNDED_CASES: Final = ('none', 'delay', 'flood', 'same minute')
+"""Cases in which the promised bound is asserted."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,6 +38,7 @@
 
     gap: float
     gap_after: float
+    bound: float
     idle: float
     busy: float
     messages: float
@@ -68,7 +75,10 @@
     healed = FAULT_SECONDS + PARTITION_SECONDS
     world.events.after(healed + WARM_SECONDS, world.meter.reset_pairs)
     world.run(demands)
-    return _figures(world, healed + WARM_SECONDS)
+    figures = _figures(world, healed + WARM_SECONDS)
+    if isinstance(policy, FairPolicy) and case in BOUNDED_CASES:
+        ensure(figures.gap <= figures.bound, 'the gap keeps its bound')
+    return figures
 
 
 def _same_minute(
@@ -91,10 +101,12 @@
 def _figures(world: World, healed: float) -> Figures:
     meter = world.meter
     requests = max(1, meter.counts['whole'])
+    stale_seconds = STALE_SECONDS + 2 * world.links.added_seconds
     mean = world.shape.mean_run_seconds
     return Figures(
         gap=meter.gap(0, healed),
         gap_after=meter.gap(healed, world.shape.seconds),
+        bound=meter.bound(stale_seconds / world.unit_seconds),
         idle=meter.idle_seconds / meter.slot_seconds,
         busy=meter.busy_seconds / meter.slot_seconds,
         messages=sum(world.links.messages.values()) / requests,
--- a/benchmarks/policy/world.py
+++ b/benchmarks/policy/world.py
@@ -145,7 +145,7 @@
         running.ended = True
         side.running.pop(running.attempt_id)
         cost = self.cost_so_far(running)
-        self.meter.delivered[running.request.demand.workspace] += cost
+        self.meter.release(running.request.demand.workspace, cost)
         self.at_side(
             side,
             side.epoch,
--- a/src/sardinetrack/admission/board.py
+++ b/src/sardinetrack/admission/board.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from sardinetrack.fairness.invariant import ensure
 from sardinetrack.messages.api import BidRow, Bids
 
 FRESH_SECONDS: Final = 0.5
@@ -179,6 +180,15 @@
             expired += self._expire_grants(now, entry, link)
         return expired
 
+    def check(self) -> None:
+        """Check that each slot set aside belongs to one open grant."""
+        counted = sum(
+            grant.open
+            for link in self._links.values()
+            for grant in link.grants.values()
+        )
+        ensure(counted == self.open_grants, 'slots set aside are conserved')
+
     def _expire_grants(self, now: float, entry: str, link: _Link) -> int:
         expired = 0
         for number, grant in list(link.grants.items()):
--- a/src/sardinetrack/admission/slots.py
+++ b/src/sardinetrack/admission/slots.py
@@ -142,6 +142,7 @@
     def tick(self, now: float) -> Sequence[SideEffect]:
         """Expire grants, held requests and old records."""
         self._board.expire(now)
+        self._board.check()
         self._book.forget(now)
         effects: list[SideEffect] = []
         for attempt_id, held in list(self._held.items()):
@@ -261,6 +262,7 @@
         return effects
 
     def _grant(self, now: float, candidate: Candidate) -> SideEffect:
+        ensure(not self._draining, 'a draining side grants nothing')
         valid_seconds = self._staging.valid_seconds
         number = self._board.grant(now, candidate, valid_seconds)
         self._virtual_time = max(self._virtual_time, candidate.tag)
--- /dev/null
+++ b/src/sardinetrack/fairness/account.py
@@ -0,0 +1,58 @@
+"""Records of the ledger."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from sardinetrack.messages.api import ServiceRow
+
+
+@dataclass(slots=True)
+class Account:
+    """What one workspace received and holds, in cost units per weight."""
+
+    level: float = 0
+    service: float = 0
+    outstanding: float = 0
+    running: int = 0
+    waiting: int = 0
+    peer_outstanding: float = 0
+    peer_running: int = 0
+    peer_waiting: int = 0
+    changed_seconds: float = 0
+
+    @property
+    def tag(self) -> float:
+        """Virtual time of the workspace."""
+        return self.level + self.outstanding + self.peer_outstanding
+
+    @property
+    def backlogged(self) -> bool:
+        """Whether work waits at any entry, as far as known."""
+        return self.waiting > 0 or self.peer_waiting > 0
+
+
+@dataclass(slots=True)
+class Charge:
+    """What a running request is charged ahead, per weight."""
+
+    workspace: str
+    weight: float
+    hint: float
+    most: float
+    """Charged ahead at most."""
+    settled: float = 0
+
+    @property
+    def outstanding(self) -> float:
+        """Charged and not settled."""
+        return min(self.most, max(0, self.hint - self.settled))
+
+
+@dataclass(slots=True)
+class Peer:
+    """The last word of another entry."""
+
+    incarnation: str
+    live: bool = True
+    rows: dict[str, ServiceRow] = field(default_factory=dict)
--- a/src/sardinetrack/fairness/ledger.py
+++ b/src/sardinetrack/fairness/ledger.py
@@ -9,9 +9,10 @@
 
 import math
 from collections.abc import Iterable
-from dataclasses import dataclass, field
 from typing import Final
 
+from sardinetrack.fairness.account import Account, Charge, Peer
+from sardinetrack.fairness.invariant import ensure
 from sardinetrack.messages.api import ServiceReport, ServiceRow
 
 DRIFT_GAIN: Final = 0.125
@@ -26,51 +27,7 @@
 """
 SYNC_SECONDS: Final = 5.0
 _COST_GAIN: Final = 0.05
-
-
-@dataclass(slots=True)
-class Account:
-    """What one workspace received and holds, in cost units per weight."""
-
-    level: float = 0
-    service: float = 0
-    outstanding: float = 0
-    running: int = 0
-    waiting: int = 0
-    peer_outstanding: float = 0
-    peer_running: int = 0
-    peer_waiting: int = 0
-    changed_seconds: float = 0
-
-    @property
-    def tag(self) -> float:
-        """Virtual time of the workspace."""
-        return self.level + self.outstanding + self.peer_outstanding
-
-    @property
-    def backlogged(self) -> bool:
-        """Whether work waits at any entry, as far as known."""
-        return self.waiting > 0 or self.peer_waiting > 0
-
-
-@dataclass(slots=True)
-class _Charge:
-    workspace: str
-    weight: float
-    hint: float
-    most: float
-    settled: float = 0
-
-    @property
-    def outstanding(self) -> float:
-        return min(self.most, max(0, self.hint - self.settled))
-
-
-@dataclass(slots=True)
-class _Peer:
-    incarnation: str
-    live: bool = True
-    rows: dict[str, ServiceRow] = field(default_factory=dict)
+_ROUNDING: Final = 1e-6
 
 
 class Ledger:
@@ -81,8 +38,8 @@
         self.virtual_time = float(0)
         self.synced = False
         self._accounts: dict[str, Account] = {}
-        self._charges: dict[str, _Charge] = {}
-        self._peers: dict[str, _Peer] = {}
+        self._charges: dict[str, Charge] = {}
+        self._peers: dict[str, Peer] = {}
         self._mean_cost = math.inf
         self._began_seconds: float | None = None
 
@@ -169,7 +126,8 @@
         account = self.account(workspace)
         self._advance(account)
         most = self.charge_ahead / weight
-        charge = _Charge(workspace, weight, hint / weight, most)
+        self._guess(hint)
+        charge = Charge(workspace, weight, hint / weight, most)
         self._charges[attempt_id] = charge
         account.outstanding += charge.outstanding
         account.running += 1
@@ -188,6 +146,7 @@
         account = self.account(charge.workspace)
         account.outstanding -= charge.outstanding
         grown = max(0, cost / charge.weight - charge.settled)
+        ensure(grown >= 0, 'a level rises with service')
         charge.settled += grown
         account.level += grown
         account.service += grown
@@ -209,7 +168,12 @@
         account = self.account(charge.workspace)
         account.outstanding -= charge.outstanding
         account.running -= 1
+        ensure(account.running >= 0, 'a charge is settled once')
         if not account.running:
+            ensure(
+                abs(account.outstanding) <= _ROUNDING * (1 + account.level),
+                'nothing is charged when nothing runs',
+            )
             account.outstanding = 0
 
     def hear(self, now: float, report: ServiceReport) -> None:
@@ -221,7 +185,7 @@
         peer = self._peers.get(report.entry)
         if peer is None or peer.incarnation != report.incarnation:
             self.lose(report.entry)
-            peer = _Peer(report.incarnation)
+            peer = Peer(report.incarnation)
             self._peers[report.entry] = peer
         peer.live = True
         for row in report.rows:
@@ -278,16 +242,18 @@
         elif now - self._began_seconds >= SYNC_SECONDS:
             self.synced = True
 
+    def _guess(self, hint: float) -> None:
+        if math.isinf(self._mean_cost):
+            self._mean_cost = hint
+
     def _learn(self, cost: float) -> None:
         if not cost:
             return
-        if math.isinf(self._mean_cost):
-            self._mean_cost = cost
         self._mean_cost += _COST_GAIN * (cost - self._mean_cost)
 
     def _hear_row(
         self,
-        peer: _Peer,
+        peer: Peer,
         row: ServiceRow,
         report: ServiceReport,
     ) -> None:
--- a/src/sardinetrack/routing/order.py
+++ b/src/sardinetrack/routing/order.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 from typing import Final
 
+from sardinetrack.fairness.invariant import ensure
 from sardinetrack.fairness.ledger import Ledger
 from sardinetrack.messages.api import BidRow, Bids
 from sardinetrack.routing.api import Work
@@ -64,6 +65,18 @@
         ahead = self._ledger.tag(granted) - self._ledger.tag(lowest)
         return granted if ahead <= self._ledger.charge_ahead else lowest
 
+    def check(self, now: float, workspace: str, side: Side) -> None:
+        """Check that nobody eligible is passed over beyond one charge."""
+        bound = self._ledger.tag(workspace) - self._ledger.charge_ahead
+        ensure(
+            all(
+                self._ledger.tag(name) >= bound
+                for name in self._queue.workspaces()
+                if self.room(name) > 0 and not self._blocked(now, name, side)
+            ),
+            'no workspace is passed over by more than one charge',
+        )
+
     def room(self, workspace: str) -> int:
         """Tell how many more requests a workspace may run."""
         account = self._ledger.account(workspace)
--- a/src/sardinetrack/routing/outcome.py
+++ b/src/sardinetrack/routing/outcome.py
@@ -44,6 +44,8 @@
         :return: a retry, an answer, or nothing.
         """
         breaker = self._shared.breaker(attempt.backend_server)
+        if end in {AttemptEnd.WHOLE, AttemptEnd.ABANDONED}:
+            pool.open_requests -= 1
         if end is AttemptEnd.WHOLE:
             breaker.succeeded(attempt.generation)
             self._shared.strikes.clear(attempt.waiting.work.fingerprint)
@@ -81,6 +83,7 @@
             side.free = 0
         waiting = attempt.waiting
         if waiting.work.deadline_seconds <= now:
+            pool.open_requests -= 1
             return (give_up(waiting, ErrorKind.NOT_RUN_DEADLINE),)
         return pool.enqueue(now, waiting, first=True)
 
@@ -109,6 +112,7 @@
             waiting.avoid |= {attempt.side}
             effects.extend(pool.enqueue(now, waiting, first=True))
             return effects
+        pool.open_requests -= 1
         effects.append(Reject(waiting.work.request_id, waiting.ran))
         effects.extend(pool.pump(now))
         return effects
--- a/src/sardinetrack/routing/pool.py
+++ b/src/sardinetrack/routing/pool.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from sardinetrack.errors.api import ErrorKind
+from sardinetrack.fairness.invariant import ensure
 from sardinetrack.fairness.ledger import Ledger
 from sardinetrack.messages.api import (
     Bids,
@@ -49,6 +50,8 @@
         self.queue = WorkQueue()
         self.sides = SideTable(shared.random)
         self.attempts: dict[str, Attempt] = {}
+        self.open_requests = 0
+        """Taken in and not answered; each waits or runs."""
         self._name = name
         self._shared = shared
         self._order = Order(
@@ -70,6 +73,7 @@
         if refusal is not None:
             return (refusal,)
         self._shared.retries.first_attempt()
+        self.open_requests += 1
         return self.enqueue(now, Waiting(work, now))
 
     def enqueue(
@@ -162,9 +166,14 @@
 
     def tick(self, now: float) -> Sequence[EntryEffect]:
         """Expire deadlines; refresh bids and reports that are due."""
+        ensure(
+            self.open_requests == len(self.queue) + len(self.attempts),
+            'each open request waits or runs',
+        )
         effects: list[EntryEffect] = []
         for waiting in self.queue.overdue(now):
             self._count(now, waiting.work.workspace)
+            self.open_requests -= 1
             effects.append(give_up(waiting, ErrorKind.NOT_RUN_DEADLINE))
         if len(self.sides):
             self._side_seconds = now
@@ -179,6 +188,7 @@
         """Forget a waiting request."""
         waiting = self.queue.remove(request_id)
         if waiting is not None:
+            self.open_requests -= 1
             self._count(now, waiting.work.workspace)
 
     def reopened(self, now: float, workspace: str) -> Sequence[EntryEffect]:
@@ -207,6 +217,7 @@
         workspace = self._order.lowest(now, side, grant.workspace)
         if workspace is None:
             return None
+        self._order.check(now, workspace, side)
         affinity = self.queue.head(workspace).work.affinity
         warm = self.sides.warm(affinity, side.info.side)
         waiting = self.queue.take(
@@ -217,6 +228,7 @@
         self._count(now, workspace)
         strikes = self._shared.strikes
         if strikes.condemned_seconds(now, waiting.work.fingerprint) > 0:
+            self.open_requests -= 1
             return give_up(waiting, ErrorKind.CRASHES_SERVERS)
         return self._dispatch(now, waiting, side, grant.number, reason)
 
@@ -286,5 +298,6 @@
         effects: list[EntryEffect] = []
         for waiting in self.queue.clear():
             self._count(now, waiting.work.workspace)
+            self.open_requests -= 1
             effects.append(give_up(waiting, ErrorKind.NOT_RUN_NO_SERVER))
         return effects
