--- a/src/sardinetrack/routing/gate.py
+++ b/src/sardinetrack/routing/gate.py
@@ -6,7 +6,7 @@
 
 from sardinetrack.errors.api import ErrorKind
 from sardinetrack.fairness.bucket import TokenBucket
-from sardinetrack.fairness.ledger import Account, Ledger
+from sardinetrack.fairness.account import Account, Ledger
 from sardinetrack.routing.api import Reject, Work
 from sardinetrack.routing.queue import WorkQueue
 from sardinetrack.routing.shared import Shared
