--- a/src/sardinetrack/config/model.py
+++ b/src/sardinetrack/config/model.py
@@ -4,10 +4,14 @@
 
 from typing import Annotated, Final, Literal
 
-from pydantic import BaseModel, ConfigDict, Field, SecretStr
+from pydantic import BaseModel, ConfigDict, Field
+
+from sardinetrack.config.address import HttpUrl, IpNumber
+from sardinetrack.config.secret import Secret
 
 _LAST_PORT: Final = 65_535
 _LONGEST_SECONDS: Final = 3_600
+_LONGEST_BALANCER_SECONDS: Final = 60
 
 Port = Annotated[int, Field(ge=0, le=_LAST_PORT)]
 Seconds = Annotated[float, Field(gt=0, le=_LONGEST_SECONDS)]
@@ -18,25 +22,17 @@
     model_config = ConfigDict(extra='forbid', frozen=True)
 
 
-class Secret(_Strict):
-    """A secret given in place, by a file, or by an environment variable."""
-
-    value: SecretStr | None = None
-    file: str | None = None
-    environment: str | None = None
-
-
 class Listen(_Strict):
     """An address to listen at."""
 
-    ip: str = '127.0.0.1'
+    ip: IpNumber = '127.0.0.1'
     port: Port = 0
 
 
 class PlatformSettings(_Strict):
     """Where the platform is and how long to wait for it."""
 
-    url: str
+    url: HttpUrl
     token: Secret
     call_timeout_seconds: Seconds = 2.0
     watch_seconds: Seconds = 20.0
@@ -73,6 +69,11 @@
     role: Literal['entry'] = 'entry'
     callers: Listen = Listen()
     bounds: Bounds = Bounds()
+    balancer_seconds: Annotated[
+        float,
+        Field(ge=0, le=_LONGEST_BALANCER_SECONDS),
+    ] = 2.0
+    """How long the balancer may send callers to an instance not ready."""
 
 
 class SideSettings(CommonSettings):
@@ -81,5 +82,14 @@
     role: Literal['side'] = 'side'
     pool: Name
     backend_server: Name
-    backend_url: str
+    backend_url: HttpUrl
     lease_seconds: Seconds = 10.0
+
+
+class OperatorSettings(_Strict):
+    """Settings of ``sardinetrack catalogue``."""
+
+    role: Literal['operator'] = 'operator'
+    platform: PlatformSettings
+    peer_secret: Secret
+    """Instances are asked at their peer endpoints what is in force."""
--- /dev/null
+++ b/src/sardinetrack/routing/order.py
@@ -0,0 +1,150 @@
+"""Order of waiting work: the lowest tag that may run."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Final
+
+from sardinetrack.fairness.invariant import ensure
+from sardinetrack.fairness.ledger import Ledger
+from sardinetrack.messages.api import BidRow, Bids
+from sardinetrack.routing.api import Work
+from sardinetrack.routing.attempt import Attempt
+from sardinetrack.routing.queue import Waiting, WorkQueue
+from sardinetrack.routing.shared import Shared
+from sardinetrack.routing.sides import Side, SideTable
+
+MAX_ROWS: Final = 16
+"""Bids sent to a side; those cut off have the highest tags."""
+
+
+class Order:
+    """Chooses among the workspaces of one pool."""
+
+    def __init__(
+        self,
+        shared: Shared,
+        ledger: Ledger,
+        queue: WorkQueue,
+        sides: SideTable,
+        attempts: Mapping[str, Attempt],
+    ) -> None:
+        """Wire the parts of one pool."""
+        self._shared = shared
+        self._ledger = ledger
+        self._queue = queue
+        self._sides = sides
+        self._attempts = attempts
+
+    def lowest(
+        self,
+        now: float,
+        side: Side | None,
+        granted: str = '',
+    ) -> str | None:
+        """Find the workspace that comes next.
+
+        A grant's workspace is taken when its tag is at most one charge above
+        the lowest. Tags of different entries differ by that much; by the own
+        lowest alone, a workspace that is served through other entries would
+        be passed over here for ever.
+
+        :param now: monotonic time.
+        :param side: where its work would go, ``None`` while that is open.
+        :param granted: the workspace that a grant names.
+        :return: the workspace, ``None`` when nothing may run there.
+        """
+        names = [
+            name
+            for name in self._queue.workspaces()
+            if self.room(name) > 0 and not self._blocked(now, name, side)
+        ]
+        lowest = min(names, key=self._place, default=None)
+        if lowest is None or granted not in names:
+            return lowest
+        ahead = self._ledger.tag(granted) - self._ledger.tag(lowest)
+        return granted if ahead <= self._ledger.charge_ahead else lowest
+
+    def check(self, now: float, workspace: str, side: Side) -> None:
+        """Check that nobody eligible is passed over beyond one charge."""
+        bound = self._ledger.tag(workspace) - self._ledger.charge_ahead
+        ensure(
+            all(
+                self._ledger.tag(name) >= bound
+                for name in self._queue.workspaces()
+                if self.room(name) > 0 and not self._blocked(now, name, side)
+            ),
+            'no workspace is passed over by more than one charge',
+        )
+
+    def room(self, workspace: str) -> int:
+        """Tell how many more requests a workspace may run."""
+        account = self._ledger.account(workspace)
+        running = account.running + account.peer_running
+        return self._shared.limits(workspace).concurrency - running
+
+    def suspect(self, now: float, work: Work) -> bool:
+        """Whether a request was running when a server crashed."""
+        return self._shared.strikes.count(now, work.fingerprint) > 0
+
+    def bids(self, pool: str, side: Side) -> Bids:
+        """Compute the present bids for a side."""
+        names = [one for one in self._queue.workspaces() if self.room(one) > 0]
+        names.sort(key=self._ledger.tag)
+        rows = [self._row(name) for name in names[:MAX_ROWS]]
+        rows.extend(self._known(names, MAX_ROWS - len(rows)))
+        return Bids(pool, side.grants_seen, tuple(rows))
+
+    def _known(self, names: list[str], count: int) -> list[BidRow]:
+        """Tell tags of workspaces that wait only at other entries."""
+        others = [
+            BidRow(name, tag, 0, 0)
+            for name, tag in self._ledger.backlogged_elsewhere()
+            if name not in names
+        ]
+        others.sort(key=lambda row: row.tag)
+        return others[: max(0, count)]
+
+    def _place(self, workspace: str) -> tuple[float, int, float]:
+        account = self._ledger.account(workspace)
+        running = account.running + account.peer_running
+        return account.tag, running, self._queue.head(workspace).since_seconds
+
+    def _row(self, workspace: str) -> BidRow:
+        work = self._queue.head(workspace).work
+        weight = self._shared.limits(workspace).weight
+        waiting = min(self._queue.waiting(workspace), self.room(workspace))
+        return BidRow(
+            workspace,
+            self._ledger.tag(workspace),
+            waiting,
+            work.hint_cost / weight,
+        )
+
+    def _blocked(self, now: float, workspace: str, side: Side | None) -> bool:
+        """Whether the head must not go to a side.
+
+        Two suspects on one server would both be struck when it crashes, and
+        the innocent one condemned with the other. Kept apart, only the one
+        that crashes servers can collect a second strike.
+        """
+        if side is None:
+            return False
+        waiting = self._queue.head(workspace)
+        if side.info.side in waiting.avoid and self._elsewhere(now, waiting):
+            return True
+        if not self.suspect(now, waiting.work):
+            return False
+        return self._suspect_at(side.info.backend_server)
+
+    def _elsewhere(self, now: float, waiting: Waiting) -> bool:
+        return any(
+            side.info.side not in waiting.avoid
+            for side in self._sides.usable(now)
+        )
+
+    def _suspect_at(self, server: str) -> bool:
+        return any(
+            attempt.suspect and attempt.backend_server == server
+            for attempt in self._attempts.values()
+        )
--- a/src/sardinetrack/run.py
+++ b/src/sardinetrack/run.py
@@ -2,10 +2,33 @@
 
 from __future__ import annotations
 
-import argparse
+import sys
+from argparse import Namespace
 from collections.abc import Sequence
+from typing import Final
 
-from sardinetrack import __version__
+from sardinetrack.cli.api import Command, CommandError
+from sardinetrack.cli.catalogue import CatalogueCommand
+from sardinetrack.cli.check import CheckCommand
+from sardinetrack.cli.entry import EntryCommand
+from sardinetrack.cli.exit_codes import ExitCode
+from sardinetrack.cli.local import LocalCommand
+from sardinetrack.cli.parser import PROGRAM, build_parser
+from sardinetrack.cli.side import SideCommand
+from sardinetrack.cli.stand_in import StandInCommand
+from sardinetrack.cli.status import StatusCommand
+from sardinetrack.config.errors import SettingsError
+from sardinetrack.logs import LogFormat, configure
+
+COMMANDS: Final[tuple[Command, ...]] = (
+    LocalCommand(),
+    EntryCommand(),
+    SideCommand(),
+    CheckCommand(),
+    CatalogueCommand(),
+    StatusCommand(),
+    StandInCommand(),
+)
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
@@ -14,7 +37,41 @@
     :param arguments: the words after the program's name.
     :return: the exit code.
     """
-    parser = argparse.ArgumentParser(prog='sardinetrack')
-    parser.add_argument('--version', action='version', version=__version__)
-    parser.parse_args(arguments)
-    return 0
+    options = build_parser(COMMANDS).parse_args(arguments)
+    configure(LogFormat(options.log_format), options.log_level)
+    try:
+        return _run(options)
+    except KeyboardInterrupt:
+        return ExitCode.INTERRUPTED
+    except Exception as error:
+        return _explain(error)
+
+
+def _run(options: Namespace) -> int:
+    command: Command = options.command
+    return command.run(options)
+
+
+def _explain(error: Exception) -> int:
+    # A port that is taken shows inside the task group that opens it.
+    cause = error
+    while isinstance(cause, ExceptionGroup) and len(cause.exceptions) == 1:
+        cause = cause.exceptions[0]
+    exit_code = _exit_code(cause)
+    if exit_code is None:
+        raise error
+    for line in str(cause).splitlines():
+        sys.stderr.write(f'{PROGRAM}: {line}\n')
+    return exit_code
+
+
+def _exit_code(error: Exception) -> ExitCode | None:
+    match error:
+        case CommandError():
+            return error.exit_code
+        case SettingsError():
+            return ExitCode.BAD_USAGE
+        case OSError():
+            return ExitCode.FAILED
+        case _:
+            return None
