--- a/src/sardinetrack/routing/order.py
+++ b/src/sardinetrack/routing/order.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 from typing import Final
 
+from sardinetrack.fairness.invariant import ensure
 from sardinetrack.fairness.ledger import Ledger
 from sardinetrack.messages.api import BidRow, Bids
 from sardinetrack.routing.api import Work
@@ -35,11 +36,22 @@
         self._sides = sides
         self._attempts = attempts
 
-    def lowest(self, now: float, side: Side | None) -> str | None:
+    def lowest(
+        self,
+        now: float,
+        side: Side | None,
+        granted: str = '',
+    ) -> str | None:
         """Find the workspace that comes next.
 
+        A grant's workspace is taken when its tag is at most one charge above
+        the lowest. Tags of different entries differ by that much; by the own
+        lowest alone, a workspace that is served through other entries would
+        be passed over here for ever.
+
         :param now: monotonic time.
         :param side: where its work would go, ``None`` while that is open.
+        :param granted: the workspace that a grant names.
         :return: the workspace, ``None`` when nothing may run there.
         """
         names = [
@@ -47,7 +59,23 @@
             for name in self._queue.workspaces()
             if self.room(name) > 0 and not self._blocked(now, name, side)
         ]
-        return min(names, key=self._place, default=None)
+        lowest = min(names, key=self._place, default=None)
+        if lowest is None or granted not in names:
+            return lowest
+        ahead = self._ledger.tag(granted) - self._ledger.tag(lowest)
+        return granted if ahead <= self._ledger.charge_ahead else lowest
+
+    def check(self, now: float, workspace: str, side: Side) -> None:
+        """Check that nobody eligible is passed over beyond one charge."""
+        bound = self._ledger.tag(workspace) - self._ledger.charge_ahead
+        ensure(
+            all(
+                self._ledger.tag(name) >= bound
+                for name in self._queue.workspaces()
+                if self.room(name) > 0 and not self._blocked(now, name, side)
+            ),
+            'no workspace is passed over by more than one charge',
+        )
 
     def room(self, workspace: str) -> int:
         """Tell how many more requests a workspace may run."""
@@ -63,8 +91,19 @@
         """Compute the present bids for a side."""
         names = [one for one in self._queue.workspaces() if self.room(one) > 0]
         names.sort(key=self._ledger.tag)
-        rows = tuple(self._row(name) for name in names[:MAX_ROWS])
-        return Bids(pool, side.grants_seen, rows)
+        rows = [self._row(name) for name in names[:MAX_ROWS]]
+        rows.extend(self._known(names, MAX_ROWS - len(rows)))
+        return Bids(pool, side.grants_seen, tuple(rows))
+
+    def _known(self, names: list[str], count: int) -> list[BidRow]:
+        """Tell tags of workspaces that wait only at other entries."""
+        others = [
+            BidRow(name, tag, 0, 0)
+            for name, tag in self._ledger.backlogged_elsewhere()
+            if name not in names
+        ]
+        others.sort(key=lambda row: row.tag)
+        return others[: max(0, count)]
 
     def _place(self, workspace: str) -> tuple[float, int, float]:
         account = self._ledger.account(workspace)
