Tell a run that its side stopped from one that its server failed

A link that blinks made the side cancel what ran behind it and record it as failed; the entry, asking over the new connection, told its caller that the backend server had failed and struck the request. Two blinks at two servers would have condemned innocent requests as crashing servers.

Found by the scenario 'the link breaks after the hand-over and comes back at once': server_failed before, outcome_unknown now. Ruled out: mapping all failures to unknown at the entry, which would lose the strikes of true crashes. A run that its side ended itself (entry gone or not reading, a cancelling question, the run time, a cut-off drain) now has the fate 'stopped': outcome unknown, no strike. The scenario of a server that breaks its stream keeps 'failed'.

--- a/src/sardinetrack/admission/api.py
+++ b/src/sardinetrack/admission/api.py
@@ -117,10 +117,12 @@
         *,
         whole: bool,
         cost: float,
+        stopped: bool = False,
     ) -> Sequence[SideEffect]:
         """Free the slot of a request that ended.
 
         :param whole: the backend server's answer was complete.
+        :param stopped: it was not whole, and the side itself had ended it.
         :param cost: what it cost, in cost units of the pool.
         """
 
--- a/src/sardinetrack/admission/book.py
+++ b/src/sardinetrack/admission/book.py
@@ -22,6 +22,7 @@
     RUNNING = 'running'
     FINISHED = 'finished'
     FAILED = 'failed'
+    STOPPED = 'stopped'
     TOMBSTONED = 'tombstoned'
 
 
@@ -31,6 +32,7 @@
         AttemptState.RUNNING: Fate.RUNNING,
         AttemptState.FINISHED: Fate.FINISHED,
         AttemptState.FAILED: Fate.FAILED,
+        AttemptState.STOPPED: Fate.STOPPED,
         AttemptState.TOMBSTONED: Fate.NOT_STARTED,
     }
 )
@@ -72,7 +74,7 @@
 
         :param now: monotonic time.
         :param attempt_id: the attempt.
-        :param state: finished, failed or tombstoned.
+        :param state: finished, failed, stopped or tombstoned.
         """
         self._live.pop(attempt_id, None)
         self._ended[attempt_id] = _Ended(state, now)
--- a/src/sardinetrack/admission/slots.py
+++ b/src/sardinetrack/admission/slots.py
@@ -100,13 +100,16 @@
         *,
         whole: bool,
         cost: float,
+        stopped: bool = False,
     ) -> Sequence[SideEffect]:
         """Free the slot of a request that ended."""
         started_seconds = self._running.pop(attempt_id, None)
         if started_seconds is None:
             return ()
         self._staging.ran(now - started_seconds)
-        state = AttemptState.FINISHED if whole else AttemptState.FAILED
+        state = AttemptState.STOPPED if stopped else AttemptState.FAILED
+        if whole:
+            state = AttemptState.FINISHED
         self._book.end(now, attempt_id, state)
         return self._turn(now)
 
--- a/src/sardinetrack/entry/attempt.py
+++ b/src/sardinetrack/entry/attempt.py
@@ -144,6 +144,8 @@
                 return _NOT_STARTED
             case Fate.FAILED:
                 return AttemptResult(AttemptEnd.FAILED)
+            case Fate.STOPPED:
+                return AttemptResult(AttemptEnd.UNKNOWN)
             case Fate.UNKNOWN:
                 return None
         await self._pass_on(reply)
--- a/src/sardinetrack/entry/fate.py
+++ b/src/sardinetrack/entry/fate.py
@@ -29,6 +29,7 @@
         # request for a crash that did not happen.
         Fate.RUNNING: AttemptEnd.UNKNOWN,
         Fate.FINISHED: AttemptEnd.UNKNOWN,
+        Fate.STOPPED: AttemptEnd.UNKNOWN,
         Fate.FAILED: AttemptEnd.FAILED,
         Fate.UNKNOWN: AttemptEnd.UNKNOWN,
     },
--- a/src/sardinetrack/messages/run.py
+++ b/src/sardinetrack/messages/run.py
@@ -46,6 +46,8 @@
     FINISHED = 'finished'
     FAILED = 'failed'
     """Started; the backend server gave no whole answer."""
+    STOPPED = 'stopped'
+    """Started; the side itself ended it, the backend server did not fail."""
     UNKNOWN = 'unknown'
     """The side is younger than the attempt: it can't know."""
 
--- a/src/sardinetrack/side/answers.py
+++ b/src/sardinetrack/side/answers.py
@@ -22,6 +22,7 @@
 _STATUS_OF_FATE: Final = MappingProxyType(
     {
         Fate.FAILED: HTTPStatus.BAD_GATEWAY,
+        Fate.STOPPED: HTTPStatus.BAD_GATEWAY,
         Fate.NOT_STARTED: HTTPStatus.CONFLICT,
     },
 )
--- a/src/sardinetrack/side/attempt.py
+++ b/src/sardinetrack/side/attempt.py
@@ -51,7 +51,7 @@
     ) -> None:
         """Report an end that was not reported yet."""
         self._verdicts.close()
-        await self.over(whole=False, cost=0)
+        await self.over(whole=False, cost=0, stopped=True)
 
     async def verdict(self) -> Started | Refused:
         """Wait until the order is started or refused."""
@@ -69,16 +69,23 @@
         except anyio.EndOfStream:
             return
 
-    async def over(self, *, whole: bool, cost: float) -> None:
+    async def over(
+        self,
+        *,
+        whole: bool,
+        cost: float,
+        stopped: bool = False,
+    ) -> None:
         """Report the end; only the first report counts.
 
         :param whole: the backend server's answer was complete.
         :param cost: what it cost, in cost units of the pool.
+        :param stopped: not whole, though the backend server did not fail.
         """
         if self._over:
             return
         self._over = True
-        left = Left(self.order.attempt_id, whole, cost)
+        left = Left(self.order.attempt_id, whole, cost, stopped)
         # Shielded: a report lost to a cancellation would leave the slot
         # taken for ever. The owner never blocks, so this is short.
         with anyio.CancelScope(shield=True):
--- a/src/sardinetrack/side/events.py
+++ b/src/sardinetrack/side/events.py
@@ -57,6 +57,8 @@
     attempt_id: str
     whole: bool
     cost: float
+    stopped: bool = False
+    """Not whole because the side itself ended it."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/sardinetrack/side/handover.py
+++ b/src/sardinetrack/side/handover.py
@@ -59,7 +59,10 @@
             )
             return False
         finally:
-            await self._over(whole=False)
+            # Cancelled, or the entry is gone or does not read: told as a
+            # failure of the server, a link that blinks would strike all
+            # requests that ran behind it, and two blinks condemn them.
+            await self._over(whole=False, stopped=True)
         return True
 
     async def _relay(self, body: bytes, started: Started) -> None:
@@ -115,9 +118,10 @@
         await answer_result(self._exchange, run_result)
         return True
 
-    async def _over(self, *, whole: bool) -> None:
+    async def _over(self, *, whole: bool, stopped: bool = False) -> None:
         run_seconds = anyio.current_time() - self._started_at
         await self._attempt.over(
             whole=whole,
             cost=self._meter.cost(run_seconds),
+            stopped=stopped,
         )
--- a/src/sardinetrack/side/request_events.py
+++ b/src/sardinetrack/side/request_events.py
@@ -47,6 +47,7 @@
             event.attempt_id,
             whole=event.whole,
             cost=event.cost,
+            stopped=event.stopped,
         )
 
     def asked(self, now: float, event: Asked) -> Effects:
--- a/src/sardinetrack/side/run_task.py
+++ b/src/sardinetrack/side/run_task.py
@@ -76,5 +76,5 @@
         incarnation = self._attempt.order.incarnation
         await answer_result(
             self._exchange,
-            RunResult(Fate.FAILED, incarnation, reason='stopped'),
+            RunResult(Fate.STOPPED, incarnation, reason='stopped'),
         )
--- a/tests/support/scene.py
+++ b/tests/support/scene.py
@@ -101,6 +101,17 @@
             listed = self._through(f'side-{server}')
         self.fleet.start_side(pool, server, url, listed=listed, **settings)
 
+    def restart_side(self, pool: str, server: str, **settings: Any) -> None:
+        """Start a side anew behind the wires of the one before."""
+        name = f'side-{server}'
+        backend = self.fleet.processes[server].ready['url']
+        if server in self.wires:
+            backend = f'http://{self.wires[server].address}'
+        listed = str
+        if name in self.wires:
+            listed = partial(_constant, self.wires[name].address)
+        self.fleet.start_side(pool, server, backend, listed=listed, **settings)
+
     def wait_used(self, entry: str, sides: int) -> None:
         """Wait until an entry knows of free slots at so many sides."""
         eventually(lambda: len(self.used(entry)) == sides)
@@ -164,3 +175,7 @@
         if self.plan.services:
             reads = [{'method': 'GET', 'path_prefix': '/'}]
             self.fleet.service_pool(SERVICE, reads, **limits)
+
+
+def _constant(found: str, _: str) -> str:
+    return found
--- /dev/null
+++ b/tests/system/steps/crashes_steps.py
@@ -0,0 +1,139 @@
+"""Steps about requests that crash the servers that run them."""
+
+from __future__ import annotations
+
+from itertools import cycle
+
+from behave import given, then, when
+from failure_steps import start_scene
+
+from support.crowd import CUT, WHOLE, ask_plain, ask_stream, show
+from support.fleet import eventually
+from support.scene import Plan
+from support.standard import ENTRIES
+
+_MARKER = 'kaboom'
+_TOKENS = 80
+_ASKS = (ask_plain, ask_stream)
+_CONDEMNED = 'crashes_servers'
+_TRUE = frozenset(
+    (WHOLE, CUT, 'server_failed', 'outcome_unknown', 'answer_cut')
+)
+
+
+@given('a failing fleet with {engines:d} engines behind wires')
+def given_wired_engines(context, engines: int):
+    start_scene(context, Plan(engines=engines, wired=True))
+    context.innocent = {}
+
+
+@when('every engine is killed by a request marked "{marker}"')
+def when_killed_by(context, marker: str):
+    _fault(context, crash_marker=f'id={marker} ', crash_kills_process=True)
+
+
+@when('every engine breaks off all by a request marked "{marker}"')
+def when_breaks_by(context, marker: str):
+    _fault(context, crash_marker=f'id={marker} ', restart_seconds=1)
+
+
+def _fault(context, **faults) -> None:
+    stand_ins = context.scene.stand_ins
+    stand_ins.fault(*stand_ins.names(), **faults)
+    context.innocent = {}
+
+
+@when('callers send it {count:d} times through both entries, {way}')
+def when_sent(context, count: int, way: str):
+    scene = context.scene
+    ask = ask_stream if way == 'streamed' else ask_plain
+    context.sent = []
+    for _, entry in zip(range(count), cycle(ENTRIES), strict=False):
+        url = scene.fleet.url(entry)
+        future = scene.crowd.run(ask, scene.caller, url, _MARKER)
+        context.sent.append(future)
+        if way == 'one after the other':
+            future.result()
+    context.sent = [future.result() for future in context.sent]
+
+
+@then('at most {limit:d} engines have run it')
+def then_at_most(context, limit: int):
+    died = [
+        name
+        for name in context.scene.stand_ins.names()
+        if not context.fleet.processes[name].running
+        or context.scene.stand_ins.started(_MARKER, name)
+    ]
+    assert 0 < len(died) <= limit, died
+
+
+@then('the later sendings are told as crashes_servers')
+def then_condemned(context):
+    scene = context.scene
+    for entry in ENTRIES:
+        for ask in _ASKS:
+            told = ask(scene.caller, scene.fleet.url(entry), _MARKER)
+            assert told.verdict == _CONDEMNED, told
+            assert told.not_run, told
+
+
+@when('innocent requests, plain and streamed, run at all engines')
+def when_innocent(context):
+    scene = context.scene
+    asks = cycle(_ASKS)
+    urls = cycle(scene.entry_urls())
+    names = scene.living()
+    context.innocent = {
+        f'innocent-{number}': (next(asks), next(urls))
+        for number in range(3 * len(names))
+    }
+    context.running = [
+        scene.crowd.run(ask, scene.caller, url, marker, _TOKENS)
+        for marker, (ask, url) in context.innocent.items()
+    ]
+    eventually(lambda: all(scene.load(name)['running'] for name in names))
+
+
+@when('the wires to all sides break for a moment')
+def when_wires_blink(context):
+    for wire in context.scene.wires.values():
+        wire.cut()
+        wire.restore()
+
+
+@then('the innocent callers were told the truth')
+def then_innocent_truth(context):
+    rows = [future.result() for future in context.running]
+    counts = context.scene.stand_ins.all_started()
+    wrong = [
+        row
+        for row in rows
+        if row.verdict not in _TRUE and not (row.not_run and row.verdict)
+    ]
+    assert not wrong, show(wrong)
+    false = [row for row in rows if row.not_run and counts[row.marker]]
+    assert not false, show(false)
+    assert not any(row.verdict == _CONDEMNED for row in rows), show(rows)
+
+
+@when('the innocent callers send their requests again')
+def when_innocent_again(context):
+    scene = context.scene
+    for entry in scene.entry_urls():
+        scene.wait_used(_name_of(scene, entry), len(scene.living()))
+    context.again = [
+        scene.crowd.run(ask, scene.caller, url, marker, _TOKENS)
+        for marker, (ask, url) in context.innocent.items()
+    ]
+
+
+def _name_of(scene, url: str) -> str:
+    return next(name for name in ENTRIES if scene.fleet.url(name) == url)
+
+
+@then('all of these are whole')
+def then_again_whole(context):
+    rows = [future.result() for future in context.again]
+    wrong = [row for row in rows if row.verdict != WHOLE]
+    assert rows and not wrong, show(wrong)
--- a/tests/system/steps/failure_steps.py
+++ b/tests/system/steps/failure_steps.py
@@ -5,7 +5,7 @@
 from behave import given, then
 
 from support.scene import Plan, Scene
-from support.slots import check_slots
+from support.slots import check_idle, check_slots
 
 
 def start_scene(context, plan: Plan) -> Scene:
@@ -25,3 +25,8 @@
 @then('no slot is lost, and a small workspace is served beside a flood')
 def then_no_slot_lost(context):
     check_slots(context.scene)
+
+
+@then('no slot is lost')
+def then_none_lost(context):
+    check_idle(context.scene, context.scene.living())
