--- a/benchmarks/policy/faults.py
+++ b/benchmarks/policy/faults.py
@@ -156,10 +156,10 @@
 def kill_side(world: World, name: str = 's1') -> None:
     """End a side and what runs at it."""
     side = world.sides[name]
-    for node in list(world.entries.values()):
-        break_link(world, node, side)
     world.account()
     world.links.down.add(side.name)
+    for node in list(world.entries.values()):
+        break_link(world, node, side)
 
 
 def revive_side(world: World, name: str = 's1') -> None:
