--- a/src/sardinetrack/admission/board.py
+++ b/src/sardinetrack/admission/board.py
@@ -88,14 +88,10 @@
             link.rows = {}
 
     def lose(self, entry: str) -> None:
-        """Drop an entry's bids and grants; its numbers go on counting."""
-        link = self._links.get(entry)
-        if link is None:
-            return
-        link.rows = {}
-        for number in list(link.grants):
-            self.close(entry, number)
-        link.grants = {}
+        """Drop an entry's bids and grants; its next link counts anew."""
+        link = self._links.pop(entry, None)
+        if link is not None:
+            self.open_grants -= sum(one.open for one in link.grants.values())
 
     def best(self, now: float) -> Candidate | None:
         """Find the lowest tag with waiting work that no grant covers.
--- a/src/sardinetrack/fairness/ledger.py
+++ b/src/sardinetrack/fairness/ledger.py
@@ -25,6 +25,7 @@
 mean. Charged in full at the start, such a request shuts its workspace out
 for as long as others need to catch up with work that was not done yet.
 """
+MAX_LOST_PEERS: Final = 64
 SYNC_SECONDS: Final = 5.0
 _COST_GAIN: Final = 0.05
 _ROUNDING: Final = 1e-6
@@ -211,6 +212,7 @@
             gone = ServiceRow(name, row.service + row.outstanding, 0, 0)
             self._replace(account, row, gone)
             peer.rows[name] = gone
+        self._forget_lost()
 
     def rows(self, changed_since_seconds: float) -> tuple[ServiceRow, ...]:
         """List the rows of a report.
@@ -272,6 +274,11 @@
         if account.backlogged and not was_backlogged:
             self._lift(account)
 
+    def _forget_lost(self) -> None:
+        lost = [name for name, peer in self._peers.items() if not peer.live]
+        for name in lost[:-MAX_LOST_PEERS]:
+            self._peers.pop(name)
+
     def _replace(
         self,
         account: Account,
