Keep two struck requests off one server, across entries

Cause: an entry kept its own suspects apart, but two entries could send one each to the same server. Its crash would strike both a second time and the innocent one would be refused for minutes. INTERFACES CHANGED, defaults keep callers as they are: Dispatch.suspect, RunOrder.suspect and Arrival.suspect; the daemons have to hand the flag on from one to the next. A side takes one suspect at a time and refuses a second as busy; its entry tries other sides first. Ruled out: no strike where two suspects ran; the request that crashes servers could then take down a third. Shown by a scenario at the side; a strike that is lost on its way is not sent again, and that stays open.

--- a/src/sardinetrack/admission/api.py
+++ b/src/sardinetrack/admission/api.py
@@ -29,6 +29,8 @@
     """0 for a request sent on the chance of a free slot."""
     wait_seconds: float
     fingerprint: str = ''
+    suspect: bool = False
+    """It was running when another backend server crashed."""
 
 
 class RefusalReason(StrEnum):
--- a/src/sardinetrack/admission/slots.py
+++ b/src/sardinetrack/admission/slots.py
@@ -51,6 +51,12 @@
         self._staging = Staging()
         self._running: dict[str, float] = {}
         self._held: dict[str, _Held] = {}
+        self._suspects: set[str] = set()
+        """Struck requests here, one at most.
+
+        Were two running when the server crashed, both would be struck again
+        and the innocent one condemned with the other.
+        """
         self._virtual_time = float(0)
         self._announced = (limit, float(0))
 
@@ -60,6 +66,8 @@
         reason = self._objection(arrival, granted=granted)
         if reason is not None:
             return self._refuse_new(now, arrival.attempt_id, reason)
+        if arrival.suspect:
+            self._suspects.add(arrival.attempt_id)
         self._book.put(arrival.attempt_id, AttemptState.HELD)
         self._held[arrival.attempt_id] = _Held(
             arrival,
@@ -102,6 +110,7 @@
         cost: float,
     ) -> Sequence[SideEffect]:
         """Free the slot of a request that ended."""
+        self._suspects.discard(attempt_id)
         started_seconds = self._running.pop(attempt_id, None)
         if started_seconds is None:
             return ()
@@ -204,6 +213,8 @@
             return RefusalReason.DUPLICATE
         if self._draining:
             return RefusalReason.DRAINING
+        if arrival.suspect and self._suspects:
+            return RefusalReason.BUSY
         if granted or self._free > 0:
             return None
         return RefusalReason.BUSY
@@ -225,6 +236,7 @@
         reason: str,
     ) -> Sequence[SideEffect]:
         self._held.pop(attempt_id)
+        self._suspects.discard(attempt_id)
         self._book.end(now, attempt_id, AttemptState.TOMBSTONED)
         return (Refuse(attempt_id, RefusalReason(reason)),)
 
--- a/src/sardinetrack/messages/run.py
+++ b/src/sardinetrack/messages/run.py
@@ -35,6 +35,8 @@
     fingerprint: str
     bids: tuple[tuple[str, float, int, float], ...] = ()
     """The entry's fresh bids, see ``BidRow``; saves a message."""
+    suspect: bool = False
+    """It was running when another backend server crashed."""
 
 
 class Fate(StrEnum):
--- a/src/sardinetrack/routing/api.py
+++ b/src/sardinetrack/routing/api.py
@@ -79,6 +79,8 @@
     wait_seconds: float
     reason: str
     """For the log line of the decision."""
+    suspect: bool = False
+    """It was running when another backend server crashed."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/sardinetrack/routing/outcome.py
+++ b/src/sardinetrack/routing/outcome.py
@@ -82,6 +82,8 @@
         if side is not None:
             side.free = 0
         waiting = attempt.waiting
+        if attempt.suspect:
+            waiting.avoid |= {attempt.side}
         if waiting.work.deadline_seconds <= now:
             pool.open_requests -= 1
             return (give_up(waiting, ErrorKind.NOT_RUN_DEADLINE),)
--- a/src/sardinetrack/routing/pool.py
+++ b/src/sardinetrack/routing/pool.py
@@ -273,6 +273,7 @@
             tag,
             min(_HOLD_SECONDS, work.deadline_seconds - now),
             reason,
+            attempt.suspect,
         )
 
     def _bid(self, now: float, side: Side) -> SendToSide:
--- a/tests/admission/slots.feature
+++ b/tests/admission/slots.feature
@@ -45,3 +45,17 @@
     And entry a sends attempt a2 with tag 0
     Then a2 is refused as draining
     And the fate of a1 is running
+
+  Scenario: Two requests that were running at a crash never share a server
+    A request crashed its server; those running beside it were struck too.
+    All callers resend, through different entries. If two of them met on the
+    next server and it crashed, the innocent one would be refused for minutes.
+
+    Given a side with 2 slots
+    When entry a sends the suspect attempt a1
+    And entry b sends the suspect attempt b1
+    Then a1 is started
+    And b1 is refused as busy
+    When a1 finishes
+    And entry b sends the suspect attempt b2
+    Then b2 is started
--- a/tests/admission/steps/slots_steps.py
+++ b/tests/admission/steps/slots_steps.py
@@ -29,6 +29,21 @@
     context.effects.extend(context.side.arrive(context.now, arrival))
 
 
+@step('entry {entry} sends the suspect attempt {attempt}')
+def send_suspect(context, entry, attempt):
+    arrival = Arrival(
+        attempt,
+        entry,
+        'pilot',
+        0,
+        1,
+        0,
+        0,
+        suspect=True,
+    )
+    context.effects.extend(context.side.arrive(context.now, arrival))
+
+
 @step('entry {entry} bids {workspace} {count:d} times at tag {tag:g}')
 def bid(context, entry, workspace, count, tag):
     bids = Bids('ice-llm', 0, (BidRow(workspace, tag, count, 1.0),))
