Split what is left of a concurrency limit among the entries that need it

Cause: each entry filled the whole rest of a fleet-wide limit before it heard of the others. With a limit of 6 for the workspace that floods ice-llm through 6 entries, 16 ran at once. Weighed: exact quotas by demand; where the limit is below the number of entries somebody gets none, and no shared order rotates it without starving one of them.

--- a/src/sardinetrack/fairness/account.py
+++ b/src/sardinetrack/fairness/account.py
@@ -19,6 +19,8 @@
     peer_outstanding: float = 0
     peer_running: int = 0
     peer_waiting: int = 0
+    peers_waiting: int = 0
+    """How many peers hold waiting work."""
     changed_seconds: float = 0
 
     @property
--- a/src/sardinetrack/fairness/ledger.py
+++ b/src/sardinetrack/fairness/ledger.py
@@ -289,9 +289,11 @@
             account.peer_outstanding -= earlier.outstanding
             account.peer_running -= earlier.running
             account.peer_waiting -= earlier.waiting
+            account.peers_waiting -= earlier.waiting > 0
         account.peer_outstanding += row.outstanding
         account.peer_running += row.running
         account.peer_waiting += row.waiting
+        account.peers_waiting += row.waiting > 0
 
     def _align(self, account: Account, level: float) -> None:
         if not self.synced:
--- a/src/sardinetrack/routing/order.py
+++ b/src/sardinetrack/routing/order.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 from typing import Final
 
@@ -80,10 +81,16 @@
         )
 
     def room(self, workspace: str) -> int:
-        """Tell how many more requests a workspace may run."""
+        """Tell how many more requests a workspace may run.
+
+        What is left of the limit is split among the entries with waiting
+        work. Were all of it open to each, every entry would fill it before
+        it hears of the others.
+        """
         account = self._ledger.account(workspace)
         running = account.running + account.peer_running
-        return self._shared.limits(workspace).concurrency - running
+        left = self._shared.limits(workspace).concurrency - running
+        return math.ceil(left / (1 + account.peers_waiting))
 
     def suspect(self, now: float, work: Work) -> bool:
         """Whether a request was running when a server crashed."""
--- a/tests/routing/router.feature
+++ b/tests/routing/router.feature
@@ -74,3 +74,14 @@
     And the side refuses p1
     And the side grants 1
     Then p1 is dispatched 2 times
+
+  Scenario: Entries split what is left of a concurrency limit
+    Two entries hold much work of one workspace that may run 100 at once. If
+    each filled what is left before it hears of the other, the limit would be
+    passed by as much.
+
+    Given agency submits a1 of cost 5
+    And a peer reports pilot with 96 running and 9 waiting
+    And pilot fills its waiting line
+    When the side announces 8 free slot
+    Then 2 requests of pilot are dispatched
--- a/tests/routing/steps/router_steps.py
+++ b/tests/routing/steps/router_steps.py
@@ -17,6 +17,8 @@
     Bids,
     Decline,
     Grant,
+    ServiceReport,
+    ServiceRow,
     SideLoad,
     SidePhase,
     Strike,
@@ -181,3 +183,19 @@
 def announce(context, count):
     load = SideLoad('first', SidePhase.SERVING, 1, 0, count)
     context.effects.extend(context.router.load(context.now, 's1', load))
+
+
+@given('a peer reports {name} with {running:d} running and {waiting:d} waiting')
+def report_peer(context, name, running, waiting):
+    row = ServiceRow(name, 0, running, waiting)
+    report = ServiceReport('b', 'first', POOL, (row,))
+    context.router.peer_service(context.now, report)
+
+
+@then('{count:d} requests of {name} are dispatched')
+def check_count(context, count, name):
+    found = sum(
+        isinstance(effect, Dispatch) and effect.request_id.startswith('fill')
+        for effect in context.effects
+    )
+    assert found == count, found
