Count the split of a concurrency limit from the last report

It now starts from what the last report told the others. Conclusion: the start of a burst is bounded now; the last slot of the limit may still be taken by every entry at once, since each share is rounded up. Rounding down would leave a limit below the number of entries unused.

--- a/src/sardinetrack/fairness/account.py
+++ b/src/sardinetrack/fairness/account.py
@@ -21,6 +21,8 @@
     peer_waiting: int = 0
     peers_waiting: int = 0
     """How many peers hold waiting work."""
+    reported_running: int = 0
+    """What the last own report said was running."""
     changed_seconds: float = 0
 
     @property
--- a/src/sardinetrack/fairness/ledger.py
+++ b/src/sardinetrack/fairness/ledger.py
@@ -221,18 +221,22 @@
         :return: one row an account.
         """
         return tuple(
-            ServiceRow(
-                name,
-                account.service,
-                account.running,
-                account.waiting,
-                account.level,
-                account.outstanding,
-            )
+            self._report_row(name, account)
             for name, account in self._accounts.items()
             if account.changed_seconds >= changed_since_seconds
         )
 
+    def _report_row(self, name: str, account: Account) -> ServiceRow:
+        account.reported_running = account.running
+        return ServiceRow(
+            name,
+            account.service,
+            account.running,
+            account.waiting,
+            account.level,
+            account.outstanding,
+        )
+
     def _grow_up(self, now: float) -> None:
         """Trust the own levels after a while without any synced peer.
 
--- a/src/sardinetrack/routing/order.py
+++ b/src/sardinetrack/routing/order.py
@@ -83,14 +83,18 @@
     def room(self, workspace: str) -> int:
         """Tell how many more requests a workspace may run.
 
-        What is left of the limit is split among the entries with waiting
-        work. Were all of it open to each, every entry would fill it before
-        it hears of the others.
+        What is left of the limit at the last report is split among the
+        entries with waiting work. Were all of it open to each, every entry
+        would fill it before it hears of the others.
         """
         account = self._ledger.account(workspace)
-        running = account.running + account.peer_running
-        left = self._shared.limits(workspace).concurrency - running
-        return math.ceil(left / (1 + account.peers_waiting))
+        limit = self._shared.limits(workspace).concurrency
+        left = limit - account.running - account.peer_running
+        if not account.peers_waiting or left <= 0:
+            return left
+        unreported = account.running - account.reported_running
+        share = math.ceil((left + unreported) / (1 + account.peers_waiting))
+        return min(left, share - unreported)
 
     def suspect(self, now: float, work: Work) -> bool:
         """Whether a request was running when a server crashed."""
