--- a/src/sardinetrack/routing/order.py
+++ b/src/sardinetrack/routing/order.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 from typing import Final
 
@@ -44,10 +45,10 @@
     ) -> str | None:
         """Find the workspace that comes next.
 
-        A grant's workspace is taken when its tag is at most one charge above
-        the lowest. Tags of different entries differ by that much; by the own
-        lowest alone, a workspace that is served through other entries would
-        be passed over here for ever.
+        A grant's workspace that waits at other entries too is taken when its
+        tag is at most one charge above the lowest. Tags of different entries
+        differ by that much; by the own lowest alone, a workspace that is
+        served through other entries would be passed over here for ever.
 
         :param now: monotonic time.
         :param side: where its work would go, ``None`` while that is open.
@@ -62,6 +63,8 @@
         lowest = min(names, key=self._place, default=None)
         if lowest is None or granted not in names:
             return lowest
+        if not self._ledger.account(granted).peer_waiting:
+            return lowest
         ahead = self._ledger.tag(granted) - self._ledger.tag(lowest)
         return granted if ahead <= self._ledger.charge_ahead else lowest
 
@@ -78,10 +81,20 @@
         )
 
     def room(self, workspace: str) -> int:
-        """Tell how many more requests a workspace may run."""
+        """Tell how many more requests a workspace may run.
+
+        What is left of the limit at the last report is split among the
+        entries with waiting work. Were all of it open to each, every entry
+        would fill it before it hears of the others.
+        """
         account = self._ledger.account(workspace)
-        running = account.running + account.peer_running
-        return self._shared.limits(workspace).concurrency - running
+        limit = self._shared.limits(workspace).concurrency
+        left = limit - account.running - account.peer_running
+        if not account.peers_waiting or left <= 0:
+            return left
+        unreported = account.running - account.reported_running
+        share = math.ceil((left + unreported) / (1 + account.peers_waiting))
+        return min(left, share - unreported)
 
     def suspect(self, now: float, work: Work) -> bool:
         """Whether a request was running when a server crashed."""
