Bid at sides that have slots, and tell at once that a server is gone

When engines died, a small workspace's request was served after a whole flood: its entry told two sampled sides of it, both with dead servers, which grant nothing, and told others only at the refresh after 6 s. The side announced its lost slots up to 5 s late, so the entry believed in them.

Ruled out: the breaker, which was open for none of the two by then.

--- a/src/sardinetrack/admission/slots.py
+++ b/src/sardinetrack/admission/slots.py
@@ -140,8 +140,12 @@
 
     def resize(self, now: float, limit: int) -> Sequence[SideEffect]:
         """Change how many requests may run at once."""
+        gone = self._limit > 0 and limit == 0
         self._limit = limit
-        return self._turn(now)
+        effects = self._turn(now)
+        # Entries that learned of it late would tell a side without slots of
+        # their waiting work, and nobody else.
+        return (*effects, self._announce(now)) if gone else effects
 
     def drain(self, now: float) -> Sequence[SideEffect]:
         """Take no new work; running work finishes."""
--- a/src/sardinetrack/routing/sides.py
+++ b/src/sardinetrack/routing/sides.py
@@ -104,6 +104,10 @@
     def sample(self, now: float, count: int) -> Sequence[Side]:
         """Choose sides that shall hear of waiting work."""
         usable = self.usable(now)
+        # A side whose server is gone has no slots and grants none: were both
+        # that hear of a workspace's first request such, nobody would serve it
+        # until the bids are refreshed, while others are served.
+        usable = [side for side in usable if side.limit] or usable
         return self._random.sample(usable, min(count, len(usable)))
 
     def learn(self, side: Side, load: SideLoad) -> None:
--- a/tests/admission/slots.feature
+++ b/tests/admission/slots.feature
@@ -59,3 +59,11 @@
     When a1 finishes
     And entry b sends the suspect attempt b2
     Then b2 is started
+
+  Scenario: A side whose server is gone says so at once
+    The server dies. Entries that still believe in its slots would send their
+    bids to this side and to no other, and the work would wait for nothing.
+
+    Given a side with 2 slots
+    When the server's slots become 0
+    Then the load is announced at once
--- a/tests/admission/steps/slots_steps.py
+++ b/tests/admission/steps/slots_steps.py
@@ -5,6 +5,7 @@
 from behave import given, step, then, when
 
 from sardinetrack.admission.api import (
+    Announce,
     Arrival,
     RefusalReason,
     Refuse,
@@ -94,3 +95,13 @@
     found, effects = context.side.query(context.now, attempt, cancel=False)
     context.effects.extend(effects)
     assert found == fate, found
+
+
+@when("the server's slots become {count:d}")
+def resize(context, count):
+    context.effects = list(context.side.resize(context.now, count))
+
+
+@then('the load is announced at once')
+def announced(context):
+    assert Announce() in context.effects, context.effects
