Know a crashing request streamed or plain, and at entries that start later

Two ways to take down more than two servers with one request: to send it streamed the second time, since the fingerprint held the whole body; and to turn to an entry that was started or cut off while the strikes went round, since they were told once. The fingerprint now leaves out how the answer is delivered, and a new peer is told the strikes that hold (at most 200 fingerprints, the newest; more would overflow the link's outbox).

Not covered: copies of the request that are sent at the same instant, before any server has crashed, run on as many servers as there are copies; seen: 4 of 4 engines.

--- a/src/sardinetrack/entry/completions.py
+++ b/src/sardinetrack/entry/completions.py
@@ -55,6 +55,8 @@
     usage: _Usage | None = None
 
 
+_FIELDS: Final = msgspec.json.Decoder(dict[str, msgspec.Raw])
+_MANNER: Final = frozenset(('stream', 'stream_options'))
 _REQUESTS: Final = msgspec.json.Decoder(ChatCompletion)
 _ANSWERS: Final = msgspec.json.Decoder(_WithUsage)
 
@@ -75,6 +77,20 @@
         raise AnsweredError(ErrorKind.BAD_REQUEST, 'no valid JSON') from error
 
 
+def essence(body: bytes) -> bytes:
+    """Leave out of a request how its answer is to be delivered.
+
+    A request that crashes servers does so streamed or not: told apart, the
+    two would take down two servers each.
+
+    :param body: a valid request.
+    :return: equal for requests that a backend server works on alike.
+    """
+    fields = _FIELDS.decode(body)
+    kept = {name: fields[name] for name in fields if name not in _MANNER}
+    return msgspec.json.encode(kept, order='sorted')
+
+
 def usage_cost(answer: bytes, prompt_token_cost: float) -> float | None:
     """Read what an answer cost.
 
--- a/src/sardinetrack/entry/peers.py
+++ b/src/sardinetrack/entry/peers.py
@@ -83,8 +83,17 @@
             self._forget(replaced)
         if link.peer.role is PeerRole.SIDE:
             self._side_up(link)
+        else:
+            self._tell_strikes(link)
         self._exchange.linked(link)
 
+    def _tell_strikes(self, link: Link) -> None:
+        # An entry that starts, or was cut off, has not heard them: through it
+        # a request that crashes servers would take down two more.
+        now = self._dispatcher.clock()
+        for strike in self._dispatcher.routing.strikes(now):
+            link.post(strike)
+
     def _side_up(self, link: Link) -> None:
         name = link.peer.instance
         row = self._roster.row(name)
--- a/src/sardinetrack/entry/reader.py
+++ b/src/sardinetrack/entry/reader.py
@@ -13,6 +13,7 @@
 from sardinetrack.entry.call import Call
 from sardinetrack.entry.completions import (
     ChatCompletion,
+    essence,
     fingerprint,
     parse_completion,
 )
@@ -171,7 +172,7 @@
                 target.pool.name.encode(),
                 method.encode(),
                 target.path.encode(),
-                target.body,
+                essence(target.body) if asked else target.body,
             ),
             affinity=asked.affinity if asked else 0,
         )
--- a/src/sardinetrack/routing/api.py
+++ b/src/sardinetrack/routing/api.py
@@ -199,6 +199,10 @@
     def strike(self, now: float, strike: Strike) -> Sequence[EntryEffect]:
         """Note that a request crashed a backend server."""
 
+    @abstractmethod
+    def strikes(self, now: float) -> Sequence[Strike]:
+        """List the strikes that hold, for an entry that has just linked."""
+
     @abstractmethod
     def tick(self, now: float) -> Sequence[EntryEffect]:
         """Expire deadlines; refresh bids and reports that are due."""
--- a/src/sardinetrack/routing/router.py
+++ b/src/sardinetrack/routing/router.py
@@ -169,6 +169,10 @@
         self._shared.strikes.add(now, strike)
         return ()
 
+    def strikes(self, now: float) -> Sequence[Strike]:
+        """List the strikes that hold, for an entry that has just linked."""
+        return self._shared.strikes.holding(now)
+
     def tick(self, now: float) -> Sequence[EntryEffect]:
         """Expire deadlines; refresh bids and reports that are due."""
         effects: list[EntryEffect] = []
--- a/src/sardinetrack/routing/strikes.py
+++ b/src/sardinetrack/routing/strikes.py
@@ -9,6 +9,8 @@
 STRIKE_SECONDS: Final = 600.0
 SERVERS_TO_CONDEMN: Final = 2
 _MAX_FINGERPRINTS: Final = 10_000
+_MOST_TOLD: Final = 200
+"""Fingerprints told to a new peer; all would overflow the link's outbox."""
 
 
 class StrikeBook:
@@ -44,6 +46,16 @@
         expiries = sorted(self._expiries[fingerprint].values(), reverse=True)
         return max(0, expiries[SERVERS_TO_CONDEMN - 1] - now)
 
+    def holding(self, now: float) -> list[Strike]:
+        """List the strikes that hold; the newest when they are very many."""
+        newest = list(self._expiries)[-_MOST_TOLD:]
+        return [
+            Strike(fingerprint, server, expiry - now)
+            for fingerprint in newest
+            for server, expiry in self._expiries[fingerprint].items()
+            if expiry > now
+        ]
+
     def clear(self, fingerprint: str) -> None:
         """Forget the strikes of a request that ran to its end."""
         self._expiries.pop(fingerprint, None)
--- a/tests/naive.py
+++ b/tests/naive.py
@@ -96,6 +96,7 @@
     peer_service = _ignore
     peer_lost = _ignore
     strike = _ignore
+    strikes = _ignore
     tick = _ignore
 
 
@@ -113,7 +114,7 @@
         self._line.append(arrival.attempt_id)
         return self._turn()
 
-    def finished(self, now, attempt_id, *, whole, cost):
+    def finished(self, now, attempt_id, *, whole, cost, stopped=False):
         """Start the next."""
         self._running.discard(attempt_id)
         return self._turn()
--- a/tests/routing/router.feature
+++ b/tests/routing/router.feature
@@ -85,3 +85,19 @@
     And pilot fills its waiting line
     When the side announces 8 free slot
     Then 2 requests of pilot are dispatched
+
+  Scenario: Waiting work is bid for at sides that have slots
+    Four of the pool's five servers have died; their sides are linked and have
+    no slots. A bid that only they heard would wait for its refresh, while
+    others are served.
+    Given sides d1 and d2 and d3 and d4 without slots
+    And agency submits a1 of cost 5
+    When pilot submits p1 of cost 5
+    Then the side hears a bid of pilot
+    And no side without slots hears one
+
+  Scenario: An entry that links later hears which requests crash servers
+    Given a peer strikes print at server one
+    And a peer strikes print at server two
+    When 1 seconds pass at the entry
+    Then a new peer is told of print at servers one and two
--- a/tests/routing/steps/router_steps.py
+++ b/tests/routing/steps/router_steps.py
@@ -199,3 +199,27 @@
         for effect in context.effects
     )
     assert found == count, found
+
+
+@given('sides {names} without slots')
+def empty_sides(context, names):
+    load = SideLoad('first', SidePhase.SERVING, 0, 0, 0)
+    for name in names.split(' and '):
+        info = SideInfo(name, POOL, f'engine-{name}', 'galata', '127.0.0.1:2')
+        context.router.side_up(0, info)
+        context.router.load(0, name, load)
+
+
+@then('no side without slots hears one')
+def none_told(context):
+    told = [one.side for one in context.effects if isinstance(one, SendToSide)]
+    assert set(told) == {'s1'}, told
+
+
+@then('a new peer is told of {fingerprint} at servers {servers}')
+def told_strikes(context, fingerprint, servers):
+    expected = [
+        Strike(fingerprint, server, 60.0 - context.now)
+        for server in servers.split(' and ')
+    ]
+    assert context.router.strikes(context.now) == expected
