--- a/src/sardinetrack/routing/reporting.py
+++ b/src/sardinetrack/routing/reporting.py
@@ -13,8 +13,10 @@
 MESSAGES_PER_REQUEST: Final = 0.8
 """Spent on reports; short requests are reported more often than long ones."""
 LONGEST_SECONDS: Final = 2.0
+CALM_SECONDS: Final = 6.0
+"""Between reports while nothing waits anywhere: nothing has to be ordered."""
 SHORTEST_SECONDS: Final = 0.1
-_REPEAT_SECONDS: Final = 5.0
+_REPEAT_SECONDS: Final = 8.0
 """Rows are repeated so long after a change, in case a report is lost."""
 
 
@@ -42,8 +44,7 @@
         elapsed_seconds = now - self._sent_seconds
         wanted = self._ledger.live_peers / MESSAGES_PER_REQUEST
         busy = self._dispatched >= max(1, wanted)
-        due_seconds = SHORTEST_SECONDS if busy else LONGEST_SECONDS
-        if elapsed_seconds < due_seconds:
+        if elapsed_seconds < self._pause_seconds(busy=busy):
             return ()
         rows = self._ledger.rows(now - _REPEAT_SECONDS)
         if not rows:
@@ -58,3 +59,8 @@
             self._ledger.synced,
         )
         return (SendToEntries(report),)
+
+    def _pause_seconds(self, *, busy: bool) -> float:
+        if not any(True for _ in self._ledger.backlogged()):
+            return CALM_SECONDS
+        return SHORTEST_SECONDS if busy else LONGEST_SECONDS
