Make four features see the faults that they are there for

Now the history is asked directly, the drain's stream lasts longer than the close, the forgotten side is held longer than the grace, and the end of an abandoned attempt is read from the metrics; attempts are counted where they are settled, so that abandoned ones count too.

--- a/src/sardinetrack/entry/core.py
+++ b/src/sardinetrack/entry/core.py
@@ -29,9 +29,12 @@
             http,
             parts.peer_secret,
         )
-        self.dispatcher = Dispatcher(parts.routing, self.peers)
         self.metrics = EntryMetrics()
-        self.metrics.watch(self.dispatcher, self.peers)
+        self.dispatcher = Dispatcher(parts.routing, self.peers, self.metrics)
+        self.metrics.watch(
+            self.dispatcher.open_requests,
+            self.peers.count_links,
+        )
         self.exchange = ConfigExchange(self.view, self.dispatcher, self.peers)
         self.status = StatusReader(
             parts.hello(),
--- a/src/sardinetrack/entry/dispatcher.py
+++ b/src/sardinetrack/entry/dispatcher.py
@@ -11,6 +11,7 @@
 
 import anyio
 
+from sardinetrack.entry.metrics import EntryMetrics
 from sardinetrack.entry.ticket import Ticket
 from sardinetrack.messages.api import Bids, Decline, ServiceReport, Strike
 from sardinetrack.routing.api import (
@@ -58,6 +59,7 @@
         self,
         routing: Routing,
         outbox: Outbox,
+        metrics: EntryMetrics,
         clock: Callable[[], float] = anyio.current_time,
     ) -> None:
         """Own the decisions.
@@ -67,11 +69,11 @@
         self.routing = routing
         self.clock = clock
         self._outbox = outbox
+        self._metrics = metrics
         self._tickets: dict[str, Ticket] = {}
 
-    @property
     def open_requests(self) -> int:
-        """How many requests wait or run."""
+        """Count the requests that wait or run."""
         return len(self._tickets)
 
     def tickets(self) -> tuple[Ticket, ...]:
@@ -105,6 +107,7 @@
         ticket = self._tickets.get(dispatch.request_id)
         if ticket is not None:
             ticket.settled(dispatch)
+            self._metrics.ended(ticket.work.pool, end, cost)
         _LOG.info(
             'entry: ended request=%s attempt=%s server=%s end=%s cost=%.3f',
             dispatch.request_id,
--- a/src/sardinetrack/entry/linked.py
+++ b/src/sardinetrack/entry/linked.py
@@ -67,6 +67,10 @@
         """List the open links to peers of a role."""
         return [link for link in self._links if link.peer.role is role]
 
+    def count_links(self, role: PeerRole) -> int:
+        """Count the open links to peers of a role."""
+        return len(self.links(role))
+
     def is_linked(self, name: str) -> bool:
         """Tell whether a link to an instance is up."""
         return self._links.get(name) is not None
--- a/src/sardinetrack/entry/metrics.py
+++ b/src/sardinetrack/entry/metrics.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from functools import partial
 from typing import Final
 
@@ -13,8 +14,6 @@
     generate_latest,
 )
 
-from sardinetrack.entry.dispatcher import Dispatcher
-from sardinetrack.entry.linked import LinkedPeers
 from sardinetrack.errors.api import ErrorKind
 from sardinetrack.links.api import PeerRole
 from sardinetrack.routing.api import AttemptEnd
@@ -73,16 +72,20 @@
             registry=self.registry,
         )
 
-    def watch(self, dispatcher: Dispatcher, peers: LinkedPeers) -> None:
+    def watch(
+        self,
+        open_requests: Callable[[], int],
+        open_links: Callable[[PeerRole], int],
+    ) -> None:
         """Read gauges when they are asked for.
 
-        :param dispatcher: knows the open requests.
-        :param peers: knows the links.
+        :param open_requests: counts the requests that wait or run.
+        :param open_links: counts the links to peers of a role.
         """
-        self._open_requests.set_function(lambda: dispatcher.open_requests)
+        self._open_requests.set_function(open_requests)
         for role in PeerRole:
             self._linked_peers.labels(role.value).set_function(
-                partial(_count_links, peers, role),
+                partial(open_links, role),
             )
 
     def failed(self, kind: ErrorKind) -> None:
@@ -106,7 +109,3 @@
     def text(self) -> bytes:
         """Write everything in the exposition format."""
         return generate_latest(self.registry)
-
-
-def _count_links(peers: LinkedPeers, role: PeerRole) -> int:
-    return len(peers.links(role))
--- a/src/sardinetrack/entry/runner.py
+++ b/src/sardinetrack/entry/runner.py
@@ -110,7 +110,6 @@
         dispatch: Dispatch,
         result: AttemptResult,
     ) -> None:
-        self._metrics.ended(call.pool.name, result.end, result.cost)
         if result.end is AttemptEnd.WHOLE:
             key = CostKey(call.workspace.name, call.pool.name)
             self._costs.learn(key, result.cost - call.prompt_cost)
--- a/src/sardinetrack/entry/status.py
+++ b/src/sardinetrack/entry/status.py
@@ -94,7 +94,7 @@
             version=__version__,
             not_ready=tuple(self._not_ready()),
             draining=self.gate.draining,
-            open_requests=self.dispatcher.open_requests,
+            open_requests=self.dispatcher.open_requests(),
             revision=digest.revision,
             digest=digest.digest,
             pools=self._pools(),
--- a/tests/entry/drain.feature
+++ b/tests/entry/drain.feature
@@ -9,7 +9,7 @@
     A stream is running and a call waits when the drain begins. The balancer
     is told at once and still sends a caller, who is served. Later callers are
     refused, and when the last answer is whole the entry ends.
-    Given "side-a" streams 3 events slowly and the terminal
+    Given "side-a" streams 7 events slowly and the terminal
     And "side-c" holds what it answers, which is "chart"
     And a caller waits for a streamed completion
     And a caller waits for "/services/chart-api/charts"
--- a/tests/entry/parts.feature
+++ b/tests/entry/parts.feature
@@ -21,6 +21,20 @@
     Hypothesis cuts streams of events anywhere, also inside a line's end.
     Then every cut of a stream releases the same whole events
 
+  Scenario Outline: No decision makes a request that ran "not run"
+    A request is tried on several servers, and the last decision about it says
+    that it was not run. What the caller reads is true of all attempts.
+    Then after attempts that ended <ends>, "<decided>" is told as "<told>"
+
+    Examples:
+      | ends                 | decided           | told              |
+      | not_started          | not_run_deadline  | not_run_deadline  |
+      | failed               | not_run_deadline  | server_failed     |
+      | failed, not_started  | not_run_no_server | server_failed     |
+      | unknown, not_started | queue_full        | outcome_unknown   |
+      | failed, unknown      | crashes_servers   | outcome_unknown   |
+      | failed               | answer_cut        | answer_cut        |
+
   Scenario: One workspace's bodies leave room for others
     Given a budget of 100 bytes, 60 for each workspace
     When "flood" holds 60 bytes
--- a/tests/entry/relay.feature
+++ b/tests/entry/relay.feature
@@ -114,6 +114,7 @@
     When a caller asks for a streamed completion and vanishes while it runs
     Then "side-a" sees its connection broken off
     And no request is open
+    And the attempt was settled as "abandoned"
 
   Scenario: A caller that vanishes while it waits is forgotten
     Given all sides are busy
--- a/tests/entry/steps/links_steps.py
+++ b/tests/entry/steps/links_steps.py
@@ -105,7 +105,7 @@
     world = context.world
     world.portal.call(world.platform.remove_instance, name)
     reads = world.platform.instance_reads
-    world.until(lambda: world.platform.instance_reads >= reads + 2)
+    world.until(lambda: world.platform.instance_reads >= reads + 4)
 
 
 @then('the entry uses "{name}" no more in time')
--- a/tests/entry/steps/parts_steps.py
+++ b/tests/entry/steps/parts_steps.py
@@ -12,9 +12,11 @@
 from sardinetrack.catalogue.api import RepeatableCall
 from sardinetrack.entry.answers import error_headers
 from sardinetrack.entry.bodies import BodyBudget
+from sardinetrack.entry.history import RunHistory
 from sardinetrack.entry.services import is_repeatable
 from sardinetrack.entry.sse import EventReader
 from sardinetrack.errors.api import AnsweredError, ErrorKind
+from sardinetrack.routing.api import AttemptEnd, Reject
 
 CALLS = (RepeatableCall('GET', '/charts'),)
 EVENTS = (b'data: {"a": 1}\n\n', b': note\n\n', b'data: x\r\n\r\n')
@@ -59,6 +61,19 @@
     return released + reader.feed(stream)
 
 
+@then('after attempts that ended {ends}, "{decided}" is told as "{told}"')
+def check_history(context: Any, ends: str, decided: str, told: str) -> None:
+    notes: list[bool] = []
+    history = RunHistory(notes.append)
+    for end in ends.split(', '):
+        history.begins()
+        assert notes[-1]
+        history.ended(AttemptEnd(end))
+    assert notes[-1] == (ends != 'not_started')
+    failure = history.failure(Reject('1', ErrorKind(decided)))
+    assert failure.kind == told, failure
+
+
 @given('a budget of {total:d} bytes, {own:d} for each workspace')
 def make_budget(context: Any, total: int, own: int) -> None:
     context.budget = BodyBudget(total, own)
--- a/tests/entry/steps/relay_steps.py
+++ b/tests/entry/steps/relay_steps.py
@@ -326,6 +326,14 @@
     context.world.until(lambda: side.broken_off == 1)
 
 
+@then('the attempt was settled as "{end}"')
+def check_settled(context: Any, end: str) -> None:
+    entry = context.world.entries['entry-a']
+    text = context.world.operator(entry, '/metrics').body.decode()
+    labels = f'{{end="{end}",pool="ice-llm"}}'
+    assert f'sardinetrack_entry_attempts_total{labels} 1.0' in text, text
+
+
 @then('no request is open')
 def check_none_open(context: Any) -> None:
     context.world.until(lambda: context.world.open_requests() == 0)
