--- a/tests/side/drain.feature
+++ b/tests/side/drain.feature
@@ -7,7 +7,8 @@
     Given a side with 2 slots and its configuration
     And an entry linked to the side
     When an order for "/gated" has brought its first piece
-    And the side begins to drain
+    Then the entry hears a load with 1 free slots
+    When the side begins to drain
     Then the entry hears that the side drains
     When another order for "/echo" brings "too late"
     Then the order is refused with status 409 for "draining"
--- a/tests/side/side_world.py
+++ b/tests/side/side_world.py
@@ -141,7 +141,8 @@
 async def read_all(pieces: AsyncIterator[bytes]) -> bytes | None:
     """Read to the end; ``None`` when it broke."""
     try:
-        return b''.join([chunk async for chunk in pieces])
+        with anyio.fail_after(WAIT_SECONDS):
+            return b''.join([chunk async for chunk in pieces])
     except BrokenError:
         return None
 
--- a/tests/side/steps/side_steps.py
+++ b/tests/side/steps/side_steps.py
@@ -17,6 +17,7 @@
     MOST_TRIES,
     PAUSE_SECONDS,
     SECRET,
+    WAIT_SECONDS,
     World,
     linked,
     read_all,
@@ -328,7 +329,7 @@
 
 @then('the backend server sees the request cancelled')
 def step_cancelled(context: Any) -> None:
-    context.portal.call(context.world.backend.cancelled.wait)
+    context.portal.call(_cancelled, context.world)
 
 
 @then('attempt "{attempt_id}" has fate {fate}')
@@ -533,6 +534,11 @@
     world.backend.gate.set()
 
 
+async def _cancelled(world: World) -> None:
+    with anyio.fail_after(WAIT_SECONDS):
+        await world.backend.cancelled.wait()
+
+
 async def _thaw(world: World) -> None:
     world.backend.thawed.set()
 
