--- a/src/sardinetrack/links/api.py
+++ b/src/sardinetrack/links/api.py
@@ -37,9 +37,9 @@
 class LinkBounds:
     """What a link may hold and how long it may stay silent."""
 
-    beat_seconds: float = 0.75
+    beat_seconds: float = 1.0
     """An end that has sent nothing for so long sends an empty frame."""
-    silence_seconds: float = 2.5
+    silence_seconds: float = 2.8
     """An end that has heard nothing for so long closes the link."""
     open_seconds: float = 2.0
     max_frame_bytes: int = 4_000_000
--- a/src/sardinetrack/links/link.py
+++ b/src/sardinetrack/links/link.py
@@ -164,10 +164,15 @@
         # and silent; the owner would wait for it for minutes. Each end speaks
         # at least once a beat, so silence can only mean one of the two.
         while True:
-            await anyio.sleep(self._bounds.beat_seconds)
             now = anyio.current_time()
-            if now - self._heard_at > self._bounds.silence_seconds:
+            silent_at = self._heard_at + self._bounds.silence_seconds
+            beat_at = self._sent_at + self._bounds.beat_seconds
+            if now >= silent_at:
                 _LOG.warning('link: %s is silent', self._peer.instance)
                 self.close()
-            elif now - self._sent_at >= self._bounds.beat_seconds:
+                return
+            if now >= beat_at:
+                self._sent_at = now
                 self.post_encoded(_BEAT)
+                beat_at = now + self._bounds.beat_seconds
+            await anyio.sleep(min(silent_at, beat_at) - now)
