--- /dev/null
+++ b/src/sardinetrack/fairness/ledger.py
@@ -0,0 +1,314 @@
+"""Service ledger of one pool: what workspaces received across the fleet.
+
+Each entry keeps its own ledger. Settled service only grows and travels as
+absolute counters, so that a lost report is mended by the next one. The tag
+orders workspaces: settled level plus what running requests are charged.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+from typing import Final
+
+from sardinetrack.fairness.account import Account, Charge, Peer
+from sardinetrack.fairness.invariant import ensure
+from sardinetrack.messages.api import ServiceReport, ServiceRow
+
+DRIFT_GAIN: Final = 0.125
+"""Part of the difference to a peer's level taken over from each report."""
+
+CHARGED_MEANS: Final = 2.0
+"""Most that a running request is charged ahead, in mean costs of the pool.
+
+A hint may be four times too high, and the largest cost twenty times the
+mean. Charged in full at the start, such a request shuts its workspace out
+for as long as others need to catch up with work that was not done yet.
+"""
+SYNC_SECONDS: Final = 5.0
+_COST_GAIN: Final = 0.05
+_ROUNDING: Final = 1e-6
+
+
+class Ledger:
+    """Tags of all workspaces of one pool, as one entry knows them."""
+
+    def __init__(self) -> None:
+        """Start empty and unsynced."""
+        self.virtual_time = float(0)
+        self.synced = False
+        self._accounts: dict[str, Account] = {}
+        self._charges: dict[str, Charge] = {}
+        self._peers: dict[str, Peer] = {}
+        self._mean_cost = math.inf
+        self._began_seconds: float | None = None
+
+    @property
+    def charge_ahead(self) -> float:
+        """Most that one request is charged ahead at weight 1."""
+        return CHARGED_MEANS * self._mean_cost
+
+    @property
+    def live_peers(self) -> int:
+        """Count the entries that report."""
+        return sum(peer.live for peer in self._peers.values())
+
+    def account(self, workspace: str) -> Account:
+        """Find or open an account.
+
+        :param workspace: its name.
+        :return: the live account.
+        """
+        account = self._accounts.get(workspace)
+        if account is None:
+            account = Account(level=self.virtual_time)
+            self._accounts[workspace] = account
+        return account
+
+    def tag(self, workspace: str) -> float:
+        """Tell the virtual time of a workspace."""
+        return self.account(workspace).tag
+
+    def backlogged(self) -> Iterable[Account]:
+        """Iterate over the accounts with waiting work anywhere."""
+        return (one for one in self._accounts.values() if one.backlogged)
+
+    def backlogged_elsewhere(self) -> Iterable[tuple[str, float]]:
+        """Iterate over tags of workspaces with work at peers."""
+        return (
+            (name, account.tag)
+            for name, account in self._accounts.items()
+            if account.peer_waiting > 0
+        )
+
+    def meet(self, virtual_time: float) -> None:
+        """Take over the fleet's virtual time when starting empty.
+
+        :param virtual_time: as a side tells it.
+        """
+        if self.synced or virtual_time <= self.virtual_time:
+            return
+        self.virtual_time = virtual_time
+        for account in self._accounts.values():
+            account.level = max(account.level, virtual_time)
+
+    def wait(self, now: float, workspace: str, waiting: int) -> None:
+        """Set how much work of a workspace waits here.
+
+        :param now: monotonic time.
+        :param workspace: its name.
+        :param waiting: requests that wait at this entry.
+        """
+        self._grow_up(now)
+        account = self.account(workspace)
+        was_backlogged = account.backlogged
+        account.waiting = waiting
+        account.changed_seconds = now
+        if account.backlogged and not was_backlogged:
+            self._lift(account)
+
+    def charge(
+        self,
+        now: float,
+        attempt_id: str,
+        workspace: str,
+        hint: float,
+        weight: float,
+    ) -> None:
+        """Charge an attempt with its expected cost.
+
+        :param now: monotonic time.
+        :param attempt_id: names the charge until it is settled.
+        :param workspace: who pays.
+        :param hint: expected cost units.
+        :param weight: the workspace's weight.
+        """
+        account = self.account(workspace)
+        self._advance(account)
+        most = self.charge_ahead / weight
+        self._guess(hint)
+        charge = Charge(workspace, weight, hint / weight, most)
+        self._charges[attempt_id] = charge
+        account.outstanding += charge.outstanding
+        account.running += 1
+        account.changed_seconds = now
+
+    def progress(self, now: float, attempt_id: str, cost: float) -> None:
+        """True up a charge to the cost so far.
+
+        :param now: monotonic time.
+        :param attempt_id: of a charge; unknown ones are ignored.
+        :param cost: cost units received so far.
+        """
+        charge = self._charges.get(attempt_id)
+        if charge is None:
+            return
+        account = self.account(charge.workspace)
+        account.outstanding -= charge.outstanding
+        grown = max(0, cost / charge.weight - charge.settled)
+        ensure(grown >= 0, 'a level rises with service')
+        charge.settled += grown
+        account.level += grown
+        account.service += grown
+        account.outstanding += charge.outstanding
+        account.changed_seconds = now
+
+    def settle(self, now: float, attempt_id: str, cost: float) -> None:
+        """Close a charge at its final cost.
+
+        :param now: monotonic time.
+        :param attempt_id: of a charge; unknown ones are ignored.
+        :param cost: cost units received in all.
+        """
+        self.progress(now, attempt_id, cost)
+        charge = self._charges.pop(attempt_id, None)
+        if charge is None:
+            return
+        self._learn(cost)
+        account = self.account(charge.workspace)
+        account.outstanding -= charge.outstanding
+        account.running -= 1
+        ensure(account.running >= 0, 'a charge is settled once')
+        if not account.running:
+            ensure(
+                abs(account.outstanding) <= _ROUNDING * (1 + account.level),
+                'nothing is charged when nothing runs',
+            )
+            account.outstanding = 0
+
+    def hear(self, now: float, report: ServiceReport) -> None:
+        """Take in a peer's report.
+
+        :param now: monotonic time.
+        :param report: its rows replace the peer's earlier rows.
+        """
+        peer = self._peers.get(report.entry)
+        if peer is None or peer.incarnation != report.incarnation:
+            self.lose(report.entry)
+            peer = Peer(report.incarnation)
+            self._peers[report.entry] = peer
+        peer.live = True
+        for row in report.rows:
+            self._hear_row(peer, row, report)
+        self.synced = self.synced or report.synced
+
+    def lose(self, entry: str) -> None:
+        """Note that a peer is gone; what it charged counts as received.
+
+        Dropping its charges instead would set tags back and hand its
+        workspaces a windfall. Its counters stay, so that a peer that comes
+        back adds only what it served meanwhile.
+
+        :param entry: name of the peer.
+        """
+        peer = self._peers.get(entry)
+        if peer is None:
+            return
+        peer.live = False
+        for name, row in peer.rows.items():
+            account = self.account(name)
+            account.level += row.outstanding
+            gone = ServiceRow(name, row.service + row.outstanding, 0, 0)
+            self._replace(account, row, gone)
+            peer.rows[name] = gone
+
+    def rows(self, changed_since_seconds: float) -> tuple[ServiceRow, ...]:
+        """List the rows of a report.
+
+        :param changed_since_seconds: leave out accounts unchanged since.
+        :return: one row an account.
+        """
+        return tuple(
+            ServiceRow(
+                name,
+                account.service,
+                account.running,
+                account.waiting,
+                account.level,
+                account.outstanding,
+            )
+            for name, account in self._accounts.items()
+            if account.changed_seconds >= changed_since_seconds
+        )
+
+    def _grow_up(self, now: float) -> None:
+        """Trust the own levels after a while without any synced peer.
+
+        A fleet that starts all at once has none; without this it would
+        never align its levels.
+        """
+        if self._began_seconds is None:
+            self._began_seconds = now
+        elif now - self._began_seconds >= SYNC_SECONDS:
+            self.synced = True
+
+    def _guess(self, hint: float) -> None:
+        if math.isinf(self._mean_cost):
+            self._mean_cost = hint
+
+    def _learn(self, cost: float) -> None:
+        if not cost:
+            return
+        self._mean_cost += _COST_GAIN * (cost - self._mean_cost)
+
+    def _hear_row(
+        self,
+        peer: Peer,
+        row: ServiceRow,
+        report: ServiceReport,
+    ) -> None:
+        account = self._accounts.get(row.workspace)
+        if account is None:
+            account = self.account(row.workspace)
+            account.level = max(account.level, row.level)
+        was_backlogged = account.backlogged
+        earlier = peer.rows.get(row.workspace)
+        if earlier is not None:
+            account.level += max(0, row.service - earlier.service)
+        self._replace(account, earlier, row)
+        peer.rows[row.workspace] = row
+        if report.synced:
+            self._align(account, row.level)
+        if account.backlogged and not was_backlogged:
+            self._lift(account)
+
+    def _replace(
+        self,
+        account: Account,
+        earlier: ServiceRow | None,
+        row: ServiceRow,
+    ) -> None:
+        if earlier is not None:
+            account.peer_outstanding -= earlier.outstanding
+            account.peer_running -= earlier.running
+            account.peer_waiting -= earlier.waiting
+        account.peer_outstanding += row.outstanding
+        account.peer_running += row.running
+        account.peer_waiting += row.waiting
+
+    def _align(self, account: Account, level: float) -> None:
+        if not self.synced:
+            account.level = max(account.level, level)
+            return
+        account.level += DRIFT_GAIN * (level - account.level)
+
+    def _lift(self, account: Account) -> None:
+        """Lift an account that becomes backlogged, so idle time earns nothing.
+
+        The floor is one charge below the least tag: the others were charged
+        for what they run, and a newcomer at their level would have to wait
+        until all that is charged ahead has been delivered.
+        """
+        others = (one.tag for one in self.backlogged() if one is not account)
+        floor = min(others, default=self.virtual_time)
+        self.virtual_time = floor
+        if math.isfinite(self.charge_ahead):
+            floor -= self.charge_ahead
+        account.level += max(0, floor - account.tag)
+
+    def _advance(self, account: Account) -> None:
+        tags = [one.tag for one in self.backlogged()]
+        if tags:
+            self.virtual_time = min(tags)
+        else:
+            self.virtual_time = max(self.virtual_time, account.level)
