--- /dev/null
+++ b/benchmarks/probe/__init__.py
@@ -0,0 +1,1 @@
+"""Pieces that several benchmarks share."""
--- a/src/sardinetrack/http/server.py
+++ b/src/sardinetrack/http/server.py
@@ -99,7 +99,7 @@
     :return: the bound socket.
     """
     family = socket.AF_INET6 if ':' in ip else socket.AF_INET
-    listener = socket.socket(family, socket.SOCK_STREAM)
+    listener = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     listener.bind((ip, port))
     listener.listen(_BACKLOG)
--- a/tests/http/server.feature
+++ b/tests/http/server.feature
@@ -14,3 +14,11 @@
     Given a server whose handler fails after part of the body
     When a client reads the answer
     Then the client reports a broken exchange
+
+  Scenario: an answer in several writes is not held back
+    A server sends the head of an answer and then its body. Without TCP_NODELAY
+    the kernel keeps the body until the client has acknowledged the head, which
+    the client puts off: each answer came some 40 ms late.
+    Given a listening socket of the server
+    When a client connects to it
+    Then the accepted connection sends without delay
--- a/tests/http/steps/server_steps.py
+++ b/tests/http/steps/server_steps.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import asyncio
+import socket
+
 import anyio
 from behave import given, then, when
 
 from sardinetrack.http.asgi import Exchange, Receive, Scope, Send
 from sardinetrack.http.client import BrokenError, HttpClient, NotSentError
-from sardinetrack.http.server import serving
+from sardinetrack.http.server import bind, serving
 
 _IP = '127.0.0.1'
 
@@ -78,3 +81,39 @@
 @then('the client reports a broken exchange')
 def then_broken(context):
     assert context.broken
+
+
+@given('a listening socket of the server')
+def given_listener(context):
+    context.listener = bind(_IP, 0)
+
+
+@when('a client connects to it')
+def when_connected(context):
+    async def run() -> int:
+        accepted = asyncio.Queue()
+        server = await asyncio.start_server(
+            lambda _, writer: accepted.put_nowait(writer),
+            sock=context.listener,
+        )
+        async with (
+            server,
+            await anyio.connect_tcp(
+                *context.listener.getsockname(),
+            ),
+        ):
+            writer = await accepted.get()
+            connection = writer.get_extra_info('socket')
+            option = connection.getsockopt(
+                socket.IPPROTO_TCP,
+                socket.TCP_NODELAY,
+            )
+            writer.close()
+        return option
+
+    context.no_delay = asyncio.run(run())
+
+
+@then('the accepted connection sends without delay')
+def then_no_delay(context):
+    assert context.no_delay == 1
