--- /dev/null
+++ b/benchmarks/slopes/__init__.py
@@ -0,0 +1,1 @@
+"""Costs that grow with the size of the fleet, one module a subject."""
--- /dev/null
+++ b/benchmarks/slopes/samples.py
@@ -0,0 +1,157 @@
+"""Names and messages of the sizes that the slopes are taken at."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+from typing import Final
+
+from sardinetrack.catalogue.api import (
+    Pool,
+    PoolClass,
+    ServiceClass,
+    Workspace,
+    WorkspaceLimits,
+)
+from sardinetrack.catalogue.coverage import covering
+from sardinetrack.messages.api import (
+    BidRow,
+    Bids,
+    ConfigObject,
+    ConfigUpdate,
+    ServiceReport,
+    ServiceRow,
+    SideLoad,
+    SidePhase,
+)
+from sardinetrack.routing.api import SideInfo, Work
+
+POOL: Final = 'model-0'
+INCARNATION: Final = 'a1b2c3d4e5f60718'
+PLENTY: Final = 1_000_000
+
+
+def workspace_name(number: int) -> str:
+    """Name a workspace as long as an operator would."""
+    digits = str(number).zfill(5)
+    return f'workspace-{digits}'
+
+
+def workspaces(count: int) -> list[Workspace]:
+    """Describe workspaces whose limits stop nothing."""
+    limits = WorkspaceLimits(1.0, PLENTY, PLENTY, PLENTY)
+    return [
+        Workspace(
+            workspace_name(number),
+            'owner',
+            ServiceClass.STANDARD,
+            limits,
+            frozenset(),
+        )
+        for number in range(count)
+    ]
+
+
+def pool() -> Pool:
+    """Describe the pool."""
+    return Pool(
+        POOL,
+        'owner',
+        PoolClass.MODEL,
+        8,
+        PLENTY,
+        60.0,
+        ('model',),
+        (),
+        frozenset(),
+        0.1,
+    )
+
+
+def work(number: int, workspace: int) -> Work:
+    """Describe one request."""
+    return Work(
+        f'request-{number}',
+        workspace_name(workspace),
+        POOL,
+        450.0,
+        PLENTY,
+        idempotent=True,
+        fingerprint=format(number, '064x'),
+    )
+
+
+def side_info(number: int) -> SideInfo:
+    """Describe one side."""
+    return SideInfo(
+        f'side-{number}',
+        POOL,
+        f'engine-{number}',
+        'hall',
+        f'10.0.0.1:{number}',
+    )
+
+
+def load(free: int) -> SideLoad:
+    """Say what a side can take."""
+    return SideLoad(INCARNATION, SidePhase.SERVING, 40, 40 - free, free, 1.5)
+
+
+def bids(rows: int, first: int = 0) -> Bids:
+    """Bid for so many workspaces."""
+    return Bids(
+        POOL,
+        17,
+        tuple(
+            BidRow(workspace_name(first + number), 1234.5 + number, 3, 450.25)
+            for number in range(rows)
+        ),
+    )
+
+
+def report(rows: int, entry: str = 'entry-0') -> ServiceReport:
+    """Report so many workspaces."""
+    return ServiceReport(
+        entry,
+        INCARNATION,
+        POOL,
+        tuple(
+            ServiceRow(
+                workspace_name(number),
+                1234.5 + number,
+                3,
+                2,
+                4321.75 + number,
+                900.25,
+            )
+            for number in range(rows)
+        ),
+    )
+
+
+def config_object(number: int, version: int) -> ConfigObject:
+    """Write a workspace's entry as the platform holds it."""
+    name = workspace_name(number)
+    content = {
+        'kind': 'workspace',
+        'name': name,
+        'owner': 'desk@varna.example',
+        'class': 'standard',
+        'limits': {'weight': 1.5, 'concurrency': 12},
+        'token_hashes': [hashlib.sha256(name.encode()).hexdigest()],
+    }
+    key = f'catalogue/workspace/{name}'
+    return ConfigObject(key, version, json.dumps(content), deleted=False)
+
+
+def snapshot(count: int) -> ConfigUpdate:
+    """Write the whole catalogue."""
+    objects = [config_object(number, number + 1) for number in range(count)]
+    return covering(0, count, objects)
+
+
+def change(count: int, number: int = 0) -> ConfigUpdate:
+    """Write one change after a snapshot, and further ones after it."""
+    revision = count + 1 + number
+    changed = config_object(number % count, revision)
+    return covering(revision - 1, revision, [changed])
