Mix all failures, two at a time, over the daemons' own objects

Each promise had tests of single failures; nothing mixed them. The new command runs entries and sides made of the daemons' own objects (border, runner, claims, router, links, slot admission) on fake connections in virtual time. Requests and pairs of faults are drawn from a seed; executions are counted at the stand-ins and compared with what callers were told.

Ruled out: driving Router and SlotAdmission alone, as benchmarks/policy does. Its carrier settles attempts by a rule of its own, so the code that decides whether "not run" is true would not have run.

--- /dev/null
+++ b/benchmarks/chaos/__init__.py
@@ -0,0 +1,1 @@
+"""A long randomised run that mixes all failures, two at a time."""
--- /dev/null
+++ b/benchmarks/chaos/virtual/__init__.py
@@ -0,0 +1,1 @@
+"""The whole path in one process: virtual time, fake connections."""
--- /dev/null
+++ b/benchmarks/chaos/virtual/entry.py
@@ -0,0 +1,81 @@
+"""An entry as a node of the fake fleet, made of the daemon's own objects."""
+
+from __future__ import annotations
+
+import anyio
+from anyio.abc import TaskGroup
+
+from benchmarks.chaos.virtual.client import VirtualHttp
+from benchmarks.chaos.virtual.network import Network
+from benchmarks.chaos.virtual.node import Node
+from benchmarks.chaos.virtual.platform import PlatformFaults, ReachedPlatform
+from benchmarks.chaos.virtual.settings import entry_parts
+from sardinetrack.entry.applications import HttpApplication
+from sardinetrack.entry.callers import caller_border
+from sardinetrack.entry.control import Control
+from sardinetrack.entry.core import EntryCore
+from sardinetrack.http.asgi import Application, Receive, Scope, Send
+from sardinetrack.once.claims import PlatformClaims
+from sardinetrack.once.settler import Settler
+from sardinetrack.platform.in_process import MemoryPlatform
+
+
+class _Listeners:
+    """Callers' and peers' listeners at one address."""
+
+    def __init__(self, peers: Application, callers: Application) -> None:
+        self._peers = peers
+        self._callers = callers
+
+    async def __call__(
+        self,
+        scope: Scope,
+        receive: Receive,
+        send: Send,
+    ) -> None:
+        """Hand on a call."""
+        is_peer = scope['path'].startswith('/peer/')
+        application = self._peers if is_peer else self._callers
+        await application(scope, receive, send)
+
+
+class EntryNode(Node):
+    """An entry without its listeners."""
+
+    def __init__(
+        self,
+        network: Network,
+        address: str,
+        name: str,
+        store: MemoryPlatform,
+        faults: PlatformFaults,
+    ) -> None:
+        """Prepare one life of the entry."""
+        super().__init__(network, address)
+        self.name = name
+        self.core: EntryCore
+        self._platform = ReachedPlatform(store, self, faults)
+
+    async def work(self, tasks: TaskGroup) -> None:
+        """Wire the entry as its composition root does."""
+        clock = anyio.current_time
+        async with Settler(self._platform) as settler:
+            claims = PlatformClaims(
+                self._platform,
+                settler,
+                wall_clock=clock,
+            )
+            parts = entry_parts(
+                self.name,
+                self.network.random,
+                self._platform,
+                claims,
+            )
+            self.core = EntryCore(parts, VirtualHttp(self.network))
+            control = Control(self.core, tasks)
+            control.start()
+            self.application = _Listeners(
+                control.peer_application(),
+                HttpApplication(caller_border(self.core).handle),
+            )
+            await self.opened()
--- /dev/null
+++ b/benchmarks/chaos/virtual/faults.py
@@ -0,0 +1,155 @@
+"""Faults of the fake fleet; each lasts as long as its coroutine."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from functools import partial
+from types import MappingProxyType
+from typing import Final
+
+import anyio
+
+from benchmarks.chaos.virtual.catalogue import SLOTS
+from benchmarks.chaos.virtual.platform import ADDRESS
+from benchmarks.chaos.virtual.world import World
+
+Fault = Callable[[World, float], Awaitable[None]]
+
+_DELAY_SECONDS: Final = 0.3
+_COPIES: Final = 0.1
+_VANISHING: Final = 0.2
+
+
+async def entry_restarts(world: World, seconds: float) -> None:
+    """Kill an entry; the next one starts empty."""
+    address = world.random.choice(list(world.entries))
+    last = world.entries[address]
+    last.kill()
+    await anyio.sleep(seconds)
+    world.start_entry(address, last.name)
+
+
+async def side_restarts(world: World, seconds: float) -> None:
+    """Kill a side; the next one starts empty."""
+    address = world.random.choice(list(world.sides))
+    last = world.sides[address]
+    last.kill()
+    await anyio.sleep(seconds / 2)
+    world.start_side(address, last)
+
+
+async def server_crashes(world: World, seconds: float) -> None:
+    """Crash a backend server."""
+    address = world.random.choice(list(world.servers))
+    world.servers[address].kill()
+    await anyio.sleep(seconds / 2)
+    world.start_server(address)
+
+
+async def link_cut(world: World, seconds: float) -> None:
+    """Reset the connections of an entry and a side, and refuse others."""
+    entry = world.random.choice(list(world.entries))
+    side = world.random.choice(list(world.sides))
+    await _cut(world, entry, side, seconds)
+
+
+async def server_cut(world: World, seconds: float) -> None:
+    """Reset the connections of a side and its backend server."""
+    side = world.random.choice(list(world.sides))
+    await _cut(world, side, world.sides[side].backend, seconds)
+
+
+async def _cut(world: World, one: str, other: str, seconds: float) -> None:
+    ends = frozenset((one, other))
+    world.network.refused.add(ends)
+    world.network.cut(one, other)
+    await anyio.sleep(seconds)
+    world.network.refused.discard(ends)
+
+
+async def partition(world: World, seconds: float) -> None:
+    """Hold all bytes between two random halves."""
+    halves = world.network.halves
+    for address in (*world.entries, *world.sides, ADDRESS):
+        halves[address] = world.random.randint(0, 1)
+    for address, side in world.sides.items():
+        halves[side.backend] = halves[address]
+    await anyio.sleep(seconds)
+    halves.clear()
+    world.network.release()
+
+
+async def frozen(world: World, seconds: float) -> None:
+    """Hold all bytes of a side, a server or an entry."""
+    names = (*world.entries, *world.sides, *world.servers)
+    address = world.random.choice(names)
+    world.network.frozen.add(address)
+    await anyio.sleep(seconds)
+    world.network.frozen.discard(address)
+    world.network.release()
+
+
+async def delay(world: World, seconds: float) -> None:
+    """Delay everything."""
+    world.network.added_seconds = _DELAY_SECONDS
+    await anyio.sleep(seconds)
+    world.network.added_seconds = 0
+
+
+async def loss(world: World, seconds: float) -> None:
+    """Lose packets, which are sent again."""
+    world.network.loss = True
+    await anyio.sleep(seconds)
+    world.network.loss = False
+
+
+async def late_orders(world: World, seconds: float) -> None:
+    """Let some orders arrive late, and some of these twice."""
+    world.network.astray = _COPIES
+    await anyio.sleep(seconds)
+    world.network.astray = 0
+
+
+async def vanishing(world: World, seconds: float) -> None:
+    """Let callers leave at any moment."""
+    world.vanishing = _VANISHING
+    await anyio.sleep(seconds)
+    world.vanishing = 0
+
+
+async def catalogue_edits(world: World, seconds: float) -> None:
+    """Change a weight and the slots, and change them back."""
+    await world.catalogue.put_workspace('fleet', 3)
+    await world.catalogue.put_pools(SLOTS // 2)
+    await anyio.sleep(seconds)
+    await world.catalogue.put_pools(SLOTS)
+    await world.catalogue.put_workspace('fleet', 1)
+
+
+async def platform(name: str, world: World, seconds: float) -> None:
+    """Let the platform do something wrong."""
+    setattr(world.platform_faults, name, True)
+    await anyio.sleep(seconds)
+    setattr(world.platform_faults, name, False)
+
+
+FAULTS: Final[MappingProxyType[str, Fault]] = MappingProxyType(
+    {
+        'entry restarts': entry_restarts,
+        'side restarts': side_restarts,
+        'server crashes': server_crashes,
+        'link cut': link_cut,
+        'server link cut': server_cut,
+        'partition': partition,
+        'frozen': frozen,
+        'delay': delay,
+        'loss': loss,
+        'late orders': late_orders,
+        'callers vanish': vanishing,
+        'catalogue edits': catalogue_edits,
+        'platform outage': partial(platform, 'outage'),
+        'platform loses replies': partial(platform, 'lose_replies'),
+        'platform writes late': partial(platform, 'late_writes'),
+        'platform throttles': partial(platform, 'throttle'),
+    },
+)
--- /dev/null
+++ b/benchmarks/chaos/virtual/settings.py
@@ -0,0 +1,59 @@
+"""What all daemons of the fake fleet are told."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Any, Final
+
+from sardinetrack.config.model import EntrySettings
+from sardinetrack.entry.claims import Claims
+from sardinetrack.entry.parts import EntryParts
+from sardinetrack.links.secret import PeerSecret
+from sardinetrack.platform.api import Platform
+from sardinetrack.routing.router import Router
+from sardinetrack.routing.shared import Identity
+
+WAIT_SECONDS: Final = 20.0
+SECRET: Final = 'peer-secret'
+_INCARNATION_BITS: Final = 64
+
+
+def draw_incarnation(random: Random) -> str:
+    """Name a life of a process."""
+    return hex(random.getrandbits(_INCARNATION_BITS))
+
+
+def common_settings(name: str) -> dict[str, Any]:
+    """Build the settings that entries and sides share."""
+    return {
+        'instance': name,
+        'failure_domain': 'galata',
+        'platform': {
+            'url': 'http://10.0.0.2:80',
+            'token': {'value': 'platform-token'},
+        },
+        'peer_secret': {'value': SECRET},
+    }
+
+
+def entry_parts(
+    name: str,
+    random: Random,
+    platform: Platform,
+    claims: Claims,
+) -> EntryParts:
+    """Build what an entry's composition root hands to it."""
+    incarnation = draw_incarnation(random)
+    bounds = {'wait_seconds': WAIT_SECONDS}
+    settings = EntrySettings.model_validate(
+        {**common_settings(name), 'bounds': bounds},
+    )
+    chance = Random(random.random())
+    return EntryParts(
+        settings=settings,
+        peer_secret=PeerSecret(SECRET),
+        incarnation=incarnation,
+        routing=Router(Identity(name, incarnation), chance),
+        platform=platform,
+        claims=claims,
+    )
--- /dev/null
+++ b/benchmarks/chaos/virtual/world.py
@@ -0,0 +1,163 @@
+"""The fake fleet: three entries, four engines, two services, their sides."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Any, Final
+
+import anyio
+from anyio.abc import TaskGroup
+
+from benchmarks.chaos.asked import MODEL, SERVICE
+from benchmarks.chaos.virtual.catalogue import SLOTS, Catalogue
+from benchmarks.chaos.virtual.entry import EntryNode
+from benchmarks.chaos.virtual.network import Network
+from benchmarks.chaos.virtual.node import Node
+from benchmarks.chaos.virtual.outside import CallersNode, ServerNode
+from benchmarks.chaos.virtual.platform import PlatformFaults
+from benchmarks.chaos.virtual.side import SideNode
+from sardinetrack.platform.api import ListedInstance
+from sardinetrack.platform.in_process import MemoryPlatform
+from sardinetrack.standin.base import StandIn
+from sardinetrack.standin.engine import Engine
+from sardinetrack.standin.engine_batch import EngineRates
+from sardinetrack.standin.service import Service
+from sardinetrack.standin.settings import EngineSettings, ServiceSettings
+
+ENTRIES: Final = 3
+ENGINES: Final = 4
+SERVICES: Final = 2
+_RATES: Final = EngineRates(base_token_seconds=0.04)
+_CALLERS: Final = '10.0.0.3:80'
+
+
+class World:
+    """All nodes; each dead one is followed by another at its address."""
+
+    def __init__(self, seed: int, tasks: TaskGroup) -> None:
+        """Build a fleet; ``start`` runs it."""
+        self.random = Random(seed)
+        self.network = Network(self.random)
+        self.store = MemoryPlatform(clock=anyio.current_time)
+        self.catalogue = Catalogue(self.store)
+        self.platform_faults = PlatformFaults()
+        self.vanishing = float(0)
+        """Part of the callers that leave early."""
+        self.callers = CallersNode(self.network, _CALLERS)
+        self.entries: dict[str, EntryNode] = {}
+        self.sides: dict[str, SideNode] = {}
+        self.servers: dict[str, ServerNode] = {}
+        self.standins: dict[str, StandIn] = {}
+        self._tasks = tasks
+
+    async def start(self) -> None:
+        """Write the catalogue and start all nodes."""
+        await self.catalogue.put_all()
+        self._run(self.callers)
+        for number in range(ENGINES + SERVICES):
+            self._add_server(number)
+        for number in range(ENTRIES):
+            address = f'10.0.1.{number}:80'
+            name = f'entry-{number}'
+            self._list(name, 'entry', address)
+            self.start_entry(address, name)
+
+    def start_entry(self, address: str, name: str) -> None:
+        """Start an entry that knows nothing."""
+        node = EntryNode(
+            self.network,
+            address,
+            name,
+            self.store,
+            self.platform_faults,
+        )
+        self.entries[address] = node
+        self._run(node)
+
+    def start_side(self, address: str, last: SideNode) -> None:
+        """Start a side's next life."""
+        node = SideNode(
+            self.network,
+            address,
+            last.name,
+            last.pool,
+            last.backend,
+        )
+        self.sides[address] = node
+        self._run(node)
+
+    def start_server(self, address: str) -> None:
+        """Start a backend server's next life."""
+        standin = self.standins[address]
+        node = ServerNode(self.network, address, standin)
+        self.servers[address] = node
+        self._run(node)
+
+    def ready_entries(self) -> list[EntryNode]:
+        """List the entries to which the balancer sends callers."""
+        return [
+            node
+            for node in self.entries.values()
+            if node.listens and not node.core.status.read().not_ready
+        ]
+
+    def started(self) -> dict[str, int]:
+        """Count executions by key over all stand-ins."""
+        counts: dict[str, int] = {}
+        for standin in self.standins.values():
+            for key, found in standin.executions.counts.items():
+                counts[key] = counts.get(key, 0) + found.started
+        return counts
+
+    def left_behind(self) -> list[str]:
+        """Tell what is held for requests though none is under way."""
+        found = []
+        for entry in self.entries.values():
+            core = entry.core
+            if core.dispatcher.open_requests or core.gate.inside:
+                found.append(f'{entry.name} has open requests')
+            found.extend(self._held_by(entry))
+        for side in self.sides.values():
+            load = side.admission.load()
+            if load.running or load.free != SLOTS:
+                found.append(' '.join((side.name, repr(load))))
+        return found
+
+    def _held_by(self, entry: EntryNode) -> list[str]:
+        status = entry.core.status.read()
+        waits = [pool for pool in status.pools if pool.waiting or pool.running]
+        found = [' '.join((entry.name, repr(pool))) for pool in waits]
+        linked = sum(len(pool.sides) for pool in status.pools)
+        if linked != ENGINES + SERVICES:
+            found.append(f'{entry.name} is linked to {linked} sides')
+        return found
+
+    def _add_server(self, number: int) -> None:
+        is_engine = number < ENGINES
+        standin: Any = Service(ServiceSettings())
+        if is_engine:
+            standin = Engine(EngineSettings(model=MODEL, rates=_RATES))
+        server = f'10.0.3.{number}:80'
+        self.standins[server] = standin
+        self.start_server(server)
+        address = f'10.0.2.{number}:80'
+        pool = MODEL if is_engine else SERVICE
+        name = f'side-{number}'
+        self._list(name, 'side', address, pool, f'server-{name}')
+        first = SideNode(self.network, address, name, pool, server)
+        self.sides[address] = first
+        self._run(first)
+
+    def _run(self, node: Node) -> None:
+        self._tasks.start_soon(node.run)
+
+    def _list(
+        self,
+        name: str,
+        role: str,
+        address: str,
+        pool: str = '',
+        server: str = '',
+    ) -> None:
+        row = ListedInstance(name, role, address, 'galata', pool, server)
+        self.store.set_instance(row)
--- a/src/sardinetrack/entry/callers.py
+++ b/src/sardinetrack/entry/callers.py
@@ -28,7 +28,7 @@
     settings = core.parts.settings
     bounds = settings.bounds
     return serving(
-        HttpApplication(_border(core).handle),
+        HttpApplication(caller_border(core).handle),
         settings.callers.ip,
         settings.callers.port,
         bounds=ServerBounds(
@@ -42,7 +42,12 @@
     )
 
 
-def _border(core: EntryCore) -> CallerBorder:
+def caller_border(core: EntryCore) -> CallerBorder:
+    """Build what answers callers, without its listener.
+
+    :param core: the entry's objects.
+    :return: the border.
+    """
     bounds = core.parts.settings.bounds
     costs = LearnedCosts()
     runner = CallRunner(
