Call no token unknown before any configuration is known

A long run in virtual time showed a good token answered 401: an entry that had started empty was asked before it knew any workspace. Clients don't come back after 401. It is now answered 503 not_run_no_server with Retry-After until a configuration is in force.

Ruled out: refusing connections until then; the balancer's readiness check covers that, but it lags.

--- a/src/sardinetrack/entry/tokens.py
+++ b/src/sardinetrack/entry/tokens.py
@@ -16,16 +16,27 @@
     :param exchange: a caller's request.
     :param catalogue: the configuration in force.
     :return: the workspace.
-    :raises AnsweredError: the token is missing or unknown.
+    :raises AnsweredError: the token is missing or unknown, or there is no
+        configuration to know it from.
     """
     token = _bearer_token(exchange.header('authorization') or '')
     digest = hashlib.sha256(token.encode('latin-1')).hexdigest()
     workspace = catalogue.workspace_by_token_hash(digest)
-    if workspace is None or not token:
+    if not token:
         raise AnsweredError(ErrorKind.UNAUTHENTICATED)
+    if workspace is None:
+        raise AnsweredError(_stranger(catalogue))
     return workspace
 
 
+def _stranger(catalogue: CatalogueView) -> ErrorKind:
+    # An entry that started while the platform was down knows no token at all:
+    # "unknown" would be false, and no client comes back after it.
+    if catalogue.revision:
+        return ErrorKind.UNAUTHENTICATED
+    return ErrorKind.NOT_RUN_NO_SERVER
+
+
 def _bearer_token(header: str) -> str:
     scheme, _, token = header.partition(' ')
     return token.strip() if scheme.lower() == 'bearer' else ''
--- a/tests/entry/border.feature
+++ b/tests/entry/border.feature
@@ -48,6 +48,15 @@
       | two tokens                       | 400    | bad_request          |
       | a broken chunk                   | 400    | bad_request          |
 
+  Scenario: An entry without a configuration calls no token unknown
+    An entry starts while the platform is down and no other entry is linked.
+    It knows no token yet: the caller's may well be good, so the caller is
+    told to come back instead of being turned away for good.
+    Given an entry "entry-b" that starts while the platform is down
+    When "entry-b" is asked for "/v1/models"
+    Then the error is 503 "not_run_no_server" and did not run
+    And the answer tells when to come back
+
   Scenario Outline: A request that could be framed in two ways ends its connection
     A balancer in front might take the rest of the body for the next caller's
     request. After the refusal nothing on the connection is read any more.
--- a/tests/entry/steps/border_steps.py
+++ b/tests/entry/steps/border_steps.py
@@ -17,6 +17,7 @@
 
 from sardinetrack.errors.api import ErrorKind
 from sardinetrack.errors.table import answer_for
+from sardinetrack.platform.in_process import Disturbance
 
 AUTHORIZED = f'host: entry\r\nauthorization: Bearer {TOKEN_TEXT}\r\n'
 SERVICE = f'POST /services/chart-api/x HTTP/1.1\r\n{AUTHORIZED}'
@@ -225,6 +226,18 @@
     link.send_until_broken(b'x' * 1000)
 
 
+@given('an entry "{name}" that starts while the platform is down')
+def an_entry_alone(context, name):
+    world = context.world
+    world.portal.call(world.platform.disturb, Disturbance(outage=True))
+    world.entries[name] = world.start_entry(name)
+
+
+@when('"{entry}" is asked for "{path}"')
+def gets_at(context, entry, path):
+    context.world.call('GET', path, entry=entry)
+
+
 @given('{count:d} idle connections')
 def open_idle(context: Any, count: int) -> None:
     context.idle = [context.world.connect() for _ in range(count)]
