--- a/src/sardinetrack/admission/board.py
+++ b/src/sardinetrack/admission/board.py
@@ -88,14 +88,10 @@
             link.rows = {}
 
     def lose(self, entry: str) -> None:
-        """Drop an entry's bids and grants; its numbers go on counting."""
-        link = self._links.get(entry)
-        if link is None:
-            return
-        link.rows = {}
-        for number in list(link.grants):
-            self.close(entry, number)
-        link.grants = {}
+        """Drop an entry's bids and grants; its next link counts anew."""
+        link = self._links.pop(entry, None)
+        if link is not None:
+            self.open_grants -= sum(one.open for one in link.grants.values())
 
     def best(self, now: float) -> Candidate | None:
         """Find the lowest tag with waiting work that no grant covers.
@@ -168,7 +164,9 @@
     def expire(self, now: float) -> int:
         """Close grants and drop bids that are too old.
 
-        A grant or its answer may be lost; the slot must not stay aside.
+        A grant or its answer may be lost, or the entry frozen. The slot must
+        not stay aside, nor be set aside again for an entry that is silent;
+        one that lives bids again with its next order or refresh.
 
         :param now: monotonic time.
         :return: how many grants expired.
@@ -195,6 +193,7 @@
             if grant.open and grant.expires_seconds <= now:
                 grant.open = False
                 grant.included = True
+                link.rows = {}
                 self.open_grants -= 1
                 expired += 1
             elif now - grant.sent_seconds > BIDS_KEEP_SECONDS:
