Claim idempotency keys in shards, many to one write

Cause: one object per key costs two writes a request and is never removed, so that the platform fills up; at 2,400 requests/s it is several times what the platform takes.

A shard is a log in the platform: a bounded head, which every claim passes by a conditional write, and sealed segments that the head lists. A segment whose time is over is deleted first and unlisted afterwards, so that a crash in between loses nothing. The number of shards stands in the platform, since two entries that disagree would claim a key in two places.

Found on the way, each with a scenario of its own: - a caller that hangs up while its claim is written left a claim that told its resend "in progress" for a request that never ran: taken back now; - a claiming write that arrives after its caller was told "not run" blocked the key: the next round writes at the same version, which keeps it out; - an entry that was frozen between claim and order could start a request whose claim had been taken for lost: it checks before each order.

The watch of the catalogue waits 2 s by default instead of 20 s: one that was cut without a word is noticed only when it should have been answered.

--- a/src/sardinetrack/compose/entry.py
+++ b/src/sardinetrack/compose/entry.py
@@ -12,8 +12,7 @@
 from sardinetrack.entry.parts import EntryParts
 from sardinetrack.http.client import HttpClient
 from sardinetrack.links.secret import PeerSecret
-from sardinetrack.once.claims import PlatformClaims
-from sardinetrack.once.settler import Settler
+from sardinetrack.once.claims import ClaimSettings, ShardedClaims
 from sardinetrack.platform.http import HttpPlatform
 from sardinetrack.process.incarnation import new_incarnation
 from sardinetrack.process.ready import EntryReady, print_ready
@@ -37,7 +36,11 @@
             resolve_secret(settings.platform.token),
             call_timeout_seconds=settings.platform.call_timeout_seconds,
         )
-        async with Settler(platform) as settler:
+        claim_settings = ClaimSettings(
+            shards=settings.once.shards,
+            keep_seconds=settings.once.keep_seconds,
+        )
+        async with ShardedClaims(platform, claim_settings) as claims:
             parts = EntryParts(
                 settings=settings,
                 peer_secret=PeerSecret(resolve_secret(settings.peer_secret)),
@@ -47,7 +50,7 @@
                     random.Random(),
                 ),
                 platform=platform,
-                claims=PlatformClaims(platform, settler),
+                claims=claims,
                 balancer_seconds=settings.balancer_seconds,
             )
             async with Entry(parts) as entry:
--- a/src/sardinetrack/config/model.py
+++ b/src/sardinetrack/config/model.py
@@ -12,6 +12,8 @@
 _LAST_PORT: Final = 65_535
 _LONGEST_SECONDS: Final = 3_600
 _LONGEST_BALANCER_SECONDS: Final = 60
+_MOST_SHARDS: Final = 4096
+_LONGEST_KEEP_SECONDS: Final = 2_592_000
 
 Port = Annotated[int, Field(ge=0, le=_LAST_PORT)]
 Seconds = Annotated[float, Field(gt=0, le=_LONGEST_SECONDS)]
@@ -35,7 +37,12 @@
     url: HttpUrl
     token: Secret
     call_timeout_seconds: Seconds = 2.0
-    watch_seconds: Seconds = 20.0
+    watch_seconds: Seconds = 2.0
+    """Longest wait of one watch.
+
+    One whose connection was cut without a word is noticed when it should have
+    been answered, which is part of the time until a change is in force.
+    """
     list_seconds: Seconds = 1.0
 
 
@@ -50,6 +57,17 @@
     wait_seconds: Seconds = 60.0
 
 
+class OnceSettings(_Strict):
+    """How the claims of idempotency keys are kept in the platform."""
+
+    shards: Annotated[int, Field(ge=1, le=_MOST_SHARDS)] = 4
+    """Taken by the first entry ever; all others follow it."""
+    keep_seconds: Annotated[float, Field(gt=0, le=_LONGEST_KEEP_SECONDS)] = (
+        86_400
+    )
+    """How long a record outlives the longest run of its request."""
+
+
 class CommonSettings(_Strict):
     """What entry and side settings share."""
 
@@ -69,6 +87,7 @@
     role: Literal['entry'] = 'entry'
     callers: Listen = Listen()
     bounds: Bounds = Bounds()
+    once: OnceSettings = OnceSettings()
     balancer_seconds: Annotated[
         float,
         Field(ge=0, le=_LONGEST_BALANCER_SECONDS),
--- a/src/sardinetrack/entry/keyed.py
+++ b/src/sardinetrack/entry/keyed.py
@@ -25,6 +25,8 @@
 from sardinetrack.errors.api import AnsweredError, ErrorKind
 
 _MARGIN_SECONDS: Final = 30.0
+_LATEST_START_SECONDS: Final = 15.0
+"""Less than the margin: the run still ends before the claim is lost."""
 _SETTLE_SECONDS: Final = 0.25
 
 _REFUSALS: Final = MappingProxyType(
@@ -43,12 +45,24 @@
 class _MayHaveRun:
     """What is known of one keyed run."""
 
-    def __init__(self) -> None:
-        """Nothing has run."""
+    def __init__(self, start_by_seconds: float) -> None:
+        """Nothing has run.
+
+        :param start_by_seconds: last time at which an order may leave.
+        """
         self.known = False
+        self._start_by_seconds = start_by_seconds
 
     def note(self, may_have_run: bool) -> None:
-        """Take in the newest knowledge."""
+        """Take in the newest knowledge.
+
+        :raises AnsweredError: an order is about to leave, but too late.
+        """
+        # An entry that was frozen with a claimed request would start it after
+        # its claim was taken for lost, beside the run of a later resend.
+        late = anyio.current_time() > self._start_by_seconds
+        if late and may_have_run and not self.known:
+            raise AnsweredError(ErrorKind.NOT_RUN_DEADLINE)
         self.known = may_have_run
 
 
@@ -69,8 +83,10 @@
         :raises AnsweredError: the key is taken or can't be claimed, or the
             run failed.
         """
+        may_have_run = _MayHaveRun(
+            anyio.current_time() + self._wait_seconds + _LATEST_START_SECONDS,
+        )
         claimed = await self._claim(call, key)
-        may_have_run = _MayHaveRun()
         end: ClaimEnd | None = ClaimEnd.UNKNOWN
         try:
             await run(may_have_run.note)
--- a/src/sardinetrack/once/claims.py
+++ b/src/sardinetrack/once/claims.py
@@ -1,181 +1,208 @@
-"""Claims of idempotency keys as one object each in the platform."""
+"""Claims of idempotency keys, many to one write in the platform."""
 
 from __future__ import annotations
 
+import logging
+import random
 import time
 from collections.abc import Callable
-from typing import Final
+from contextlib import AsyncExitStack
+from dataclasses import dataclass, field
+from types import TracebackType
+from typing import Final, Self
 
 import anyio
+import msgspec
+from anyio.abc import TaskGroup
 
 from sardinetrack.entry.claims import (
-    AlreadyFinished,
-    AlreadyRunning,
     ClaimAnswer,
     Claimed,
     ClaimEnd,
     ClaimRequest,
     Claims,
     ClaimsDownError,
-    Mismatch,
-    OutcomeLost,
+)
+from sardinetrack.once.log import HEAD_BYTES, ShardLog
+from sardinetrack.once.operations import (
+    ClaimOperation,
+    EndOperation,
+    Operation,
 )
 from sardinetrack.once.record import (
-    ClaimRecord,
+    LAYOUT_KEY,
     ClaimState,
-    claim_key,
-    read_record,
-    write_record,
+    Layout,
 )
-from sardinetrack.once.settler import Settlement, Settler
+from sardinetrack.once.shard import Pace, Shard
 from sardinetrack.platform.api import (
     ConflictError,
     Platform,
     PlatformError,
     StoredObject,
-    ThrottledError,
+    UnavailableError,
     UncertainError,
 )
 
+_LOG: Final = logging.getLogger('sardinetrack.once')
 KEEP_SECONDS: Final = 86_400.0
+SHARDS: Final = 4
 _CLAIM_SECONDS: Final = 3.0
-_TRIES: Final = 4
-_PAUSE_SECONDS: Final = 0.1
+_FLUSH_SECONDS: Final = 2.0
+_HEX: Final = 16
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimSettings:
+    """How claims are kept."""
 
+    shards: int = SHARDS
+    """Used by the first entry ever; later ones take what stands there."""
+    keep_seconds: float = KEEP_SECONDS
+    """How long a record outlives the longest run of its request."""
+    head_bytes: int = HEAD_BYTES
+    pace: Pace = field(default_factory=Pace)
 
-class PlatformClaims(Claims):
-    """Conditional writes make the claim; nothing is kept in the process.
 
-    Of all entries that try to create a key's object only one succeeds, so at
-    most one of them runs the request, through any partition or restart.
+class ShardedClaims(Claims):
+    """Conditional writes make the claims; nothing is kept in the process.
+
+    All claims of a shard pass through one object. Of two entries that write
+    it at the same version one fails and looks again, so that a key is
+    claimed once, through any partition or restart.
     """
 
     def __init__(
         self,
         platform: Platform,
-        settler: Settler,
+        settings: ClaimSettings | None = None,
         *,
-        keep_seconds: float = KEEP_SECONDS,
         wall_clock: Callable[[], float] = time.time,
+        chance: random.Random | None = None,
     ) -> None:
-        """Remember the platform.
+        """Prepare; use it as a context manager.
 
-        :param settler: writes the ends of claims.
-        :param keep_seconds: how long a record outlives its request.
         :param wall_clock: seconds since the epoch, about equal everywhere.
+        :param chance: source of the jitter after errors.
         """
         self._platform = platform
-        self._settler = settler
-        self._keep_seconds = keep_seconds
+        self._settings = settings or ClaimSettings()
         self._wall_clock = wall_clock
+        self._chance = chance or random.Random()
+        self._shards: dict[int, Shard] = {}
+        self._layout: Layout | None = None
+        self._stack = AsyncExitStack()
+        self._tasks: TaskGroup
+
+    async def __aenter__(self) -> Self:
+        """Open the task group of the shards."""
+        self._tasks = await self._stack.enter_async_context(
+            anyio.create_task_group(),
+        )
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Write what is left, for a bounded time."""
+        for shard in self._shards.values():
+            shard.close()
+        self._tasks.cancel_scope.deadline = (
+            anyio.current_time() + _FLUSH_SECONDS
+        )
+        await self._stack.aclose()
 
     async def claim(self, request: ClaimRequest) -> ClaimAnswer:
         """Claim a key before its request is dispatched."""
+        operation = ClaimOperation(request)
         try:
-            with anyio.fail_after(_CLAIM_SECONDS):
-                return await self._claim(request)
-        except (UncertainError, TimeoutError) as error:
-            # The claim may stand although nothing will run under it: it is
-            # taken back, or the caller's resend would find it for hours.
-            self._settler.post(self._settlement(request, 0, None))
-            raise ClaimsDownError from error
-        except ThrottledError as error:
-            raise ClaimsDownError(error.retry_after_seconds) from error
+            with anyio.move_on_after(_CLAIM_SECONDS):
+                await self._claim(operation)
         except PlatformError as error:
             raise ClaimsDownError from error
+        except BaseException:
+            await self._take_back(operation)
+            raise
+        if operation.answer is None:
+            operation.abandoned = True
+            raise ClaimsDownError(operation.retry_after_seconds)
+        return operation.answer
 
     async def finish(self, claimed: Claimed, end: ClaimEnd) -> None:
-        """Record the end of a request that ran or may have run."""
-        record = self._record(claimed.claim, ClaimState(end.value))
-        await self._settler.settle(
-            self._settlement(claimed.claim, claimed.version, record),
-        )
+        """Hand in the end of a request that ran or may have run."""
+        await self._end(claimed, ClaimState(end.value))
 
     async def release(self, claimed: Claimed) -> None:
-        """Delete the claim of a request that surely did not run."""
-        await self._settler.settle(
-            self._settlement(claimed.claim, claimed.version, None),
-        )
-
-    async def _claim(self, request: ClaimRequest) -> ClaimAnswer:
-        expected_version = 0
-        for _ in range(_TRIES):
-            found = await self._write(request, expected_version)
-            answer = self._judge(request, found)
-            if answer is not None:
-                return answer
-            expected_version = _version(found)
-            await anyio.sleep(_PAUSE_SECONDS)
-        raise UncertainError('the claim kept changing')
-
-    async def _write(
+        """Forget the claim; returns when that is written."""
+        operation = await self._end(claimed, ClaimState.FREE)
+        if operation is not None:
+            await operation.done.wait()
+
+    async def _claim(self, operation: ClaimOperation) -> None:
+        shard = await self._shard(operation)
+        if shard.post(operation):
+            await operation.done.wait()
+
+    async def _take_back(self, operation: ClaimOperation) -> None:
+        # A claim that stands although its caller has hung up would answer
+        # the caller's resend with "in progress" for a request that never ran.
+        operation.abandoned = True
+        if isinstance(operation.answer, Claimed):
+            await self._end(operation.answer, ClaimState.FREE)
+
+    async def _end(
         self,
-        request: ClaimRequest,
-        expected_version: int,
-    ) -> StoredObject | None:
-        """Try to create the claim; return what stands there then."""
-        record = self._record(request, ClaimState.RUNNING)
-        key = claim_key(request.workspace, request.key)
+        claimed: Claimed,
+        state: ClaimState,
+    ) -> EndOperation | None:
+        operation = EndOperation(claimed.claim, state)
+        with anyio.CancelScope(shield=True):
+            shard = await self._shard(operation)
+        return operation if shard.post(operation) else None
+
+    async def _shard(self, operation: Operation) -> Shard:
+        if self._layout is None:
+            self._layout = await self._read_layout()
+        number = int(operation.key, _HEX) % self._layout.shards
+        if number not in self._shards:
+            self._shards[number] = self._open(number)
+        return self._shards[number]
+
+    def _open(self, number: int) -> Shard:
+        log = ShardLog(
+            self._platform,
+            number,
+            keep_seconds=self._settings.keep_seconds,
+            head_bytes=self._settings.head_bytes,
+            wall_clock=self._wall_clock,
+        )
+        shard = Shard(log, self._settings.pace, self._chance)
+        self._tasks.start_soon(shard.run)
+        return shard
+
+    async def _read_layout(self) -> Layout:
+        stored = await self._platform.get(LAYOUT_KEY)
+        if stored is None:
+            stored = await self._write_layout()
+        try:
+            layout = msgspec.json.decode(stored.value, type=Layout)
+        except msgspec.DecodeError as error:
+            raise UnavailableError(f'unreadable layout: {error}') from error
+        _LOG.info('once: shards=%d', layout.shards)
+        return layout
+
+    async def _write_layout(self) -> StoredObject:
+        layout = Layout(self._settings.shards)
         try:
             return await self._platform.put(
-                key,
-                write_record(record),
-                expected_version=expected_version,
+                LAYOUT_KEY,
+                msgspec.json.encode(layout),
+                expected_version=0,
             )
         except ConflictError as error:
+            if error.current is None:
+                raise UncertainError('the layout changes') from error
             return error.current
-        except UncertainError:
-            # The write may have taken effect while its reply was lost. The
-            # attempt's own id in what stands there settles it.
-            return await self._platform.get(key)
-
-    def _judge(
-        self,
-        request: ClaimRequest,
-        found: StoredObject | None,
-    ) -> ClaimAnswer | None:
-        """Return ``None`` when the key is free and may be tried again."""
-        if found is None or found.deleted:
-            return None
-        record = read_record(found.value)
-        if record is None:
-            return OutcomeLost()
-        if record.attempt_id == request.attempt_id:
-            return Claimed(request, found.version)
-        now = self._wall_clock()
-        if now > record.expires_at_seconds:
-            return None
-        if record.request_hash != request.request_hash:
-            return Mismatch()
-        return _standing(record, now)
-
-    def _record(self, request: ClaimRequest, state: ClaimState) -> ClaimRecord:
-        settled_at = self._wall_clock() + request.settled_within_seconds
-        return ClaimRecord(
-            state,
-            request.attempt_id,
-            request.request_hash,
-            settled_at,
-            settled_at + self._keep_seconds,
-        )
-
-    def _settlement(
-        self,
-        request: ClaimRequest,
-        version: int,
-        record: ClaimRecord | None,
-    ) -> Settlement:
-        key = claim_key(request.workspace, request.key)
-        return Settlement(key, request.attempt_id, version, record)
-
-
-def _standing(record: ClaimRecord, now: float) -> ClaimAnswer:
-    if record.state is ClaimState.FINISHED:
-        return AlreadyFinished()
-    if record.state is ClaimState.UNKNOWN or now > record.settled_at_seconds:
-        return OutcomeLost()
-    return AlreadyRunning()
-
-
-def _version(found: StoredObject | None) -> int:
-    return 0 if found is None or found.deleted else found.version
--- a/src/sardinetrack/once/record.py
+++ b/src/sardinetrack/once/record.py
@@ -1,4 +1,4 @@
-"""The stored form of a claim."""
+"""The stored form of claims: records, and the head of a shard's log."""
 
 from __future__ import annotations
 
@@ -9,6 +9,8 @@
 import msgspec
 
 CLAIM_PREFIX: Final = 'once/'
+LAYOUT_KEY: Final = 'once/layout'
+_DIGEST_CHARACTERS: Final = 32
 
 
 class ClaimState(StrEnum):
@@ -17,39 +19,71 @@
     RUNNING = 'running'
     FINISHED = 'finished'
     UNKNOWN = 'unknown'
+    FREE = 'free'
+    """Released; hides an older record of the key in a sealed segment."""
 
 
-class ClaimRecord(msgspec.Struct, frozen=True):
-    """One claim; times are seconds since the epoch."""
+class ClaimRecord(msgspec.Struct, frozen=True, array_like=True):
+    """One claim; times are whole seconds since the epoch."""
 
+    key: str
     state: ClaimState
     attempt_id: str
     request_hash: str
-    settled_at_seconds: float
+    settled_at_seconds: int
     """Nothing runs under this claim any longer after this time."""
-    expires_at_seconds: float
+    expires_at_seconds: int
     """The key is free again after this time."""
 
 
-def claim_key(workspace: str, key: str) -> str:
-    """Name the object of a key.
+class Segment(msgspec.Struct, frozen=True, array_like=True):
+    """A sealed part of a shard's log; it never changes."""
+
+    number: int
+    object_version: int
+    expires_at_seconds: int
+    """No record in it is of use after this time."""
+
+
+class Head(msgspec.Struct, frozen=True):
+    """The open part of a shard's log; every claim passes through it."""
+
+    next_segment: int = 1
+    segments: tuple[Segment, ...] = ()
+    """Oldest first."""
+    records: tuple[ClaimRecord, ...] = ()
+    """Newer than all that is sealed; one for each key."""
+
+
+class Layout(msgspec.Struct, frozen=True):
+    """How the keys are spread over shards, fixed by the first entry.
+
+    Were it a setting of each process, two entries that disagree would claim
+    the same key in two places, and both would run the request.
+    """
+
+    shards: int
+
+
+def digest_key(workspace: str, key: str) -> str:
+    """Name a key; keys of different workspaces never meet.
 
-    :param workspace: keys of different workspaces never meet.
     :param key: the caller's idempotency key.
-    :return: the object's key in the platform.
     """
     named = f'{len(workspace)}:{workspace}{key}'
-    return CLAIM_PREFIX + hashlib.sha256(named.encode()).hexdigest()
+    return hashlib.sha256(named.encode()).hexdigest()[:_DIGEST_CHARACTERS]
+
+
+def short_hash(request_hash: str) -> str:
+    """Cut the hash of a request to what tells two requests apart."""
+    return request_hash[:_DIGEST_CHARACTERS]
 
 
-def write_record(record: ClaimRecord) -> bytes:
-    """Encode a record."""
-    return msgspec.json.encode(record)
+def head_key(shard: int) -> str:
+    """Name the object that holds a shard's head."""
+    return f'{CLAIM_PREFIX}{shard}/head'
 
 
-def read_record(text: bytes) -> ClaimRecord | None:
-    """Decode a record; ``None`` when it is none."""
-    try:
-        return msgspec.json.decode(text, type=ClaimRecord)
-    except msgspec.DecodeError:
-        return None
+def segment_key(shard: int, number: int) -> str:
+    """Name the object that holds a sealed segment."""
+    return f'{CLAIM_PREFIX}{shard}/segment/{number}'
--- a/tests/entry/entry_world.py
+++ b/tests/entry/entry_world.py
@@ -19,8 +19,7 @@
 from sardinetrack.entry.daemon import Entry
 from sardinetrack.entry.heads import HeadBounds
 from sardinetrack.entry.parts import EntryParts
-from sardinetrack.once.claims import PlatformClaims
-from sardinetrack.once.settler import Settler
+from sardinetrack.once.claims import ShardedClaims
 from sardinetrack.platform.api import ListedInstance
 from sardinetrack.platform.in_process import MemoryPlatform
 from sardinetrack.routing.router import Router
@@ -128,13 +127,16 @@
             {
                 'instance': name,
                 'failure_domain': 'galata',
-                'platform': {'url': 'http://127.0.0.1:1', 'token': {'value': 'p'}},
+                'platform': {
+                    'url': 'http://127.0.0.1:1',
+                    'token': {'value': 'p'},
+                },
                 'peer_secret': {'value': 'fleet'},
                 'bounds': BOUNDS,
                 'drain_seconds': 3,
             },
         )
-        settler = self.enter(self.portal.call(Settler, self.platform))
+        claims = self.enter(self.portal.call(ShardedClaims, self.platform))
         identity = Identity(name, f'{name}-1')
         parts = EntryParts(
             settings=settings,
@@ -142,7 +144,7 @@
             incarnation=identity.incarnation,
             routing=Router(identity, random.Random(7)),
             platform=self.platform,
-            claims=PlatformClaims(self.platform, settler),
+            claims=claims,
             head_bounds=HEADS,
             balancer_seconds=0.3,
             **overrides,
