--- /dev/null
+++ b/benchmarks/once/__init__.py
@@ -0,0 +1,3 @@
+"""What claims of idempotency keys cost in calls on the platform."""
+
+from __future__ import annotations
--- /dev/null
+++ b/benchmarks/once/__main__.py
@@ -0,0 +1,127 @@
+"""Print calls for each claim by rate and number of entries.
+
+``python -m benchmarks.once`` from the root of the repository; virtual time,
+so that it takes moments and gives the same figures again.
+"""
+
+from __future__ import annotations
+
+import random
+import sys
+from dataclasses import dataclass, field
+from itertools import product
+
+import anyio
+from tests.support.shaky_platform import Odds, Road, ShakyPlatform
+from tests.support.virtual_time import run_virtually
+
+from sardinetrack.entry.claims import (
+    Claimed,
+    ClaimEnd,
+    ClaimRequest,
+    Claims,
+    ClaimsDownError,
+)
+from sardinetrack.once.claims import ClaimSettings, ShardedClaims
+
+_RATES = (1, 10, 100)
+_ENTRIES = (1, 2, 4, 8)
+_CLAIMS = 3000
+_LEAST_SECONDS = 30
+_MOST_SECONDS = 600
+_RUN_SECONDS = 5
+_LATENCY_SECONDS = 0.005
+_SEED = 11
+_MILLISECONDS = 1000
+_PERCENTILE = 0.99
+_ROW = '{:4} {:7} {:6.2f} {:5.2f} {:8.1f} {:7.1f} {:7}\n'
+
+
+@dataclass
+class Load:
+    """Callers of one shard, spread over entries."""
+
+    rate: int
+    entries: int
+    road: Road = field(default_factory=Road)
+    chance: random.Random = field(default_factory=lambda: random.Random(_SEED))
+    waited_seconds: list[float] = field(default_factory=list)
+    refused: int = 0
+
+    async def run(self) -> None:
+        """Let callers come for a while."""
+        async with anyio.create_task_group() as tasks:
+            opened = [await tasks.start(self._entry) for _ in self._each()]
+            await self._call(opened)
+            tasks.cancel_scope.cancel()
+
+    def _each(self) -> range:
+        return range(self.entries)
+
+    async def _call(self, opened: list[Claims]) -> None:
+        async with anyio.create_task_group() as callers:
+            for number in range(self._claims()):
+                entry = self.chance.choice(opened)
+                callers.start_soon(self._caller, entry, number)
+                await anyio.sleep(self.chance.expovariate(self.rate))
+
+    def _claims(self) -> int:
+        least, most = self.rate * _LEAST_SECONDS, self.rate * _MOST_SECONDS
+        return min(max(_CLAIMS, least), most)
+
+    async def _entry(self, *, task_status: anyio.abc.TaskStatus) -> None:
+        odds = Odds(latency_seconds=_LATENCY_SECONDS)
+        platform = ShakyPlatform(self.road, odds, self.chance)
+        async with ShardedClaims(
+            platform,
+            ClaimSettings(shards=1),
+            wall_clock=anyio.current_time,
+            chance=self.chance,
+        ) as claims:
+            task_status.started(claims)
+            await anyio.sleep_forever()
+
+    async def _caller(self, claims: Claims, number: int) -> None:
+        request = ClaimRequest('w', f'k{number}', 'h', f'a{number}', 700)
+        began = anyio.current_time()
+        try:
+            claimed = await claims.claim(request)
+        except ClaimsDownError:
+            self.refused += 1
+            return
+        assert isinstance(claimed, Claimed), claimed
+        self.waited_seconds.append(anyio.current_time() - began)
+        await anyio.sleep(self.chance.expovariate(1 / _RUN_SECONDS))
+        await claims.finish(claimed, ClaimEnd.FINISHED)
+
+
+def main() -> None:
+    """Print one line for each rate and number of entries."""
+    sys.stdout.write('rate entries writes reads  mean ms  p99 ms refused\n')
+    for rate, entries in product(_RATES, _ENTRIES):
+        load = Load(rate, entries)
+        run_virtually(load.run)
+        sys.stdout.write(_line(load))
+        sys.stdout.flush()
+
+
+def _line(load: Load) -> str:
+    waited = sorted(load.waited_seconds)
+    claims = len(waited)
+    calls = load.road.calls
+    mean_ms = sum(waited) / claims * _MILLISECONDS
+    late_ms = waited[int(claims * _PERCENTILE)] * _MILLISECONDS
+    figures = (
+        load.rate,
+        load.entries,
+        calls['put'] / claims,
+        calls['get'] / claims,
+        mean_ms,
+        late_ms,
+        load.refused,
+    )
+    return _ROW.format(*figures)
+
+
+if __name__ == '__main__':
+    main()
--- a/src/sardinetrack/entry/claims.py
+++ b/src/sardinetrack/entry/claims.py
@@ -26,8 +26,8 @@
     """The request may run; the claim has to be finished or released."""
 
     claim: ClaimRequest
-    version: int
-    """Version of the claim's object in the platform."""
+    valid_until_seconds: float
+    """Nobody else can claim the key before; seconds since the epoch."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/sardinetrack/once/claims.py
+++ b/src/sardinetrack/once/claims.py
@@ -158,7 +158,11 @@
         claimed: Claimed,
         state: ClaimState,
     ) -> EndOperation | None:
-        operation = EndOperation(claimed.claim, state)
+        operation = EndOperation(
+            claimed.claim,
+            state,
+            claimed.valid_until_seconds,
+        )
         with anyio.CancelScope(shield=True):
             shard = await self._shard(operation)
         return operation if shard.post(operation) else None
--- a/src/sardinetrack/once/draft.py
+++ b/src/sardinetrack/once/draft.py
@@ -89,9 +89,11 @@
     def _useless(self, record: ClaimRecord) -> bool:
         if record.expires_at_seconds + CLOCK_SKEW_SECONDS < self._now:
             return True
+        if record.state is not ClaimState.FREE:
+            return False
         released_now = self.changes.get(record.key) is record
-        hides_nothing = released_now and record.key not in self._sealed
-        return record.state is ClaimState.FREE and hides_nothing
+        was_open = record.key in self._known.records
+        return released_now and was_open and record.key not in self._sealed
 
     def _find(self, key: str) -> ClaimRecord | None:
         for records in (self.changes, self._known.records, self._sealed):
@@ -105,10 +107,10 @@
         key = operation.key
         record = self._find(key)
         if record is None or self._is_free(record):
-            self.changes[key] = self._record(request, ClaimState.RUNNING)
-            return Claimed(request, self._known.version)
+            record = self._record(request, ClaimState.RUNNING)
+            self.changes[key] = record
         if record.attempt_id == request.attempt_id:
-            return _own(request, record, self._known.version)
+            return _own(request, record)
         if record.request_hash != short_hash(request.request_hash):
             return Mismatch()
         return _standing(record, self._now)
@@ -116,9 +118,14 @@
     def _end(self, operation: EndOperation) -> None:
         request = operation.request
         record = self._find(operation.key)
-        if record is None or record.attempt_id != request.attempt_id:
-            return
-        if record.state is ClaimState.RUNNING:
+        if record is None:
+            # Its claim is sealed. While it stands nobody else can have
+            # claimed the key, so the segment need not be read again.
+            stands = surely_stands(operation, self._now)
+        else:
+            own = record.attempt_id == request.attempt_id
+            stands = own and record.state is ClaimState.RUNNING
+        if stands:
             ended = self._record(request, operation.state)
             self.changes[operation.key] = ended
 
@@ -139,19 +146,20 @@
         )
 
 
+def surely_stands(operation: EndOperation, now: float) -> bool:
+    """Tell whether the claim that an operation ends stands by any clock."""
+    return now + CLOCK_SKEW_SECONDS < operation.valid_until_seconds
+
+
 def encode_head(head: Head) -> bytes:
     """Encode a head as the platform holds it."""
     return msgspec.json.encode(head)
 
 
-def _own(
-    request: ClaimRequest,
-    record: ClaimRecord,
-    version: int,
-) -> ClaimAnswer:
-    # One's own claim stands already: the reply of its write was lost.
+def _own(request: ClaimRequest, record: ClaimRecord) -> ClaimAnswer:
+    # One's own claim may stand already: the reply of its write was lost.
     if record.state is ClaimState.RUNNING:
-        return Claimed(request, version)
+        return Claimed(request, record.expires_at_seconds)
     return OutcomeLost()
 
 
--- a/src/sardinetrack/once/log.py
+++ b/src/sardinetrack/once/log.py
@@ -7,9 +7,13 @@
 
 import msgspec
 
-from sardinetrack.once.draft import Draft, KnownHead, encode_head
-from sardinetrack.once.operations import EndOperation, Operation
-from sardinetrack.once.record import Head, Segment, head_key
+from sardinetrack.once.draft import Draft, KnownHead, encode_head, surely_stands
+from sardinetrack.once.operations import (
+    ClaimOperation,
+    EndOperation,
+    Operation,
+)
+from sardinetrack.once.record import ClaimState, Head, Segment, head_key
 from sardinetrack.once.segments import Segments, is_over
 from sardinetrack.platform.api import (
     ConflictError,
@@ -84,7 +88,7 @@
         asked = {
             operation.key
             for operation in operations
-            if _asks_sealed(operation, known)
+            if _asks_sealed(operation, known, now)
         }
         sealed = await self._segments.find(known.head.segments, asked, now)
         draft = Draft(known, sealed, now, self._keep_seconds)
@@ -186,11 +190,19 @@
         return over
 
 
-def _asks_sealed(operation: Operation, known: KnownHead) -> bool:
-    # A release must know whether it uncovers an older record of the key.
+def _asks_sealed(operation: Operation, known: KnownHead, now: float) -> bool:
+    if operation.key in known.records:
+        # A release must know whether it uncovers an older record of the key.
+        return _is_release(operation)
     if isinstance(operation, EndOperation):
-        return True
-    return operation.key not in known.records
+        return not surely_stands(operation, now)
+    return True
+
+
+def _is_release(operation: Operation) -> bool:
+    if isinstance(operation, ClaimOperation):
+        return False
+    return operation.state is ClaimState.FREE
 
 
 def _head_of(stored: StoredObject | None) -> Head:
--- a/src/sardinetrack/once/operations.py
+++ b/src/sardinetrack/once/operations.py
@@ -48,6 +48,8 @@
     request: ClaimRequest
     state: ClaimState
     """``FREE`` for a request that surely did not run."""
+    valid_until_seconds: float = 0
+    """Until then the claim surely stands; 0 when it may not have come about."""
     done: anyio.Event = field(default_factory=anyio.Event)
 
     @property
--- a/tests/once/random_run.py
+++ b/tests/once/random_run.py
@@ -26,7 +26,8 @@
 from support.virtual_time import run_virtually
 
 SKEW_SECONDS = 5.0
-KEEP_SECONDS = 40.0
+KEEP_SECONDS = (40.0, 200.0)
+"""By seed: keys are used again after their time, or not."""
 SETTLED_SECONDS = 10.0
 _KEYS = 30
 _HASHES = ('one', 'one', 'one', 'one', 'other')
@@ -39,11 +40,10 @@
     request: ClaimRequest
     claimed_at: float
     released: bool = False
-    finished: bool = False
 
-    def is_over(self, now: float) -> bool:
+    def is_over(self, now: float, keep_seconds: float) -> bool:
         """Whether the key may be claimed by another attempt."""
-        kept_seconds = SETTLED_SECONDS + KEEP_SECONDS - 2 * SKEW_SECONDS
+        kept_seconds = SETTLED_SECONDS + keep_seconds - 2 * SKEW_SECONDS
         return self.released or now >= self.claimed_at + kept_seconds
 
 
@@ -51,6 +51,7 @@
 class Naive:
     """A dictionary that sees every claim and end at its instant."""
 
+    keep_seconds: float
     holders: dict[str, Holder] = field(default_factory=dict)
     asked: set[str] = field(default_factory=set)
     finished: set[str] = field(default_factory=set)
@@ -63,9 +64,9 @@
         holder = self.holders.get(request.key)
         match answer:
             case Claimed():
-                assert holder is None or holder.is_over(now), (
-                    f'{request} claimed beside {holder} at {now}'
-                )
+                assert holder is None or holder.is_over(
+                    now, self.keep_seconds
+                ), f'{request} claimed beside {holder} at {now}'
                 self.holders[request.key] = Holder(request, now)
             case AlreadyFinished():
                 assert request.key in self.finished, request
@@ -95,7 +96,7 @@
     async def _serve(self) -> None:
         settings = ClaimSettings(
             shards=2,
-            keep_seconds=KEEP_SECONDS,
+            keep_seconds=self._run.naive.keep_seconds,
             head_bytes=1_500,
         )
         chance = random.Random(self._run.chance.random())
@@ -117,7 +118,7 @@
 
     def __init__(self, seed: int, callers: int, entries: int) -> None:
         self.chance = random.Random(seed)
-        self.naive = Naive()
+        self.naive = Naive(KEEP_SECONDS[seed % len(KEEP_SECONDS)])
         self.road = Road()
         self._entries: list[EntryStub] = []
         self._callers = callers
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -4,13 +4,13 @@
 
 import json
 import time
-from contextlib import ExitStack
+from contextlib import AbstractContextManager, ExitStack
 from functools import partial
 from hashlib import sha256
 from pathlib import Path
 from tempfile import TemporaryDirectory
 from types import TracebackType
-from typing import Any, Final, Self
+from typing import Any, Final, Self, TypeVar
 
 from support.caller import Answer, Caller
 from support.process import Process
@@ -20,6 +20,7 @@
 _DOMAINS: Final = ('galata', 'asparuhovo', 'kamchia')
 _READY_SECONDS: Final = 30.0
 _PAUSE_SECONDS: Final = 0.05
+ResourceT = TypeVar('ResourceT')
 
 
 def eventually(check: Any, *, within_seconds: float = _READY_SECONDS) -> Any:
@@ -69,6 +70,10 @@
         process.wait_ready()
         return process
 
+    def own(self, resource: AbstractContextManager[ResourceT]) -> ResourceT:
+        """Open a resource that ends with the fleet."""
+        return self._stack.enter_context(resource)
+
     def start_platform(self) -> None:
         """Start the platform's stand-in."""
         settings = {'token': {'value': PLATFORM_TOKEN}}
