Give orders to backend servers under a lease with fencing numbers

Cause: nothing ordered an engine to load a model, and two sides of one server would have ordered side by side.

A side seeks the lease on its backend server only when its pool names a model that the server doesn't list; nothing is renewed, and requests need no lease. The version of the lease object is the fencing number. The holder counts from before its write and stops a margin early, asks its own clock just before each send and breaks a slow send off with the lease. At a server that ignores the numbers a successor waits the whole duration and the margin from when it first saw the lease. The engine's stand-in loads what it is ordered to.

--- a/src/sardinetrack/compose/side.py
+++ b/src/sardinetrack/compose/side.py
@@ -9,7 +9,9 @@
 from sardinetrack.admission.slots import SlotAdmission
 from sardinetrack.config.model import SideSettings
 from sardinetrack.config.secret import resolve_secret
+from sardinetrack.http.client import HttpClient
 from sardinetrack.links.secret import PeerSecret
+from sardinetrack.platform.http import HttpPlatform
 from sardinetrack.process.incarnation import new_incarnation
 from sardinetrack.process.ready import SideReady, print_ready
 from sardinetrack.process.signals import run_until_drained
@@ -29,15 +31,23 @@
     :return: the running side.
     """
     incarnation = new_incarnation()
-    parts = SideParts(
-        settings=settings,
-        peer_secret=PeerSecret(resolve_secret(settings.peer_secret)),
-        incarnation=incarnation,
-        admission=SlotAdmission(incarnation, _NO_SLOTS),
-        configuration=RelayedConfiguration(settings.pool),
-    )
-    async with Side(parts) as side:
-        yield side
+    async with HttpClient() as client:
+        platform = HttpPlatform(
+            client,
+            str(settings.platform.url),
+            resolve_secret(settings.platform.token),
+            call_timeout_seconds=settings.platform.call_timeout_seconds,
+        )
+        parts = SideParts(
+            settings=settings,
+            peer_secret=PeerSecret(resolve_secret(settings.peer_secret)),
+            incarnation=incarnation,
+            admission=SlotAdmission(incarnation, _NO_SLOTS),
+            configuration=RelayedConfiguration(settings.pool),
+            platform=platform,
+        )
+        async with Side(parts) as side:
+            yield side
 
 
 async def run_side(settings: SideSettings) -> int:
--- a/src/sardinetrack/side/daemon.py
+++ b/src/sardinetrack/side/daemon.py
@@ -15,6 +15,7 @@
 from sardinetrack.http.server import BoundServer, serving
 from sardinetrack.process.api import Drainable
 from sardinetrack.side.events import CutOff, DrainBegan
+from sardinetrack.side.ordering import model_orders
 from sardinetrack.side.parts import SideParts
 from sardinetrack.side.wiring import Wiring
 
@@ -84,6 +85,13 @@
         stack.callback(tasks.cancel_scope.cancel)
         tasks.start_soon(self._wiring.owner.run)
         tasks.start_soon(self._wiring.watch.run)
+        if self._parts.platform is not None:
+            orders = model_orders(
+                self._parts,
+                self._parts.platform,
+                client,
+            )
+            tasks.start_soon(orders.run)
         settings = self._parts.settings
         self.operator = await self._serve(
             stack,
--- a/src/sardinetrack/side/parts.py
+++ b/src/sardinetrack/side/parts.py
@@ -9,6 +9,7 @@
 from sardinetrack.config.model import SideSettings
 from sardinetrack.links.api import LinkBounds
 from sardinetrack.links.secret import PeerSecret
+from sardinetrack.platform.api import Platform
 from sardinetrack.side.concurrency import ConcurrencyLimit, FixedLimit
 from sardinetrack.side.configuration import SideConfiguration
 
@@ -27,5 +28,7 @@
     configuration: SideConfiguration
     concurrency: ConcurrencyLimit = field(default_factory=FixedLimit)
     link_bounds: LinkBounds = field(default_factory=LinkBounds)
+    platform: Platform | None = None
+    """Holds the lease; without it a side gives no orders."""
     send_seconds: float = _SEND_SECONDS
     """How long an entry may leave a piece of its answer unread."""
--- a/src/sardinetrack/standin/engine_orders.py
+++ b/src/sardinetrack/standin/engine_orders.py
@@ -19,6 +19,20 @@
     content: Any = None
 
 
+class LoadContent(msgspec.Struct):
+    """Content of an order to load models."""
+
+    load_models: tuple[str, ...]
+
+
+def models_of(order: Order) -> tuple[str, ...]:
+    """Tell which models an order loads, none for an order of another sort."""
+    try:
+        return msgspec.convert(order.content, LoadContent).load_models
+    except msgspec.ValidationError:
+        return ()
+
+
 class OrderBook:
     """Orders that were accepted, in their order."""
 
--- /dev/null
+++ b/tests/lease/steps/lease_steps.py
@@ -0,0 +1,124 @@
+"""Steps for leases and fencing numbers."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from behave import given, step, then, when
+from order_run import run_seed
+
+from sardinetrack.lease.decision import Acquire, Lease, SeenLease, WaitOut
+from sardinetrack.standin.fencing import Fence
+
+
+@given('a server that {kind} fencing numbers')
+def given_server(context: Any, kind: str) -> None:
+    context.checks = kind == 'checks'
+
+
+@step('side "{name}" acquires at {now:g} with a write that took {took:g} s')
+@step(
+    'side "{name}" acquires again at {now:g} with a write that took {took:g} s',
+)
+def given_acquired(context: Any, name: str, now: float, took: float) -> None:
+    lease = _lease(context, name)
+    look(context, name, now)
+    assert isinstance(context.step, Acquire), context.step
+    write(context, lease, now)
+    assert lease.seconds_left(now + took) == 8 - took
+
+
+@when('side "{name}" looks at {now:g}')
+def look(context: Any, name: str, now: float) -> None:
+    seen = getattr(context, 'seen', SeenLease(0, None))
+    context.now = now
+    context.step = _lease(context, name).seek(
+        now,
+        seen,
+        checks_fencing=getattr(context, 'checks', False),
+    )
+
+
+@when('side "{name}" is paused until {now:g}')
+def when_paused(context: Any, name: str, now: float) -> None:
+    assert _lease(context, name).state == 'held', now
+
+
+@when(
+    'two sides order a server that {kind} fencing numbers in {count:d} '
+    'seeded runs',
+)
+def when_random(context: Any, kind: str, count: int) -> None:
+    checks = kind == 'checks'
+    context.runs = [run_seed(seed, checks=checks) for seed in range(count)]
+
+
+@then('"{name}" may order at {now:g} for {seconds:g} s')
+def then_may(context: Any, name: str, now: float, seconds: float) -> None:
+    left = _lease(context, name).seconds_left(now)
+    assert round(left, 3) == seconds, left
+
+
+@then('"{name}" may not order at {now:g}')
+def then_may_not(context: Any, name: str, now: float) -> None:
+    assert _lease(context, name).seconds_left(now) == 0
+
+
+@then('"{name}" is "{state}"')
+def then_state(context: Any, name: str, state: str) -> None:
+    assert _lease(context, name).state == state
+
+
+@then('"{name}" waits {seconds:g} s')
+def then_waits(context: Any, name: str, seconds: float) -> None:
+    assert isinstance(context.step, WaitOut), context.step
+    assert round(context.step.seconds, 3) == seconds, context.step
+    assert _lease(context, name).state == 'waiting_out'
+
+
+@then('"{name}" acquires with a greater fencing number')
+def then_acquires(context: Any, name: str) -> None:
+    assert isinstance(context.step, Acquire), context.step
+    before = context.seen.version
+    write(context, _lease(context, name), context.now)
+    assert _lease(context, name).fencing > before
+
+
+@then('the server refuses the number of "{name}"')
+def then_refuses(context: Any, name: str) -> None:
+    fence = Fence(checks=True)
+    assert fence.admits(context.seen.version)
+    assert not fence.admits(_lease(context, name).fencing)
+
+
+@then('no order was accepted after one with a greater fencing number')
+def then_in_order(context: Any) -> None:
+    for run in context.runs:
+        numbers = [number for number, _ in run.accepted]
+        assert numbers == sorted(numbers), (run.seed, run.accepted)
+
+
+@then('orders were given by both sides and some were held back')
+def then_both(context: Any) -> None:
+    sides = {name for run in context.runs for _, name in run.accepted}
+    held_back = sum(run.seen['held back'] for run in context.runs)
+    assert sides == {'a', 'b'} and held_back, (sides, held_back)
+
+
+def write(context: Any, lease: Lease, began_at: float) -> None:
+    """Let the write of the newest step take effect."""
+    version = context.step.expected_version + 1
+    lease.acquired(began_at, version)
+    context.seen = SeenLease(version, context.step.record)
+
+
+def _lease(context: Any, name: str) -> Lease:
+    if not hasattr(context, 'leases'):
+        context.leases = {}
+    if name not in context.leases:
+        context.leases[name] = Lease(
+            name,
+            duration_seconds=10,
+            margin_seconds=2,
+        )
+    return context.leases[name]
