--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -102,10 +102,15 @@
         pool: str,
         backend_server: str,
         backend_url: str,
+        *,
+        instance: str | None = None,
         **settings: Any,
     ) -> Process:
-        """Start a side and let the platform list it."""
-        name = f'side-{backend_server}'
+        """Start a side and let the platform list it.
+
+        :param instance: by default named after the backend server.
+        """
+        name = instance or f'side-{backend_server}'
         process = self.start(
             name,
             ['side'],
--- a/tests/support/relay_link.py
+++ b/tests/support/relay_link.py
@@ -52,6 +52,10 @@
         """Take connections again."""
         self._portal.call(self._relay.restore)
 
+    def delay(self, seconds: float) -> None:
+        """Let bytes take so long, each way."""
+        self._relay.delay_seconds = seconds
+
     def freeze(self) -> None:
         """Hold all bytes; connections stay open and silent."""
         self._portal.call(self._relay.freeze)
