--- a/src/sardinetrack/admission/slots.py
+++ b/src/sardinetrack/admission/slots.py
@@ -142,6 +142,7 @@
     def tick(self, now: float) -> Sequence[SideEffect]:
         """Expire grants, held requests and old records."""
         self._board.expire(now)
+        self._board.check()
         self._book.forget(now)
         effects: list[SideEffect] = []
         for attempt_id, held in list(self._held.items()):
@@ -254,17 +255,19 @@
     def _grant_spare(self, now: float) -> Sequence[SideEffect]:
         effects: list[SideEffect] = []
         for _ in range(self._room):
-            candidate = self._board.best()
+            candidate = self._board.best(now)
             if candidate is None:
                 break
             effects.append(self._grant(now, candidate))
         return effects
 
     def _grant(self, now: float, candidate: Candidate) -> SideEffect:
+        ensure(not self._draining, 'a draining side grants nothing')
         valid_seconds = self._staging.valid_seconds
         number = self._board.grant(now, candidate, valid_seconds)
         self._virtual_time = max(self._virtual_time, candidate.tag)
-        return SendGrant(candidate.entry, Grant(number, valid_seconds))
+        grant = Grant(number, valid_seconds, candidate.row.workspace)
+        return SendGrant(candidate.entry, grant)
 
     def _announce(self, now: float) -> SideEffect:
         self._announced = (self._free, now)
--- a/src/sardinetrack/entry/dispatcher.py
+++ b/src/sardinetrack/entry/dispatcher.py
@@ -11,6 +11,7 @@
 
 import anyio
 
+from sardinetrack.entry.metrics import EntryMetrics
 from sardinetrack.entry.ticket import Ticket
 from sardinetrack.messages.api import Bids, Decline, ServiceReport, Strike
 from sardinetrack.routing.api import (
@@ -32,6 +33,10 @@
 class Outbox(ABC):
     """Where messages of the decisions go; posting never blocks."""
 
+    @abstractmethod
+    def backend_server(self, side: str) -> str:
+        """Name the backend server of a linked side, for the log."""
+
     @abstractmethod
     def to_side(self, side: str, message: Bids | Decline) -> None:
         """Post to the link of a side; dropped when it is down."""
@@ -54,6 +59,7 @@
         self,
         routing: Routing,
         outbox: Outbox,
+        metrics: EntryMetrics,
         clock: Callable[[], float] = anyio.current_time,
     ) -> None:
         """Own the decisions.
@@ -63,11 +69,11 @@
         self.routing = routing
         self.clock = clock
         self._outbox = outbox
+        self._metrics = metrics
         self._tickets: dict[str, Ticket] = {}
 
-    @property
     def open_requests(self) -> int:
-        """How many requests wait or run."""
+        """Count the requests that wait or run."""
         return len(self._tickets)
 
     def tickets(self) -> tuple[Ticket, ...]:
@@ -101,11 +107,12 @@
         ticket = self._tickets.get(dispatch.request_id)
         if ticket is not None:
             ticket.settled(dispatch)
+            self._metrics.ended(ticket.work.pool, end, cost)
         _LOG.info(
-            'entry: ended request=%s attempt=%s side=%s end=%s cost=%.3f',
+            'entry: ended request=%s attempt=%s server=%s end=%s cost=%.3f',
             dispatch.request_id,
             dispatch.attempt_id,
-            dispatch.side,
+            self._outbox.backend_server(dispatch.side),
             end.value,
             cost,
         )
@@ -157,10 +164,10 @@
                 answered=False,
             )
         _LOG.info(
-            'entry: dispatch request=%s workspace=%s side=%s reason=%s',
+            'entry: dispatch request=%s workspace=%s server=%s reason=%s',
             dispatch.request_id,
             ticket.work.workspace,
-            dispatch.side,
+            self._outbox.backend_server(dispatch.side),
             dispatch.reason,
         )
         ticket.decide(dispatch)
--- a/src/sardinetrack/entry/linked.py
+++ b/src/sardinetrack/entry/linked.py
@@ -67,6 +67,10 @@
         """List the open links to peers of a role."""
         return [link for link in self._links if link.peer.role is role]
 
+    def count_links(self, role: PeerRole) -> int:
+        """Count the open links to peers of a role."""
+        return len(self.links(role))
+
     def is_linked(self, name: str) -> bool:
         """Tell whether a link to an instance is up."""
         return self._links.get(name) is not None
@@ -117,6 +121,11 @@
         if linked is not None:
             linked.down.set()
 
+    def backend_server(self, side: str) -> str:
+        """Name the backend server of a linked side."""
+        linked = self._sides.get(side)
+        return linked.known.backend_server if linked else ''
+
     def to_side(self, side: str, message: Bids | Decline) -> None:
         """Post to the link of a side."""
         link = self._links.get(side)
--- a/tests/entry/entry_world.py
+++ b/tests/entry/entry_world.py
@@ -11,6 +11,7 @@
 from contextlib import ExitStack
 from typing import Any
 
+import msgspec
 from anyio.from_thread import start_blocking_portal
 from fake_side import SECRET, SLOTS, FakeSide, Script
 from raw_http import TOKEN_TEXT, WAIT_SECONDS, Answer, Connection
@@ -19,9 +20,22 @@
 from sardinetrack.entry.daemon import Entry
 from sardinetrack.entry.heads import HeadBounds
 from sardinetrack.entry.parts import EntryParts
+from sardinetrack.messages.run import RunOrder
 from sardinetrack.once.claims import ShardedClaims
-from sardinetrack.platform.api import ListedInstance
-from sardinetrack.platform.in_process import MemoryPlatform
+from sardinetrack.once.record import (
+    LAYOUT_KEY,
+    ClaimState,
+    Head,
+    digest_key,
+    head_key,
+)
+from sardinetrack.platform.api import (
+    ListedInstance,
+    Listing,
+    StoredObject,
+    UnavailableError,
+)
+from sardinetrack.platform.in_process import Disturbance, MemoryPlatform
 from sardinetrack.routing.router import Router
 from sardinetrack.routing.shared import Identity
 
@@ -73,20 +87,66 @@
         self.lines.append(f'{record.getMessage()} {record.__dict__}')
 
 
+class LossyPlatform(MemoryPlatform):
+    """Fails in parts on demand."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.countdown = -1
+        self.catalogue_down = False
+        self.instance_reads = 0
+
+    def lose_after(self, writes: int) -> None:
+        """Lose the reply to the write after so many others."""
+        self.countdown = writes
+
+    async def put(
+        self,
+        key: str,
+        value: bytes,
+        *,
+        expected_version: int | None,
+    ) -> StoredObject:
+        """Write, and lose the reply when its turn has come."""
+        if self.countdown == 0:
+            self.disturb(Disturbance(lose_replies=1))
+        self.countdown -= 1
+        return await super().put(
+            key,
+            value,
+            expected_version=expected_version,
+        )
+
+    async def list(self, prefix: str) -> Listing:
+        """Read all objects, unless the catalogue is down."""
+        if self.catalogue_down:
+            raise UnavailableError('down')
+        return await super().list(prefix)
+
+    async def instances(self) -> tuple[ListedInstance, ...]:
+        """Read the list of instances and count it."""
+        self.instance_reads += 1
+        return await super().instances()
+
+
 class EntryWorld:
     """Owns everything of a scenario."""
 
     def __init__(self) -> None:
         self.stack = ExitStack()
         self.portal = self.stack.enter_context(start_blocking_portal())
-        self.platform = MemoryPlatform()
+        self.platform = LossyPlatform()
+        self.wall_seconds = 1e9
         self.sides: dict[str, FakeSide] = {}
         self.entries: dict[str, Entry] = {}
+        self.claims: list[ShardedClaims] = []
+        # One shard, so that the writes to be lost can be counted.
+        self.platform.store.put(0, LAYOUT_KEY, b'{"shards":1}', 0)
         self.connections: list[Connection] = []
         self.answer: Answer | None = None
         self.log = LogLines()
         logging.getLogger().addHandler(self.log)
-        logging.getLogger().setLevel(logging.DEBUG)
+        logging.getLogger('sardinetrack').setLevel(logging.DEBUG)
         for content in CATALOGUE:
             self.write(content)
 
@@ -121,8 +181,17 @@
         """Add to what a side answers."""
         self.sides[name].scripts.append(script)
 
-    def entry(self, name: str = 'entry-a', **overrides: Any) -> Entry:
+    def entry(self, name: str = 'entry-a') -> Entry:
         """Start an entry, list it and wait until it is linked."""
+        entry = self.start_entry(name)
+        self.entries[name] = entry
+        row = ListedInstance(name, 'entry', entry.peer.address, 'galata')
+        self.portal.call(self.platform.set_instance, row)
+        self.until(lambda: self.ready(entry))
+        return entry
+
+    def start_entry(self, name: str) -> Entry:
+        """Start an entry that nobody knows of yet."""
         settings = EntrySettings.model_validate(
             {
                 'instance': name,
@@ -136,7 +205,8 @@
                 'drain_seconds': 3,
             },
         )
-        claims = self.enter(self.portal.call(ShardedClaims, self.platform))
+        claims = self.enter(self.portal.call(self._claims))
+        self.claims.append(claims)
         identity = Identity(name, f'{name}-1')
         parts = EntryParts(
             settings=settings,
@@ -147,15 +217,16 @@
             claims=claims,
             head_bounds=HEADS,
             balancer_seconds=0.3,
-            **overrides,
         )
         entry: Entry = self.enter(self.portal.call(Entry, parts))
-        self.entries[name] = entry
-        row = ListedInstance(name, 'entry', entry.peer.address, 'galata')
-        self.portal.call(self.platform.set_instance, row)
-        self.until(lambda: self.ready(entry))
         return entry
 
+    def _claims(self) -> ShardedClaims:
+        return ShardedClaims(
+            self.platform,
+            wall_clock=lambda: self.wall_seconds,
+        )
+
     def ready(self, entry: Entry) -> bool:
         """Tell whether every side is linked and has told its load."""
         told = self.status(entry)
@@ -164,6 +235,33 @@
         ]
         return bool(told['revision']) and loads.count(SLOTS) == len(self.sides)
 
+    def last_order(self, name: str) -> RunOrder:
+        """Return the newest order that a side has received."""
+        return self.sides[name].orders[-1]
+
+    def last_body(self, name: str) -> bytes:
+        """Return the newest body that a side has received."""
+        return self.sides[name].bodies[-1]
+
+    def release(self, name: str) -> None:
+        """Let a side answer what it holds."""
+        self.portal.call(self.sides[name].release.set)
+
+    def count_orders(self, *names: str) -> int:
+        """Count the orders of some sides, by default of all."""
+        chosen = names or tuple(self.sides)
+        return sum(len(self.sides[name].orders) for name in chosen)
+
+    def record(self, key: str) -> str:
+        """Read the state of an idempotency key's record."""
+        stored = self.platform.store.get(head_key(0))
+        if stored is None:
+            return ''
+        head = msgspec.json.decode(stored.value, type=Head)
+        states = {record.key: record.state for record in head.records}
+        state = states.get(digest_key('pilot', key), ClaimState.FREE)
+        return '' if state is ClaimState.FREE else state.value
+
     def status(self, entry: Entry) -> dict[str, Any]:
         """Read the operators' status."""
         content = json.loads(self.operator(entry, '/status').body)
@@ -181,6 +279,16 @@
             self.portal.call(side.announce)
         self.until(self._all_full)
 
+    def free(self) -> None:
+        """Give every side its slots back."""
+        for side in self.sides.values():
+            side.free = SLOTS
+            self.portal.call(side.announce)
+
+    def disturb(self, disturbance: Disturbance) -> None:
+        """Change what goes wrong at the platform."""
+        self.portal.call(self.platform.disturb, disturbance)
+
     def operator(self, entry: Entry, path: str, method: str = 'GET') -> Answer:
         """Call the operators' listener."""
         return self._call(entry.operator.port, method, path)
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -4,13 +4,14 @@
 
 import json
 import time
+from collections.abc import Callable
 from contextlib import AbstractContextManager, ExitStack
 from functools import partial
 from hashlib import sha256
 from pathlib import Path
 from tempfile import TemporaryDirectory
 from types import TracebackType
-from typing import Any, Final, Self, TypeVar
+from typing import Any, Final, Self
 
 from support.caller import Answer, Caller
 from support.process import Process
@@ -20,7 +21,6 @@
 _DOMAINS: Final = ('galata', 'asparuhovo', 'kamchia')
 _READY_SECONDS: Final = 30.0
 _PAUSE_SECONDS: Final = 0.05
-ResourceT = TypeVar('ResourceT')
 
 
 def eventually(check: Any, *, within_seconds: float = _READY_SECONDS) -> Any:
@@ -70,8 +70,8 @@
         process.wait_ready()
         return process
 
-    def own(self, resource: AbstractContextManager[ResourceT]) -> ResourceT:
-        """Open a resource that ends with the fleet."""
+    def keep(self, resource: AbstractContextManager[Any]) -> Any:
+        """Open something that ends with the fleet."""
         return self._stack.enter_context(resource)
 
     def start_platform(self) -> None:
@@ -104,11 +104,14 @@
         backend_url: str,
         *,
         instance: str | None = None,
+        listed: Callable[[str], str] = str,
         **settings: Any,
     ) -> Process:
         """Start a side and let the platform list it.
 
         :param instance: by default named after the backend server.
+        :param listed: turns its address into the one that is listed, as of
+            a relay before it.
         """
         name = instance or f'side-{backend_server}'
         process = self.start(
@@ -125,7 +128,7 @@
         self.list_instance(
             name,
             role='side',
-            address=process.ready['peer_address'],
+            address=listed(process.ready['peer_address']),
             pool=pool,
             backend_server=backend_server,
         )
--- a/tests/support/relay_link.py
+++ b/tests/support/relay_link.py
@@ -9,7 +9,7 @@
 
 from anyio.from_thread import start_blocking_portal
 
-from sardinetrack.standin.relay import relaying
+from sardinetrack.standin.relay import Direction, relaying
 
 
 class RelayLink:
@@ -52,6 +52,14 @@
         """Take connections again."""
         self._portal.call(self._relay.restore)
 
+    def lose_answers(self) -> None:
+        """Lose what comes from the target; connections stay open."""
+        self._portal.call(self._relay.drop, Direction.TO_CALLER)
+
+    def lose_nothing(self) -> None:
+        """Lose nothing from now on; what was lost stays lost."""
+        self._portal.call(self._relay.stop_dropping)
+
     def delay(self, seconds: float) -> None:
         """Let bytes take so long, each way."""
         self._relay.delay_seconds = seconds
--- a/tests/system/configuration.feature
+++ b/tests/system/configuration.feature
@@ -42,7 +42,7 @@
     When a token is added
     Then all instances have the change in force within 4 s
     When the platform has an outage
-    And "entry-a" is killed and started empty, dialled by the others
+    And "entry-b" is killed and started empty, dialled by the others
     Then all instances have the change in force within 4 s
     When the outage ends and the token is taken away
     Then all instances have the change in force within 4 s
@@ -76,6 +76,6 @@
     And a bad version of its workspace is written past the editor
     Then every entry tells why it refuses it
     And the token is still accepted everywhere
-    When "entry-a" is killed and started empty, dialled by the others
+    When "entry-b" is killed and started empty, dialled by the others
     Then every entry tells why it refuses it
     And the token is still accepted everywhere
--- a/tests/system/steps/lease_steps.py
+++ b/tests/system/steps/lease_steps.py
@@ -44,8 +44,8 @@
             checks_fencing=self.checks,
         )
         self.put_pool()
-        self.way = fleet.own(RelayLink(self.engine_url))
-        self.link = fleet.own(RelayLink(fleet.platform_url))
+        self.way = fleet.keep(RelayLink(self.engine_url))
+        self.link = fleet.keep(RelayLink(fleet.platform_url))
         self.start_side('side-a', self.way.url, self.link.url)
         fleet.start_entry('entry-a')
         fleet.wait_ready('side-a', 'entry-a')
@@ -251,4 +251,3 @@
 def then_in_order(context: Any) -> None:
     numbers = [order['fencing'] for order in context.lease.orders()]
     assert numbers and numbers == sorted(numbers), numbers
-
--- a/tests/system/steps/once_steps.py
+++ b/tests/system/steps/once_steps.py
@@ -48,7 +48,7 @@
         self.service_url = fleet.start_service(_SERVER)
         for entry in _ENTRIES:
             link = RelayLink(fleet.platform_url)
-            self.links[entry] = fleet.own(link)
+            self.links[entry] = fleet.keep(link)
         self.start_daemons()
 
     def start_daemons(self) -> None:
