--- a/tests/entry/entry_world.py
+++ b/tests/entry/entry_world.py
@@ -11,6 +11,7 @@
 from contextlib import ExitStack
 from typing import Any
 
+import msgspec
 from anyio.from_thread import start_blocking_portal
 from fake_side import SECRET, SLOTS, FakeSide, Script
 from raw_http import TOKEN_TEXT, WAIT_SECONDS, Answer, Connection
@@ -20,9 +21,14 @@
 from sardinetrack.entry.heads import HeadBounds
 from sardinetrack.entry.parts import EntryParts
 from sardinetrack.messages.run import RunOrder
-from sardinetrack.once.claims import PlatformClaims
-from sardinetrack.once.record import claim_key
-from sardinetrack.once.settler import Settler
+from sardinetrack.once.claims import ShardedClaims
+from sardinetrack.once.record import (
+    LAYOUT_KEY,
+    ClaimState,
+    Head,
+    digest_key,
+    head_key,
+)
 from sardinetrack.platform.api import (
     ListedInstance,
     Listing,
@@ -133,7 +139,9 @@
         self.wall_seconds = 1e9
         self.sides: dict[str, FakeSide] = {}
         self.entries: dict[str, Entry] = {}
-        self.settlers: list[Settler] = []
+        self.claims: list[ShardedClaims] = []
+        # One shard, so that the writes to be lost can be counted.
+        self.platform.store.put(0, LAYOUT_KEY, b'{"shards":1}', 0)
         self.connections: list[Connection] = []
         self.answer: Answer | None = None
         self.log = LogLines()
@@ -197,8 +205,8 @@
                 'drain_seconds': 3,
             },
         )
-        settler = self.enter(self.portal.call(Settler, self.platform))
-        self.settlers.append(settler)
+        claims = self.enter(self.portal.call(self._claims))
+        self.claims.append(claims)
         identity = Identity(name, f'{name}-1')
         parts = EntryParts(
             settings=settings,
@@ -206,17 +214,19 @@
             incarnation=identity.incarnation,
             routing=Router(identity, random.Random(7)),
             platform=self.platform,
-            claims=PlatformClaims(
-                self.platform,
-                settler,
-                wall_clock=lambda: self.wall_seconds,
-            ),
+            claims=claims,
             head_bounds=HEADS,
             balancer_seconds=0.3,
         )
         entry: Entry = self.enter(self.portal.call(Entry, parts))
         return entry
 
+    def _claims(self) -> ShardedClaims:
+        return ShardedClaims(
+            self.platform,
+            wall_clock=lambda: self.wall_seconds,
+        )
+
     def ready(self, entry: Entry) -> bool:
         """Tell whether every side is linked and has told its load."""
         told = self.status(entry)
@@ -244,10 +254,13 @@
 
     def record(self, key: str) -> str:
         """Read the state of an idempotency key's record."""
-        stored = self.platform.store.get(claim_key('pilot', key))
+        stored = self.platform.store.get(head_key(0))
         if stored is None:
             return ''
-        return str(json.loads(stored.value)['state'])
+        head = msgspec.json.decode(stored.value, type=Head)
+        states = {record.key: record.state for record in head.records}
+        state = states.get(digest_key('pilot', key), ClaimState.FREE)
+        return '' if state is ClaimState.FREE else state.value
 
     def status(self, entry: Entry) -> dict[str, Any]:
         """Read the operators' status."""
--- a/tests/entry/steps/claims_steps.py
+++ b/tests/entry/steps/claims_steps.py
@@ -11,7 +11,6 @@
 
 from sardinetrack.entry.claims import ClaimRequest
 from sardinetrack.entry.completions import fingerprint
-from sardinetrack.once.claims import PlatformClaims
 from sardinetrack.platform.in_process import Disturbance
 
 WARN = '/services/chart-api/warn'
@@ -73,13 +72,7 @@
         settled_within_seconds=600,
     )
     world = context.world
-    settler = world.settlers[0]
-    claims = PlatformClaims(
-        world.platform,
-        settler,
-        wall_clock=lambda: world.wall_seconds,
-    )
-    world.portal.call(claims.claim, request)
+    world.portal.call(world.claims[0].claim, request)
 
 
 @when('a caller sends warning "{text}" with key "{key}"')
