--- a/src/sardinetrack/fairness/ledger.py
+++ b/src/sardinetrack/fairness/ledger.py
@@ -221,18 +221,22 @@
         :return: one row an account.
         """
         return tuple(
-            ServiceRow(
-                name,
-                account.service,
-                account.running,
-                account.waiting,
-                account.level,
-                account.outstanding,
-            )
+            self._report_row(name, account)
             for name, account in self._accounts.items()
             if account.changed_seconds >= changed_since_seconds
         )
 
+    def _report_row(self, name: str, account: Account) -> ServiceRow:
+        account.reported_running = account.running
+        return ServiceRow(
+            name,
+            account.service,
+            account.running,
+            account.waiting,
+            account.level,
+            account.outstanding,
+        )
+
     def _grow_up(self, now: float) -> None:
         """Trust the own levels after a while without any synced peer.
 
@@ -289,9 +293,11 @@
             account.peer_outstanding -= earlier.outstanding
             account.peer_running -= earlier.running
             account.peer_waiting -= earlier.waiting
+            account.peers_waiting -= earlier.waiting > 0
         account.peer_outstanding += row.outstanding
         account.peer_running += row.running
         account.peer_waiting += row.waiting
+        account.peers_waiting += row.waiting > 0
 
     def _align(self, account: Account, level: float) -> None:
         if not self.synced:
