Take kept connections by origin instead of httpcore's pool

Cause: the profile of the entry put 16 % of its work into the pool's walk over all connections, with one question to the kernel for each idle one, twice a request; and 16 % into failed imports: httpcore makes a new event for each request in the pool and tries to import sniffio for it, which is not installed, so that the whole path is searched each time.

The bound of 4096 connections a pool is gone with it: an entry's bound on callers and a side's bound on slots are lower.

--- a/src/sardinetrack/http/client.py
+++ b/src/sardinetrack/http/client.py
@@ -3,16 +3,15 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator, Iterable
-from contextlib import asynccontextmanager
+from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass
 from types import TracebackType
 from typing import Any, Final, Self
 
 import httpcore
 
-_MAX_CONNECTIONS: Final = 4096
-_KEPT_CONNECTIONS: Final = 256
-_KEEP_SECONDS: Final = 30.0
+from sardinetrack.http.connections import Connections
+
 _LATIN: Final = 'latin-1'
 
 
@@ -77,27 +76,27 @@
 _NOT_SENT: Final = (
     httpcore.ConnectError,
     httpcore.ConnectTimeout,
-    httpcore.PoolTimeout,
 )
 
 
 class HttpClient:
     """Calls by IP and port over kept connections."""
 
-    def __init__(self, *, connect_seconds: float = 2.0) -> None:
-        """Build a client; use it as a context manager."""
+    def __init__(
+        self,
+        *,
+        connect_seconds: float = 2.0,
+        connections: Connections | None = None,
+    ) -> None:
+        """Build a client; use it as a context manager.
+
+        :param connections: where connections are kept.
+        """
         self._connect_seconds = connect_seconds
-        # No transport retries: only the decision code may repeat a request.
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=_MAX_CONNECTIONS,
-            max_keepalive_connections=_KEPT_CONNECTIONS,
-            keepalive_expiry=_KEEP_SECONDS,
-            retries=0,
-        )
+        self._connections = connections or Connections()
 
     async def __aenter__(self) -> Self:
-        """Open the pool."""
-        await self._pool.__aenter__()
+        """Hand out the client."""
         return self
 
     async def __aexit__(
@@ -107,7 +106,7 @@
         trace: TracebackType | None,
     ) -> None:
         """Close all connections."""
-        await self._pool.__aexit__(kind, error, trace)
+        await self._connections.aclose()
 
     @asynccontextmanager
     async def stream(
@@ -125,18 +124,17 @@
         :raises NotSentError: not one byte left.
         :raises BrokenError: the exchange broke later.
         """
-        try:
-            response = await self._pool.handle_async_request(
-                self._request(method, url, headers, body, read_seconds),
-            )
-        except _NOT_SENT as error:
-            raise NotSentError(str(error)) from error
-        except _BROKEN as error:
-            raise BrokenError(str(error)) from error
-        try:
+        request = self._request(method, url, headers, body, read_seconds)
+        async with AsyncExitStack() as stack:
+            try:
+                response = await stack.enter_async_context(
+                    self._connections.exchange(request),
+                )
+            except _NOT_SENT as error:
+                raise NotSentError(str(error)) from error
+            except _BROKEN as error:
+                raise BrokenError(str(error)) from error
             yield StreamedReply(response)
-        finally:
-            await response.aclose()
 
     async def call(
         self,
@@ -174,7 +172,6 @@
             pairs.append((b'content-length', str(len(body)).encode()))
         timeouts: dict[str, Any] = {
             'connect': self._connect_seconds,
-            'pool': self._connect_seconds,
             'read': read_seconds,
             'write': read_seconds,
         }
