--- a/src/sardinetrack/admission/board.py
+++ b/src/sardinetrack/admission/board.py
@@ -3,12 +3,20 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
 from typing import Final
 
+from sardinetrack.fairness.invariant import ensure
 from sardinetrack.messages.api import BidRow, Bids
 
+FRESH_SECONDS: Final = 0.5
+"""Among rows so young the highest tag counts, else the youngest row.
+
+Of two entries that speak of one workspace, the one that saw more of its
+service tells the higher tag; but an old row may be high because a charge
+was trued down since.
+"""
 BIDS_KEEP_SECONDS: Final = 20.0
 """Bids not refreshed for so long are dropped."""
 
@@ -35,6 +43,8 @@
     grants: dict[int, OpenGrant] = field(default_factory=dict)
     """Grants whose charge the rows don't include yet."""
     last_number: int = 0
+    granted_seconds: dict[str, float] = field(default_factory=dict)
+    """When each workspace last got a grant here."""
     heard_seconds: float = 0
 
 
@@ -45,8 +55,8 @@
     entry: str
     row: BidRow
     tag: float
-    spare: int
-    """Waiting requests that no grant covers."""
+    claim: float
+    """Waiting requests that no grant covers, times seconds without one."""
 
 
 class BidBoard:
@@ -78,25 +88,25 @@
             link.rows = {}
 
     def lose(self, entry: str) -> None:
-        """Drop an entry's bids and grants; its numbers go on counting."""
-        link = self._links.get(entry)
-        if link is None:
-            return
-        link.rows = {}
-        for number in list(link.grants):
-            self.close(entry, number)
-        link.grants = {}
+        """Drop an entry's bids and grants; its next link counts anew."""
+        link = self._links.pop(entry, None)
+        if link is not None:
+            self.open_grants -= sum(one.open for one in link.grants.values())
 
-    def best(self) -> Candidate | None:
-        """Find the lowest tag with waiting work that no grant covers."""
+    def best(self, now: float) -> Candidate | None:
+        """Find the lowest tag with waiting work that no grant covers.
+
+        Where several entries bid for one workspace, all have its tag; each
+        gets grants in proportion to its waiting work. By the longest line
+        alone, one entry's requests would wait for ever.
+
+        :param now: monotonic time.
+        :return: who comes next, ``None`` when nobody waits.
+        """
         tags = self._tags()
-        candidates = (
-            Candidate(entry, row, tags[row.workspace], spare)
-            for entry, row, spare in self._spare()
-        )
         return min(
-            candidates,
-            key=lambda one: (one.tag, -one.spare),
+            self._candidates(now, tags),
+            key=lambda one: (one.tag, -one.claim),
             default=None,
         )
 
@@ -122,6 +132,7 @@
             now,
             now + valid_seconds,
         )
+        link.granted_seconds[candidate.row.workspace] = now
         self.open_grants += 1
         return link.last_number
 
@@ -153,7 +164,9 @@
     def expire(self, now: float) -> int:
         """Close grants and drop bids that are too old.
 
-        A grant or its answer may be lost; the slot must not stay aside.
+        A grant or its answer may be lost, or the entry frozen. The slot must
+        not stay aside, nor be set aside again for an entry that is silent;
+        one that lives bids again with its next order or refresh.
 
         :param now: monotonic time.
         :return: how many grants expired.
@@ -165,12 +178,22 @@
             expired += self._expire_grants(now, entry, link)
         return expired
 
+    def check(self) -> None:
+        """Check that each slot set aside belongs to one open grant."""
+        counted = sum(
+            grant.open
+            for link in self._links.values()
+            for grant in link.grants.values()
+        )
+        ensure(counted == self.open_grants, 'slots set aside are conserved')
+
     def _expire_grants(self, now: float, entry: str, link: _Link) -> int:
         expired = 0
         for number, grant in list(link.grants.items()):
             if grant.open and grant.expires_seconds <= now:
                 grant.open = False
                 grant.included = True
+                link.rows = {}
                 self.open_grants -= 1
                 expired += 1
             elif now - grant.sent_seconds > BIDS_KEEP_SECONDS:
@@ -179,10 +202,17 @@
 
     def _tags(self) -> dict[str, float]:
         tags: dict[str, float] = {}
-        for link in self._links.values():
+        links = sorted(
+            self._links.values(),
+            key=lambda link: link.heard_seconds,
+            reverse=True,
+        )
+        for link in links:
+            age_seconds = links[0].heard_seconds - link.heard_seconds
             for row in link.rows.values():
                 known = tags.get(row.workspace, row.tag)
-                tags[row.workspace] = max(known, row.tag)
+                higher = row.tag > known and age_seconds < FRESH_SECONDS
+                tags[row.workspace] = row.tag if higher else known
         for charged, charge in self._pending_charges():
             tag = tags.get(charged)
             if tag is not None:
@@ -197,10 +227,16 @@
     def _pending_of(self, link: _Link) -> Iterator[OpenGrant]:
         return (one for one in link.grants.values() if not one.included)
 
-    def _spare(self) -> Iterator[tuple[str, BidRow, int]]:
+    def _candidates(
+        self,
+        now: float,
+        tags: Mapping[str, float],
+    ) -> Iterator[Candidate]:
         for entry, link in self._links.items():
             taken = Counter(grant.workspace for grant in self._pending_of(link))
-            for row in link.rows.values():
-                spare = row.waiting - taken[row.workspace]
+            for name, row in link.rows.items():
+                spare = row.waiting - taken[name]
                 if spare > 0:
-                    yield entry, row, spare
+                    last_seconds = link.granted_seconds.get(name, 0)
+                    claim = spare * (now - last_seconds)
+                    yield Candidate(entry, row, tags[name], claim)
