Trust a side's 'not started' no longer than the side remembers

Cause: a side drops its records 900 s after an attempt's end and then answers 'not started' for an order that ran. An entry that was frozen for longer than that would pass the lie on as 'not run' and send the order again. Ruled out: keeping records for ever (memory), and a time in the question (the clocks of two machines would have to agree); the entry's own clock suffices. Before: with the check disabled the new scenario errs (the caller gets an answer, as the order was sent again).

--- a/src/sardinetrack/entry/attempt.py
+++ b/src/sardinetrack/entry/attempt.py
@@ -77,7 +77,8 @@
         if self._caller.started:
             # The caller's error goes out before anybody is asked.
             await self._cut()
-        end = await FateQuery(self._sides, side).ask(self._dispatch)
+        query = FateQuery(self._sides, side)
+        end = await query.ask(self._dispatch, self._began)
         return AttemptResult(end, self._cost())
 
     async def _cut(self) -> None:
--- a/src/sardinetrack/entry/fate.py
+++ b/src/sardinetrack/entry/fate.py
@@ -22,6 +22,8 @@
 _LOG: Final = logging.getLogger('sardinetrack.entry')
 _PAUSES_SECONDS: Final = (0, 0.2, 0.6)
 _ASK_SECONDS: Final = 1.0
+TRUSTED_SECONDS: Final = 600.0
+"""Less than a side keeps its records, see ``admission.book.KEEP_SECONDS``."""
 _ENDS: Final = MappingProxyType(
     {
         Fate.NOT_STARTED: AttemptEnd.NOT_STARTED,
@@ -48,17 +50,22 @@
         self._sides = sides
         self._side = side
 
-    async def ask(self, dispatch: Dispatch) -> AttemptEnd:
+    async def ask(
+        self,
+        dispatch: Dispatch,
+        began_seconds: float,
+    ) -> AttemptEnd:
         """Ask a few times.
 
         :param dispatch: the attempt.
+        :param began_seconds: when it was dispatched, on the loop's clock.
         :return: its end; ``UNKNOWN`` when nobody can tell.
         """
         for pause_seconds in _PAUSES_SECONDS:
             await anyio.sleep(pause_seconds)
             fate = await self._fate(dispatch.attempt_id)
             if fate is not None:
-                return _ENDS[fate]
+                return _trusted(_ENDS[fate], began_seconds)
         return AttemptEnd.UNKNOWN
 
     async def _fate(self, attempt_id: str) -> Fate | None:
@@ -83,3 +90,13 @@
             body=msgspec.json.encode(query),
         )
         return msgspec.json.decode(reply.body, type=AttemptAnswer).fate
+
+
+def _trusted(end: AttemptEnd, began_seconds: float) -> AttemptEnd:
+    # An entry that was frozen for long asks after the side has forgotten
+    # what ran, and hears "not started" of a request that did run. Within the
+    # side's memory the word is true, so it is believed no longer than that.
+    age_seconds = anyio.current_time() - began_seconds
+    if end is AttemptEnd.NOT_STARTED and age_seconds > TRUSTED_SECONDS:
+        return AttemptEnd.UNKNOWN
+    return end
--- a/tests/entry/not_run.feature
+++ b/tests/entry/not_run.feature
@@ -20,6 +20,17 @@
     And "side-c" has received 2 orders
     And the question named the attempt and cancelled it
 
+  Scenario: An entry that asks after the side's memory has ended
+    The entry was frozen for longer than a side keeps its records. By now the
+    side knows nothing of an order that ran and says "not started"; the caller
+    is not told so, and the order is not sent again.
+    Given "side-c" breaks off once and then answers "chart"
+    And the sides answer questions with "not_started"
+    And the entry trusts no word that is older than 0 seconds
+    When a caller sends POST to "/services/chart-api/warn" with body "ice"
+    Then the error is 502 "outcome_unknown" and may have run
+    And "side-c" has received 1 order
+
   Scenario Outline: A connection that breaks, and it may have run
     Nobody can promise that the warning was not sent. The caller is told so,
     in words other than "not run", and the order is not sent again.
--- a/tests/entry/steps/not_run_steps.py
+++ b/tests/entry/steps/not_run_steps.py
@@ -4,6 +4,7 @@
 
 from dataclasses import replace
 from typing import Any
+from unittest.mock import patch
 
 from behave import given, then
 from fake_side import Script
@@ -30,6 +31,12 @@
     context.world.script(name, Script(breaks_before=True, fills=True))
 
 
+@given('the entry trusts no word that is older than {seconds:d} seconds')
+def given_trust(context: Any, seconds: int) -> None:
+    patched = patch('sardinetrack.entry.fate.TRUSTED_SECONDS', seconds)
+    context.world.stack.enter_context(patched)
+
+
 @given('the sides answer questions with "{fate}"')
 def answer_questions(context: Any, fate: str) -> None:
     for side in context.world.sides.values():
