--- a/tests/system/leaving.feature
+++ b/tests/system/leaving.feature
@@ -26,8 +26,10 @@
     balancer expects, and finishes what it has taken. Callers move over.
     Given a failing fleet with 2 engines and 0 services
     When callers keep asking through both entries
+    And 4 long streams run through entry-a
     And entry-a is asked to end
     Then the process exits with code 0
+    And the long streams are whole
     And all callers have whole answers
     And no slot is lost, and a small workspace is served beside a flood
 
--- a/tests/system/steps/leaving_steps.py
+++ b/tests/system/steps/leaving_steps.py
@@ -82,6 +82,17 @@
     eventually(lambda: all(scene.load(name)['running'] for name in names))
 
 
+@when('{count:d} long streams run through {entry:S}')
+def when_long_through(context, count: int, entry: str):
+    scene = context.scene
+    url = scene.fleet.url(entry)
+    markers = [f'drained-{number}' for number in range(count)]
+    for marker in markers:
+        scene.crowd.send(ask_stream, scene.caller, url, marker, _LONG_TOKENS)
+    started = scene.stand_ins.started
+    eventually(lambda: all(map(started, markers)))
+
+
 @when('the platform lists the side of {server} as leaving')
 def when_listed_leaving(context, server: str):
     fleet, name = context.fleet, f'side-{server}'
