Bound what strangers make a peers' or operators' port hold

The callers' listener had bounds on heads and idle connections; the others ran uvicorn's own protocol, which has none. Before: with the scenarios of tests/http/guard.feature a header without an end, a head a byte at a time, a body without an end behind an answer and 60 idle connections at a bound of 20 each failed (6 of 7 scenarios). One header could fill the memory, and some thousands of silent connections locked all peers out.

A guarded protocol now cuts heads that are too large or too late, throws a body away only for a while after its answer, and lets the oldest idle connection give way. It is the default of serving(); the callers' protocol keeps its own answers. IdleConnections moves to http/.

Ruled out: uvicorn's own options. limit_concurrency answers 503 to everybody while idle connections fill it, and httptools has no bound on a head.

After: 7 of 7; tests of links, side and platform as before.

--- a/src/sardinetrack/entry/callers.py
+++ b/src/sardinetrack/entry/callers.py
@@ -13,7 +13,8 @@
 from sardinetrack.entry.protocol import caller_protocol
 from sardinetrack.entry.reader import CallReader
 from sardinetrack.entry.runner import CallRunner
-from sardinetrack.http.server import BoundServer, ServerBounds, serving
+from sardinetrack.http.guard import ServerBounds
+from sardinetrack.http.server import BoundServer, serving
 
 _UNBOUNDED: Final = 1_000_000
 """The protocol bounds connections itself, with a clear answer."""
--- a/src/sardinetrack/entry/protocol.py
+++ b/src/sardinetrack/entry/protocol.py
@@ -16,9 +16,9 @@
 from sardinetrack.entry.answers import error_document, error_headers
 from sardinetrack.entry.caller import TRANSPORT_STATE
 from sardinetrack.entry.heads import HeadBounds, check_head
-from sardinetrack.entry.idle import IdleConnections
 from sardinetrack.errors.api import AnsweredError, ErrorKind
 from sardinetrack.errors.table import answer_for
+from sardinetrack.http.idle import IdleConnections
 
 _LATIN: Final = 'latin-1'
 _VERSIONS: Final = frozenset(('1.0', '1.1'))
--- a/src/sardinetrack/http/server.py
+++ b/src/sardinetrack/http/server.py
@@ -6,26 +6,17 @@
 import socket
 from collections.abc import AsyncIterator, Iterator
 from contextlib import asynccontextmanager, contextmanager
-from dataclasses import dataclass
 from typing import Final
 
 import anyio
 import uvicorn
-from uvicorn.config import HTTPProtocolType
 
 from sardinetrack.http.asgi import Application
+from sardinetrack.http.guard import ServerBounds, guarded_protocol
 
 _BACKLOG: Final = 2048
 
 
-@dataclass(frozen=True, slots=True)
-class ServerBounds:
-    """What connections may make a server hold."""
-
-    max_connections: int = 4096
-    keep_alive_seconds: int = 60
-
-
 class _Server(uvicorn.Server):
     """A server that leaves signals to the daemon that owns it."""
 
@@ -113,7 +104,7 @@
     port: int,
     *,
     bounds: ServerBounds | None = None,
-    protocol: HTTPProtocolType | type[asyncio.Protocol] = 'httptools',
+    protocol: type[asyncio.Protocol] | None = None,
 ) -> AsyncIterator[BoundServer]:
     """Serve while the context lasts.
 
@@ -121,7 +112,7 @@
     :param ip: an IP number to listen at.
     :param port: 0 lets the system choose.
     :param bounds: what connections may make the server hold.
-    :param protocol: uvicorn's name or class of the HTTP protocol.
+    :param protocol: class of the HTTP protocol, by default a guarded one.
     :return: the running server.
     """
     held = bounds or ServerBounds()
@@ -130,7 +121,7 @@
     server = _Server(
         uvicorn.Config(
             application,
-            http=protocol,
+            http=protocol or guarded_protocol(held),
             ws='websockets-sansio',
             loop='asyncio',
             lifespan='off',
