Run the mix of failures across real processes

Three entries, four engines, two services and their sides run as processes; callers reach them over kept connections, and relays stand between entry and side, side and server, entry and platform. Pairs of faults kill, pause, cut, reset, freeze and delay; counts are read from the stand-ins at the end.

--- a/benchmarks/chaos/__main__.py
+++ b/benchmarks/chaos/__main__.py
@@ -14,11 +14,12 @@
 from dataclasses import dataclass
 from types import MappingProxyType
 
+from benchmarks.chaos.processes.run import run_seed as run_processes
 from benchmarks.chaos.referee import Verdicts
 from benchmarks.chaos.virtual.run import run_seed as run_virtual
 
 LEVELS: Mapping[str, Callable[[int, int], Verdicts]] = MappingProxyType(
-    {'virtual': run_virtual},
+    {'virtual': run_virtual, 'processes': run_processes},
 )
 COLUMNS = (
     'requests',
@@ -54,7 +55,7 @@
         'level',
         choices=tuple(LEVELS),
         help='virtual: all daemons in one process, virtual time, fake'
-        ' connections',
+        ' connections; processes: real ones on loopback, through relays',
     )
     parser.add_argument('--seeds', type=int, nargs='+', default=[1])
     parser.add_argument(
--- /dev/null
+++ b/benchmarks/chaos/processes/__init__.py
@@ -0,0 +1,8 @@
+"""The whole path as real processes on loopback, through relays."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+sys.path.append(str(Path(__file__).resolve().parents[3] / 'tests'))
