--- a/benchmarks/chaos/virtual/entry.py
+++ b/benchmarks/chaos/virtual/entry.py
@@ -15,8 +15,7 @@
 from sardinetrack.entry.control import Control
 from sardinetrack.entry.core import EntryCore
 from sardinetrack.http.asgi import Application, Receive, Scope, Send
-from sardinetrack.once.claims import PlatformClaims
-from sardinetrack.once.settler import Settler
+from sardinetrack.once.claims import ShardedClaims
 from sardinetrack.platform.in_process import MemoryPlatform
 
 
@@ -59,12 +58,7 @@
     async def work(self, tasks: TaskGroup) -> None:
         """Wire the entry as its composition root does."""
         clock = anyio.current_time
-        async with Settler(self._platform) as settler:
-            claims = PlatformClaims(
-                self._platform,
-                settler,
-                wall_clock=clock,
-            )
+        async with ShardedClaims(self._platform, wall_clock=clock) as claims:
             parts = entry_parts(
                 self.name,
                 self.network.random,
--- a/benchmarks/policy/world.py
+++ b/benchmarks/policy/world.py
@@ -145,7 +145,7 @@
         running.ended = True
         side.running.pop(running.attempt_id)
         cost = self.cost_so_far(running)
-        self.meter.delivered[running.request.demand.workspace] += cost
+        self.meter.release(running.request.demand.workspace, cost)
         self.at_side(
             side,
             side.epoch,
@@ -223,9 +223,9 @@
         *args: Any,
         **named: Any,
     ) -> Any:
-        begun = time.perf_counter()
+        begun = time.thread_time()
         effects = call(self.events.now, *args, **named)
-        self.meter.decision_seconds += time.perf_counter() - begun
+        self.meter.decision_seconds += time.thread_time() - begun
         return effects
 
     def _tick_side(self, name: str) -> None:
--- a/src/sardinetrack/fairness/ledger.py
+++ b/src/sardinetrack/fairness/ledger.py
@@ -9,9 +9,10 @@
 
 import math
 from collections.abc import Iterable
-from dataclasses import dataclass, field
 from typing import Final
 
+from sardinetrack.fairness.account import Account, Charge, Peer
+from sardinetrack.fairness.invariant import ensure
 from sardinetrack.messages.api import ServiceReport, ServiceRow
 
 DRIFT_GAIN: Final = 0.125
@@ -24,53 +25,10 @@
 mean. Charged in full at the start, such a request shuts its workspace out
 for as long as others need to catch up with work that was not done yet.
 """
+MAX_LOST_PEERS: Final = 64
 SYNC_SECONDS: Final = 5.0
 _COST_GAIN: Final = 0.05
-
-
-@dataclass(slots=True)
-class Account:
-    """What one workspace received and holds, in cost units per weight."""
-
-    level: float = 0
-    service: float = 0
-    outstanding: float = 0
-    running: int = 0
-    waiting: int = 0
-    peer_outstanding: float = 0
-    peer_running: int = 0
-    peer_waiting: int = 0
-    changed_seconds: float = 0
-
-    @property
-    def tag(self) -> float:
-        """Virtual time of the workspace."""
-        return self.level + self.outstanding + self.peer_outstanding
-
-    @property
-    def backlogged(self) -> bool:
-        """Whether work waits at any entry, as far as known."""
-        return self.waiting > 0 or self.peer_waiting > 0
-
-
-@dataclass(slots=True)
-class _Charge:
-    workspace: str
-    weight: float
-    hint: float
-    most: float
-    settled: float = 0
-
-    @property
-    def outstanding(self) -> float:
-        return min(self.most, max(0, self.hint - self.settled))
-
-
-@dataclass(slots=True)
-class _Peer:
-    incarnation: str
-    live: bool = True
-    rows: dict[str, ServiceRow] = field(default_factory=dict)
+_ROUNDING: Final = 1e-6
 
 
 class Ledger:
@@ -81,11 +39,16 @@
         self.virtual_time = float(0)
         self.synced = False
         self._accounts: dict[str, Account] = {}
-        self._charges: dict[str, _Charge] = {}
-        self._peers: dict[str, _Peer] = {}
+        self._charges: dict[str, Charge] = {}
+        self._peers: dict[str, Peer] = {}
         self._mean_cost = math.inf
         self._began_seconds: float | None = None
 
+    @property
+    def charge_ahead(self) -> float:
+        """Most that one request is charged ahead at weight 1."""
+        return CHARGED_MEANS * self._mean_cost
+
     @property
     def live_peers(self) -> int:
         """Count the entries that report."""
@@ -99,7 +62,7 @@
         """
         account = self._accounts.get(workspace)
         if account is None:
-            account = Account(level=self.virtual_time)
+            account = Account(level=self._below(self.virtual_time))
             self._accounts[workspace] = account
         return account
 
@@ -111,6 +74,14 @@
         """Iterate over the accounts with waiting work anywhere."""
         return (one for one in self._accounts.values() if one.backlogged)
 
+    def backlogged_elsewhere(self) -> Iterable[tuple[str, float]]:
+        """Iterate over tags of workspaces with work at peers."""
+        return (
+            (name, account.tag)
+            for name, account in self._accounts.items()
+            if account.peer_waiting > 0
+        )
+
     def meet(self, virtual_time: float) -> None:
         """Take over the fleet's virtual time when starting empty.
 
@@ -155,8 +126,9 @@
         """
         account = self.account(workspace)
         self._advance(account)
-        most = CHARGED_MEANS * self._mean_cost / weight
-        charge = _Charge(workspace, weight, hint / weight, most)
+        most = self.charge_ahead / weight
+        self._guess(hint)
+        charge = Charge(workspace, weight, hint / weight, most)
         self._charges[attempt_id] = charge
         account.outstanding += charge.outstanding
         account.running += 1
@@ -175,6 +147,7 @@
         account = self.account(charge.workspace)
         account.outstanding -= charge.outstanding
         grown = max(0, cost / charge.weight - charge.settled)
+        ensure(grown >= 0, 'a level rises with service')
         charge.settled += grown
         account.level += grown
         account.service += grown
@@ -196,7 +169,12 @@
         account = self.account(charge.workspace)
         account.outstanding -= charge.outstanding
         account.running -= 1
+        ensure(account.running >= 0, 'a charge is settled once')
         if not account.running:
+            ensure(
+                abs(account.outstanding) <= _ROUNDING * (1 + account.level),
+                'nothing is charged when nothing runs',
+            )
             account.outstanding = 0
 
     def hear(self, now: float, report: ServiceReport) -> None:
@@ -208,7 +186,7 @@
         peer = self._peers.get(report.entry)
         if peer is None or peer.incarnation != report.incarnation:
             self.lose(report.entry)
-            peer = _Peer(report.incarnation)
+            peer = Peer(report.incarnation)
             self._peers[report.entry] = peer
         peer.live = True
         for row in report.rows:
@@ -234,6 +212,7 @@
             gone = ServiceRow(name, row.service + row.outstanding, 0, 0)
             self._replace(account, row, gone)
             peer.rows[name] = gone
+        self._forget_lost()
 
     def rows(self, changed_since_seconds: float) -> tuple[ServiceRow, ...]:
         """List the rows of a report.
@@ -242,18 +221,22 @@
         :return: one row an account.
         """
         return tuple(
-            ServiceRow(
-                name,
-                account.service,
-                account.running,
-                account.waiting,
-                account.level,
-                account.outstanding,
-            )
+            self._report_row(name, account)
             for name, account in self._accounts.items()
             if account.changed_seconds >= changed_since_seconds
         )
 
+    def _report_row(self, name: str, account: Account) -> ServiceRow:
+        account.reported_running = account.running
+        return ServiceRow(
+            name,
+            account.service,
+            account.running,
+            account.waiting,
+            account.level,
+            account.outstanding,
+        )
+
     def _grow_up(self, now: float) -> None:
         """Trust the own levels after a while without any synced peer.
 
@@ -265,16 +248,18 @@
         elif now - self._began_seconds >= SYNC_SECONDS:
             self.synced = True
 
+    def _guess(self, hint: float) -> None:
+        if math.isinf(self._mean_cost):
+            self._mean_cost = hint
+
     def _learn(self, cost: float) -> None:
         if not cost:
             return
-        if math.isinf(self._mean_cost):
-            self._mean_cost = cost
         self._mean_cost += _COST_GAIN * (cost - self._mean_cost)
 
     def _hear_row(
         self,
-        peer: _Peer,
+        peer: Peer,
         row: ServiceRow,
         report: ServiceReport,
     ) -> None:
@@ -293,6 +278,11 @@
         if account.backlogged and not was_backlogged:
             self._lift(account)
 
+    def _forget_lost(self) -> None:
+        lost = [name for name, peer in self._peers.items() if not peer.live]
+        for name in lost[:-MAX_LOST_PEERS]:
+            self._peers.pop(name)
+
     def _replace(
         self,
         account: Account,
@@ -303,9 +293,11 @@
             account.peer_outstanding -= earlier.outstanding
             account.peer_running -= earlier.running
             account.peer_waiting -= earlier.waiting
+            account.peers_waiting -= earlier.waiting > 0
         account.peer_outstanding += row.outstanding
         account.peer_running += row.running
         account.peer_waiting += row.waiting
+        account.peers_waiting += row.waiting > 0
 
     def _align(self, account: Account, level: float) -> None:
         if not self.synced:
@@ -314,10 +306,20 @@
         account.level += DRIFT_GAIN * (level - account.level)
 
     def _lift(self, account: Account) -> None:
+        """Lift an account that becomes backlogged, so idle time earns nothing.
+
+        The floor is one charge below the least tag: the others were charged
+        for what they run, and a newcomer at their level would have to wait
+        until all that is charged ahead has been delivered.
+        """
         others = (one.tag for one in self.backlogged() if one is not account)
         floor = min(others, default=self.virtual_time)
         self.virtual_time = floor
-        account.level += max(0, floor - account.tag)
+        account.level += max(0, self._below(floor) - account.tag)
+
+    def _below(self, tag: float) -> float:
+        ahead = self.charge_ahead
+        return max(0, tag - ahead) if math.isfinite(ahead) else tag
 
     def _advance(self, account: Account) -> None:
         tags = [one.tag for one in self.backlogged()]
--- a/src/sardinetrack/messages/run.py
+++ b/src/sardinetrack/messages/run.py
@@ -35,6 +35,8 @@
     fingerprint: str
     bids: tuple[tuple[str, float, int, float], ...] = ()
     """The entry's fresh bids, see ``BidRow``; saves a message."""
+    suspect: bool = False
+    """It was running when another backend server crashed."""
 
 
 class Fate(StrEnum):
@@ -46,6 +48,8 @@
     FINISHED = 'finished'
     FAILED = 'failed'
     """Started; the backend server gave no whole answer."""
+    STOPPED = 'stopped'
+    """Started; the side itself ended it, the backend server did not fail."""
     UNKNOWN = 'unknown'
     """The side is younger than the attempt: it can't know."""
 
