--- a/benchmarks/chaos/virtual/world.py
+++ b/benchmarks/chaos/virtual/world.py
@@ -111,7 +111,7 @@
         found = []
         for entry in self.entries.values():
             core = entry.core
-            if core.dispatcher.open_requests or core.gate.inside:
+            if core.dispatcher.open_requests() or core.gate.inside:
                 found.append(f'{entry.name} has open requests')
             found.extend(self._held_by(entry))
         for side in self.sides.values():
