--- a/benchmarks/slopes/catalogue.py
+++ b/benchmarks/slopes/catalogue.py
@@ -1,4 +1,4 @@
-"""What a change and a snapshot of the catalogue cost a node."""
+"""What the catalogue and the list of instances cost a node."""
 
 from __future__ import annotations
 
@@ -6,15 +6,28 @@
 from functools import partial
 from typing import Final
 
+import msgspec
+
+from benchmarks.probe.table import Spread
 from benchmarks.slopes import samples
-from benchmarks.slopes.figure import Figure, allocated_bytes, once_us
+from benchmarks.slopes.figure import (
+    Figure,
+    allocated_bytes,
+    once_us,
+    processor_us,
+)
 from sardinetrack.catalogue.view import CatalogueView
+from sardinetrack.membership.view import MembershipView
+from sardinetrack.platform.api import ListedInstance
 
 WORKSPACES: Final = (850, 8500)
+INSTANCES: Final = (250, 2500)
 
 
 def measure() -> Iterator[Figure]:
-    """Measure at two sizes of the catalogue."""
+    """Measure at two sizes each."""
+    for instances in INSTANCES:
+        yield from _listing(instances)
     for count in WORKSPACES:
         size = f'{count} workspaces'
         yield Figure(
@@ -37,6 +50,26 @@
         )
 
 
+def _listing(count: int) -> Iterator[Figure]:
+    size = f'{count} instances'
+    rows = samples.instances(count)
+    text = msgspec.json.encode(rows)
+    view = MembershipView()
+    view.update(rows)
+    yield Figure('list', size, 'bytes', Spread.of([len(text)]))
+    yield Figure(
+        'read the list, no news',
+        size,
+        'us',
+        processor_us(partial(_read_list, view, text)),
+    )
+
+
+def _read_list(view: MembershipView, text: bytes) -> object:
+    listed = msgspec.json.decode(text, type=tuple[ListedInstance, ...])
+    return view.update(listed)
+
+
 def full_view(count: int) -> CatalogueView:
     """Build a view that holds a whole catalogue."""
     view = CatalogueView()
--- a/benchmarks/slopes/links.py
+++ b/benchmarks/slopes/links.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import os
 import threading
 import time
 from collections.abc import AsyncIterator, Iterator
@@ -15,6 +16,7 @@
 
 import anyio
 
+from benchmarks.probe.processor import resident_bytes
 from benchmarks.probe.table import Spread
 from benchmarks.slopes import samples
 from benchmarks.slopes.figure import Figure
@@ -32,7 +34,7 @@
 from sardinetrack.links.server import LinkAcceptor
 from sardinetrack.messages.api import Grant, LinkMessage
 
-LINKS: Final = (25, 100)
+LINKS: Final = (100, 300)
 MESSAGES: Final = 1000
 IDLE_SECONDS: Final = 4.0
 RUNS: Final = 3
@@ -105,9 +107,15 @@
             yield from _both(name, size, 'us', runs, MESSAGES)
         empty = anyio.run(_idle, acceptor, 0)
         for links in LINKS:
+            yield _held(acceptor, links)
             yield from _standing(acceptor, links, empty)
 
 
+def _held(acceptor: Acceptor, links: int) -> Figure:
+    held = Spread.of([anyio.run(_resident, acceptor, links)])
+    return Figure('link, both ends', f'{links} links', 'bytes resident', held)
+
+
 def _standing(
     acceptor: Acceptor,
     links: int,
@@ -166,6 +174,12 @@
         return _reading(acceptor).since(before)
 
 
+async def _resident(acceptor: Acceptor, count: int) -> float:
+    before = resident_bytes(os.getpid())
+    async with _links(acceptor, count):
+        return (resident_bytes(os.getpid()) - before) / count
+
+
 @asynccontextmanager
 async def _links(acceptor: Acceptor, count: int) -> AsyncIterator[list[Link]]:
     send, receive = anyio.create_memory_object_stream[LinkEvent](_EVENTS)
--- a/benchmarks/slopes/samples.py
+++ b/benchmarks/slopes/samples.py
@@ -24,6 +24,7 @@
     SideLoad,
     SidePhase,
 )
+from sardinetrack.platform.api import InstanceState, ListedInstance
 from sardinetrack.routing.api import SideInfo, Work
 
 POOL: Final = 'model-0'
@@ -155,3 +156,19 @@
     revision = count + 1 + number
     changed = config_object(number % count, revision)
     return covering(revision - 1, revision, [changed])
+
+
+def instances(count: int) -> tuple[ListedInstance, ...]:
+    """List instances as the platform does."""
+    return tuple(
+        ListedInstance(
+            instance=f'side-model-0-{number}',
+            role='side',
+            address=f'10.20.30.40:{number}',
+            failure_domain='hall-borongaj',
+            pool=POOL,
+            backend_server=f'engine-{number}',
+            state=InstanceState.LIVE,
+        )
+        for number in range(count)
+    )
