--- a/src/sardinetrack/admission/api.py
+++ b/src/sardinetrack/admission/api.py
@@ -29,6 +29,8 @@
     """0 for a request sent on the chance of a free slot."""
     wait_seconds: float
     fingerprint: str = ''
+    suspect: bool = False
+    """It was running when another backend server crashed."""
 
 
 class RefusalReason(StrEnum):
@@ -117,10 +119,12 @@
         *,
         whole: bool,
         cost: float,
+        stopped: bool = False,
     ) -> Sequence[SideEffect]:
         """Free the slot of a request that ended.
 
         :param whole: the backend server's answer was complete.
+        :param stopped: it was not whole, and the side itself had ended it.
         :param cost: what it cost, in cost units of the pool.
         """
 
--- /dev/null
+++ b/tests/system/steps/configuration_steps.py
@@ -0,0 +1,294 @@
+"""Steps for configuration in force everywhere."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+import time
+from functools import partial
+from hashlib import sha256
+from typing import Any
+
+import httpcore
+from behave import given, then, when
+
+from support.caller import Caller
+from support.config_watch import ConfigWatch, in_force
+from support.fleet import PEER_SECRET, PLATFORM_TOKEN, Fleet, eventually
+from support.relay_link import RelayLink
+
+_SIDE = 'side-engine-0'
+_ENTRIES = ('entry-a', 'entry-b')
+_IN_FORCE_SECONDS = 4.0
+_LOST_RACE = 3
+
+
+class ConfigurationWorld:
+    """Entries and a side whose ways to the platform can be broken."""
+
+    def __init__(self, entries: tuple[str, ...]) -> None:
+        self.fleet = Fleet()
+        self.entries = entries
+        self.links: dict[str, RelayLink] = {}
+        self.peer_ports: dict[str, int] = {}
+        self.token = 'first'
+        self.accepted = True
+        self.watch: ConfigWatch
+        self.changed_at = time.monotonic()
+
+    def start(self) -> None:
+        """Start everything."""
+        fleet = self.fleet
+        fleet.start_platform()
+        fleet.workspace('base', 'base-token')
+        fleet.workspace('agent', self.token)
+        fleet.model_pool('ice-llm', 'ice-llm')
+        engine = fleet.start_engine('engine-0', model='ice-llm')
+        fleet.start_side('ice-llm', 'engine-0', engine)
+        for entry in self.entries:
+            self.links[entry] = fleet.keep(RelayLink(fleet.platform_url))
+            self.start_entry(entry)
+        fleet.wait_ready(_SIDE, *self.entries)
+        names = (_SIDE, *self.entries)
+        self.watch = fleet.keep(ConfigWatch(fleet, names))
+
+    def start_entry(self, entry: str, port: int = 0) -> None:
+        """Start an entry on its own way to the platform."""
+        self.fleet.start_entry(
+            entry,
+            platform={
+                'url': self.links[entry].url,
+                'token': {'value': PLATFORM_TOKEN},
+            },
+            peer={'port': port},
+        )
+
+    def replace_token(self, token: str) -> None:
+        """Give the workspace another token."""
+        self.token = token
+        self.fleet.workspace('agent', token)
+        self.changed_at = time.monotonic()
+
+    def all_agree(self) -> bool:
+        """Whether the token is known everywhere and all digests agree."""
+        if not all(self.accepts(entry, self.token) for entry in self.entries):
+            return False
+        digests = {
+            in_force(self.fleet, name)[1] for name in (_SIDE, *self.entries)
+        }
+        return len(digests) == 1
+
+    def accepts(self, entry: str, token: str) -> bool:
+        """Whether an entry lets a token in."""
+        url = f'{self.fleet.url(entry)}/v1/models'
+        try:
+            return Caller(token).call('GET', url).status == 200
+        except httpcore.NetworkError:
+            return False
+
+    def reasons(self, entry: str) -> list[str]:
+        """Why an entry refuses the workspace's newest version."""
+        rows = self.fleet.operator(entry, '/status').json()['rejected']
+        return [
+            reason
+            for row in rows
+            if row['key'] == 'catalogue/workspace/agent'
+            for reason in row['reasons']
+        ]
+
+
+@given('two entries and a side, each with a way of its own to the platform')
+def given_two(context: Any) -> None:
+    _start(context, _ENTRIES)
+
+
+@given('one entry and a side, each with a way of its own to the platform')
+def given_one(context: Any) -> None:
+    _start(context, _ENTRIES[:1])
+
+
+@when('two operators apply edits of one version at the same instant')
+def when_race(context: Any) -> None:
+    world = context.configuration
+    folder = world.fleet.folder
+    settings = folder / 'operator.json'
+    settings.write_text(json.dumps(_operator_settings(world)))
+    url = f'{world.fleet.platform_url}/objects/catalogue/workspace/agent'
+    context.base = world.fleet.platform.call('GET', url).json()['version']
+    racers = []
+    for number in range(2):
+        edit = folder / f'edit-{number}.json'
+        edit.write_text(json.dumps(_agent(f'race-{number}')))
+        command = ['catalogue', 'apply', str(settings), str(edit)]
+        racers.append(_popen([*command, '--version', str(context.base)]))
+    context.told = [racer.communicate(timeout=60) for racer in racers]
+    context.codes = [racer.returncode for racer in racers]
+
+
+@when('the way of "{entry}" is cut')
+def when_cut(context: Any, entry: str) -> None:
+    context.configuration.links[entry].cut()
+    context.mend = context.configuration.links[entry].restore
+
+
+@when('the way of "{entry}" falls silent')
+def when_silent(context: Any, entry: str) -> None:
+    context.configuration.links[entry].freeze()
+    context.mend = context.configuration.links[entry].thaw
+
+
+@when('the way of "{entry}" is whole again')
+def when_whole(context: Any, entry: str) -> None:
+    context.mend()
+
+
+@when('the way of "{entry}" loses all answers')
+def when_loses(context: Any, entry: str) -> None:
+    context.configuration.links[entry].lose_answers()
+
+
+@when('the way of "{entry}" loses nothing any more')
+def when_loses_nothing(context: Any, entry: str) -> None:
+    time.sleep(0.3)
+    context.configuration.links[entry].lose_nothing()
+
+
+@when('a token is added')
+@when('the token is taken away')
+def when_token(context: Any) -> None:
+    context.configuration.replace_token(f'token-{time.monotonic()}')
+
+
+@when('the outage ends and the token is taken away')
+def when_outage_over(context: Any) -> None:
+    context.fleet.faults()
+    when_token(context)
+
+
+@when('"{entry}" is killed and started empty, dialled by the others')
+def when_restarted(context: Any, entry: str) -> None:
+    world = context.configuration
+    address = world.fleet.processes[entry].ready['peer_address']
+    world.fleet.processes[entry].kill()
+    world.watch.restarted(entry)
+    world.start_entry(entry, int(address.rpartition(':')[2]))
+    world.changed_at = time.monotonic()
+
+
+@when("the platform's watches {fault}")
+def when_watches(context: Any, fault: str) -> None:
+    faults: dict[str, dict[str, Any]] = {
+        'lag 1 s': {'watch_lag_seconds': 1},
+        'repeat old news': {'watch_repeat': True},
+        'break': {'watch_break': True},
+    }
+    context.fleet.faults(**faults[fault])
+
+
+@when('the platform takes {count:d} reads a second')
+def when_throttled(context: Any, count: int) -> None:
+    context.fleet.faults(reads_per_second=count)
+
+
+@when('{count:d} changes are made, one every {seconds:g} s')
+def when_changes(context: Any, count: int, seconds: float) -> None:
+    for _ in range(count):
+        when_token(context)
+        time.sleep(seconds)
+
+
+@when('a bad version of its workspace is written past the editor')
+def when_bad(context: Any) -> None:
+    world = context.configuration
+    bad = {**_agent(world.token), 'limits': {'weight': -1}}
+    world.fleet.put_catalogue(bad)
+
+
+@then('all instances have the change in force within 4 s')
+def then_in_force(context: Any) -> None:
+    world = context.configuration
+    left = world.changed_at + _IN_FORCE_SECONDS - time.monotonic()
+    eventually(world.all_agree, within_seconds=left)
+
+
+@then('for {seconds:g} s no instance goes back')
+def then_stays(context: Any, seconds: float) -> None:
+    time.sleep(seconds)
+    context.configuration.watch.check()
+    assert context.configuration.all_agree()
+
+
+@then('no instance ever went back')
+def then_never_back(context: Any) -> None:
+    context.configuration.watch.check()
+
+
+@then('one edit is written and in force everywhere')
+def then_one_written(context: Any) -> None:
+    assert sorted(context.codes) == [0, _LOST_RACE], context.told
+    world = context.configuration
+    winner = context.codes.index(0)
+    for entry in world.entries:
+        assert world.accepts(entry, f'race-{winner}'), entry
+        assert not world.accepts(entry, f'race-{1 - winner}'), entry
+
+
+@then('the other operator is told both versions')
+def then_told(context: Any) -> None:
+    loser = context.codes.index(_LOST_RACE)
+    text = context.told[loser][1].decode()
+    url = f'{context.fleet.platform_url}/objects/catalogue/workspace/agent'
+    now = context.fleet.platform.call('GET', url).json()['version']
+    assert f'version {context.base}' in text, text
+    assert f'version {now}' in text, text
+
+
+@then('every entry tells why it refuses it')
+def then_reasons(context: Any) -> None:
+    world = context.configuration
+    for entry in world.entries:
+        eventually(partial(world.reasons, entry), within_seconds=4)
+        assert any('weight' in text for text in world.reasons(entry))
+
+
+@then('the token is still accepted everywhere')
+def then_accepted(context: Any) -> None:
+    world = context.configuration
+    for entry in world.entries:
+        assert world.accepts(entry, world.token), entry
+
+
+def _start(context: Any, entries: tuple[str, ...]) -> None:
+    context.configuration = ConfigurationWorld(entries)
+    context.fleet = context.configuration.fleet
+    context.configuration.start()
+
+
+def _agent(token: str) -> dict[str, Any]:
+    return {
+        'kind': 'workspace',
+        'name': 'agent',
+        'owner': 'tests',
+        'class': 'standard',
+        'token_hashes': [sha256(token.encode()).hexdigest()],
+    }
+
+
+def _operator_settings(world: ConfigurationWorld) -> dict[str, Any]:
+    return {
+        'role': 'operator',
+        'platform': {
+            'url': world.fleet.platform_url,
+            'token': {'value': PLATFORM_TOKEN},
+        },
+        'peer_secret': {'value': PEER_SECRET},
+    }
+
+
+def _popen(arguments: list[str]) -> subprocess.Popen[bytes]:
+    return subprocess.Popen(
+        [sys.executable, '-m', 'sardinetrack', *arguments],
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+    )
