--- a/benchmarks/chaos/referee.py
+++ b/benchmarks/chaos/referee.py
@@ -65,6 +65,8 @@
     starved: int = 0
     leaked: int = 0
     longest_wait_seconds: float = 0
+    slowest: str = ''
+    """The request that waited longest, and its answer."""
     notes: list[str] = field(default_factory=list)
 
     @property
@@ -108,10 +110,11 @@
         self.verdicts.requests += 1
         self._told.append(_Told(asked, received))
         self.verdicts.answers[_label(received)] += 1
-        self.verdicts.longest_wait_seconds = max(
-            self.verdicts.longest_wait_seconds,
-            received.waited_seconds,
-        )
+        if received.waited_seconds > self.verdicts.longest_wait_seconds:
+            self.verdicts.longest_wait_seconds = received.waited_seconds
+            self.verdicts.slowest = ' '.join(
+                (asked.kind, _Told(asked, received).label),
+            )
         if received.code == 'not_run_deadline':
             self.verdicts.starved += 1
         if not received.status and not received.excused:
