--- a/benchmarks/chaos/__main__.py
+++ b/benchmarks/chaos/__main__.py
@@ -29,6 +29,7 @@
     'wrong',
     'false_not_run',
     'leaked',
+    'internal',
     'starved',
 )
 
--- a/benchmarks/chaos/referee.py
+++ b/benchmarks/chaos/referee.py
@@ -14,7 +14,9 @@
 _MOST_NOTES: Final = 40
 _SHOWN_BYTES: Final = 300
 _NOT_RUN: Final = 'sardinetrack-not-run'
-_BROKEN: Final = frozenset(('lost', 'doubled', 'wrong', 'false_not_run'))
+_BROKEN: Final = frozenset(
+    ('lost', 'doubled', 'wrong', 'false_not_run', 'leaked', 'internal'),
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,6 +64,8 @@
     doubled: int = 0
     wrong: int = 0
     false_not_run: int = 0
+    internal: int = 0
+    """Answers that tell of a fault in the daemons."""
     starved: int = 0
     leaked: int = 0
     longest_wait_seconds: float = 0
@@ -72,7 +76,7 @@
     @property
     def broken(self) -> bool:
         """Whether a promise was broken."""
-        return any(getattr(self, name) for name in (*_BROKEN, 'leaked'))
+        return any(getattr(self, name) for name in _BROKEN)
 
     def note(self, name: str, text: str) -> None:
         """Count a broken promise and describe it."""
@@ -117,6 +121,8 @@
             )
         if received.code == 'not_run_deadline':
             self.verdicts.starved += 1
+        if received.code == 'internal_error':
+            self.verdicts.note('internal', asked.name)
         if not received.status and not received.excused:
             self.verdicts.note('lost', asked.name)
         if received.whole:
--- a/benchmarks/chaos/virtual/serve.py
+++ b/benchmarks/chaos/virtual/serve.py
@@ -55,6 +55,10 @@
         """End behind what was written."""
         self._connection.back.end()
 
+    def get_write_buffer_size(self) -> int:
+        """Tell what waits to be sent: fake connections take all at once."""
+        return 0
+
     def abort(self) -> None:
         """End at once."""
         self._connection.cut()
