--- a/benchmarks/slopes/entry.py
+++ b/benchmarks/slopes/entry.py
@@ -4,7 +4,8 @@
 
 import random
 from collections.abc import Callable, Iterator
-from functools import partial
+from copy import deepcopy
+from functools import cache, partial
 from typing import Final
 
 from benchmarks.probe.table import Spread
@@ -18,7 +19,7 @@
 KNOWN: Final = (16, 850, 8500)
 SIDES: Final = (1, 20, 200)
 WAITING: Final = (1, 85, 850)
-PEERS: Final = (2, 20)
+HEARD: Final = (425, 850, 1700)
 _CALLS: Final = 50
 _FREE: Final = 100_000
 _MICROSECOND: Final = 0.000001
@@ -74,6 +75,16 @@
         )
 
 
+@cache
+def _built(known: int, sides: int, free: int) -> Desk:
+    return Desk(known, sides, free)
+
+
+def _desk(known: int, sides: int, free: int) -> Desk:
+    """Copy a desk: to hear of 8500 workspaces takes a ledger seconds."""
+    return deepcopy(_built(known, sides, free))
+
+
 def measure() -> Iterator[Figure]:
     """Measure all decisions."""
     for known in KNOWN:
@@ -85,6 +96,9 @@
         yield from _of_waiting(waiting)
     for known in KNOWN:
         yield from _of_ticks(known)
+    for known in HEARD:
+        heard = once_us(partial(partial, Desk, known, 20, 0))
+        yield Figure('first report heard', f'{known} rows', 'us', heard)
 
 
 def _of_requests(size: str, known: int, sides: int) -> Iterator[Figure]:
@@ -100,7 +114,7 @@
         'us',
         once_us(partial(_ends, known, sides), _CALLS),
     )
-    desk = Desk(known, sides, _FREE)
+    desk = _desk(known, sides, _FREE)
     attempt_id = desk.submit()[0].attempt_id
     yield Figure(
         'progress',
@@ -113,12 +127,12 @@
 
 
 def _submits(known: int, sides: int) -> Callable[[], object]:
-    desk = Desk(known, sides, _FREE)
+    desk = _desk(known, sides, _FREE)
     return lambda: [desk.submit(number % known) for number in range(_CALLS)]
 
 
 def _ends(known: int, sides: int) -> Callable[[], object]:
-    desk = Desk(known, sides, _FREE)
+    desk = _desk(known, sides, _FREE)
     running = [desk.submit(number % known)[0] for number in range(_CALLS)]
     return lambda: [desk.end(dispatch) for dispatch in running]
 
@@ -132,7 +146,7 @@
         once_us(partial(_queued, waiting), _CALLS),
     )
     yield Figure('grant', size, 'us', once_us(partial(_grants, waiting)))
-    desk = Desk(850, 20, 0)
+    desk = _desk(850, 20, 0)
     desk.queue(waiting)
     yield Figure(
         'bids_for',
@@ -148,20 +162,20 @@
 
 
 def _queued(waiting: int) -> Callable[[], object]:
-    desk = Desk(850, 20, 0)
+    desk = _desk(850, 20, 0)
     desk.queue(waiting)
     return lambda: [desk.submit(850 + number) for number in range(_CALLS)]
 
 
 def _grants(waiting: int) -> Callable[[], object]:
-    desk = Desk(850, 20, 0)
+    desk = _desk(850, 20, 0)
     desk.queue(waiting)
     return partial(desk.router.grant, desk.now, 'side-0', Grant(1, 1.0))
 
 
 def _of_ticks(known: int) -> Iterator[Figure]:
     size = f'{known} known, 20 sides'
-    desk = Desk(known, 20, 0)
+    desk = _desk(known, 20, 0)
     yield Figure('tick, nothing waits', size, 'us', _tick_us(desk))
     heard = samples.report(known, 'entry-2')
     desk.router.peer_service(desk.now, heard)
