Name a read without an answer; test a feed whose watches always break

tests/platform expected UnavailableError for a read that was sent and not answered; it is NoAnswerError now, a narrower kind of it, and the table asks for that exactly. The new row of the feed's scenario fails without the mend.

--- a/tests/catalogue/feed.feature
+++ b/tests/catalogue/feed.feature
@@ -33,10 +33,11 @@
     And no owner came into force twice
 
     Examples:
-      | fault  |
-      | lag    |
-      | repeat |
-      | break  |
+      | fault        |
+      | lag          |
+      | repeat       |
+      | break        |
+      | always break |
 
   Scenario: A platform that repeats old news at once is not asked without end
     When the watches repeat old news at once
--- a/tests/catalogue/steps/feed_steps.py
+++ b/tests/catalogue/steps/feed_steps.py
@@ -15,6 +15,7 @@
 from sardinetrack.catalogue.view import CatalogueView
 from sardinetrack.platform.api import (
     Listing,
+    NoAnswerError,
     ThrottledError,
     UnavailableError,
 )
@@ -46,6 +47,8 @@
         if self.fault == 'break' and seen.objects:
             self.fault = ''
             raise UnavailableError('cut off')
+        if self.fault == 'always break' and seen.objects:
+            raise NoAnswerError('cut off')
         if self.fault == 'repeat old news at once':
             return Listing(after_revision, self.store.list(prefix).objects)
         if self.fault == 'repeat':
--- a/tests/platform/http.feature
+++ b/tests/platform/http.feature
@@ -49,10 +49,10 @@
       | a put        | {"outage": true}           | UnavailableError |
       | a get        | {"outage": true}           | UnavailableError |
       | an instances | {"outage": true}           | UnavailableError |
-      | a get        | {"freeze": true}           | UnavailableError |
+      | a get        | {"freeze": true}           | NoAnswerError    |
       | a put        | {"writes_per_second": 0.1} | ThrottledError   |
       | a list       | {"reads_per_second": 0.1}  | ThrottledError   |
-      | a watch      | {"watch_break": true}      | UnavailableError |
+      | a watch      | {"watch_break": true}      | NoAnswerError    |
       | an old watch | {}                         | WatchLostError   |
       | a large put  | {}                         | RefusedError     |
 
