Lift newcomers by settled levels, and true up what is charged ahead

The first request of the run had a hint of 183 for a cost of 47. It set the mean cost, was charged in full, and the only other workspace with backlog was lifted by that tag to 1.9 largest requests. The charge was trued down; the lift stayed, and that workspace got nothing for half a minute. Now the lift compares settled levels; the charge ahead follows the mean cost while the request runs; the mean is a true average at first. Ruled out: staleness; all four ledgers agreed.

--- a/src/sardinetrack/fairness/account.py
+++ b/src/sardinetrack/fairness/account.py
@@ -43,14 +43,17 @@
     workspace: str
     weight: float
     hint: float
-    most: float
-    """Charged ahead at most."""
     settled: float = 0
+    outstanding: float = 0
+    """Charged and not settled."""
 
-    @property
-    def outstanding(self) -> float:
-        """Charged and not settled."""
-        return min(self.most, max(0, self.hint - self.settled))
+    def wanted(self, most: float) -> float:
+        """Compute what should be outstanding.
+
+        :param most: charged ahead at most, at weight 1.
+        """
+        left = max(0, self.hint - self.settled)
+        return min(most / self.weight, left)
 
 
 @dataclass(slots=True)
--- a/src/sardinetrack/fairness/ledger.py
+++ b/src/sardinetrack/fairness/ledger.py
@@ -42,6 +42,7 @@
         self._charges: dict[str, Charge] = {}
         self._peers: dict[str, Peer] = {}
         self._mean_cost = math.inf
+        self._costs = 0
         self._began_seconds: float | None = None
 
     @property
@@ -62,7 +63,7 @@
         """
         account = self._accounts.get(workspace)
         if account is None:
-            account = Account(level=self._below(self.virtual_time))
+            account = Account(level=self.virtual_time)
             self._accounts[workspace] = account
         return account
 
@@ -126,11 +127,10 @@
         """
         account = self.account(workspace)
         self._advance(account)
-        most = self.charge_ahead / weight
         self._guess(hint)
-        charge = Charge(workspace, weight, hint / weight, most)
+        charge = Charge(workspace, weight, hint / weight)
         self._charges[attempt_id] = charge
-        account.outstanding += charge.outstanding
+        self._hold(account, charge, charge.wanted(self.charge_ahead))
         account.running += 1
         account.changed_seconds = now
 
@@ -145,13 +145,12 @@
         if charge is None:
             return
         account = self.account(charge.workspace)
-        account.outstanding -= charge.outstanding
         grown = max(0, cost / charge.weight - charge.settled)
         ensure(grown >= 0, 'a level rises with service')
         charge.settled += grown
         account.level += grown
         account.service += grown
-        account.outstanding += charge.outstanding
+        self._hold(account, charge, charge.wanted(self.charge_ahead))
         account.changed_seconds = now
 
     def settle(self, now: float, attempt_id: str, cost: float) -> None:
@@ -167,7 +166,7 @@
             return
         self._learn(cost)
         account = self.account(charge.workspace)
-        account.outstanding -= charge.outstanding
+        self._hold(account, charge, 0)
         account.running -= 1
         ensure(account.running >= 0, 'a charge is settled once')
         if not account.running:
@@ -248,6 +247,10 @@
         elif now - self._began_seconds >= SYNC_SECONDS:
             self.synced = True
 
+    def _hold(self, account: Account, charge: Charge, wanted: float) -> None:
+        account.outstanding += wanted - charge.outstanding
+        charge.outstanding = wanted
+
     def _guess(self, hint: float) -> None:
         if math.isinf(self._mean_cost):
             self._mean_cost = hint
@@ -255,7 +258,9 @@
     def _learn(self, cost: float) -> None:
         if not cost:
             return
-        self._mean_cost += _COST_GAIN * (cost - self._mean_cost)
+        self._costs += 1
+        gain = max(_COST_GAIN, 1 / self._costs)
+        self._mean_cost += gain * (cost - self._mean_cost)
 
     def _hear_row(
         self,
@@ -308,22 +313,20 @@
     def _lift(self, account: Account) -> None:
         """Lift an account that becomes backlogged, so idle time earns nothing.
 
-        The floor is one charge below the least tag: the others were charged
-        for what they run, and a newcomer at their level would have to wait
-        until all that is charged ahead has been delivered.
+        Levels are compared, not tags: what is charged ahead by a wrong hint
+        is trued down later, but a lift that was made by it would stay and
+        shut the newcomer out until all others had caught up.
         """
-        others = (one.tag for one in self.backlogged() if one is not account)
-        floor = min(others, default=self.virtual_time)
-        self.virtual_time = floor
-        account.level += max(0, self._below(floor) - account.tag)
-
-    def _below(self, tag: float) -> float:
-        ahead = self.charge_ahead
-        return max(0, tag - ahead) if math.isfinite(ahead) else tag
+        others = (one for one in self.backlogged() if one is not account)
+        self.virtual_time = min(
+            (one.level for one in others),
+            default=self.virtual_time,
+        )
+        account.level = max(account.level, self.virtual_time)
 
     def _advance(self, account: Account) -> None:
-        tags = [one.tag for one in self.backlogged()]
-        if tags:
-            self.virtual_time = min(tags)
+        levels = [one.level for one in self.backlogged()]
+        if levels:
+            self.virtual_time = min(levels)
         else:
             self.virtual_time = max(self.virtual_time, account.level)
