--- a/src/sardinetrack/http/server.py
+++ b/src/sardinetrack/http/server.py
@@ -33,6 +33,14 @@
         """Build a server that tells when it listens."""
         super().__init__(config)
         self.listening = anyio.Event()
+        self.closed = anyio.Event()
+
+    async def serve(self, sockets: list[socket.socket] | None = None) -> None:
+        """Serve, then tell that every connection is closed."""
+        try:
+            await super().serve(sockets=sockets)
+        finally:
+            self.closed.set()
 
     async def startup(
         self,
@@ -51,7 +59,7 @@
 class BoundServer:
     """A running server."""
 
-    def __init__(self, server: uvicorn.Server, address: str) -> None:
+    def __init__(self, server: _Server, address: str) -> None:
         """Remember the server.
 
         :param address: ``IP:port`` where it listens.
@@ -73,6 +81,10 @@
         """Close the listener; running exchanges finish."""
         self._server.should_exit = True
 
+    async def closed(self) -> None:
+        """Return when every connection is closed after ``stop``."""
+        await self._server.closed.wait()
+
     def abort(self) -> None:
         """Close everything at once."""
         self._server.should_exit = True
@@ -87,7 +99,7 @@
     :return: the bound socket.
     """
     family = socket.AF_INET6 if ':' in ip else socket.AF_INET
-    listener = socket.socket(family, socket.SOCK_STREAM)
+    listener = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     listener.bind((ip, port))
     listener.listen(_BACKLOG)
@@ -133,9 +145,16 @@
     )
     bound = BoundServer(server, f'{host}:{bound_port}')
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(server.serve, [listener])
-        await server.listening.wait()
+        tasks.start_soon(_serve_shielded, server, listener)
         try:
+            await server.listening.wait()
             yield bound
         finally:
             bound.abort()
+
+
+async def _serve_shielded(server: _Server, listener: socket.socket) -> None:
+    # uvicorn stops serving in its own loop; a cancellation that reaches the
+    # loop leaves the listener open and answering. The owner's exit ends it.
+    with anyio.CancelScope(shield=True):
+        await server.serve([listener])
--- /dev/null
+++ b/tests/entry/entry_world.py
@@ -0,0 +1,342 @@
+"""An entry between a caller, fake sides and a platform in memory."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import logging
+import random
+import time
+from collections.abc import Callable
+from contextlib import ExitStack
+from typing import Any
+
+from anyio.from_thread import start_blocking_portal
+from fake_side import SECRET, SLOTS, FakeSide, Script
+from raw_http import TOKEN_TEXT, WAIT_SECONDS, Answer, Connection
+
+from sardinetrack.config.model import Bounds, EntrySettings
+from sardinetrack.entry.daemon import Entry
+from sardinetrack.entry.heads import HeadBounds
+from sardinetrack.entry.parts import EntryParts
+from sardinetrack.messages.run import RunOrder
+from sardinetrack.once.claims import PlatformClaims
+from sardinetrack.once.record import claim_key
+from sardinetrack.once.settler import Settler
+from sardinetrack.platform.api import (
+    ListedInstance,
+    Listing,
+    StoredObject,
+    UnavailableError,
+)
+from sardinetrack.platform.in_process import Disturbance, MemoryPlatform
+from sardinetrack.routing.router import Router
+from sardinetrack.routing.shared import Identity
+
+MODEL = 'ice-1'
+POLL_SECONDS = 0.02
+BOUNDS = Bounds(
+    max_body_bytes=100_000,
+    body_seconds=0.5,
+    max_connections=20,
+    keep_alive_seconds=1,
+    send_seconds=1,
+    wait_seconds=2,
+)
+HEADS = HeadBounds(head_seconds=0.5, linger_seconds=0.5)
+CATALOGUE = (
+    {
+        'kind': 'workspace',
+        'name': 'pilot',
+        'owner': 'Varna',
+        'token_hashes': [hashlib.sha256(TOKEN_TEXT.encode()).hexdigest()],
+    },
+    {
+        'kind': 'pool',
+        'name': 'ice-llm',
+        'owner': 'Varna',
+        'class': 'model',
+        'models': [MODEL],
+    },
+    {
+        'kind': 'pool',
+        'name': 'chart-api',
+        'owner': 'Varna',
+        'class': 'service',
+        'limits': {'max_body_bytes': 50_000},
+        'repeatable': [{'method': 'GET', 'path_prefix': '/charts'}],
+    },
+)
+
+
+class LogLines(logging.Handler):
+    """Keeps every line that the program writes."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.lines: list[str] = []
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Keep a line."""
+        self.lines.append(f'{record.getMessage()} {record.__dict__}')
+
+
+class LossyPlatform(MemoryPlatform):
+    """Fails in parts on demand."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.countdown = -1
+        self.catalogue_down = False
+        self.instance_reads = 0
+
+    def lose_after(self, writes: int) -> None:
+        """Lose the reply to the write after so many others."""
+        self.countdown = writes
+
+    async def put(
+        self,
+        key: str,
+        value: bytes,
+        *,
+        expected_version: int | None,
+    ) -> StoredObject:
+        """Write, and lose the reply when its turn has come."""
+        if self.countdown == 0:
+            self.disturb(Disturbance(lose_replies=1))
+        self.countdown -= 1
+        return await super().put(
+            key,
+            value,
+            expected_version=expected_version,
+        )
+
+    async def list(self, prefix: str) -> Listing:
+        """Read all objects, unless the catalogue is down."""
+        if self.catalogue_down:
+            raise UnavailableError('down')
+        return await super().list(prefix)
+
+    async def instances(self) -> tuple[ListedInstance, ...]:
+        """Read the list of instances and count it."""
+        self.instance_reads += 1
+        return await super().instances()
+
+
+class EntryWorld:
+    """Owns everything of a scenario."""
+
+    def __init__(self) -> None:
+        self.stack = ExitStack()
+        self.portal = self.stack.enter_context(start_blocking_portal())
+        self.platform = LossyPlatform()
+        self.wall_seconds = 1e9
+        self.sides: dict[str, FakeSide] = {}
+        self.entries: dict[str, Entry] = {}
+        self.settlers: list[Settler] = []
+        self.connections: list[Connection] = []
+        self.answer: Answer | None = None
+        self.log = LogLines()
+        logging.getLogger().addHandler(self.log)
+        logging.getLogger('sardinetrack').setLevel(logging.DEBUG)
+        for content in CATALOGUE:
+            self.write(content)
+
+    def close(self) -> None:
+        """Close everything, newest first."""
+        logging.getLogger().removeHandler(self.log)
+        for connection in self.connections:
+            connection.close()
+        self.stack.close()
+
+    def write(self, content: dict[str, Any]) -> None:
+        """Write a catalogue entry."""
+        self.portal.call(self._write, content)
+
+    def side(self, name: str, pool: str) -> FakeSide:
+        """Start a side and list it."""
+        side = FakeSide(name, pool)
+        self.enter(side.serving())
+        self.sides[name] = side
+        row = ListedInstance(
+            name,
+            'side',
+            side.address,
+            'galata',
+            pool,
+            f'{name}-server',
+        )
+        self.portal.call(self.platform.set_instance, row)
+        return side
+
+    def script(self, name: str, script: Script) -> None:
+        """Add to what a side answers."""
+        self.sides[name].scripts.append(script)
+
+    def entry(self, name: str = 'entry-a') -> Entry:
+        """Start an entry, list it and wait until it is linked."""
+        entry = self.start_entry(name)
+        self.entries[name] = entry
+        row = ListedInstance(name, 'entry', entry.peer.address, 'galata')
+        self.portal.call(self.platform.set_instance, row)
+        self.until(lambda: self.ready(entry))
+        return entry
+
+    def start_entry(self, name: str) -> Entry:
+        """Start an entry that nobody knows of yet."""
+        settings = EntrySettings.model_validate(
+            {
+                'instance': name,
+                'failure_domain': 'galata',
+                'platform': {
+                    'url': 'http://127.0.0.1:1',
+                    'token': {'value': 'p'},
+                },
+                'peer_secret': {'value': 'fleet'},
+                'bounds': BOUNDS,
+                'drain_seconds': 3,
+            },
+        )
+        settler = self.enter(self.portal.call(Settler, self.platform))
+        self.settlers.append(settler)
+        identity = Identity(name, f'{name}-1')
+        parts = EntryParts(
+            settings=settings,
+            peer_secret=SECRET,
+            incarnation=identity.incarnation,
+            routing=Router(identity, random.Random(7)),
+            platform=self.platform,
+            claims=PlatformClaims(
+                self.platform,
+                settler,
+                wall_clock=lambda: self.wall_seconds,
+            ),
+            head_bounds=HEADS,
+            balancer_seconds=0.3,
+        )
+        entry: Entry = self.enter(self.portal.call(Entry, parts))
+        return entry
+
+    def ready(self, entry: Entry) -> bool:
+        """Tell whether every side is linked and has told its load."""
+        told = self.status(entry)
+        loads = [
+            side['limit'] for pool in told['pools'] for side in pool['sides']
+        ]
+        return bool(told['revision']) and loads.count(SLOTS) == len(self.sides)
+
+    def last_order(self, name: str) -> RunOrder:
+        """Return the newest order that a side has received."""
+        return self.sides[name].orders[-1]
+
+    def last_body(self, name: str) -> bytes:
+        """Return the newest body that a side has received."""
+        return self.sides[name].bodies[-1]
+
+    def release(self, name: str) -> None:
+        """Let a side answer what it holds."""
+        self.portal.call(self.sides[name].release.set)
+
+    def count_orders(self, *names: str) -> int:
+        """Count the orders of some sides, by default of all."""
+        chosen = names or tuple(self.sides)
+        return sum(len(self.sides[name].orders) for name in chosen)
+
+    def record(self, key: str) -> str:
+        """Read the state of an idempotency key's record."""
+        stored = self.platform.store.get(claim_key('pilot', key))
+        if stored is None:
+            return ''
+        return str(json.loads(stored.value)['state'])
+
+    def status(self, entry: Entry) -> dict[str, Any]:
+        """Read the operators' status."""
+        content = json.loads(self.operator(entry, '/status').body)
+        assert isinstance(content, dict)
+        return content
+
+    def open_requests(self, name: str = 'entry-a') -> int:
+        """Count the requests that wait or run at an entry."""
+        return int(self.status(self.entries[name])['open_requests'])
+
+    def fill(self) -> None:
+        """Let no side have a free slot."""
+        for side in self.sides.values():
+            side.free = 0
+            self.portal.call(side.announce)
+        self.until(self._all_full)
+
+    def free(self) -> None:
+        """Give every side its slots back."""
+        for side in self.sides.values():
+            side.free = SLOTS
+            self.portal.call(side.announce)
+
+    def disturb(self, disturbance: Disturbance) -> None:
+        """Change what goes wrong at the platform."""
+        self.portal.call(self.platform.disturb, disturbance)
+
+    def operator(self, entry: Entry, path: str, method: str = 'GET') -> Answer:
+        """Call the operators' listener."""
+        return self._call(entry.operator.port, method, path)
+
+    def peer(self, entry: Entry, path: str, token: str | None) -> Answer:
+        """Call the peers' listener."""
+        return self._call(entry.peer.port, 'GET', path, token=token)
+
+    def connect(self, name: str = 'entry-a') -> Connection:
+        """Open a caller's connection."""
+        connection = Connection(self.entries[name].callers.port)
+        self.connections.append(connection)
+        return connection
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b'',
+        **named: Any,
+    ) -> Answer:
+        """Send one request and read its answer."""
+        entry = named.pop('entry', 'entry-a')
+        connection = self.connect(entry)
+        connection.request(method, path, body, **named)
+        self.answer = connection.answer(method)
+        return self.answer
+
+    def enter(self, manager: Any) -> Any:
+        """Enter an asynchronous context until the scenario ends."""
+        return self.stack.enter_context(
+            self.portal.wrap_async_context_manager(manager),
+        )
+
+    def until(self, holds: Callable[[], bool]) -> None:
+        """Wait until something holds."""
+        deadline = time.monotonic() + WAIT_SECONDS
+        while not holds():
+            assert time.monotonic() < deadline, 'waited in vain'
+            time.sleep(POLL_SECONDS)
+
+    def _call(
+        self,
+        port: int,
+        method: str,
+        path: str,
+        token: str | None = None,
+    ) -> Answer:
+        connection = Connection(port)
+        try:
+            connection.request(method, path, token=token)
+            return connection.answer(method)
+        finally:
+            connection.close()
+
+    def _all_full(self) -> bool:
+        told = [self.status(entry) for entry in self.entries.values()]
+        pools = [pool for status in told for pool in status['pools']]
+        return not any(side['free'] for pool in pools for side in pool['sides'])
+
+    async def _write(self, content: dict[str, Any]) -> None:
+        key = f'catalogue/{content["kind"]}/{content["name"]}'
+        text = json.dumps(content).encode()
+        await self.platform.put(key, text, expected_version=None)
