--- a/tests/once/claims.feature
+++ b/tests/once/claims.feature
@@ -70,6 +70,19 @@
     And "b" claims "k"
     Then the answers are "Claimed"
 
+  Scenario Outline: an order leaves <late> s after the claim, at most 75 s
+    The entry is frozen with a claimed request and thaws. An order that left
+    too late would run after its claim was taken for lost; the caller is told
+    "not run" and the key is free.
+    Given entries "a" and "b"
+    When "a" claims "k" and is about to order after <late> s
+    And "b" claims "k"
+    Then the order <leaves> and "b" is told "<answer>"
+    Examples:
+      | late | leaves        | answer          |
+      | 74   | leaves        | AlreadyFinished |
+      | 76   | is held back  | Claimed         |
+
   Scenario: during an outage nothing is claimed and ends are kept
     Given entries "a" and "b"
     When "a" claims "k"
--- a/tests/once/steps/claims_steps.py
+++ b/tests/once/steps/claims_steps.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from contextlib import suppress
+from types import SimpleNamespace
 from typing import Any
 
 import anyio
@@ -10,6 +13,8 @@
 from claims_world import ClaimsWorld
 from random_run import run_seed
 
+from sardinetrack.entry.keyed import KeyedRuns
+from sardinetrack.errors.api import AnsweredError
 from sardinetrack.once.record import Head, head_key, segment_key
 from sardinetrack.platform.api import UncertainError
 
@@ -127,6 +132,29 @@
     context.world.pass_time(seconds)
 
 
+@when('"{name}" claims "{key}" and is about to order after {late:g} s')
+def when_order_late(context: Any, name: str, key: str, late: float) -> None:
+    context.ordered = False
+    keyed = KeyedRuns(context.world.entries[name], wait_seconds=60)
+    call = SimpleNamespace(
+        workspace=SimpleNamespace(name='pilot'),
+        work=SimpleNamespace(fingerprint='body'),
+        pool=SimpleNamespace(max_run_seconds=600),
+    )
+
+    async def order(note_may_have_run: Callable[[bool], None]) -> None:
+        await anyio.sleep(late)
+        note_may_have_run(True)
+        context.ordered = True
+
+    async def main() -> None:
+        with suppress(AnsweredError):
+            await keyed.run(call, key, order)
+        await anyio.sleep(1)
+
+    context.world.run(main())
+
+
 @when('the platform goes down')
 def when_down(context: Any) -> None:
     context.world.road.outage = True
@@ -159,6 +187,12 @@
     assert context.world.answers[-1] == name, context.world.answers
 
 
+@then('the order {leaves} and "{name}" is told "{answer}"')
+def then_order(context: Any, leaves: str, name: str, answer: str) -> None:
+    assert context.ordered is (leaves == 'leaves')
+    assert context.world.answers == [answer], context.world.answers
+
+
 @then('late writes took no effect')
 def then_late_in_vain(context: Any) -> None:
     assert context.late == ['in vain'], context.late
