--- a/benchmarks/chaos/referee.py
+++ b/benchmarks/chaos/referee.py
@@ -14,7 +14,9 @@
 _MOST_NOTES: Final = 40
 _SHOWN_BYTES: Final = 300
 _NOT_RUN: Final = 'sardinetrack-not-run'
-_BROKEN: Final = frozenset(('lost', 'doubled', 'wrong', 'false_not_run'))
+_BROKEN: Final = frozenset(
+    ('lost', 'doubled', 'wrong', 'false_not_run', 'leaked', 'internal'),
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,15 +64,19 @@
     doubled: int = 0
     wrong: int = 0
     false_not_run: int = 0
+    internal: int = 0
+    """Answers that tell of a fault in the daemons."""
     starved: int = 0
     leaked: int = 0
     longest_wait_seconds: float = 0
+    slowest: str = ''
+    """The request that waited longest, and its answer."""
     notes: list[str] = field(default_factory=list)
 
     @property
     def broken(self) -> bool:
         """Whether a promise was broken."""
-        return any(getattr(self, name) for name in (*_BROKEN, 'leaked'))
+        return any(getattr(self, name) for name in _BROKEN)
 
     def note(self, name: str, text: str) -> None:
         """Count a broken promise and describe it."""
@@ -108,12 +114,15 @@
         self.verdicts.requests += 1
         self._told.append(_Told(asked, received))
         self.verdicts.answers[_label(received)] += 1
-        self.verdicts.longest_wait_seconds = max(
-            self.verdicts.longest_wait_seconds,
-            received.waited_seconds,
-        )
+        if received.waited_seconds > self.verdicts.longest_wait_seconds:
+            self.verdicts.longest_wait_seconds = received.waited_seconds
+            self.verdicts.slowest = ' '.join(
+                (asked.kind, _Told(asked, received).label),
+            )
         if received.code == 'not_run_deadline':
             self.verdicts.starved += 1
+        if received.code == 'internal_error':
+            self.verdicts.note('internal', asked.name)
         if not received.status and not received.excused:
             self.verdicts.note('lost', asked.name)
         if received.whole:
--- a/src/sardinetrack/admission/slots.py
+++ b/src/sardinetrack/admission/slots.py
@@ -51,6 +51,12 @@
         self._staging = Staging()
         self._running: dict[str, float] = {}
         self._held: dict[str, _Held] = {}
+        self._suspects: set[str] = set()
+        """Struck requests here, one at most.
+
+        Were two running when the server crashed, both would be struck again
+        and the innocent one condemned with the other.
+        """
         self._virtual_time = float(0)
         self._announced = (limit, float(0))
 
@@ -60,6 +66,8 @@
         reason = self._objection(arrival, granted=granted)
         if reason is not None:
             return self._refuse_new(now, arrival.attempt_id, reason)
+        if arrival.suspect:
+            self._suspects.add(arrival.attempt_id)
         self._book.put(arrival.attempt_id, AttemptState.HELD)
         self._held[arrival.attempt_id] = _Held(
             arrival,
@@ -100,13 +108,17 @@
         *,
         whole: bool,
         cost: float,
+        stopped: bool = False,
     ) -> Sequence[SideEffect]:
         """Free the slot of a request that ended."""
+        self._suspects.discard(attempt_id)
         started_seconds = self._running.pop(attempt_id, None)
         if started_seconds is None:
             return ()
         self._staging.ran(now - started_seconds)
-        state = AttemptState.FINISHED if whole else AttemptState.FAILED
+        state = AttemptState.STOPPED if stopped else AttemptState.FAILED
+        if whole:
+            state = AttemptState.FINISHED
         self._book.end(now, attempt_id, state)
         return self._turn(now)
 
@@ -128,8 +140,12 @@
 
     def resize(self, now: float, limit: int) -> Sequence[SideEffect]:
         """Change how many requests may run at once."""
+        gone = self._limit > 0 and limit == 0
         self._limit = limit
-        return self._turn(now)
+        effects = self._turn(now)
+        # Entries that learned of it late would tell a side without slots of
+        # their waiting work, and nobody else.
+        return (*effects, self._announce(now)) if gone else effects
 
     def drain(self, now: float) -> Sequence[SideEffect]:
         """Take no new work; running work finishes."""
@@ -204,6 +220,8 @@
             return RefusalReason.DUPLICATE
         if self._draining:
             return RefusalReason.DRAINING
+        if arrival.suspect and self._suspects:
+            return RefusalReason.BUSY
         if granted or self._free > 0:
             return None
         return RefusalReason.BUSY
@@ -225,6 +243,7 @@
         reason: str,
     ) -> Sequence[SideEffect]:
         self._held.pop(attempt_id)
+        self._suspects.discard(attempt_id)
         self._book.end(now, attempt_id, AttemptState.TOMBSTONED)
         return (Refuse(attempt_id, RefusalReason(reason)),)
 
--- a/src/sardinetrack/fairness/account.py
+++ b/src/sardinetrack/fairness/account.py
@@ -19,6 +19,10 @@
     peer_outstanding: float = 0
     peer_running: int = 0
     peer_waiting: int = 0
+    peers_waiting: int = 0
+    """How many peers hold waiting work."""
+    reported_running: int = 0
+    """What the last own report said was running."""
     changed_seconds: float = 0
 
     @property
@@ -39,14 +43,17 @@
     workspace: str
     weight: float
     hint: float
-    most: float
-    """Charged ahead at most."""
     settled: float = 0
+    outstanding: float = 0
+    """Charged and not settled."""
 
-    @property
-    def outstanding(self) -> float:
-        """Charged and not settled."""
-        return min(self.most, max(0, self.hint - self.settled))
+    def wanted(self, most: float) -> float:
+        """Compute what should be outstanding.
+
+        :param most: charged ahead at most, at weight 1.
+        """
+        left = max(0, self.hint - self.settled)
+        return min(most / self.weight, left)
 
 
 @dataclass(slots=True)
--- a/tests/support/scene.py
+++ b/tests/support/scene.py
@@ -84,6 +84,7 @@
         self.fleet.wait_ready(*daemons(self.fleet))
         for entry in ENTRIES:
             self.wait_used(entry, len(self.plan.servers))
+        self.wait_linked()
 
     def start_side(
         self,
@@ -101,10 +102,25 @@
             listed = self._through(f'side-{server}')
         self.fleet.start_side(pool, server, url, listed=listed, **settings)
 
+    def restart_side(self, pool: str, server: str, **settings: Any) -> None:
+        """Start a side anew behind the wires of the one before."""
+        name = f'side-{server}'
+        backend = self.fleet.processes[server].ready['url']
+        if self.plan.backend_wired:
+            backend = f'http://{self.wires[server].address}'
+        listed = str
+        if self.plan.wired:
+            listed = partial(_constant, self.wires[name].address)
+        self.fleet.start_side(pool, server, backend, listed=listed, **settings)
+
     def wait_used(self, entry: str, sides: int) -> None:
         """Wait until an entry knows of free slots at so many sides."""
         eventually(lambda: len(self.used(entry)) == sides)
 
+    def wait_linked(self) -> None:
+        """Wait until the entries are linked with each other."""
+        eventually(self._entries_linked)
+
     def used(self, entry: str) -> list[str]:
         """Name the backend servers that get work of an entry."""
         pools = self.fleet.operator(entry, '/status').json()['pools']
@@ -137,6 +153,13 @@
             if processes[server].running and processes[f'side-{server}'].running
         ]
 
+    def _entries_linked(self) -> bool:
+        return all(
+            len(self.fleet.operator(entry, '/status').json()['entries'])
+            == len(ENTRIES) - 1
+            for entry in ENTRIES
+        )
+
     def _through(self, name: str) -> Callable[[str], str]:
         def open_wire(address: str) -> str:
             self.wires[name] = self._opened.to(address)
@@ -164,3 +187,7 @@
         if self.plan.services:
             reads = [{'method': 'GET', 'path_prefix': '/'}]
             self.fleet.service_pool(SERVICE, reads, **limits)
+
+
+def _constant(found: str, _: str) -> str:
+    return found
