Run attempts, breakers, drains and dialers on their state charts

Cause: the charts were valid files that no code fired; each owner kept its own flags, and the files said things that the code never did (an attempt that is cancelling, a breaker that goes half open by the clock alone).

The charts now name the code's true events, and the owners run on them: admission/book.py, routing/breaker.py, entry/gate.py, side/owner.py, process/signals.py and the dialling end of a link. TypedChart compares the enumerations of the code with the file when the module is imported.

The library therefore builds each machine once, and its answers are kept as a table. Ruled out: reading the table from the file without the library.

The lease's chart waits for the lease.

--- a/src/sardinetrack/admission/book.py
+++ b/src/sardinetrack/admission/book.py
@@ -8,6 +8,7 @@
 from types import MappingProxyType
 from typing import Final
 
+from sardinetrack.charts.typed import TypedChart
 from sardinetrack.messages.run import Fate
 
 KEEP_SECONDS: Final = 900.0
@@ -18,6 +19,7 @@
 class AttemptState(StrEnum):
     """Where an attempt stands at the side."""
 
+    UNSEEN = 'unseen'
     HELD = 'held'
     RUNNING = 'running'
     FINISHED = 'finished'
@@ -25,9 +27,21 @@
     TOMBSTONED = 'tombstoned'
 
 
+class AttemptEvent(StrEnum):
+    """What happens to an attempt."""
+
+    ARRIVE = 'arrive'
+    REFUSE = 'refuse'
+    ASK = 'ask'
+    START = 'start'
+    FINISH = 'finish'
+    FAIL = 'fail'
+
+
+_CHART: Final = TypedChart('attempt', AttemptState, AttemptEvent)
+_LIVE: Final = frozenset((AttemptState.HELD, AttemptState.RUNNING))
 _FATES: Final = MappingProxyType(
     {
-        AttemptState.HELD: Fate.NOT_STARTED,
         AttemptState.RUNNING: Fate.RUNNING,
         AttemptState.FINISHED: Fate.FINISHED,
         AttemptState.FAILED: Fate.FAILED,
@@ -55,37 +69,31 @@
         self._ended: OrderedDict[str, _Ended] = OrderedDict()
         self._blind_until_seconds = float('-inf')
 
-    def state(self, attempt_id: str) -> AttemptState | None:
-        """Find the state of an attempt; ``None`` for an unseen one."""
+    def state(self, attempt_id: str) -> AttemptState:
+        """Find the state of an attempt."""
         live = self._live.get(attempt_id)
         if live is not None:
             return live
         ended = self._ended.get(attempt_id)
-        return None if ended is None else ended.state
+        return _CHART.initial if ended is None else ended.state
 
-    def put(self, attempt_id: str, state: AttemptState) -> None:
-        """Record a held or running attempt."""
-        self._live[attempt_id] = state
-
-    def end(self, now: float, attempt_id: str, state: AttemptState) -> None:
-        """Record an attempt that never runs again.
+    def note(self, now: float, attempt_id: str, event: AttemptEvent) -> None:
+        """Move an attempt along its chart.
 
         :param now: monotonic time.
         :param attempt_id: the attempt.
-        :param state: finished, failed or tombstoned.
+        :param event: what happened to it.
+        :raises IllegalEventError: it can't happen to it any more.
         """
-        self._live.pop(attempt_id, None)
-        self._ended[attempt_id] = _Ended(state, now)
-        if len(self._ended) > self._max_ended:
-            _, oldest = self._ended.popitem(last=False)
-            forgotten_until = oldest.ended_seconds + KEEP_SECONDS
-            self._blind_until_seconds = max(
-                self._blind_until_seconds,
-                forgotten_until,
-            )
+        before = self.state(attempt_id)
+        after = _CHART.after(before, event)
+        if after in _LIVE:
+            self._live[attempt_id] = after
+        elif after is not before:
+            self._end(now, attempt_id, after)
 
     def ask(self, now: float, attempt_id: str) -> Fate:
-        """Tell a fate; an unseen attempt is tombstoned.
+        """Tell a fate; an attempt that was not started never will be.
 
         A record pushed out by newer ones may be of an attempt that ran, so
         nothing unseen is called "not started" until its age would have
@@ -95,13 +103,11 @@
         :param attempt_id: the attempt.
         :return: its fate, binding when it is not started.
         """
-        state = self.state(attempt_id)
-        if state is None:
-            self.end(now, attempt_id, AttemptState.TOMBSTONED)
-            if now < self._blind_until_seconds:
-                return Fate.UNKNOWN
-            return Fate.NOT_STARTED
-        return _FATES[state]
+        unseen = self.state(attempt_id) is AttemptState.UNSEEN
+        self.note(now, attempt_id, AttemptEvent.ASK)
+        if unseen and now < self._blind_until_seconds:
+            return Fate.UNKNOWN
+        return _FATES[self.state(attempt_id)]
 
     def forget(self, now: float) -> None:
         """Drop records that are too old to be asked for."""
@@ -110,3 +116,14 @@
             if oldest.ended_seconds + KEEP_SECONDS > now:
                 return
             self._ended.popitem(last=False)
+
+    def _end(self, now: float, attempt_id: str, state: AttemptState) -> None:
+        self._live.pop(attempt_id, None)
+        self._ended[attempt_id] = _Ended(state, now)
+        if len(self._ended) > self._max_ended:
+            _, oldest = self._ended.popitem(last=False)
+            forgotten_until = oldest.ended_seconds + KEEP_SECONDS
+            self._blind_until_seconds = max(
+                self._blind_until_seconds,
+                forgotten_until,
+            )
--- a/src/sardinetrack/admission/slots.py
+++ b/src/sardinetrack/admission/slots.py
@@ -18,7 +18,11 @@
     Stop,
 )
 from sardinetrack.admission.board import BidBoard, Candidate
-from sardinetrack.admission.book import AttemptBook, AttemptState
+from sardinetrack.admission.book import (
+    AttemptBook,
+    AttemptEvent,
+    AttemptState,
+)
 from sardinetrack.admission.staging import Staging
 from sardinetrack.fairness.invariant import ensure
 from sardinetrack.messages.api import Bids, Grant, SideLoad, SidePhase
@@ -60,7 +64,7 @@
         reason = self._objection(arrival, granted=granted)
         if reason is not None:
             return self._refuse_new(now, arrival.attempt_id, reason)
-        self._book.put(arrival.attempt_id, AttemptState.HELD)
+        self._book.note(now, arrival.attempt_id, AttemptEvent.ARRIVE)
         self._held[arrival.attempt_id] = _Held(
             arrival,
             now + arrival.wait_seconds,
@@ -106,8 +110,8 @@
         if started_seconds is None:
             return ()
         self._staging.ran(now - started_seconds)
-        state = AttemptState.FINISHED if whole else AttemptState.FAILED
-        self._book.end(now, attempt_id, state)
+        end = AttemptEvent.FINISH if whole else AttemptEvent.FAIL
+        self._book.note(now, attempt_id, end)
         return self._turn(now)
 
     def query(
@@ -119,9 +123,9 @@
     ) -> tuple[Fate, Sequence[SideEffect]]:
         """Tell the fate of an attempt; one not started never will be."""
         fate = self._book.ask(now, attempt_id)
-        if attempt_id in self._held:
-            effects = self._refuse_held(now, attempt_id, 'tombstoned')
-            return fate, (*effects, *self._turn(now))
+        if self._held.pop(attempt_id, None) is not None:
+            refusal = Refuse(attempt_id, RefusalReason.TOMBSTONED)
+            return fate, (refusal, *self._turn(now))
         if cancel and fate is Fate.RUNNING:
             return fate, (Stop(attempt_id),)
         return fate, ()
@@ -200,7 +204,7 @@
         state = self._book.state(arrival.attempt_id)
         if state is AttemptState.TOMBSTONED:
             return RefusalReason.TOMBSTONED
-        if state is not None:
+        if state is not AttemptState.UNSEEN:
             return RefusalReason.DUPLICATE
         if self._draining:
             return RefusalReason.DRAINING
@@ -215,7 +219,7 @@
         reason: RefusalReason,
     ) -> Sequence[SideEffect]:
         if reason in {RefusalReason.BUSY, RefusalReason.DRAINING}:
-            self._book.end(now, attempt_id, AttemptState.TOMBSTONED)
+            self._book.note(now, attempt_id, AttemptEvent.REFUSE)
         return (Refuse(attempt_id, reason), *self._turn(now))
 
     def _refuse_held(
@@ -225,7 +229,7 @@
         reason: str,
     ) -> Sequence[SideEffect]:
         self._held.pop(attempt_id)
-        self._book.end(now, attempt_id, AttemptState.TOMBSTONED)
+        self._book.note(now, attempt_id, AttemptEvent.REFUSE)
         return (Refuse(attempt_id, RefusalReason(reason)),)
 
     def _turn(self, now: float) -> Sequence[SideEffect]:
@@ -249,7 +253,7 @@
         )
         self._held.pop(attempt_id)
         self._running[attempt_id] = now
-        self._book.put(attempt_id, AttemptState.RUNNING)
+        self._book.note(now, attempt_id, AttemptEvent.START)
         return Start(attempt_id)
 
     def _grant_spare(self, now: float) -> Sequence[SideEffect]:
--- a/src/sardinetrack/charts/__init__.py
+++ b/src/sardinetrack/charts/__init__.py
@@ -4,5 +4,13 @@
 
 from sardinetrack.charts.errors import IllegalEventError, InvalidChartError
 from sardinetrack.charts.interpreter import Chart, ChartState
+from sardinetrack.charts.typed import TypedChart, TypedState
 
-__all__ = ['Chart', 'ChartState', 'IllegalEventError', 'InvalidChartError']
+__all__ = [
+    'Chart',
+    'ChartState',
+    'IllegalEventError',
+    'InvalidChartError',
+    'TypedChart',
+    'TypedState',
+]
--- a/src/sardinetrack/charts/interpreter.py
+++ b/src/sardinetrack/charts/interpreter.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator, Mapping
 from functools import cache
 from importlib import resources
+from types import MappingProxyType
 from typing import Self
 
 import msgspec
@@ -12,6 +14,9 @@
 from sardinetrack.charts.errors import IllegalEventError, InvalidChartError
 from sardinetrack.charts.model import ChartFile, find_problems
 
+Place = tuple[str, str]
+"""A state and an event that comes in it."""
+
 
 class Chart:
     """A validated chart; any number of states run on it."""
@@ -26,10 +31,13 @@
             raise InvalidChartError(name, problems)
         self.name = name
         self.initial = chart.initial
-        self._arrows = frozenset(
-            (arrow.source, arrow.event) for arrow in chart.transitions
+        self.states = frozenset(chart.states)
+        self.events = frozenset(chart.events)
+        # The library builds the machine; firing through it costs too much
+        # for a request's path (docs/design/charts.md).
+        self.moves: Mapping[Place, str] = MappingProxyType(
+            dict(_moves(_machine(chart)))
         )
-        self._machine = _machine(chart)
 
     @classmethod
     def parse(cls, name: str, text: bytes | str) -> Self:
@@ -63,16 +71,17 @@
 
     def allows(self, state: str, event: str) -> bool:
         """Tell whether a state has a transition for the event."""
-        return (state, event) in self._arrows
+        return (state, event) in self.moves
 
-    def move(self, model: ChartState, event: str) -> None:
-        """Let the machine write the next state into the model.
+    def after(self, state: str, event: str) -> str:
+        """Find the state that an event leads to.
 
         :raises IllegalEventError: the state has no such transition.
         """
-        if not self.allows(model.state, event):
-            raise IllegalEventError(self.name, model.state, event)
-        self._machine.events[event].trigger(model)
+        target = self.moves.get((state, event))
+        if target is None:
+            raise IllegalEventError(self.name, state, event)
+        return target
 
 
 class ChartState:
@@ -96,7 +105,7 @@
         :return: the new state.
         :raises IllegalEventError: the state has no such transition.
         """
-        self._chart.move(self, event)
+        self.state = self._chart.after(self.state, event)
         return self.state
 
 
@@ -111,3 +120,10 @@
             for arrow in chart.transitions
         ],
     )
+
+
+def _moves(machine: Machine) -> Iterator[tuple[Place, str]]:
+    for arrow_event in machine.events:
+        for arrow in machine.get_transitions(arrow_event):
+            # No target means that the state stays.
+            yield (arrow.source, arrow_event), arrow.dest or arrow.source
--- a/src/sardinetrack/entry/daemon.py
+++ b/src/sardinetrack/entry/daemon.py
@@ -70,7 +70,7 @@
         Bounded by the settings: what runs longer is cut off.
         """
         gate = self.core.gate
-        gate.draining = True
+        gate.leave()
         _LOG.info('entry: draining, requests=%d', gate.inside)
         # A listener that closed before the balancer has noticed would turn
         # new callers away with a reset instead of an answer.
@@ -78,6 +78,7 @@
         gate.shut()
         with anyio.move_on_after(self._parts.settings.drain_seconds):
             await gate.empty()
+        gate.close()
         if gate.inside:
             _LOG.error('entry: drain took too long, cut=%d', gate.inside)
         await self._close_servers()
--- a/src/sardinetrack/entry/gate.py
+++ b/src/sardinetrack/entry/gate.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from sardinetrack.charts.drain import DRAIN, DrainEvent, DrainState
 from sardinetrack.errors.api import AnsweredError, ErrorKind
 
 
@@ -15,12 +16,21 @@
 
     def __init__(self) -> None:
         """Start open and empty."""
-        self.open = True
-        self.draining = False
-        """Not ready any more; still open until the balancer has noticed."""
         self.inside = 0
+        self._chart = DRAIN.start()
         self._empty = anyio.Event()
 
+    @property
+    def open(self) -> bool:
+        """Whether requests are let in."""
+        state = self._chart.state
+        return state in {DrainState.SERVING, DrainState.LEAVING}
+
+    @property
+    def draining(self) -> bool:
+        """Not ready any more; still open until the balancer has noticed."""
+        return self._chart.state is not DrainState.SERVING
+
     @contextmanager
     def passed(self) -> Iterator[None]:
         """Let a request in for as long as the context lasts.
@@ -38,9 +48,18 @@
                 self._empty.set()
                 self._empty = anyio.Event()
 
+    def leave(self) -> None:
+        """Be ready no longer."""
+        self._chart.fire(DrainEvent.DRAIN)
+
     def shut(self) -> None:
         """Refuse requests from now on."""
-        self.open = False
+        self._chart.fire(DrainEvent.SHUT)
+
+    def close(self) -> None:
+        """Note that the wait for the last request is over."""
+        late = self.inside > 0
+        self._chart.fire(DrainEvent.DEADLINE if late else DrainEvent.IDLE)
 
     async def empty(self) -> None:
         """Return when no request is inside."""
--- a/src/sardinetrack/links/client.py
+++ b/src/sardinetrack/links/client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from enum import StrEnum
 from random import Random
 from typing import Final
 
@@ -11,6 +12,7 @@
 from websockets.asyncio.client import ClientConnection, connect
 from websockets.exceptions import ConnectionClosed, WebSocketException
 
+from sardinetrack.charts.typed import TypedChart
 from sardinetrack.links.api import LINK_PATH, Hello, LinkBounds, LinkEvents
 from sardinetrack.links.frames import FrameSocket, LinkLostError
 from sardinetrack.links.link import FrameLink
@@ -33,6 +35,26 @@
 )
 
 
+class DialState(StrEnum):
+    """Where a dialer stands."""
+
+    CONNECTING = 'connecting'
+    UP = 'up'
+    DOWN = 'down'
+
+
+class DialEvent(StrEnum):
+    """What moves a dialer."""
+
+    OPENED = 'opened'
+    FAILED = 'failed'
+    BROKEN = 'broken'
+    RETRY = 'retry'
+
+
+_CHART: Final = TypedChart('link', DialState, DialEvent)
+
+
 class _ClientSocket(FrameSocket):
     def __init__(self, connection: ClientConnection) -> None:
         """Wrap a connection of the library."""
@@ -81,8 +103,14 @@
         self._events = events
         self._bounds = bounds or LinkBounds()
         self._random = random or Random()
+        self._chart = _CHART.start()
         self._failures = 0
 
+    @property
+    def state(self) -> DialState:
+        """Where the dialer stands on its chart."""
+        return self._chart.state
+
     async def run(self) -> None:
         """Keep the link up until cancelled."""
         while True:
@@ -90,7 +118,10 @@
                 await self._one_link()
             except _FAILURES as error:
                 self._note_failure(error)
+            was_up = self.state is DialState.UP
+            self._chart.fire(DialEvent.BROKEN if was_up else DialEvent.FAILED)
             await anyio.sleep(self._retry_seconds())
+            self._chart.fire(DialEvent.RETRY)
 
     async def _one_link(self) -> None:
         connection = await self._open()
@@ -99,6 +130,7 @@
         except BaseException:
             connection.transport.abort()
             raise
+        self._chart.fire(DialEvent.OPENED)
         opened_at = anyio.current_time()
         link = FrameLink(_ClientSocket(connection), peer, self._bounds)
         await link.run(self._events)
--- a/src/sardinetrack/process/signals.py
+++ b/src/sardinetrack/process/signals.py
@@ -8,6 +8,7 @@
 
 import anyio
 
+from sardinetrack.charts.drain import DRAIN, DrainEvent, DrainState
 from sardinetrack.process.api import Drainable
 
 _LOG: Final = logging.getLogger('sardinetrack.process')
@@ -30,13 +31,14 @@
 ) -> None:
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
         async with anyio.create_task_group() as tasks:
-            draining = False
+            drain = DRAIN.start()
             async for signal_number in received:
                 name = signal.Signals(signal_number).name
-                if draining:
+                if drain.state is not DrainState.SERVING:
+                    drain.fire(DrainEvent.STOP)
                     _LOG.warning('process: %s again, stops at once', name)
                     scope.cancel()
                     return
                 _LOG.info('process: %s, drains', name)
-                draining = True
+                drain.fire(DrainEvent.DRAIN)
                 tasks.start_soon(daemon.drain)
--- a/src/sardinetrack/routing/breaker.py
+++ b/src/sardinetrack/routing/breaker.py
@@ -5,6 +5,8 @@
 from enum import StrEnum
 from typing import Final
 
+from sardinetrack.charts.typed import TypedChart
+
 FAILURES_TO_OPEN: Final = 3
 FIRST_COOLDOWN_SECONDS: Final = 1.0
 MOST_COOLDOWN_SECONDS: Final = 30.0
@@ -16,7 +18,20 @@
 
     CLOSED = 'closed'
     OPEN = 'open'
-    PROBING = 'probing'
+    HALF_OPEN = 'half_open'
+
+
+class BreakerEvent(StrEnum):
+    """What moves a breaker."""
+
+    FAILURE_LIMIT = 'failure_limit'
+    PROBE = 'probe'
+    PROBE_OK = 'probe_ok'
+    PROBE_FAILED = 'probe_failed'
+    PROBE_UNDECIDED = 'probe_undecided'
+
+
+_CHART: Final = TypedChart('breaker', BreakerState, BreakerEvent)
 
 
 class Breaker:
@@ -30,13 +45,18 @@
     def __init__(self) -> None:
         """Start closed."""
         self.generation = 0
-        self.state = BreakerState.CLOSED
+        self._chart = _CHART.start()
         self._failures = 0
         self._cooldown_seconds = FIRST_COOLDOWN_SECONDS
         self._retry_at_seconds = float(0)
 
+    @property
+    def state(self) -> BreakerState:
+        """Where the breaker stands on its chart."""
+        return self._chart.state
+
     def allows(self, now: float) -> bool:
-        """Whether a request may be sent; a half-open breaker takes one."""
+        """Whether a request may be sent; one probes after the cooldown."""
         if self.state is BreakerState.OPEN:
             return now >= self._retry_at_seconds
         return self.state is BreakerState.CLOSED
@@ -47,7 +67,7 @@
         :return: the generation to hand back with its end.
         """
         if self.state is BreakerState.OPEN:
-            self.state = BreakerState.PROBING
+            self._chart.fire(BreakerEvent.PROBE)
         return self.generation
 
     def succeeded(self, generation: int) -> None:
@@ -55,28 +75,30 @@
         if generation != self.generation:
             return
         self._failures = 0
-        self.state = BreakerState.CLOSED
         self._cooldown_seconds = FIRST_COOLDOWN_SECONDS
+        if self.state is BreakerState.HALF_OPEN:
+            self._chart.fire(BreakerEvent.PROBE_OK)
 
     def failed(self, now: float, generation: int) -> None:
         """Note a failure; those of an older generation count already."""
         if generation != self.generation:
             return
         self._failures += 1
-        probing = self.state is BreakerState.PROBING
-        if probing or self._failures >= FAILURES_TO_OPEN:
-            self._open(now)
+        if self.state is BreakerState.HALF_OPEN:
+            self._open(now, BreakerEvent.PROBE_FAILED)
+        elif self._failures >= FAILURES_TO_OPEN:
+            self._open(now, BreakerEvent.FAILURE_LIMIT)
 
     def undecided(self, generation: int) -> None:
         """Note that a request ended and said nothing about the server."""
-        probing = self.state is BreakerState.PROBING
+        probing = self.state is BreakerState.HALF_OPEN
         if probing and generation == self.generation:
-            self.state = BreakerState.OPEN
+            self._chart.fire(BreakerEvent.PROBE_UNDECIDED)
 
-    def _open(self, now: float) -> None:
+    def _open(self, now: float, event: BreakerEvent) -> None:
+        self._chart.fire(event)
         self.generation += 1
         self._failures = 0
-        self.state = BreakerState.OPEN
         self._retry_at_seconds = now + self._cooldown_seconds
         grown = self._cooldown_seconds * _GROWTH
         self._cooldown_seconds = min(grown, MOST_COOLDOWN_SECONDS)
--- a/src/sardinetrack/side/owner.py
+++ b/src/sardinetrack/side/owner.py
@@ -25,6 +25,7 @@
     Start,
     Stop,
 )
+from sardinetrack.charts.drain import DRAIN, DrainEvent, DrainState
 from sardinetrack.links.api import LinkDown, LinkMessageReceived, LinkUp
 from sardinetrack.messages.api import SidePhase
 from sardinetrack.side.core import Effects, OwnerCore
@@ -64,7 +65,8 @@
         self._core = core
         self._events = events
         self._requests = RequestEvents(core)
-        self._idle: anyio.Event | None = None
+        self._drain = DRAIN.start()
+        self._idle = anyio.Event()
         self._tick_at: float = 0
         links = LinkEvents(core)
         self._decisions: MappingProxyType[type, Decide] = MappingProxyType(
@@ -103,7 +105,8 @@
             self._carry_out(now, self._core.admission.tick(now))
             self._core.metrics.show_load(self._core.admission.load())
         self._announce(now)
-        if self._idle is not None and not self._core.live:
+        if self._drain.state is DrainState.DRAINING and not self._core.live:
+            self._drain.fire(DrainEvent.IDLE)
             self._idle.set()
 
     def _turn_away(self) -> None:
@@ -152,11 +155,17 @@
     def _drain_began(self, now: float, event: DrainBegan) -> Effects:
         _LOG.info('side: draining, %d requests left', len(self._core.live))
         self._idle = event.idle
+        # Orders come over links that hear of the drain: unlike a balancer
+        # in front of an entry, nobody needs time to notice.
+        self._drain.fire(DrainEvent.DRAIN)
+        self._drain.fire(DrainEvent.SHUT)
         effects = self._core.admission.drain(now)
         return [*effects, Announce()]
 
     def _cut_off(self, now: float, event: CutOff) -> Effects:
-        _LOG.error('side: cut off, %d requests', len(self._core.live))
+        if self._drain.state is DrainState.DRAINING:
+            self._drain.fire(DrainEvent.DEADLINE)
+            _LOG.error('side: cut off, %d requests', len(self._core.live))
         self._core.live.close()
         return ()
 
--- a/tests/charts/steps/interpreter_steps.py
+++ b/tests/charts/steps/interpreter_steps.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import json
+import logging
+from enum import StrEnum
 from importlib import resources
 
 from behave import given, then, when
@@ -10,7 +12,12 @@
 from hypothesis import given as for_all
 from hypothesis import settings, strategies
 
-from sardinetrack.charts import Chart, IllegalEventError, InvalidChartError
+from sardinetrack.charts import (
+    Chart,
+    IllegalEventError,
+    InvalidChartError,
+    TypedChart,
+)
 
 _CHARTS = ('attempt', 'breaker', 'drain', 'lease', 'link')
 _MANY = 100
@@ -152,3 +159,72 @@
         if state.allows(event):
             naive = table[naive, event]
             assert state.fire(event) == naive
+
+
+@when(
+    'the chart "{name}" is read with the states "{states}" and the events '
+    '"{events}"',
+)
+def step_typed(context: Context, name: str, states: str, events: str) -> None:
+    context.refusal = None
+    try:
+        TypedChart(name, _enumerate(states), _enumerate(events))
+    except InvalidChartError as error:
+        context.refusal = error
+
+
+@then('the code\'s names are refused because "{reason}"')
+def step_names_refused(context: Context, reason: str) -> None:
+    assert context.refusal is not None, 'the names were taken'
+    problems = context.refusal.problems
+    assert len(problems) == 1, problems
+    assert problems[0].startswith(reason), problems
+
+
+def _enumerate(names: str) -> type[StrEnum]:
+    return StrEnum('Names', {name.upper(): name for name in names.split()})
+
+
+class _Collector(logging.Handler):
+    def __init__(self) -> None:
+        super().__init__(logging.DEBUG)
+        self.records: list[logging.LogRecord] = []
+
+    def emit(self, record: logging.LogRecord) -> None:
+        self.records.append(record)
+
+
+@when('every log line is collected while charts are read and fired')
+def step_collect(context: Context) -> None:
+    collector = _Collector()
+    root = logging.getLogger()
+    level = root.level
+    root.addHandler(collector)
+    root.setLevel(logging.DEBUG)
+    try:
+        _read_and_fire()
+    finally:
+        root.setLevel(level)
+        root.removeHandler(collector)
+    context.records = collector.records
+
+
+@then('the library has said nothing at INFO or above')
+def step_library_silent(context: Context) -> None:
+    loud = [
+        record
+        for record in context.records
+        if record.name.startswith('transitions')
+        and record.levelno >= logging.INFO
+    ]
+    assert not loud, loud
+
+
+def _read_and_fire() -> None:
+    for name in _CHARTS:
+        path = resources.files('sardinetrack.charts') / f'{name}.json'
+        chart = Chart.parse(name, path.read_bytes())
+        for _, event in chart.moves:
+            state = chart.start()
+            if state.allows(event):
+                state.fire(event)
--- a/tests/links/link_ends.py
+++ b/tests/links/link_ends.py
@@ -47,6 +47,7 @@
         self.sink = streams[0]
         self._events = streams[1]
         self.kinds: list[type] = []
+        self.dialer: LinkDialer | None = None
 
     async def count(self) -> int:
         """Count the events that nobody has read."""
@@ -105,6 +106,7 @@
         bounds=bounds,
         random=Random(7),
     )
+    end.dialer = dialer
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(dialer.run)
         yield
--- a/tests/links/links.feature
+++ b/tests/links/links.feature
@@ -26,6 +26,7 @@
     When the side's connection is cut
     Then both ends hear that the link is down
     And both ends hear that a link is up
+    And the entry's dialer stands at "up"
     When both ends post 2 messages
     Then both ends receive the 2 messages in order
 
@@ -38,8 +39,10 @@
     And an entry that dials the side
     When the side's process is frozen
     Then the entry hears that the link is down
+    And the entry's dialer stands at "down"
     When the side's process thaws
     Then the entry hears that a link is up
+    And the entry's dialer stands at "up"
 
   Scenario: A peer that opens a link and never speaks is noticed
     An entry is cut off right after the hello and no reset arrives. The side
--- a/tests/links/steps/links_steps.py
+++ b/tests/links/steps/links_steps.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import anyio
+from anyio.lowlevel import checkpoint
 from behave import given, then, when
 from link_ends import (
     BOUNDS,
@@ -22,6 +23,7 @@
 from websockets.exceptions import ConnectionClosed, InvalidStatus
 
 from sardinetrack.links.api import LINK_PATH, LinkMessageReceived, PeerRole
+from sardinetrack.links.client import LinkDialer
 from sardinetrack.links.secret import PeerSecret, hello_header
 from sardinetrack.messages.api import Decline
 
@@ -135,6 +137,17 @@
     context.portal.call(context.entry.up)
 
 
+@then('the entry\'s dialer stands at "{state}"')
+def step_dialer(context: Any, state: str) -> None:
+    context.portal.call(_reaches, context.entry.dialer, state)
+
+
+async def _reaches(dialer: LinkDialer, state: str) -> None:
+    with anyio.fail_after(WAIT_SECONDS):
+        while dialer.state != state:
+            await checkpoint()
+
+
 @when('a peer opens a link and stays silent')
 def step_silent(context: Any) -> None:
     context.portal.call(_until_closed, context.address, None)
