Show the status of the whole fleet as tables

Cause: `status` printed the raw page of one instance. An operator who wants to know whether a change is in force, or where work waits, had to ask each instance and read JSON.

`status FILE` takes operator settings and asks every listed instance at its peer endpoint, all at once: instances with their configuration, sides with their slots, waiting work of each pool, catalogue entries not in force. An instance that gives no page keeps its row with the reason. `--url` asks one, `--json` prints the pages as they came. The path of the peers' status page stands once now, in links/api.py; the reading of a page that nobody serves (a ConfigStatus at /config) is gone from catalogue/ask.py.

Tests: the scenario of the raw page now asks for it by `--json`; the test of asking an instance answers with a page as an entry writes it, in place of one that only the test wrote.

--- a/src/sardinetrack/catalogue/ask.py
+++ b/src/sardinetrack/catalogue/ask.py
@@ -11,11 +11,10 @@
 
 from sardinetrack.catalogue.rollout import ConfigStatus
 from sardinetrack.http.client import BrokenError, HttpClient, NotSentError
+from sardinetrack.links.api import STATUS_PATH
 from sardinetrack.messages.api import ConfigDigest
 from sardinetrack.platform.api import InstanceState, Platform
 
-OPERATOR_PATH: Final = '/config'
-PEER_PATH: Final = '/peer/v1/status'
 _ASK_SECONDS: Final = 1.0
 
 
@@ -53,21 +52,18 @@
 
 
 class StatusClient:
-    """Asks the operator port or the peer endpoint of instances."""
+    """Asks the peer endpoints of instances."""
 
     def __init__(
         self,
         client: HttpClient,
-        path: str = OPERATOR_PATH,
-        headers: tuple[tuple[str, str], ...] = (),
+        headers: tuple[tuple[str, str], ...],
     ) -> None:
         """Remember how to ask.
 
-        :param path: ``OPERATOR_PATH`` or ``PEER_PATH``.
-        :param headers: the peer secret, for the peer endpoint.
+        :param headers: show the peer secret.
         """
         self._client = client
-        self._path = path
         self._headers = headers
 
     async def ask(self, address: str) -> ConfigStatus | None:
@@ -80,7 +76,7 @@
             with anyio.fail_after(_ASK_SECONDS):
                 reply = await self._client.call(
                     'GET',
-                    f'http://{address}{self._path}',
+                    f'http://{address}{STATUS_PATH}',
                     headers=self._headers,
                     read_seconds=_ASK_SECONDS,
                 )
@@ -92,8 +88,6 @@
 def _status_of(status: int, body: bytes) -> ConfigStatus | None:
     if status != HTTPStatus.OK:
         return None
-    with suppress(msgspec.DecodeError):
-        return msgspec.json.decode(body, type=ConfigStatus)
     with suppress(msgspec.DecodeError):
         return msgspec.json.decode(body, type=_EntryPage).config_status()
     with suppress(msgspec.DecodeError):
--- a/src/sardinetrack/cli/catalogue_actions.py
+++ b/src/sardinetrack/cli/catalogue_actions.py
@@ -12,11 +12,7 @@
 import anyio
 
 from sardinetrack.catalogue.api import CATALOGUE_PREFIX
-from sardinetrack.catalogue.ask import (
-    PEER_PATH,
-    StatusClient,
-    listed_addresses,
-)
+from sardinetrack.catalogue.ask import StatusClient, listed_addresses
 from sardinetrack.catalogue.editor import CatalogueEditor, Edit
 from sardinetrack.catalogue.parse import WrittenEntry
 from sardinetrack.catalogue.rollout import Rollout, wait_in_force
@@ -25,6 +21,7 @@
 from sardinetrack.config.model import OperatorSettings
 from sardinetrack.config.secret import resolve_secret
 from sardinetrack.http.client import HttpClient
+from sardinetrack.links.secret import PeerSecret
 from sardinetrack.platform.api import Platform
 from sardinetrack.platform.http import HttpPlatform
 
@@ -68,7 +65,7 @@
     settings: OperatorSettings,
 ) -> int:
     """Open what an action needs and run it."""
-    secret = resolve_secret(settings.peer_secret)
+    secret = PeerSecret(resolve_secret(settings.peer_secret))
     async with HttpClient() as client:
         platform = HttpPlatform(
             client,
@@ -78,8 +75,7 @@
         )
         instances = StatusClient(
             client,
-            PEER_PATH,
-            (('authorization', f'Bearer {secret}'),),
+            (secret.header(),),
         )
         desk = Desk(platform, CatalogueEditor(platform), instances)
         return await action.run(desk)
--- /dev/null
+++ b/src/sardinetrack/cli/status_tables.py
@@ -0,0 +1,190 @@
+"""Show status pages as tables."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass, field
+from typing import Final
+
+from sardinetrack.cli.status_pages import (
+    Answer,
+    StatusPage,
+    UnreadableError,
+    decode_page,
+)
+from sardinetrack.cli.table import Row, write_table
+from sardinetrack.entry.status import EntryStatus, PoolStatus
+from sardinetrack.platform.api import InstanceState
+from sardinetrack.side.events import SideStatus
+
+_INSTANCES: Final = (
+    'INSTANCE',
+    'ROLE',
+    'FAILURE DOMAIN',
+    'STATE',
+    'REVISION',
+    'DIGEST',
+)
+_SIDES: Final = (
+    'SIDE',
+    'POOL',
+    'BACKEND SERVER',
+    'PHASE',
+    'LIMIT',
+    'RUNNING',
+    'FREE',
+)
+_POOLS: Final = ('POOL', 'WAITING', 'RUNNING')
+_REJECTED: Final = ('NOT IN FORCE', 'VERSION', 'AT', 'REASON')
+_UNKNOWN: Final = '-'
+_READY: Final = 'ready'
+_NOT_READY: Final = 'not ready'
+
+
+@dataclass(frozen=True, slots=True)
+class StatusTables:
+    """Rows of the tables, filled page by page."""
+
+    instances: list[Row] = field(default_factory=list)
+    sides: dict[str, Row] = field(default_factory=dict)
+    waiting: Counter[str] = field(default_factory=Counter)
+    running: Counter[str] = field(default_factory=Counter)
+    rejected: list[Row] = field(default_factory=list)
+
+    def text(self) -> str:
+        """Write the tables that have rows, an empty line between them."""
+        return '\n\n'.join(
+            write_table(heads, rows) for heads, rows in self._tables() if rows
+        )
+
+    def add(self, page: StatusPage, state: str) -> None:
+        """Take in the page of one instance.
+
+        :param state: what is shown of the instance's own state.
+        """
+        if isinstance(page, EntryStatus):
+            self._add_entry(page, state)
+        else:
+            self._add_side(page, state)
+
+    def add_silent(self, answer: Answer, problem: str) -> None:
+        """Take in an instance that is listed and gave no page."""
+        listed = answer.listed
+        self.instances.append(
+            (
+                listed.instance,
+                listed.role,
+                listed.failure_domain,
+                problem,
+                _UNKNOWN,
+                _UNKNOWN,
+            ),
+        )
+
+    def _tables(self) -> Iterator[tuple[Sequence[str], Sequence[Row]]]:
+        yield _INSTANCES, self.instances
+        yield _SIDES, [self.sides[name] for name in sorted(self.sides)]
+        yield (
+            _POOLS,
+            [
+                (pool, self.waiting[pool], self.running[pool])
+                for pool in sorted(self.waiting)
+            ],
+        )
+        yield _REJECTED, self.rejected
+
+    def _add_entry(self, page: EntryStatus, state: str) -> None:
+        self.instances.append(
+            (
+                page.instance,
+                page.role,
+                page.failure_domain,
+                state,
+                page.revision,
+                page.digest,
+            ),
+        )
+        for pool in page.pools:
+            self._add_pool(pool)
+        for row in page.rejected:
+            reasons = '; '.join(row.reasons)
+            self.rejected.append(
+                (row.key, row.version, page.instance, reasons),
+            )
+
+    def _add_pool(self, pool: PoolStatus) -> None:
+        self.waiting[pool.pool] += pool.waiting
+        self.running[pool.pool] += pool.running
+        for side in pool.sides:
+            phase = side.phase if side.in_use else 'leaving'
+            # A side's own page, where there is one, is newer.
+            self.sides.setdefault(
+                side.side,
+                (
+                    side.side,
+                    pool.pool,
+                    side.backend_server,
+                    phase or _UNKNOWN,
+                    side.limit,
+                    side.running,
+                    side.free,
+                ),
+            )
+
+    def _add_side(self, page: SideStatus, state: str) -> None:
+        self.instances.append(
+            (
+                page.instance,
+                'side',
+                page.failure_domain,
+                state,
+                page.configuration.revision,
+                page.configuration.digest,
+            ),
+        )
+        self.sides[page.instance] = (
+            page.instance,
+            page.pool,
+            page.backend_server,
+            page.load.phase.value,
+            page.load.limit,
+            page.load.running,
+            page.load.free,
+        )
+
+
+def show_page(raw: bytes) -> str:
+    """Show the page of one instance.
+
+    :raises UnreadableError: it is none.
+    """
+    page = decode_page(raw)
+    tables = StatusTables()
+    tables.add(page, _state_of(page))
+    return tables.text()
+
+
+def show_answers(answers: Sequence[Answer]) -> str:
+    """Show what all listed instances answered."""
+    tables = StatusTables()
+    for answer in answers:
+        try:
+            page = decode_page(answer.raw) if answer.raw else None
+        except UnreadableError as error:
+            tables.add_silent(answer, str(error))
+            continue
+        if page is None:
+            tables.add_silent(answer, answer.problem)
+        elif answer.listed.state is InstanceState.LEAVING:
+            tables.add(page, f'listed as leaving, {_state_of(page)}')
+        else:
+            tables.add(page, _state_of(page))
+    return tables.text()
+
+
+def _state_of(page: StatusPage) -> str:
+    if isinstance(page, SideStatus):
+        return _READY if page.ready else _NOT_READY
+    reasons = '; '.join(page.not_ready)
+    return f'{_NOT_READY}: {reasons}' if reasons else _READY
--- a/src/sardinetrack/entry/applications.py
+++ b/src/sardinetrack/entry/applications.py
@@ -10,11 +10,10 @@
 from sardinetrack.entry.status import EntryStatus
 from sardinetrack.errors.api import ErrorKind
 from sardinetrack.http.asgi import Exchange, Receive, Scope, Send
-from sardinetrack.links.api import LINK_PATH
+from sardinetrack.links.api import LINK_PATH, STATUS_PATH
 from sardinetrack.links.secret import AUTHORIZATION_HEADER, PeerSecret
 from sardinetrack.links.server import LinkAcceptor
 
-STATUS_PATH: Final = '/peer/v1/status'
 _TYPE: Final = 'type'
 _HTTP: Final = 'http'
 
--- a/src/sardinetrack/links/api.py
+++ b/src/sardinetrack/links/api.py
@@ -14,6 +14,7 @@
 from sardinetrack.messages.api import LinkMessage
 
 LINK_PATH: Final = '/peer/v1/link'
+STATUS_PATH: Final = '/peer/v1/status'
 
 
 class PeerRole(StrEnum):
--- a/src/sardinetrack/side/peer_application.py
+++ b/src/sardinetrack/side/peer_application.py
@@ -6,7 +6,7 @@
 
 from sardinetrack.errors.api import AnsweredError, ErrorKind
 from sardinetrack.http.asgi import Exchange, Receive, Scope, Send
-from sardinetrack.links.api import LINK_PATH
+from sardinetrack.links.api import LINK_PATH, STATUS_PATH
 from sardinetrack.links.secret import AUTHORIZATION_HEADER, PeerSecret
 from sardinetrack.links.server import LinkAcceptor
 from sardinetrack.messages.run import ATTEMPT_PATH, RUN_PATH
@@ -17,7 +17,6 @@
 from sardinetrack.side.run_endpoint import RunEndpoint
 from sardinetrack.side.status import StatusSource
 
-STATUS_PATH: Final = '/peer/v1/status'
 _TYPE: Final = 'type'
 _POST: Final = 'POST'
 
--- a/tests/catalogue/steps/model_steps.py
+++ b/tests/catalogue/steps/model_steps.py
@@ -8,15 +8,14 @@
 from behave import given, then, when
 
 from sardinetrack.catalogue.ask import (
-    PEER_PATH,
     StatusClient,
     listed_addresses,
 )
 from sardinetrack.catalogue.parse import parse_entry, read_entry
-from sardinetrack.catalogue.rollout import ConfigStatus
 from sardinetrack.http.asgi import Exchange
 from sardinetrack.http.client import HttpClient
 from sardinetrack.http.server import bind, serving
+from sardinetrack.links.api import STATUS_PATH
 from sardinetrack.platform.api import InstanceState, ListedInstance
 from sardinetrack.platform.in_process import MemoryPlatform
 
@@ -76,9 +75,11 @@
         """Answer one call."""
         exchange = Exchange(scope, receive, send)
         known = exchange.header(_SECRET_HEADER) == self.secret
-        if known and exchange.path == PEER_PATH:
-            status = ConfigStatus('e1', 7, 'digest', {'k': ('reason',)})
-            await exchange.answer_json(200, status)
+        if known and exchange.path == STATUS_PATH:
+            refused = {'key': 'k', 'version': 5, 'reasons': ['reason']}
+            page = {'instance': 'e1', 'revision': 7, 'digest': 'digest'}
+            page = {**page, 'rejected': [refused]}
+            await exchange.answer_json(200, page)
         else:
             await exchange.answer(403)
 
@@ -102,7 +103,7 @@
         platform.set_instance(_listed('e1', server.address))
         platform.set_instance(_listed('e2', 'x', InstanceState.LEAVING))
         addresses = await listed_addresses(platform)
-        client = StatusClient(http, PEER_PATH, ((_SECRET_HEADER, secret),))
+        client = StatusClient(http, ((_SECRET_HEADER, secret),))
         listed = [await client.ask(address) for address in addresses]
         return [*listed, await client.ask(_unused_address())]
 
--- a/tests/cli/command_line.feature
+++ b/tests/cli/command_line.feature
@@ -26,6 +26,9 @@
       | entry /nowhere/x.json       | No such file            |
       | side /nowhere/x.json        | No such file            |
       | check /nowhere/x.json       | No such file            |
+      | status                      | is required             |
+      | status /nowhere/x.json      | No such file            |
+      | status x --url http://[::1]:1 | not allowed with      |
       | --log-level loud check x    | invalid choice          |
 
   Scenario: The effective settings are printed with secrets masked
--- a/tests/cli/processes.feature
+++ b/tests/cli/processes.feature
@@ -32,9 +32,9 @@
     And the error output mentions "Address already in use"
     And there is no traceback
 
-  Scenario: The status page is shown as JSON
+  Scenario: The status page is shown as it came on request
     Given an operator port that answers 200 with "{"instance": "entry-1"}"
-    When the status of that port is read
+    When "sardinetrack status --url http://127.0.0.1:PORT --json" is run
     Then the exit code is 0
     And the output is JSON whose text "instance" is "entry-1"
 
@@ -47,6 +47,7 @@
     Examples:
       | status | text  | reason     |
       | 200    | hello | no JSON    |
+      | 200    | {}    | no status page |
       | 503    | {}    | status 503 |
 
   Scenario: Nobody listens at the operator port
--- a/tests/cli/steps/catalogue_steps.py
+++ b/tests/cli/steps/catalogue_steps.py
@@ -3,28 +3,15 @@
 from __future__ import annotations
 
 import json
-from http.client import HTTPConnection
 from pathlib import Path
 from tempfile import TemporaryDirectory
-from urllib.parse import urlsplit
 
 from behave import given, then, when
 from behave.runner import Context
-from pages import serve_page
+from pages import add_instance, put
 
 _PLATFORM = 'When the process "stand-in platform" is started'
 _READY = 'Then its first line is JSON with a URL'
-_HEADERS = (('authorization', 'Bearer standin-token'),)
-_SECONDS = 20
-
-
-def _put(context: Context, path: str, content: object) -> None:
-    address = urlsplit(context.url).netloc
-    connection = HTTPConnection(address, timeout=_SECONDS)
-    body = json.dumps(content)
-    connection.request('PUT', path, body, headers=dict(_HEADERS))
-    assert connection.getresponse().status < 300
-    connection.close()
 
 
 def _page(kind: str, instance: str, revision: int) -> dict[str, object]:
@@ -34,18 +21,6 @@
     return {'instance': instance, 'rejected': [], **digest}
 
 
-def _add_instance(context: Context, name: str, page: object) -> None:
-    port = serve_page(context, 200, json.dumps(page))
-    context.addresses[name] = f'127.0.0.1:{port}'
-    row = {
-        'instance': name,
-        'role': 'entry',
-        'address': context.addresses[name],
-        'failure_domain': 'galata',
-    }
-    _put(context, f'/instances/{name}', row)
-
-
 def _write(context: Context, name: str, text: str) -> None:
     path = context.directory / f'{name.lower()}.json'
     path.write_text(text)
@@ -63,7 +38,7 @@
     for row in context.table:
         name = row['instance']
         page = _page(row['page'], name, int(row['revision']))
-        _add_instance(context, name, page)
+        add_instance(context, name, json.dumps(page))
 
 
 @given('operator settings for it')
@@ -83,19 +58,19 @@
 
 @given('the instance "{name}" whose {page} page is at revision {revision:d}')
 def step_late(context: Context, name: str, page: str, revision: int) -> None:
-    _add_instance(context, name, _page(page, name, revision))
+    add_instance(context, name, json.dumps(_page(page, name, revision)))
 
 
 @given('the instance "{name}" that refuses "{key}" because "{reason}"')
 def step_refusing(context: Context, name: str, key: str, reason: str) -> None:
     page = _page('entry', name, 1000)
     page['rejected'] = [{'key': key, 'version': 1, 'reasons': [reason]}]
-    _add_instance(context, name, page)
+    add_instance(context, name, json.dumps(page))
 
 
 @given('the platform has an outage')
 def step_outage(context: Context) -> None:
-    _put(context, '/faults', {'outage': True})
+    put(context, '/faults', {'outage': True})
 
 
 @given('"{words}" was run')
--- a/tests/cli/steps/pages.py
+++ b/tests/cli/steps/pages.py
@@ -1,13 +1,18 @@
-"""A page that an instance would serve, for commands that read it."""
+"""Pages that instances would serve, and their rows in the platform."""
 
 from __future__ import annotations
 
+import json
+from http.client import HTTPConnection
 from http.server import BaseHTTPRequestHandler, HTTPServer
 from threading import Thread
+from urllib.parse import urlsplit
 
 from behave.runner import Context
 
 _POLL_SECONDS = 0.02
+_HEADERS = (('authorization', 'Bearer standin-token'),)
+_SECONDS = 20
 
 
 class _Page(BaseHTTPRequestHandler):
@@ -37,3 +42,29 @@
     context.add_cleanup(server.server_close)
     context.add_cleanup(server.shutdown)
     return server.server_port
+
+
+def put(context: Context, path: str, content: object) -> None:
+    """Write at the stand-in of the platform."""
+    address = urlsplit(context.url).netloc
+    connection = HTTPConnection(address, timeout=_SECONDS)
+    body = json.dumps(content)
+    connection.request('PUT', path, body, headers=dict(_HEADERS))
+    assert connection.getresponse().status < 300
+    connection.close()
+
+
+def add_instance(context: Context, name: str, page: str, **row: str) -> None:
+    """Let the platform list an instance that answers with a page.
+
+    :param row: what differs from a live entry in galata.
+    """
+    port = serve_page(context, 200, page)
+    context.addresses[name] = f'127.0.0.1:{port}'
+    listed = {
+        'instance': name,
+        'role': 'entry',
+        'address': context.addresses[name],
+        'failure_domain': 'galata',
+    }
+    put(context, f'/instances/{name}', {**listed, **row})
