--- a/src/sardinetrack/cli/catalogue_actions.py
+++ b/src/sardinetrack/cli/catalogue_actions.py
@@ -18,12 +18,9 @@
 from sardinetrack.catalogue.rollout import Rollout, wait_in_force
 from sardinetrack.cli.api import CommandError
 from sardinetrack.cli.exit_codes import ExitCode
+from sardinetrack.cli.operator_access import open_access
 from sardinetrack.config.model import OperatorSettings
-from sardinetrack.config.secret import resolve_secret
-from sardinetrack.http.client import HttpClient
-from sardinetrack.links.secret import PeerSecret
 from sardinetrack.platform.api import Platform
-from sardinetrack.platform.http import HttpPlatform
 
 _KEY_WIDTH: Final = 40
 _VERSION_WIDTH: Final = 10
@@ -65,20 +62,10 @@
     settings: OperatorSettings,
 ) -> int:
     """Open what an action needs and run it."""
-    secret = PeerSecret(resolve_secret(settings.peer_secret))
-    async with HttpClient() as client:
-        platform = HttpPlatform(
-            client,
-            settings.platform.url,
-            resolve_secret(settings.platform.token),
-            call_timeout_seconds=settings.platform.call_timeout_seconds,
-        )
-        instances = StatusClient(
-            client,
-            (secret.header(),),
-        )
-        desk = Desk(platform, CatalogueEditor(platform), instances)
-        return await action.run(desk)
+    async with open_access(settings) as access:
+        instances = StatusClient(access.client, (access.secret.header(),))
+        editor = CatalogueEditor(access.platform)
+        return await action.run(Desk(access.platform, editor, instances))
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/sardinetrack/cli/status_pages.py
+++ b/src/sardinetrack/cli/status_pages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+from contextlib import suppress
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Final
@@ -10,14 +11,12 @@
 import anyio
 import msgspec
 
+from sardinetrack.cli.operator_access import OperatorAccess, open_access
 from sardinetrack.config.model import OperatorSettings
-from sardinetrack.config.secret import resolve_secret
 from sardinetrack.entry.status import EntryStatus
 from sardinetrack.http.client import BrokenError, HttpClient, NotSentError
 from sardinetrack.links.api import STATUS_PATH
-from sardinetrack.links.secret import PeerSecret
 from sardinetrack.platform.api import ListedInstance
-from sardinetrack.platform.http import HttpPlatform
 from sardinetrack.side.events import SideStatus
 
 OPERATOR_PATH: Final = '/status'
@@ -56,19 +55,12 @@
 
     :raises PlatformError: the list can't be had.
     """
-    secret = PeerSecret(resolve_secret(settings.peer_secret))
-    async with HttpClient() as client:
-        platform = HttpPlatform(
-            client,
-            settings.platform.url,
-            resolve_secret(settings.platform.token),
-            call_timeout_seconds=settings.platform.call_timeout_seconds,
-        )
-        listed = await platform.instances()
+    async with open_access(settings) as access:
+        listed = await access.platform.instances()
         answers: list[Answer] = []
         async with anyio.create_task_group() as tasks:
             for row in listed:
-                tasks.start_soon(_ask, client, secret, row, answers)
+                tasks.start_soon(_ask, access, row, answers)
     return sorted(answers, key=lambda answer: answer.listed.instance)
 
 
@@ -77,25 +69,29 @@
 
     :raises UnreadableError: it is neither.
     """
-    for kind in (EntryStatus, SideStatus):
-        try:
-            return msgspec.json.decode(raw, type=kind)
-        except msgspec.ValidationError:
-            continue
-        except msgspec.DecodeError as error:
-            raise UnreadableError('the answer is no JSON') from error
-    raise UnreadableError('the answer is no status page of this version')
+    try:
+        return _decode_either(raw)
+    except msgspec.ValidationError as error:
+        reason = 'the answer is no status page of this version'
+        raise UnreadableError(reason) from error
+    except msgspec.DecodeError as error:
+        raise UnreadableError('the answer is no JSON') from error
+
+
+def _decode_either(raw: bytes) -> StatusPage:
+    with suppress(msgspec.ValidationError):
+        return msgspec.json.decode(raw, type=EntryStatus)
+    return msgspec.json.decode(raw, type=SideStatus)
 
 
 async def _ask(
-    client: HttpClient,
-    secret: PeerSecret,
+    access: OperatorAccess,
     row: ListedInstance,
     answers: list[Answer],
 ) -> None:
     url = f'http://{row.address}{STATUS_PATH}'
     try:
-        raw = await _read(client, url, secret.header())
+        raw = await _read(access.client, url, access.secret.header())
     except UnreadableError as error:
         answers.append(Answer(row, b'', str(error)))
     else:
--- a/src/sardinetrack/cli/status_tables.py
+++ b/src/sardinetrack/cli/status_tables.py
@@ -42,6 +42,12 @@
 _NOT_READY: Final = 'not ready'
 
 
+@dataclass(frozen=True, slots=True)
+class _Table:
+    heads: Sequence[str]
+    rows: Sequence[Row]
+
+
 @dataclass(frozen=True, slots=True)
 class StatusTables:
     """Rows of the tables, filled page by page."""
@@ -55,7 +61,9 @@
     def text(self) -> str:
         """Write the tables that have rows, an empty line between them."""
         return '\n\n'.join(
-            write_table(heads, rows) for heads, rows in self._tables() if rows
+            write_table(table.heads, table.rows)
+            for table in self._tables()
+            if table.rows
         )
 
     def add(self, page: StatusPage, state: str) -> None:
@@ -82,17 +90,16 @@
             ),
         )
 
-    def _tables(self) -> Iterator[tuple[Sequence[str], Sequence[Row]]]:
-        yield _INSTANCES, self.instances
-        yield _SIDES, [self.sides[name] for name in sorted(self.sides)]
-        yield (
-            _POOLS,
-            [
-                (pool, self.waiting[pool], self.running[pool])
-                for pool in sorted(self.waiting)
-            ],
-        )
-        yield _REJECTED, self.rejected
+    def _tables(self) -> Iterator[_Table]:
+        yield _Table(_INSTANCES, self.instances)
+        sides = [self.sides[name] for name in sorted(self.sides)]
+        yield _Table(_SIDES, sides)
+        pools = [
+            (pool, self.waiting[pool], self.running[pool])
+            for pool in sorted(self.waiting)
+        ]
+        yield _Table(_POOLS, pools)
+        yield _Table(_REJECTED, self.rejected)
 
     def _add_entry(self, page: EntryStatus, state: str) -> None:
         self.instances.append(
