Write the daemons' lines through the parts' logger, with typed fields

Cause: the daemons formatted their own prefix into each message, so that text lines read `INFO entry: entry: ...` and JSON lines had a sentence with the values inside and no fields.

links, membership, catalogue/feed, process, side and entry log through PartLogger: the prefix stands once, the sentence is fixed, the values are fields. Dispatch and reject at an entry, and start, refuse, stop and end at a side, are DecisionRecords. A side knows an attempt and not the caller's request: what a part does not know is left out of its line. A grant had a line that nothing wrote; it is gone.

--- a/src/sardinetrack/catalogue/feed.py
+++ b/src/sardinetrack/catalogue/feed.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 import random
 from dataclasses import dataclass
 from typing import Final
@@ -12,6 +11,7 @@
 
 from sardinetrack.catalogue.api import CATALOGUE_PREFIX
 from sardinetrack.catalogue.coverage import platform_update
+from sardinetrack.logs.lines import Part, PartLogger
 from sardinetrack.messages.api import ConfigUpdate
 from sardinetrack.platform.api import (
     Listing,
@@ -30,7 +30,7 @@
 
 _REPEAT_SECONDS: Final = 0.1
 
-_log = logging.getLogger(__name__)
+_LOG: Final = PartLogger(Part.CATALOGUE)
 
 
 @dataclass
@@ -118,9 +118,9 @@
     async def _pause(self, error: PlatformError) -> None:
         self.calls.failures += 1
         wait_seconds = self._backoff.wait_seconds(error)
-        _log.warning(
-            'catalogue: no news from the platform: %s; again in %.2f s',
-            error,
-            wait_seconds,
+        _LOG.warning(
+            'no news from the platform',
+            error=str(error),
+            retry_seconds=wait_seconds,
         )
         await anyio.sleep(wait_seconds)
--- a/src/sardinetrack/entry/attempt.py
+++ b/src/sardinetrack/entry/attempt.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 from dataclasses import dataclass
 from typing import Final
 
@@ -20,11 +19,12 @@
 from sardinetrack.http.asgi import CallerGoneError
 from sardinetrack.http.client import BrokenError, NotSentError, StreamedReply
 from sardinetrack.links.run_reply import RunReply
+from sardinetrack.logs.lines import Part, PartLogger
 from sardinetrack.messages.run import RUN_HEADER, RUN_PATH, Fate, RunOrder
 from sardinetrack.messages.run_codec import order_text
 from sardinetrack.routing.api import AttemptEnd, Dispatch
 
-_LOG: Final = logging.getLogger('sardinetrack.entry')
+_LOG: Final = PartLogger(Part.ENTRY)
 _SILENCE_SECONDS: Final = 2.0
 _MARGIN_SECONDS: Final = 5.0
 """The side ends a run by its own clock first."""
@@ -109,9 +109,9 @@
             await anyio.sleep(_SILENCE_SECONDS / 2)
             await self._sides.lost(side)
         _LOG.warning(
-            'entry: side %s lost during attempt %s',
-            side.name,
-            self._dispatch.attempt_id,
+            'side lost during an attempt',
+            attempt_id=self._dispatch.attempt_id,
+            side=side.name,
         )
         scope.cancel()
 
@@ -130,10 +130,10 @@
             return AttemptResult(AttemptEnd.ABANDONED, self._cost())
         except BrokenError as error:
             _LOG.info(
-                'entry: exchange broke attempt=%s side=%s: %s',
-                self._dispatch.attempt_id,
-                side.name,
-                error,
+                'exchange broke',
+                attempt_id=self._dispatch.attempt_id,
+                side=side.name,
+                error=str(error),
             )
             return None
 
--- a/src/sardinetrack/entry/border.py
+++ b/src/sardinetrack/entry/border.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 from itertools import count
@@ -26,8 +25,9 @@
 from sardinetrack.errors.api import AnsweredError, ErrorKind
 from sardinetrack.errors.table import answer_for
 from sardinetrack.http.asgi import CallerGoneError, Exchange
+from sardinetrack.logs.lines import Part, PartLogger
 
-_LOG: Final = logging.getLogger('sardinetrack.entry')
+_LOG: Final = PartLogger(Part.ENTRY)
 _MODELS_PATH: Final = '/v1/models'
 
 Handler = Callable[[Exchange, Origin], Awaitable[None]]
@@ -62,9 +62,9 @@
             await self._fail(exchange, caller_id, failure)
         except CallerGoneError:
             self._metrics.vanished()
-            _LOG.info('entry: caller vanished request=%s', caller_id)
+            _LOG.info('caller vanished', request_id=caller_id)
         except Exception:
-            _LOG.exception('entry: fault in request=%s', caller_id)
+            _LOG.exception('fault in a request', request_id=caller_id)
             fault = AnsweredError(ErrorKind.INTERNAL)
             await self._fail(exchange, caller_id, fault)
 
--- a/src/sardinetrack/entry/configuration.py
+++ b/src/sardinetrack/entry/configuration.py
@@ -2,16 +2,16 @@
 
 from __future__ import annotations
 
-import logging
 from typing import Final
 
 from sardinetrack.catalogue.view import CatalogueView
 from sardinetrack.entry.dispatcher import Dispatcher
 from sardinetrack.entry.linked import LinkedPeers
 from sardinetrack.links.api import Link, PeerRole
+from sardinetrack.logs.lines import Part, PartLogger
 from sardinetrack.messages.api import ConfigDigest, ConfigUpdate
 
-_LOG: Final = logging.getLogger('sardinetrack.entry')
+_LOG: Final = PartLogger(Part.ENTRY)
 
 
 class ConfigExchange:
@@ -83,7 +83,7 @@
         return self.view.digest().digest != before
 
     def _put_in_force(self) -> None:
-        _LOG.info('entry: configuration revision=%d', self.view.revision)
+        _LOG.info('configuration in force', revision=self.view.revision)
         dispatcher = self._dispatcher
         dispatcher.carry_out(
             dispatcher.routing.configure(
--- a/src/sardinetrack/entry/daemon.py
+++ b/src/sardinetrack/entry/daemon.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 from contextlib import AsyncExitStack
 from types import TracebackType
 from typing import Final, Self
@@ -19,9 +18,10 @@
 from sardinetrack.http.asgi import Application
 from sardinetrack.http.client import HttpClient
 from sardinetrack.http.server import BoundServer, serving
+from sardinetrack.logs.lines import Part, PartLogger
 from sardinetrack.process.api import Drainable
 
-_LOG: Final = logging.getLogger('sardinetrack.entry')
+_LOG: Final = PartLogger(Part.ENTRY)
 _CLOSE_SECONDS: Final = 2.0
 
 
@@ -44,10 +44,10 @@
             await self._open(stack)
             self._stack = stack.pop_all()
         _LOG.info(
-            'entry: serving callers=%s peers=%s operators=%s',
-            self.callers.address,
-            self.peer.address,
-            self.operator.address,
+            'serving',
+            callers=self.callers.address,
+            peers=self.peer.address,
+            operators=self.operator.address,
         )
         return self
 
@@ -71,7 +71,7 @@
         """
         gate = self.core.gate
         gate.leave()
-        _LOG.info('entry: draining, requests=%d', gate.inside)
+        _LOG.info('draining', requests=gate.inside)
         # A listener that closed before the balancer has noticed would turn
         # new callers away with a reset instead of an answer.
         await anyio.sleep(self._parts.balancer_seconds)
@@ -80,7 +80,7 @@
             await gate.empty()
         gate.close()
         if gate.inside:
-            _LOG.error('entry: drain took too long, cut=%d', gate.inside)
+            _LOG.error('drain took too long', cut=gate.inside)
         await self._close_servers()
         self._ended.set()
 
--- a/src/sardinetrack/entry/dispatcher.py
+++ b/src/sardinetrack/entry/dispatcher.py
@@ -2,15 +2,14 @@
 
 from __future__ import annotations
 
-import logging
 from abc import ABC, abstractmethod
 from collections import deque
 from collections.abc import Callable, Iterator, Sequence
 from contextlib import contextmanager
-from typing import Final
 
 import anyio
 
+from sardinetrack.entry.log import log_dispatch, log_end, log_reject
 from sardinetrack.entry.metrics import EntryMetrics
 from sardinetrack.entry.ticket import Ticket
 from sardinetrack.messages.api import Bids, Decline, ServiceReport, Strike
@@ -25,8 +24,6 @@
     Work,
 )
 
-_LOG: Final = logging.getLogger('sardinetrack.entry')
-
 Effects = Sequence[EntryEffect]
 
 
@@ -108,14 +105,8 @@
         if ticket is not None:
             ticket.settled(dispatch)
             self._metrics.ended(ticket.work.pool, end, cost)
-        _LOG.info(
-            'entry: ended request=%s attempt=%s server=%s end=%s cost=%.3f',
-            dispatch.request_id,
-            dispatch.attempt_id,
-            self._outbox.backend_server(dispatch.side),
-            end.value,
-            cost,
-        )
+        server = self._outbox.backend_server(dispatch.side)
+        log_end(dispatch, end, server, cost)
         self.carry_out(
             self.routing.ended(
                 self.clock(),
@@ -163,13 +154,8 @@
                 cost=0,
                 answered=False,
             )
-        _LOG.info(
-            'entry: dispatch request=%s workspace=%s server=%s reason=%s',
-            dispatch.request_id,
-            ticket.work.workspace,
-            self._outbox.backend_server(dispatch.side),
-            dispatch.reason,
-        )
+        server = self._outbox.backend_server(dispatch.side)
+        log_dispatch(ticket, dispatch, server)
         ticket.decide(dispatch)
         return ()
 
@@ -177,13 +163,7 @@
         ticket = self._tickets.get(reject.request_id)
         if ticket is None:
             return
-        _LOG.info(
-            'entry: reject request=%s workspace=%s reason=%s detail=%s',
-            reject.request_id,
-            ticket.work.workspace,
-            reject.kind.value,
-            reject.detail,
-        )
+        log_reject(ticket, reject)
         ticket.decide(reject)
 
     def _forget(self, ticket: Ticket) -> None:
--- a/src/sardinetrack/entry/fate.py
+++ b/src/sardinetrack/entry/fate.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 from types import MappingProxyType
 from typing import Final
 
@@ -11,6 +10,7 @@
 
 from sardinetrack.entry.sides import KnownSide, Sides
 from sardinetrack.http.client import BrokenError, NotSentError
+from sardinetrack.logs.lines import Part, PartLogger
 from sardinetrack.messages.run import (
     ATTEMPT_PATH,
     AttemptAnswer,
@@ -19,7 +19,7 @@
 )
 from sardinetrack.routing.api import AttemptEnd, Dispatch
 
-_LOG: Final = logging.getLogger('sardinetrack.entry')
+_LOG: Final = PartLogger(Part.ENTRY)
 _PAUSES_SECONDS: Final = (0, 0.2, 0.6)
 _ASK_SECONDS: Final = 1.0
 _ENDS: Final = MappingProxyType(
@@ -67,10 +67,10 @@
                 return await self._call(attempt_id, query)
             except (NotSentError, BrokenError, msgspec.DecodeError) as error:
                 _LOG.info(
-                    'entry: no answer about attempt=%s from %s: %s',
-                    attempt_id,
-                    self._side.name,
-                    error,
+                    'no answer about an attempt',
+                    attempt_id=attempt_id,
+                    side=self._side.name,
+                    error=str(error),
                 )
         return None
 
--- a/src/sardinetrack/entry/peers.py
+++ b/src/sardinetrack/entry/peers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 from typing import Final
 
 from sardinetrack.entry.configuration import ConfigExchange
@@ -17,6 +16,7 @@
     LinkUp,
     PeerRole,
 )
+from sardinetrack.logs.lines import Part, PartLogger
 from sardinetrack.membership.api import Gone, Joined, MembershipChange
 from sardinetrack.messages.api import (
     ConfigDigest,
@@ -29,7 +29,7 @@
 )
 from sardinetrack.routing.api import SideInfo
 
-_LOG: Final = logging.getLogger('sardinetrack.entry')
+_LOG: Final = PartLogger(Part.ENTRY)
 
 
 class PeerEvents:
@@ -134,7 +134,7 @@
             return
         linked.in_use = False
         name = linked.known.name
-        _LOG.info('entry: side %s is no longer used', name)
+        _LOG.info('side is no longer used', side=name)
         routing = self._dispatcher.routing
         self._carry_out(routing.side_down(self._dispatcher.clock(), name))
 
@@ -160,7 +160,7 @@
                 return routing.peer_service(now, message)
             case Strike():
                 return routing.strike(now, message)
-        _LOG.warning('entry: unexpected message from %s', name)
+        _LOG.warning('unexpected message', peer=name)
         return ()
 
     def _load(self, name: str, load: SideLoad) -> Effects:
--- a/src/sardinetrack/entry/roster.py
+++ b/src/sardinetrack/entry/roster.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 from typing import Final
 
 import anyio
@@ -11,10 +10,11 @@
 from sardinetrack.links.api import Hello, LinkEvents, PeerRole
 from sardinetrack.links.client import LinkDialer
 from sardinetrack.links.secret import PeerSecret
+from sardinetrack.logs.lines import Part, PartLogger
 from sardinetrack.membership.api import Gone, Joined, MembershipChange
 from sardinetrack.platform.api import InstanceState, ListedInstance
 
-_LOG: Final = logging.getLogger('sardinetrack.entry')
+_LOG: Final = PartLogger(Part.ENTRY)
 
 
 class Roster:
@@ -88,7 +88,7 @@
         dialing = _Dialing(dialer)
         self._dialers[row.instance] = dialing
         self._tasks.start_soon(dialing.run)
-        _LOG.info('entry: dials %s at %s', row.instance, row.address)
+        _LOG.info('dials', peer=row.instance, address=row.address)
 
 
 class _Dialing:
--- a/src/sardinetrack/links/client.py
+++ b/src/sardinetrack/links/client.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 from enum import StrEnum
 from random import Random
 from typing import Final
@@ -22,8 +21,9 @@
     hello_header,
     read_hello,
 )
+from sardinetrack.logs.lines import Part, PartLogger
 
-_LOG = logging.getLogger('sardinetrack.links')
+_LOG: Final = PartLogger(Part.LINK)
 _FIRST_RETRY_SECONDS: Final = 0.05
 _LEAST_PART: Final = 0.5
 _MOST_DOUBLINGS: Final = 16
@@ -160,8 +160,9 @@
         return response.headers.get(HELLO_HEADER) if response else None
 
     def _note_failure(self, error: Exception) -> None:
-        level = logging.DEBUG if self._failures else logging.WARNING
-        _LOG.log(level, 'link: no link to %s: %s', self.address, error)
+        # Once for each outage: a peer that is gone is dialled for long.
+        tell = _LOG.debug if self._failures else _LOG.warning
+        tell('no link', address=self.address, error=str(error))
         self._failures += 1
 
     def _retry_seconds(self) -> float:
--- a/src/sardinetrack/links/link.py
+++ b/src/sardinetrack/links/link.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 from collections.abc import AsyncIterator
 from typing import Final
 
@@ -19,10 +18,11 @@
     LinkUp,
 )
 from sardinetrack.links.frames import FrameSocket, LinkLostError
+from sardinetrack.logs.lines import Part, PartLogger
 from sardinetrack.messages.api import LinkMessage
 from sardinetrack.messages.codec import decode, encode
 
-_LOG = logging.getLogger('sardinetrack.links')
+_LOG: Final = PartLogger(Part.LINK)
 _BEAT: Final = b''
 _LAST_EVENT_SECONDS: Final = 1.0
 
@@ -65,15 +65,15 @@
     def post_encoded(self, text: bytes) -> None:
         """Queue an encoded message; a full outbox closes the link."""
         if len(text) > self._bounds.max_frame_bytes:
-            _LOG.error('link: message to %s is too large', self._peer.instance)
+            _LOG.error('message is too large', peer=self._peer.instance)
             return
         try:
             self._posted.send_nowait(text)
         except anyio.WouldBlock:
-            _LOG.warning('link: outbox to %s is full', self._peer.instance)
+            _LOG.warning('outbox is full', peer=self._peer.instance)
             self.close()
         except (anyio.BrokenResourceError, anyio.ClosedResourceError):
-            _LOG.debug('link: %s is gone, dropped', self._peer.instance)
+            _LOG.debug('peer is gone, dropped', peer=self._peer.instance)
 
     async def messages(self) -> AsyncIterator[LinkMessage]:
         """Yield messages until the link closes."""
@@ -84,9 +84,9 @@
                 return
             except (msgspec.DecodeError, UnicodeDecodeError) as error:
                 _LOG.warning(
-                    'link: bad frame from %s: %s',
-                    self._peer.instance,
-                    error,
+                    'bad frame',
+                    peer=self._peer.instance,
+                    error=str(error),
                 )
                 return
             for message in batch:
@@ -101,7 +101,7 @@
 
         :param events: where the up, message and down events go.
         """
-        _LOG.info('link: up with %s', self._peer.instance)
+        _LOG.info('up', peer=self._peer.instance)
         try:
             with self._scope:
                 await self._work(events)
@@ -122,7 +122,7 @@
         self._posted.close()
         self._outbox.close()
         self._connection.abort()
-        _LOG.info('link: down with %s', self._peer.instance)
+        _LOG.info('down', peer=self._peer.instance)
 
     async def _tell_down(self, events: LinkEvents) -> None:
         # Shielded: an owner that misses the event would keep bids and grants
@@ -131,7 +131,7 @@
             try:
                 await events.send(LinkDown(self))
             except (anyio.BrokenResourceError, anyio.ClosedResourceError):
-                _LOG.debug('link: nobody listens any more')
+                _LOG.debug('nobody listens any more')
 
     async def _next_batch(self) -> list[LinkMessage]:
         frame = await self._connection.receive()
@@ -168,7 +168,7 @@
             silent_at = self._heard_at + self._bounds.silence_seconds
             beat_at = self._sent_at + self._bounds.beat_seconds
             if now >= silent_at:
-                _LOG.warning('link: %s is silent', self._peer.instance)
+                _LOG.warning('peer is silent', peer=self._peer.instance)
                 self.close()
                 return
             if now >= beat_at:
--- a/src/sardinetrack/links/server.py
+++ b/src/sardinetrack/links/server.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 from typing import Any, Final
 
 import msgspec
@@ -18,8 +17,9 @@
     hello_header,
     read_hello,
 )
+from sardinetrack.logs.lines import Part, PartLogger
 
-_LOG = logging.getLogger('sardinetrack.links')
+_LOG: Final = PartLogger(Part.LINK)
 _LATIN: Final = 'latin-1'
 _TYPE: Final = 'type'
 
@@ -86,15 +86,20 @@
 
     def _admitted(self, scope: Scope) -> Hello | None:
         if not self._secret.matches(_header(scope, AUTHORIZATION_HEADER)):
-            _LOG.warning('link: refused, wrong secret: %s', scope['client'])
+            _LOG.warning('refused, wrong secret', client=_client(scope))
             return None
         try:
             return read_hello(_header(scope, HELLO_HEADER))
         except msgspec.DecodeError as error:
-            _LOG.warning('link: refused, bad hello: %s', error)
+            _LOG.warning('refused, bad hello', error=str(error))
             return None
 
 
+def _client(scope: Scope) -> str:
+    host, port = scope['client']
+    return f'{host}:{port}'
+
+
 def _encoded(name: str, text: str) -> tuple[bytes, bytes]:
     return name.encode(_LATIN), text.encode(_LATIN)
 
--- a/src/sardinetrack/logs/lines.py
+++ b/src/sardinetrack/logs/lines.py
@@ -20,26 +20,29 @@
     ENTRY = 'entry'
     SIDE = 'side'
     LINK = 'link'
+    MEMBERSHIP = 'membership'
     CATALOGUE = 'catalogue'
     LEASE = 'lease'
     ONCE = 'once'
     PLATFORM = 'platform'
+    PROCESS = 'process'
     STANDIN = 'standin'
     CLI = 'cli'
 
 
 @dataclass(frozen=True, slots=True)
 class DecisionRecord:
-    """One routing or placement decision."""
+    """One routing or placement decision; ``None`` is left out of the line."""
 
-    request_id: str
+    request_id: str | None
+    """``None`` where only the attempt is known."""
     workspace: str
     pool: str
     backend_server: str
     """Empty where the decision was to run it nowhere."""
     reason: str
     attempt_id: str = ''
-    waited_seconds: float = 0
+    waited_seconds: float | None = None
 
 
 class PartLogger:
@@ -52,7 +55,12 @@
     def decision(self, sentence: str, record: DecisionRecord) -> None:
         """Write the line of a routing or placement decision."""
         if self._logger.isEnabledFor(logging.INFO):
-            self._write(logging.INFO, sentence, asdict(record))
+            fields = {
+                name: field
+                for name, field in asdict(record).items()
+                if field is not None
+            }
+            self._write(logging.INFO, sentence, fields)
 
     def debug(self, sentence: str, **fields: FieldValue) -> None:
         """Tell a detail."""
--- a/src/sardinetrack/membership/feed.py
+++ b/src/sardinetrack/membership/feed.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import logging
 import random
 from typing import Final
 
 import anyio
 from anyio.streams.memory import MemoryObjectSendStream
 
+from sardinetrack.logs.lines import Part, PartLogger
 from sardinetrack.membership.api import MembershipChange
 from sardinetrack.membership.view import MembershipView
 from sardinetrack.platform.api import Platform, PlatformError
@@ -18,7 +18,7 @@
 _LEAST_SPREAD: Final = 0.9
 _MOST_SPREAD: Final = 1.1
 
-_log = logging.getLogger(__name__)
+_LOG: Final = PartLogger(Part.MEMBERSHIP)
 
 
 class MembershipFeed:
@@ -74,9 +74,9 @@
     def _failed(self, error: PlatformError) -> float:
         self.failures += 1
         wait_seconds = self._backoff.wait_seconds(error)
-        _log.warning(
-            'membership: the last list stays: %s; again in %.2f s',
-            error,
-            wait_seconds,
+        _LOG.warning(
+            'the last list stays',
+            error=str(error),
+            retry_seconds=wait_seconds,
         )
         return wait_seconds
--- a/src/sardinetrack/process/signals.py
+++ b/src/sardinetrack/process/signals.py
@@ -2,16 +2,16 @@
 
 from __future__ import annotations
 
-import logging
 import signal
 from typing import Final
 
 import anyio
 
 from sardinetrack.charts.drain import DRAIN, DrainEvent, DrainState
+from sardinetrack.logs.lines import Part, PartLogger
 from sardinetrack.process.api import Drainable
 
-_LOG: Final = logging.getLogger('sardinetrack.process')
+_LOG: Final = PartLogger(Part.PROCESS)
 
 
 async def run_until_drained(daemon: Drainable) -> None:
@@ -36,9 +36,9 @@
                 name = signal.Signals(signal_number).name
                 if drain.state is not DrainState.SERVING:
                     drain.fire(DrainEvent.STOP)
-                    _LOG.warning('process: %s again, stops at once', name)
+                    _LOG.warning('stops at once', signal=name)
                     scope.cancel()
                     return
-                _LOG.info('process: %s, drains', name)
+                _LOG.info('drains', signal=name)
                 drain.fire(DrainEvent.DRAIN)
                 tasks.start_soon(daemon.drain)
--- a/src/sardinetrack/side/backend_watch.py
+++ b/src/sardinetrack/side/backend_watch.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 from dataclasses import dataclass
 from typing import Final
 
@@ -13,6 +12,7 @@
 )
 
 from sardinetrack.catalogue.api import Pool, PoolClass
+from sardinetrack.logs.lines import Part, PartLogger
 from sardinetrack.side.backend import (
     BackendServer,
     SilentError,
@@ -23,7 +23,7 @@
 from sardinetrack.side.events import Resized, SideEvents
 from sardinetrack.side.load_report import LoadReport
 
-_LOG = logging.getLogger('sardinetrack.side')
+_LOG: Final = PartLogger(Part.SIDE)
 _POLL_SECONDS: Final = 1.0
 _RETRY_SECONDS: Final = 0.25
 _SILENT_SECONDS: Final = 3.0
@@ -107,10 +107,10 @@
         if limit == self._limit:
             return
         _LOG.info(
-            'side: slots backend_server=%s limit=%d was=%d',
-            self._backend.name,
-            limit,
-            self._limit,
+            'slots changed',
+            backend_server=self._backend.name,
+            limit=limit,
+            was=self._limit,
         )
         self._limit = limit
         await self._owner.send(Resized(limit))
--- a/src/sardinetrack/side/daemon.py
+++ b/src/sardinetrack/side/daemon.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 from contextlib import AsyncExitStack
 from types import TracebackType
 from typing import Final, Self
@@ -13,12 +12,13 @@
 from sardinetrack.http.asgi import Application
 from sardinetrack.http.client import HttpClient
 from sardinetrack.http.server import BoundServer, serving
+from sardinetrack.logs.lines import Part, PartLogger
 from sardinetrack.process.api import Drainable
 from sardinetrack.side.events import CutOff, DrainBegan
 from sardinetrack.side.parts import SideParts
 from sardinetrack.side.wiring import Wiring
 
-_LOG = logging.getLogger('sardinetrack.side')
+_LOG: Final = PartLogger(Part.SIDE)
 _LINGER_SECONDS: Final = 0.5
 """Orders sent before the entries heard of the drain get a clear refusal."""
 _CLOSE_SECONDS: Final = 2.0
@@ -42,10 +42,10 @@
             await self._open(stack)
             self._stack = stack.pop_all()
         _LOG.info(
-            'side: serving peers=%s operators=%s backend_server=%s',
-            self.peer.address,
-            self.operator.address,
-            self._parts.settings.backend_server,
+            'serving',
+            peers=self.peer.address,
+            operators=self.operator.address,
+            backend_server=self._parts.settings.backend_server,
         )
         return self
 
--- a/src/sardinetrack/side/handover.py
+++ b/src/sardinetrack/side/handover.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-import logging
+from typing import Final
 
 import anyio
 
 from sardinetrack.catalogue.api import Pool
 from sardinetrack.http.asgi import Exchange
 from sardinetrack.http.client import BrokenError, NotSentError, StreamedReply
+from sardinetrack.logs.lines import Part, PartLogger
 from sardinetrack.messages.run import Fate, RunResult
 from sardinetrack.side.answers import answer_result, start_answer
 from sardinetrack.side.attempt import Attempt
@@ -18,7 +19,7 @@
 from sardinetrack.side.refusals import DaemonRefusal
 from sardinetrack.side.run_parts import RunParts
 
-_LOG = logging.getLogger('sardinetrack.side')
+_LOG: Final = PartLogger(Part.SIDE)
 
 
 class HandOver:
@@ -53,9 +54,9 @@
             return await self._answer_broken()
         except TimeoutError:
             _LOG.warning(
-                'side: entry does not read attempt=%s entry=%s',
-                self._attempt.order.attempt_id,
-                self._attempt.order.entry,
+                'entry does not read',
+                attempt_id=self._attempt.order.attempt_id,
+                entry=self._attempt.order.entry,
             )
             return False
         finally:
@@ -91,10 +92,10 @@
 
     async def _failed(self, error: Exception) -> None:
         _LOG.warning(
-            'side: backend server failed attempt=%s backend_server=%s: %s',
-            self._attempt.order.attempt_id,
-            self._parts.backend.name,
-            error,
+            'backend server failed',
+            attempt_id=self._attempt.order.attempt_id,
+            backend_server=self._parts.backend.name,
+            error=str(error),
         )
         ask_probe(self._parts.probe)
         await self._over(whole=False)
--- a/src/sardinetrack/side/link_events.py
+++ b/src/sardinetrack/side/link_events.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-import logging
+from typing import Final
 
 from sardinetrack.links.api import LinkDown, LinkMessageReceived, LinkUp
+from sardinetrack.logs.lines import Part, PartLogger
 from sardinetrack.messages.api import Bids, ConfigDigest, ConfigUpdate, Decline
 from sardinetrack.side.core import Effects, OwnerCore
 
-_LOG = logging.getLogger('sardinetrack.side')
+_LOG: Final = PartLogger(Part.SIDE)
 
 
 class LinkEvents:
@@ -46,7 +47,7 @@
             case ConfigDigest() as digest:
                 self._core.exchange.compare(event.link, digest)
             case other:
-                _LOG.debug('side: ignored %s', type(other).__name__)
+                _LOG.debug('ignored a message', message=type(other).__name__)
         return ()
 
     def _lost(self, now: float, event: LinkUp | LinkDown) -> Effects:
@@ -62,7 +63,7 @@
     ) -> Effects:
         entry = event.peer.instance
         if bids.pool != self._core.identity.pool:
-            _LOG.warning('side: bids for pool %s from %s', bids.pool, entry)
+            _LOG.warning('bids for another pool', pool=bids.pool, entry=entry)
             return ()
         self._core.grants.seen(entry, bids.grants_seen)
         return self._core.admission.bids(now, entry, bids)
--- a/src/sardinetrack/side/links_state.py
+++ b/src/sardinetrack/side/links_state.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import logging
 from typing import Final
 
 from anyio.streams.memory import MemoryObjectSendStream
 
 from sardinetrack.links.api import Link
 from sardinetrack.links.table import LinkTable
+from sardinetrack.logs.lines import Part, PartLogger
 from sardinetrack.messages.api import (
     ConfigDigest,
     ConfigUpdate,
@@ -18,7 +18,7 @@
 from sardinetrack.side.backend_watch import ProbeNow, ask_probe
 from sardinetrack.side.configuration import SideConfiguration
 
-_LOG = logging.getLogger('sardinetrack.side')
+_LOG: Final = PartLogger(Part.SIDE)
 ANNOUNCE_SECONDS: Final = 0.05
 
 
@@ -77,7 +77,7 @@
         if not self.configuration.apply(update):
             return
         digest = self.configuration.digest()
-        _LOG.info('side: configuration in force revision=%d', digest.revision)
+        _LOG.info('configuration in force', revision=digest.revision)
         self._links.post_all(digest)
         ask_probe(self._probe)
 
--- a/src/sardinetrack/side/log.py
+++ b/src/sardinetrack/side/log.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-import logging
+from typing import Final
 
+from sardinetrack.logs.lines import DecisionRecord, Part, PartLogger
 from sardinetrack.messages.run import RunOrder
 from sardinetrack.side.identity import SideIdentity
 
-_LOG = logging.getLogger('sardinetrack.side')
+_LOG: Final = PartLogger(Part.SIDE)
 
 
 class DecisionLog:
@@ -15,24 +16,22 @@
 
     def __init__(self, identity: SideIdentity) -> None:
         """Remember which backend server the lines speak of."""
-        self._backend_server = identity.backend_server
-
-    def decided(self, decision: str, order: RunOrder, reason: str) -> None:
-        """Write what was decided about an order."""
-        _LOG.info(
-            'side: %s attempt=%s workspace=%s backend_server=%s reason=%s',
-            decision,
-            order.attempt_id,
-            order.workspace,
-            self._backend_server,
-            reason,
-        )
-
-    def granted(self, entry: str, number: int) -> None:
-        """Write that a slot was set aside."""
-        _LOG.info(
-            'side: grant number=%d entry=%s backend_server=%s',
-            number,
-            entry,
-            self._backend_server,
+        self._identity = identity
+
+    def decided(self, sentence: str, order: RunOrder, reason: str) -> None:
+        """Write what was decided about an order.
+
+        The side does not know the caller's request; the entry's lines name
+        request and attempt together.
+        """
+        _LOG.decision(
+            sentence,
+            DecisionRecord(
+                request_id=None,
+                workspace=order.workspace,
+                pool=self._identity.pool,
+                backend_server=self._identity.backend_server,
+                reason=reason,
+                attempt_id=order.attempt_id,
+            ),
         )
--- a/src/sardinetrack/side/owner.py
+++ b/src/sardinetrack/side/owner.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import logging
 import math
 from collections.abc import Callable
 from types import MappingProxyType
@@ -27,6 +26,7 @@
 )
 from sardinetrack.charts.drain import DRAIN, DrainEvent, DrainState
 from sardinetrack.links.api import LinkDown, LinkMessageReceived, LinkUp
+from sardinetrack.logs.lines import Part, PartLogger
 from sardinetrack.messages.api import SidePhase
 from sardinetrack.side.core import Effects, OwnerCore
 from sardinetrack.side.events import (
@@ -43,7 +43,7 @@
 from sardinetrack.side.link_events import LinkEvents
 from sardinetrack.side.request_events import RequestEvents
 
-_LOG = logging.getLogger('sardinetrack.side')
+_LOG: Final = PartLogger(Part.SIDE)
 _TICK_SECONDS: Final = 0.1
 
 Decide = Callable[[float, Any], Effects]
@@ -153,7 +153,7 @@
         return self._core.admission.resize(now, event.limit)
 
     def _drain_began(self, now: float, event: DrainBegan) -> Effects:
-        _LOG.info('side: draining, %d requests left', len(self._core.live))
+        _LOG.info('draining', requests=len(self._core.live))
         self._idle = event.idle
         # Orders come over links that hear of the drain: unlike a balancer
         # in front of an entry, nobody needs time to notice.
@@ -165,7 +165,7 @@
     def _cut_off(self, now: float, event: CutOff) -> Effects:
         if self._drain.state is DrainState.DRAINING:
             self._drain.fire(DrainEvent.DEADLINE)
-            _LOG.error('side: cut off, %d requests', len(self._core.live))
+            _LOG.error('drain took too long', cut=len(self._core.live))
         self._core.live.close()
         return ()
 
--- a/src/sardinetrack/standin/relay.py
+++ b/src/sardinetrack/standin/relay.py
@@ -57,7 +57,7 @@
         try:
             transport_socket.shutdown(socket.SHUT_RDWR)
         except OSError as error:
-            _log.debug('relay: a caller left before: %s', error)
+            _log.debug('a caller left before: %s', error)
 
 
 class Relay:
@@ -181,7 +181,7 @@
         try:
             target = await anyio.connect_tcp(*self._target)
         except OSError as error:
-            _log.debug('relay: target refused: %s', error)
+            _log.debug('target refused: %s', error)
             await caller.aclose()
             return
         async with caller, target:
@@ -204,7 +204,7 @@
                 )
                 await self._pump(line, target, caller, Direction.TO_CALLER)
         except* anyio.BrokenResourceError:
-            _log.debug('relay: a peer reset its connection')
+            _log.debug('a peer reset its connection')
 
     async def _pump(
         self,
--- a/tests/entry/entry_world.py
+++ b/tests/entry/entry_world.py
@@ -19,6 +19,7 @@
 from sardinetrack.entry.daemon import Entry
 from sardinetrack.entry.heads import HeadBounds
 from sardinetrack.entry.parts import EntryParts
+from sardinetrack.logs.formatters import JsonFormatter
 from sardinetrack.messages.run import RunOrder
 from sardinetrack.once.claims import PlatformClaims
 from sardinetrack.once.record import claim_key
@@ -75,9 +76,12 @@
     def __init__(self) -> None:
         super().__init__()
         self.lines: list[str] = []
+        self.documents: list[dict[str, Any]] = []
+        self.setFormatter(JsonFormatter())
 
     def emit(self, record: logging.LogRecord) -> None:
         """Keep a line."""
+        self.documents.append(json.loads(self.format(record)))
         self.lines.append(f'{record.getMessage()} {record.__dict__}')
 
 
--- a/tests/entry/relay.feature
+++ b/tests/entry/relay.feature
@@ -20,6 +20,14 @@
     And the order at "side-a" is a POST of "/v1/chat/completions" and repeatable
     And "side-a" received the body unchanged
 
+  Scenario: A routing decision is one line with its fields
+    Given "side-a" answers a completion of 40 tokens
+    When a caller asks for a plain completion
+    Then the decision "dispatch" is logged with
+      | prefix | level | workspace | pool    | backend_server | reason    |
+      | entry  | INFO  | pilot     | ice-llm | side-a-server  | free slot |
+    And the line names the request and the attempt that the side received
+
   Scenario: What a request cost is learned
     Given "side-a" answers a completion of 40 tokens
     When a caller asks for a plain completion
--- a/tests/entry/steps/relay_steps.py
+++ b/tests/entry/steps/relay_steps.py
@@ -337,3 +337,22 @@
 @then('no request is open')
 def check_none_open(context: Any) -> None:
     context.world.until(lambda: context.world.open_requests() == 0)
+
+
+@then('the decision "{sentence}" is logged with')
+def check_decision(context: Any, sentence: str) -> None:
+    wanted = context.table[0].as_dict()
+    lines = context.world.log.documents
+    found = [line for line in lines if line['sentence'] == sentence]
+    assert len(found) == 1, lines
+    context.line = found[0]
+    for name, text in wanted.items():
+        assert context.line[name] == text, context.line
+
+
+@then('the line names the request and the attempt that the side received')
+def check_ids(context: Any) -> None:
+    order = context.world.sides['side-a'].orders[0]
+    assert context.line['attempt_id'] == order.attempt_id
+    assert context.line['request_id'], context.line
+    assert 0 <= context.line['waited_seconds'] < 60
--- a/tests/logs/lines.feature
+++ b/tests/logs/lines.feature
@@ -5,6 +5,11 @@
     When a decision is logged for request "r-1" because "lowest tag"
     Then the line is "INFO entry: request sent request_id=r-1 workspace=pilots pool=ice-llm backend_server=engine-1 reason="lowest tag" attempt_id="" waited_seconds=0.25"
 
+  Scenario: What a part does not know is left out of its decision's line
+    Given the log format "text"
+    When a side's decision on attempt "a-1" is logged
+    Then the line is "INFO side: start workspace=pilots pool=ice-llm backend_server=engine-1 reason="free slot" attempt_id=a-1"
+
   Scenario: A decision as a line of JSON
     Given the log format "json"
     When a decision is logged for request "r-1" because "lowest tag"
@@ -28,6 +33,8 @@
       | entry     |
       | side      |
       | link      |
+      | membership |
+      | process   |
       | catalogue |
       | lease     |
       | once      |
--- a/tests/logs/steps/lines_steps.py
+++ b/tests/logs/steps/lines_steps.py
@@ -53,6 +53,19 @@
     _configure(context, level)
 
 
+@when('a side\'s decision on attempt "{attempt_id}" is logged')
+def step_side_decision(context: Context, attempt_id: str) -> None:
+    record = DecisionRecord(
+        request_id=None,
+        workspace='pilots',
+        pool='ice-llm',
+        backend_server='engine-1',
+        reason='free slot',
+        attempt_id=attempt_id,
+    )
+    PartLogger(Part.SIDE).decision('start', record)
+
+
 @when('a decision is logged for request "{request}" because "{reason}"')
 def step_decision(context: Context, request: str, reason: str) -> None:
     record = DecisionRecord(
--- a/tests/side/peers.feature
+++ b/tests/side/peers.feature
@@ -78,5 +78,9 @@
   Scenario: Operators read a decision line for each order
     Given a side with 2 slots and its configuration
     When an order for "/echo" brings "x"
-    Then a log line starts with "side: start attempt=a1 workspace=pilots backend_server=galata-3"
-    And a log line starts with "side: end attempt=a1 workspace=pilots backend_server=galata-3"
+    Then the decision "start" is logged with
+      | workspace | pool      | backend_server | reason    | attempt_id |
+      | pilots    | chart-api | galata-3       | free slot | a1         |
+    And the decision "end" is logged with
+      | workspace | pool      | backend_server | reason       | attempt_id |
+      | pilots    | chart-api | galata-3       | whole answer | a1         |
--- a/tests/side/steps/side_steps.py
+++ b/tests/side/steps/side_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import logging
 from dataclasses import replace
 from functools import partial
@@ -27,6 +28,7 @@
 from sardinetrack.catalogue.api import PoolClass
 from sardinetrack.http.server import serving
 from sardinetrack.links.api import LinkMessageReceived, LinkUp
+from sardinetrack.logs.formatters import JsonFormatter
 from sardinetrack.messages.api import (
     BidRow,
     Bids,
@@ -82,10 +84,11 @@
 class _Lines(logging.Handler):
     def __init__(self) -> None:
         super().__init__()
-        self.texts: list[str] = []
+        self.lines: list[dict[str, Any]] = []
+        self.setFormatter(JsonFormatter())
 
     def emit(self, record: logging.LogRecord) -> None:
-        self.texts.append(record.getMessage())
+        self.lines.append(json.loads(self.format(record)))
 
 
 async def _configure(world: World, revision: int) -> None:
@@ -457,10 +460,20 @@
     assert text not in context.page, context.page
 
 
-@then('a log line starts with "{text}"')
-def step_line(context: Any, text: str) -> None:
-    lines = context.lines.texts
-    assert any(line.startswith(text) for line in lines), lines
+@then('the decision "{sentence}" is logged with')
+def step_line(context: Any, sentence: str) -> None:
+    row = context.table[0].as_dict()
+    wanted = ('side', sentence, 'INFO', *sorted(row.items()))
+    found = [
+        (
+            line['prefix'],
+            line['sentence'],
+            line['level'],
+            *sorted((name, line.get(name)) for name in row),
+        )
+        for line in context.lines.lines
+    ]
+    assert wanted in found, found
 
 
 @when('the entry sends the configuration of revision {revision:d}')
