--- a/src/sardinetrack/catalogue/editor.py
+++ b/src/sardinetrack/catalogue/editor.py
@@ -10,8 +10,9 @@
 from sardinetrack.catalogue.api import CATALOGUE_PREFIX
 from sardinetrack.catalogue.coverage import covering, platform_update
 from sardinetrack.catalogue.parse import WrittenEntry, parse_entry
-from sardinetrack.catalogue.problems import InvalidEntryError, Problem
+from sardinetrack.catalogue.problems import InvalidEntryError
 from sardinetrack.catalogue.view import CatalogueView
+from sardinetrack.errors.problem import Problem
 from sardinetrack.messages.api import ConfigObject
 from sardinetrack.platform.api import (
     ConflictError,
--- a/src/sardinetrack/catalogue/parse.py
+++ b/src/sardinetrack/catalogue/parse.py
@@ -13,9 +13,9 @@
 from sardinetrack.catalogue.model import AnyEntryModel, key_of
 from sardinetrack.catalogue.problems import (
     InvalidEntryError,
-    Problem,
     problems_of,
 )
+from sardinetrack.errors.problem import Problem
 from sardinetrack.platform.api import MAX_VALUE_BYTES
 
 _ADAPTER: Final[TypeAdapter[AnyEntryModel]] = TypeAdapter(AnyEntryModel)
--- a/src/sardinetrack/catalogue/problems.py
+++ b/src/sardinetrack/catalogue/problems.py
@@ -3,25 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass
-from typing import Any, Final
 
 from pydantic import ValidationError
 
-_VALUE_ERROR_PREFIX: Final = 'Value error, '
-
-
-@dataclass(frozen=True, slots=True)
-class Problem:
-    """One mistake in an entry."""
-
-    place: str
-    """Path of the field; empty for the entry as a whole."""
-    reason: str
-
-    def __str__(self) -> str:
-        """Put place and reason on one line."""
-        return f'{self.place}: {self.reason}' if self.place else self.reason
+from sardinetrack.errors.problem import Problem, path_of, reason_of
 
 
 class InvalidEntryError(Exception):
@@ -44,9 +29,6 @@
     """Translate what the validation of an entry found."""
     found = error.errors(include_url=False, include_input=False)
     # The first part of a place is the kind that the validation took it for.
-    return [_problem(row['loc'][1:], row['msg']) for row in found]
-
-
-def _problem(place: tuple[Any, ...], message: str) -> Problem:
-    path = '.'.join(str(part) for part in place)
-    return Problem(path, message.removeprefix(_VALUE_ERROR_PREFIX))
+    return [
+        Problem(path_of(row['loc'][1:]), reason_of(row['msg'])) for row in found
+    ]
--- a/src/sardinetrack/cli/arguments.py
+++ b/src/sardinetrack/cli/arguments.py
@@ -9,6 +9,7 @@
 
 from sardinetrack.config.address import HttpUrl
 from sardinetrack.config.model import Port
+from sardinetrack.errors.problem import reason_of
 
 Content = TypeVar('Content')
 
@@ -37,6 +38,4 @@
         return adapter.validate_python(text)
     except ValidationError as error:
         reason = error.errors(include_url=False)[0]['msg']
-        raise ArgumentTypeError(
-            reason.removeprefix('Value error, ').lower(),
-        ) from error
+        raise ArgumentTypeError(reason_of(reason).lower()) from error
--- a/src/sardinetrack/cli/entry.py
+++ b/src/sardinetrack/cli/entry.py
@@ -7,7 +7,7 @@
 import anyio
 
 from sardinetrack.cli.api import Command
-from sardinetrack.cli.lazy import compose
+from sardinetrack.compose import run_entry
 from sardinetrack.config.loader import load_settings
 from sardinetrack.config.model import EntrySettings
 
@@ -29,5 +29,4 @@
     def run(self, options: Namespace) -> int:
         """Run until a SIGTERM has drained the entry."""
         settings = load_settings(options.settings, EntrySettings)
-        exit_code: int = anyio.run(compose().run_entry, settings)
-        return exit_code
+        return anyio.run(run_entry, settings)
--- a/src/sardinetrack/cli/local.py
+++ b/src/sardinetrack/cli/local.py
@@ -9,7 +9,7 @@
 
 from sardinetrack.cli.api import Command
 from sardinetrack.cli.arguments import port_number
-from sardinetrack.cli.lazy import compose
+from sardinetrack.compose import run_local
 
 _ANY_PORT: Final = 0
 
@@ -35,5 +35,4 @@
 
     def run(self, options: Namespace) -> int:
         """Print one line of JSON when ready, then serve until stopped."""
-        exit_code: int = anyio.run(compose().run_local, options.port)
-        return exit_code
+        return anyio.run(run_local, options.port)
--- a/src/sardinetrack/config/errors.py
+++ b/src/sardinetrack/config/errors.py
@@ -2,20 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-
-
-@dataclass(frozen=True, slots=True)
-class Problem:
-    """One mistake, with where it is."""
-
-    place: str
-    """Dotted path of the setting, or ``line L, column C``."""
-    reason: str
-
-    def __str__(self) -> str:
-        """Write the line that the operator reads."""
-        return f'{self.place}: {self.reason}'
+from sardinetrack.errors.problem import Problem
 
 
 class SettingsError(Exception):
--- a/src/sardinetrack/config/loader.py
+++ b/src/sardinetrack/config/loader.py
@@ -10,7 +10,7 @@
 from pydantic import BaseModel, ValidationError
 from pydantic_core import ErrorDetails
 
-from sardinetrack.config.errors import Problem, SettingsError
+from sardinetrack.config.errors import SettingsError
 from sardinetrack.config.model import (
     EntrySettings,
     OperatorSettings,
@@ -18,6 +18,7 @@
 )
 from sardinetrack.config.secret import SecretSources
 from sardinetrack.config.syntax import SyntaxProblemError, parse_text
+from sardinetrack.errors.problem import Problem, path_of, reason_of
 
 Settings = TypeVar('Settings', bound=BaseModel)
 
@@ -90,7 +91,6 @@
 
 
 def _problem(detail: ErrorDetails) -> Problem:
-    place = '.'.join(str(part) for part in detail['loc'])
-    message = detail['msg'].removeprefix('Value error, ')
-    reason = _REASONS.get(detail['type'], message)
+    place = path_of(detail['loc'])
+    reason = _REASONS.get(detail['type'], reason_of(detail['msg']))
     return Problem(place or _WHOLE_FILE, reason[:1].lower() + reason[1:])
--- a/src/sardinetrack/config/syntax.py
+++ b/src/sardinetrack/config/syntax.py
@@ -7,7 +7,7 @@
 
 import pyjson5
 
-from sardinetrack.config.errors import Problem
+from sardinetrack.errors.problem import Problem
 
 _OFFSET: Final = re.compile(r'\s*\b(?:near|starting near) (\d+),?')
 _CODE_POINT: Final = re.compile(r'U\+([0-9a-fA-F]{4,6})')
