--- a/tests/cli/command_line.feature
+++ b/tests/cli/command_line.feature
@@ -64,3 +64,6 @@
 
   Scenario: The operators' page lists the same exit codes as the help
     Then docs/operators.md has one row for each exit code and no other
+
+  Scenario: The operators' page lists the metrics that are served
+    Then docs/operators.md has one row for each metric and no other
--- a/tests/cli/steps/command_line_steps.py
+++ b/tests/cli/steps/command_line_steps.py
@@ -15,12 +15,15 @@
 
 from behave import given, then, when
 from behave.runner import Context
+from prometheus_client import Metric
 
 from sardinetrack import __version__
 from sardinetrack.cli.check import CheckCommand
 from sardinetrack.cli.exit_codes import MEANINGS
 from sardinetrack.cli.parser import build_parser
+from sardinetrack.entry.metrics import EntryMetrics
 from sardinetrack.run import COMMANDS, main
+from sardinetrack.side.metrics import SideMetrics
 
 _ENTRY = """
 {
@@ -30,6 +33,9 @@
 }
 """
 
+_PAGE = (Path(__file__).parents[3] / 'docs' / 'operators.md').read_text()
+_METRIC_ROW = r'^\| `(sardinetrack_\w+)` \| (\w+) \|'
+
 
 def _write(context: Context, text: str) -> None:
     directory = TemporaryDirectory()
@@ -169,7 +175,21 @@
 
 @then('docs/operators.md has one row for each exit code and no other')
 def step_page(context: Context) -> None:
-    page = Path(__file__).parents[3] / 'docs' / 'operators.md'
-    found = re.findall(r'^\| (\d+) \| (.+) \|$', page.read_text(), re.MULTILINE)
+    found = re.findall(r'^\| (\d+) \| (.+) \|$', _PAGE, re.MULTILINE)
     wanted = [(str(int(code)), text) for code, text in MEANINGS.items()]
     assert found == wanted, found
+
+
+@then('docs/operators.md has one row for each metric and no other')
+def step_metrics(context: Context) -> None:
+    found = re.findall(_METRIC_ROW, _PAGE, re.MULTILINE)
+    wanted = [
+        (_served_name(metric), metric.type)
+        for metrics in (EntryMetrics(), SideMetrics())
+        for metric in metrics.registry.collect()
+    ]
+    assert sorted(found) == sorted(wanted), set(found) ^ set(wanted)
+
+
+def _served_name(metric: Metric) -> str:
+    return f'{metric.name}_total' if metric.type == 'counter' else metric.name
--- a/tests/errors/pages.feature
+++ b/tests/errors/pages.feature
@@ -9,6 +9,7 @@
 
   Scenario: The operators' page speaks of known codes only
     Then every code in the tables of docs/operators.md is an error kind
+    And the failures of docs/operators.md name known codes as callers' answers
 
   Scenario: Every kind has exactly one answer
     Then every error kind has an answer
--- a/tests/errors/steps/pages_steps.py
+++ b/tests/errors/steps/pages_steps.py
@@ -70,13 +70,31 @@
 
 @then('every code in the tables of docs/operators.md is an error kind')
 def step_operators(context: Context) -> None:
-    rows = [cells for cells in _cells('operators.md') if cells]
-    codes = [code for cells in rows for code in _CODE.findall(cells[0])]
+    # The other table that begins with code names metrics; tests/cli compares
+    # each of its rows with a metric that is served.
+    firsts = [cells[0] for cells in _cells('operators.md')]
+    codes = [
+        code
+        for first in firsts
+        if not first.startswith('`sardinetrack_')
+        for code in _CODE.findall(first)
+    ]
     assert codes
     for code in codes:
         assert ErrorKind(code)
 
 
+@then("the failures of docs/operators.md name known codes as callers' answers")
+def step_failures(context: Context) -> None:
+    page = (_DOCS / 'operators.md').read_text()
+    table = page.partition('| Failure | Log and metrics | Callers get |')[2]
+    rows = table.partition('\n\n')[0].splitlines()[2:]
+    codes = [code for row in rows for code in _CODE.findall(row.split('|')[3])]
+    assert len(rows) > 10 and codes
+    for code in codes:
+        assert ErrorKind(code)
+
+
 @then('every error kind has an answer')
 def step_every_kind(context: Context) -> None:
     assert set(ANSWERS) == set(ErrorKind)
