--- a/src/sardinetrack/admission/book.py
+++ b/src/sardinetrack/admission/book.py
@@ -24,6 +24,7 @@
     RUNNING = 'running'
     FINISHED = 'finished'
     FAILED = 'failed'
+    STOPPED = 'stopped'
     TOMBSTONED = 'tombstoned'
 
 
@@ -36,6 +37,7 @@
     START = 'start'
     FINISH = 'finish'
     FAIL = 'fail'
+    STOP = 'stop'
 
 
 _CHART: Final = TypedChart('attempt', AttemptState, AttemptEvent)
@@ -45,6 +47,7 @@
         AttemptState.RUNNING: Fate.RUNNING,
         AttemptState.FINISHED: Fate.FINISHED,
         AttemptState.FAILED: Fate.FAILED,
+        AttemptState.STOPPED: Fate.STOPPED,
         AttemptState.TOMBSTONED: Fate.NOT_STARTED,
     }
 )
--- a/src/sardinetrack/admission/slots.py
+++ b/src/sardinetrack/admission/slots.py
@@ -55,6 +55,12 @@
         self._staging = Staging()
         self._running: dict[str, float] = {}
         self._held: dict[str, _Held] = {}
+        self._suspects: set[str] = set()
+        """Struck requests here, one at most.
+
+        Were two running when the server crashed, both would be struck again
+        and the innocent one condemned with the other.
+        """
         self._virtual_time = float(0)
         self._announced = (limit, float(0))
 
@@ -64,6 +70,8 @@
         reason = self._objection(arrival, granted=granted)
         if reason is not None:
             return self._refuse_new(now, arrival.attempt_id, reason)
+        if arrival.suspect:
+            self._suspects.add(arrival.attempt_id)
         self._book.note(now, arrival.attempt_id, AttemptEvent.ARRIVE)
         self._held[arrival.attempt_id] = _Held(
             arrival,
@@ -104,13 +112,17 @@
         *,
         whole: bool,
         cost: float,
+        stopped: bool = False,
     ) -> Sequence[SideEffect]:
         """Free the slot of a request that ended."""
+        self._suspects.discard(attempt_id)
         started_seconds = self._running.pop(attempt_id, None)
         if started_seconds is None:
             return ()
         self._staging.ran(now - started_seconds)
-        end = AttemptEvent.FINISH if whole else AttemptEvent.FAIL
+        end = AttemptEvent.STOP if stopped else AttemptEvent.FAIL
+        if whole:
+            end = AttemptEvent.FINISH
         self._book.note(now, attempt_id, end)
         return self._turn(now)
 
@@ -124,6 +136,7 @@
         """Tell the fate of an attempt; one not started never will be."""
         fate = self._book.ask(now, attempt_id)
         if self._held.pop(attempt_id, None) is not None:
+            self._suspects.discard(attempt_id)
             refusal = Refuse(attempt_id, RefusalReason.TOMBSTONED)
             return fate, (refusal, *self._turn(now))
         if cancel and fate is Fate.RUNNING:
@@ -132,8 +145,12 @@
 
     def resize(self, now: float, limit: int) -> Sequence[SideEffect]:
         """Change how many requests may run at once."""
+        gone = self._limit > 0 and limit == 0
         self._limit = limit
-        return self._turn(now)
+        effects = self._turn(now)
+        # Entries that learned of it late would tell a side without slots of
+        # their waiting work, and nobody else.
+        return (*effects, self._announce(now)) if gone else effects
 
     def drain(self, now: float) -> Sequence[SideEffect]:
         """Take no new work; running work finishes."""
@@ -208,6 +225,8 @@
             return RefusalReason.DUPLICATE
         if self._draining:
             return RefusalReason.DRAINING
+        if arrival.suspect and self._suspects:
+            return RefusalReason.BUSY
         if granted or self._free > 0:
             return None
         return RefusalReason.BUSY
@@ -229,6 +248,7 @@
         reason: str,
     ) -> Sequence[SideEffect]:
         self._held.pop(attempt_id)
+        self._suspects.discard(attempt_id)
         self._book.note(now, attempt_id, AttemptEvent.REFUSE)
         return (Refuse(attempt_id, RefusalReason(reason)),)
 
--- a/src/sardinetrack/entry/attempt.py
+++ b/src/sardinetrack/entry/attempt.py
@@ -77,7 +77,8 @@
         if self._caller.started:
             # The caller's error goes out before anybody is asked.
             await self._cut()
-        end = await FateQuery(self._sides, side).ask(self._dispatch)
+        query = FateQuery(self._sides, side)
+        end = await query.ask(self._dispatch, self._began)
         return AttemptResult(end, self._cost())
 
     async def _cut(self) -> None:
@@ -144,6 +145,8 @@
                 return _NOT_STARTED
             case Fate.FAILED:
                 return AttemptResult(AttemptEnd.FAILED)
+            case Fate.STOPPED:
+                return AttemptResult(AttemptEnd.UNKNOWN)
             case Fate.UNKNOWN:
                 return None
         await self._pass_on(reply)
--- a/src/sardinetrack/routing/api.py
+++ b/src/sardinetrack/routing/api.py
@@ -79,6 +79,8 @@
     wait_seconds: float
     reason: str
     """For the log line of the decision."""
+    suspect: bool = False
+    """It was running when another backend server crashed."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -197,6 +199,10 @@
     def strike(self, now: float, strike: Strike) -> Sequence[EntryEffect]:
         """Note that a request crashed a backend server."""
 
+    @abstractmethod
+    def strikes(self, now: float) -> Sequence[Strike]:
+        """List the strikes that hold, for an entry that has just linked."""
+
     @abstractmethod
     def tick(self, now: float) -> Sequence[EntryEffect]:
         """Expire deadlines; refresh bids and reports that are due."""
--- a/src/sardinetrack/routing/sides.py
+++ b/src/sardinetrack/routing/sides.py
@@ -67,6 +67,10 @@
             if side.serving and side.breaker.allows(now)
         ]
 
+    def some_free(self) -> bool:
+        """Whether any side may have a free slot; cheap to ask."""
+        return any(side.free > 0 for side in self._sides.values())
+
     def free(self, now: float, affinity: int) -> Side | None:
         """Choose a side believed to have a free slot.
 
@@ -100,6 +104,10 @@
     def sample(self, now: float, count: int) -> Sequence[Side]:
         """Choose sides that shall hear of waiting work."""
         usable = self.usable(now)
+        # A side whose server is gone has no slots and grants none: were both
+        # that hear of a workspace's first request such, nobody would serve it
+        # until the bids are refreshed, while others are served.
+        usable = [side for side in usable if side.limit] or usable
         return self._random.sample(usable, min(count, len(usable)))
 
     def learn(self, side: Side, load: SideLoad) -> None:
--- a/src/sardinetrack/side/handover.py
+++ b/src/sardinetrack/side/handover.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Final
 
 import anyio
@@ -60,26 +61,37 @@
             )
             return False
         finally:
-            await self._over(whole=False)
+            # Cancelled, or the entry is gone or does not read: told as a
+            # failure of the server, a link that blinks would strike all
+            # requests that ran behind it, and two blinks condemn them.
+            await self._over(whole=False, stopped=True)
         return True
 
     async def _relay(self, body: bytes, started: Started) -> None:
         order = self._attempt.order
         async with self._parts.backend.run(order, body) as reply:
             await self._start(reply, started)
-            async for chunk in reply.chunks():
-                self._meter.feed(chunk)
-                await self._pass_on(chunk)
+            await self._pass_on(reply)
         # Before the last word to the entry, so that the slot does not wait
         # for an entry that reads slowly.
         await self._over(whole=True)
         await self._exchange.finish()
 
-    async def _pass_on(self, chunk: bytes) -> None:
+    async def _pass_on(self, reply: StreamedReply) -> None:
         # A frozen entry leaves its connection open and reads nothing: the
-        # request would keep its slot until the end of its run time.
-        with anyio.fail_after(self._parts.send_seconds):
-            await self._exchange.write(chunk)
+        # request would keep its slot until the end of its run time. One scope
+        # serves all pieces, because a scope a token costs more than a write.
+        sending = anyio.CancelScope()
+        with sending:
+            async for chunk in reply.chunks():
+                self._meter.feed(chunk)
+                sending.deadline = (
+                    anyio.current_time() + self._parts.send_seconds
+                )
+                await self._exchange.write(chunk)
+                sending.deadline = math.inf
+        if sending.cancelled_caught:
+            raise TimeoutError
 
     async def _start(self, reply: StreamedReply, started: Started) -> None:
         run_result = RunResult(
@@ -116,9 +128,10 @@
         await answer_result(self._exchange, run_result)
         return True
 
-    async def _over(self, *, whole: bool) -> None:
+    async def _over(self, *, whole: bool, stopped: bool = False) -> None:
         run_seconds = anyio.current_time() - self._started_at
         await self._attempt.over(
             whole=whole,
             cost=self._meter.cost(run_seconds),
+            stopped=stopped,
         )
--- a/tests/admission/steps/slots_steps.py
+++ b/tests/admission/steps/slots_steps.py
@@ -5,6 +5,7 @@
 from behave import given, step, then, when
 
 from sardinetrack.admission.api import (
+    Announce,
     Arrival,
     RefusalReason,
     Refuse,
@@ -29,6 +30,21 @@
     context.effects.extend(context.side.arrive(context.now, arrival))
 
 
+@step('entry {entry} sends the suspect attempt {attempt}')
+def send_suspect(context, entry, attempt):
+    arrival = Arrival(
+        attempt,
+        entry,
+        'pilot',
+        0,
+        1,
+        0,
+        0,
+        suspect=True,
+    )
+    context.effects.extend(context.side.arrive(context.now, arrival))
+
+
 @step('entry {entry} bids {workspace} {count:d} times at tag {tag:g}')
 def bid(context, entry, workspace, count, tag):
     bids = Bids('ice-llm', 0, (BidRow(workspace, tag, count, 1.0),))
@@ -79,3 +95,13 @@
     found, effects = context.side.query(context.now, attempt, cancel=False)
     context.effects.extend(effects)
     assert found == fate, found
+
+
+@when("the server's slots become {count:d}")
+def resize(context, count):
+    context.effects = list(context.side.resize(context.now, count))
+
+
+@then('the load is announced at once')
+def announced(context):
+    assert Announce() in context.effects, context.effects
--- a/tests/charts/interpreter.feature
+++ b/tests/charts/interpreter.feature
@@ -22,6 +22,8 @@
       | chart   | events                                    | state      |
       | attempt | arrive start finish                       | finished   |
       | attempt | arrive start ask fail                     | failed     |
+      | attempt | arrive start fail                         | failed     |
+      | attempt | arrive start stop ask                     | stopped    |
       | attempt | arrive refuse                             | tombstoned |
       | attempt | refuse                                    | tombstoned |
       | attempt | ask ask                                   | tombstoned |
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -103,15 +103,17 @@
         backend_server: str,
         backend_url: str,
         *,
+        instance: str | None = None,
         listed: Callable[[str], str] = str,
         **settings: Any,
     ) -> Process:
         """Start a side and let the platform list it.
 
+        :param instance: by default named after the backend server.
         :param listed: turns its address into the one that is listed, as of
             a relay before it.
         """
-        name = f'side-{backend_server}'
+        name = instance or f'side-{backend_server}'
         process = self.start(
             name,
             ['side'],
