--- a/src/sardinetrack/links/client.py
+++ b/src/sardinetrack/links/client.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import logging
+from enum import StrEnum
 from random import Random
 from typing import Final
 
@@ -11,6 +11,7 @@
 from websockets.asyncio.client import ClientConnection, connect
 from websockets.exceptions import ConnectionClosed, WebSocketException
 
+from sardinetrack.charts.typed import TypedChart
 from sardinetrack.links.api import LINK_PATH, Hello, LinkBounds, LinkEvents
 from sardinetrack.links.frames import FrameSocket, LinkLostError
 from sardinetrack.links.link import FrameLink
@@ -20,8 +21,9 @@
     hello_header,
     read_hello,
 )
+from sardinetrack.logs.lines import Part, PartLogger
 
-_LOG = logging.getLogger('sardinetrack.links')
+_LOG: Final = PartLogger(Part.LINK)
 _FIRST_RETRY_SECONDS: Final = 0.05
 _LEAST_PART: Final = 0.5
 _MOST_DOUBLINGS: Final = 16
@@ -33,6 +35,26 @@
 )
 
 
+class DialState(StrEnum):
+    """Where a dialer stands."""
+
+    CONNECTING = 'connecting'
+    UP = 'up'
+    DOWN = 'down'
+
+
+class DialEvent(StrEnum):
+    """What moves a dialer."""
+
+    OPENED = 'opened'
+    FAILED = 'failed'
+    BROKEN = 'broken'
+    RETRY = 'retry'
+
+
+_CHART: Final = TypedChart('link', DialState, DialEvent)
+
+
 class _ClientSocket(FrameSocket):
     def __init__(self, connection: ClientConnection) -> None:
         """Wrap a connection of the library."""
@@ -81,8 +103,14 @@
         self._events = events
         self._bounds = bounds or LinkBounds()
         self._random = random or Random()
+        self._chart = _CHART.start()
         self._failures = 0
 
+    @property
+    def state(self) -> DialState:
+        """Where the dialer stands on its chart."""
+        return self._chart.state
+
     async def run(self) -> None:
         """Keep the link up until cancelled."""
         while True:
@@ -90,7 +118,10 @@
                 await self._one_link()
             except _FAILURES as error:
                 self._note_failure(error)
+            was_up = self.state is DialState.UP
+            self._chart.fire(DialEvent.BROKEN if was_up else DialEvent.FAILED)
             await anyio.sleep(self._retry_seconds())
+            self._chart.fire(DialEvent.RETRY)
 
     async def _one_link(self) -> None:
         connection = await self._open()
@@ -99,6 +130,7 @@
         except BaseException:
             connection.transport.abort()
             raise
+        self._chart.fire(DialEvent.OPENED)
         opened_at = anyio.current_time()
         link = FrameLink(_ClientSocket(connection), peer, self._bounds)
         await link.run(self._events)
@@ -128,8 +160,9 @@
         return response.headers.get(HELLO_HEADER) if response else None
 
     def _note_failure(self, error: Exception) -> None:
-        level = logging.DEBUG if self._failures else logging.WARNING
-        _LOG.log(level, 'link: no link to %s: %s', self.address, error)
+        # Once for each outage: a peer that is gone is dialled for long.
+        tell = _LOG.debug if self._failures else _LOG.warning
+        tell('no link', address=self.address, error=str(error))
         self._failures += 1
 
     def _retry_seconds(self) -> float:
--- a/src/sardinetrack/side/owner.py
+++ b/src/sardinetrack/side/owner.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import logging
 import math
 from collections.abc import Callable
 from types import MappingProxyType
@@ -25,7 +24,9 @@
     Start,
     Stop,
 )
+from sardinetrack.charts.drain import DRAIN, DrainEvent, DrainState
 from sardinetrack.links.api import LinkDown, LinkMessageReceived, LinkUp
+from sardinetrack.logs.lines import Part, PartLogger
 from sardinetrack.messages.api import SidePhase
 from sardinetrack.side.core import Effects, OwnerCore
 from sardinetrack.side.events import (
@@ -42,7 +43,7 @@
 from sardinetrack.side.link_events import LinkEvents
 from sardinetrack.side.request_events import RequestEvents
 
-_LOG = logging.getLogger('sardinetrack.side')
+_LOG: Final = PartLogger(Part.SIDE)
 _TICK_SECONDS: Final = 0.1
 
 Decide = Callable[[float, Any], Effects]
@@ -64,7 +65,8 @@
         self._core = core
         self._events = events
         self._requests = RequestEvents(core)
-        self._idle: anyio.Event | None = None
+        self._drain = DRAIN.start()
+        self._idle = anyio.Event()
         self._tick_at: float = 0
         links = LinkEvents(core)
         self._decisions: MappingProxyType[type, Decide] = MappingProxyType(
@@ -103,7 +105,8 @@
             self._carry_out(now, self._core.admission.tick(now))
             self._core.metrics.show_load(self._core.admission.load())
         self._announce(now)
-        if self._idle is not None and not self._core.live:
+        if self._drain.state is DrainState.DRAINING and not self._core.live:
+            self._drain.fire(DrainEvent.IDLE)
             self._idle.set()
 
     def _turn_away(self) -> None:
@@ -150,13 +153,19 @@
         return self._core.admission.resize(now, event.limit)
 
     def _drain_began(self, now: float, event: DrainBegan) -> Effects:
-        _LOG.info('side: draining, %d requests left', len(self._core.live))
+        _LOG.info('draining', requests=len(self._core.live))
         self._idle = event.idle
+        # Orders come over links that hear of the drain: unlike a balancer
+        # in front of an entry, nobody needs time to notice.
+        self._drain.fire(DrainEvent.DRAIN)
+        self._drain.fire(DrainEvent.SHUT)
         effects = self._core.admission.drain(now)
         return [*effects, Announce()]
 
     def _cut_off(self, now: float, event: CutOff) -> Effects:
-        _LOG.error('side: cut off, %d requests', len(self._core.live))
+        if self._drain.state is DrainState.DRAINING:
+            self._drain.fire(DrainEvent.DEADLINE)
+            _LOG.error('drain took too long', cut=len(self._core.live))
         self._core.live.close()
         return ()
 
--- a/tests/admission/steps/book_steps.py
+++ b/tests/admission/steps/book_steps.py
@@ -4,7 +4,9 @@
 
 from behave import given, then, when
 
-from sardinetrack.admission.book import AttemptBook, AttemptState
+from sardinetrack.admission.book import AttemptBook, AttemptEvent
+
+_WALK = (AttemptEvent.ARRIVE, AttemptEvent.START, AttemptEvent.FINISH)
 
 
 @given('a book that remembers {count:d} ended attempts')
@@ -16,8 +18,8 @@
 @when('attempts {names} ran to their end')
 def run_attempts(context, names):
     for name in names.split(', '):
-        context.book.put(name, AttemptState.RUNNING)
-        context.book.end(context.now, name, AttemptState.FINISHED)
+        for event in _WALK:
+            context.book.note(context.now, name, event)
 
 
 @when('{seconds:g} seconds go by in the book')
--- a/tests/routing/breaker.feature
+++ b/tests/routing/breaker.feature
@@ -23,6 +23,32 @@
     And the probe fails
     Then the breaker stays shut out for the first cooldown
 
+  Scenario Outline: The end of the probe decides
+    Given a breaker with a request on its way
+    When 3 requests fail
+    And the cooldown passes
+    And the probe <ends>
+    Then the breaker has the state "<state>"
+
+    Examples:
+      | ends                | state  |
+      | succeeds            | closed |
+      | fails               | open   |
+      | ends without a word | open   |
+
+  Scenario: A late failure of an older generation ends no probe
+    A request is sent, then three others fail and open the breaker. While a
+    probe is out the first request fails late. It says how the server was: the
+    probe alone decides, and no other request goes out beside it.
+
+    Given a breaker with a request on its way
+    When 3 requests fail
+    And the cooldown passes
+    And a probe goes out
+    And the first request fails late
+    Then the breaker has the state "half_open"
+    And the breaker lets nothing through
+
   Scenario: Retries stay a tenth of first attempts
     Given a retry budget that is used up
     When 100 first attempts are made and retried while it lasts
