Share what entry and side have in common as daemons

Weighed and left: the pairs of an interface with its implementation (admission, routing), and the pairs that share a shape and no meaning.

--- a/src/sardinetrack/cli/operator_access.py
+++ b/src/sardinetrack/cli/operator_access.py
@@ -6,12 +6,12 @@
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
+from sardinetrack.compose.platform import platform_of
 from sardinetrack.config.model import OperatorSettings
 from sardinetrack.config.secret import resolve_secret
 from sardinetrack.http.client import HttpClient
 from sardinetrack.links.secret import PeerSecret
 from sardinetrack.platform.api import Platform
-from sardinetrack.platform.http import HttpPlatform
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,10 +30,5 @@
     """Open a client for the time of the context."""
     secret = PeerSecret(resolve_secret(settings.peer_secret))
     async with HttpClient() as client:
-        platform = HttpPlatform(
-            client,
-            settings.platform.url,
-            resolve_secret(settings.platform.token),
-            call_timeout_seconds=settings.platform.call_timeout_seconds,
-        )
+        platform = platform_of(client, settings.platform)
         yield OperatorAccess(client, platform, secret)
--- a/src/sardinetrack/compose/entry.py
+++ b/src/sardinetrack/compose/entry.py
@@ -6,6 +6,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
+from sardinetrack.compose.platform import platform_of
 from sardinetrack.config.model import EntrySettings
 from sardinetrack.config.secret import resolve_secret
 from sardinetrack.entry.daemon import Entry
@@ -13,7 +14,6 @@
 from sardinetrack.http.client import HttpClient
 from sardinetrack.links.secret import PeerSecret
 from sardinetrack.once.claims import ClaimSettings, ShardedClaims
-from sardinetrack.platform.http import HttpPlatform
 from sardinetrack.process.incarnation import new_incarnation
 from sardinetrack.process.ready import EntryReady, print_ready
 from sardinetrack.process.signals import run_until_drained
@@ -30,12 +30,7 @@
     """
     incarnation = new_incarnation()
     async with HttpClient() as client:
-        platform = HttpPlatform(
-            client,
-            str(settings.platform.url),
-            resolve_secret(settings.platform.token),
-            call_timeout_seconds=settings.platform.call_timeout_seconds,
-        )
+        platform = platform_of(client, settings.platform)
         claim_settings = ClaimSettings(
             shards=settings.once.shards,
             keep_seconds=settings.once.keep_seconds,
--- a/src/sardinetrack/compose/side.py
+++ b/src/sardinetrack/compose/side.py
@@ -7,11 +7,11 @@
 from typing import Final
 
 from sardinetrack.admission.slots import SlotAdmission
+from sardinetrack.compose.platform import platform_of
 from sardinetrack.config.model import SideSettings
 from sardinetrack.config.secret import resolve_secret
 from sardinetrack.http.client import HttpClient
 from sardinetrack.links.secret import PeerSecret
-from sardinetrack.platform.http import HttpPlatform
 from sardinetrack.process.incarnation import new_incarnation
 from sardinetrack.process.ready import SideReady, print_ready
 from sardinetrack.process.signals import run_until_drained
@@ -32,12 +32,7 @@
     """
     incarnation = new_incarnation()
     async with HttpClient() as client:
-        platform = HttpPlatform(
-            client,
-            str(settings.platform.url),
-            resolve_secret(settings.platform.token),
-            call_timeout_seconds=settings.platform.call_timeout_seconds,
-        )
+        platform = platform_of(client, settings.platform)
         parts = SideParts(
             settings=settings,
             peer_secret=PeerSecret(resolve_secret(settings.peer_secret)),
--- /dev/null
+++ b/src/sardinetrack/process/daemon.py
@@ -0,0 +1,84 @@
+"""What entry and side share as daemons: their servers and their end."""
+
+from __future__ import annotations
+
+from abc import abstractmethod
+from contextlib import AbstractAsyncContextManager, AsyncExitStack
+from types import TracebackType
+from typing import Final, Self
+
+import anyio
+
+from sardinetrack.config.model import Listen
+from sardinetrack.http.asgi import Application
+from sardinetrack.http.server import BoundServer, serving
+from sardinetrack.process.api import Drainable
+
+_CLOSE_SECONDS: Final = 2.0
+
+
+class ServingDaemon(Drainable):
+    """Serves while the context lasts; ``run`` returns after a drain."""
+
+    def __init__(self) -> None:
+        """Prepare; entering the context starts the daemon."""
+        self._stack = AsyncExitStack()
+        self._ended = anyio.Event()
+        self._servers: list[BoundServer] = []
+
+    async def __aenter__(self) -> Self:
+        """Start the tasks and the servers."""
+        async with self._stack as stack:
+            await self._open(stack)
+            self._stack = stack.pop_all()
+        self._tell_serving()
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> bool | None:
+        """Stop everything; what still runs is cut."""
+        return await self._stack.__aexit__(kind, error, trace)
+
+    async def run(self) -> None:
+        """Return when a drain is over."""
+        await self._ended.wait()
+
+    @abstractmethod
+    async def _open(self, stack: AsyncExitStack) -> None:
+        """Start tasks and servers; the stack closes them."""
+
+    @abstractmethod
+    def _tell_serving(self) -> None:
+        """Log the addresses."""
+
+    async def _serve(
+        self,
+        stack: AsyncExitStack,
+        application: Application,
+        listen: Listen,
+    ) -> BoundServer:
+        server = serving(application, listen.ip, listen.port)
+        return await self._start(stack, server)
+
+    async def _start(
+        self,
+        stack: AsyncExitStack,
+        starting: AbstractAsyncContextManager[BoundServer],
+    ) -> BoundServer:
+        server = await stack.enter_async_context(starting)
+        self._servers.append(server)
+        return server
+
+    async def _end(self) -> None:
+        """Close the servers; ``run`` returns then."""
+        # The last bytes of finished answers may still be on their way out.
+        for server in self._servers:
+            server.stop()
+        with anyio.move_on_after(_CLOSE_SECONDS):
+            for server in self._servers:
+                await server.closed()
+        self._ended.set()
--- a/src/sardinetrack/side/daemon.py
+++ b/src/sardinetrack/side/daemon.py
@@ -3,17 +3,14 @@
 from __future__ import annotations
 
 from contextlib import AsyncExitStack
-from types import TracebackType
-from typing import Final, Self
+from typing import Final
 
 import anyio
 
-from sardinetrack.config.model import Listen
-from sardinetrack.http.asgi import Application
 from sardinetrack.http.client import HttpClient
-from sardinetrack.http.server import BoundServer, serving
+from sardinetrack.http.server import BoundServer
 from sardinetrack.logs.lines import Part, PartLogger
-from sardinetrack.process.api import Drainable
+from sardinetrack.process.daemon import ServingDaemon
 from sardinetrack.side.events import CutOff, DrainBegan
 from sardinetrack.side.ordering import model_orders
 from sardinetrack.side.parts import SideParts
@@ -22,47 +19,19 @@
 _LOG: Final = PartLogger(Part.SIDE)
 _LINGER_SECONDS: Final = 0.5
 """Orders sent before the entries heard of the drain get a clear refusal."""
-_CLOSE_SECONDS: Final = 2.0
 
 
-class Side(Drainable):
+class Side(ServingDaemon):
     """Serves while the context lasts; ``run`` returns after a drain."""
 
     def __init__(self, parts: SideParts) -> None:
         """Prepare a side; entering the context starts it."""
+        super().__init__()
         self._parts = parts
-        self._stack = AsyncExitStack()
-        self._ended = anyio.Event()
         self._wiring: Wiring
         self.peer: BoundServer
         self.operator: BoundServer
 
-    async def __aenter__(self) -> Self:
-        """Start the tasks and the servers."""
-        async with self._stack as stack:
-            await self._open(stack)
-            self._stack = stack.pop_all()
-        _LOG.info(
-            'serving',
-            peers=self.peer.address,
-            operators=self.operator.address,
-            backend_server=self._parts.settings.backend_server,
-        )
-        return self
-
-    async def __aexit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> bool | None:
-        """Stop everything; running requests are cut."""
-        return await self._stack.__aexit__(kind, error, trace)
-
-    async def run(self) -> None:
-        """Return when a drain is over."""
-        await self._ended.wait()
-
     async def drain(self) -> None:
         """Refuse new orders, let running ones finish, then close.
 
@@ -75,8 +44,7 @@
         if not idle.is_set():
             await self._wiring.events.send(CutOff())
         await anyio.sleep(_LINGER_SECONDS)
-        await self._close_servers()
-        self._ended.set()
+        await self._end()
 
     async def _open(self, stack: AsyncExitStack) -> None:
         client = await stack.enter_async_context(HttpClient())
@@ -104,19 +72,10 @@
             settings.peer,
         )
 
-    async def _serve(
-        self,
-        stack: AsyncExitStack,
-        application: Application,
-        listen: Listen,
-    ) -> BoundServer:
-        server = serving(application, listen.ip, listen.port)
-        return await stack.enter_async_context(server)
-
-    async def _close_servers(self) -> None:
-        # The last bytes of finished answers may still be on their way out.
-        self.peer.stop()
-        self.operator.stop()
-        with anyio.move_on_after(_CLOSE_SECONDS):
-            await self.peer.closed()
-            await self.operator.closed()
+    def _tell_serving(self) -> None:
+        _LOG.info(
+            'serving',
+            peers=self.peer.address,
+            operators=self.operator.address,
+            backend_server=self._parts.settings.backend_server,
+        )
