Revert 'Tell the side which orders are suspect'

Cause: with the mark passed on, a struck request that a side refuses because another suspect runs there comes back at once, is granted the same side again (six times in 40 ms in the log), and then goes to the server that failed it before: the caller of a repeatable completion got server_failed. Ruled out: load; the log shows the refusals one after another. The refusal has to keep the request away from that side until its suspect is gone, without counting as an avoided side; then the mark can be passed on.

--- a/src/sardinetrack/entry/attempt.py
+++ b/src/sardinetrack/entry/attempt.py
@@ -201,7 +201,6 @@
             path=self._call.path,
             headers=self._call.headers,
             fingerprint=work.fingerprint,
-            suspect=self._dispatch.suspect,
             bids=tuple(
                 (row.workspace, row.tag, row.waiting, row.hint_cost)
                 for row in bids.rows
