--- a/tests/cli/command_line.feature
+++ b/tests/cli/command_line.feature
@@ -26,6 +26,9 @@
       | entry /nowhere/x.json       | No such file            |
       | side /nowhere/x.json        | No such file            |
       | check /nowhere/x.json       | No such file            |
+      | status                      | is required             |
+      | status /nowhere/x.json      | No such file            |
+      | status x --url http://[::1]:1 | not allowed with      |
       | --log-level loud check x    | invalid choice          |
 
   Scenario: The effective settings are printed with secrets masked
@@ -61,3 +64,6 @@
 
   Scenario: The operators' page lists the same exit codes as the help
     Then docs/operators.md has one row for each exit code and no other
+
+  Scenario: The operators' page lists the metrics that are served
+    Then docs/operators.md has one row for each metric and no other
--- a/tests/routing/steps/breaker_steps.py
+++ b/tests/routing/steps/breaker_steps.py
@@ -42,6 +42,37 @@
     context.breaker.failed(context.now, context.breaker.sent())
 
 
+@when('the probe succeeds')
+def succeed_probe(context):
+    context.breaker.succeeded(context.breaker.sent())
+
+
+@when('the probe ends without a word')
+def end_probe(context):
+    context.breaker.undecided(context.breaker.sent())
+
+
+@when('a probe goes out')
+def send_probe(context):
+    assert context.breaker.allows(context.now)
+    context.breaker.sent()
+
+
+@when('the first request fails late')
+def fail_late(context):
+    context.breaker.failed(context.now, context.first)
+
+
+@then('the breaker has the state "{state}"')
+def check_state(context, state):
+    assert context.breaker.state is BreakerState(state)
+
+
+@then('the breaker lets nothing through')
+def check_shut(context):
+    assert not context.breaker.allows(context.now)
+
+
 @then('the breaker is open')
 def check_open(context):
     assert context.breaker.state is BreakerState.OPEN
