--- a/src/sardinetrack/entry/ticket.py
+++ b/src/sardinetrack/entry/ticket.py
@@ -59,13 +59,6 @@
         """Wait for the next decision."""
         return await self._decisions.receive()
 
-    def next_nowait(self) -> Dispatch | Reject | None:
-        """Take a decision that has been made already."""
-        try:
-            return self._decisions.receive_nowait()
-        except anyio.WouldBlock:
-            return None
-
     def close(self) -> None:
         """Release the stream."""
         self._decided.close()
