List eligible workspaces in one place

Cause: the choice of the next workspace and the check that nobody was passed over each wrote the same rule for who may go to a side; a change of one would have let the check judge by another rule. Behaviour is the same.

--- a/src/sardinetrack/routing/order.py
+++ b/src/sardinetrack/routing/order.py
@@ -56,11 +56,7 @@
         :param granted: the workspace that a grant names.
         :return: the workspace, ``None`` when nothing may run there.
         """
-        names = [
-            name
-            for name in self._queue.workspaces()
-            if self.room(name) > 0 and not self._blocked(now, name, side)
-        ]
+        names = self._eligible(now, side)
         lowest = min(names, key=self._place, default=None)
         if lowest is None or granted not in names:
             return lowest
@@ -75,8 +71,7 @@
         ensure(
             all(
                 self._ledger.tag(name) >= bound
-                for name in self._queue.workspaces()
-                if self.room(name) > 0 and not self._blocked(now, name, side)
+                for name in self._eligible(now, side)
             ),
             'no workspace is passed over by more than one charge',
         )
@@ -109,6 +104,14 @@
         rows.extend(self._known(names, MAX_ROWS - len(rows)))
         return Bids(pool, side.grants_seen, tuple(rows))
 
+    def _eligible(self, now: float, side: Side | None) -> list[str]:
+        """List the workspaces whose head may go to a side now."""
+        return [
+            name
+            for name in self._queue.workspaces()
+            if self.room(name) > 0 and not self._blocked(now, name, side)
+        ]
+
     def _known(self, names: list[str], count: int) -> list[BidRow]:
         """Tell tags of workspaces that wait only at other entries."""
         if count <= 0:
