--- a/benchmarks/chaos/virtual/catalogue.py
+++ b/benchmarks/chaos/virtual/catalogue.py
@@ -7,7 +7,7 @@
 from typing import Any, Final
 
 from benchmarks.chaos.asked import MODEL, SERVICE, WORKSPACES, token_of
-from sardinetrack.platform.api import Platform
+from sardinetrack.store.api import Platform
 
 SLOTS: Final = 4
 _HUGE: Final = 100_000
--- a/benchmarks/chaos/virtual/entry.py
+++ b/benchmarks/chaos/virtual/entry.py
@@ -16,7 +16,7 @@
 from sardinetrack.entry.core import EntryCore
 from sardinetrack.http.asgi import Application, Receive, Scope, Send
 from sardinetrack.once.claims import ShardedClaims
-from sardinetrack.platform.in_process import MemoryPlatform
+from sardinetrack.store.in_process import MemoryPlatform
 
 
 class _Listeners:
--- a/benchmarks/chaos/virtual/platform.py
+++ b/benchmarks/chaos/virtual/platform.py
@@ -12,7 +12,7 @@
 import anyio
 
 from benchmarks.chaos.virtual.node import Node
-from sardinetrack.platform.api import (
+from sardinetrack.store.api import (
     ListedInstance,
     Listing,
     Platform,
@@ -22,7 +22,7 @@
     UnavailableError,
     UncertainError,
 )
-from sardinetrack.platform.in_process import MemoryPlatform
+from sardinetrack.store.in_process import MemoryPlatform
 
 ADDRESS: Final = '10.0.0.2:80'
 _Found = TypeVar('_Found')
--- a/benchmarks/chaos/virtual/settings.py
+++ b/benchmarks/chaos/virtual/settings.py
@@ -9,9 +9,9 @@
 from sardinetrack.entry.claims import Claims
 from sardinetrack.entry.parts import EntryParts
 from sardinetrack.links.secret import PeerSecret
-from sardinetrack.platform.api import Platform
 from sardinetrack.routing.router import Router
 from sardinetrack.routing.shared import Identity
+from sardinetrack.store.api import Platform
 
 WAIT_SECONDS: Final = 20.0
 SECRET: Final = 'peer-secret'
--- a/benchmarks/chaos/virtual/world.py
+++ b/benchmarks/chaos/virtual/world.py
@@ -16,13 +16,13 @@
 from benchmarks.chaos.virtual.outside import CallersNode, ServerNode
 from benchmarks.chaos.virtual.platform import PlatformFaults
 from benchmarks.chaos.virtual.side import SideNode
-from sardinetrack.platform.api import ListedInstance
-from sardinetrack.platform.in_process import MemoryPlatform
 from sardinetrack.standin.base import StandIn
 from sardinetrack.standin.engine import Engine
 from sardinetrack.standin.engine_batch import EngineRates
 from sardinetrack.standin.service import Service
 from sardinetrack.standin.settings import EngineSettings, ServiceSettings
+from sardinetrack.store.api import ListedInstance
+from sardinetrack.store.in_process import MemoryPlatform
 
 ENTRIES: Final = 3
 ENGINES: Final = 4
--- a/benchmarks/slopes/catalogue.py
+++ b/benchmarks/slopes/catalogue.py
@@ -18,7 +18,7 @@
 )
 from sardinetrack.catalogue.view import CatalogueView
 from sardinetrack.membership.view import MembershipView
-from sardinetrack.platform.api import ListedInstance
+from sardinetrack.store.api import ListedInstance
 
 WORKSPACES: Final = (850, 8500)
 INSTANCES: Final = (250, 2500)
--- a/benchmarks/slopes/samples.py
+++ b/benchmarks/slopes/samples.py
@@ -24,8 +24,8 @@
     SideLoad,
     SidePhase,
 )
-from sardinetrack.platform.api import InstanceState, ListedInstance
 from sardinetrack.routing.api import SideInfo, Work
+from sardinetrack.store.api import InstanceState, ListedInstance
 
 POOL: Final = 'model-0'
 INCARNATION: Final = 'a1b2c3d4e5f60718'
--- a/src/sardinetrack/catalogue/ask.py
+++ b/src/sardinetrack/catalogue/ask.py
@@ -13,7 +13,7 @@
 from sardinetrack.http.client import BrokenError, HttpClient, NotSentError
 from sardinetrack.links.api import STATUS_PATH
 from sardinetrack.messages.api import ConfigDigest
-from sardinetrack.platform.api import InstanceState, Platform
+from sardinetrack.store.api import InstanceState, Platform
 
 _ASK_SECONDS: Final = 1.0
 
--- a/src/sardinetrack/catalogue/coverage.py
+++ b/src/sardinetrack/catalogue/coverage.py
@@ -12,7 +12,7 @@
 
 from sardinetrack.catalogue.api import CATALOGUE_PREFIX
 from sardinetrack.messages.api import ConfigObject, ConfigUpdate
-from sardinetrack.platform.api import Listing, StoredObject
+from sardinetrack.store.api import Listing, StoredObject
 
 
 def covering(
--- a/src/sardinetrack/catalogue/editor.py
+++ b/src/sardinetrack/catalogue/editor.py
@@ -14,7 +14,7 @@
 from sardinetrack.catalogue.view import CatalogueView
 from sardinetrack.errors.problem import Problem
 from sardinetrack.messages.api import ConfigObject
-from sardinetrack.platform.api import (
+from sardinetrack.store.api import (
     ConflictError,
     Listing,
     Platform,
--- a/src/sardinetrack/catalogue/feed.py
+++ b/src/sardinetrack/catalogue/feed.py
@@ -13,14 +13,14 @@
 from sardinetrack.catalogue.coverage import platform_update
 from sardinetrack.logs.lines import Part, PartLogger
 from sardinetrack.messages.api import ConfigUpdate
-from sardinetrack.platform.api import (
+from sardinetrack.store.api import (
     Listing,
     NoAnswerError,
     Platform,
     PlatformError,
     WatchLostError,
 )
-from sardinetrack.platform.backoff import Backoff
+from sardinetrack.store.backoff import Backoff
 
 WATCH_SECONDS: Final = 2.0
 """How long one watch waits.
--- a/src/sardinetrack/catalogue/parse.py
+++ b/src/sardinetrack/catalogue/parse.py
@@ -16,7 +16,7 @@
     problems_of,
 )
 from sardinetrack.errors.problem import Problem
-from sardinetrack.platform.api import MAX_VALUE_BYTES
+from sardinetrack.store.api import MAX_VALUE_BYTES
 
 _ADAPTER: Final[TypeAdapter[AnyEntryModel]] = TypeAdapter(AnyEntryModel)
 _FILE: Final = 'file'
--- a/src/sardinetrack/catalogue/rollout.py
+++ b/src/sardinetrack/catalogue/rollout.py
@@ -8,7 +8,7 @@
 import anyio
 from msgspec import Struct
 
-from sardinetrack.platform.api import PlatformError
+from sardinetrack.store.api import PlatformError
 
 Discover = Callable[[], Awaitable[Sequence[str]]]
 """Tells the addresses of the instances to ask."""
--- a/src/sardinetrack/cli/catalogue_actions.py
+++ b/src/sardinetrack/cli/catalogue_actions.py
@@ -20,7 +20,7 @@
 from sardinetrack.cli.exit_codes import ExitCode
 from sardinetrack.cli.operator_access import open_access
 from sardinetrack.config.model import OperatorSettings
-from sardinetrack.platform.api import Platform
+from sardinetrack.store.api import Platform
 
 _KEY_WIDTH: Final = 40
 _VERSION_WIDTH: Final = 10
--- a/src/sardinetrack/cli/catalogue_errors.py
+++ b/src/sardinetrack/cli/catalogue_errors.py
@@ -9,7 +9,7 @@
 from sardinetrack.catalogue.problems import InvalidEntryError
 from sardinetrack.cli.api import CommandError
 from sardinetrack.cli.exit_codes import ExitCode
-from sardinetrack.platform.api import PlatformError, UncertainError
+from sardinetrack.store.api import PlatformError, UncertainError
 
 
 @contextmanager
--- a/src/sardinetrack/cli/entry.py
+++ b/src/sardinetrack/cli/entry.py
@@ -7,7 +7,7 @@
 import anyio
 
 from sardinetrack.cli.api import Command
-from sardinetrack.compose import run_entry
+from sardinetrack.compose.entry import run_entry
 from sardinetrack.config.loader import load_settings
 from sardinetrack.config.model import EntrySettings
 
--- a/src/sardinetrack/cli/local.py
+++ b/src/sardinetrack/cli/local.py
@@ -9,7 +9,7 @@
 
 from sardinetrack.cli.api import Command
 from sardinetrack.cli.arguments import port_number
-from sardinetrack.compose import run_local
+from sardinetrack.compose.local import run_local
 
 _ANY_PORT: Final = 0
 
--- a/src/sardinetrack/cli/operator_access.py
+++ b/src/sardinetrack/cli/operator_access.py
@@ -11,7 +11,7 @@
 from sardinetrack.config.secret import resolve_secret
 from sardinetrack.http.client import HttpClient
 from sardinetrack.links.secret import PeerSecret
-from sardinetrack.platform.api import Platform
+from sardinetrack.store.api import Platform
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/sardinetrack/cli/status.py
+++ b/src/sardinetrack/cli/status.py
@@ -22,7 +22,7 @@
 from sardinetrack.cli.status_tables import show_answers, show_page
 from sardinetrack.config.loader import load_settings
 from sardinetrack.config.model import OperatorSettings
-from sardinetrack.platform.api import PlatformError
+from sardinetrack.store.api import PlatformError
 
 
 class StatusCommand(Command):
--- a/src/sardinetrack/cli/status_pages.py
+++ b/src/sardinetrack/cli/status_pages.py
@@ -16,8 +16,8 @@
 from sardinetrack.entry.status import EntryStatus
 from sardinetrack.http.client import BrokenError, HttpClient, NotSentError
 from sardinetrack.links.api import STATUS_PATH
-from sardinetrack.platform.api import ListedInstance
 from sardinetrack.side.events import SideStatus
+from sardinetrack.store.api import ListedInstance
 
 OPERATOR_PATH: Final = '/status'
 _READ_SECONDS: Final = 5.0
--- a/src/sardinetrack/cli/status_tables.py
+++ b/src/sardinetrack/cli/status_tables.py
@@ -15,8 +15,8 @@
 )
 from sardinetrack.cli.table import Row, write_table
 from sardinetrack.entry.status import EntryStatus, PoolStatus
-from sardinetrack.platform.api import InstanceState
 from sardinetrack.side.events import SideStatus
+from sardinetrack.store.api import InstanceState
 
 _INSTANCES: Final = (
     'INSTANCE',
--- a/src/sardinetrack/compose/local.py
+++ b/src/sardinetrack/compose/local.py
@@ -19,8 +19,6 @@
 from sardinetrack.config.model import EntrySettings, SideSettings
 from sardinetrack.entry.daemon import Entry
 from sardinetrack.http.server import serving
-from sardinetrack.platform.api import ListedInstance
-from sardinetrack.platform.in_process import MemoryPlatform
 from sardinetrack.process.api import Drainable
 from sardinetrack.process.ready import LocalReady, print_ready
 from sardinetrack.process.signals import run_until_drained
@@ -30,6 +28,8 @@
 from sardinetrack.standin.platform import PlatformStandin
 from sardinetrack.standin.service import Service
 from sardinetrack.standin.settings import EngineSettings, ServiceSettings
+from sardinetrack.store.api import ListedInstance
+from sardinetrack.store.in_process import MemoryPlatform
 
 _IP: Final = '127.0.0.1'
 _DOMAIN: Final = 'local'
--- a/src/sardinetrack/compose/local_seed.py
+++ b/src/sardinetrack/compose/local_seed.py
@@ -7,7 +7,7 @@
 from typing import Any, Final
 
 from sardinetrack.catalogue.api import CATALOGUE_PREFIX, EntryKind
-from sardinetrack.platform.api import Platform
+from sardinetrack.store.api import Platform
 
 MODEL: Final = 'local-model'
 MODEL_POOL: Final = 'local-models'
--- /dev/null
+++ b/src/sardinetrack/compose/node.py
@@ -0,0 +1,143 @@
+"""Wire and run the processes of a platform node: an entry or a side."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import signal
+import sys
+from collections.abc import Callable, Coroutine, Mapping, Sequence
+from types import MappingProxyType
+from typing import Final
+
+from sardinetrack import __version__
+from sardinetrack.logs.events import Event, EventLog
+from sardinetrack.platform.catalogue import (
+    CONFIGURATION_KEY,
+    CONFIGURATION_PREFIX,
+    SERVERS_PREFIX,
+    configuration_of,
+    server_of,
+)
+from sardinetrack.platform.dialect import READY_PATH, PlatformDialect
+from sardinetrack.platform.errors import SettingsFileError
+from sardinetrack.platform.settings import read_settings, settings_path
+from sardinetrack.platform.store import PlatformStore
+from sardinetrack.relay.entry import Entry
+from sardinetrack.relay.fleet import Fleet
+from sardinetrack.relay.followers import (
+    ConfigurationFollower,
+    Decoder,
+    ServersFollower,
+)
+from sardinetrack.relay.ready import PageConnection, readiness_page
+from sardinetrack.relay.settings import NodeSettings
+from sardinetrack.store.api import StoredObject
+from sardinetrack.topology.configuration import Configuration
+from sardinetrack.topology.feed import Feed
+from sardinetrack.topology.servers import BackendServer
+from sardinetrack.turns.side import Side
+
+_FLUSH_SECONDS: Final = 0.2
+_GC_THRESHOLD: Final = 20_000
+_BAD_USAGE: Final = 2
+
+
+class _PlatformDecoder(Decoder):
+    def configuration(self, stored: StoredObject) -> Configuration | None:
+        if stored.key != CONFIGURATION_KEY:
+            return None
+        return configuration_of(stored.value)
+
+    def server(self, stored: StoredObject) -> BackendServer:
+        return server_of(stored.key.partition('/')[2], stored.value)
+
+
+def main(arguments: Sequence[str]) -> int:
+    """Run one process of a node until it is told to stop.
+
+    :param arguments: the role, ``entry`` or ``side``.
+    :return: the exit code.
+    """
+    role = arguments[0] if arguments else ''
+    runner = _ROLES.get(role)
+    if runner is None:
+        known = ', '.join(_ROLES)
+        sys.stderr.write(f'sardinetrack: the role must be one of {known}\n')
+        return _BAD_USAGE
+    try:
+        settings = read_settings(settings_path())
+    except SettingsFileError as error:
+        sys.stderr.write(f'sardinetrack: {error}\n')
+        return _BAD_USAGE
+    log = EventLog(sys.stdout.fileno(), settings.instance)
+    log.write(
+        Event.STARTED,
+        role=role,
+        version=__version__,
+        failure_domain=settings.failure_domain,
+        settings=repr(settings),
+    )
+    # Everything imported stays for good; walking through it at each full
+    # collection would stop the loop for tens of milliseconds.
+    gc.freeze()
+    gc.set_threshold(_GC_THRESHOLD)
+    asyncio.run(runner(settings, log))
+    log.write(Event.STOPPED)
+    log.flush()
+    return 0
+
+
+async def _run_entry(settings: NodeSettings, log: EventLog) -> None:
+    stop = _stop_event(log)
+    fleet = Fleet(settings, log)
+    decoder = _PlatformDecoder()
+    store = PlatformStore(settings.store)
+    feeds = (
+        Feed(
+            store,
+            CONFIGURATION_PREFIX,
+            ConfigurationFollower(fleet, decoder),
+            log,
+        ),
+        Feed(store, SERVERS_PREFIX, ServersFollower(fleet, decoder), log),
+    )
+    entry = Entry(fleet, PlatformDialect(), feeds)
+    assert settings.ready is not None  # noqa: S101
+    pages = {READY_PATH: lambda: readiness_page(ready=entry.ready)}
+    loop = asyncio.get_running_loop()
+    async with entry:
+        await loop.create_server(
+            lambda: PageConnection(pages),
+            *settings.ready,
+        )
+        await stop.wait()
+        log.write(Event.STOPPING)
+        await entry.drain()
+
+
+async def _run_side(settings: NodeSettings, log: EventLog) -> None:
+    stop = _stop_event(log)
+    async with Side((settings.ip, settings.turns_port), log):
+        while not stop.is_set():
+            log.flush()
+            await asyncio.sleep(_FLUSH_SECONDS)
+        log.write(Event.STOPPING)
+
+
+def _stop_event(log: EventLog) -> asyncio.Event:
+    loop = asyncio.get_running_loop()
+    stop = asyncio.Event()
+    loop.add_signal_handler(signal.SIGTERM, stop.set)
+    loop.add_signal_handler(signal.SIGINT, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, log.write, Event.RELOADED)
+    return stop
+
+
+_Runner = Callable[
+    [NodeSettings, EventLog],
+    Coroutine[None, None, None],
+]
+_ROLES: Final[Mapping[str, _Runner]] = MappingProxyType(
+    {'entry': _run_entry, 'side': _run_side},
+)
--- a/src/sardinetrack/compose/platform.py
+++ b/src/sardinetrack/compose/platform.py
@@ -5,7 +5,7 @@
 from sardinetrack.config.model import PlatformSettings
 from sardinetrack.config.secret import resolve_secret
 from sardinetrack.http.client import HttpClient
-from sardinetrack.platform.http import HttpPlatform
+from sardinetrack.store.http import HttpPlatform
 
 
 def platform_of(client: HttpClient, settings: PlatformSettings) -> HttpPlatform:
--- a/src/sardinetrack/entry/linked.py
+++ b/src/sardinetrack/entry/linked.py
@@ -23,7 +23,7 @@
     Strike,
 )
 from sardinetrack.messages.codec import encode
-from sardinetrack.platform.api import ListedInstance
+from sardinetrack.store.api import ListedInstance
 
 _GRACE_SECONDS: Final = 1.5
 """A link that is redialled within it has not lost its side."""
--- a/src/sardinetrack/entry/loops.py
+++ b/src/sardinetrack/entry/loops.py
@@ -15,7 +15,7 @@
 from sardinetrack.membership.api import MembershipChange
 from sardinetrack.membership.feed import MembershipFeed
 from sardinetrack.messages.api import ConfigUpdate
-from sardinetrack.platform.api import Platform
+from sardinetrack.store.api import Platform
 
 _WAITING: Final = 1024
 _TICK_SECONDS: Final = 0.1
--- a/src/sardinetrack/entry/parts.py
+++ b/src/sardinetrack/entry/parts.py
@@ -9,8 +9,8 @@
 from sardinetrack.entry.heads import HeadBounds
 from sardinetrack.links.api import Hello, PeerRole
 from sardinetrack.links.secret import PeerSecret
-from sardinetrack.platform.api import Platform
 from sardinetrack.routing.api import Routing
+from sardinetrack.store.api import Platform
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/sardinetrack/entry/roster.py
+++ b/src/sardinetrack/entry/roster.py
@@ -12,7 +12,7 @@
 from sardinetrack.links.secret import PeerSecret
 from sardinetrack.logs.lines import Part, PartLogger
 from sardinetrack.membership.api import Gone, Joined, MembershipChange
-from sardinetrack.platform.api import InstanceState, ListedInstance
+from sardinetrack.store.api import InstanceState, ListedInstance
 
 _LOG: Final = PartLogger(Part.ENTRY)
 
--- a/src/sardinetrack/errors/api.py
+++ b/src/sardinetrack/errors/api.py
@@ -30,6 +30,7 @@
     NOT_RUN_PLATFORM_DOWN = 'not_run_platform_down'
     NOT_RUN_LOST = 'not_run_lost'
     CRASHES_SERVERS = 'crashes_servers'
+    TIMED_OUT = 'timed_out'
     OUTCOME_UNKNOWN = 'outcome_unknown'
     ANSWER_CUT = 'answer_cut'
     SERVER_FAILED = 'server_failed'
--- a/src/sardinetrack/errors/table.py
+++ b/src/sardinetrack/errors/table.py
@@ -173,6 +173,12 @@
             'This request took down the servers that ran it; refused for now.',
             not_run=True,
         ),
+        ErrorKind.TIMED_OUT: Answer(
+            HTTPStatus.GATEWAY_TIMEOUT,
+            _SERVER,
+            'No whole answer came in time; the request may have run.',
+            not_run=False,
+        ),
         ErrorKind.OUTCOME_UNKNOWN: Answer(
             HTTPStatus.BAD_GATEWAY,
             _SERVER,
--- a/src/sardinetrack/lease/keeper.py
+++ b/src/sardinetrack/lease/keeper.py
@@ -9,7 +9,7 @@
 
 from sardinetrack.lease.decision import Acquire, Lease, SeenLease, WaitOut
 from sardinetrack.lease.record import read_lease, write_lease
-from sardinetrack.platform.api import (
+from sardinetrack.store.api import (
     ConflictError,
     Platform,
     StoredObject,
--- a/src/sardinetrack/lease/orders.py
+++ b/src/sardinetrack/lease/orders.py
@@ -13,8 +13,8 @@
 
 from sardinetrack.catalogue.api import Pool, PoolClass
 from sardinetrack.lease.keeper import LeaseKeeper
-from sardinetrack.platform.api import PlatformError
-from sardinetrack.platform.backoff import Backoff
+from sardinetrack.store.api import PlatformError
+from sardinetrack.store.backoff import Backoff
 
 _LOG: Final = logging.getLogger('sardinetrack.lease')
 _LOOK_SECONDS: Final = 1.0
--- a/src/sardinetrack/membership/api.py
+++ b/src/sardinetrack/membership/api.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from sardinetrack.platform.api import ListedInstance
+from sardinetrack.store.api import ListedInstance
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/sardinetrack/membership/feed.py
+++ b/src/sardinetrack/membership/feed.py
@@ -11,8 +11,8 @@
 from sardinetrack.logs.lines import Part, PartLogger
 from sardinetrack.membership.api import MembershipChange
 from sardinetrack.membership.view import MembershipView
-from sardinetrack.platform.api import Platform, PlatformError
-from sardinetrack.platform.backoff import Backoff
+from sardinetrack.store.api import Platform, PlatformError
+from sardinetrack.store.backoff import Backoff
 
 _POLL_SECONDS: Final = 1.0
 _LEAST_SPREAD: Final = 0.9
--- a/src/sardinetrack/membership/view.py
+++ b/src/sardinetrack/membership/view.py
@@ -12,7 +12,7 @@
     Leaving,
     MembershipChange,
 )
-from sardinetrack.platform.api import InstanceState, ListedInstance
+from sardinetrack.store.api import InstanceState, ListedInstance
 
 _KEPT_LEFT: Final = 8192
 
--- a/src/sardinetrack/once/claims.py
+++ b/src/sardinetrack/once/claims.py
@@ -35,7 +35,7 @@
     Layout,
 )
 from sardinetrack.once.shard import Pace, Shard
-from sardinetrack.platform.api import (
+from sardinetrack.store.api import (
     ConflictError,
     Platform,
     PlatformError,
--- a/src/sardinetrack/once/log.py
+++ b/src/sardinetrack/once/log.py
@@ -15,7 +15,7 @@
 )
 from sardinetrack.once.record import ClaimState, Head, Segment, head_key
 from sardinetrack.once.segments import Segments, is_over
-from sardinetrack.platform.api import (
+from sardinetrack.store.api import (
     ConflictError,
     Platform,
     StoredObject,
--- a/src/sardinetrack/once/segments.py
+++ b/src/sardinetrack/once/segments.py
@@ -11,7 +11,7 @@
 
 from sardinetrack.once.draft import CLOCK_SKEW_SECONDS
 from sardinetrack.once.record import ClaimRecord, Segment, segment_key
-from sardinetrack.platform.api import (
+from sardinetrack.store.api import (
     ConflictError,
     Platform,
     StoredObject,
--- a/src/sardinetrack/once/shard.py
+++ b/src/sardinetrack/once/shard.py
@@ -20,12 +20,12 @@
     release_of,
 )
 from sardinetrack.once.record import ClaimState
-from sardinetrack.platform.api import (
+from sardinetrack.store.api import (
     PlatformError,
     ThrottledError,
     UncertainError,
 )
-from sardinetrack.platform.backoff import Backoff
+from sardinetrack.store.backoff import Backoff
 
 _LOG: Final = logging.getLogger('sardinetrack.once')
 _MOST_WAITING: Final = 10_000
--- /dev/null
+++ b/src/sardinetrack/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Which backend server a request goes to; no I/O, no clock."""
--- a/src/sardinetrack/platform/__init__.py
+++ b/src/sardinetrack/platform/__init__.py
@@ -1,3 +1,4 @@
-"""Access to the platform: its object API and its list of instances."""
+"""Translates between the users' platform and the product, and nothing else.
 
-from __future__ import annotations
+No other package knows the platform's names.
+"""
--- /dev/null
+++ b/src/sardinetrack/relay/entry.py
@@ -0,0 +1,243 @@
+"""An entry: the callers' listener, its feeds and its end."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from contextlib import AsyncExitStack
+from types import TracebackType
+from typing import Final, Self
+
+from sardinetrack.logs.events import Event
+from sardinetrack.relay.api import Call, Dialect
+from sardinetrack.relay.caller_connection import CallerConnection
+from sardinetrack.relay.door import Door
+from sardinetrack.relay.exchange import Exchange
+from sardinetrack.relay.fleet import Fleet
+from sardinetrack.relay.meters import Meters
+from sardinetrack.topology.configuration import CallerLimits, Route, RouteKind
+from sardinetrack.topology.feed import Feed
+
+SWEEP_SECONDS: Final = 0.1
+"""How often idle and silent connections are looked for."""
+LEAVE_SECONDS: Final = 2.6
+"""How long a stopping entry still takes requests.
+
+The balancer asks each second and leaves it out after two misses.
+"""
+_CUT_PART: Final = 0.9
+"""Part of the grace after which what still runs is cut."""
+SILENT_FIRST_SECONDS: Final = 2.0
+SILENT_GAP_PARTS: Final = 5.0
+SILENT_GAP_SECONDS: Final = 1.2
+_SWEEPS_A_SECOND: Final = 10
+_BACKLOG: Final = 1024
+
+
+class Entry(Door):
+    """Takes callers' connections and serves their requests."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        dialect: Dialect,
+        feeds: tuple[Feed, ...],
+    ) -> None:
+        """Prepare."""
+        self.meters = Meters()
+        self.draining = False
+        self.port = 0
+        self._fleet = fleet
+        self._dialect = dialect
+        self._feeds = feeds
+        self._connections: set[CallerConnection] = set()
+        self._exchanges: set[Exchange] = set()
+        self._loop = asyncio.get_running_loop()
+        self._stack = AsyncExitStack()
+        self._was_ready = False
+        self._none_left = asyncio.Event()
+        self._draining_since = math.inf
+
+    @property
+    def limits(self) -> CallerLimits:  # type: ignore[override]
+        """Tell what a caller may send."""
+        configuration = self._fleet.configuration
+        return CallerLimits() if configuration is None else configuration.limits
+
+    @property
+    def ready(self) -> bool:
+        """Whether the balancer should send callers here."""
+        fleet = self._fleet
+        known = fleet.configuration is not None
+        ready = known and not self.draining and fleet.freshness.holds()
+        if ready != self._was_ready:
+            self._was_ready = ready
+            fleet.log.write(
+                Event.READY,
+                ready=ready,
+                config_age_seconds=round(fleet.freshness.age_seconds(), 3)
+                if known
+                else None,
+                draining=self.draining,
+            )
+        return ready
+
+    async def __aenter__(self) -> Self:
+        """Follow the store and listen to callers."""
+        for feed in self._feeds:
+            self._own(self._loop.create_task(feed.run()))
+        address = self._fleet.settings.callers
+        assert address is not None  # noqa: S101
+        server = await self._loop.create_server(
+            lambda: CallerConnection(self._dialect, self),
+            *address,
+            backlog=_BACKLOG,
+        )
+        self.port = server.sockets[0].getsockname()[1]
+        self._stack.callback(server.close)
+        self._stack.callback(self._fleet.close)
+        self._own(self._loop.create_task(self._sweep()))
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """End everything."""
+        await self._stack.aclose()
+
+    async def drain(self) -> None:
+        """Leave: take nothing new, finish what runs, cut nothing early."""
+        self.draining = True
+        self._draining_since = self.now()
+        for connection in self._connections:
+            connection.end_after_answer()
+        ends_seconds = (
+            self.now() + _CUT_PART * self._fleet.settings.grace_seconds
+        )
+        await asyncio.sleep(LEAVE_SECONDS)
+        for connection in list(self._connections):
+            if not connection.busy and not connection.reading:
+                connection.close()
+        await self._wait_idle(ends_seconds)
+
+    async def _wait_idle(self, ends_seconds: float) -> None:
+        self._none_left.clear()
+        if not self._exchanges:
+            return
+        try:
+            async with asyncio.timeout_at(ends_seconds):
+                await self._none_left.wait()
+        except TimeoutError:
+            # Longer than the grace; what the process leaves here is cut by
+            # the signal that kills it.
+            self._fleet.log.write(
+                Event.STOPPING,
+                requests_cut=len(self._exchanges),
+            )
+
+    def now(self) -> float:
+        """Read the clock of the event loop."""
+        return self._loop.time()
+
+    def opened(self, connection: CallerConnection) -> None:
+        """Note a new connection."""
+        self._connections.add(connection)
+        if self.draining:
+            connection.end_after_answer()
+
+    def closed(self, connection: CallerConnection) -> None:
+        """Note that a connection is gone."""
+        self._connections.discard(connection)
+
+    async def serve(self, call: Call, caller: CallerConnection) -> None:
+        """Answer a call."""
+        exchange = Exchange(self._fleet, self._dialect, call, caller)
+        self._exchanges.add(exchange)
+        try:
+            await exchange.run()
+        except asyncio.CancelledError:
+            exchange.trace.reason = 'caller left'
+            raise
+        finally:
+            self._finished(call, exchange)
+
+    def failed(self, error: BaseException | None) -> None:
+        """Tell of a fault of the program."""
+        self._fleet.log.write(Event.FAULT, cause=repr(error))
+
+    def _own(self, task: asyncio.Task[None]) -> None:
+        self._stack.callback(task.cancel)
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        if not task.cancelled() and task.exception() is not None:
+            self.failed(task.exception())
+
+    def _finished(self, call: Call, exchange: Exchange) -> None:
+        self._exchanges.discard(exchange)
+        if not self._exchanges:
+            self._none_left.set()
+        took_seconds = self.now() - call.arrived_seconds
+        plan, trace = exchange.plan, exchange.trace
+        self.meters.ended(trace.status, took_seconds)
+        self._fleet.log.write(
+            Event.REQUEST_ENDED,
+            request=call.request_id,
+            status=trace.status or None,
+            reason=trace.reason,
+            route=plan.route.name if plan else None,
+            workspace=plan.workspace_name if plan else None,
+            servers=trace.servers,
+            waited_seconds=round(trace.waited_seconds, 3),
+            took_seconds=round(took_seconds, 3),
+        )
+
+    async def _sweep(self) -> None:
+        count = 0
+        while True:
+            await asyncio.sleep(SWEEP_SECONDS)
+            count += 1
+            self._find_silent()
+            self._fleet.log.flush()
+            if not count % _SWEEPS_A_SECOND:
+                self._fleet.connections.sweep()
+                self._close_idle()
+
+    def _close_idle(self) -> None:
+        now = self.now()
+        limits = self.limits
+        for connection in list(self._connections):
+            if connection.busy:
+                continue
+            allowed = limits.idle_seconds
+            if connection.reading:
+                allowed = limits.header_seconds + limits.idle_seconds
+            if now - connection.changed_seconds > allowed:
+                connection.close()
+
+    def _find_silent(self) -> None:
+        """Move resumable streams away from servers that went silent.
+
+        A server that went dark sends no reset; without this its streams
+        would hang until their callers give up.
+        """
+        now = self.now()
+        for exchange in self._exchanges:
+            plan, attempt = exchange.plan, exchange.attempt
+            if plan is None or attempt is None or attempt.done.done():
+                continue
+            allowed = _silence_seconds(plan.route, begun=attempt.begun)
+            if now - attempt.heard_seconds > allowed:
+                attempt.silent()
+
+
+def _silence_seconds(route: Route, *, begun: bool) -> float:
+    """Tell how long a server may say nothing."""
+    if route.kind is not RouteKind.STREAMING or not route.resumable:
+        return math.inf
+    if not begun:
+        return SILENT_FIRST_SECONDS + route.first_answer_seconds
+    return max(SILENT_GAP_SECONDS, SILENT_GAP_PARTS * route.event_gap_seconds)
--- /dev/null
+++ b/src/sardinetrack/relay/fleet.py
@@ -0,0 +1,170 @@
+"""What an entry knows of the fleet, and the objects that decide with it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterator
+from typing import Final
+
+from sardinetrack.errors.api import AnsweredError, ErrorKind
+from sardinetrack.fairness.recent import RecentService
+from sardinetrack.logs.events import Event, EventLog
+from sardinetrack.placement.load import ServerLoad
+from sardinetrack.relay.server_pool import ServerPool
+from sardinetrack.relay.settings import NodeSettings
+from sardinetrack.routing.breaker import Breaker
+from sardinetrack.routing.retries import RetryBudget
+from sardinetrack.topology.configuration import Configuration, Pool
+from sardinetrack.topology.freshness import Freshness
+from sardinetrack.topology.servers import BackendServer, ServerList
+from sardinetrack.turns.desk import LocalDesk
+from sardinetrack.turns.entry import SideLink
+from sardinetrack.turns.messages import Hello
+
+_KEPT_RATIO: Final = 0.8
+_KEPT_SLACK: Final = 0.6
+"""Parts of the fleet's retry budget that are given out.
+
+The rest covers retries that a restarted entry counts anew and windows in
+which the requests are spread unevenly over the entries.
+"""
+FIRST_ENTRIES: Final = 6
+"""Entries taken to exist until a side has told how many it sees."""
+
+
+class Fleet:
+    """Configuration, servers, loads, breakers and budgets of one entry."""
+
+    def __init__(self, settings: NodeSettings, log: EventLog) -> None:
+        """Start knowing nothing."""
+        self.settings = settings
+        self.log = log
+        self.configuration: Configuration | None = None
+        self.freshness = Freshness(settings.revoke_seconds)
+        self.servers = ServerList()
+        self.connections = ServerPool()
+        self.service = RecentService()
+        self.loads: dict[str, ServerLoad] = {}
+        self._breakers: dict[str, Breaker] = {}
+        self._desks: dict[str, LocalDesk] = {}
+        self._sides: dict[str, SideLink] = {}
+        self._side_tasks: dict[str, asyncio.Task[None]] = {}
+        self._budgets: dict[str, RetryBudget] = {}
+
+    @property
+    def entries(self) -> int:
+        """Count the entries of the fleet, as the sides see them."""
+        seen = [
+            link.lines.entries
+            for link in self._sides.values()
+            if link.lines is not None
+        ]
+        return max(seen, default=FIRST_ENTRIES)
+
+    def in_force(self) -> Configuration:
+        """Return the configuration.
+
+        :raises AnsweredError: there is none yet.
+        """
+        if self.configuration is None:
+            raise AnsweredError(ErrorKind.NOT_RUN_PLATFORM_DOWN)
+        return self.configuration
+
+    def load(self, server: BackendServer) -> ServerLoad:
+        """Find what is believed of a server's load."""
+        load = self.loads.get(server.instance)
+        if load is None:
+            load = ServerLoad()
+            self.loads[server.instance] = load
+        return load
+
+    def breaker(self, server: BackendServer) -> Breaker:
+        """Find the breaker of a server."""
+        breaker = self._breakers.get(server.instance)
+        if breaker is None:
+            breaker = Breaker()
+            self._breakers[server.instance] = breaker
+        return breaker
+
+    def desk(self, server: BackendServer, pool: Pool) -> LocalDesk:
+        """Find the own desk for a server whose side is away."""
+        desk = self._desks.get(server.instance)
+        if desk is None:
+            desk = LocalDesk()
+            self._desks[server.instance] = desk
+        share = 1 / self.entries
+        desk.admission.resize(pool.slots, pool.memory_tokens, share)
+        return desk
+
+    def side(self, server: BackendServer) -> SideLink | None:
+        """Find the link to a server's side if it is live."""
+        link = self._sides.get(server.ip)
+        return link if link is not None and link.live else None
+
+    def budget(self, pool: str) -> RetryBudget:
+        """Find the retry budget of a pool."""
+        budget = self._budgets.get(pool)
+        if budget is None:
+            settings = self.settings
+            slack = _KEPT_SLACK * settings.retry_slack / self.entries
+            ratio = _KEPT_RATIO * settings.retry_ratio
+            budget = RetryBudget(ratio, max(1, slack))
+            self._budgets[pool] = budget
+        return budget
+
+    def usable(self, now: float, pool: str) -> list[BackendServer]:
+        """List the servers of a pool that may be sent a request.
+
+        When every breaker is open all servers are tried: they may be back,
+        and to refuse for certain is no better than to fail perhaps.
+        """
+        servers = self.servers.of_pool(pool)
+        allowed = [
+            server for server in servers if self.breaker(server).allows(now)
+        ]
+        return allowed or list(servers)
+
+    def servers_changed(self) -> None:
+        """Open links to new sides, forget servers that are gone."""
+        for engine in self._model_servers():
+            self._link_side(engine)
+        listed = self.servers.instances
+        known_ips = {one.ip for one in listed.values()}
+        for ip in set(self._sides) - known_ips:
+            self._sides.pop(ip)
+            self._side_tasks.pop(ip).cancel()
+        for instance in set(self.loads) - set(listed):
+            self.loads.pop(instance)
+            self._breakers.pop(instance, None)
+            self._desks.pop(instance, None)
+            self.log.write(Event.SERVER_GONE, server=instance)
+
+    def close(self) -> None:
+        """End the links to the sides."""
+        for task in self._side_tasks.values():
+            task.cancel()
+
+    def _model_servers(self) -> Iterator[BackendServer]:
+        if self.configuration is None:
+            return
+        for server in self.servers.instances.values():
+            pool = self.configuration.pools.get(server.pool)
+            if pool is not None and pool.runs_models and not server.leaving:
+                yield server
+
+    def _link_side(self, server: BackendServer) -> None:
+        if server.ip not in self._sides:
+            self._open_side(server)
+        self.loads[server.instance] = self._sides[server.ip].load
+
+    def _open_side(self, server: BackendServer) -> None:
+        pool = self.in_force().pools[server.pool]
+        link = SideLink(
+            (server.ip, self.settings.turns_port),
+            Hello(self.settings.instance, pool.slots, pool.memory_tokens),
+            ServerLoad(),
+            self.log,
+        )
+        self._sides[server.ip] = link
+        loop = asyncio.get_running_loop()
+        self._side_tasks[server.ip] = loop.create_task(link.run())
--- /dev/null
+++ b/src/sardinetrack/relay/own_answer.py
@@ -0,0 +1,44 @@
+"""Answers of the entry itself, from the closed table of errors."""
+
+from __future__ import annotations
+
+from functools import cache
+from http import HTTPStatus
+
+import msgspec
+
+from sardinetrack.errors.api import AnsweredError
+from sardinetrack.errors.table import answer_for
+
+
+@cache
+def status_line(status: int) -> bytes:
+    """Write the first line of an answer."""
+    try:
+        phrase = HTTPStatus(status).phrase
+    except ValueError:
+        phrase = 'Unknown'
+    return f'HTTP/1.1 {status} {phrase}\r\n'.encode()
+
+
+def own_answer(error: AnsweredError) -> tuple[int, bytes, bytes]:
+    """Write the answer to a failure.
+
+    :return: status, header lines and body.
+    """
+    answer = answer_for(error.kind)
+    retry_after = error.retry_after_seconds
+    if retry_after is None:
+        retry_after = answer.retry_after_seconds
+    headers = b'content-type: application/json\r\n'
+    if retry_after is not None:
+        headers += b'retry-after: %.3f\r\n' % retry_after
+    body = {
+        'error': {
+            'message': error.detail or answer.message,
+            'type': answer.error_type,
+            'code': error.kind.value,
+            'not_run': answer.not_run,
+        },
+    }
+    return answer.status.value, headers, msgspec.json.encode(body)
--- /dev/null
+++ b/src/sardinetrack/relay/placing.py
@@ -0,0 +1,131 @@
+"""Find the server of a request and wait for a turn there."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+from typing import Final
+
+from sardinetrack.admission.reading import Ask
+from sardinetrack.errors.api import AnsweredError, ErrorKind
+from sardinetrack.placement.choice import (
+    Candidate,
+    by_load,
+    by_prompt,
+    without,
+)
+from sardinetrack.relay.api import Call
+from sardinetrack.relay.fleet import Fleet
+from sardinetrack.relay.plan import Plan
+from sardinetrack.relay.trace import Placed, Trace
+from sardinetrack.relay.turn import FreeTurn, TurnRefusedError, take_turn
+
+PATIENCE_PART: Final = 0.4
+"""Part of the objective to the first event that a request may wait."""
+MOST_ASKED: Final = 2
+"""Servers that are asked for a turn before a request is refused."""
+MOST_UNREACHED: Final = 4
+"""Servers that may turn out unreachable before a request is refused."""
+SERVER_AWAY_SECONDS: Final = 0.3
+"""When it is worth coming back after a server was away or full."""
+
+
+class Placer:
+    """Chooses among the servers that this request has not been at."""
+
+    def __init__(self, fleet: Fleet, call: Call, trace: Trace) -> None:
+        """Work for one request."""
+        self._fleet = fleet
+        self._call = call
+        self._trace = trace
+        self._loop = asyncio.get_running_loop()
+
+    async def place(self, plan: Plan) -> Placed:
+        """Wait until the request may be sent.
+
+        :raises AnsweredError: no server can take it in time.
+        """
+        candidates = self._candidates(plan)
+        if not candidates or len(self._trace.unreached) > MOST_UNREACHED:
+            raise AnsweredError(
+                ErrorKind.NOT_RUN_NO_SERVER,
+                retry_after_seconds=SERVER_AWAY_SECONDS,
+            )
+        if not plan.pool.runs_models:
+            return Placed(candidates[0], FreeTurn())
+        began_seconds = self._loop.time()
+        try:
+            return await self._take_turn(plan, candidates)
+        finally:
+            waited_seconds = self._loop.time() - began_seconds
+            self._trace.waited_seconds += waited_seconds
+
+    def _candidates(self, plan: Plan) -> list[Candidate]:
+        fleet = self._fleet
+        servers = fleet.usable(self._loop.time(), plan.pool.name)
+        if plan.pool.runs_models:
+            found = by_prompt(self._call.prompt, servers, fleet.loads)
+        else:
+            found = by_load(
+                servers,
+                fleet.loads,
+                fleet.settings.failure_domain,
+                fleet.entries,
+            )
+        trace = self._trace
+        untried = without(found, {*trace.servers, *trace.unreached})
+        return untried or without(found, trace.unreached)
+
+    async def _take_turn(
+        self,
+        plan: Plan,
+        candidates: Sequence[Candidate],
+    ) -> Placed:
+        patience_seconds = PATIENCE_PART * plan.route.first_answer_seconds
+        ends_seconds = self._loop.time() + patience_seconds
+        refusals: list[TurnRefusedError] = []
+        for candidate in candidates[:MOST_ASKED]:
+            left_seconds = max(0, ends_seconds - self._loop.time())
+            if refusals and candidate.wait_seconds > left_seconds:
+                break
+            ask = self._ask(plan, candidate, left_seconds)
+            try:
+                turn = await take_turn(self._fleet, plan.pool, candidate, ask)
+            except TurnRefusedError as refusal:
+                refusals.append(refusal)
+                continue
+            now = self._loop.time()
+            self._fleet.service.add(now, ask.workspace, ask.cost)
+            return Placed(candidate, turn)
+        raise self._refused(refusals)
+
+    def _ask(
+        self,
+        plan: Plan,
+        candidate: Candidate,
+        patience_seconds: float,
+    ) -> Ask:
+        prompt = self._call.prompt
+        fleet = self._fleet
+        request_id = self._call.request_id
+        number = self._trace.sent + len(self._trace.unreached)
+        now = self._loop.time()
+        return Ask(
+            ask_id=f'{request_id}.{number}',
+            workspace=plan.workspace_name,
+            new_tokens=candidate.new_tokens,
+            kept_tokens=candidate.new_tokens + prompt.answer_tokens,
+            answer_tokens=prompt.answer_tokens,
+            patience_seconds=patience_seconds,
+            entry=fleet.settings.instance,
+            served_tokens=fleet.service.tokens(now, plan.workspace_name),
+        )
+
+    def _refused(self, refusals: Sequence[TurnRefusedError]) -> AnsweredError:
+        self._trace.reason = '; '.join(str(refusal) for refusal in refusals)
+        return AnsweredError(
+            ErrorKind.NOT_RUN_DEADLINE,
+            retry_after_seconds=min(
+                refusal.retry_after_seconds for refusal in refusals
+            ),
+        )
--- /dev/null
+++ b/src/sardinetrack/relay/plan.py
@@ -0,0 +1,130 @@
+"""What a request is allowed, by the configuration in force."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Final
+
+import xxhash
+
+from sardinetrack.errors.api import AnsweredError, ErrorKind
+from sardinetrack.relay.api import Call
+from sardinetrack.relay.fleet import Fleet
+from sardinetrack.topology.configuration import (
+    Configuration,
+    Pool,
+    Route,
+    Workspace,
+)
+
+_PARTS: Final = 1_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """Route, pool and workspace of one request."""
+
+    version: int
+    route: Route
+    pool: Pool
+    workspace: Workspace | None
+    """``None`` on an anonymous route."""
+    ends_seconds: float
+    """When the caller must have its final answer."""
+
+    @property
+    def workspace_name(self) -> str:
+        """Name who is charged."""
+        return self.workspace.name if self.workspace else ''
+
+    @property
+    def priority(self) -> int:
+        """Rank, 0 first; that of the workspace goes before the route's."""
+        if self.workspace is None or self.workspace.priority is None:
+            return self.route.priority
+        return self.workspace.priority
+
+
+def make_plan(fleet: Fleet, call: Call) -> Plan:
+    """Find route, workspace and pool.
+
+    :raises AnsweredError: the request is not allowed, or this instance can't
+        know whether it is.
+    """
+    configuration = fleet.in_force()
+    route = configuration.route(call.host, call.path)
+    if route is None:
+        raise AnsweredError(ErrorKind.UNKNOWN_PATH)
+    workspace = _workspace(fleet, configuration, route, call)
+    patience = call.patience_seconds
+    allowed = route.timeout_seconds
+    if patience is not None:
+        allowed = min(allowed, patience)
+    return Plan(
+        version=configuration.version,
+        route=route,
+        pool=_pool(configuration, route, call),
+        workspace=workspace,
+        ends_seconds=call.arrived_seconds + allowed,
+    )
+
+
+def still_allowed(fleet: Fleet, plan: Plan, call: Call) -> None:
+    """Check key and route again just before a request is sent.
+
+    :raises AnsweredError: they were taken away meanwhile.
+    """
+    configuration = fleet.in_force()
+    if plan.workspace is not None:
+        _workspace(fleet, configuration, plan.route, call)
+    if configuration.version == plan.version:
+        return
+    route = configuration.route(call.host, call.path)
+    pools = () if route is None else route.pools
+    if all(weighted.pool != plan.pool.name for weighted in pools):
+        raise AnsweredError(
+            ErrorKind.NOT_RUN_LOST,
+            'the route has changed',
+            retry_after_seconds=0,
+        )
+
+
+def _workspace(
+    fleet: Fleet,
+    configuration: Configuration,
+    route: Route,
+    call: Call,
+) -> Workspace | None:
+    if route.anonymous or not configuration.workspaces:
+        return None
+    if not fleet.freshness.holds():
+        raise AnsweredError(
+            ErrorKind.NOT_RUN_PLATFORM_DOWN,
+            'the configuration can not be confirmed',
+            retry_after_seconds=1,
+        )
+    workspace = configuration.workspaces.get(call.api_key or '')
+    if workspace is None:
+        raise AnsweredError(ErrorKind.UNAUTHENTICATED)
+    return workspace
+
+
+def _pool(configuration: Configuration, route: Route, call: Call) -> Pool:
+    """Pick a pool by weight, the same one for the same request."""
+    total = sum(weighted.weight for weighted in route.pools)
+    point = (
+        xxhash.xxh3_64_intdigest(call.request_id.encode())
+        % _PARTS
+        / _PARTS
+        * total
+    )
+    name = route.pools[-1].pool
+    for weighted in route.pools:
+        point -= weighted.weight
+        if point < 0:
+            name = weighted.pool
+            break
+    pool = configuration.pools.get(name)
+    if pool is None:
+        raise AnsweredError(ErrorKind.NOT_RUN_NO_SERVER)
+    return pool
--- /dev/null
+++ b/src/sardinetrack/relay/ready.py
@@ -0,0 +1,56 @@
+"""The small listener for the balancer's question and the metrics."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from http import HTTPStatus
+from typing import Final, cast
+
+from sardinetrack.relay.own_answer import status_line
+
+Page = Callable[[], tuple[int, bytes]]
+"""Tells status and body of one path."""
+
+_MOST_BYTES: Final = 8192
+
+
+class PageConnection(asyncio.Protocol):
+    """Answers GET requests for a few fixed pages."""
+
+    def __init__(self, pages: dict[bytes, Page]) -> None:
+        """Serve these pages by path."""
+        self._pages = pages
+        self._transport: asyncio.Transport | None = None
+        self._rest = b''
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the transport."""
+        self._transport = cast(asyncio.Transport, transport)
+
+    def data_received(self, data: bytes) -> None:
+        """Answer each whole head."""
+        self._rest += data
+        while b'\r\n\r\n' in self._rest:
+            head, _, rest = self._rest.partition(b'\r\n\r\n')
+            self._rest = rest
+            self._answer(head)
+        if len(self._rest) > _MOST_BYTES and self._transport is not None:
+            self._transport.close()
+
+    def _answer(self, head: bytes) -> None:
+        words = head.split(b' ', 2)
+        path = words[1].partition(b'?')[0] if len(words) > 1 else b''
+        page = self._pages.get(path)
+        status, body = (HTTPStatus.NOT_FOUND, b'') if page is None else page()
+        if self._transport is not None:
+            self._transport.write(
+                b'%bcontent-length: %d\r\n\r\n%b'
+                % (status_line(status), len(body), body),
+            )
+
+
+def readiness_page(*, ready: bool) -> tuple[int, bytes]:
+    """Answer the balancer's question."""
+    status = HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE
+    return status, b''
--- /dev/null
+++ b/src/sardinetrack/relay/sender.py
@@ -0,0 +1,243 @@
+"""Send a request to one server, and learn from how that ends."""
+
+from __future__ import annotations
+
+import asyncio
+from functools import partial
+from typing import Final
+
+from sardinetrack.logs.events import Event
+from sardinetrack.placement.choice import Candidate
+from sardinetrack.relay.api import Call, Dialect, Sending
+from sardinetrack.relay.attempt import Attempt, AttemptEnd, Progress
+from sardinetrack.relay.caller_connection import CallerConnection
+from sardinetrack.relay.fleet import Fleet
+from sardinetrack.relay.plan import Plan, still_allowed
+from sardinetrack.relay.server_connection import ServerConnection
+from sardinetrack.relay.server_pool import IDLE_SECONDS, NotConnectedError
+from sardinetrack.relay.trace import Placed, Trace
+from sardinetrack.relay.turn import Turn
+from sardinetrack.routing.breaker import Breaker
+from sardinetrack.topology.configuration import RouteKind
+from sardinetrack.topology.servers import BackendServer
+
+ONCE_IDLE_SECONDS: Final = 1.0
+"""Idle time of a connection that a request which runs once may go on.
+
+A server may close an idle connection just as the request arrives; nobody
+could say then whether it has run.
+"""
+_LEAST_SECONDS: Final = 0.02
+_DIGITS: Final = 3
+
+
+class Sender:
+    """Sends one request, once or a few times one after the other."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        dialect: Dialect,
+        call: Call,
+        caller: CallerConnection,
+        trace: Trace,
+    ) -> None:
+        """Work for one request."""
+        self.attempt: Attempt | None = None
+        self._fleet = fleet
+        self._dialect = dialect
+        self._call = call
+        self._caller = caller
+        self._trace = trace
+        self._loop = asyncio.get_running_loop()
+
+    async def send(
+        self,
+        plan: Plan,
+        placed: Placed,
+        progress: Progress,
+    ) -> Attempt:
+        """Send, and wait for the end of the answer.
+
+        :return: the attempt, whose end is known.
+        :raises NotConnectedError: nothing was sent.
+        :raises AnsweredError: it is not allowed any more; nothing was sent.
+        """
+        server = placed.candidate.server
+        breaker = self._fleet.breaker(server)
+        generation = breaker.sent()
+        try:
+            connection = await self._connect(plan, server)
+        except NotConnectedError as error:
+            self._note_unreached(server, generation, str(error))
+            raise
+        except BaseException:
+            breaker.undecided(generation)
+            raise
+        attempt = self._prepare(plan, placed, progress, generation)
+        try:
+            await self._exchange(plan, placed.candidate, connection, attempt)
+        except BaseException:
+            breaker.undecided(generation)
+            connection.abort()
+            raise
+        else:
+            self._learn(server, generation, attempt)
+        finally:
+            self._release(server, connection, attempt)
+        return attempt
+
+    async def _connect(
+        self,
+        plan: Plan,
+        server: BackendServer,
+    ) -> ServerConnection:
+        fresh_seconds = IDLE_SECONDS
+        if not plan.route.repeatable:
+            fresh_seconds = ONCE_IDLE_SECONDS
+        return await self._fleet.connections.take(
+            server.address,
+            fresh_seconds=fresh_seconds,
+        )
+
+    def _prepare(
+        self,
+        plan: Plan,
+        placed: Placed,
+        progress: Progress,
+        generation: int,
+    ) -> Attempt:
+        progress.cutter.resume()
+        breaker = self._fleet.breaker(placed.candidate.server)
+        return Attempt(
+            self._call,
+            self._caller,
+            self._dialect,
+            progress,
+            streams=plan.route.kind is RouteKind.STREAMING,
+            on_begun=partial(_begun, placed.turn, breaker, generation),
+        )
+
+    async def _exchange(
+        self,
+        plan: Plan,
+        candidate: Candidate,
+        connection: ServerConnection,
+        attempt: Attempt,
+    ) -> None:
+        server = candidate.server
+        self._check_again(plan, server)
+        request = self._dialect.request(
+            self._call,
+            self._sending(plan, server, attempt),
+        )
+        self._note_sent(plan, candidate)
+        self.attempt = attempt
+        load = self._fleet.load(server)
+        load.running += 1
+        load.added_tokens += candidate.new_tokens
+        try:
+            connection.send(request, attempt)
+            self._caller.flow = connection.flow
+            await attempt.done
+        finally:
+            load.running -= 1
+            self._caller.flow = None
+
+    def _check_again(self, plan: Plan, server: BackendServer) -> None:
+        """Look once more at what may have changed while the request waited.
+
+        A key that was taken away, or a server that is leaving, would
+        otherwise get work for as long as requests wait.
+        """
+        still_allowed(self._fleet, plan, self._call)
+        if self._fleet.servers.get(server.instance) is None:
+            raise NotConnectedError('left meanwhile')
+
+    def _sending(
+        self,
+        plan: Plan,
+        server: BackendServer,
+        attempt: Attempt,
+    ) -> Sending:
+        left_seconds = plan.ends_seconds - self._loop.time()
+        return Sending(
+            server,
+            max(_LEAST_SECONDS, left_seconds),
+            plan.workspace.name if plan.workspace else None,
+            attempt.last_event,
+        )
+
+    def _note_sent(self, plan: Plan, candidate: Candidate) -> None:
+        fleet, trace = self._fleet, self._trace
+        if not trace.sent:
+            fleet.budget(plan.pool.name).first_attempt()
+        trace.servers.append(candidate.server.instance)
+        trace.proved_not_run = False
+        fleet.log.write(
+            Event.REQUEST_SENT,
+            request=self._call.request_id,
+            server=candidate.server.instance,
+            pool=plan.pool.name,
+            workspace=plan.workspace_name,
+            send=trace.sent,
+            config_version=plan.version,
+            config_age_seconds=round(fleet.freshness.age_seconds(), _DIGITS),
+            waited_seconds=round(trace.waited_seconds, _DIGITS),
+            server_wait_seconds=round(candidate.wait_seconds, _DIGITS),
+            new_tokens=candidate.new_tokens,
+            again_tokens=candidate.again_tokens,
+        )
+
+    def _learn(
+        self,
+        server: BackendServer,
+        generation: int,
+        attempt: Attempt,
+    ) -> None:
+        end = attempt.done.result()
+        breaker = self._fleet.breaker(server)
+        if end in {AttemptEnd.DELIVERED, AttemptEnd.NOT_RUN}:
+            breaker.succeeded(generation)
+        else:
+            breaker.failed(self._loop.time(), generation)
+        if end is AttemptEnd.NOT_RUN:
+            self._trace.proved_not_run = True
+        if attempt.reply is not None:
+            load = self._fleet.load(server)
+            load.reported_running = max(0, attempt.reply.running)
+
+    def _release(
+        self,
+        server: BackendServer,
+        connection: ServerConnection,
+        attempt: Attempt,
+    ) -> None:
+        if attempt.reply is not None:
+            connection.idle_limit_seconds = attempt.reply.idle_seconds
+        done = attempt.done
+        if not done.done() or done.result() is AttemptEnd.UNKNOWN:
+            connection.abort()
+        self._fleet.connections.give_back(server.address, connection)
+
+    def _note_unreached(
+        self,
+        server: BackendServer,
+        generation: int,
+        why: str,
+    ) -> None:
+        breaker = self._fleet.breaker(server)
+        breaker.failed(self._loop.time(), generation)
+        self._fleet.log.write(
+            Event.SERVER_SUSPECT,
+            request=self._call.request_id,
+            server=server.instance,
+            cause=why or 'no connection in time',
+            breaker=breaker.state.value,
+        )
+
+
+def _begun(turn: Turn, breaker: Breaker, generation: int) -> None:
+    """Note the first event: the server works, long before the answer ends."""
+    turn.begun()
+    breaker.succeeded(generation)
--- /dev/null
+++ b/src/sardinetrack/relay/settings.py
@@ -0,0 +1,31 @@
+"""What a process of the relay is told about itself."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+Listen = tuple[str, int]
+"""IP and port."""
+
+
+@dataclass(frozen=True, slots=True)
+class NodeSettings:
+    """Addresses and bounds of one instance."""
+
+    instance: str
+    ip: str
+    failure_domain: str
+    callers: Listen | None
+    ready: Listen | None
+    turns_port: int
+    """Where the side of an engine listens, on every instance alike."""
+    metrics_port: int
+    store: Listen
+    grace_seconds: float
+    """From the signal to stop until the process is killed."""
+    revoke_seconds: float | None
+    retry_ratio: float
+    """Second sends, as a part of the requests of the whole fleet."""
+    retry_window_seconds: float
+    retry_slack: float
+    """Second sends of the whole fleet in a window beyond the ratio."""
--- a/src/sardinetrack/side/ordering.py
+++ b/src/sardinetrack/side/ordering.py
@@ -10,9 +10,9 @@
 from sardinetrack.lease.keeper import LeaseKeeper
 from sardinetrack.lease.orders import ModelOrders
 from sardinetrack.lease.record import lease_key
-from sardinetrack.platform.api import Platform
 from sardinetrack.side.ordered_server import HttpOrderedServer
 from sardinetrack.side.parts import SideParts
+from sardinetrack.store.api import Platform
 
 _MARGIN_PART: Final = 0.2
 """Part of a lease that its holder leaves unused."""
--- a/src/sardinetrack/side/parts.py
+++ b/src/sardinetrack/side/parts.py
@@ -9,9 +9,9 @@
 from sardinetrack.config.model import SideSettings
 from sardinetrack.links.api import LinkBounds
 from sardinetrack.links.secret import PeerSecret
-from sardinetrack.platform.api import Platform
 from sardinetrack.side.concurrency import ConcurrencyLimit, FixedLimit
 from sardinetrack.side.configuration import SideConfiguration
+from sardinetrack.store.api import Platform
 
 _SEND_SECONDS: Final = 20.0
 
--- a/src/sardinetrack/standin/platform.py
+++ b/src/sardinetrack/standin/platform.py
@@ -20,15 +20,15 @@
     Scope,
     Send,
 )
-from sardinetrack.platform.api import (
+from sardinetrack.standin.platform_faults import CallKind, FaultGate, Faults
+from sardinetrack.standin.platform_objects import ObjectCalls
+from sardinetrack.store.api import (
     MAX_VALUE_BYTES,
     ListedInstance,
     RefusedError,
     UnavailableError,
 )
-from sardinetrack.platform.in_process import Disturbance, MemoryPlatform
-from sardinetrack.standin.platform_faults import CallKind, FaultGate, Faults
-from sardinetrack.standin.platform_objects import ObjectCalls
+from sardinetrack.store.in_process import Disturbance, MemoryPlatform
 
 _OBJECTS: Final = '/objects'
 _INSTANCES: Final = '/instances'
--- a/src/sardinetrack/standin/platform_objects.py
+++ b/src/sardinetrack/standin/platform_objects.py
@@ -7,21 +7,21 @@
 import anyio
 
 from sardinetrack.http.asgi import Exchange
-from sardinetrack.platform.api import (
+from sardinetrack.standin.platform_faults import FaultGate
+from sardinetrack.store.api import (
     MAX_VALUE_BYTES,
     ConflictError,
     Listing,
     UnavailableError,
     WatchLostError,
 )
-from sardinetrack.platform.in_process import MemoryPlatform
-from sardinetrack.platform.wire import (
+from sardinetrack.store.in_process import MemoryPlatform
+from sardinetrack.store.wire import (
     ConflictBody,
     ObjectBody,
     listing_body,
     object_body,
 )
-from sardinetrack.standin.platform_faults import FaultGate
 
 
 class ObjectCalls:
--- a/src/sardinetrack/platform/api.py
+++ b/src/sardinetrack/store/api.py
@@ -96,8 +96,8 @@
     """The watch can't resume at this revision; list again."""
 
 
-class Platform(ABC):
-    """The calls that the system makes on the platform; each is counted."""
+class ObjectApi(ABC):
+    """Objects with versions, conditional writes and watches."""
 
     @abstractmethod
     async def get(self, key: str) -> StoredObject | None:
@@ -147,6 +147,10 @@
         :raises WatchLostError: the revision is too old; list again.
         """
 
+
+class Platform(ObjectApi):
+    """The calls that the system makes on the platform; each is counted."""
+
     @abstractmethod
     async def instances(self) -> tuple[ListedInstance, ...]:
         """Read the lagging list of instances."""
--- a/src/sardinetrack/platform/backoff.py
+++ b/src/sardinetrack/store/backoff.py
@@ -5,7 +5,7 @@
 import random
 from typing import Final
 
-from sardinetrack.platform.api import PlatformError, ThrottledError
+from sardinetrack.store.api import PlatformError, ThrottledError
 
 _FIRST_SECONDS: Final = 0.1
 _LONGEST_SECONDS: Final = 1.0
--- a/src/sardinetrack/platform/http.py
+++ b/src/sardinetrack/store/http.py
@@ -15,7 +15,7 @@
     NotSentError,
     Reply,
 )
-from sardinetrack.platform.api import (
+from sardinetrack.store.api import (
     ConflictError,
     ListedInstance,
     Listing,
@@ -29,7 +29,7 @@
     UncertainError,
     WatchLostError,
 )
-from sardinetrack.platform.wire import (
+from sardinetrack.store.wire import (
     ConflictBody,
     ListingBody,
     ObjectBody,
--- a/src/sardinetrack/platform/in_process.py
+++ b/src/sardinetrack/store/in_process.py
@@ -9,7 +9,7 @@
 
 import anyio
 
-from sardinetrack.platform.api import (
+from sardinetrack.store.api import (
     ListedInstance,
     Listing,
     Platform,
@@ -17,7 +17,7 @@
     UnavailableError,
     UncertainError,
 )
-from sardinetrack.platform.memory import MemoryStore
+from sardinetrack.store.memory import MemoryStore
 
 _LAG_STEP_SECONDS: Final = 0.02
 
--- a/src/sardinetrack/platform/memory.py
+++ b/src/sardinetrack/store/memory.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from sardinetrack.platform.api import (
+from sardinetrack.store.api import (
     MAX_VALUE_BYTES,
     ConflictError,
     ListedInstance,
--- a/src/sardinetrack/platform/wire.py
+++ b/src/sardinetrack/store/wire.py
@@ -4,7 +4,7 @@
 
 from msgspec import Struct
 
-from sardinetrack.platform.api import Listing, StoredObject
+from sardinetrack.store.api import Listing, StoredObject
 
 
 class ObjectBody(Struct, frozen=True):
--- /dev/null
+++ b/src/sardinetrack/topology/__init__.py
@@ -0,0 +1,1 @@
+"""What the fleet serves: routes, pools, workspaces and backend servers."""
--- /dev/null
+++ b/src/sardinetrack/topology/feed.py
@@ -0,0 +1,117 @@
+"""Follow one kind of objects in the store for as long as it runs."""
+
+from __future__ import annotations
+
+import asyncio
+from abc import ABC, abstractmethod
+from typing import Final
+
+from sardinetrack.logs.events import Event, EventLog
+from sardinetrack.store.api import (
+    Listing,
+    ObjectApi,
+    PlatformError,
+    StoredObject,
+    WatchLostError,
+)
+from sardinetrack.topology.freshness import boot_clock
+
+WAIT_SECONDS: Final = 1.0
+"""How long a watch waits.
+
+Each answer confirms the view, so that in calm it is at most two waits old:
+a fifth of the calls of a poll twice a second, and changes come at once.
+"""
+FIRST_PAUSE_SECONDS: Final = 0.1
+MOST_PAUSE_SECONDS: Final = 0.5
+_GROWTH: Final = 2.0
+
+
+class Follower(ABC):
+    """Takes what a feed reads."""
+
+    @abstractmethod
+    def listed(self, listing: Listing) -> None:
+        """Take over all objects."""
+
+    @abstractmethod
+    def changed(self, stored: StoredObject) -> None:
+        """Take one new, changed or deleted object."""
+
+    @abstractmethod
+    def confirmed(self, asked_seconds: float) -> None:
+        """Note that the view was whole at that time of the boot clock."""
+
+    @abstractmethod
+    def lost(self) -> None:
+        """Note that the store does not answer."""
+
+
+class Feed:
+    """Lists, then watches; lists again when the history is gone."""
+
+    def __init__(
+        self,
+        store: ObjectApi,
+        prefix: str,
+        follower: Follower,
+        log: EventLog,
+        wait_seconds: float = WAIT_SECONDS,
+    ) -> None:
+        """Remember what to follow."""
+        self._store = store
+        self._prefix = prefix
+        self._follower = follower
+        self._log = log
+        self._wait_seconds = wait_seconds
+        self._pause_seconds = FIRST_PAUSE_SECONDS
+        self._away = False
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            try:
+                await self._follow()
+            except WatchLostError:
+                self._log.write(Event.HISTORY_LOST, what=self._prefix)
+            except PlatformError as error:
+                await self._wait_out(error)
+
+    async def _follow(self) -> None:
+        asked_seconds = boot_clock()
+        listing = await self._store.list(self._prefix)
+        self._answered(asked_seconds)
+        self._follower.listed(listing)
+        revision = listing.revision
+        while True:
+            asked_seconds = boot_clock()
+            changes = await self._store.watch(
+                self._prefix,
+                after_revision=revision,
+                wait_seconds=self._wait_seconds,
+            )
+            for stored in changes.objects:
+                self._follower.changed(stored)
+            self._answered(asked_seconds)
+            revision = max(revision, changes.revision)
+
+    def _answered(self, asked_seconds: float) -> None:
+        if self._away:
+            self._log.write(Event.STORE_BACK, what=self._prefix)
+            self._away = False
+            self._follower.lost()
+        self._pause_seconds = FIRST_PAUSE_SECONDS
+        self._follower.confirmed(asked_seconds)
+
+    async def _wait_out(self, error: PlatformError) -> None:
+        if not self._away:
+            self._log.write(
+                Event.STORE_LOST,
+                what=self._prefix,
+                cause=str(error),
+            )
+        self._away = True
+        self._follower.lost()
+        await asyncio.sleep(self._pause_seconds)
+        grown = self._pause_seconds * _GROWTH
+        self._pause_seconds = min(grown, MOST_PAUSE_SECONDS)
--- /dev/null
+++ b/src/sardinetrack/topology/servers.py
@@ -0,0 +1,133 @@
+"""Backend servers as the platform lists them."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from typing import Final
+
+RETURN_SECONDS: Final = 1.6
+"""How long a server that vanished from the list around an outage is kept.
+
+Source: the platform's pages say that servers whose entries lapsed while the
+store was away are listed again within about two seconds of its return, and
+that one still missing then is gone; one that left must get nothing 2 s after
+this instance has read of it, so the grace ends before that.
+"""
+
+
+@dataclass(frozen=True, slots=True)
+class BackendServer:
+    """One incarnation of a backend server."""
+
+    instance: str
+    pool: str
+    ip: str
+    port: int
+    failure_domain: str
+    slots: int
+    leaving: bool
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """IP and port for connections."""
+        return (self.ip, self.port)
+
+
+class ServerList:
+    """The servers that may get work, by instance; reads no clock."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._listed: dict[str, BackendServer] = {}
+        self._missing: dict[str, float] = {}
+        self._shaky_until_seconds = float(0)
+        self._by_pool: dict[str, tuple[BackendServer, ...]] = {}
+
+    def replace(self, now: float, servers: Iterable[BackendServer]) -> None:
+        """Take over a whole listing."""
+        listed = {server.instance: server for server in servers}
+        for instance in listed:
+            self._missing.pop(instance, None)
+        for gone in set(self._listed) - set(listed):
+            self._vanish(now, gone, listed)
+        self._listed = listed
+        self._regroup()
+
+    def put(self, server: BackendServer) -> None:
+        """Note a new or changed server."""
+        self._listed[server.instance] = server
+        self._missing.pop(server.instance, None)
+        self._regroup()
+
+    def remove(self, now: float, instance: str) -> None:
+        """Note that a server is no longer listed."""
+        if instance in self._listed:
+            listed = dict(self._listed)
+            listed.pop(instance)
+            self._vanish(now, instance, listed)
+            self._listed = listed
+            self._regroup()
+
+    def outage(self, now: float) -> None:
+        """Note that the list can't be read, or could not until now.
+
+        Entries lapse while the store is away, though the servers live. Were
+        they dropped at once, every request would be refused for two seconds
+        after each outage with all servers idle.
+        """
+        self._shaky_until_seconds = now + RETURN_SECONDS
+
+    def expire(self, now: float) -> tuple[str, ...]:
+        """Drop the servers that did not come back in time.
+
+        :return: their instances.
+        """
+        late = tuple(
+            instance
+            for instance, until in self._missing.items()
+            if until <= now
+        )
+        for instance in late:
+            self._missing.pop(instance)
+            self._listed.pop(instance, None)
+        if late:
+            self._regroup()
+        return late
+
+    def of_pool(self, pool: str) -> tuple[BackendServer, ...]:
+        """List the servers of a pool that take new work."""
+        return self._by_pool.get(pool, ())
+
+    def get(self, instance: str) -> BackendServer | None:
+        """Find a server that takes new work."""
+        server = self._listed.get(instance)
+        return None if server is None or server.leaving else server
+
+    @property
+    def instances(self) -> Mapping[str, BackendServer]:
+        """All listed servers, leaving ones too."""
+        return self._listed
+
+    def _vanish(
+        self,
+        now: float,
+        instance: str,
+        listed: dict[str, BackendServer],
+    ) -> None:
+        server = self._listed[instance]
+        taken = any(
+            other.address == server.address for other in listed.values()
+        )
+        if server.leaving or taken or now >= self._shaky_until_seconds:
+            self._missing.pop(instance, None)
+            return
+        listed[instance] = server
+        self._missing.setdefault(instance, now + RETURN_SECONDS)
+
+    def _regroup(self) -> None:
+        pools: dict[str, list[BackendServer]] = {}
+        for server in self._listed.values():
+            if not server.leaving:
+                pools.setdefault(server.pool, []).append(server)
+        self._by_pool = {name: tuple(pool) for name, pool in pools.items()}
--- /dev/null
+++ b/src/sardinetrack/turns/__init__.py
@@ -0,0 +1,1 @@
+"""Turns at a backend server: entries ask its side, the side grants."""
--- /dev/null
+++ b/src/sardinetrack/turns/messages.py
@@ -0,0 +1,74 @@
+"""Messages between an entry and a side: one JSON array a line."""
+
+from __future__ import annotations
+
+from typing import Final
+
+import msgspec
+
+MOST_LINE_BYTES: Final = 65_536
+
+
+class Hello(msgspec.Struct, tag='hello', array_like=True, frozen=True):
+    """An entry introduces itself and the size of the server's engine."""
+
+    entry: str
+    slots: int
+    memory_tokens: int
+
+
+class AskTurn(msgspec.Struct, tag='ask', array_like=True, frozen=True):
+    """A request would like to go to the server."""
+
+    ask_id: str
+    workspace: str
+    new_tokens: int
+    kept_tokens: int
+    answer_tokens: int
+    patience_seconds: float
+    priority: int
+    served_tokens: float
+
+
+class Begun(msgspec.Struct, tag='begun', array_like=True, frozen=True):
+    """The first event of a request came."""
+
+    ask_id: str
+
+
+class Ended(msgspec.Struct, tag='ended', array_like=True, frozen=True):
+    """A request is over, or its caller left before it was granted."""
+
+    ask_id: str
+
+
+class TurnGranted(msgspec.Struct, tag='granted', array_like=True, frozen=True):
+    """The request may be sent now."""
+
+    ask_id: str
+
+
+class TurnRefused(msgspec.Struct, tag='refused', array_like=True, frozen=True):
+    """The request can't be served in time."""
+
+    ask_id: str
+    retry_after_seconds: float
+    waited_seconds: float
+    ahead_tokens: int
+
+
+class SideWord(msgspec.Struct, tag='load', array_like=True, frozen=True):
+    """What the side tells every entry of its server, several times a second."""
+
+    wait_seconds: float
+    rate_tokens: float
+    slots_left: int
+    entries: int
+
+
+FromEntry = Hello | AskTurn | Begun | Ended
+FromSide = TurnGranted | TurnRefused | SideWord
+
+ENCODE: Final = msgspec.json.Encoder().encode
+DECODE_FROM_ENTRY: Final = msgspec.json.Decoder(FromEntry).decode
+DECODE_FROM_SIDE: Final = msgspec.json.Decoder(FromSide).decode
--- /dev/null
+++ b/src/sardinetrack/turns/side.py
@@ -0,0 +1,214 @@
+"""The side of one model engine: it grants turns to the entries."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import AsyncExitStack
+from types import TracebackType
+from typing import Final, Self
+
+from sardinetrack.admission.reading import Ask, Granted, Verdict
+from sardinetrack.logs.events import Event, EventLog
+from sardinetrack.turns.desk import TurnDesk
+from sardinetrack.turns.lines import LineProtocol
+from sardinetrack.turns.messages import (
+    DECODE_FROM_ENTRY,
+    AskTurn,
+    Begun,
+    Ended,
+    Hello,
+    SideWord,
+    TurnGranted,
+    TurnRefused,
+)
+
+WORD_SECONDS: Final = 0.15
+"""How often a side tells its load; an entry adds what it sent since."""
+QUIET_WORD_SECONDS: Final = 0.45
+"""How often it does so when nothing has changed, as a sign of life."""
+_TOLD_DIGITS: Final = 3
+
+
+class EntryLines(LineProtocol):
+    """One entry's connection."""
+
+    def __init__(self, side: Side) -> None:
+        """Belong to a side."""
+        super().__init__()
+        self.entry = ''
+        self.asked: set[str] = set()
+        self._side = side
+
+    def opened(self) -> None:
+        """Join the entries."""
+        self._side.join(self)
+
+    def lost(self) -> None:
+        """Leave the entries."""
+        self._side.leave(self)
+
+    def line(self, line: bytes) -> None:
+        """Hand a message on."""
+        message = DECODE_FROM_ENTRY(line)
+        match message:
+            case AskTurn():
+                self.asked.add(message.ask_id)
+                self._side.take(self, message)
+            case Begun():
+                self._side.begun(message.ask_id)
+            case Ended():
+                self.asked.discard(message.ask_id)
+                self._side.ended(message.ask_id)
+            case Hello():
+                self.entry = message.entry
+                self._side.met(message)
+
+
+class Side(TurnDesk):
+    """Owns the admission to one engine, and the entries' connections."""
+
+    def __init__(self, address: tuple[str, int], log: EventLog) -> None:
+        """Prepare.
+
+        :param address: where entries connect.
+        """
+        super().__init__()
+        self._address = address
+        self._log = log
+        self._entries: set[EntryLines] = set()
+        self._owners: dict[str, EntryLines] = {}
+        self._told: tuple[float, int, int] | None = None
+        self._told_seconds = float(0)
+        self._stack = AsyncExitStack()
+
+    async def __aenter__(self) -> Self:
+        """Listen."""
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(
+            lambda: EntryLines(self),
+            *self._address,
+            reuse_address=True,
+        )
+        self._stack.callback(server.close)
+        task = loop.create_task(self._tell_all())
+        self._stack.callback(task.cancel)
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Stop listening and drop the entries."""
+        for entry in list(self._entries):
+            entry.abort()
+        await self._stack.aclose()
+
+    def join(self, entry: EntryLines) -> None:
+        """Note a connection."""
+        self._entries.add(entry)
+
+    def met(self, hello: Hello) -> None:
+        """Learn the engine's size from an entry."""
+        self.admission.resize(hello.slots, hello.memory_tokens)
+        self._log.write(
+            Event.ENTRY_CONNECTED,
+            entry=hello.entry,
+            slots=hello.slots,
+            memory_tokens=hello.memory_tokens,
+        )
+
+    def leave(self, entry: EntryLines) -> None:
+        """Free what an entry held.
+
+        Its requests may still run at the engine; they are not waited for,
+        since nobody will tell of their end.
+        """
+        self._entries.discard(entry)
+        self._log.write(
+            Event.ENTRY_LOST,
+            entry=entry.entry,
+            requests=len(entry.asked),
+        )
+        for ask_id in entry.asked:
+            self._owners.pop(ask_id, None)
+            self.withdraw(ask_id)
+
+    def take(self, entry: EntryLines, message: AskTurn) -> None:
+        """Take in a request."""
+        self._owners[message.ask_id] = entry
+        ask = Ask(
+            message.ask_id,
+            message.workspace,
+            message.new_tokens,
+            message.kept_tokens,
+            message.answer_tokens,
+            message.patience_seconds,
+            message.priority,
+            entry.entry,
+            message.served_tokens,
+        )
+        self.ask(ask)
+
+    def ended(self, ask_id: str) -> None:
+        """Free a turn."""
+        self._owners.pop(ask_id, None)
+        self.withdraw(ask_id)
+
+    def deliver(self, verdict: Verdict) -> None:
+        """Tell the entry that asked."""
+        owner = self._owners.get(verdict.ask_id)
+        if owner is None:
+            self.withdraw(verdict.ask_id)
+        else:
+            self._tell(owner, verdict)
+
+    def _tell(self, owner: EntryLines, verdict: Verdict) -> None:
+        if isinstance(verdict, Granted):
+            owner.send(TurnGranted(verdict.ask_id))
+            return
+        self._owners.pop(verdict.ask_id, None)
+        owner.asked.discard(verdict.ask_id)
+        owner.send(
+            TurnRefused(
+                verdict.ask_id,
+                round(verdict.retry_after_seconds, _TOLD_DIGITS),
+                round(verdict.waited_seconds, _TOLD_DIGITS),
+                verdict.ahead_tokens,
+            ),
+        )
+        self._log.write(
+            Event.REFUSED,
+            request=verdict.ask_id,
+            entry=owner.entry,
+            waited_seconds=round(verdict.waited_seconds, _TOLD_DIGITS),
+            ahead_tokens=verdict.ahead_tokens,
+            rate_tokens=int(self.admission.rate_tokens),
+            running=self.admission.running,
+            waiting=self.admission.waiting,
+        )
+
+    async def _tell_all(self) -> None:
+        while True:
+            await asyncio.sleep(WORD_SECONDS)
+            wait_seconds = round(self.admission.wait_seconds(), 2)
+            slots_left = self.admission.slots_left
+            word = (wait_seconds, slots_left, len(self._entries))
+            quiet = _now() - self._told_seconds < QUIET_WORD_SECONDS
+            if word == self._told and quiet:
+                continue
+            self._told = word
+            self._told_seconds = _now()
+            message = SideWord(
+                wait_seconds,
+                round(self.admission.rate_tokens),
+                slots_left,
+                len(self._entries),
+            )
+            for entry in self._entries:
+                entry.send(message)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/tests/admission/reading.feature
@@ -0,0 +1,95 @@
+Feature: Turns at an engine by what it has to read
+
+  Figures: an engine that reads 40,000 tokens a second is given at most 0.35 s
+  of reading ahead, so 14,000 tokens; more waits here, where the order is ours.
+
+  Scenario: An idle engine is never kept waiting
+    Given an engine of 8 slots
+    When workspace pilot asks for 5000 tokens
+    Then pilot is granted 1 turn
+
+  Scenario: A prompt larger than all room is granted to an idle engine
+    Given an engine of 8 slots
+    When workspace pilot asks for 50000 tokens
+    Then pilot is granted 1 turn
+
+  Scenario: A lone pilot goes before a flood
+    One agency sends twenty requests in a moment. A pilot asks once after
+    them, and is the next to be granted.
+
+    Given an engine of 64 slots
+    When workspace agency asks 20 times for 5000 tokens
+    And workspace pilot asks for 5000 tokens
+    And the engine has read one prompt
+    Then pilot is granted 1 turn
+
+  Scenario: Service at other servers counts
+    The prompts of one workspace are at home here, those of another are
+    spread over all servers. Both flood. Counted by this server alone they
+    would share it evenly, and the first would get a ninth of the fleet's
+    service of the second.
+
+    Given an engine of 64 slots
+    When with 0 tokens served elsewhere home asks 6 times for 5000 tokens
+    And with 400000 tokens served elsewhere spread asks 6 times for 5000 tokens
+    And the engine reads prompts for 1 second
+    Then home is granted 6 turns
+    And spread is granted fewer turns
+
+  Scenario: What can't be read in time is refused at once
+    Waiting would be in vain; the caller is told when the queue will have
+    drained, from the rate at which the engine reads.
+
+    Given an engine of 64 slots
+    When workspace agency asks 20 times for 10000 tokens
+    Then some of agency are refused at once
+    And they are told to come back after the queue has drained
+
+  Scenario: A pilot is not refused for a flood's queue
+    Given an engine of 64 slots
+    When workspace agency asks 20 times for 10000 tokens
+    And workspace pilot asks for 500 tokens
+    Then pilot is not refused
+
+  Scenario: Who has waited for too long is refused, not forgotten
+    Given an engine of 64 slots
+    When workspace agency asks 3 times for 9000 tokens
+    And 0.5 seconds pass at the engine
+    Then 2 of agency are refused
+
+  Scenario: A caller that leaves frees its place
+    Given an engine of 1 slot
+    When workspace agency asks 1 times for 100 tokens
+    And workspace pilot asks for 100 tokens
+    And the request of agency ends
+    Then pilot is granted 1 turn
+
+  Scenario: The engine's memory is not overfilled
+    An engine whose memory runs out throws out its newest request and reads it
+    again from the start, so what would not fit waits here.
+
+    Given an engine of 64 slots
+    When workspace agency asks 8 times for 100 tokens and 20000 answer tokens
+    Then agency is granted 3 turns
+
+  Scenario: A slow engine is learned and given less
+    Given an engine of 64 slots
+    When its prompts take five times as long for a while
+    Then its wait is told five times as long
+
+  Scenario Outline: Flood, seed <seed>
+    Whatever comes in whatever order: places are conserved, nothing waits
+    while the engine is idle, each ask has one verdict, and the service of two
+    workspaces that both wait differs by no more than the largest requests.
+
+    Given an engine of 64 slots
+    When 4 workspaces ask at random for 30 seconds with seed <seed>
+    Then every ask had one verdict
+    And workspaces that waited all along were served alike
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+      | 4    |
--- /dev/null
+++ b/tests/admission/steps/reading_steps.py
@@ -0,0 +1,233 @@
+"""Steps for turns at an engine."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from math import isclose
+
+from behave import given, step, then, when
+
+from sardinetrack.admission.reading import (
+    FIRST_RATE_TOKENS,
+    Ask,
+    Granted,
+    ReadingAdmission,
+    Refused,
+)
+
+_PATIENCE_SECONDS = 0.4
+_MEMORY_TOKENS = 100_000
+
+
+class Engine:
+    """An admission and an engine that reads one prompt after the other."""
+
+    def __init__(self, slots):
+        self.now = float(0)
+        self.admission = ReadingAdmission(slots, _MEMORY_TOKENS)
+        self.asks = {}
+        self.granted = []
+        self.refused = {}
+        self.unread = []
+
+    def ask(self, workspace, tokens, **more):
+        name = f'{workspace}.{len(self.asks)}'
+        fields = {
+            'kept_tokens': 100,
+            'answer_tokens': 50,
+            'patience_seconds': _PATIENCE_SECONDS,
+            **more,
+        }
+        ask = Ask(name, workspace, tokens, **fields)
+        self.asks[name] = ask
+        self.take(self.admission.ask(self.now, ask))
+
+    def take(self, verdicts):
+        for verdict in verdicts:
+            assert verdict.ask_id not in self.refused
+            assert verdict.ask_id not in self.granted
+            if isinstance(verdict, Granted):
+                self.granted.append(verdict.ask_id)
+                self.unread.append(verdict.ask_id)
+            else:
+                assert isinstance(verdict, Refused)
+                self.refused[verdict.ask_id] = verdict
+
+    def read_one(self, rate=FIRST_RATE_TOKENS):
+        name = self.unread.pop(0)
+        self.now += self.asks[name].new_tokens / rate
+        self.take(self.admission.tick(self.now))
+        self.take(self.admission.begun(self.now, name))
+        return name
+
+    def run_one(self, rate=FIRST_RATE_TOKENS):
+        name = self.read_one(rate)
+        self.take(self.admission.ended(self.now, name))
+
+    def count(self, names, workspace):
+        return sum(name.startswith(f'{workspace}.') for name in names)
+
+
+@given('an engine of {slots:d} slot')
+@given('an engine of {slots:d} slots')
+def open_engine(context, slots):
+    context.engine = Engine(slots)
+
+
+@step('workspace {workspace} asks for {tokens:d} tokens')
+def ask_one(context, workspace, tokens):
+    context.engine.ask(workspace, tokens)
+
+
+@step('workspace {workspace} asks {count:d} times for {tokens:d} tokens')
+def ask_often(context, workspace, count, tokens):
+    for _ in range(count):
+        context.engine.ask(workspace, tokens)
+
+
+@step(
+    'with {served:d} tokens served elsewhere {workspace}'
+    ' asks {count:d} times for {tokens:d} tokens',
+)
+def ask_served(context, served, workspace, count, tokens):
+    for _ in range(count):
+        context.engine.ask(
+            workspace,
+            tokens,
+            entry='e',
+            served_tokens=served,
+            patience_seconds=2,
+        )
+
+
+@step(
+    'workspace {workspace} asks {count:d} times for {tokens:d} tokens'
+    ' and {answer:d} answer tokens',
+)
+def ask_long(context, workspace, count, tokens, answer):
+    for _ in range(count):
+        context.engine.ask(workspace, tokens, kept_tokens=tokens + answer)
+
+
+@when('the engine has read one prompt')
+def read_one(context):
+    context.before = list(context.engine.granted)
+    context.engine.read_one()
+
+
+@when('the engine reads prompts for {seconds:d} second')
+def read_for(context, seconds):
+    engine = context.engine
+    ends = engine.now + seconds
+    while engine.unread and engine.now < ends:
+        engine.read_one()
+
+
+@when('{seconds:g} seconds pass at the engine')
+def wait(context, seconds):
+    engine = context.engine
+    engine.now += seconds
+    engine.take(engine.admission.tick(engine.now))
+
+
+@when('the request of {workspace} ends')
+def end_request(context, workspace):
+    engine = context.engine
+    engine.take(engine.admission.ended(engine.now, f'{workspace}.0'))
+
+
+@when('its prompts take five times as long for a while')
+def slow_down(context):
+    engine = context.engine
+    for _ in range(300):
+        engine.ask('probe', 2000)
+        engine.run_one(FIRST_RATE_TOKENS / 5)
+
+
+@when(
+    '{count:d} workspaces ask at random for {seconds:d} seconds'
+    ' with seed {seed:d}'
+)
+def ask_at_random(context, count, seconds, seed):
+    engine = context.engine
+    draw = random.Random(seed)
+    names = [f'w{number}' for number in range(count)]
+    while engine.now < seconds:
+        draw.shuffle(names)
+        for workspace in names:
+            if draw.randrange(5):
+                engine.ask(workspace, draw.randint(200, 6000))
+        if engine.unread:
+            engine.run_one()
+        else:
+            engine.now += 0.05
+    engine.now += 10
+    engine.take(engine.admission.tick(engine.now))
+
+
+@then('{workspace} is granted {count:d} turn')
+@then('{workspace} is granted {count:d} turns')
+def is_granted(context, workspace, count):
+    engine = context.engine
+    got = engine.count(engine.granted, workspace)
+    assert got == count, got
+
+
+@then('{workspace} is granted fewer turns')
+def is_granted_fewer(context, workspace):
+    engine = context.engine
+    assert engine.count(engine.granted, workspace) < 6, engine.granted
+
+
+@then('some of {workspace} are refused at once')
+def some_refused(context, workspace):
+    engine = context.engine
+    assert engine.count(engine.refused, workspace) > 0
+    waits = [one.waited_seconds for one in engine.refused.values()]
+    assert not any(waits)
+
+
+@then('they are told to come back after the queue has drained')
+def told_when(context):
+    engine = context.engine
+    for refused in engine.refused.values():
+        drain_seconds = refused.ahead_tokens / engine.admission.rate_tokens
+        told_seconds = refused.retry_after_seconds
+        assert isclose(told_seconds, drain_seconds, abs_tol=0.1)
+
+
+@then('{workspace} is not refused')
+def not_refused(context, workspace):
+    assert not context.engine.count(context.engine.refused, workspace)
+
+
+@then('{count:d} of {workspace} are refused')
+def are_refused(context, count, workspace):
+    got = context.engine.count(context.engine.refused, workspace)
+    assert got == count, got
+
+
+@then('its wait is told five times as long')
+def told_slow(context):
+    rate = context.engine.admission.rate_tokens
+    expected = FIRST_RATE_TOKENS / 5
+    assert isclose(rate, expected, rel_tol=0.1), rate
+
+
+@then('every ask had one verdict')
+def one_verdict(context):
+    engine = context.engine
+    assert len(engine.granted) + len(engine.refused) == len(engine.asks)
+
+
+@then('workspaces that waited all along were served alike')
+def served_alike(context):
+    engine = context.engine
+    served = Counter()
+    for name in engine.granted:
+        served[name.split('.')[0]] += engine.asks[name].cost
+    most, least = max(served.values()), min(served.values())
+    # The past fades by half every 4 s, so a difference of a largest request
+    # (6,100 tokens) may come anew in each of the seven spans of a run.
+    assert most - least < 7 * 6100, served
--- a/tests/catalogue/steps/editor_steps.py
+++ b/tests/catalogue/steps/editor_steps.py
@@ -13,12 +13,12 @@
 from sardinetrack.catalogue.parse import read_entry
 from sardinetrack.catalogue.problems import InvalidEntryError
 from sardinetrack.catalogue.rollout import ConfigStatus, wait_in_force
-from sardinetrack.platform.api import (
+from sardinetrack.store.api import (
     PlatformError,
     UnavailableError,
     UncertainError,
 )
-from sardinetrack.platform.in_process import Disturbance, MemoryPlatform
+from sardinetrack.store.in_process import Disturbance, MemoryPlatform
 
 _PILOT = 'catalogue/workspace/pilot'
 _POOL = 'catalogue/pool/ice'
--- a/tests/catalogue/steps/feed_steps.py
+++ b/tests/catalogue/steps/feed_steps.py
@@ -13,15 +13,15 @@
 
 from sardinetrack.catalogue.feed import CatalogueFeed
 from sardinetrack.catalogue.view import CatalogueView
-from sardinetrack.platform.api import (
+from sardinetrack.store.api import (
     Listing,
     NoAnswerError,
     ThrottledError,
     UnavailableError,
 )
-from sardinetrack.platform.backoff import Backoff
-from sardinetrack.platform.in_process import Disturbance, MemoryPlatform
-from sardinetrack.platform.memory import MemoryStore
+from sardinetrack.store.backoff import Backoff
+from sardinetrack.store.in_process import Disturbance, MemoryPlatform
+from sardinetrack.store.memory import MemoryStore
 
 _PILOT = 'catalogue/workspace/pilot'
 _STEP_SECONDS = 0.02
--- a/tests/catalogue/steps/model_steps.py
+++ b/tests/catalogue/steps/model_steps.py
@@ -16,8 +16,8 @@
 from sardinetrack.http.client import HttpClient
 from sardinetrack.http.server import bind, serving
 from sardinetrack.links.api import STATUS_PATH
-from sardinetrack.platform.api import InstanceState, ListedInstance
-from sardinetrack.platform.in_process import MemoryPlatform
+from sardinetrack.store.api import InstanceState, ListedInstance
+from sardinetrack.store.in_process import MemoryPlatform
 
 _SECRET_HEADER = 'test-peer-secret'
 
--- a/tests/entry/entry_world.py
+++ b/tests/entry/entry_world.py
@@ -30,15 +30,15 @@
     digest_key,
     head_key,
 )
-from sardinetrack.platform.api import (
+from sardinetrack.routing.router import Router
+from sardinetrack.routing.shared import Identity
+from sardinetrack.store.api import (
     ListedInstance,
     Listing,
     StoredObject,
     UnavailableError,
 )
-from sardinetrack.platform.in_process import Disturbance, MemoryPlatform
-from sardinetrack.routing.router import Router
-from sardinetrack.routing.shared import Identity
+from sardinetrack.store.in_process import Disturbance, MemoryPlatform
 
 MODEL = 'ice-1'
 POLL_SECONDS = 0.02
--- a/tests/entry/steps/border_steps.py
+++ b/tests/entry/steps/border_steps.py
@@ -17,7 +17,7 @@
 
 from sardinetrack.errors.api import ErrorKind
 from sardinetrack.errors.table import answer_for
-from sardinetrack.platform.in_process import Disturbance
+from sardinetrack.store.in_process import Disturbance
 
 AUTHORIZED = f'host: entry\r\nauthorization: Bearer {TOKEN_TEXT}\r\n'
 SERVICE = f'POST /services/chart-api/x HTTP/1.1\r\n{AUTHORIZED}'
--- a/tests/entry/steps/claims_steps.py
+++ b/tests/entry/steps/claims_steps.py
@@ -11,7 +11,7 @@
 
 from sardinetrack.entry.claims import ClaimRequest
 from sardinetrack.entry.completions import fingerprint
-from sardinetrack.platform.in_process import Disturbance
+from sardinetrack.store.in_process import Disturbance
 
 WARN = '/services/chart-api/warn'
 HOUR_SECONDS = 3600
--- a/tests/entry/steps/links_steps.py
+++ b/tests/entry/steps/links_steps.py
@@ -8,7 +8,7 @@
 
 from behave import given, then, when
 
-from sardinetrack.platform.api import InstanceState, ListedInstance
+from sardinetrack.store.api import InstanceState, ListedInstance
 
 
 def _row(context: Any, name: str) -> ListedInstance:
--- a/tests/lease/order_run.py
+++ b/tests/lease/order_run.py
@@ -11,8 +11,8 @@
 
 from sardinetrack.lease.decision import Lease
 from sardinetrack.lease.keeper import LeaseKeeper
-from sardinetrack.platform.api import PlatformError
 from sardinetrack.standin.fencing import Fence
+from sardinetrack.store.api import PlatformError
 from support.shaky_platform import Odds, Road, ShakyPlatform
 from support.virtual_time import run_virtually
 
--- a/tests/membership/steps/feed_steps.py
+++ b/tests/membership/steps/feed_steps.py
@@ -13,8 +13,8 @@
 from sardinetrack.membership.api import Gone, Joined
 from sardinetrack.membership.feed import MembershipFeed
 from sardinetrack.membership.view import MembershipView
-from sardinetrack.platform.api import InstanceState, ListedInstance
-from sardinetrack.platform.in_process import Disturbance, MemoryPlatform
+from sardinetrack.store.api import InstanceState, ListedInstance
+from sardinetrack.store.in_process import Disturbance, MemoryPlatform
 
 _STEP_SECONDS = 0.02
 _STEPS = 500
--- a/tests/once/steps/claims_steps.py
+++ b/tests/once/steps/claims_steps.py
@@ -16,7 +16,7 @@
 from sardinetrack.entry.keyed import KeyedRuns
 from sardinetrack.errors.api import AnsweredError
 from sardinetrack.once.record import Head, head_key, segment_key
-from sardinetrack.platform.api import UncertainError
+from sardinetrack.store.api import UncertainError
 
 
 @given('entry "{name}"')
--- /dev/null
+++ b/tests/placement/choice.feature
@@ -0,0 +1,38 @@
+Feature: Which server a prompt goes to
+
+  Scenario: Prompts that share a part go to one server
+    Given 9 idle engines
+    When 50 prompts with 20 different shared parts are placed
+    Then each shared part is at one engine
+
+  Scenario: All entries agree on the home without a word
+    Given 9 idle engines
+    Then two entries that list the engines in another order agree
+
+  Scenario: A lost engine moves only what was at home there
+    Given 9 idle engines
+    When one engine is lost
+    Then only the parts at home there have moved
+
+  Scenario: A prompt leaves its home only when waiting costs more
+    Given 9 idle engines
+    When the home has 0.2 seconds to read
+    Then a prompt with 5000 shared tokens stays at home
+    And a prompt with 50 shared tokens leaves it
+
+  Scenario: An engine without a free slot is left out
+    Given 9 idle engines
+    When the home has no free slot
+    Then a prompt with 5000 shared tokens leaves it
+
+  Scenario: What this entry sent is counted before its side tells it
+    A crowd comes within one word of the side. Were only the side's word
+    counted, all of it would go to the engine that looked idle.
+
+    Given 9 idle engines
+    When 90 prompts without shared parts are placed between two words
+    Then no engine got more than 14 of them
+
+  Scenario: Plain servers get work by their load
+    Given 3 plain servers, one of them loaded
+    Then a request goes to one that is idle in the own failure domain
--- /dev/null
+++ b/tests/placement/steps/choice_steps.py
@@ -0,0 +1,146 @@
+"""Steps for placement."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from behave import given, then, when
+
+from sardinetrack.placement.choice import by_load, by_prompt
+from sardinetrack.placement.home import ranked
+from sardinetrack.placement.load import ServerLoad
+from sardinetrack.relay.api import Prompt, PromptPart
+from sardinetrack.topology.servers import BackendServer
+
+
+def _server(number, failure_domain='galata'):
+    return BackendServer(
+        f'i-{number}',
+        'models',
+        f'10.0.0.{number}',
+        80,
+        failure_domain,
+        64,
+        leaving=False,
+    )
+
+
+def _prompt(shared, shared_tokens=5000, own_tokens=1000):
+    return Prompt(
+        (
+            PromptPart('base', 0),
+            PromptPart(shared, shared_tokens),
+            PromptPart('own', own_tokens),
+        ),
+        shared_tokens + own_tokens,
+        50,
+    )
+
+
+def _idle():
+    return ServerLoad(slots_left=64)
+
+
+@given('{count:d} idle engines')
+def open_engines(context, count):
+    context.servers = [_server(number) for number in range(count)]
+    context.loads = {server.instance: _idle() for server in context.servers}
+
+
+@given('{count:d} plain servers, one of them loaded')
+def open_plain(context, count):
+    domains = ('asparuhovo', 'galata', 'galata')
+    context.servers = [
+        _server(number, domains[number]) for number in range(count)
+    ]
+    context.loads = {server.instance: _idle() for server in context.servers}
+    context.loads['i-1'].reported_running = 40
+
+
+@when('{count:d} prompts with {parts:d} different shared parts are placed')
+def place_prompts(context, count, parts):
+    context.placed = [
+        (number % parts, _best(context, _prompt(f'part-{number % parts}')))
+        for number in range(count)
+    ]
+
+
+@when('one engine is lost')
+def lose_engine(context):
+    context.before = {part: _best(context, _prompt(part)) for part in _parts()}
+    context.lost = context.servers.pop(3).instance
+
+
+@when('the home has {seconds:g} seconds to read')
+def load_home(context, seconds):
+    context.home = _best(context, _prompt('hot'))
+    context.loads[context.home].told_wait_seconds = seconds
+
+
+@when('the home has no free slot')
+def fill_home(context):
+    context.home = _best(context, _prompt('hot'))
+    context.loads[context.home].slots_left = 0
+
+
+@when('{count:d} prompts without shared parts are placed between two words')
+def place_crowd(context, count):
+    context.placed = []
+    for _ in range(count):
+        prompt = Prompt((), 2000, 50)
+        best = by_prompt(prompt, context.servers, context.loads)[0]
+        name = best.server.instance
+        context.loads[name].added_tokens += best.new_tokens
+        context.placed.append(name)
+
+
+@then('each shared part is at one engine')
+def one_engine(context):
+    homes = {}
+    for part, name in context.placed:
+        assert homes.setdefault(part, name) == name
+
+
+@then('two entries that list the engines in another order agree')
+def agree(context):
+    names = [server.instance for server in context.servers]
+    for part in _parts():
+        assert ranked(part, names) == ranked(part, reversed(names))
+
+
+@then('only the parts at home there have moved')
+def only_those_moved(context):
+    for part, name in context.before.items():
+        now = _best(context, _prompt(part))
+        assert (now == name) is (name != context.lost)
+
+
+@then('a prompt with {tokens:d} shared tokens stays at home')
+def stays(context, tokens):
+    assert _best(context, _prompt('hot', tokens)) == context.home
+
+
+@then('a prompt with {tokens:d} shared tokens leaves it')
+def leaves(context, tokens):
+    assert _best(context, _prompt('hot', tokens)) != context.home
+
+
+@then('no engine got more than {most:d} of them')
+def spread(context, most):
+    counts = Counter(context.placed)
+    assert max(counts.values()) <= most, counts
+
+
+@then('a request goes to one that is idle in the own failure domain')
+def near_and_idle(context):
+    found = by_load(context.servers, context.loads, 'galata', 5)
+    assert found[0].server.instance == 'i-2'
+
+
+def _parts():
+    return [f'part-{number}' for number in range(200)]
+
+
+def _best(context, prompt):
+    found = by_prompt(prompt, context.servers, context.loads)
+    return found[0].server.instance
--- /dev/null
+++ b/tests/relay/relay.feature
@@ -0,0 +1,151 @@
+Feature: One request through the relay
+
+  Scenario: A stream goes on at another server without a missing piece
+    A caller reads a stream. Its server dies in the middle of an event. The
+    relay asks another server to go on after the last whole event. The caller
+    sees every event once, in order, and one end.
+
+    Given a relay before 2 model servers
+    When every server cuts its first stream but one
+    And a caller asks for a resumable stream
+    Then the caller has all events once and the end
+
+  Scenario: A stream that may not be resumed is cut, and never looks complete
+    A caller reads a stream that may run once. Its server dies half way. A
+    second run could answer differently, so the caller's connection ends
+    without the end of the stream.
+
+    Given a relay before 2 model servers
+    When every server cuts its next stream
+    And a caller asks for a stream that may run once
+    Then the caller's answer is cut
+    And the servers got 1 request
+
+  Scenario: An answer to another request reaches nobody
+    A server sends a late answer where the next one is due. Passed on, a
+    caller would read what another one asked for.
+
+    Given a relay before 2 plain servers
+    When every server answers its next request for another caller
+    And a caller sends a report
+    Then the caller gets status 502
+    And the servers got 1 request
+
+  Scenario: A second answer spoils the connection
+    A server sends bytes after a whole answer. The connection is closed, so
+    that the next caller doesn't read them as its answer.
+
+    Given a relay before 1 plain server
+    When the server answers its next request twice
+    And 2 callers fetch one after the other
+    Then each caller got its own answer
+
+  Scenario: An answer without a signature is not passed on
+    Given a relay before 1 plain server
+    When the server answers its next request without a signature
+    And a caller sends a report
+    Then the caller gets status 502
+
+  Scenario: A request that a server did not run is refused truthfully
+    A server says that it was full and ran nothing. The request may not be
+    sent twice, so the caller is told "not run" and when to come back.
+
+    Given a relay before 1 plain server
+    When the server sheds its next request
+    And a caller sends a report
+    Then the caller gets status 503 and when to come back
+    And the servers got 1 request
+
+  Scenario: A request that may have run is not called "not run"
+    Given a relay before 2 plain servers
+    When every server resets its next request
+    And a caller sends a report
+    Then the caller gets status 502
+    And the servers got 1 request
+
+  Scenario: A fetch that failed at one server is served by another
+    Given a relay before 2 plain servers
+    When every server fails its first request but one
+    And a caller fetches
+    Then the caller gets status 200
+
+  Scenario: Servers that take no connection cost no caller its answer
+    A server refuses connections three times, which opens its breaker. Sends
+    that were under way then end as failures too. Each caller still gets an
+    answer from the server that lives; a send that reports its end to a
+    breaker of a later generation once raised an error there, and its
+    caller's connection was closed without an answer.
+
+    Given a relay before 2 plain servers
+    When one server goes down
+    And 12 callers fetch at once
+    Then every caller gets status 200
+
+  Scenario: No server at all is told at once
+    Given a relay before 1 plain server
+    When one server goes down
+    And a caller fetches
+    Then the caller gets status 503 and when to come back
+
+  Scenario: Work stops when its caller leaves
+    A caller closes its connection while a server works. The server's
+    connection is closed at once, which makes it drop the request.
+
+    Given a relay before 1 model server
+    When the server hangs on its next request
+    And a caller leaves after it has asked for a stream
+    Then the server is told within 0.5 seconds
+
+  Scenario: A request is answered at its time-out
+    Given a relay before 1 model server with a time-out of 0.3 seconds
+    When the server hangs on its next request
+    And a caller asks for a stream that may run once
+    Then the caller gets status 504 within 0.6 seconds
+
+  Scenario: A revoked key runs nothing, also for a request that waits
+    Given a relay before 1 model server
+    When the key is taken away
+    And a caller asks for a stream that may run once
+    Then the caller gets status 401
+    And the servers got 0 requests
+
+  Scenario: A view that can't be confirmed runs no keyed work
+    The entry is cut from the store. A key may have been revoked meanwhile,
+    so past the bound keyed requests are refused; anonymous ones go on.
+
+    Given a relay before 1 model server and 1 plain server
+    When the view is 4.5 seconds old
+    Then a keyed request gets status 503 and an anonymous one 200
+
+  Scenario: A leaving server gets nothing new
+    Given a relay before 2 plain servers
+    When the first server is listed as leaving
+    And 6 callers fetch at once
+    Then the first server got 0 requests
+
+  Scenario: What a caller may not set is not handed on
+    A caller sends the headers by which the system reserves memory, names a
+    workspace or goes on from another request's memory.
+
+    Given a relay before 1 plain server
+    When a caller fetches with headers that are the system's to set
+    Then the server got none of them
+
+  Scenario: A request hidden in another one's body is not run
+    Given a relay before 1 plain server
+    When a caller hides a request behind two lengths
+    Then the caller gets status 400
+    And the servers got 0 requests
+
+  Scenario: Requests sent ahead are answered in their order
+    Given a relay before 1 plain server
+    When a caller sends 3 requests ahead on one connection
+    Then it gets 3 answers in order
+
+  Scenario: A stopping entry cuts nothing
+    A signal to stop comes while a stream runs. The entry stops only when the
+    answer is out.
+
+    Given a relay before 1 model server
+    When the entry is stopped while a caller reads a stream
+    Then the caller has all events once and the end
--- /dev/null
+++ b/tests/relay/steps/relay_steps.py
@@ -0,0 +1,342 @@
+"""Steps for one request through the relay."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+
+from behave import given, then, when
+from tests.support.relay_servers import EVENTS
+from tests.support.relay_world import RelayWorld, Reply, configuration
+
+from sardinetrack.topology.freshness import boot_clock
+
+_OURS = (
+    'X-Sardinetrack-Hold: h1',
+    'X-Sardinetrack-Pin-Ms: 4000',
+    'X-Sardinetrack-Tenant: other',
+    'X-Sardinetrack-Kv-Backup: 10.0.0.1:80',
+    'Kv-From: 10.0.0.1:80/x',
+)
+
+
+@given('a relay before {models:d} model server')
+@given('a relay before {models:d} model servers')
+def open_models(context, models):
+    _open(context, models=models)
+
+
+@given('a relay before {plain:d} plain server')
+@given('a relay before {plain:d} plain servers')
+def open_plain(context, plain):
+    _open(context, plain=plain)
+
+
+@given('a relay before {models:d} model server and {plain:d} plain server')
+def open_both(context, models, plain):
+    _open(context, models=models, plain=plain)
+
+
+@given(
+    'a relay before {models:d} model server'
+    ' with a time-out of {seconds:g} seconds',
+)
+def open_with_timeout(context, models, seconds):
+    _open(context, models=models)
+    context.world.fleet.configuration = configuration(2, seconds)
+
+
+def _open(context, **sizes):
+    context.world = RelayWorld()
+    context.add_cleanup(_close, context.world)
+    context.world.run(context.world.open(**sizes))
+
+
+def _close(world):
+    world.run(world.close())
+    world.loop.close()
+
+
+@when('every server cuts its first stream but one')
+def cut_first(context):
+    # Which server is at home there is the hash's to say: the first that is
+    # asked cuts, whichever it is.
+    shared = _Shared('cut')
+    for server in context.world.servers:
+        server.acts = shared
+
+
+@when('every server fails its first request but one')
+def fail_first(context):
+    shared = _Shared('fail')
+    for server in context.world.servers:
+        server.acts = shared
+
+
+class _Shared:
+    """One act for the first request at any server."""
+
+    def __init__(self, act):
+        self._acts = [act]
+
+    def __bool__(self):
+        return bool(self._acts)
+
+    def popleft(self):
+        return self._acts.pop()
+
+
+@when('every server cuts its next stream')
+def cut_next(context):
+    _act(context, 'cut')
+
+
+@when('every server answers its next request for another caller')
+def answer_other(context):
+    _act(context, 'answer_other')
+
+
+@when('the server answers its next request twice')
+def answer_twice(context):
+    _act(context, 'answer_twice')
+
+
+@when('the server answers its next request without a signature')
+def answer_unsigned(context):
+    _act(context, 'answer_unsigned')
+
+
+@when('the server sheds its next request')
+def shed_next(context):
+    _act(context, 'shed')
+
+
+@when('every server resets its next request')
+def reset_next(context):
+    _act(context, 'reset')
+
+
+@when('the server hangs on its next request')
+def hang_next(context):
+    _act(context, 'hang')
+
+
+def _act(context, act):
+    for server in context.world.servers:
+        server.acts.append(act)
+
+
+@when('one server goes down')
+def go_down(context):
+    context.world.run(context.world.servers[0].close())
+
+
+@when('the first server is listed as leaving')
+def list_leaving(context):
+    context.world.list_servers({context.world.servers[0].instance})
+
+
+@when('the key is taken away')
+def revoke(context):
+    context.world.fleet.configuration = configuration(2, keys=('other',))
+
+
+@when('the view is {seconds:g} seconds old')
+def grow_old(context, seconds):
+    freshness = context.world.fleet.freshness
+    freshness._confirmed_seconds = boot_clock() - seconds  # noqa: SLF001
+
+
+@when('a caller asks for a resumable stream')
+def ask_resumable(context):
+    context.reply = context.world.run(context.world.call('stream'))
+
+
+@when('a caller asks for a stream that may run once')
+def ask_once(context):
+    world = context.world
+    began = world.loop.time()
+    context.reply = world.run(world.call('once-stream'))
+    context.took_seconds = world.loop.time() - began
+
+
+@when('a caller sends a report')
+def send_report(context):
+    context.reply = context.world.run(
+        context.world.call('report', body=b'position'),
+    )
+
+
+@when('a caller fetches')
+def fetch(context):
+    context.reply = context.world.run(context.world.call('fetch'))
+
+
+@when("a caller fetches with headers that are the system's to set")
+def fetch_with_ours(context):
+    context.reply = context.world.run(context.world.call('fetch', _OURS))
+
+
+@when('{count:d} callers fetch one after the other')
+def fetch_in_turn(context, count):
+    world = context.world
+    context.replies = [world.run(world.call('fetch')) for _ in range(count)]
+
+
+@when('{count:d} callers fetch at once')
+def fetch_at_once(context, count):
+    async def fetch_all():
+        calls = [context.world.call('fetch') for _ in range(count)]
+        return await asyncio.gather(*calls)
+
+    context.replies = context.world.run(fetch_all())
+
+
+@when('a caller leaves after it has asked for a stream')
+def leave(context):
+    async def ask_and_leave():
+        world = context.world
+        _, writer = await asyncio.open_connection('127.0.0.1', world.port)
+        writer.write(world.request('stream'))
+        await world.servers[0].asked.wait()
+        writer.close()
+        began = world.loop.time()
+        await asyncio.wait_for(world.servers[0].gone.wait(), 2)
+        return world.loop.time() - began
+
+    context.took_seconds = context.world.run(ask_and_leave())
+
+
+@when('a caller hides a request behind two lengths')
+def hide(context):
+    async def send_hidden():
+        world = context.world
+        reader, writer = await asyncio.open_connection(
+            '127.0.0.1',
+            world.port,
+        )
+        hidden = world.request('report')
+        writer.write(
+            b'POST /report/x HTTP/1.1\r\nHost: h.example\r\n'
+            b'X-Sardinetrack-Request-Id: outer\r\n'
+            b'Content-Length: %d\r\nTransfer-Encoding: chunked\r\n\r\n'
+            b'0\r\n\r\n%b' % (len(hidden) + 5, hidden),
+        )
+        raw = await asyncio.wait_for(reader.read(), 2)
+        writer.close()
+        return Reply(raw)
+
+    context.reply = context.world.run(send_hidden())
+
+
+@when('a caller sends {count:d} requests ahead on one connection')
+def send_ahead(context, count):
+    async def send_all():
+        world = context.world
+        reader, writer = await asyncio.open_connection(
+            '127.0.0.1',
+            world.port,
+        )
+        writer.write(
+            b''.join(
+                world.request('fetch', closes=number == count)
+                for number in range(1, count + 1)
+            ),
+        )
+        raw = await asyncio.wait_for(reader.read(), 2)
+        writer.close()
+        return raw
+
+    context.raw = context.world.run(send_all())
+
+
+@when('the entry is stopped while a caller reads a stream')
+def stop_entry(context):
+    async def stop():
+        world = context.world
+        call = asyncio.ensure_future(world.call('stream'))
+        await world.servers[0].asked.wait()
+        await world.entry.drain()
+        return await call
+
+    context.reply = context.world.run(stop())
+
+
+@then('the caller has all events once and the end')
+def has_all(context):
+    numbers = re.findall(rb'data: token (\d+)\n\n', context.reply.body)
+    assert [int(number) for number in numbers] == list(range(1, EVENTS + 1))
+    assert context.reply.complete
+
+
+@then("the caller's answer is cut")
+def is_cut(context):
+    assert context.reply.status == 200
+    assert not context.reply.complete
+
+
+@then('the servers got {count:d} request')
+@then('the servers got {count:d} requests')
+def got_requests(context, count):
+    got = sum(len(server.requests) for server in context.world.servers)
+    assert got == count, got
+
+
+@then('the first server got {count:d} requests')
+def first_got(context, count):
+    assert len(context.world.servers[0].requests) == count
+
+
+@then('the caller gets status {status:d}')
+def gets_status(context, status):
+    assert context.reply.status == status, context.reply.raw
+
+
+@then('the caller gets status {status:d} and when to come back')
+def gets_status_and_time(context, status):
+    gets_status(context, status)
+    assert context.reply.retry_after is not None
+
+
+@then('the caller gets status {status:d} within {seconds:g} seconds')
+def gets_status_in_time(context, status, seconds):
+    gets_status(context, status)
+    assert context.took_seconds < seconds, context.took_seconds
+
+
+@then('every caller gets status {status:d}')
+def all_get_status(context, status):
+    got = [reply.status for reply in context.replies]
+    assert got == [status for _ in got], got
+
+
+@then('each caller got its own answer')
+def own_answers(context):
+    for reply in context.replies:
+        assert reply.status == 200, reply.raw
+        assert reply.body.startswith(b'done by'), reply.raw
+
+
+@then('the server is told within {seconds:g} seconds')
+def told_in_time(context, seconds):
+    assert context.took_seconds < seconds, context.took_seconds
+
+
+@then('a keyed request gets status {keyed:d} and an anonymous one {other:d}')
+def both_statuses(context, keyed, other):
+    world = context.world
+    assert world.run(world.call('once-stream')).status == keyed
+    assert world.run(world.call('fetch')).status == other
+
+
+@then('the server got none of them')
+def none_handed_on(context):
+    _, fields, _ = context.world.servers[0].requests[0]
+    for line in _OURS:
+        assert line.split(':')[0].lower() not in fields, line
+
+
+@then('it gets {count:d} answers in order')
+def answers_in_order(context, count):
+    ids = re.findall(rb'Request-Id: r(\d+)', context.raw, re.IGNORECASE)
+    assert [int(number) for number in ids] == list(range(1, count + 1))
--- a/tests/platform/steps/http_steps.py
+++ b/tests/store/steps/http_steps.py
@@ -12,16 +12,16 @@
 
 from sardinetrack.http.client import HttpClient
 from sardinetrack.http.server import serving
-from sardinetrack.platform.api import (
+from sardinetrack.standin.platform import PlatformStandin
+from sardinetrack.store.api import (
     MAX_VALUE_BYTES,
     ConflictError,
     ListedInstance,
     PlatformError,
 )
-from sardinetrack.platform.http import HttpPlatform
-from sardinetrack.platform.in_process import MemoryPlatform
-from sardinetrack.platform.memory import MemoryStore
-from sardinetrack.standin.platform import PlatformStandin
+from sardinetrack.store.http import HttpPlatform
+from sardinetrack.store.in_process import MemoryPlatform
+from sardinetrack.store.memory import MemoryStore
 
 _TOKEN = 'platform-token'
 _HISTORY_EVENTS = 4
--- /dev/null
+++ b/tests/support/relay_servers.py
@@ -0,0 +1,124 @@
+"""Backend servers that follow a script, one act for each request."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from contextlib import suppress
+
+STAMP = 'X-Sardinetrack-Server-Stamp: s1'
+EVENTS = 6
+_ENDS = (
+    asyncio.IncompleteReadError,
+    asyncio.CancelledError,
+    ConnectionError,
+)
+
+
+class ScriptedServer:
+    """Takes one act for each request; answers well when there is none."""
+
+    def __init__(self, instance):
+        self.instance = instance
+        self.acts = deque()
+        self.requests = []
+        self.gone = asyncio.Event()
+        self.asked = asyncio.Event()
+        self.port = 0
+        self._server = None
+
+    async def open(self):
+        self._server = await asyncio.start_server(
+            self._serve,
+            '127.0.0.1',
+            self.port,
+        )
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def close(self):
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        with suppress(*_ENDS):
+            while True:
+                head = await reader.readuntil(b'\r\n\r\n')
+                fields = _fields(head)
+                length = int(fields.get('content-length', 0))
+                body = await reader.readexactly(length)
+                self.requests.append((head, fields, body))
+                self.asked.set()
+                act = self.acts.popleft() if self.acts else 'answer'
+                await getattr(self, f'_{act}')(fields, reader, writer)
+                await writer.drain()
+        writer.close()
+
+    async def _answer(self, fields, reader, writer):
+        if 'x-sardinetrack-token-count' in fields:
+            await self._stream(fields, writer, EVENTS)
+            writer.write(b'0\r\n\r\n')
+            return
+        self._whole(fields, writer, '200 OK', b'done by %d' % self.port)
+
+    async def _fail(self, fields, reader, writer):
+        self._whole(fields, writer, '500 Oops', b'broken')
+
+    async def _answer_twice(self, fields, reader, writer):
+        await self._answer(fields, reader, writer)
+        self._whole(fields, writer, '200 OK', b'nobody asked')
+
+    async def _answer_other(self, fields, reader, writer):
+        other = {**fields, 'x-sardinetrack-request-id': 'another'}
+        self._whole(other, writer, '200 OK', b'for another caller')
+
+    async def _answer_unsigned(self, fields, reader, writer):
+        writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfake')
+
+    async def _cut(self, fields, reader, writer):
+        await self._stream(fields, writer, EVENTS // 2)
+        writer.write(b'9\r\nid: 4\ndat\r\n')
+        await writer.drain()
+        writer.transport.abort()
+
+    async def _reset(self, fields, reader, writer):
+        writer.transport.abort()
+
+    async def _shed(self, fields, reader, writer):
+        writer.write(
+            b'HTTP/1.1 503 Full\r\nX-Sardinetrack-Not-Processed: 1\r\n'
+            b'Content-Length: 0\r\n\r\n',
+        )
+
+    async def _hang(self, fields, reader, writer):
+        await reader.read()
+        self.gone.set()
+
+    async def _cut_and_leave(self, fields, reader, writer):
+        await self.close()
+        await self._cut(fields, reader, writer)
+
+    async def _stream(self, fields, writer, last):
+        head = self._head(fields, '200 OK')
+        writer.write(f'{head}Transfer-Encoding: chunked\r\n\r\n'.encode())
+        first = int(fields.get('last-event-id', 0)) + 1
+        for number in range(first, last + 1):
+            event = b'id: %d\ndata: token %d\n\n' % (number, number)
+            writer.write(b'%x\r\n%b\r\n' % (len(event), event))
+            await writer.drain()
+
+    def _whole(self, fields, writer, status, body):
+        head = self._head(fields, status)
+        length = f'Content-Length: {len(body)}\r\n\r\n'
+        writer.write(head.encode() + length.encode() + body)
+
+    def _head(self, fields, status):
+        request_id = fields['x-sardinetrack-request-id']
+        return (
+            f'HTTP/1.1 {status}\r\n{STAMP}\r\n'
+            f'X-Sardinetrack-Request-Id: {request_id}\r\n'
+        )
+
+
+def _fields(head):
+    lines = head.decode().split('\r\n')[1:-2]
+    pairs = (line.split(': ', 1) for line in lines)
+    return {name.lower(): content for name, content in pairs}
--- /dev/null
+++ b/tests/support/relay_world.py
@@ -0,0 +1,212 @@
+"""An entry of the relay in this process, before scripted servers."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+
+from sardinetrack.logs.events import EventLog
+from sardinetrack.platform.dialect import PlatformDialect
+from sardinetrack.relay.entry import Entry
+from sardinetrack.relay.fleet import Fleet
+from sardinetrack.relay.settings import NodeSettings
+from sardinetrack.topology.configuration import (
+    CallerLimits,
+    Configuration,
+    Pool,
+    Route,
+    RouteKind,
+    WeightedPool,
+    Workspace,
+)
+from sardinetrack.topology.freshness import boot_clock
+from sardinetrack.topology.servers import BackendServer
+from tests.support.relay_servers import ScriptedServer
+
+KEY = 'pilot-key'
+_IP = '127.0.0.1'
+_ROUTES = (
+    ('stream', '/stream/', RouteKind.STREAMING, True, 2),
+    ('once-stream', '/once-stream/', RouteKind.STREAMING, False, 1),
+    ('fetch', '/fetch/', RouteKind.IDEMPOTENT, False, 2),
+    ('report', '/report/', RouteKind.NON_IDEMPOTENT, False, 1),
+)
+
+
+def configuration(version=1, timeout_seconds=3.0, keys=(KEY,)):
+    routes = tuple(
+        Route(
+            name=name,
+            host='h.example',
+            path_prefix=path,
+            kind=kind,
+            pools=(WeightedPool(_pool_of(kind), 1),),
+            max_servers=servers,
+            timeout_seconds=timeout_seconds,
+            first_answer_seconds=1,
+            event_gap_seconds=0.2,
+            priority=1,
+            anonymous=kind is not RouteKind.STREAMING,
+            resumable=resumable,
+            by_prompt=kind is RouteKind.STREAMING,
+        )
+        for name, path, kind, resumable, servers in _ROUTES
+    )
+    return Configuration(
+        version=version,
+        routes={'h.example': routes},
+        pools={
+            'models': Pool('models', 100, 8, 100_000),
+            'plain': Pool('plain', 100),
+        },
+        workspaces={key: Workspace('pilots') for key in keys},
+        limits=CallerLimits(),
+    )
+
+
+def _pool_of(kind):
+    return 'models' if kind is RouteKind.STREAMING else 'plain'
+
+
+class Reply:
+    """What a caller received."""
+
+    def __init__(self, raw):
+        head, _, self.body = raw.partition(b'\r\n\r\n')
+        self.lines = head.decode().lower().split('\r\n')
+        self.raw = raw
+        words = self.lines[0].split(' ')
+        self.status = int(words[1]) if len(words) > 1 else 0
+        self.retry_after = next(
+            (
+                float(line.split(': ')[1])
+                for line in self.lines
+                if line.startswith('retry-after')
+            ),
+            None,
+        )
+
+    @property
+    def complete(self):
+        return b'0\r\n\r\n' in self.body
+
+
+class RelayWorld:
+    """Owns a loop, an entry and its servers."""
+
+    def __init__(self):
+        self.loop = asyncio.new_event_loop()
+        self.servers = []
+        self.fleet = None
+        self.entry = None
+        self.port = 0
+        log_read, log_write = os.pipe()
+        self._log_read = log_read
+        os.set_blocking(self._log_read, False)
+        self.log = EventLog(log_write, 'entry-1')
+        self._number = 0
+
+    def run(self, coroutine):
+        return self.loop.run_until_complete(coroutine)
+
+    async def open(self, models=0, plain=0, grace_seconds=4.0):
+        settings = NodeSettings(
+            instance='entry-1',
+            ip=_IP,
+            failure_domain='galata',
+            callers=(_IP, 0),
+            ready=None,
+            turns_port=1,
+            metrics_port=0,
+            store=(_IP, 1),
+            grace_seconds=grace_seconds,
+            revoke_seconds=5.0,
+            retry_ratio=0.2,
+            retry_window_seconds=10.0,
+            retry_slack=50.0,
+        )
+        self.fleet = Fleet(settings, self.log)
+        self.fleet.configuration = configuration()
+        self.fleet.freshness.confirm(boot_clock())
+        self.entry = Entry(self.fleet, PlatformDialect(), ())
+        await self.entry.__aenter__()
+        self.port = self.entry.port
+        for pool, count in (('models', models), ('plain', plain)):
+            for _ in range(count):
+                await self._open_server(pool)
+        self.list_servers()
+
+    def list_servers(self, leaving=()):
+        self.fleet.servers.replace(
+            boot_clock(),
+            [
+                BackendServer(
+                    server.instance,
+                    server.pool,
+                    _IP,
+                    server.port,
+                    'galata',
+                    8,
+                    server.instance in leaving,
+                )
+                for server in self.servers
+            ],
+        )
+        self.fleet.servers_changed()
+
+    async def call(self, name, headers=(), body=b'', timeout_seconds=5):
+        reader, writer = await asyncio.open_connection(_IP, self.port)
+        writer.write(self.request(name, headers, body))
+        try:
+            async with asyncio.timeout(timeout_seconds):
+                raw = await reader.read()
+        finally:
+            writer.close()
+        return Reply(raw)
+
+    def request(self, name, headers=(), body=b'', closes=True):
+        self._number += 1
+        _, path, kind, _, _ = next(one for one in _ROUTES if one[0] == name)
+        method = 'GET' if kind is RouteKind.IDEMPOTENT else 'POST'
+        lines = [
+            f'{method} {path}{self._number} HTTP/1.1',
+            'Host: h.example',
+            f'X-Sardinetrack-Request-Id: r{self._number}',
+            f'Content-Length: {len(body)}',
+            *headers,
+        ]
+        if closes:
+            lines.append('Connection: close')
+        if kind is RouteKind.STREAMING:
+            lines.extend(
+                (
+                    'X-Sardinetrack-Token-Count: 100,20',
+                    'X-Sardinetrack-Prefix-Hash: a1:40,b2:40,c3:20',
+                    f'Authorization: Bearer {KEY}',
+                ),
+            )
+        return '\r\n'.join((*lines, '', '')).encode() + body
+
+    def lines(self):
+        self.log.flush()
+        try:
+            raw = os.read(self._log_read, 1_000_000)
+        except BlockingIOError:
+            return []
+        return [json.loads(line) for line in raw.splitlines()]
+
+    async def close(self):
+        await self.entry.__aexit__(None, None, None)
+        for server in self.servers:
+            await server.close()
+        rest = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in rest:
+            task.cancel()
+        await asyncio.gather(*rest, return_exceptions=True)
+
+    async def _open_server(self, pool):
+        server = ScriptedServer(f'i-{len(self.servers)}')
+        server.pool = pool
+        await server.open()
+        self.servers.append(server)
--- a/tests/support/shaky_platform.py
+++ b/tests/support/shaky_platform.py
@@ -11,7 +11,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from sardinetrack.platform.api import (
+from sardinetrack.store.api import (
     ListedInstance,
     Listing,
     Platform,
@@ -20,7 +20,7 @@
     UnavailableError,
     UncertainError,
 )
-from sardinetrack.platform.memory import MemoryStore
+from sardinetrack.store.memory import MemoryStore
 
 _LATEST_SECONDS = 4.0
 
--- /dev/null
+++ b/tests/topology/steps/topology_steps.py
@@ -0,0 +1,94 @@
+"""Steps for servers and freshness."""
+
+from __future__ import annotations
+
+from behave import given, step, then, when
+
+from sardinetrack.topology.freshness import Freshness, boot_clock
+from sardinetrack.topology.servers import BackendServer, ServerList
+
+
+def _server(number, *, ip=None, leaving=False):
+    return BackendServer(
+        f'i-{number}',
+        'models',
+        ip or f'10.0.0.{number}',
+        80,
+        'galata',
+        8,
+        leaving,
+    )
+
+
+@given('{count:d} listed servers')
+def list_servers(context, count):
+    context.now = 100.0
+    context.servers = ServerList()
+    context.servers.replace(context.now, map(_server, range(count)))
+
+
+@step('the store is away and comes back with an empty list')
+def come_back_empty(context):
+    context.servers.outage(context.now)
+    context.servers.replace(context.now, ())
+
+
+@step(
+    'the store is away and comes back with a new server at the first address',
+)
+def come_back_new(context):
+    context.servers.outage(context.now)
+    context.servers.replace(context.now, [_server(9, ip='10.0.0.0')])
+
+
+@step('the first server is listed again')
+def list_again(context):
+    context.servers.put(_server(0))
+
+
+@step('the first server vanishes')
+def vanish(context):
+    context.servers.remove(context.now, 'i-0')
+
+
+@step('the first server is leaving')
+def leave(context):
+    context.servers.put(_server(0, leaving=True))
+
+
+@step('{seconds:g} seconds pass')
+def wait(context, seconds):
+    context.now += seconds
+    context.servers.expire(context.now)
+
+
+@then('{count:d} servers take work')
+@then('{count:d} server takes work')
+def take_work(context, count):
+    assert len(context.servers.of_pool('models')) == count
+
+
+@then('the old one at that address takes no work')
+def old_is_gone(context):
+    assert context.servers.get('i-0') is None
+    assert context.servers.get('i-9') is not None
+
+
+@given('a bound of {seconds:g} seconds')
+def bound(context, seconds):
+    context.freshness = Freshness(seconds)
+
+
+@when('an answer comes to a question of {seconds:g} seconds ago')
+def confirm(context, seconds):
+    context.freshness.confirm(boot_clock() - seconds)
+
+
+@then('keys are taken as valid')
+def valid(context):
+    assert context.freshness.holds()
+
+
+@then('keys are not taken as valid')
+def not_valid(context):
+    assert not context.freshness.holds()
