Refuse requests that reach a stopping entry after its leave time

Ruled out: closing kept connections earlier (a request that crosses the close costs its caller a new connection); a longer grace (it is the platform's).

--- a/src/sardinetrack/relay/entry.py
+++ b/src/sardinetrack/relay/entry.py
@@ -8,6 +8,7 @@
 from types import TracebackType
 from typing import Final, Self
 
+from sardinetrack.errors.api import AnsweredError, ErrorKind
 from sardinetrack.logs.events import Event
 from sardinetrack.relay.api import Call, Dialect
 from sardinetrack.relay.caller_connection import CallerConnection
@@ -64,6 +65,15 @@
         configuration = self._fleet.configuration
         return CallerLimits() if configuration is None else configuration.limits
 
+    @property
+    def _too_late(self) -> bool:
+        """Whether a stopping entry takes no request any more.
+
+        What came now might outlast the grace and would be cut. Callers whose
+        whole zone is stopping come back to another instance at once.
+        """
+        return self.now() >= self._draining_since + LEAVE_SECONDS
+
     @property
     def ready(self) -> bool:
         """Whether the balancer should send callers here."""
@@ -155,6 +165,10 @@
     async def serve(self, call: Call, caller: CallerConnection) -> None:
         """Answer a call."""
         exchange = Exchange(self._fleet, self._dialect, call, caller)
+        if self._too_late:
+            exchange.refuse(AnsweredError(ErrorKind.NOT_RUN_DRAINING))
+            self._note(call, exchange)
+            return
         self._exchanges.add(exchange)
         try:
             await exchange.run()
@@ -180,6 +194,9 @@
         self._exchanges.discard(exchange)
         if not self._exchanges:
             self._none_left.set()
+        self._note(call, exchange)
+
+    def _note(self, call: Call, exchange: Exchange) -> None:
         took_seconds = self.now() - call.arrived_seconds
         plan, trace = exchange.plan, exchange.trace
         self.meters.ended(trace.status, took_seconds)
--- a/src/sardinetrack/relay/exchange.py
+++ b/src/sardinetrack/relay/exchange.py
@@ -50,7 +50,20 @@
         try:
             await self._run_in_time()
         except AnsweredError as error:
-            self._answer(error)
+            self.refuse(error)
+
+    def refuse(self, error: AnsweredError) -> None:
+        """Tell the caller why there is no answer, or no more of it."""
+        cause = self.trace.reason or error.detail
+        kind = error.kind.value
+        self.trace.reason = f'{kind}: {cause}'
+        if self._progress.started:
+            self._caller.cut()
+            return
+        status, headers, body = own_answer(error)
+        self.trace.status = status
+        identity = self._dialect.identity(self._call)
+        self._caller.whole(status, identity + headers, body)
 
     async def _run_in_time(self) -> None:
         self.plan = make_plan(self._fleet, self._call)
@@ -106,18 +119,6 @@
             return False
         return self._fleet.budget(plan.pool.name).take()
 
-    def _answer(self, error: AnsweredError) -> None:
-        cause = self.trace.reason or error.detail
-        kind = error.kind.value
-        self.trace.reason = f'{kind}: {cause}'
-        if self._progress.started:
-            self._caller.cut()
-            return
-        status, headers, body = own_answer(error)
-        self.trace.status = status
-        identity = self._dialect.identity(self._call)
-        self._caller.whole(status, identity + headers, body)
-
 
 def _final_error(end: AttemptEnd, reason: str) -> AnsweredError:
     if end is AttemptEnd.NOT_RUN:
--- a/tests/relay/relay.feature
+++ b/tests/relay/relay.feature
@@ -149,3 +149,14 @@
     Given a relay before 1 model server
     When the entry is stopped while a caller reads a stream
     Then the caller has all events once and the end
+
+  Scenario: A request long after the signal to stop is refused at once
+    The caller of a kept connection sends a request seconds after the signal,
+    which would outlast the grace. Taken, it would be cut in the middle; it is
+    told "not run", to come back at once, and that the connection ends.
+
+    Given a relay before 1 model server
+    When the server hangs on its next request
+    And the entry is stopped and 2.7 seconds later a caller asks
+    Then the caller gets status 503 and when to come back
+    And the servers got 1 request
--- a/tests/relay/steps/relay_steps.py
+++ b/tests/relay/steps/relay_steps.py
@@ -262,6 +262,23 @@
     context.reply = context.world.run(stop())
 
 
+@when('the entry is stopped and {seconds:g} seconds later a caller asks')
+def stop_and_ask(context, seconds):
+    async def stop():
+        world = context.world
+        first = asyncio.ensure_future(world.call('stream', timeout_seconds=9))
+        await world.servers[0].asked.wait()
+        drain = asyncio.ensure_future(world.entry.drain())
+        await asyncio.sleep(seconds)
+        reply = await world.call('once-stream')
+        for task in (first, drain):
+            task.cancel()
+        await asyncio.gather(first, drain, return_exceptions=True)
+        return reply
+
+    context.reply = context.world.run(stop())
+
+
 @then('the caller has all events once and the end')
 def has_all(context):
     numbers = re.findall(rb'data: token (\d+)\n\n', context.reply.body)
--- a/tests/support/relay_world.py
+++ b/tests/support/relay_world.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+from typing import NamedTuple
 
 from sardinetrack.logs.events import EventLog
 from sardinetrack.platform.dialect import PlatformDialect
@@ -26,32 +27,45 @@
 
 KEY = 'pilot-key'
 _IP = '127.0.0.1'
-_ROUTES = (
-    ('stream', '/stream/', RouteKind.STREAMING, True, 2),
-    ('once-stream', '/once-stream/', RouteKind.STREAMING, False, 1),
-    ('fetch', '/fetch/', RouteKind.IDEMPOTENT, False, 2),
-    ('report', '/report/', RouteKind.NON_IDEMPOTENT, False, 1),
+
+
+class _Shape(NamedTuple):
+    name: str
+    kind: RouteKind
+    resumable: bool = False
+    servers: int = 1
+
+    @property
+    def path(self):
+        return f'/{self.name}/'
+
+
+_SHAPES = (
+    _Shape('stream', RouteKind.STREAMING, resumable=True, servers=2),
+    _Shape('once-stream', RouteKind.STREAMING),
+    _Shape('fetch', RouteKind.IDEMPOTENT, servers=2),
+    _Shape('report', RouteKind.NON_IDEMPOTENT),
 )
 
 
 def configuration(version=1, timeout_seconds=3.0, keys=(KEY,)):
     routes = tuple(
         Route(
-            name=name,
+            name=shape.name,
             host='h.example',
-            path_prefix=path,
-            kind=kind,
-            pools=(WeightedPool(_pool_of(kind), 1),),
-            max_servers=servers,
+            path_prefix=shape.path,
+            kind=shape.kind,
+            pools=(WeightedPool(_pool_of(shape.kind), 1),),
+            max_servers=shape.servers,
             timeout_seconds=timeout_seconds,
             first_answer_seconds=1,
             event_gap_seconds=0.2,
             priority=1,
-            anonymous=kind is not RouteKind.STREAMING,
-            resumable=resumable,
-            by_prompt=kind is RouteKind.STREAMING,
+            anonymous=shape.kind is not RouteKind.STREAMING,
+            resumable=shape.resumable,
+            by_prompt=shape.kind is RouteKind.STREAMING,
         )
-        for name, path, kind, resumable, servers in _ROUTES
+        for shape in _SHAPES
     )
     return Configuration(
         version=version,
@@ -101,10 +115,10 @@
         self.fleet = None
         self.entry = None
         self.port = 0
-        log_read, log_write = os.pipe()
-        self._log_read = log_read
+        pipe = os.pipe()
+        self._log_read = pipe[0]
         os.set_blocking(self._log_read, False)
-        self.log = EventLog(log_write, 'entry-1')
+        self.log = EventLog(pipe[1], 'entry-1')
         self._number = 0
 
     def run(self, coroutine):
@@ -167,10 +181,10 @@
 
     def request(self, name, headers=(), body=b'', closes=True):
         self._number += 1
-        _, path, kind, _, _ = next(one for one in _ROUTES if one[0] == name)
-        method = 'GET' if kind is RouteKind.IDEMPOTENT else 'POST'
+        shape = next(one for one in _SHAPES if one.name == name)
+        method = 'GET' if shape.kind is RouteKind.IDEMPOTENT else 'POST'
         lines = [
-            f'{method} {path}{self._number} HTTP/1.1',
+            f'{method} {shape.path}{self._number} HTTP/1.1',
             'Host: h.example',
             f'X-Sardinetrack-Request-Id: r{self._number}',
             f'Content-Length: {len(body)}',
@@ -178,7 +192,7 @@
         ]
         if closes:
             lines.append('Connection: close')
-        if kind is RouteKind.STREAMING:
+        if shape.kind is RouteKind.STREAMING:
             lines.extend(
                 (
                     'X-Sardinetrack-Token-Count: 100,20',
