sardinetrack explain: the story of a request from the lines of all processes

Cause: a failed request had to be put together by hand from the logs of instances whose clocks are seconds apart. The story is ordered by the number of the ask, not by time, and says when a file is missing or lines were dropped.

--- /dev/null
+++ b/src/sardinetrack/cli/explain.py
@@ -0,0 +1,84 @@
+"""``sardinetrack explain``: tell what happened to one request."""
+
+from __future__ import annotations
+
+import sys
+from argparse import ArgumentParser, Namespace
+from pathlib import Path
+
+from sardinetrack.cli.api import Command, CommandError
+from sardinetrack.cli.exit_codes import ExitCode
+from sardinetrack.logs.story import Line, Story, parse_lines, tell_story
+
+
+class ExplainCommand(Command):
+    """Print the story of a request from the logs of any processes."""
+
+    name = 'explain'
+    help = 'tell what happened to a request, from the lines of all processes'
+    examples = ('sardinetrack explain 9c41d07be2a35f68 entry-*.log side-*.log',)
+
+    def add_arguments(self, parser: ArgumentParser) -> None:
+        """Take the id and the files."""
+        parser.add_argument('request_id', help="the caller's id of the request")
+        parser.add_argument(
+            'logs',
+            nargs='*',
+            help='files of log lines; standard input when none is given',
+        )
+
+    def run(self, options: Namespace) -> int:
+        """Print the story."""
+        story = tell_story(options.request_id, _read(options.logs))
+        if not story.steps:
+            raise CommandError(_nothing(options.request_id, story))
+        for text in _sentences(story):
+            sys.stdout.write(f'{text}\n')
+        return ExitCode.DONE
+
+
+def _read(names: list[str]) -> list[list[Line]]:
+    if not names:
+        return [list(parse_lines(sys.stdin))]
+    try:
+        return [
+            list(parse_lines(Path(name).read_text().splitlines()))
+            for name in names
+        ]
+    except OSError as error:
+        raise CommandError(f'{error.filename}: {error.strerror}') from error
+
+
+def _nothing(request_id: str, story: Story) -> str:
+    text = f'no line is about {request_id}'
+    dropped = _dropped(story)
+    return f'{text}; {dropped}' if dropped else text
+
+
+def _sentences(story: Story) -> list[str]:
+    texts = [f'state of its entry: {_fields(line)}' for line in story.state]
+    texts.extend(_fields(step) for step in story.steps)
+    if not story.complete:
+        texts.append('its entry has not told its end: a file is missing')
+    dropped = _dropped(story)
+    if dropped:
+        texts.append(dropped)
+    return texts
+
+
+def _dropped(story: Story) -> str:
+    counts = (f'{node} {lines}' for node, lines in story.dropped.items())
+    told = ', '.join(counts)
+    return f'lines were dropped, some may be of this request: {told}' * bool(
+        told,
+    )
+
+
+def _fields(line: Line) -> str:
+    node, event = line.get('node', '?'), line['event']
+    rest = ' '.join(
+        f'{name}={told}'
+        for name, told in line.items()
+        if name not in {'node', 'event', 'request'}
+    )
+    return f'{node} {event} {rest}'
