Ask a server that is in time after the home has refused

Cause: a home that reads a very long prompt (50 k tokens, more than a second) refuses; the next by cost was another holder, as late as the home, and the request was refused with engines idle behind it.

--- a/src/sardinetrack/placement/choice.py
+++ b/src/sardinetrack/placement/choice.py
@@ -101,6 +101,22 @@
     return sorted(found, key=lambda candidate: candidate.cost_seconds)
 
 
+def in_time(
+    found: Sequence[Candidate],
+    patience_seconds: float,
+) -> list[Candidate]:
+    """Keep the servers that would take the request in time.
+
+    While a home reads a very long prompt, for a second or more, the holders
+    of a part are the cheapest by far and all too late. Asked one after the
+    other they would refuse, with idle servers behind them in the order.
+
+    :return: never empty unless ``found`` is; the best one if all are late.
+    """
+    kept = [one for one in found if one.wait_seconds <= patience_seconds]
+    return kept or list(found[:1])
+
+
 def without(
     found: Sequence[Candidate],
     instances: Collection[str],
--- a/src/sardinetrack/relay/placing.py
+++ b/src/sardinetrack/relay/placing.py
@@ -12,6 +12,7 @@
     Candidate,
     by_load,
     by_prompt,
+    in_time,
     without,
 )
 from sardinetrack.placement.holdings import SHARED_TOKENS
@@ -101,7 +102,8 @@
         patience_seconds = PATIENCE_PART * plan.route.first_answer_seconds
         ends_seconds = self._loop.time() + patience_seconds
         refusals: list[TurnRefusedError] = []
-        for candidate in candidates[:MOST_ASKED]:
+        others = in_time(candidates[1:], patience_seconds)
+        for candidate in (candidates[0], *others[: MOST_ASKED - 1]):
             left_seconds = max(0, ends_seconds - self._loop.time())
             if refusals and candidate.wait_seconds > left_seconds:
                 break
--- a/src/sardinetrack/topology/feed.py
+++ b/src/sardinetrack/topology/feed.py
@@ -28,6 +28,12 @@
 A silent connection is found by its keep-alive probes, not by the wait.
 Together with the above 0.75 calls a second and entry in place of 2.
 """
+SETTLE_SECONDS: Final = 0.2
+"""Pause after a change, so that changes in a row come in one answer.
+
+When all servers register at once each would cost every entry a call; a tenth
+of the time in which a change has to be in force.
+"""
 FIRST_PAUSE_SECONDS: Final = 0.1
 MOST_PAUSE_SECONDS: Final = 0.5
 _GROWTH: Final = 2.0
@@ -100,6 +106,8 @@
                 self._follower.changed(stored)
             self._answered(asked_seconds)
             revision = max(revision, changes.revision)
+            if changes.objects:
+                await asyncio.sleep(SETTLE_SECONDS)
 
     def _answered(self, asked_seconds: float) -> None:
         if self._away:
--- a/tests/placement/choice.feature
+++ b/tests/placement/choice.feature
@@ -36,3 +36,12 @@
   Scenario: Plain servers get work by their load
     Given 3 plain servers, one of them loaded
     Then a request goes to one that is idle in the own failure domain
+
+  Scenario: Servers that would be late are passed over
+    Both holders of a part read very long prompts. After the home has refused,
+    an idle server is asked, not the other holder that would refuse as well.
+
+    Given 9 idle engines
+    When both holders of a part have 1.5 seconds to read
+    Then the other holder is before the idle ones by cost
+    And it is not among those that are in time
--- a/tests/placement/steps/choice_steps.py
+++ b/tests/placement/steps/choice_steps.py
@@ -6,7 +6,7 @@
 
 from behave import given, then, when
 
-from sardinetrack.placement.choice import by_load, by_prompt
+from sardinetrack.placement.choice import by_load, by_prompt, in_time
 from sardinetrack.placement.home import ranked
 from sardinetrack.placement.load import ServerLoad
 from sardinetrack.relay.api import Prompt, PromptPart
@@ -144,3 +144,27 @@
 def _best(context, prompt):
     found = by_prompt(prompt, context.servers, context.loads)
     return found[0].server.instance
+
+
+@when('both holders of a part have {seconds:g} seconds to read')
+def load_holders(context, seconds):
+    prompt = _prompt('hot')
+    order = by_prompt(prompt, context.servers, context.loads)
+    context.holders = [one.server for one in order[:2]]
+    for server in context.holders:
+        context.loads[server.instance].told_wait_seconds = seconds
+    ips = [server.ip for server in context.holders]
+    context.found = by_prompt(prompt, context.servers, context.loads, ips)
+
+
+@then('the other holder is before the idle ones by cost')
+def holder_before(context):
+    first = [one.server for one in context.found[:2]]
+    assert set(first) == set(context.holders)
+
+
+@then('it is not among those that are in time')
+def holder_late(context):
+    kept = in_time(context.found[1:], 0.4)
+    assert kept
+    assert all(one.server not in context.holders for one in kept)
