A request that must read a shared part again takes free capacity only

Cause: after its home had refused, a request waited at another server as long as at home, and the shared part read there for it delayed those at home there.

Ruled out: fewer servers asked (2 and 3 alike); refusing instead of a second server (idle engines with work waiting).

--- a/src/sardinetrack/relay/placing.py
+++ b/src/sardinetrack/relay/placing.py
@@ -29,6 +29,13 @@
 Of 0.25, 0.3, 0.4 and 0.55 none is better than 0.4 by more than two runs of
 the same day differ by (0.02 of the worth of a day).
 """
+GUEST_SECONDS: Final = 0.02
+"""Wait of a request at a server that has to read a shared part again for it.
+
+It takes capacity that is free and none that requests at home there wait for.
+Measured on the users' days with trouble against waiting as long as at home:
+0.02 to 0.06 more of the worth on 8 of 10, 30 % fewer tokens read again.
+"""
 MOST_ASKED: Final = 2
 """Servers that are asked for a turn before a request is refused."""
 MOST_UNREACHED: Final = 4
@@ -107,6 +114,8 @@
             left_seconds = max(0, ends_seconds - self._loop.time())
             if refusals and candidate.wait_seconds > left_seconds:
                 break
+            if candidate.again_tokens:
+                left_seconds = min(left_seconds, GUEST_SECONDS)
             ask = self._ask(plan, candidate, left_seconds)
             try:
                 return await self._wait_turn(plan, candidate, ask)
--- a/tests/admission/reading.feature
+++ b/tests/admission/reading.feature
@@ -36,6 +36,17 @@
     Then home is granted 6 turns
     And spread is granted fewer turns
 
+  Scenario: A guest takes free capacity only
+    A request whose part is at home elsewhere has next to no patience here.
+
+    Given an engine of 64 slots
+    When a guest with 0.02 seconds of patience asks for 5000 tokens
+    And workspace home asks 4 times for 5000 tokens
+    And a guest with 0.02 seconds of patience asks for 5000 tokens
+    And 0.03 seconds pass at the engine
+    Then guest is granted 1 turn
+    And 1 of guest are refused
+
   Scenario: What can't be read in time is refused at once
     Waiting would be in vain; the caller is told when the queue will have
     drained, from the rate at which the engine reads.
--- a/tests/admission/steps/reading_steps.py
+++ b/tests/admission/steps/reading_steps.py
@@ -80,6 +80,11 @@
     context.engine.ask(workspace, tokens)
 
 
+@step('a guest with {seconds:g} seconds of patience asks for {tokens:d} tokens')
+def ask_guest(context, seconds, tokens):
+    context.engine.ask('guest', tokens, patience_seconds=seconds)
+
+
 @step('workspace {workspace} asks {count:d} times for {tokens:d} tokens')
 def ask_often(context, workspace, count, tokens):
     for _ in range(count):
--- a/tests/placement/steps/choice_steps.py
+++ b/tests/placement/steps/choice_steps.py
@@ -151,9 +151,9 @@
     prompt = _prompt('hot')
     order = by_prompt(prompt, context.servers, context.loads)
     context.holders = [one.server for one in order[:2]]
-    for server in context.holders:
-        context.loads[server.instance].told_wait_seconds = seconds
-    ips = [server.ip for server in context.holders]
+    for holder in context.holders:
+        context.loads[holder.instance].told_wait_seconds = seconds
+    ips = [one.ip for one in context.holders]
     context.found = by_prompt(prompt, context.servers, context.loads, ips)
 
 
