Drop servers kept over an outage by the clock; count plain requests when placed

Found in the log of the entry: server_gone missing after the removal that its peers had told.

Cause 2: requests of one moment all went to the same plain server, as they were counted only when sent.

Both tests fail without the change.

--- a/src/sardinetrack/relay/entry.py
+++ b/src/sardinetrack/relay/entry.py
@@ -257,6 +257,7 @@
             await asyncio.sleep(SWEEP_SECONDS)
             count += 1
             self._find_silent()
+            self._fleet.expire_servers()
             self._fleet.log.flush()
             if not count % _SWEEPS_A_SECOND:
                 self._fleet.connections.sweep()
--- a/src/sardinetrack/relay/fleet.py
+++ b/src/sardinetrack/relay/fleet.py
@@ -17,7 +17,7 @@
 from sardinetrack.routing.breaker import Breaker
 from sardinetrack.routing.retries import RetryBudget
 from sardinetrack.topology.configuration import Configuration, Pool
-from sardinetrack.topology.freshness import Freshness
+from sardinetrack.topology.freshness import Freshness, boot_clock
 from sardinetrack.topology.servers import BackendServer, ServerList
 from sardinetrack.turns.desk import LocalDesk
 from sardinetrack.turns.entry import SideLink
@@ -148,6 +148,15 @@
             self._desks.pop(instance, None)
             self.log.write(Event.SERVER_GONE, server=instance)
 
+    def expire_servers(self) -> None:
+        """Drop servers that did not come back after an outage.
+
+        By the clock, not by the store's answers: in a quiet store these are
+        seconds apart, and a server that has left would get work until then.
+        """
+        if self.servers.expire(boot_clock()):
+            self.servers_changed()
+
     def close(self) -> None:
         """End the links to the sides."""
         for task in self._side_tasks.values():
--- a/src/sardinetrack/relay/followers.py
+++ b/src/sardinetrack/relay/followers.py
@@ -103,9 +103,7 @@
         self._fleet.servers_changed()
 
     def confirmed(self, asked_seconds: float) -> None:
-        """Drop servers that did not come back after an outage."""
-        if self._fleet.servers.expire(boot_clock()):
-            self._fleet.servers_changed()
+        """The list has no age of its own; changes come by themselves."""
 
     def lost(self) -> None:
         """Keep servers for a while whose entries lapse in the outage."""
--- a/src/sardinetrack/relay/placing.py
+++ b/src/sardinetrack/relay/placing.py
@@ -21,7 +21,7 @@
 from sardinetrack.relay.fleet import Fleet
 from sardinetrack.relay.plan import Plan
 from sardinetrack.relay.trace import Placed, Trace
-from sardinetrack.relay.turn import FreeTurn, TurnRefusedError, take_turn
+from sardinetrack.relay.turn import PlainTurn, TurnRefusedError, take_turn
 
 PATIENCE_PART: Final = 0.4
 """Part of the objective to the first event that a request may wait.
@@ -69,7 +69,8 @@
                 retry_after_seconds=SERVER_AWAY_SECONDS,
             )
         if not plan.pool.runs_models:
-            return Placed(candidates[0], FreeTurn())
+            load = self._fleet.load(candidates[0].server)
+            return Placed(candidates[0], PlainTurn(load))
         began_seconds = self._loop.time()
         try:
             return await self._take_turn(plan, candidates)
--- a/src/sardinetrack/relay/sender.py
+++ b/src/sardinetrack/relay/sender.py
@@ -134,14 +134,12 @@
         self._note_sent(plan, candidate)
         self.attempt = attempt
         load = self._fleet.load(server)
-        load.running += 1
         load.added_tokens += candidate.new_tokens
         try:
             connection.send(request, attempt)
             self._caller.flow = connection.flow
             await attempt.done
         finally:
-            load.running -= 1
             self._caller.flow = None
 
     def _check_again(self, plan: Plan, server: BackendServer) -> None:
--- a/src/sardinetrack/relay/turn.py
+++ b/src/sardinetrack/relay/turn.py
@@ -7,6 +7,7 @@
 
 from sardinetrack.admission.reading import Ask, Granted
 from sardinetrack.placement.choice import Candidate
+from sardinetrack.placement.load import ServerLoad
 from sardinetrack.relay.fleet import Fleet
 from sardinetrack.topology.configuration import Pool
 from sardinetrack.turns.desk import LocalDesk
@@ -29,14 +30,23 @@
         """Give it back."""
 
 
-class FreeTurn(Turn):
-    """At a plain service, which admits by itself."""
+class PlainTurn(Turn):
+    """At a plain service, which admits by itself; counted from the choice.
+
+    Requests of one moment are placed before any of them is sent.
+    """
+
+    def __init__(self, load: ServerLoad) -> None:
+        """Count the request."""
+        self._load = load
+        load.running += 1
 
     def begun(self) -> None:
         """Nobody waits for it."""
 
     def ended(self) -> None:
-        """Nobody waits for it."""
+        """Count it no more."""
+        self._load.running -= 1
 
 
 class SideTurn(Turn):
--- a/tests/relay/relay.feature
+++ b/tests/relay/relay.feature
@@ -117,12 +117,31 @@
     When the view is 4.5 seconds old
     Then a keyed request gets status 503 and an anonymous one 200
 
+  Scenario: Requests of one moment are spread over plain servers
+    Eight callers ask in the same moment, before any request is on its way.
+    Counted only when sent, each would see the servers idle and all would go
+    to the same one.
+
+    Given a relay before 4 plain servers
+    When 8 callers fetch at once
+    Then no server got more than 3 requests
+
   Scenario: A leaving server gets nothing new
     Given a relay before 2 plain servers
     When the first server is listed as leaving
     And 6 callers fetch at once
     Then the first server got 0 requests
 
+  Scenario: A server kept over an outage is dropped in time, in a quiet store
+    The store is back after an outage; a server's entry is removed just then,
+    so it is kept for a moment. Nothing else changes, and no answer of the
+    store comes for seconds. The server must not be kept until one does.
+
+    Given a relay before 2 plain servers
+    When the store was away and the first server vanishes
+    And 1.8 seconds pass
+    Then 1 server takes work
+
   Scenario: What a caller may not set is not handed on
     A caller sends the headers by which the system reserves memory, names a
     workspace or goes on from another request's memory.
--- a/tests/relay/steps/relay_steps.py
+++ b/tests/relay/steps/relay_steps.py
@@ -144,6 +144,20 @@
     context.world.list_servers({context.world.servers[0].instance})
 
 
+@when('the store was away and the first server vanishes')
+def vanish_after_outage(context):
+    world = context.world
+    now = boot_clock()
+    world.fleet.servers.outage(now)
+    world.fleet.servers.remove(now, world.servers[0].instance)
+    world.fleet.servers_changed()
+
+
+@when('{seconds:g} seconds pass')
+def wait(context, seconds):
+    context.world.run(asyncio.sleep(seconds))
+
+
 @when('the key is taken away')
 def revoke(context):
     context.world.fleet.configuration = configuration(2, keys=('other',))
@@ -220,6 +234,17 @@
     assert got == count, got
 
 
+@then('{count:d} server takes work')
+def take_work(context, count):
+    assert len(context.world.fleet.servers.of_pool('plain')) == count
+
+
+@then('no server got more than {most:d} requests')
+def spread(context, most):
+    counts = [len(server.requests) for server in context.world.servers]
+    assert max(counts) <= most, counts
+
+
 @then('the first server got {count:d} requests')
 def first_got(context, count):
     assert len(context.world.servers[0].requests) == count
