--- a/src/sardinetrack/logs/story.py
+++ b/src/sardinetrack/logs/story.py
@@ -2,7 +2,7 @@
 
 The clocks of instances may be seconds apart, so times order only the lines of
 one process. Across processes the number of the ask does: a side's refusal of
-ask N comes before the entry's step N + 1.
+ask N comes before the send that followed an ask with a higher number.
 """
 
 from __future__ import annotations
@@ -103,6 +103,9 @@
     event = line['event']
     if event == 'lines_dropped':
         story.dropped[_node(line)] = int(line.get('lines', 0))
+    if event == 'started':
+        # What it told before is of another process of the same instance.
+        recent.pop(_node(line), None)
     if event in _STATE:
         kind = 'store' if event.startswith('store') else event
         recent.setdefault(_node(line), {}).update({kind: line})
@@ -120,7 +123,7 @@
     _, _, number = str(line['request']).partition('.')
     if number:
         return 2 * int(number)
-    send = line.get('send')
-    if send is not None:
-        return 2 * int(send) - 1
+    ask = line.get('ask')
+    if ask is not None:
+        return 2 * int(ask) + 1
     return max((rank for rank, _, _ in found if rank < _END_RANK), default=0)
--- a/src/sardinetrack/relay/placing.py
+++ b/src/sardinetrack/relay/placing.py
@@ -150,7 +150,8 @@
         prompt = self._call.prompt
         fleet = self._fleet
         request_id = self._call.request_id
-        number = self._trace.sent + len(self._trace.unreached)
+        number = self._trace.asks
+        self._trace.asks += 1
         now = self._loop.time()
         return Ask(
             ask_id=f'{request_id}.{number}',
--- a/src/sardinetrack/relay/sender.py
+++ b/src/sardinetrack/relay/sender.py
@@ -179,6 +179,7 @@
             pool=plan.pool.name,
             workspace=plan.workspace_name,
             send=trace.sent,
+            ask=max(0, trace.asks - 1),
             config_version=plan.version,
             config_age_seconds=round(fleet.freshness.age_seconds(), _DIGITS),
             waited_seconds=round(trace.waited_seconds, _DIGITS),
--- a/src/sardinetrack/relay/trace.py
+++ b/src/sardinetrack/relay/trace.py
@@ -16,6 +16,8 @@
     """Instances that the request was sent to, in order."""
     unreached: set[str] = field(default_factory=set)
     """Instances that took no connection: nothing was sent there."""
+    asks: int = 0
+    """Turns that were asked for; the last one's number is one less."""
     waited_seconds: float = 0
     """For a turn, at all servers together."""
     proved_not_run: bool = True
--- a/tests/cli/steps/explain_steps.py
+++ b/tests/cli/steps/explain_steps.py
@@ -13,9 +13,11 @@
 from sardinetrack.run import main
 
 _ENTRY = (
+    {'time': 99.0, 'event': 'stopping'},
+    {'time': 99.5, 'event': 'started'},
     {'time': 100.0, 'event': 'configured', 'version': 7},
-    {'time': 101.0, 'event': 'request_sent', 'request': 'beef0', 'send': 1},
-    {'time': 102.0, 'event': 'request_sent', 'request': '9c41', 'send': 1},
+    {'time': 101.0, 'event': 'request_sent', 'request': 'beef0', 'ask': 1},
+    {'time': 102.0, 'event': 'request_sent', 'request': '9c41', 'ask': 1},
     {
         'time': 103.0,
         'event': 'request_ended',
