A pool whose sides have no slots has no server, after a short grace

Cause of the known red scenario (a call posted while the wire behind the side is cut has no answer for 60 s): the entry counted linked sides, also those whose server is gone; the request waited for a slot until its own deadline, which is also the caller's patience. Ruled out: the wait bound racing the caller's (both are 60 s; neither should be reached).

The new router scenario fails without the change.

--- a/src/sardinetrack/routing/pool.py
+++ b/src/sardinetrack/routing/pool.py
@@ -67,7 +67,9 @@
 
     def submit(self, now: float, work: Work) -> Sequence[EntryEffect]:
         """Dispatch, queue or reject a new request."""
-        if not len(self.sides) and self._no_side(now):
+        if self.sides.some_slots():
+            self._side_seconds = now
+        elif self._no_side(now):
             return (Reject(work.request_id, ErrorKind.NOT_RUN_NO_SERVER),)
         refusal = self._gate.check(now, work)
         if refusal is not None:
@@ -176,7 +178,7 @@
             self._count(now, waiting.work.workspace)
             self.open_requests -= 1
             effects.append(give_up(waiting, ErrorKind.NOT_RUN_DEADLINE))
-        if len(self.sides):
+        if self.sides.some_slots():
             self._side_seconds = now
         elif self._no_side(now):
             effects.extend(self._give_up_all(now))
--- a/src/sardinetrack/routing/sides.py
+++ b/src/sardinetrack/routing/sides.py
@@ -71,6 +71,17 @@
         """Whether any side may have a free slot; cheap to ask."""
         return any(side.free > 0 for side in self._sides.values())
 
+    def some_slots(self) -> bool:
+        """Whether any side has slots, or has not told yet.
+
+        Sides whose servers are gone have none. Work that waited for these
+        would get no answer until its caller's patience ends.
+        """
+        return any(
+            side.limit > 0 or not side.incarnation
+            for side in self._sides.values()
+        )
+
     def free(self, now: float, affinity: int) -> Side | None:
         """Choose a side believed to have a free slot.
 
--- a/tests/routing/router.feature
+++ b/tests/routing/router.feature
@@ -101,3 +101,22 @@
     And a peer strikes print at server two
     When 1 seconds pass at the entry
     Then a new peer is told of print at servers one and two
+
+  Scenario: A pool whose sides have no slots has no server
+    The wire behind the only side is cut: the side is linked and has no slots.
+    A request that waited for one would get no answer until its patience ends,
+    a minute later; after a short grace it is told to come back.
+
+    Given agency submits a1 of cost 5
+    And pilot submits p1 of cost 5
+    When the side loses its slots
+    And 3 seconds pass at the entry
+    Then p1 is rejected as not_run_no_server
+
+  Scenario: A server that is back within the grace keeps its waiting work
+    Given agency submits a1 of cost 5
+    And pilot submits p1 of cost 5
+    When the side loses its slots
+    And 1 seconds pass at the entry
+    And the side announces 1 free slot
+    Then p1 is dispatched
--- a/tests/routing/steps/router_steps.py
+++ b/tests/routing/steps/router_steps.py
@@ -101,6 +101,13 @@
     context.router.strike(context.now, Strike(fingerprint, server, 60.0))
 
 
+@when('the side loses its slots')
+def lose_slots(context):
+    load = SideLoad('first', SidePhase.SERVING, 0, 0, 0)
+    context.effects.extend(context.router.load(context.now, 's1', load))
+    context.effects.extend(context.router.tick(context.now))
+
+
 @when('the side grants {number:d}')
 def grant(context, number):
     context.effects.extend(
