sardinetrack local carries an ordinary load tool

Cause: its one workspace had the defaults of a class, 50 calls a second and 64 waiting; 300 calls over 60 connections were answered 429. The scenario fails without the limits and passes with them.

--- a/src/sardinetrack/compose/local_seed.py
+++ b/src/sardinetrack/compose/local_seed.py
@@ -4,6 +4,7 @@
 
 import json
 from hashlib import sha256
+from types import MappingProxyType
 from typing import Any, Final
 
 from sardinetrack.catalogue.api import CATALOGUE_PREFIX, EntryKind
@@ -13,6 +14,11 @@
 MODEL_POOL: Final = 'local-models'
 SERVICE_POOL: Final = 'local-service'
 _WORKSPACE: Final = 'local'
+_LIMITS: Final = MappingProxyType(
+    {'concurrency': 64, 'rate_per_second': 1000, 'waiting': 1000},
+)
+"""For a first try with any load tool, which nobody else shares; the defaults
+of a class would refuse 300 calls over 60 connections."""
 
 
 async def seed(platform: Platform, token: str) -> None:
@@ -22,7 +28,11 @@
     :param token: the bearer token of the workspace's caller.
     """
     digest = sha256(token.encode()).hexdigest()
-    workspace = {'class': 'interactive', 'token_hashes': [digest]}
+    workspace = {
+        'class': 'interactive',
+        'token_hashes': [digest],
+        'limits': dict(_LIMITS),
+    }
     await _put(platform, EntryKind.WORKSPACE, _WORKSPACE, workspace)
     models = {'class': 'model', 'models': [MODEL]}
     await _put(platform, EntryKind.POOL, MODEL_POOL, models)
--- a/tests/cli/processes.feature
+++ b/tests/cli/processes.feature
@@ -56,3 +56,11 @@
     Then the exit code is 1
     And the error output mentions "no answer"
     And there is no traceback
+
+  Scenario: A first try with a load tool is not refused
+    Somebody starts the whole system on one machine and sends it 300 calls
+    over 60 connections. None is told that its workspace calls too often.
+
+    When the process "local --port 0 --log-level error" is started
+    And 300 calls are sent to it over 60 connections
+    Then every call was answered 200
--- a/tests/cli/steps/process_steps.py
+++ b/tests/cli/steps/process_steps.py
@@ -7,6 +7,7 @@
 import socket
 import subprocess
 import sys
+from concurrent.futures import ThreadPoolExecutor
 from http.client import HTTPConnection
 from urllib.parse import urlsplit
 
@@ -88,3 +89,40 @@
 @then('the output is JSON whose text "{name}" is "{text}"')
 def step_json_text(context: Context, name: str, text: str) -> None:
     assert json.loads(context.output)[name] == text
+
+
+def _call_often(context: Context, ready: dict[str, str], calls: int) -> None:
+    connection = HTTPConnection(
+        urlsplit(ready['entry_url']).netloc,
+        timeout=_SECONDS,
+    )
+    body = json.dumps(
+        {
+            'model': ready['model'],
+            'max_tokens': 1,
+            'messages': [{'role': 'user', 'content': 'Ahoy'}],
+        },
+    )
+    headers = {'Authorization': f'Bearer {ready["token"]}'}
+    for _ in range(calls):
+        connection.request('POST', '/v1/chat/completions', body, headers)
+        reply = connection.getresponse()
+        reply.read()
+        context.statuses.append(reply.status)
+    connection.close()
+
+
+@when('{calls:d} calls are sent to it over {connections:d} connections')
+def step_call(context: Context, calls: int, connections: int) -> None:
+    ready = json.loads(context.process.stdout.readline())
+    context.statuses = []
+    each = calls // connections
+    with ThreadPoolExecutor(connections) as pool:
+        for _ in range(connections):
+            pool.submit(_call_often, context, ready, each)
+
+
+@then('every call was answered {status:d}')
+def step_all(context: Context, status: int) -> None:
+    assert len(context.statuses) == 300, len(context.statuses)
+    assert set(context.statuses) == {status}, set(context.statuses)
