--- /dev/null
+++ b/benchmarks/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A fault soak: the real programs as processes, faults from outside."""
--- a/tests/support/object_store.py
+++ b/tests/support/object_store.py
@@ -31,10 +31,10 @@
         self._changed = asyncio.Event()
         self._server = None
 
-    async def open(self):
+    async def open(self, ip='127.0.0.1'):
         self._server = await asyncio.start_server(
             self._serve,
-            '127.0.0.1',
+            ip,
             self.port,
         )
         self.port = self._server.sockets[0].getsockname()[1]
@@ -67,6 +67,11 @@
         stored['metadata']['revision'] = self.revision
         self._tell(kind, stored, removed=True)
 
+    def drop(self, kind, name):
+        """Remove if it is there."""
+        if (kind, name) in self._objects:
+            self.remove(kind, name)
+
     def compact(self):
         """Forget the history."""
         self._oldest = self.revision
--- a/tests/support/relay_servers.py
+++ b/tests/support/relay_servers.py
@@ -25,12 +25,13 @@
         self.gone = asyncio.Event()
         self.asked = asyncio.Event()
         self.port = 0
+        self.writers = set()
         self._server = None
 
-    async def open(self):
+    async def open(self, ip='127.0.0.1'):
         self._server = await asyncio.start_server(
             self._serve,
-            '127.0.0.1',
+            ip,
             self.port,
         )
         self.port = self._server.sockets[0].getsockname()[1]
@@ -39,6 +40,7 @@
         self._server.close()
 
     async def _serve(self, reader, writer):
+        self.writers.add(writer)
         with suppress(*_ENDS):
             while True:
                 head = await reader.readuntil(b'\r\n\r\n')
@@ -50,6 +52,7 @@
                 act = self.acts.popleft() if self.acts else 'answer'
                 await getattr(self, f'_{act}')(fields, reader, writer)
                 await writer.drain()
+        self.writers.discard(writer)
         writer.close()
 
     async def _answer(self, fields, reader, writer):
@@ -101,10 +104,13 @@
         writer.write(f'{head}Transfer-Encoding: chunked\r\n\r\n'.encode())
         first = int(fields.get('last-event-id', 0)) + 1
         for number in range(first, last + 1):
-            event = b'id: %d\ndata: token %d\n\n' % (number, number)
+            event = await self._event(fields, number)
             writer.write(b'%x\r\n%b\r\n' % (len(event), event))
             await writer.drain()
 
+    async def _event(self, fields, number):
+        return b'id: %d\ndata: token %d\n\n' % (number, number)
+
     def _whole(self, fields, writer, status, body):
         head = self._head(fields, status)
         length = f'Content-Length: {len(body)}\r\n\r\n'
