--- a/benchmarks/soak/callers.py
+++ b/benchmarks/soak/callers.py
@@ -1,4 +1,4 @@
-"""Callers that keep their connections, and hold every answer to the promises."""
+"""Callers that keep connections, and hold each answer to the promises."""
 
 from __future__ import annotations
 
