--- a/tests/soak/steps/soak_steps.py
+++ b/tests/soak/steps/soak_steps.py
@@ -5,7 +5,6 @@
 import asyncio
 
 from behave import then, when
-
 from benchmarks.soak.__main__ import soak
 
 
