Bound an entry's requests by its memory and its lateness

Now an entry refuses at once, as not run, what its memory does not hold (0.16 MB a request), and everything while its loop is over 0.25 s late, and says that it is not ready meanwhile; it accepts 32 connections in one turn instead of 1,024, and full collections of garbage are rare. Ruled out: the log (250 lines a second), a leak (idle connections are callers' kept ones).

--- a/src/sardinetrack/compose/node.py
+++ b/src/sardinetrack/compose/node.py
@@ -42,7 +42,8 @@
 from sardinetrack.turns.side import Side
 
 _FLUSH_SECONDS: Final = 0.2
-_GC_THRESHOLD: Final = 20_000
+_GC_THRESHOLDS: Final = (20_000, 20, 100)
+"""Full collections are rare: one of a busy entry stops it for 0.2 s and more."""
 _BAD_USAGE: Final = 2
 METRICS_PATH: Final = b'/metrics'
 
@@ -89,7 +90,7 @@
     # Everything imported stays for good; walking through it at each full
     # collection would stop the loop for tens of milliseconds.
     gc.freeze()
-    gc.set_threshold(_GC_THRESHOLD)
+    gc.set_threshold(*_GC_THRESHOLDS)
     asyncio.run(runner(settings, log))
     log.write(Event.STOPPED)
     log.flush()
--- a/src/sardinetrack/errors/api.py
+++ b/src/sardinetrack/errors/api.py
@@ -22,6 +22,7 @@
     IN_PROGRESS = 'request_in_progress'
     ALREADY_FINISHED = 'request_already_finished'
     TOO_MANY_CONNECTIONS = 'too_many_connections'
+    INSTANCE_BUSY = 'instance_busy'
     RATE_LIMITED = 'rate_limited'
     QUEUE_FULL = 'queue_full'
     NOT_RUN_DEADLINE = 'not_run_deadline'
--- a/src/sardinetrack/errors/table.py
+++ b/src/sardinetrack/errors/table.py
@@ -28,6 +28,8 @@
 _LIMIT: Final = 'rate_limit_error'
 _BUSY: Final = 'overloaded_error'
 _SERVER: Final = 'server_error'
+_OTHER_SECONDS: Final = 0.2
+"""When to come back to another instance."""
 
 
 ANSWERS: Final = MappingProxyType(
@@ -118,6 +120,13 @@
             not_run=True,
             retry_after_seconds=1,
         ),
+        ErrorKind.INSTANCE_BUSY: Answer(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            _BUSY,
+            'This instance has all the work it can hold; not run.',
+            not_run=True,
+            retry_after_seconds=_OTHER_SECONDS,
+        ),
         ErrorKind.RATE_LIMITED: Answer(
             HTTPStatus.TOO_MANY_REQUESTS,
             _LIMIT,
--- a/src/sardinetrack/logs/events.py
+++ b/src/sardinetrack/logs/events.py
@@ -39,6 +39,7 @@
     SERVER_LISTED = 'server_listed'
     SERVER_GONE = 'server_gone'
     SERVER_SUSPECT = 'server_suspect'
+    OVERLOAD = 'overload'
     CONNECTIONS_CLOSED = 'connections_closed'
     REQUEST_SENT = 'request_sent'
     REQUEST_RETRIED = 'request_retried'
--- a/src/sardinetrack/platform/settings.py
+++ b/src/sardinetrack/platform/settings.py
@@ -14,6 +14,7 @@
 
 _VARIABLE: Final = 'SARDINETRACK_BOOT'
 _MILLISECONDS: Final = 1000.0
+_MEGABYTE: Final = 1_000_000
 METRICS_PORT: Final = 9464
 """As the deploy file tells it; the platform's settings have no place for it."""
 
@@ -36,6 +37,7 @@
 class _Limits(msgspec.Struct, rename='camel'):
     # Sockets, pipes and files together; some are kept for files.
     max_fds: int = 4096
+    memory_mb: int = 256
 
 
 class _Store(msgspec.Struct, rename='camel'):
@@ -93,6 +95,7 @@
         store=_address(read.platform.address),
         grace_seconds=bounds.grace_s,
         revoke_seconds=revoke_seconds if bounds.fail_closed else None,
+        memory_bytes=read.limits.memory_mb * _MEGABYTE,
         max_descriptors=read.limits.max_fds,
         retry_ratio=bounds.retry_budget_ratio,
         retry_window_seconds=bounds.retry_window_s,
--- a/src/sardinetrack/relay/entry.py
+++ b/src/sardinetrack/relay/entry.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import math
+import os
+import socket
 from contextlib import AsyncExitStack
 from operator import attrgetter
 from types import TracebackType
@@ -13,6 +15,7 @@
 from sardinetrack.logs.events import Event
 from sardinetrack.relay.api import Call, Dialect
 from sardinetrack.relay.caller_connection import CallerConnection
+from sardinetrack.relay.capacity import Capacity
 from sardinetrack.relay.door import Door
 from sardinetrack.relay.exchange import Exchange
 from sardinetrack.relay.fleet import Fleet
@@ -26,8 +29,6 @@
 
 The balancer asks each second and leaves it out after two misses.
 """
-_CALLERS_PART: Final = 0.45
-"""Part of the descriptors for callers; each may need one to a server too."""
 _SHED_PARTS: Final = 10
 _CUT_PART: Final = 0.9
 """Part of the grace after which what still runs is cut."""
@@ -36,6 +37,7 @@
 SILENT_GAP_SECONDS: Final = 1.2
 _SWEEPS_A_SECOND: Final = 10
 _BACKLOG: Final = 1024
+_ACCEPTED_AT_ONCE: Final = 32
 
 
 class Entry(Door):
@@ -58,8 +60,7 @@
         self._loop = asyncio.get_running_loop()
         self._stack = AsyncExitStack()
         self._was_ready = False
-        most = fleet.settings.max_descriptors * _CALLERS_PART
-        self._most_connections = int(most)
+        self.capacity = Capacity(fleet.settings)
         self._none_left = asyncio.Event()
         self._draining_since = math.inf
 
@@ -74,6 +75,13 @@
         """Count the callers' connections."""
         return len(self._connections)
 
+    def _refusal(self) -> ErrorKind | None:
+        if self._too_late:
+            return ErrorKind.NOT_RUN_DRAINING
+        if not self.capacity.takes(len(self._exchanges)):
+            return ErrorKind.INSTANCE_BUSY
+        return None
+
     @property
     def _too_late(self) -> bool:
         """Whether a stopping entry takes no request any more.
@@ -88,7 +96,8 @@
         """Whether the balancer should send callers here."""
         fleet = self._fleet
         known = fleet.configuration is not None
-        ready = known and not self.draining and fleet.freshness.holds()
+        fresh = fleet.freshness.holds() and not self.capacity.overloaded
+        ready = known and fresh and not self.draining
         if ready != self._was_ready:
             self._was_ready = ready
             fleet.log.write(
@@ -110,9 +119,13 @@
         server = await self._loop.create_server(
             lambda: CallerConnection(self._dialect, self),
             *address,
-            backlog=_BACKLOG,
+            backlog=_ACCEPTED_AT_ONCE,
         )
-        self.port = server.sockets[0].getsockname()[1]
+        listener = server.sockets[0]
+        self.port = listener.getsockname()[1]
+        # The loop accepts as many in one turn as its backlog, which it also
+        # gives to the kernel; a thousand in a turn would stop all streams.
+        socket.socket(fileno=os.dup(listener.fileno())).listen(_BACKLOG)
         self._stack.callback(server.close)
         self._stack.callback(self._fleet.close)
         self._own(self._loop.create_task(self._sweep()))
@@ -164,7 +177,7 @@
     def opened(self, connection: CallerConnection) -> None:
         """Note a new connection."""
         self._connections.add(connection)
-        if len(self._connections) > self._most_connections:
+        if len(self._connections) > self.capacity.most_connections:
             self._make_room(connection)
         if self.draining:
             connection.end_after_answer()
@@ -197,8 +210,9 @@
     async def serve(self, call: Call, caller: CallerConnection) -> None:
         """Answer a call."""
         exchange = Exchange(self._fleet, self._dialect, call, caller)
-        if self._too_late:
-            exchange.refuse(AnsweredError(ErrorKind.NOT_RUN_DRAINING))
+        refusal = self._refusal()
+        if refusal is not None:
+            exchange.refuse(AnsweredError(refusal))
             self._note(call, exchange)
             return
         self._exchanges.add(exchange)
@@ -254,7 +268,9 @@
     async def _sweep(self) -> None:
         count = 0
         while True:
+            due_seconds = self.now() + SWEEP_SECONDS
             await asyncio.sleep(SWEEP_SECONDS)
+            self._note_late(self.now() - due_seconds)
             count += 1
             self._find_silent()
             self._fleet.expire_servers()
@@ -263,6 +279,16 @@
                 self._fleet.connections.sweep()
                 self._close_idle()
 
+    def _note_late(self, late_seconds: float) -> None:
+        capacity = self.capacity
+        if capacity.note_late(late_seconds):
+            self._fleet.log.write(
+                Event.OVERLOAD,
+                overloaded=capacity.overloaded,
+                late_seconds=round(late_seconds, 3),
+                requests=len(self._exchanges),
+            )
+
     def _close_idle(self) -> None:
         now = self.now()
         limits = self.limits
--- a/src/sardinetrack/relay/settings.py
+++ b/src/sardinetrack/relay/settings.py
@@ -26,6 +26,8 @@
     revoke_seconds: float | None
     max_descriptors: int
     """Files and sockets that the process may hold."""
+    memory_bytes: int
+    """Beyond it the process is killed."""
     retry_ratio: float
     """Second sends, as a part of the requests of the whole fleet."""
     retry_window_seconds: float
--- a/tests/relay/relay.feature
+++ b/tests/relay/relay.feature
@@ -172,6 +172,25 @@
     Then every caller gets status 200
     And the entry holds at most 18 connections
 
+  Scenario: More requests than memory holds are refused at once
+    One instance gets most of the callers. Taken on, their requests would
+    fill its memory, it would be killed, and all that it held be lost.
+
+    Given a relay before 1 plain server with memory for 3 requests
+    When every server hangs on its next 3 requests
+    And 5 callers send reports at once, and the first 3 leave
+    Then 2 of them get status 503 and when to come back
+
+  Scenario: A loop that is late takes nothing new until it has caught up
+    Given a relay before 1 plain server
+    When the loop was 1 second late
+    And a caller fetches
+    Then the caller gets status 503 and when to come back
+    And the entry says that it is not ready
+    When the loop was on time for a while
+    And a caller fetches
+    Then the caller gets status 200
+
   Scenario: A stopping entry cuts nothing
     A signal to stop comes while a stream runs. The entry stops only when the
     answer is out.
--- a/tests/relay/steps/connection_steps.py
+++ b/tests/relay/steps/connection_steps.py
@@ -5,8 +5,10 @@
 import asyncio
 import re
 
-from behave import then, when
-from tests.support.relay_world import Reply
+from behave import given, then, when
+from tests.support.relay_world import RelayWorld, Reply, close_world
+
+from sardinetrack.relay.capacity import BASE_BYTES, REQUEST_BYTES
 
 
 @when('{count:d} callers fetch one after the other and stay connected')
@@ -38,6 +40,65 @@
     context.took_seconds = context.world.run(ask_and_leave())
 
 
+@given(
+    'a relay before {plain:d} plain server'
+    ' with memory for {requests:d} requests',
+)
+def open_little_memory(context, plain, requests):
+    context.world = RelayWorld()
+    context.add_cleanup(close_world, context.world)
+    memory_bytes = BASE_BYTES + requests * REQUEST_BYTES
+    context.world.run(
+        context.world.open(plain=plain, memory_bytes=memory_bytes),
+    )
+
+
+@when('every server hangs on its next {count:d} requests')
+def hang_often(context, count):
+    for server in context.world.servers:
+        server.acts.extend('hang' for _ in range(count))
+
+
+@when('{count:d} callers send reports at once, and the first {gone:d} leave')
+def send_and_leave(context, count, gone):
+    async def send():
+        world = context.world
+        calls = [
+            asyncio.ensure_future(world.call('report')) for _ in range(count)
+        ]
+        await asyncio.sleep(0.3)
+        for call in calls:
+            if not call.done():
+                call.cancel()
+        ends = await asyncio.gather(*calls, return_exceptions=True)
+        return [end for end in ends if isinstance(end, Reply)]
+
+    context.replies = context.world.run(send())
+
+
+@when('the loop was {seconds:d} second late')
+def be_late(context, seconds):
+    context.world.entry.capacity.note_late(seconds)
+
+
+@when('the loop was on time for a while')
+def be_on_time(context):
+    for _ in range(10):
+        context.world.entry.capacity.note_late(0)
+
+
+@then('{count:d} of them get status {status:d} and when to come back')
+def some_refused(context, count, status):
+    told = [one for one in context.replies if one.status == status]
+    assert len(told) == count, context.replies
+    assert all(one.retry_after is not None for one in told)
+
+
+@then('the entry says that it is not ready')
+def not_ready(context):
+    assert not context.world.entry.ready
+
+
 @when('a caller hides a request behind two lengths')
 def hide(context):
     async def send_hidden():
--- a/tests/relay/steps/relay_steps.py
+++ b/tests/relay/steps/relay_steps.py
@@ -7,7 +7,7 @@
 
 from behave import given, then, when
 from tests.support.relay_servers import EVENTS
-from tests.support.relay_world import RelayWorld, configuration
+from tests.support.relay_world import RelayWorld, close_world, configuration
 
 from sardinetrack.topology.freshness import boot_clock
 
@@ -56,15 +56,10 @@
 
 def _open(context, **sizes):
     context.world = RelayWorld()
-    context.add_cleanup(_close, context.world)
+    context.add_cleanup(close_world, context.world)
     context.world.run(context.world.open(**sizes))
 
 
-def _close(world):
-    world.run(world.close())
-    world.loop.close()
-
-
 @when('every server cuts its first stream but one')
 def cut_first(context):
     # Which server is at home there is the hash's to say: the first that is
--- a/tests/support/relay_world.py
+++ b/tests/support/relay_world.py
@@ -107,6 +107,11 @@
         return b'0\r\n\r\n' in self.body
 
 
+def close_world(world):
+    world.run(world.close())
+    world.loop.close()
+
+
 class RelayWorld:
     """Owns a loop, an entry and its servers."""
 
@@ -126,7 +131,12 @@
         return self.loop.run_until_complete(coroutine)
 
     async def open(
-        self, models=0, plain=0, grace_seconds=4.0, max_descriptors=4096
+        self,
+        models=0,
+        plain=0,
+        grace_seconds=4.0,
+        max_descriptors=4096,
+        memory_bytes=256_000_000,
     ):
         settings = NodeSettings(
             instance='entry-1',
@@ -139,6 +149,7 @@
             store=(_IP, 1),
             grace_seconds=grace_seconds,
             revoke_seconds=5.0,
+            memory_bytes=memory_bytes,
             max_descriptors=max_descriptors,
             retry_ratio=0.2,
             retry_window_seconds=10.0,
