--- a/src/sardinetrack/compose/node.py
+++ b/src/sardinetrack/compose/node.py
@@ -43,7 +43,7 @@
 
 _FLUSH_SECONDS: Final = 0.2
 _GC_THRESHOLDS: Final = (20_000, 20, 100)
-"""Full collections are rare: one of a busy entry stops it for 0.2 s and more."""
+"""Full collections are rare: one stops a busy entry for 0.2 s and more."""
 _BAD_USAGE: Final = 2
 METRICS_PATH: Final = b'/metrics'
 
--- a/src/sardinetrack/relay/capacity.py
+++ b/src/sardinetrack/relay/capacity.py
@@ -7,7 +7,7 @@
 from sardinetrack.relay.settings import NodeSettings
 
 BASE_BYTES: Final = 45_000_000
-"""A started entry with its metrics page loaded (27 MB measured at the start)."""
+"""A started entry with its metrics page loaded; 27 MB measured without."""
 CONNECTION_BYTES: Final = 64_000
 """A caller's connection; 55 KB measured as the mean of 1,846 of which half
 had a prompt of 12 KB under way."""
