Read the settings again on SIGHUP

Cause: the signal was logged and nothing was read. An entry takes over bounds and budgets, names what has changed, and keeps the last good settings when the file is broken. Addresses need a new process. Tests for each.

--- a/src/sardinetrack/compose/node.py
+++ b/src/sardinetrack/compose/node.py
@@ -109,6 +109,12 @@
 async def _run_entry(settings: NodeSettings, log: EventLog) -> None:
     stop = _stop_event(log)
     fleet = Fleet(settings, log)
+    asyncio.get_running_loop().add_signal_handler(
+        signal.SIGHUP,
+        reload_settings,
+        fleet,
+        log,
+    )
     decoder = PlatformDecoder()
     store = PlatformStore(settings.store)
     feeds = (
@@ -145,6 +151,16 @@
         await entry.drain()
 
 
+def reload_settings(fleet: Fleet, log: EventLog) -> None:
+    """Read the settings again; broken ones leave the last good in force."""
+    try:
+        changed = fleet.reload(read_settings(settings_path()))
+    except SettingsFileError as error:
+        log.write(Event.CONFIG_REFUSED, what='settings', cause=str(error))
+    else:
+        log.write(Event.RELOADED, changed=changed)
+
+
 async def _run_side(settings: NodeSettings, log: EventLog) -> None:
     stop = _stop_event(log)
     async with Side((settings.ip, settings.turns_port), log) as side:
--- a/src/sardinetrack/relay/fleet.py
+++ b/src/sardinetrack/relay/fleet.py
@@ -55,6 +55,17 @@
         self._side_tasks: dict[str, asyncio.Task[None]] = {}
         self._budgets: dict[str, RetryBudget] = {}
 
+    def reload(self, settings: NodeSettings) -> list[str]:
+        """Take over changed settings; addresses need a new process.
+
+        :return: the names of the fields that have changed.
+        """
+        changed = settings.changed_from(self.settings)
+        self.settings = settings
+        self.freshness.bound(settings.revoke_seconds)
+        self._budgets.clear()
+        return changed
+
     @property
     def entries(self) -> int:
         """Count the entries of the fleet, as the sides see them."""
--- a/src/sardinetrack/relay/settings.py
+++ b/src/sardinetrack/relay/settings.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
 
 Listen = tuple[str, int]
 """IP and port."""
@@ -33,3 +33,12 @@
     retry_window_seconds: float
     retry_slack: float
     """Second sends of the whole fleet in a window beyond the ratio."""
+
+    def changed_from(self, earlier: NodeSettings) -> list[str]:
+        """Name the fields that differ from earlier settings."""
+        before = asdict(earlier)
+        return [
+            name
+            for name, content in asdict(self).items()
+            if content != before[name]
+        ]
--- a/src/sardinetrack/topology/freshness.py
+++ b/src/sardinetrack/topology/freshness.py
@@ -33,10 +33,14 @@
         :param revoke_seconds: from the acknowledgement of a revocation to
             the last request that may run with the key; ``None`` for no bound.
         """
+        self._confirmed_seconds = -math.inf
+        self.bound(revoke_seconds)
+
+    def bound(self, revoke_seconds: float | None) -> None:
+        """Take over a changed bound; the view keeps its age."""
         self._bound_seconds = math.inf
         if revoke_seconds is not None:
             self._bound_seconds = KEPT_PART * revoke_seconds
-        self._confirmed_seconds = -math.inf
 
     def confirm(self, asked_seconds: float) -> None:
         """Note an answer of the store to a question asked then."""
--- a/tests/platform/steps/translation_steps.py
+++ b/tests/platform/steps/translation_steps.py
@@ -10,12 +10,13 @@
 from types import MappingProxyType
 
 from behave import given, then, when
+from tests.support.example_settings import SETTINGS
 
 from sardinetrack.compose.node import PlatformDecoder
 from sardinetrack.logs.events import EventLog
 from sardinetrack.platform.catalogue import configuration_of
 from sardinetrack.platform.dialect import PlatformDialect
-from sardinetrack.platform.errors import SettingsFileError, TranslationError
+from sardinetrack.platform.errors import TranslationError
 from sardinetrack.platform.settings import read_settings
 from sardinetrack.relay.api import Sending
 from sardinetrack.relay.fleet import Fleet
@@ -79,23 +80,6 @@
         'tenants': [{'name': 'hule', 'apiKeys': ['k1', 'k2'], 'priority': 1}],
     }
 )
-_SETTINGS = """
-nodeName = "edge-galata-1"
-ip = "10.1.0.33"
-zone = "galata"
-internalPortRange = [7400,7415]
-bootstrap = true
-[listenAddresses]
-frontend = "10.1.0.33:8783"
-ready = "10.1.0.33:8780"
-[bounds]
-graceS = 8
-failClosed = true
-revokeMs = 5000
-retrySlack = 58
-[platform]
-address = "10.200.1.7:8781"
-"""
 _HEAD = (
     (b'host', b'Ficu95.example'),
     (b'x-sardinetrack-request-id', b'9c41'),
@@ -169,7 +153,7 @@
     context.log = EventLog(pipe[1], 'entry-1')
     with tempfile.TemporaryDirectory() as folder:
         path = Path(folder) / 'node.toml'
-        path.write_text(_SETTINGS)
+        path.write_text(SETTINGS)
         settings = read_settings(path)
     context.fleet = Fleet(settings, context.log)
     context.follower = ConfigurationFollower(
@@ -209,43 +193,6 @@
     assert 'routes' in last['cause']
 
 
-@given("the platform's example settings")
-def example_settings(context):
-    context.settings_text = _SETTINGS
-
-
-@when('their {line} becomes {other}')
-def change_line(context, line, other):
-    assert line in context.settings_text
-    context.settings_text = context.settings_text.replace(line, other)
-
-
-@then('the node knows its addresses, bounds and store')
-def settings_known(context):
-    settings = _read_settings(context)
-    assert settings.callers == ('10.1.0.33', 8783)
-    assert settings.store == ('10.200.1.7', 8781)
-    assert settings.turns_port == 7400
-    assert (settings.grace_seconds, settings.revoke_seconds) == (8, 5)
-
-
-@then('they are refused, and the line names {named}')
-def settings_refused(context, named):
-    try:
-        _read_settings(context)
-    except SettingsFileError as error:
-        assert named in str(error), error
-        return
-    raise AssertionError('they were taken')
-
-
-def _read_settings(context):
-    with tempfile.TemporaryDirectory() as folder:
-        path = Path(folder) / 'node.toml'
-        path.write_text(context.settings_text)
-        return read_settings(path)
-
-
 @given("a request as a platform's client sends it")
 def client_request(context):
     context.dialect = PlatformDialect()
--- a/tests/platform/translation.feature
+++ b/tests/platform/translation.feature
@@ -46,6 +46,16 @@
       | nodeName = "edge-galata-1"    | other = 1               | nodeName    |
       | nodeName = "edge-galata-1"    | nodeName = [            | Invalid     |
 
+  Scenario: Changed settings are taken over without a restart
+    Given a fleet with version 7 in force
+    When its settings file says that a revocation binds after 3 seconds
+    Then keys hold for less than 3 seconds, and a line names revoke_seconds
+
+  Scenario: Broken settings leave the last good ones in force
+    Given a fleet with version 7 in force
+    When its settings file is broken
+    Then the settings are as before and a line says why
+
   Scenario: A request's head
     Given a request as a platform's client sends it
     Then its prompt, key, patience and place in the stream are read
