--- a/tests/entry/raw_http.py
+++ b/tests/entry/raw_http.py
@@ -39,6 +39,7 @@
             ('127.0.0.1', port),
             timeout=WAIT_SECONDS,
         )
+        self._reader = KeptReader(self.socket)
 
     def send(self, raw: bytes) -> None:
         """Send bytes as they are."""
@@ -63,7 +64,7 @@
 
     def answer(self, method: str = 'GET') -> Answer:
         """Read one answer."""
-        response = HTTPResponse(self.socket, method=method)
+        response = HTTPResponse(self._reader, method=method)
         response.begin()
         body, whole = _read(response)
         pairs = [(name.lower(), text) for name, text in response.getheaders()]
@@ -82,7 +83,7 @@
         """Wait for the other end to close; return what still came."""
         rest = b''
         try:
-            while piece := self.socket.recv(65_536):
+            while piece := self._reader.read1(65_536):
                 rest += piece
         except ConnectionResetError:
             return rest
@@ -115,9 +116,37 @@
 
     def close(self) -> None:
         """Vanish."""
+        self._reader.end()
         self.socket.close()
 
 
+class KeptReader:
+    """One buffer for all answers on a socket.
+
+    The library makes a buffer for each answer; when two answers came in one
+    piece, the first one's buffer swallowed the second.
+    """
+
+    def __init__(self, sock: socket.socket) -> None:
+        """Read from a socket."""
+        self._file = sock.makefile('rb')
+
+    def makefile(self, _mode: str) -> KeptReader:
+        """Hand out the one buffer."""
+        return self
+
+    def close(self) -> None:
+        """Stay open for the next answer."""
+
+    def end(self) -> None:
+        """Let go of the socket."""
+        self._file.close()
+
+    def __getattr__(self, name: str) -> Any:
+        """Read as a file does."""
+        return getattr(self._file, name)
+
+
 def _read(response: HTTPResponse) -> tuple[bytes, bool]:
     """Read a body; it is whole only with its framing's own end."""
     try:
