Read the clock of turns in one place; drop a count nobody reads

No behaviour changes. Run after it: linters, types, tests/turns and tests/relay; not the whole suite.

--- a/src/sardinetrack/relay/server_connection.py
+++ b/src/sardinetrack/relay/server_connection.py
@@ -62,7 +62,6 @@
         self.transport: asyncio.Transport | None = None
         self.idle_since_seconds = float(0)
         self.idle_limit_seconds: float | None = None
-        self.used = 0
         self._sink: ReplySink | None = None
         self._parser: httptools.HttpResponseParser | None = None
         self._headers: list[tuple[bytes, bytes]] = []
@@ -90,7 +89,6 @@
         self._framed = False
         self._complete = False
         self._status_seen = False
-        self.used += 1
         assert self.transport is not None  # noqa: S101
         self.transport.write(request)
 
--- a/src/sardinetrack/turns/desk.py
+++ b/src/sardinetrack/turns/desk.py
@@ -12,6 +12,7 @@
     ReadingAdmission,
     Verdict,
 )
+from sardinetrack.turns.clock import loop_now
 
 
 class TurnDesk(ABC):
@@ -28,15 +29,15 @@
 
     def ask(self, ask: Ask) -> None:
         """Take in a request."""
-        self._carry_out(self.admission.ask(_now(), ask))
+        self._carry_out(self.admission.ask(loop_now(), ask))
 
     def begun(self, ask_id: str) -> None:
         """Note that a prompt is read."""
-        self._carry_out(self.admission.begun(_now(), ask_id))
+        self._carry_out(self.admission.begun(loop_now(), ask_id))
 
     def withdraw(self, ask_id: str) -> None:
         """Forget a request, whether it waits or runs."""
-        self._carry_out(self.admission.withdraw(_now(), ask_id))
+        self._carry_out(self.admission.withdraw(loop_now(), ask_id))
 
     def _carry_out(self, verdicts: Sequence[Verdict]) -> None:
         for verdict in verdicts:
@@ -54,7 +55,7 @@
 
     def _late(self) -> None:
         self._timer = None
-        self._carry_out(self.admission.tick(_now()))
+        self._carry_out(self.admission.tick(loop_now()))
 
 
 class LocalDesk(TurnDesk):
@@ -86,7 +87,3 @@
             waiting.set_result(verdict)
         elif isinstance(verdict, Granted):
             self.withdraw(verdict.ask_id)
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
--- a/src/sardinetrack/turns/entry.py
+++ b/src/sardinetrack/turns/entry.py
@@ -9,6 +9,7 @@
 from sardinetrack.logs.events import Event, EventLog
 from sardinetrack.placement.holdings import Holdings
 from sardinetrack.placement.load import ServerLoad
+from sardinetrack.turns.clock import loop_now
 from sardinetrack.turns.lines import LineProtocol
 from sardinetrack.turns.messages import (
     DECODE_FROM_SIDE,
@@ -54,20 +55,20 @@
     @property
     def live(self) -> bool:
         """Whether the side may be asked."""
-        silent = _now() - self.heard_seconds
+        silent = loop_now() - self.heard_seconds
         return not self.gone.is_set() and silent < SILENT_SECONDS
 
     async def wait_lost(self) -> None:
         """Wait until the connection ends or the side says nothing more."""
         while self.live:
-            left_seconds = self.heard_seconds + SILENT_SECONDS - _now()
+            left_seconds = self.heard_seconds + SILENT_SECONDS - loop_now()
             with suppress(TimeoutError):
                 async with asyncio.timeout(max(0, left_seconds)):
                     await self.gone.wait()
 
     def opened(self) -> None:
         """Introduce the entry."""
-        self.heard_seconds = _now()
+        self.heard_seconds = loop_now()
         self.send(self._hello)
 
     def lost(self) -> None:
@@ -81,7 +82,7 @@
     def line(self, line: bytes) -> None:
         """Take the side's word."""
         message = DECODE_FROM_SIDE(line)
-        self.heard_seconds = _now()
+        self.heard_seconds = loop_now()
         if isinstance(message, SideWord):
             self.entries = max(1, message.entries)
             self._load.hear(
@@ -185,14 +186,10 @@
         lines.abort()
         lines.lost()
         self.lines = None
-        self.load.hear(_now(), 0, self.load.rate_tokens, 1)
+        self.load.hear(loop_now(), 0, self.load.rate_tokens, 1)
         self._log.write(Event.SIDE_LOST, side=self._address[0])
 
 
 def _give_up(waiting: asyncio.Future[Answer]) -> None:
     if not waiting.done():
         waiting.set_result(None)
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
--- a/src/sardinetrack/turns/side.py
+++ b/src/sardinetrack/turns/side.py
@@ -10,6 +10,7 @@
 
 from sardinetrack.admission.reading import Ask, Granted, Verdict
 from sardinetrack.logs.events import Event, EventLog
+from sardinetrack.turns.clock import loop_now
 from sardinetrack.turns.desk import TurnDesk
 from sardinetrack.turns.lines import LineProtocol
 from sardinetrack.turns.messages import (
@@ -213,13 +214,13 @@
             wait_seconds = round(self.admission.wait_seconds(), 2)
             slots_left = self.admission.slots_left
             word = (wait_seconds, slots_left, len(self._entries))
-            quiet = _now() - self._told_seconds < QUIET_WORD_SECONDS
+            quiet = loop_now() - self._told_seconds < QUIET_WORD_SECONDS
             parts = tuple(self._granted_parts)
             if word == self._told and quiet and not parts:
                 continue
             self._granted_parts.clear()
             self._told = word
-            self._told_seconds = _now()
+            self._told_seconds = loop_now()
             message = SideWord(
                 wait_seconds,
                 round(self.admission.rate_tokens),
@@ -229,7 +230,3 @@
             )
             for entry in self._entries:
                 entry.send(message)
-
-
-def _now() -> float:
-    return asyncio.get_running_loop().time()
