A borrowed view outlasts a cut watch, a crashed engine and an outage

Now a watcher whose call failed is left when it is late, links to sides that answer are kept, one feed of a process asks in an outage, seldom where a neighbour asks too, and after an outage entries return to the watcher that all ask first. An engine that is gone holds no parts any more. Ruled out: shorter calls of the watcher, which found nothing sooner.

--- a/src/sardinetrack/compose/view.py
+++ b/src/sardinetrack/compose/view.py
@@ -26,9 +26,10 @@
 from sardinetrack.topology.configuration import Configuration
 from sardinetrack.topology.feed import CALM_SECONDS, CONFIRM_SECONDS, Feed
 from sardinetrack.topology.freshness import boot_clock
+from sardinetrack.topology.outage import StoreWay
 from sardinetrack.topology.servers import BackendServer
 from sardinetrack.views.borrowed import BorrowedView
-from sardinetrack.views.source import ViewSource
+from sardinetrack.views.source import OwnFeeds, ViewSource
 from sardinetrack.views.watcher import (
     SLOW_WATCH_SECONDS,
     WATCH_SECONDS,
@@ -70,8 +71,9 @@
 
     def open(self, mirrors: Mapping[str, Mirror]) -> list[Feed]:
         """Make a feed for each mirror."""
+        way = StoreWay(self._store)
         return [
-            Feed(self._store, prefix, mirrors[prefix], self._log, wait_seconds)
+            Feed(way, prefix, mirrors[prefix], self._log, wait_seconds)
             for prefix, wait_seconds in _WATCHED.items()
         ]
 
@@ -93,11 +95,13 @@
         CONFIGURATION_PREFIX: CONFIRM_SECONDS,
         SERVERS_PREFIX: CALM_SECONDS,
     }
+    way = StoreWay(store)
     feeds = [
-        Feed(store, prefix, views[prefix], fleet.log, wait_seconds)
+        Feed(way, prefix, views[prefix], fleet.log, wait_seconds)
         for prefix, wait_seconds in waits.items()
     ]
-    source = ViewSource(feeds, views, SideNeighbours(fleet), fleet.log)
+    own = OwnFeeds(feeds, way)
+    source = ViewSource(own, views, SideNeighbours(fleet), fleet.log)
     fleet.sides.views = source
     return source
 
--- a/src/sardinetrack/relay/entry.py
+++ b/src/sardinetrack/relay/entry.py
@@ -281,6 +281,7 @@
             self._fleet.log.flush()
             if not count % _SWEEPS_A_SECOND:
                 self._fleet.connections.sweep()
+                self._fleet.sides.sweep()
                 self._close_idle()
 
     def _note_late(self, late_seconds: float) -> None:
--- a/src/sardinetrack/relay/fleet.py
+++ b/src/sardinetrack/relay/fleet.py
@@ -52,6 +52,7 @@
         self._breakers: dict[str, Breaker] = {}
         self._desks: dict[str, LocalDesk] = {}
         self._budgets: dict[str, RetryBudget] = {}
+        self._known: dict[str, BackendServer] = {}
 
     def reload(self, settings: NodeSettings) -> list[str]:
         """Take over changed settings; addresses need a new process.
@@ -136,12 +137,15 @@
         for server, pool in self._model_servers():
             self.loads[server.instance] = self.sides.load(server, pool)
         listed = self.servers.instances
-        self.sides.keep(one.ip for one in listed.values())
-        for instance in set(self.loads) - set(listed):
-            self.loads.pop(instance)
-            self._breakers.pop(instance, None)
-            self._desks.pop(instance, None)
-            self.log.write(Event.SERVER_GONE, server=instance)
+        self.sides.keep({one.ip for one in listed.values()})
+        for gone in set(self._known) - set(listed):
+            # Whatever runs at its address next starts with an empty memory.
+            self.holdings.lose(self._known[gone].ip)
+            self.loads.pop(gone, None)
+            self._breakers.pop(gone, None)
+            self._desks.pop(gone, None)
+            self.log.write(Event.SERVER_GONE, server=gone)
+        self._known = dict(listed)
 
     def expire_servers(self) -> None:
         """Drop servers that did not come back after an outage.
--- a/src/sardinetrack/relay/side_links.py
+++ b/src/sardinetrack/relay/side_links.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Collection
 
 from sardinetrack.logs.events import EventLog
 from sardinetrack.placement.holdings import Holdings
@@ -30,6 +30,7 @@
         self._settings = settings
         self._holdings = holdings
         self._log = log
+        self._listed: frozenset[str] = frozenset()
         self._links: dict[str, SideLink] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
 
@@ -55,25 +56,43 @@
 
     def load(self, server: BackendServer, pool: Pool) -> ServerLoad:
         """Find the load that a side tells; link it when it is new."""
-        if server.ip not in self._links:
-            self._open(server, pool)
-        return self._links[server.ip].load
+        link = self._links.get(server.ip)
+        if link is not None and link.pool != pool.name:
+            # The address was taken over by an engine of another pool.
+            self._drop(server.ip)
+            link = None
+        if link is None:
+            link = self._open(server, pool)
+        return link.load
 
-    def keep(self, ips: Iterable[str]) -> None:
-        """Drop the links to all but these."""
-        for ip in set(self._links) - set(ips):
-            self._links.pop(ip)
-            self._tasks.pop(ip).cancel()
+    def keep(self, ips: Collection[str]) -> None:
+        """Note the addresses of all listed engines."""
+        self._listed = frozenset(ips)
+        self.sweep()
+
+    def sweep(self) -> None:
+        """Drop the links to sides that do not answer and are not listed.
+
+        An engine that crashes is listed no more until it is back; its side
+        lives on, and may be watching the store for this entry.
+        """
+        for ip, link in list(self._links.items()):
+            if ip not in self._listed and not link.live:
+                self._drop(ip)
 
     def close(self) -> None:
         """End all links."""
         for task in self._tasks.values():
             task.cancel()
 
-    def _open(self, server: BackendServer, pool: Pool) -> None:
+    def _drop(self, ip: str) -> None:
+        self._links.pop(ip)
+        self._tasks.pop(ip).cancel()
+
+    def _open(self, server: BackendServer, pool: Pool) -> SideLink:
         link = SideLink(
             (server.ip, self._settings.turns_port),
-            server.failure_domain,
+            (pool.name, server.failure_domain),
             Hello(self._settings.instance, pool.slots, pool.memory_tokens),
             Beliefs(ServerLoad(), self._holdings, self.views),
             self._log,
@@ -81,3 +100,4 @@
         self._links[server.ip] = link
         loop = asyncio.get_running_loop()
         self._tasks[server.ip] = loop.create_task(link.run())
+        return link
--- a/src/sardinetrack/topology/feed.py
+++ b/src/sardinetrack/topology/feed.py
@@ -4,18 +4,16 @@
 
 import asyncio
 from abc import ABC, abstractmethod
-from collections.abc import Callable
 from typing import Final
 
 from sardinetrack.logs.events import Event, EventLog
 from sardinetrack.store.api import (
     Listing,
-    ObjectApi,
     PlatformError,
     StoredObject,
     WatchLostError,
 )
-from sardinetrack.topology.freshness import boot_clock
+from sardinetrack.topology.outage import StoreWay
 
 CONFIRM_SECONDS: Final = 1.6
 """How long a watch waits whose answers confirm the view.
@@ -36,7 +34,6 @@
 of the time in which a change has to be in force.
 """
 FIRST_PAUSE_SECONDS: Final = 0.1
-MOST_PAUSE_SECONDS: Final = 0.5
 _GROWTH: Final = 2.0
 
 
@@ -65,16 +62,14 @@
 
     def __init__(
         self,
-        store: ObjectApi,
+        way: StoreWay,
         prefix: str,
         follower: Follower,
         log: EventLog,
         wait_seconds: float,
-        clock: Callable[[], float] = boot_clock,
     ) -> None:
         """Remember what to follow."""
-        self._clock = clock
-        self._store = store
+        self._way = way
         self._prefix = prefix
         self._follower = follower
         self._log = log
@@ -98,15 +93,15 @@
                 await self._wait_out(error)
 
     async def _follow(self) -> None:
-        asked_seconds = self._clock()
-        listing = await self._store.list(self._prefix)
+        asked_seconds = self._way.clock()
+        listing = await self._way.store.list(self._prefix)
         self._answered()
         self._follower.listed(listing)
         self._follower.confirmed(asked_seconds)
         revision = listing.revision
         while True:
-            asked_seconds = self._clock()
-            changes = await self._store.watch(
+            asked_seconds = self._way.clock()
+            changes = await self._way.store.watch(
                 self._prefix,
                 after_revision=revision,
                 wait_seconds=self._wait_seconds,
@@ -125,6 +120,7 @@
             self._away = False
             self._follower.lost()
         self._pause_seconds = FIRST_PAUSE_SECONDS
+        self._way.outage.answered()
 
     async def _wait_out(self, error: PlatformError) -> None:
         if not self._away:
@@ -135,6 +131,7 @@
             )
         self._away = True
         self._follower.lost()
-        await asyncio.sleep(self._pause_seconds)
+        outage = self._way.outage
+        await outage.pause(self._pause_seconds)
         grown = self._pause_seconds * _GROWTH
-        self._pause_seconds = min(grown, MOST_PAUSE_SECONDS)
+        self._pause_seconds = min(grown, outage.most_pause_seconds)
--- a/src/sardinetrack/turns/entry.py
+++ b/src/sardinetrack/turns/entry.py
@@ -153,14 +153,18 @@
     def __init__(
         self,
         address: tuple[str, int],
-        failure_domain: str,
+        place: tuple[str, str],
         hello: Hello,
         beliefs: Beliefs,
         log: EventLog,
     ) -> None:
-        """Prepare."""
+        """Prepare.
+
+        :param place: pool and failure domain of the side's engine.
+        """
         self.lines: SideLines | None = None
-        self.failure_domain = failure_domain
+        self.pool = place[0]
+        self.failure_domain = place[1]
         self.load = beliefs.load
         self._address = address
         self._hello = hello
--- a/src/sardinetrack/views/borrowed.py
+++ b/src/sardinetrack/views/borrowed.py
@@ -84,17 +84,15 @@
         self._take(list(self._aside.values()), whole=True)
         self._follower.confirmed(self._told_seconds)
 
-    def drop(self, *, outage: bool) -> None:
-        """Forget what was told; the own feed lists anew.
+    def outage(self) -> None:
+        """Note that the neighbour could not read the store for a moment."""
+        self._follower.lost()
 
-        :param outage: the neighbour was cut from the store: entries of
-            servers may have lapsed meanwhile.
-        """
+    def drop(self) -> None:
+        """Forget what was told; the own feed lists anew."""
         self.borrowed = False
         self._aside = None
         self._told_seconds = -math.inf
-        if outage:
-            self._follower.lost()
 
     def told(self, message: ViewObjects) -> None:
         """Take objects of the neighbour."""
--- a/src/sardinetrack/views/watcher.py
+++ b/src/sardinetrack/views/watcher.py
@@ -106,7 +106,7 @@
 
     def follow(self, follower: Follower, stamp_seconds: float) -> None:
         """Tell a follower all there is, and then every change."""
-        self.stamp(follower, stamp_seconds)
+        self._followers[follower] = _Clock(stamp_seconds, self._clock())
         if self._idle is not None:
             self._idle.cancel()
             self._idle = None
@@ -116,8 +116,9 @@
             mirror.introduce(follower)
 
     def stamp(self, follower: Follower, stamp_seconds: float) -> None:
-        """Learn a follower's clock."""
-        self._followers[follower] = _Clock(stamp_seconds, self._clock())
+        """Learn a follower's clock anew."""
+        if follower in self._followers:
+            self._followers[follower] = _Clock(stamp_seconds, self._clock())
 
     def leave(self, follower: Follower) -> None:
         """Tell a follower no more."""
