Requests that crash their servers are stopped fleet-wide on the relay

Cause: the relay had no count of servers that went down under a request; a caller that sends it again took down one server after the other. Strikes go through one side to all entries; a side tells an entry that starts anew. Refused with 503 and what is left of a minute: it truly was not run. Tests: tests/relay/crashes.feature, tests/turns/side.feature.

--- a/src/sardinetrack/errors/api.py
+++ b/src/sardinetrack/errors/api.py
@@ -30,6 +30,7 @@
     NOT_RUN_DRAINING = 'not_run_draining'
     NOT_RUN_PLATFORM_DOWN = 'not_run_platform_down'
     NOT_RUN_LOST = 'not_run_lost'
+    NOT_RUN_CRASHES = 'not_run_crashes'
     CRASHES_SERVERS = 'crashes_servers'
     TIMED_OUT = 'timed_out'
     OUTCOME_UNKNOWN = 'outcome_unknown'
--- a/src/sardinetrack/errors/table.py
+++ b/src/sardinetrack/errors/table.py
@@ -176,6 +176,13 @@
             not_run=True,
             retry_after_seconds=1,
         ),
+        ErrorKind.NOT_RUN_CRASHES: Answer(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            _SERVER,
+            'Servers went down under this request; not run again for now.',
+            not_run=True,
+            retry_after_seconds=60,
+        ),
         ErrorKind.CRASHES_SERVERS: Answer(
             HTTPStatus.UNPROCESSABLE_ENTITY,
             _REQUEST,
--- a/src/sardinetrack/logs/events.py
+++ b/src/sardinetrack/logs/events.py
@@ -42,6 +42,7 @@
     SERVER_LISTED = 'server_listed'
     SERVER_GONE = 'server_gone'
     SERVER_SUSPECT = 'server_suspect'
+    SERVER_CRASHED = 'server_crashed'
     OVERLOAD = 'overload'
     CONNECTIONS_CLOSED = 'connections_closed'
     REQUEST_SENT = 'request_sent'
--- a/src/sardinetrack/relay/exchange.py
+++ b/src/sardinetrack/relay/exchange.py
@@ -17,6 +17,7 @@
 from sardinetrack.relay.sender import Sender
 from sardinetrack.relay.server_pool import NotConnectedError
 from sardinetrack.relay.trace import Trace
+from sardinetrack.turns.clock import loop_now
 
 
 class Exchange:
@@ -68,6 +69,7 @@
 
     async def _run_in_time(self) -> None:
         self.plan = make_plan(self._fleet, self._call)
+        self._check_crashes(self.plan)
         try:
             async with asyncio.timeout_at(self.plan.ends_seconds):
                 await self._serve(self.plan)
@@ -77,6 +79,25 @@
                 kind = ErrorKind.NOT_RUN_DEADLINE
             raise AnsweredError(kind) from error
 
+    def _check_crashes(self, plan: Plan) -> None:
+        """Refuse what servers went down under, whoever found that out.
+
+        :raises AnsweredError: this one did.
+        """
+        seconds = self._refused_seconds(plan)
+        if seconds > 0:
+            raise AnsweredError(
+                ErrorKind.NOT_RUN_CRASHES,
+                retry_after_seconds=seconds,
+            )
+
+    def _refused_seconds(self, plan: Plan) -> float:
+        return self._fleet.crashes.refused_seconds(
+            loop_now(),
+            self._call,
+            plan.workspace_name,
+        )
+
     async def _serve(self, plan: Plan) -> None:
         delivered = False
         while not delivered:
@@ -119,6 +140,8 @@
             return False
         if self.trace.sent >= plan.route.max_servers:
             return False
+        if self._refused_seconds(plan) > 0:
+            return False
         return self._fleet.budget(plan.pool.name).take()
 
 
--- a/src/sardinetrack/relay/fleet.py
+++ b/src/sardinetrack/relay/fleet.py
@@ -10,6 +10,7 @@
 from sardinetrack.logs.events import Event, EventLog
 from sardinetrack.placement.holdings import Holdings
 from sardinetrack.placement.load import ServerLoad
+from sardinetrack.relay.crashes import CrashWatch
 from sardinetrack.relay.meters import Meters
 from sardinetrack.relay.server_pool import ServerPool
 from sardinetrack.relay.settings import NodeSettings
@@ -48,7 +49,8 @@
         self.holdings = Holdings()
         self.loads: dict[str, ServerLoad] = {}
         self.meters = Meters()
-        self.sides = SideLinks(settings, self.holdings, log)
+        self.crashes = CrashWatch()
+        self.sides = SideLinks(settings, self.holdings, self.crashes, log)
         self._breakers: dict[str, Breaker] = {}
         self._desks: dict[str, LocalDesk] = {}
         self._budgets: dict[str, RetryBudget] = {}
@@ -141,6 +143,8 @@
         for gone in set(self._known) - set(listed):
             # Whatever runs at its address next starts with an empty memory.
             self.holdings.lose(self._known[gone].ip)
+            if not self._known[gone].leaving:
+                self.sides.server_away(gone, 'listed no more')
             self.loads.pop(gone, None)
             self._breakers.pop(gone, None)
             self._desks.pop(gone, None)
--- a/src/sardinetrack/relay/sender.py
+++ b/src/sardinetrack/relay/sender.py
@@ -13,7 +13,10 @@
 from sardinetrack.relay.caller_connection import CallerConnection
 from sardinetrack.relay.fleet import Fleet
 from sardinetrack.relay.plan import Plan, still_allowed
-from sardinetrack.relay.server_connection import ServerConnection
+from sardinetrack.relay.server_connection import (
+    BreakReason,
+    ServerConnection,
+)
 from sardinetrack.relay.server_pool import IDLE_SECONDS, NotConnectedError
 from sardinetrack.relay.trace import Placed, Trace
 from sardinetrack.relay.turn import Turn
@@ -29,6 +32,7 @@
 """
 _LEAST_SECONDS: Final = 0.02
 _DIGITS: Final = 3
+_BREAKS: Final = frozenset((BreakReason.CLOSED, BreakReason.RESET))
 
 
 class Sender:
@@ -69,7 +73,7 @@
         try:
             connection = await self._connect(plan, server)
         except NotConnectedError as error:
-            self._note_unreached(server, generation, str(error))
+            self._note_unreached(server, generation, error)
             raise
         except BaseException:
             breaker.undecided(generation)
@@ -83,6 +87,7 @@
             raise
         else:
             self._learn(server, generation, attempt)
+            self._suspect(plan, server, attempt)
         finally:
             self._release(server, connection, attempt)
         return attempt
@@ -206,6 +211,26 @@
             load = self._fleet.load(server)
             load.reported_running = max(0, attempt.reply.running)
 
+    def _suspect(
+        self,
+        plan: Plan,
+        server: BackendServer,
+        attempt: Attempt,
+    ) -> None:
+        """Note what a server's crash may be the fault of, and what not."""
+        crashes, call = self._fleet.crashes, self._call
+        if attempt.done.result() is AttemptEnd.DELIVERED:
+            crashes.served(call, plan.workspace_name)
+        elif attempt.reason in _BREAKS:
+            strikes = crashes.broke(
+                self._loop.time(),
+                server.instance,
+                call,
+                plan.workspace_name,
+            )
+            if strikes:
+                self._fleet.sides.struck(strikes)
+
     def _release(
         self,
         server: BackendServer,
@@ -223,8 +248,11 @@
         self,
         server: BackendServer,
         generation: int,
-        why: str,
+        error: NotConnectedError,
     ) -> None:
+        why = str(error)
+        if isinstance(error.__cause__, ConnectionRefusedError):
+            self._fleet.sides.server_away(server.instance, why)
         breaker = self._fleet.breaker(server)
         breaker.failed(self._loop.time(), generation)
         self._fleet.log.write(
--- a/src/sardinetrack/relay/side_links.py
+++ b/src/sardinetrack/relay/side_links.py
@@ -3,18 +3,25 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Collection
+from collections.abc import Collection, Sequence
+from typing import Final
 
-from sardinetrack.logs.events import EventLog
+from sardinetrack.logs.events import Event, EventLog
+from sardinetrack.messages.api import Strike
 from sardinetrack.placement.holdings import Holdings
+from sardinetrack.placement.home import ranked
 from sardinetrack.placement.load import ServerLoad
+from sardinetrack.relay.crashes import CrashWatch
 from sardinetrack.relay.settings import NodeSettings
 from sardinetrack.topology.configuration import Pool
 from sardinetrack.topology.servers import BackendServer
+from sardinetrack.turns.clock import loop_now
 from sardinetrack.turns.entry import Beliefs, SideLink
-from sardinetrack.turns.messages import Hello
+from sardinetrack.turns.messages import Hello, Struck
 from sardinetrack.views.api import Inbox, NoInbox
 
+_EVERYBODY: Final = '*'
+
 
 class SideLinks:
     """Owns a connection to each side, by the address of its engine."""
@@ -23,12 +30,14 @@
         self,
         settings: NodeSettings,
         holdings: Holdings,
+        crashes: CrashWatch,
         log: EventLog,
     ) -> None:
         """Start without any."""
         self.views: Inbox = NoInbox()
         self._settings = settings
         self._holdings = holdings
+        self._crashes = crashes
         self._log = log
         self._listed: frozenset[str] = frozenset()
         self._links: dict[str, SideLink] = {}
@@ -80,6 +89,27 @@
             if ip not in self._listed and not link.live:
                 self._drop(ip)
 
+    def server_away(self, instance: str, cause: str) -> None:
+        """Suspect what ran at a server that went down.
+
+        :param cause: how that showed.
+        """
+        strikes = self._crashes.away(loop_now(), instance)
+        if strikes:
+            self._log.write(
+                Event.SERVER_CRASHED,
+                server=instance,
+                cause=cause,
+                suspects=len(strikes),
+            )
+            self.struck(strikes)
+
+    def struck(self, strikes: Sequence[Strike]) -> None:
+        """Tell all entries, through one side that is connected to each."""
+        live = {link.name: link for link in self.live}
+        for name in ranked(_EVERYBODY, live)[:1]:
+            live[name].tell(Struck(tuple(strikes)))
+
     def close(self) -> None:
         """End all links."""
         for task in self._tasks.values():
@@ -94,7 +124,12 @@
             (server.ip, self._settings.turns_port),
             (pool.name, server.failure_domain),
             Hello(self._settings.instance, pool.slots, pool.memory_tokens),
-            Beliefs(ServerLoad(), self._holdings, self.views),
+            Beliefs(
+                ServerLoad(),
+                self._holdings,
+                self.views,
+                self._crashes,
+            ),
             self._log,
         )
         self._links[server.ip] = link
--- a/src/sardinetrack/routing/strikes.py
+++ b/src/sardinetrack/routing/strikes.py
@@ -16,10 +16,18 @@
 class StrikeBook:
     """Counts the different servers that crashed under a fingerprint."""
 
-    def __init__(self) -> None:
-        """Start empty."""
+    def __init__(self, servers_to_condemn: int = SERVERS_TO_CONDEMN) -> None:
+        """Start empty.
+
+        :param servers_to_condemn: different ones that crashed.
+        """
+        self._condemns = servers_to_condemn
         self._expiries: dict[str, dict[str, float]] = {}
 
+    def __len__(self) -> int:
+        """Count the fingerprints with strikes."""
+        return len(self._expiries)
+
     def add(self, now: float, strike: Strike) -> None:
         """Note a strike.
 
@@ -41,10 +49,10 @@
 
     def condemned_seconds(self, now: float, fingerprint: str) -> float:
         """Tell how long a fingerprint is refused; 0 when it is not."""
-        if self.count(now, fingerprint) < SERVERS_TO_CONDEMN:
+        if self.count(now, fingerprint) < self._condemns:
             return 0
         expiries = sorted(self._expiries[fingerprint].values(), reverse=True)
-        return max(0, expiries[SERVERS_TO_CONDEMN - 1] - now)
+        return max(0, expiries[self._condemns - 1] - now)
 
     def holding(self, now: float) -> list[Strike]:
         """List the strikes that hold; the newest when they are very many."""
--- a/src/sardinetrack/turns/entry.py
+++ b/src/sardinetrack/turns/entry.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+from abc import ABC, abstractmethod
+from collections.abc import Iterable
 from contextlib import suppress
 from dataclasses import dataclass
 from typing import Final
 
 from sardinetrack.logs.events import Event, EventLog
+from sardinetrack.messages.api import Strike
 from sardinetrack.placement.holdings import Holdings
 from sardinetrack.placement.load import ServerLoad
 from sardinetrack.turns.clock import loop_now
@@ -20,6 +23,7 @@
     Ended,
     Hello,
     SideWord,
+    Struck,
     TurnGranted,
     TurnRefused,
 )
@@ -35,6 +39,14 @@
 """``None``: the side was lost before it answered."""
 
 
+class Crashes(ABC):
+    """Takes what other entries have found."""
+
+    @abstractmethod
+    def hear(self, now: float, strikes: Iterable[Strike]) -> None:
+        """Take in requests that ran at servers when these went down."""
+
+
 @dataclass(frozen=True, slots=True)
 class Beliefs:
     """What the words of one side renew."""
@@ -42,6 +54,7 @@
     load: ServerLoad
     holdings: Holdings
     views: Inbox
+    crashes: Crashes
 
 
 class SideLines(LineProtocol):
@@ -97,6 +110,8 @@
                 self._word(message)
             case TurnGranted() | TurnRefused():
                 self._answer(message)
+            case Struck():
+                self._beliefs.crashes.hear(loop_now(), message.strikes)
             case _:
                 self._beliefs.views.take(self._ip, message)
 
@@ -181,8 +196,8 @@
         """Whether the side may be asked."""
         return self.lines is not None and self.lines.live
 
-    def tell(self, message: FromFollower) -> None:
-        """Tell the side which view is wanted."""
+    def tell(self, message: FromFollower | Struck) -> None:
+        """Tell the side which view is wanted, or what was found."""
         if self.lines is not None:
             self.lines.send(message)
 
--- a/src/sardinetrack/turns/messages.py
+++ b/src/sardinetrack/turns/messages.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from sardinetrack.messages.api import Strike
 from sardinetrack.views.messages import FromFollower, FromWatcher
 
 MOST_LINE_BYTES: Final = 65_536
@@ -75,8 +76,14 @@
     """Shared parts of what was granted since the last word."""
 
 
-FromEntry = Hello | AskTurn | Begun | Ended | FromFollower
-FromSide = TurnGranted | TurnRefused | SideWord | FromWatcher
+class Struck(msgspec.Struct, tag='struck', array_like=True, frozen=True):
+    """Requests that ran at servers when these went down."""
+
+    strikes: tuple[Strike, ...]
+
+
+FromEntry = Hello | AskTurn | Begun | Ended | Struck | FromFollower
+FromSide = TurnGranted | TurnRefused | SideWord | Struck | FromWatcher
 
 ENCODE: Final = msgspec.json.Encoder().encode
 DECODE_FROM_ENTRY: Final = msgspec.json.Decoder(FromEntry).decode
--- a/src/sardinetrack/turns/side.py
+++ b/src/sardinetrack/turns/side.py
@@ -10,6 +10,7 @@
 
 from sardinetrack.admission.reading import Ask, Granted, Verdict
 from sardinetrack.logs.events import Event, EventLog
+from sardinetrack.routing.strikes import StrikeBook
 from sardinetrack.turns.clock import loop_now
 from sardinetrack.turns.desk import TurnDesk
 from sardinetrack.turns.lines import LineProtocol
@@ -20,12 +21,14 @@
     Ended,
     Hello,
     SideWord,
+    Struck,
     TurnGranted,
     TurnRefused,
 )
 from sardinetrack.views.api import Follower
 from sardinetrack.views.messages import (
     FollowView,
+    FromFollower,
     FromWatcher,
     LeaveView,
     StampView,
@@ -71,13 +74,21 @@
                 self._side.ended(message.ask_id)
             case Hello():
                 self.entry = message.entry
-                self._side.met(message)
+                self._side.met(self, message)
+            case Struck():
+                self._side.struck(self, message)
+            case _:
+                self._follow(message)
+
+    def _follow(self, message: FromFollower) -> None:
+        watcher = self._side.watcher
+        match message:
             case FollowView():
-                self._side.watcher.follow(self, message.stamp_seconds)
+                watcher.follow(self, message.stamp_seconds)
             case StampView():
-                self._side.watcher.stamp(self, message.stamp_seconds)
+                watcher.stamp(self, message.stamp_seconds)
             case LeaveView():
-                self._side.watcher.leave(self)
+                watcher.leave(self)
 
     def tell(self, message: FromWatcher) -> None:
         """Tell the entry of the store."""
@@ -110,6 +121,7 @@
         self.verdicts: Counter[str] = Counter()
         self._parts: dict[str, str] = {}
         self._granted_parts: set[str] = set()
+        self._strikes = StrikeBook()
         self._stack = AsyncExitStack()
 
     async def __aenter__(self) -> Self:
@@ -147,9 +159,12 @@
         """Note a connection."""
         self._entries.add(entry)
 
-    def met(self, hello: Hello) -> None:
-        """Learn the engine's size from an entry."""
+    def met(self, entry: EntryLines, hello: Hello) -> None:
+        """Learn the engine's size from an entry, and tell it what is known."""
         self.admission.resize(hello.slots, hello.memory_tokens)
+        strikes = self._strikes.holding(loop_now())
+        if strikes:
+            entry.send(Struck(tuple(strikes)))
         self._log.write(
             Event.ENTRY_CONNECTED,
             entry=hello.entry,
@@ -157,6 +172,17 @@
             memory_tokens=hello.memory_tokens,
         )
 
+    def struck(self, teller: EntryLines, message: Struck) -> None:
+        """Tell all entries which requests servers went down under.
+
+        One that has been told to every entry can't be sent again by another;
+        an entry that starts anew is told when it connects.
+        """
+        for strike in message.strikes:
+            self._strikes.add(loop_now(), strike)
+        for entry in self._entries - {teller}:
+            entry.send(message)
+
     def leave(self, entry: EntryLines) -> None:
         """Free what an entry held.
 
--- a/src/sardinetrack/views/watcher.py
+++ b/src/sardinetrack/views/watcher.py
@@ -117,8 +117,10 @@
 
     def stamp(self, follower: Follower, stamp_seconds: float) -> None:
         """Learn a follower's clock anew."""
-        if follower in self._followers:
-            self._followers[follower] = _Clock(stamp_seconds, self._clock())
+        clock = self._followers.get(follower)
+        if clock is not None:
+            clock.stamp_seconds = stamp_seconds
+            clock.received_seconds = self._clock()
 
     def leave(self, follower: Follower) -> None:
         """Tell a follower no more."""
--- /dev/null
+++ b/tests/relay/steps/crash_steps.py
@@ -0,0 +1,88 @@
+"""Steps for requests that crash servers."""
+
+from __future__ import annotations
+
+from behave import given, then, when
+
+from sardinetrack.relay.api import Call, Prompt
+from sardinetrack.relay.crashes import CrashWatch, fingerprint
+
+_BODY = b'the report that crashes'
+
+
+def _call():
+    return Call(
+        'r1', b'POST', b'/x/1', 'h', '/x/1', b'', _BODY, 0, 1, '', Prompt()
+    )
+
+
+@when('every server goes down under a report')
+def crash_under(context):
+    for server in context.world.servers:
+        server.deadly = _BODY
+
+
+@when('every server resets its next {count:d} requests')
+def reset_many(context, count):
+    for server in context.world.servers:
+        server.acts.extend('reset' for _ in range(count))
+
+
+@when('a caller sends the same report {count:d} times')
+def send_same(context, count):
+    world = context.world
+
+    async def play():
+        for _ in range(count):
+            context.reply = await world.call(
+                'report',
+                body=_BODY,
+                target='same',
+            )
+
+    world.run(play())
+
+
+@when('another caller sends its own report')
+def send_other(context):
+    world = context.world
+    context.reply = world.run(world.call('report', body=b'another'))
+
+
+@then('{count:d} servers went down')
+def went_down(context, count):
+    down = [one for one in context.world.servers if one.down]
+    assert len(down) == count, len(down)
+
+
+@then('the last answer is 503 with when to come back')
+def refused(context):
+    assert context.reply.status == 503, context.reply.raw
+    assert context.reply.retry_after > 0
+
+
+@then('no request is suspected')
+def nobody_suspected(context):
+    assert not context.world.fleet.crashes.book
+
+
+@given('a watch for crashes')
+def open_watch(context):
+    context.watch = CrashWatch()
+
+
+@when('the connection of a request to {server} ends')
+def connection_ends(context, server):
+    context.watch.broke(100.0, server, _call(), 'pilots')
+
+
+@when('{server} is away {seconds:f} seconds later')
+def is_away(context, server, seconds):
+    context.watch.away(100.0 + seconds, server)
+
+
+@then('the request has {count:d} strike')
+@then('the request has {count:d} strikes')
+def has_strikes(context, count):
+    name = fingerprint(_call(), 'pilots')
+    assert context.watch.book.count(105.0, name) == count
--- a/tests/support/relay_servers.py
+++ b/tests/support/relay_servers.py
@@ -26,6 +26,8 @@
         self.asked = asyncio.Event()
         self.port = 0
         self.writers = set()
+        self.deadly = None
+        self.down = False
         self._server = None
 
     async def open(self, ip='127.0.0.1'):
@@ -49,6 +51,8 @@
                 body = await reader.readexactly(length)
                 self.requests.append((head, fields, body))
                 self.asked.set()
+                if body == self.deadly:
+                    self.acts = deque(['crash'])
                 act = self.acts.popleft() if self.acts else 'answer'
                 await getattr(self, f'_{act}')(fields, reader, writer)
                 await writer.drain()
@@ -85,6 +89,12 @@
     async def _reset(self, fields, reader, writer):
         writer.transport.abort()
 
+    async def _crash(self, fields, reader, writer):
+        self.down = True
+        await self.close()
+        for one in self.writers:
+            one.transport.abort()
+
     async def _shed(self, fields, reader, writer):
         writer.write(
             b'HTTP/1.1 503 Full\r\nX-Sardinetrack-Not-Processed: 1\r\n'
--- a/tests/support/relay_world.py
+++ b/tests/support/relay_world.py
@@ -184,9 +184,16 @@
         )
         self.fleet.servers_changed()
 
-    async def call(self, name, headers=(), body=b'', timeout_seconds=5):
+    async def call(
+        self,
+        name,
+        headers=(),
+        body=b'',
+        timeout_seconds=5,
+        target='',
+    ):
         reader, writer = await asyncio.open_connection(_IP, self.port)
-        writer.write(self.request(name, headers, body))
+        writer.write(self.request(name, headers, body, target=target))
         try:
             async with asyncio.timeout(timeout_seconds):
                 raw = await reader.read()
@@ -194,12 +201,12 @@
             writer.close()
         return Reply(raw)
 
-    def request(self, name, headers=(), body=b'', closes=True):
+    def request(self, name, headers=(), body=b'', closes=True, target=''):
         self._number += 1
         shape = next(one for one in _SHAPES if one.name == name)
         method = 'GET' if shape.kind is RouteKind.IDEMPOTENT else 'POST'
         lines = [
-            f'{method} {shape.path}{self._number} HTTP/1.1',
+            f'{method} {shape.path}{target or self._number} HTTP/1.1',
             'Host: h.example',
             f'X-Sardinetrack-Request-Id: r{self._number}',
             f'Content-Length: {len(body)}',
--- a/tests/turns/side.feature
+++ b/tests/turns/side.feature
@@ -55,3 +55,13 @@
     Given a side and 2 entries
     When somebody sends the side a line that is no message
     Then the side closes that connection and serves the others
+
+  Scenario: What crashes servers is told to every entry, a late one too
+    A caller sends a request that crashes its server again and again, each
+    time to another entry. An entry that starts anew knows nothing of it.
+
+    Given a side and 2 entries
+    When entry 1 tells of a request that 3 servers went down under
+    Then entry 2 knows of 3 servers
+    When another entry connects
+    Then entry 3 knows of 3 servers
--- a/tests/turns/steps/side_steps.py
+++ b/tests/turns/steps/side_steps.py
@@ -8,10 +8,12 @@
 from behave import given, then, when
 
 from sardinetrack.logs.events import EventLog
+from sardinetrack.messages.api import Strike
 from sardinetrack.placement.holdings import Holdings
 from sardinetrack.placement.load import ServerLoad
+from sardinetrack.relay.crashes import STRIKE_SECONDS, CrashWatch
 from sardinetrack.turns.entry import Beliefs, SideLines
-from sardinetrack.turns.messages import AskTurn, Hello, TurnGranted
+from sardinetrack.turns.messages import AskTurn, Hello, Struck, TurnGranted
 from sardinetrack.turns.side import Side
 from sardinetrack.views.api import NoInbox
 from sardinetrack.views.watcher import Feeds, Watcher
@@ -32,9 +34,10 @@
     def __init__(self, name, slots):
         self.holdings = Holdings()
         self.load = ServerLoad()
+        self.crashes = CrashWatch()
         self.lines = SideLines(
             Hello(name, slots, 100_000),
-            Beliefs(self.load, self.holdings, NoInbox()),
+            Beliefs(self.load, self.holdings, NoInbox(), self.crashes),
             _IP,
         )
         self.name = name
@@ -166,6 +169,44 @@
     context.side._tell_task.cancel()  # noqa: SLF001
 
 
+@when(
+    'entry {number:d} tells of a request that {count:d} servers went down under'
+)
+def tell_strikes(context, number, count):
+    async def act():
+        strikes = tuple(
+            Strike('f1', f'i-{one}', STRIKE_SECONDS) for one in range(count)
+        )
+        _entry(context, number).lines.send(Struck(strikes))
+        await _settle()
+
+    _run(context, act())
+
+
+@when('another entry connects')
+def connect_another(context):
+    async def act():
+        entry = _Entry('late', 8)
+        context.entries.append(entry)
+        await asyncio.get_running_loop().create_connection(
+            lambda: entry.lines,
+            _IP,
+            context.side.port,
+        )
+        await _settle()
+
+    _run(context, act())
+
+
+@then('entry {number:d} knows of {count:d} servers')
+def knows_strikes(context, number, count):
+    async def look():
+        now = asyncio.get_running_loop().time()
+        return _entry(context, number).crashes.book.count(now, 'f1')
+
+    assert _run(context, look()) == count
+
+
 @when('somebody sends the side a line that is no message')
 def send_nonsense(context):
     async def act():
