HEAD requests end with their head; idle connections are shared out

Cause: the parser of a server's answer waits for the body that the length of a HEAD's answer speaks of, so each took its route's time-out (test: 504). And the bound on connections to one server was read and enforced nowhere: an entry kept every idle connection, up to a server's whole bound, and the server resets what other entries open beyond it. Before and after, by the new scenarios: 504 after 3 s, 200 at once; 8 idle connections kept of a bound of 12 for 6 entries, 2 now.

--- a/src/sardinetrack/relay/fleet.py
+++ b/src/sardinetrack/relay/fleet.py
@@ -107,6 +107,13 @@
         desk.admission.resize(pool.slots, pool.memory_tokens, share)
         return desk
 
+    def connection_share(self, server: BackendServer) -> float:
+        """Tell how many connections to a server are this entry's to keep."""
+        pool = self.in_force().pools.get(server.pool)
+        if pool is None:
+            return float('inf')
+        return pool.max_connections / self.entries
+
     def side(self, server: BackendServer) -> SideLink | None:
         """Find the link to a server's side if it is live."""
         return self.sides.find(server.ip)
--- a/src/sardinetrack/relay/sender.py
+++ b/src/sardinetrack/relay/sender.py
@@ -32,6 +32,7 @@
 """
 _LEAST_SECONDS: Final = 0.02
 _DIGITS: Final = 3
+_HEAD: Final = b'HEAD'
 _BREAKS: Final = frozenset((BreakReason.CLOSED, BreakReason.RESET))
 
 
@@ -141,7 +142,11 @@
         load = self._fleet.load(server)
         load.added_tokens += candidate.new_tokens
         try:
-            connection.send(request, attempt)
+            connection.send(
+                request,
+                attempt,
+                bodiless=self._call.method == _HEAD,
+            )
             self._caller.flow = connection.flow
             await attempt.done
         finally:
@@ -242,7 +247,11 @@
         done = attempt.done
         if not done.done() or done.result() is AttemptEnd.UNKNOWN:
             connection.abort()
-        self._fleet.connections.give_back(server.address, connection)
+        self._fleet.connections.give_back(
+            server.address,
+            connection,
+            self._fleet.connection_share(server),
+        )
 
     def _note_unreached(
         self,
--- a/src/sardinetrack/relay/server_connection.py
+++ b/src/sardinetrack/relay/server_connection.py
@@ -70,6 +70,7 @@
         self._keeps = False
         self._reset = False
         self._status_seen = False
+        self._bodiless = False
 
     @property
     def reusable(self) -> bool:
@@ -81,9 +82,19 @@
             and self._sink is None
         )
 
-    def send(self, request: bytes, sink: ReplySink) -> None:
-        """Send a request whose answer goes to the sink."""
+    def send(
+        self,
+        request: bytes,
+        sink: ReplySink,
+        *,
+        bodiless: bool = False,
+    ) -> None:
+        """Send a request whose answer goes to the sink.
+
+        :param bodiless: its answer has no body, whatever length it tells.
+        """
         self._sink = sink
+        self._bodiless = bodiless
         self._parser = httptools.HttpResponseParser(self)
         self._headers = []
         self._framed = False
@@ -166,6 +177,10 @@
             for name, _ in self._headers
         )
         sink.head(status, self._headers)
+        if self._bodiless:
+            # The parser would wait for the body that the length speaks of.
+            self._complete = True
+            self._keeps = parser.should_keep_alive()
 
     def on_body(self, body: bytes) -> None:
         """Hand on a piece."""
--- a/src/sardinetrack/relay/server_pool.py
+++ b/src/sardinetrack/relay/server_pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import deque
 from typing import Final
 
@@ -57,10 +58,21 @@
             kept.abort()
         return await self._connect(address)
 
-    def give_back(self, address: Address, kept: ServerConnection) -> None:
-        """Take back a connection after its request."""
+    def give_back(
+        self,
+        address: Address,
+        kept: ServerConnection,
+        most_kept: float = math.inf,
+    ) -> None:
+        """Take back a connection after its request.
+
+        :param most_kept: connections to the server beyond which this one is
+            closed. The server resets whatever comes beyond its bound for all
+            entries together; idle ones of a busy entry would take the place
+            of another entry's requests.
+        """
         self._open[address] = self._open.get(address, 1) - 1
-        if not kept.reusable:
+        if not kept.reusable or self.connections(address) >= most_kept:
             kept.abort()
             return
         kept.idle_since_seconds = asyncio.get_running_loop().time()
--- a/tests/relay/relay.feature
+++ b/tests/relay/relay.feature
@@ -209,3 +209,20 @@
     And the entry is stopped and 2.7 seconds later a caller asks
     Then the caller gets status 503 and when to come back
     And the servers got 1 request
+
+  Scenario: A request for the head alone is answered at once
+    A HEAD request's answer tells the length of a body that does not come.
+    Waiting for it would keep the caller until the time-out.
+
+    Given a relay before 1 plain server
+    When a caller asks for the head alone
+    Then the caller gets status 200
+    And it took less than 1 second
+
+  Scenario: Idle connections beyond an entry's share are closed
+    A server takes 100 connections from all entries together, and resets what
+    comes beyond. An entry that was busy keeps no more than its part of them.
+
+    Given a relay before 1 plain server that takes 12 connections
+    When 8 callers fetch at the same moment
+    Then the entry keeps at most 2 connections to the server
--- a/tests/relay/steps/relay_steps.py
+++ b/tests/relay/steps/relay_steps.py
@@ -4,11 +4,18 @@
 
 import asyncio
 import re
+from dataclasses import replace
 
 from behave import given, then, when
 from tests.support.relay_servers import EVENTS
-from tests.support.relay_world import RelayWorld, close_world, configuration
+from tests.support.relay_world import (
+    RelayWorld,
+    Reply,
+    close_world,
+    configuration,
+)
 
+from sardinetrack.topology.configuration import Pool
 from sardinetrack.topology.freshness import boot_clock
 
 _OURS = (
@@ -54,6 +61,59 @@
     _open(context, plain=plain, max_descriptors=descriptors)
 
 
+@given(
+    'a relay before {plain:d} plain server that takes'
+    ' {connections:d} connections',
+)
+def open_bounded(context, plain, connections):
+    _open(context, plain=plain)
+    held = context.world.fleet.configuration
+    pools = {**held.pools, 'plain': Pool('plain', connections)}
+    context.world.fleet.configuration = replace(held, pools=pools)
+
+
+@when('a caller asks for the head alone')
+def ask_head(context):
+    world = context.world
+
+    async def play():
+        began = world.loop.time()
+        reader, writer = await asyncio.open_connection('127.0.0.1', world.port)
+        request = world.request('fetch').replace(b'GET', b'HEAD', 1)
+        writer.write(request)
+        async with asyncio.timeout(5):
+            raw = await reader.read()
+        writer.close()
+        context.took_seconds = world.loop.time() - began
+        context.reply = Reply(raw)
+
+    world.run(play())
+
+
+@then('it took less than {seconds:d} second')
+def took_less(context, seconds):
+    assert context.took_seconds < seconds, context.took_seconds
+
+
+@when('{count:d} callers fetch at the same moment')
+def fetch_together(context, count):
+    world = context.world
+
+    async def play():
+        calls = (world.call('fetch') for _ in range(count))
+        context.replies = await asyncio.gather(*calls)
+
+    world.run(play())
+    assert all(reply.status == 200 for reply in context.replies)
+
+
+@then('the entry keeps at most {count:d} connections to the server')
+def keeps_few(context, count):
+    address = ('127.0.0.1', context.world.servers[0].port)
+    kept = context.world.fleet.connections.connections(address)
+    assert kept <= count, kept
+
+
 def _open(context, **sizes):
     context.world = RelayWorld()
     context.add_cleanup(close_world, context.world)
--- a/tests/support/relay_servers.py
+++ b/tests/support/relay_servers.py
@@ -54,6 +54,8 @@
                 if body == self.deadly:
                     self.acts = deque(['crash'])
                 act = self.acts.popleft() if self.acts else 'answer'
+                if head.startswith(b'HEAD'):
+                    act = 'bare'
                 await getattr(self, f'_{act}')(fields, reader, writer)
                 await writer.drain()
         self.writers.discard(writer)
@@ -95,6 +97,10 @@
         for one in self.writers:
             one.transport.abort()
 
+    async def _bare(self, fields, reader, writer):
+        head = self._head(fields, '200 OK')
+        writer.write(f'{head}Content-Length: 10\r\n\r\n'.encode())
+
     async def _shed(self, fields, reader, writer):
         writer.write(
             b'HTTP/1.1 503 Full\r\nX-Sardinetrack-Not-Processed: 1\r\n'
