sardinetrack experiment: seeded crowds before emulated engines

The emulator of the tests moves into the product and grows callers that come back once when they were told to, jumps, the worst workspace and the busiest engine. It plays through the daemons' own placement, holdings and admission, and compares orders of servers. A refusal beside an idle engine is counted once a request, at its first refusal, as before requests came back; the bound of the test is the same. Plots are not drawn.

--- /dev/null
+++ b/src/sardinetrack/emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Seeded crowds before emulated engines; decisions are the product's own."""
--- a/src/sardinetrack/run.py
+++ b/src/sardinetrack/run.py
@@ -12,6 +12,7 @@
 from sardinetrack.cli.check import CheckCommand
 from sardinetrack.cli.entry import EntryCommand
 from sardinetrack.cli.exit_codes import ExitCode
+from sardinetrack.cli.experiment import ExperimentCommand
 from sardinetrack.cli.explain import ExplainCommand
 from sardinetrack.cli.local import LocalCommand
 from sardinetrack.cli.parser import PROGRAM, build_parser
@@ -30,6 +31,7 @@
     StatusCommand(),
     StandInCommand(),
     ExplainCommand(),
+    ExperimentCommand(),
 )
 
 
--- a/tests/placement/crowd.feature
+++ b/tests/placement/crowd.feature
@@ -1,7 +1,7 @@
 Feature: A crowd of prompts with shared parts
 
   The pattern and the grounds of its figures stand in
-  tests/support/prompt_crowd.py. 24 requests a second are about what nine
+  sardinetrack.emulator.load. 24 requests a second are about what nine
   engines can read when each shared part is read once; 60 are two and a half
   times as many. The naive orders of servers are ranked as the users' bench
   ranks them.
--- a/tests/placement/steps/crowd_steps.py
+++ b/tests/placement/steps/crowd_steps.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 from behave import then, when
-from tests.support.prompt_crowd import Crowd
+
+from sardinetrack.emulator.crowd import Crowd
+from sardinetrack.emulator.load import Shape, draw
+from sardinetrack.emulator.orders import ORDERS
 
 _NAIVE = ('random', 'least loaded')
 
@@ -12,18 +15,19 @@
     '{rate:d} requests a second come for {seconds:d} seconds with seed {seed:d}'
 )
 def play(context, rate, seconds, seed):
+    shape = Shape()
     context.crowds = {}
-    for policy in ('home', *_NAIVE):
-        crowd = Crowd(seed, policy, rate)
-        crowd.play(seconds)
-        context.crowds[policy] = crowd
+    for order in ORDERS:
+        requests = draw(shape, rate, seconds, seed)
+        outcome = Crowd(shape, order()).play(requests, seconds)
+        context.crowds[order.name] = outcome
 
 
 @then('homes read at most {part:g} of the shared tokens that naive orders read')
 def read_less(context, part):
-    homes = context.crowds['home'].read_again
+    homes = context.crowds['home'].again_tokens
     for name in _NAIVE:
-        naive = context.crowds[name].read_again
+        naive = context.crowds[name].again_tokens
         assert homes <= part * naive, (homes, name, naive)
 
 
