A guest is refused in its own time, wherever it stands in its queue

Cause: only the first of a workspace's queue was looked at when patience ended. A guest (0.02 s) behind a request at home (0.4 s and more) waited as long as that one, with other servers to ask. Found while returns were tried; the new scenario failed before (0 refused).

--- a/src/sardinetrack/admission/reading.py
+++ b/src/sardinetrack/admission/reading.py
@@ -208,21 +208,32 @@
         """Refuse what has waited for too long."""
         late: list[Verdict] = []
         for workspace, queue in list(self._queues.items()):
-            while queue and queue[0].until_seconds <= now:
-                one = queue.popleft()
-                ahead = self._reading_tokens
-                wait_seconds = self.wait_seconds()
+            expired = [one for one in queue if one.until_seconds <= now]
+            for one in expired:
+                queue.remove(one)
                 waited = now - one.asked_seconds
                 late.append(
-                    self._refusal(one.ask, wait_seconds, waited, ahead),
+                    self._refusal(
+                        one.ask,
+                        self.wait_seconds(),
+                        waited,
+                        self._reading_tokens,
+                    ),
                 )
             self._drop_empty(workspace)
         return (*late, *self._turn(now))
 
     def next_deadline_seconds(self) -> float | None:
-        """Tell when ``tick`` is due."""
+        """Tell when ``tick`` is due.
+
+        A guest has far less patience than those before it in its queue.
+        """
         return min(
-            (queue[0].until_seconds for queue in self._queues.values()),
+            (
+                one.until_seconds
+                for queue in self._queues.values()
+                for one in queue
+            ),
             default=None,
         )
 
--- a/tests/admission/reading.feature
+++ b/tests/admission/reading.feature
@@ -104,3 +104,15 @@
       | 2    |
       | 3    |
       | 4    |
+
+  Scenario: A guest behind others of its workspace is refused in its own time
+    A request of a workspace waits for its home here; behind it waits a guest
+    of the same workspace, whose patience is far shorter. It has another
+    server to ask, and must not wait for the one in front.
+
+    Given an engine of 64 slots
+    When workspace agency asks for 7900 tokens
+    And workspace agency asks for 700 tokens
+    And a guest of agency with 0.02 seconds of patience asks for 100 tokens
+    And 0.03 seconds pass at the engine
+    Then 1 of agency are refused
--- a/tests/admission/steps/reading_steps.py
+++ b/tests/admission/steps/reading_steps.py
@@ -85,6 +85,14 @@
     context.engine.ask('guest', tokens, patience_seconds=seconds)
 
 
+@step(
+    'a guest of {workspace} with {seconds:g} seconds of patience asks'
+    ' for {tokens:d} tokens',
+)
+def ask_guest_of(context, workspace, seconds, tokens):
+    context.engine.ask(workspace, tokens, patience_seconds=seconds)
+
+
 @step('workspace {workspace} asks {count:d} times for {tokens:d} tokens')
 def ask_often(context, workspace, count, tokens):
     for _ in range(count):
