The soak harms one process's way to the store and holds revocation times

Cause: the soak silenced the store as a whole and let callers drop keys that were taken away, so nothing in it could show that a cut-off entry stops running a revoked key, or that a borrowed view outlasts a harmed watcher. Now each process reaches the store through a relay of its own that is frozen, cut, slowed or loses answers, and callers go on with keys that are out; no request may begin to run with one later than 5 s after.

--- a/benchmarks/soak/__main__.py
+++ b/benchmarks/soak/__main__.py
@@ -40,6 +40,7 @@
             task.cancel()
         await asyncio.gather(*callers, return_exceptions=True)
         ledger.check(world.runs)
+        ledger.broken.extend(world.late_runs())
         told = dict(ledger.told.most_common())
         sys.stdout.write(
             f'seed {seed}: {len(faults.done)} faults, told {told},'
--- a/benchmarks/soak/callers.py
+++ b/benchmarks/soak/callers.py
@@ -16,6 +16,7 @@
 _ROUTES = ('stream', 'once', 'fetch', 'report')
 _ONCE = frozenset(('once', 'report'))
 _NOT_RUN = frozenset((408, 421, 429, 503))
+KEYS = ('key-0', 'key-0', 'key-1', 'key-2', 'key-3')
 _PATIENCE_SECONDS = 8.0
 _PATIENCE_MILLISECONDS = 8000
 
@@ -140,7 +141,8 @@
         ]
         if route in {'stream', 'once'}:
             part = self._draw.randrange(20)
-            key = self._draw.choice([*self._world.keys, 'key-0'])
+            # Also such as were taken away: nobody tells the callers.
+            key = self._draw.choice(KEYS)
             lines.extend(
                 (
                     'X-Sardinetrack-Token-Count: 900,60',
--- a/benchmarks/soak/faults.py
+++ b/benchmarks/soak/faults.py
@@ -7,7 +7,11 @@
 from random import Random
 
 from benchmarks.soak.engine import SoakServer
-from benchmarks.soak.world import Process, World
+from benchmarks.soak.world import REVOKE_SECONDS, Process, World
+from sardinetrack.standin.relay import Direction
+
+_REVOKED_SECONDS = 8.0
+"""How long a key is out: the bound, and time to see that it is kept."""
 
 
 class Faults:
@@ -26,6 +30,8 @@
             self._crash_server,
             self._replace_server,
             self._store_away,
+            self._harm_way,
+            self._harm_way,
             self._compact,
             self._change,
             self._revoke,
@@ -84,6 +90,27 @@
         await asyncio.sleep(self._draw.uniform(0.2, 4))
         store.fault = ''
 
+    async def _harm_way(self) -> None:
+        """Harm one process's way to the store: the others reach it."""
+        way = self._draw.choice(self._world.ways)
+        harm = self._draw.choice(('freeze', 'cut', 'lose', 'delay'))
+        seconds = self._draw.uniform(0.3, 6)
+        match harm:
+            case 'freeze':
+                way.freeze()
+            case 'cut':
+                await way.cut()
+            case 'lose':
+                way.drop(Direction.TO_CALLER)
+            case 'delay':
+                way.delay_seconds = self._draw.uniform(0.05, 0.6)
+        await asyncio.sleep(seconds)
+        if harm == 'cut':
+            await way.restore()
+        way.thaw()
+        way.stop_dropping()
+        way.delay_seconds = 0
+
     async def _compact(self) -> None:
         self._world.configure()
         self._world.store.compact()
@@ -96,7 +123,11 @@
         key = self._draw.choice(('key-1', 'key-2', 'key-3'))
         name = self._world.keys.pop(key, None)
         self._world.configure()
-        await asyncio.sleep(6)
+        await asyncio.sleep(_REVOKED_SECONDS)
         if name is not None:
+            loop = asyncio.get_running_loop()
+            began = loop.time() - _REVOKED_SECONDS
+            late = (began + REVOKE_SECONDS, loop.time(), name)
+            self._world.revoked.append(late)
             self._world.keys[key] = name
             self._world.configure()
--- a/benchmarks/soak/world.py
+++ b/benchmarks/soak/world.py
@@ -8,17 +8,19 @@
 import sys
 import tempfile
 from collections import Counter
-from contextlib import suppress
+from contextlib import AsyncExitStack, suppress
 from pathlib import Path
 from typing import Self
 
 from tests.support.object_store import ObjectStore
 
 from benchmarks.soak.engine import SoakServer
+from sardinetrack.standin.relay import Relay, relaying
 
 ROOT = Path(__file__).parents[2]
 START = ROOT / 'deploy' / 'start.py'
 GRACE_SECONDS = 6.0
+REVOKE_SECONDS = 5.0
 _REVOKE_MILLISECONDS = 5000
 _STORE_PORT = 18781
 _CALLERS_PORT = 18783
@@ -31,9 +33,13 @@
     """One program, started again whenever it ends."""
 
     def __init__(self, role: str, ip: str, store_ip: str, folder: str) -> None:
-        """Write its settings."""
+        """Write its settings.
+
+        :param store_ip: of its own way to the store, which can be harmed.
+        """
         self.role = role
         self.ip = ip
+        self.store_ip = store_ip
         self.running: asyncio.subprocess.Process | None = None
         self.stopped_seconds = float('-inf')
         self._settings = Path(folder) / f'{role}-{ip}.toml'
@@ -82,7 +88,12 @@
         :param net: second number of the addresses, all on the loopback
             range; runs with different ones don't meet.
         """
+        self._net = net
         self._store_ip = f'127.{net}.0.1'
+        self.ways: list[Relay] = []
+        """Each process's own way to the store."""
+        self.revoked: list[tuple[float, float, str]] = []
+        """From when until when no request of a workspace may begin."""
         self.runs: Counter[str] = Counter()
         self.store = ObjectStore()
         self.store.port = _STORE_PORT
@@ -96,6 +107,7 @@
             *self._servers('plain', f'127.{net}.3', plain),
         ]
         self._tasks: list[asyncio.Task[None]] = []
+        self._stack = AsyncExitStack()
 
     async def __aenter__(self) -> Self:
         """Start everything."""
@@ -105,10 +117,20 @@
             await server.start()
             self.list_server(server)
         for process in (*self.entries, *self.sides):
+            await self._open_way(process)
             task = asyncio.create_task(process.keep())
             self._tasks.append(task)
         return self
 
+    async def _open_way(self, process: Process) -> None:
+        way = relaying(
+            self._store_ip,
+            _STORE_PORT,
+            ip=process.store_ip,
+            port=_STORE_PORT,
+        )
+        self.ways.append(await self._stack.enter_async_context(way))
+
     async def __aexit__(self, *_: object) -> None:
         """Stop the processes that were started here."""
         for task in self._tasks:
@@ -121,8 +143,22 @@
                 await process.running.wait()
         for server in self.servers:
             await server.crash()
+        await self._stack.aclose()
         await self.store.close()
 
+    def late_runs(self) -> list[str]:
+        """List what began to run with a key that was taken away before."""
+        late: list[str] = []
+        for since, until, workspace in self.revoked:
+            began = [
+                at - since
+                for server in self.servers
+                for at, ran in server.keys
+                if ran == workspace and since < at < until
+            ]
+            late.extend(f'{workspace} ran, {one:.1f} s late' for one in began)
+        return late
+
     def configure(self) -> None:
         """Put a new version of the configuration into the store."""
         self.version += 1
@@ -166,8 +202,14 @@
         )
 
     def _processes(self, role: str, net: str, count: int) -> list[Process]:
+        way = 4 if role == 'entry' else 5
         return [
-            Process(role, f'{net}.{number}', self._store_ip, self.folder.name)
+            Process(
+                role,
+                f'{net}.{number}',
+                f'127.{self._net}.{way}.{number}',
+                self.folder.name,
+            )
             for number in range(1, count + 1)
         ]
 
