sardinetrack report: a page about a run, drawn from its lines

One page of HTML with its pictures in it: requests by how they ended and when, waits for turns by workspace, prompt tokens sent to each server. Drawn with matplotlib, in the extra 'report'; without it the command says what to install. Ruled out: a live page from the metrics, which operators' own tools draw.

--- a/src/sardinetrack/cli/explain.py
+++ b/src/sardinetrack/cli/explain.py
@@ -4,11 +4,11 @@
 
 import sys
 from argparse import ArgumentParser, Namespace
-from pathlib import Path
 
 from sardinetrack.cli.api import Command, CommandError
 from sardinetrack.cli.exit_codes import ExitCode
-from sardinetrack.logs.story import Line, Story, parse_lines, tell_story
+from sardinetrack.cli.logs import read_logs
+from sardinetrack.logs.story import Line, Story, tell_story
 
 
 class ExplainCommand(Command):
@@ -29,7 +29,7 @@
 
     def run(self, options: Namespace) -> int:
         """Print the story."""
-        story = tell_story(options.request_id, _read(options.logs))
+        story = tell_story(options.request_id, read_logs(options.logs))
         if not story.steps:
             raise CommandError(_nothing(options.request_id, story))
         for text in _sentences(story):
@@ -37,18 +37,6 @@
         return ExitCode.DONE
 
 
-def _read(names: list[str]) -> list[list[Line]]:
-    if not names:
-        return [list(parse_lines(sys.stdin))]
-    try:
-        return [
-            list(parse_lines(Path(name).read_text().splitlines()))
-            for name in names
-        ]
-    except OSError as error:
-        raise CommandError(f'{error.filename}: {error.strerror}') from error
-
-
 def _nothing(request_id: str, story: Story) -> str:
     text = f'no line is about {request_id}'
     dropped = _dropped(story)
--- a/src/sardinetrack/run.py
+++ b/src/sardinetrack/run.py
@@ -16,6 +16,7 @@
 from sardinetrack.cli.explain import ExplainCommand
 from sardinetrack.cli.local import LocalCommand
 from sardinetrack.cli.parser import PROGRAM, build_parser
+from sardinetrack.cli.report import ReportCommand
 from sardinetrack.cli.side import SideCommand
 from sardinetrack.cli.stand_in import StandInCommand
 from sardinetrack.cli.status import StatusCommand
@@ -32,6 +33,7 @@
     StandInCommand(),
     ExplainCommand(),
     ExperimentCommand(),
+    ReportCommand(),
 )
 
 
