--- a/src/sardinetrack/views/source.py
+++ b/src/sardinetrack/views/source.py
@@ -110,7 +110,6 @@
         self._heard_seconds = float(0)
         self._borrowed_seconds = float(0)
         self._changed = asyncio.Event()
-        self._cause = ''
 
     @property
     def borrowed(self) -> bool:
@@ -244,7 +243,13 @@
         neighbour = self._neighbour
         if neighbour is None:
             return
-        self._avoided[neighbour.name] = self._clock() + AVOID_SECONDS
+        now = self._clock()
+        self._avoided = {
+            name: until
+            for name, until in self._avoided.items()
+            if now < until + STAY_SECONDS
+        }
+        self._avoided[neighbour.name] = now + AVOID_SECONDS
         self._leave(cause)
 
     def _leave(self, cause: str) -> None:
