--- /dev/null
+++ b/benchmarks/placement.py
@@ -0,0 +1,74 @@
+"""Time the choice of a server: ``python -m benchmarks.placement``.
+
+Prints microseconds for one order of the servers of a pool, at the sizes of the
+users' sheets (9, 24 engines) and of the planned pools (420), and for making one
+candidate of the choice as it is and as a frozen data class would be.
+"""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
+from statistics import median
+from timeit import repeat
+
+from sardinetrack.placement.choice import Candidate, by_prompt
+from sardinetrack.placement.load import ServerLoad
+from sardinetrack.relay.api import Prompt, PromptPart
+from sardinetrack.topology.servers import BackendServer
+
+_SIZES = (9, 24, 420)
+_NUMBER = 300
+_REPEATS = 5
+_MICROSECONDS = 1e6
+_PORT = 80
+_PROMPT = Prompt(
+    (PromptPart('a', 512), PromptPart('b', 4870), PromptPart('c', 6610)),
+    11_992,
+    400,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class _Frozen:
+    server: BackendServer
+    wait_seconds: float
+    cost_seconds: float
+    new_tokens: int
+    again_tokens: int = 0
+
+
+def _microseconds(act: Callable[[], object]) -> float:
+    runs = repeat(act, number=_NUMBER, repeat=_REPEATS)
+    return median(runs) / _NUMBER * _MICROSECONDS
+
+
+def _server(number: int) -> BackendServer:
+    net, host = divmod(number, 250)
+    ip = f'10.0.{net}.{host}'
+    return BackendServer(f'i-{number}', 'm', ip, _PORT, 'a', 64, leaving=False)
+
+
+def _order(size: int) -> Callable[[], object]:
+    servers = [_server(number) for number in range(size)]
+    loads = {one.instance: ServerLoad(slots_left=10) for one in servers}
+    holders = (servers[0].ip,)
+    return lambda: by_prompt(_PROMPT, servers, loads, holders)
+
+
+def main() -> int:
+    """Print the table."""
+    for size in _SIZES:
+        took = _microseconds(_order(size))
+        sys.stdout.write(f'order of {size} servers: {took:.1f} us\n')
+    server = _server(1)
+    for kind in (Candidate, _Frozen):
+        took = _microseconds(partial(kind, server, 0, 0, 0, 0))
+        sys.stdout.write(f'one {kind.__name__}: {took:.2f} us\n')
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/src/sardinetrack/placement/choice.py
+++ b/src/sardinetrack/placement/choice.py
@@ -41,7 +41,7 @@
     """One server and what the request would cost there.
 
     Not frozen: a request makes one for each server of its pool, up to three
-    times, and a frozen one takes four times as long to make.
+    times, and a frozen one takes 2.1 us in place of 0.6 (benchmarks.placement).
     """
 
     server: BackendServer
