Two runs of the soak at the same time take addresses of their own

Now a free net is looked for from the seed and the process. Ruled out: the product (it had not been started yet).

--- a/benchmarks/soak/__main__.py
+++ b/benchmarks/soak/__main__.py
@@ -3,20 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import sys
 from argparse import ArgumentParser
 from contextlib import suppress
 
 from benchmarks.soak.callers import Caller, Ledger
 from benchmarks.soak.faults import Faults
-from benchmarks.soak.world import World
+from benchmarks.soak.world import World, free_net
 
 CALLERS = 24
 START_SECONDS = 2.5
 CALM_SECONDS = 8.0
 """After the last fault: restarts, breakers and caches of both ends settle."""
 _SERVED_PART = 0.9
-_MOST_NETS = 250
 
 
 async def soak(seed: int, seconds: float) -> list[str]:
@@ -24,7 +24,7 @@
 
     :return: the promises that were broken, each in a line.
     """
-    net = seed % _MOST_NETS + 1
+    net = free_net(seed + os.getpid())
     async with World(net, entries=3, models=3, plain=2) as world:
         await asyncio.sleep(START_SECONDS)
         ledger = Ledger()
--- a/benchmarks/soak/world.py
+++ b/benchmarks/soak/world.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 import signal
+import socket
 import sys
 import tempfile
 from collections import Counter
@@ -23,12 +24,29 @@
 REVOKE_SECONDS = 5.0
 _REVOKE_MILLISECONDS = 5000
 _STORE_PORT = 18781
+_NETS = 250
 _CALLERS_PORT = 18783
 _READY_PORT = 18780
 _TURNS_PORT = 18700
 _LAST_PORT = 18715
 
 
+def free_net(first: int) -> int:
+    """Find a second number of addresses that no other run uses now.
+
+    Two runs of the same seed at the same time would else take each other's
+    addresses, and the one that came second would fail.
+
+    :param first: where to begin to look.
+    """
+    for offset in range(_NETS):
+        net = (first + offset) % _NETS + 1
+        with socket.socket() as probe, suppress(OSError):
+            probe.bind((f'127.{net}.0.1', _STORE_PORT))
+            return net
+    raise RuntimeError('every address of the soak is taken')
+
+
 class Process:
     """One program, started again whenever it ends."""
 
