--- a/src/sardinetrack/admission/reading.py
+++ b/src/sardinetrack/admission/reading.py
@@ -160,6 +160,20 @@
         )
         return (self._reading_tokens + queued) / self.rate_tokens
 
+    def restart(self, now: float) -> Sequence[Verdict]:
+        """Note that the engine has started anew and knows of nothing.
+
+        What ran there is gone, and its rate was another process's. What
+        waits here was never sent; it goes on waiting, for an empty engine.
+        What the workspaces were served stays true.
+        """
+        self.rate_tokens = FIRST_RATE_TOKENS
+        self._running.clear()
+        self._reading_tokens = 0
+        self._kept_tokens = 0
+        self._last_begun_seconds = now
+        return self._turn(now)
+
     def ask(self, now: float, ask: Ask) -> Sequence[Verdict]:
         """Take in a request: it is granted, refused or waits."""
         self._service.hear(now, ask.entry, ask.workspace, ask.served_tokens)
--- a/src/sardinetrack/compose/view.py
+++ b/src/sardinetrack/compose/view.py
@@ -10,10 +10,9 @@
 from sardinetrack.platform.catalogue import (
     CONFIGURATION_KEY,
     CONFIGURATION_PREFIX,
-    SERVERS_PREFIX,
     configuration_of,
-    server_of,
 )
+from sardinetrack.platform.servers import SERVERS_PREFIX, server_of
 from sardinetrack.platform.store import PlatformStore
 from sardinetrack.relay.fleet import Fleet
 from sardinetrack.relay.followers import (
@@ -58,7 +57,8 @@
 
     def server(self, stored: StoredObject) -> BackendServer:
         """Read a server."""
-        return server_of(stored.key.partition('/')[2], stored.value)
+        instance = stored.key.partition('/')[2]
+        return server_of(instance, stored.value, stored.version)
 
 
 class StoreFeeds(Feeds):
--- a/src/sardinetrack/logs/events.py
+++ b/src/sardinetrack/logs/events.py
@@ -41,6 +41,8 @@
     SIDE_BACK = 'side_back'
     SERVER_LISTED = 'server_listed'
     SERVER_GONE = 'server_gone'
+    SERVER_REFUSED = 'server_refused'
+    SERVER_RESTARTED = 'server_restarted'
     SERVER_SUSPECT = 'server_suspect'
     SERVER_CRASHED = 'server_crashed'
     OVERLOAD = 'overload'
--- a/src/sardinetrack/placement/load.py
+++ b/src/sardinetrack/placement/load.py
@@ -34,6 +34,15 @@
         """Estimate how long a request that is sent now waits."""
         return self.told_wait_seconds + self.added_tokens / self.rate_tokens
 
+    def restart(self) -> None:
+        """Forget all: the server has started anew, and has read nothing."""
+        self.told_wait_seconds = 0
+        self.told_at_seconds = float('-inf')
+        self.rate_tokens = FIRST_RATE
+        self.slots_left = 1
+        self.added_tokens = 0
+        self.reported_running = 0
+
     def hear(
         self,
         now: float,
--- a/src/sardinetrack/platform/catalogue.py
+++ b/src/sardinetrack/platform/catalogue.py
@@ -17,11 +17,9 @@
     WeightedPool,
     Workspace,
 )
-from sardinetrack.topology.servers import BackendServer
 
 CONFIGURATION_PREFIX: Final = 'config/'
 CONFIGURATION_KEY: Final = 'config/main'
-SERVERS_PREFIX: Final = 'servers/'
 _MILLISECONDS: Final = 1000.0
 _KINDS: Final = MappingProxyType(
     {
@@ -93,14 +91,6 @@
     tenants: list[_Tenant] = []
 
 
-class _Server(_Camel):
-    service: str
-    address: str
-    zone: str = ''
-    slots: int = 1
-    state: str = 'ready'
-
-
 def configuration_of(spec: bytes) -> Configuration:
     """Translate the operator's newest configuration.
 
@@ -123,28 +113,6 @@
     )
 
 
-def server_of(instance: str, spec: bytes) -> BackendServer:
-    """Translate the entry of a backend server.
-
-    :raises TranslationError: it is not one.
-    """
-    try:
-        read = msgspec.json.decode(spec, type=_Server, strict=False)
-        ip, _, port = read.address.rpartition(':')
-        port_number = int(port)
-    except (msgspec.DecodeError, ValueError) as error:
-        raise TranslationError(f'server {instance}: {error}') from error
-    return BackendServer(
-        instance=instance,
-        pool=read.service,
-        ip=ip,
-        port=port_number,
-        failure_domain=read.zone,
-        slots=read.slots,
-        leaving=read.state != 'ready',
-    )
-
-
 def _routes(read: list[_Route]) -> dict[str, tuple[Route, ...]]:
     by_host: dict[str, list[Route]] = {}
     for route in read:
--- a/src/sardinetrack/platform/store.py
+++ b/src/sardinetrack/platform/store.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Sequence
+from dataclasses import replace
 from http import HTTPStatus
 from typing import Any, Final, TypeVar
 from urllib.parse import urlencode
@@ -47,15 +49,24 @@
     spec: msgspec.Raw = msgspec.Raw(b'null')
 
 
+class _Named(msgspec.Struct):
+    name: str
+
+
+class _NamedObject(msgspec.Struct):
+    metadata: _Named
+
+
 class _Page(msgspec.Struct, rename='camel'):
     # The revision of the whole store, not of any object.
     as_of: int
-    items: list[_Object] = []
+    # Each is read by itself: one that can't be must not cost the others.
+    items: list[msgspec.Raw] = []
     truncated: bool = False
 
 
 class _Change(msgspec.Struct):
-    object: _Object
+    object: msgspec.Raw
     removed: bool = False
 
 
@@ -96,6 +107,7 @@
         self._address = address
         self._pool = ServerPool()
         self.calls = 0
+        self.unreadable = 0
 
     async def get(self, key: str) -> StoredObject | None:
         """Read one object."""
@@ -145,10 +157,11 @@
             status, body = await self._call(_READ, kind, query=query)
             _check(_READ, status)
             page = _decode(body, _Page)
-            found.extend(_stored(kind, item) for item in page.items)
-            if not page.truncated or not page.items:
+            read = self._readable(kind, page.as_of, page.items)
+            found.extend(read)
+            if not page.truncated or not read:
                 return Listing(page.as_of, tuple(found))
-            query = {'after': page.items[-1].metadata.name}
+            query = {'after': read[-1].key.partition('/')[2]}
 
     async def watch(
         self,
@@ -170,13 +183,32 @@
         )
         _check(_READ, status)
         changes = _decode(body, _Changes)
-        return Listing(
-            changes.as_of,
-            tuple(
-                _stored(kind, change.object, deleted=change.removed)
-                for change in changes.events
-            ),
-        )
+        found: list[StoredObject] = []
+        for change in changes.events:
+            read = self._readable(kind, changes.as_of, [change.object])
+            found.extend(replace(one, deleted=change.removed) for one in read)
+        return Listing(changes.as_of, tuple(found))
+
+    def _readable(
+        self,
+        kind: str,
+        as_of: int,
+        items: Sequence[msgspec.Raw],
+    ) -> Sequence[StoredObject]:
+        """Read each object by itself.
+
+        Any writer may put any bytes into the store. What has a name stands
+        there as an object that says nothing, so that nobody goes on with what
+        stood there before; what has none can't be an object we know.
+        """
+        found: list[StoredObject] = []
+        for raw in items:
+            try:
+                found.append(_stored(kind, _decode(raw, _Object)))
+            except NoAnswerError:
+                self.unreadable += 1
+                found.extend(_named(kind, as_of, raw))
+        return found
 
     async def _call(
         self,
@@ -276,15 +308,20 @@
     return RefusedError(text)
 
 
-def _decode(body: bytes, kind: type[_BodyT]) -> _BodyT:
+def _named(kind: str, as_of: int, raw: msgspec.Raw) -> list[StoredObject]:
     try:
-        return msgspec.json.decode(body, type=kind)
-    except msgspec.DecodeError as error:
-        raise _unreadable(error) from error
+        named = msgspec.json.decode(raw, type=_NamedObject)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return []
+    name = named.metadata.name
+    return [StoredObject(f'{kind}/{name}', as_of, b'')]
 
 
-def _unreadable(error: Exception) -> PlatformError:
-    return NoAnswerError(f'unreadable answer: {error}')
+def _decode(body: bytes | msgspec.Raw, kind: type[_BodyT]) -> _BodyT:
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise NoAnswerError(f'unreadable answer: {error}') from error
 
 
 def _stored(kind: str, read: _Object, *, deleted: bool = False) -> StoredObject:
--- a/src/sardinetrack/relay/caller_connection.py
+++ b/src/sardinetrack/relay/caller_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 from collections import deque
 from collections.abc import Callable
 from typing import Final, cast
@@ -100,6 +101,33 @@
         if self.flow is not None:
             self.flow(True)
 
+    @property
+    def unread(self) -> bool:
+        """Whether something has come that the loop has not read yet."""
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return False
+        sock = transport.get_extra_info('socket')
+        if sock is None:
+            return False
+        poll = select.poll()
+        poll.register(sock.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
+    def close_idle(self) -> bool:
+        """Close a connection on which nothing is under way.
+
+        In a late loop a request may have waited unread for longer than the
+        bound of the idle time. Its caller would see the connection reset, and
+        could not tell whether it has run.
+
+        :return: whether it was closed.
+        """
+        if self.unread:
+            return False
+        self.close()
+        return True
+
     def close(self) -> None:
         """Close after what is written."""
         if self._transport is not None:
--- a/src/sardinetrack/relay/entry.py
+++ b/src/sardinetrack/relay/entry.py
@@ -156,7 +156,7 @@
         await asyncio.sleep(LEAVE_SECONDS)
         for connection in list(self._connections):
             if connection.idle:
-                connection.close()
+                connection.close_idle()
         await self._wait_idle(ends_seconds)
 
     async def _wait_idle(self, ends_seconds: float) -> None:
@@ -196,16 +196,18 @@
         """
         idle = [one for one in self._connections if one.idle]
         idle.sort(key=attrgetter('changed_seconds'))
-        leaving = idle[: max(1, len(idle) // _SHED_PARTS)] or [newest]
+        longest = idle[: max(1, len(idle) // _SHED_PARTS)]
+        leaving = [one for one in longest if one.close_idle()]
+        if not leaving:
+            newest.close()
+            leaving = [newest]
+        self._connections.difference_update(leaving)
         self._fleet.log.write(
             Event.CONNECTIONS_CLOSED,
             count=len(leaving),
             idle=len(idle),
             held=len(self._connections),
         )
-        for connection in leaving:
-            connection.close()
-            self._connections.discard(connection)
 
     def closed(self, connection: CallerConnection) -> None:
         """Note that a connection is gone."""
@@ -304,13 +306,14 @@
             if connection.reading:
                 allowed = limits.header_seconds + limits.idle_seconds
             if now - connection.changed_seconds > allowed:
-                connection.close()
+                connection.close_idle()
 
     def _find_silent(self) -> None:
-        """Move resumable streams away from servers that went silent.
+        """Move what may be repeated away from servers that went silent.
 
         A server that went dark sends no reset; without this its streams
-        would hang until their callers give up.
+        would hang until their callers give up. One that has started anew
+        knows nothing of what was sent to it before.
         """
         now = self.now()
         for exchange in self._exchanges:
@@ -318,7 +321,9 @@
             if plan is None or attempt is None or attempt.done.done():
                 continue
             allowed = _silence_seconds(plan.route, begun=attempt.begun)
-            if now - attempt.heard_seconds > allowed:
+            silent = now - attempt.heard_seconds > allowed
+            over = plan.route.repeatable and exchange.server_is_over
+            if silent or over:
                 attempt.silent()
 
 
--- a/src/sardinetrack/relay/exchange.py
+++ b/src/sardinetrack/relay/exchange.py
@@ -46,6 +46,12 @@
         """The latest send."""
         return self._sender.attempt
 
+    @property
+    def server_is_over(self) -> bool:
+        """Whether the server has started anew since the latest send."""
+        server = self._sender.server
+        return server is not None and self._fleet.is_over(server)
+
     async def run(self) -> None:
         """Answer the call."""
         try:
--- a/src/sardinetrack/relay/fleet.py
+++ b/src/sardinetrack/relay/fleet.py
@@ -9,19 +9,19 @@
 from sardinetrack.fairness.recent import RecentService
 from sardinetrack.logs.events import Event, EventLog
 from sardinetrack.placement.holdings import Holdings
-from sardinetrack.placement.load import ServerLoad
+from sardinetrack.relay.beliefs import ServerBeliefs
 from sardinetrack.relay.crashes import CrashWatch
 from sardinetrack.relay.meters import Meters
 from sardinetrack.relay.server_pool import ServerPool
 from sardinetrack.relay.settings import NodeSettings
 from sardinetrack.relay.side_links import SideLinks
-from sardinetrack.routing.breaker import Breaker
 from sardinetrack.routing.retries import RetryBudget
 from sardinetrack.topology.configuration import Configuration, Pool
 from sardinetrack.topology.freshness import Freshness, boot_clock
 from sardinetrack.topology.servers import BackendServer, ServerList
+from sardinetrack.topology.starts import ServerStart
 from sardinetrack.turns.desk import LocalDesk
-from sardinetrack.turns.entry import SideLink
+from sardinetrack.turns.entry import Restarts, SideLink
 
 _KEPT_RATIO: Final = 0.8
 _KEPT_SLACK: Final = 0.6
@@ -37,7 +37,7 @@
 """Entries taken to exist until a side has told how many it sees."""
 
 
-class Fleet:
+class Fleet(Restarts):
     """Configuration, servers, loads, breakers and budgets of one entry."""
 
     def __init__(self, settings: NodeSettings, log: EventLog) -> None:
@@ -50,12 +50,16 @@
         self.connections = ServerPool()
         self.service = RecentService()
         self.holdings = Holdings()
-        self.loads: dict[str, ServerLoad] = {}
+        self.beliefs = ServerBeliefs()
         self.meters = Meters()
         self.crashes = CrashWatch()
-        self.sides = SideLinks(settings, self.holdings, self.crashes, log)
-        self._breakers: dict[str, Breaker] = {}
-        self._desks: dict[str, LocalDesk] = {}
+        self.sides = SideLinks(
+            settings,
+            self.holdings,
+            self.crashes,
+            self,
+            log,
+        )
         self._budgets: dict[str, RetryBudget] = {}
         self._known: dict[str, BackendServer] = {}
 
@@ -84,31 +88,9 @@
             raise AnsweredError(ErrorKind.NOT_RUN_PLATFORM_DOWN)
         return self.configuration
 
-    def load(self, server: BackendServer) -> ServerLoad:
-        """Find what is believed of a server's load."""
-        load = self.loads.get(server.instance)
-        if load is None:
-            load = ServerLoad()
-            self.loads[server.instance] = load
-        return load
-
-    def breaker(self, server: BackendServer) -> Breaker:
-        """Find the breaker of a server."""
-        breaker = self._breakers.get(server.instance)
-        if breaker is None:
-            breaker = Breaker()
-            self._breakers[server.instance] = breaker
-        return breaker
-
     def desk(self, server: BackendServer, pool: Pool) -> LocalDesk:
         """Find the own desk for a server whose side is away."""
-        desk = self._desks.get(server.instance)
-        if desk is None:
-            desk = LocalDesk()
-            self._desks[server.instance] = desk
-        share = 1 / self.entries
-        desk.admission.resize(pool.slots, pool.memory_tokens, share)
-        return desk
+        return self.beliefs.desk(server, pool, 1 / self.entries)
 
     def connection_share(self, server: BackendServer) -> float:
         """Tell how many connections to a server this entry may keep.
@@ -146,19 +128,28 @@
         and to refuse for certain is no better than to fail perhaps.
         """
         servers = self.servers.of_pool(pool)
-        breakers = self._breakers
         allowed = [
-            server
-            for server in servers
-            if server.instance not in breakers
-            or breakers[server.instance].allows(now)
+            server for server in servers if self.beliefs.allows(now, server)
         ]
         return allowed or list(servers)
 
+    def started(self, start: ServerStart) -> None:
+        """Take a side's word that its server has started anew."""
+        if self.servers.started(start):
+            self.servers_changed()
+
+    def is_over(self, server: BackendServer) -> bool:
+        """Whether that start of a server has been followed by another."""
+        listed = self.servers.instances.get(server.instance)
+        return listed is not None and listed.start.supersedes(server.start)
+
     def servers_changed(self) -> None:
         """Open links to new sides, forget servers that are gone."""
+        for instance, known in self._known.items():
+            if self.is_over(known):
+                self._restarted(known, self.servers.instances[instance])
         for server, pool in self._model_servers():
-            self.loads[server.instance] = self.sides.load(server, pool)
+            self.beliefs.loads[server.instance] = self.sides.load(server, pool)
         listed = self.servers.instances
         self.sides.keep({one.ip for one in listed.values()})
         for gone in set(self._known) - set(listed):
@@ -169,10 +160,7 @@
             else:
                 self.sides.server_away(gone, 'listed no more')
             self.log.write(Event.SERVER_GONE, server=gone)
-        # A send that ends after its server is gone makes some of these anew.
-        for kept in (self.loads, self._breakers, self._desks):
-            for stale in set(kept) - set(listed):
-                kept.pop(stale)
+        self.beliefs.keep(listed)
         self._known = dict(listed)
 
     def expire_servers(self) -> None:
@@ -188,6 +176,27 @@
         """End the links to the sides."""
         self.sides.close()
 
+    def _restarted(self, former: BackendServer, server: BackendServer) -> None:
+        """Drop all that was believed of a server's former start.
+
+        With its old holdings a server would be sent requests as if it had
+        read their prompts; with its old breaker it would stand idle. What
+        crashed with it is suspected; the load of a model engine is renewed
+        with its link.
+        """
+        self.holdings.lose(former.ip)
+        self.connections.forget(former.address)
+        self.beliefs.forget(server.instance)
+        self.meters.restarts += 1
+        self.log.write(
+            Event.SERVER_RESTARTED,
+            server=server.instance,
+            started_milliseconds=server.started_milliseconds,
+            former_milliseconds=former.started_milliseconds,
+            revision=server.revision,
+        )
+        self.sides.server_away(server.instance, 'started anew')
+
     def _model_servers(self) -> Iterator[tuple[BackendServer, Pool]]:
         if self.configuration is None:
             return
--- a/src/sardinetrack/relay/followers.py
+++ b/src/sardinetrack/relay/followers.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
+from collections.abc import Collection
+from typing import Final
 
 from sardinetrack.logs.events import Event
 from sardinetrack.relay.fleet import Fleet
@@ -12,6 +14,11 @@
 from sardinetrack.topology.freshness import boot_clock
 from sardinetrack.topology.servers import BackendServer
 
+MOST_REFUSED: Final = 1000
+"""Refused entries that are remembered, so that each is told once."""
+_MOST_NAME: Final = 100
+_MOST_CAUSE: Final = 200
+
 
 class Decoder(ABC):
     """Reads the operator's and the servers' objects."""
@@ -83,21 +90,30 @@
         """Feed a fleet."""
         self._fleet = fleet
         self._decoder = decoder
+        self._refused: dict[str, int] = {}
 
     def listed(self, listing: Listing) -> None:
         """Take over the whole list."""
-        found = [self._read(stored) for stored in listing.objects]
-        self._fleet.servers.replace(
-            boot_clock(),
-            [server for server in found if server is not None],
-        )
+        found: list[BackendServer] = []
+        refused: list[StoredObject] = []
+        for stored in listing.objects:
+            server = self._read(stored)
+            if server is None:
+                refused.append(stored)
+            else:
+                found.append(server)
+        servers = self._fleet.servers
+        servers.replace(boot_clock(), found)
+        for unread in refused:
+            servers.refuse(_instance(unread), unread.version)
+        self._remember({one.key for one in refused})
         self._fleet.servers_changed()
 
     def changed(self, stored: StoredObject) -> None:
         """Take one change."""
-        instance = stored.key.partition('/')[2]
         if stored.deleted:
-            self._fleet.servers.remove(boot_clock(), instance)
+            self._refused.pop(stored.key, None)
+            self._fleet.servers.remove(boot_clock(), _instance(stored))
         else:
             self._put(stored)
         self._fleet.servers_changed()
@@ -112,7 +128,11 @@
     def _put(self, stored: StoredObject) -> None:
         server = self._read(stored)
         if server is None:
+            # A good entry that stood here before says nothing any more: what
+            # runs there gets no new work, and what it runs is not cut.
+            self._fleet.servers.refuse(_instance(stored), stored.version)
             return
+        self._refused.pop(stored.key, None)
         known = self._fleet.servers.instances.get(server.instance)
         self._fleet.servers.put(server)
         if known is None or known.leaving != server.leaving:
@@ -129,9 +149,32 @@
         try:
             return self._decoder.server(stored)
         except ValueError as error:
-            self._fleet.log.write(
-                Event.CONFIG_REFUSED,
-                what=stored.key,
-                cause=str(error),
-            )
+            self._note_refused(stored, error)
             return None
+
+    def _remember(self, keys: Collection[str]) -> None:
+        """Forget refused entries that are listed no more."""
+        self._refused = {
+            key: version
+            for key, version in self._refused.items()
+            if key in keys
+        }
+
+    def _note_refused(self, stored: StoredObject, error: ValueError) -> None:
+        """Tell once for each change of an entry, however often it is listed."""
+        if self._refused.get(stored.key) == stored.version:
+            return
+        if len(self._refused) >= MOST_REFUSED:
+            self._refused.pop(next(iter(self._refused)))
+        self._refused[stored.key] = stored.version
+        self._fleet.meters.refused_entries += 1
+        self._fleet.log.write(
+            Event.SERVER_REFUSED,
+            entry=stored.key[:_MOST_NAME],
+            revision=stored.version,
+            cause=str(error)[:_MOST_CAUSE],
+        )
+
+
+def _instance(stored: StoredObject) -> str:
+    return stored.key.partition('/')[2]
--- a/src/sardinetrack/relay/meters.py
+++ b/src/sardinetrack/relay/meters.py
@@ -36,6 +36,10 @@
         self.retries: Counter[str] = Counter()
         """By the cause of the repetition."""
         self.workspaces: Counter[str] = Counter()
+        self.refused_entries = 0
+        """Listed entries that name no server; each change counts."""
+        self.restarts = 0
+        """Servers that started again under their id."""
         self.took = Histogram()
         self.waited = Histogram()
         self.first_event = Histogram()
--- a/src/sardinetrack/relay/metrics.py
+++ b/src/sardinetrack/relay/metrics.py
@@ -70,6 +70,17 @@
         'Listed backend servers',
         len(fleet.servers.instances),
     )
+    meters = fleet.meters
+    yield _plain(
+        'refused_entries',
+        'Listed entries that name no server',
+        meters.refused_entries,
+    )
+    yield _plain(
+        'server_restarts',
+        'Servers that started again under their id',
+        meters.restarts,
+    )
     yield _gauge('live_sides', 'Sides that answer', len(fleet.sides.live))
     yield _gauge('entries', 'Entries that the sides see', fleet.entries)
     yield _plain(
--- a/src/sardinetrack/relay/placing.py
+++ b/src/sardinetrack/relay/placing.py
@@ -73,7 +73,7 @@
                 retry_after_seconds=SERVER_AWAY_SECONDS,
             )
         if not plan.pool.runs_models:
-            load = self._fleet.load(candidates[0].server)
+            load = self._fleet.beliefs.load(candidates[0].server)
             return Placed(candidates[0], PlainTurn(load))
         began_seconds = self._loop.time()
         try:
@@ -92,13 +92,13 @@
             found = by_prompt(
                 self._call.prompt,
                 servers,
-                fleet.loads,
+                fleet.beliefs.loads,
                 fleet.holdings.of(self._loop.time(), self._part),
             )
         else:
             found = by_load(
                 servers,
-                fleet.loads,
+                fleet.beliefs.loads,
                 fleet.settings.failure_domain,
                 fleet.entries,
             )
--- a/src/sardinetrack/relay/sender.py
+++ b/src/sardinetrack/relay/sender.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import dataclass
 from functools import partial
-from typing import Final
+from typing import Final, Self
 
 from sardinetrack.logs.events import Event
 from sardinetrack.placement.choice import Candidate
+from sardinetrack.placement.load import ServerLoad
 from sardinetrack.relay.api import Call, Dialect, Sending
 from sardinetrack.relay.attempt import Attempt, AttemptEnd, Progress
 from sardinetrack.relay.caller_connection import CallerConnection
@@ -36,6 +38,38 @@
 _BREAKS: Final = frozenset((BreakReason.CLOSED, BreakReason.RESET))
 
 
+@dataclass(frozen=True, slots=True)
+class _Target:
+    """A server as it was when a request was sent there.
+
+    What is learned from the end of a send counts for that start of the
+    server; the breaker and the load of a later start are other ones.
+    """
+
+    server: BackendServer
+    breaker: Breaker
+    generation: int
+    load: ServerLoad
+
+    @classmethod
+    def of(cls, fleet: Fleet, server: BackendServer) -> Self:
+        """Take what is believed of a server now, and note a request to it."""
+        breaker = fleet.beliefs.breaker(server)
+        return cls(server, breaker, breaker.sent(), fleet.beliefs.load(server))
+
+    def succeeded(self) -> None:
+        """Note an answer."""
+        self.breaker.succeeded(self.generation)
+
+    def failed(self, now: float) -> None:
+        """Note a failure."""
+        self.breaker.failed(now, self.generation)
+
+    def undecided(self) -> None:
+        """Note an end that says nothing about the server."""
+        self.breaker.undecided(self.generation)
+
+
 class Sender:
     """Sends one request, once or a few times one after the other."""
 
@@ -49,6 +83,7 @@
     ) -> None:
         """Work for one request."""
         self.attempt: Attempt | None = None
+        self.server: BackendServer | None = None
         self._fleet = fleet
         self._dialect = dialect
         self._call = call
@@ -69,25 +104,25 @@
         :raises AnsweredError: it is not allowed any more; nothing was sent.
         """
         server = placed.candidate.server
-        breaker = self._fleet.breaker(server)
-        generation = breaker.sent()
+        self.server = server
+        target = _Target.of(self._fleet, server)
         try:
             connection = await self._connect(plan, server)
         except NotConnectedError as error:
-            self._note_unreached(server, generation, error)
+            self._note_unreached(target, error)
             raise
         except BaseException:
-            breaker.undecided(generation)
+            target.undecided()
             raise
-        attempt = self._prepare(plan, placed, progress, generation)
+        attempt = self._prepare(plan, placed, progress, target)
         try:
             await self._exchange(plan, placed.candidate, connection, attempt)
         except BaseException:
-            breaker.undecided(generation)
+            target.undecided()
             connection.abort()
             raise
         else:
-            self._learn(server, generation, attempt)
+            self._learn(target, attempt)
             self._suspect(plan, server, attempt)
         finally:
             self._release(server, connection, attempt)
@@ -111,17 +146,16 @@
         plan: Plan,
         placed: Placed,
         progress: Progress,
-        generation: int,
+        target: _Target,
     ) -> Attempt:
         progress.cutter.resume()
-        breaker = self._fleet.breaker(placed.candidate.server)
         return Attempt(
             self._call,
             self._caller,
             self._dialect,
             progress,
             streams=plan.route.kind is RouteKind.STREAMING,
-            on_begun=partial(_begun, placed.turn, breaker, generation),
+            on_begun=partial(_begun, placed.turn, target),
         )
 
     async def _exchange(
@@ -139,7 +173,7 @@
         )
         self._note_sent(plan, candidate)
         self.attempt = attempt
-        load = self._fleet.load(server)
+        load = self._fleet.beliefs.load(server)
         load.added_tokens += candidate.new_tokens
         try:
             connection.send(
@@ -198,23 +232,16 @@
             again_tokens=candidate.again_tokens,
         )
 
-    def _learn(
-        self,
-        server: BackendServer,
-        generation: int,
-        attempt: Attempt,
-    ) -> None:
+    def _learn(self, target: _Target, attempt: Attempt) -> None:
         end = attempt.done.result()
-        breaker = self._fleet.breaker(server)
         if end in {AttemptEnd.DELIVERED, AttemptEnd.NOT_RUN}:
-            breaker.succeeded(generation)
+            target.succeeded()
         else:
-            breaker.failed(self._loop.time(), generation)
+            target.failed(self._loop.time())
         if end is AttemptEnd.NOT_RUN:
             self._trace.proved_not_run = True
         if attempt.reply is not None:
-            load = self._fleet.load(server)
-            load.reported_running = max(0, attempt.reply.running)
+            target.load.reported_running = max(0, attempt.reply.running)
 
     def _suspect(
         self,
@@ -255,25 +282,23 @@
 
     def _note_unreached(
         self,
-        server: BackendServer,
-        generation: int,
+        target: _Target,
         error: NotConnectedError,
     ) -> None:
-        why = str(error)
+        why, server = str(error), target.server
         if isinstance(error.__cause__, ConnectionRefusedError):
             self._fleet.sides.server_away(server.instance, why)
-        breaker = self._fleet.breaker(server)
-        breaker.failed(self._loop.time(), generation)
+        target.failed(self._loop.time())
         self._fleet.log.write(
             Event.SERVER_SUSPECT,
             request=self._call.request_id,
             server=server.instance,
             cause=why or 'no connection in time',
-            breaker=breaker.state.value,
+            breaker=target.breaker.state.value,
         )
 
 
-def _begun(turn: Turn, breaker: Breaker, generation: int) -> None:
+def _begun(turn: Turn, target: _Target) -> None:
     """Note the first event: the server works, long before the answer ends."""
     turn.begun()
-    breaker.succeeded(generation)
+    target.succeeded()
--- a/src/sardinetrack/relay/side_links.py
+++ b/src/sardinetrack/relay/side_links.py
@@ -16,7 +16,7 @@
 from sardinetrack.topology.configuration import Pool
 from sardinetrack.topology.servers import BackendServer
 from sardinetrack.turns.clock import loop_now
-from sardinetrack.turns.entry import Beliefs, SideLink
+from sardinetrack.turns.entry import Beliefs, Restarts, SideLink
 from sardinetrack.turns.messages import Hello, Struck
 from sardinetrack.views.api import Inbox, NoInbox
 
@@ -31,13 +31,18 @@
         settings: NodeSettings,
         holdings: Holdings,
         crashes: CrashWatch,
+        restarts: Restarts,
         log: EventLog,
     ) -> None:
-        """Start without any."""
+        """Start without any.
+
+        :param restarts: is told when a side knows a later start of its server.
+        """
         self.views: Inbox = NoInbox()
         self._settings = settings
         self._holdings = holdings
         self._crashes = crashes
+        self._restarts = restarts
         self._log = log
         self._listed: frozenset[str] = frozenset()
         self._links: dict[str, SideLink] = {}
@@ -72,6 +77,7 @@
             link = None
         if link is None:
             link = self._open(server, pool)
+        link.know(server.start)
         return link.load
 
     def keep(self, ips: Collection[str]) -> None:
@@ -129,6 +135,7 @@
                 self._holdings,
                 self.views,
                 self._crashes,
+                self._restarts,
             ),
             self._log,
         )
--- a/src/sardinetrack/topology/servers.py
+++ b/src/sardinetrack/topology/servers.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Final
 
+from sardinetrack.topology.starts import ServerStart
+
 RETURN_SECONDS: Final = 1.6
 """How long a server that vanished from the list around an outage is kept.
 
@@ -18,7 +20,7 @@
 
 @dataclass(frozen=True, slots=True)
 class BackendServer:
-    """One incarnation of a backend server."""
+    """One start of a backend server, as it is listed."""
 
     instance: str
     pool: str
@@ -27,12 +29,25 @@
     failure_domain: str
     slots: int
     leaving: bool
+    started_milliseconds: int | None = None
+    """Unix time of its start by its own clock, if it tells it."""
+    revision: int = 0
+    """Of the store when this was written; 0 if that is unknown."""
 
     @property
     def address(self) -> tuple[str, int]:
         """IP and port for connections."""
         return (self.ip, self.port)
 
+    @property
+    def start(self) -> ServerStart:
+        """Which start of the server this is."""
+        return ServerStart(
+            self.instance,
+            self.started_milliseconds,
+            self.revision,
+        )
+
 
 class ServerList:
     """The servers that may get work, by instance; reads no clock."""
@@ -46,7 +61,7 @@
 
     def replace(self, now: float, servers: Iterable[BackendServer]) -> None:
         """Take over a whole listing."""
-        listed = {server.instance: server for server in servers}
+        listed = {server.instance: self._newest(server) for server in servers}
         for instance in listed:
             self._missing.pop(instance, None)
         for gone in set(self._listed) - set(listed):
@@ -56,10 +71,41 @@
 
     def put(self, server: BackendServer) -> None:
         """Note a new or changed server."""
-        self._listed[server.instance] = server
+        self._listed[server.instance] = self._newest(server)
         self._missing.pop(server.instance, None)
         self._regroup()
 
+    def started(self, start: ServerStart) -> bool:
+        """Take another process's word that a listed server started anew.
+
+        :return: whether that is news.
+        """
+        held = self._listed.get(start.instance)
+        if held is None or not start.supersedes(held.start):
+            return False
+        self._listed[start.instance] = replace(
+            held,
+            started_milliseconds=start.started_milliseconds,
+            revision=start.revision,
+        )
+        self._regroup()
+        return True
+
+    def refuse(self, instance: str, revision: int) -> None:
+        """Drop a server whose entry can't be understood any more.
+
+        It is not kept as one whose entry has lapsed in an outage: something
+        has been written in its place, and nobody knows what runs there.
+
+        :param revision: of the store when that was written.
+        """
+        held = self._listed.get(instance)
+        if held is None or 0 < revision < held.revision:
+            return
+        self._listed.pop(instance)
+        self._missing.pop(instance, None)
+        self._regroup()
+
     def remove(self, now: float, instance: str) -> None:
         """Note that a server is no longer listed."""
         if instance in self._listed:
@@ -109,6 +155,13 @@
         """All listed servers, leaving ones too."""
         return self._listed
 
+    def _newest(self, told: BackendServer) -> BackendServer:
+        """Keep the held word where the told one is a late word."""
+        held = self._listed.get(told.instance)
+        if held is not None and told.start.older_than(held.start):
+            return held
+        return told
+
     def _vanish(
         self,
         now: float,
--- a/src/sardinetrack/turns/desk.py
+++ b/src/sardinetrack/turns/desk.py
@@ -35,6 +35,10 @@
         """Note that a prompt is read."""
         self._carry_out(self.admission.begun(loop_now(), ask_id))
 
+    def restart(self) -> None:
+        """Note that the server has started anew."""
+        self._carry_out(self.admission.restart(loop_now()))
+
     def withdraw(self, ask_id: str) -> None:
         """Forget a request, whether it waits or runs."""
         self._carry_out(self.admission.withdraw(loop_now(), ask_id))
--- a/src/sardinetrack/turns/entry.py
+++ b/src/sardinetrack/turns/entry.py
@@ -13,6 +13,7 @@
 from sardinetrack.messages.api import Strike
 from sardinetrack.placement.holdings import Holdings
 from sardinetrack.placement.load import ServerLoad
+from sardinetrack.topology.starts import UNKNOWN_MARK, ServerStart
 from sardinetrack.turns.clock import loop_now
 from sardinetrack.turns.lines import LineProtocol
 from sardinetrack.turns.messages import (
@@ -22,10 +23,13 @@
     Begun,
     Ended,
     Hello,
+    ServerStarted,
     SideWord,
     Struck,
     TurnGranted,
     TurnRefused,
+    message_of,
+    start_of,
 )
 from sardinetrack.views.api import Inbox, Neighbour
 from sardinetrack.views.messages import FromFollower
@@ -47,7 +51,15 @@
         """Take in requests that ran at servers when these went down."""
 
 
-@dataclass(frozen=True, slots=True)
+class Restarts(ABC):
+    """Takes a side's word that its server has started anew."""
+
+    @abstractmethod
+    def started(self, start: ServerStart) -> None:
+        """Take in which start the side knows of."""
+
+
+@dataclass(slots=True)
 class Beliefs:
     """What the words of one side renew."""
 
@@ -55,6 +67,19 @@
     holdings: Holdings
     views: Inbox
     crashes: Crashes
+    restarts: Restarts
+    start: ServerStart | None = None
+    """The start of the server that the list tells; ``None`` before it does."""
+
+    def about_listed(self, mark: int) -> bool:
+        """Whether a word is about the start that is listed.
+
+        One that was under way while the server started anew tells of load
+        and parts that are gone.
+        """
+        if self.start is None or mark == UNKNOWN_MARK:
+            return True
+        return self.start.mark == mark
 
 
 class SideLines(LineProtocol):
@@ -91,6 +116,8 @@
         """Introduce the entry."""
         self.heard_seconds = loop_now()
         self.send(self._hello)
+        if self._beliefs.start is not None:
+            self.send(message_of(self._beliefs.start))
 
     def lost(self) -> None:
         """Answer every question with nothing."""
@@ -110,6 +137,8 @@
                 self._word(message)
             case TurnGranted() | TurnRefused():
                 self._answer(message)
+            case ServerStarted():
+                self._beliefs.restarts.started(start_of(message))
             case Struck():
                 self._beliefs.crashes.hear(loop_now(), message.strikes)
             case _:
@@ -118,6 +147,8 @@
     def _word(self, message: SideWord) -> None:
         now = self.heard_seconds
         self.entries = max(1, message.entries)
+        if not self._beliefs.about_listed(message.mark):
+            return
         self._beliefs.load.hear(
             now,
             message.wait_seconds,
@@ -196,11 +227,27 @@
         """Whether the side may be asked."""
         return self.lines is not None and self.lines.live
 
-    def tell(self, message: FromFollower | Struck) -> None:
+    def tell(
+        self,
+        message: FromFollower | Struck | ServerStarted,
+    ) -> None:
         """Tell the side which view is wanted, or what was found."""
         if self.lines is not None:
             self.lines.send(message)
 
+    def know(self, start: ServerStart) -> None:
+        """Take the list's word on which start of the server runs."""
+        beliefs = self._beliefs
+        held = beliefs.start
+        if held is not None and not start.supersedes(held):
+            if not start.older_than(held):
+                beliefs.start = start
+            return
+        if held is not None:
+            beliefs.load.restart()
+        beliefs.start = start
+        self.tell(message_of(start))
+
     async def run(self) -> None:
         """Connect again and again until cancelled."""
         try:
--- a/src/sardinetrack/turns/messages.py
+++ b/src/sardinetrack/turns/messages.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from sardinetrack.messages.api import Strike
+from sardinetrack.topology.starts import ServerStart
 from sardinetrack.views.messages import FromFollower, FromWatcher
 
 MOST_LINE_BYTES: Final = 65_536
@@ -50,6 +51,16 @@
     ask_id: str
 
 
+class ServerStarted(
+    msgspec.Struct, tag='started', array_like=True, frozen=True
+):
+    """Which start of the server its teller knows; see ``ServerStart``."""
+
+    instance: str
+    started_milliseconds: int | None
+    revision: int
+
+
 class TurnGranted(msgspec.Struct, tag='granted', array_like=True, frozen=True):
     """The request may be sent now."""
 
@@ -74,6 +85,8 @@
     entries: int
     parts: tuple[str, ...]
     """Shared parts of what was granted since the last word."""
+    mark: int
+    """Of the start that all this is about; see ``ServerStart.mark``."""
 
 
 class Struck(msgspec.Struct, tag='struck', array_like=True, frozen=True):
@@ -82,8 +95,31 @@
     strikes: tuple[Strike, ...]
 
 
-FromEntry = Hello | AskTurn | Begun | Ended | Struck | FromFollower
-FromSide = TurnGranted | TurnRefused | SideWord | Struck | FromWatcher
+FromEntry = (
+    Hello | AskTurn | Begun | Ended | Struck | ServerStarted | FromFollower
+)
+FromSide = (
+    TurnGranted | TurnRefused | SideWord | Struck | ServerStarted | FromWatcher
+)
+
+
+def start_of(message: ServerStarted) -> ServerStart:
+    """Read a start from the wire."""
+    return ServerStart(
+        message.instance,
+        message.started_milliseconds,
+        message.revision,
+    )
+
+
+def message_of(start: ServerStart) -> ServerStarted:
+    """Write a start for the wire."""
+    return ServerStarted(
+        start.instance,
+        start.started_milliseconds,
+        start.revision,
+    )
+
 
 ENCODE: Final = msgspec.json.Encoder().encode
 DECODE_FROM_ENTRY: Final = msgspec.json.Decoder(FromEntry).decode
--- a/src/sardinetrack/turns/side.py
+++ b/src/sardinetrack/turns/side.py
@@ -11,6 +11,7 @@
 from sardinetrack.admission.reading import Ask, Granted, Verdict
 from sardinetrack.logs.events import Event, EventLog
 from sardinetrack.routing.strikes import StrikeBook
+from sardinetrack.topology.starts import UNKNOWN_MARK, ServerStart
 from sardinetrack.turns.clock import loop_now
 from sardinetrack.turns.desk import TurnDesk
 from sardinetrack.turns.lines import LineProtocol
@@ -20,10 +21,13 @@
     Begun,
     Ended,
     Hello,
+    ServerStarted,
     SideWord,
     Struck,
     TurnGranted,
     TurnRefused,
+    message_of,
+    start_of,
 )
 from sardinetrack.views.api import Follower
 from sardinetrack.views.messages import (
@@ -77,6 +81,8 @@
                 self._side.met(self, message)
             case Struck():
                 self._side.struck(self, message)
+            case ServerStarted():
+                self._side.started(self, message)
             case _:
                 self._follow(message)
 
@@ -116,6 +122,7 @@
         self._log = log
         self._entries: set[EntryLines] = set()
         self._owners: dict[str, EntryLines] = {}
+        self._start: ServerStart | None = None
         self._told: tuple[float, int, int] | None = None
         self._told_seconds = float(0)
         self.verdicts: Counter[str] = Counter()
@@ -183,6 +190,40 @@
         for entry in self._entries - {teller}:
             entry.send(message)
 
+    def started(self, teller: EntryLines, message: ServerStarted) -> None:
+        """Learn which start of the engine an entry knows.
+
+        The entries' views of the store differ by seconds. Who is behind is
+        told; a side that went on with what it had granted to the former
+        start would keep an empty engine waiting until all of that has ended.
+        """
+        told = start_of(message)
+        held = self._start
+        if held is None:
+            self._start = told
+        elif told.supersedes(held):
+            self._start = told
+            self._renew(teller, message)
+        elif held.supersedes(told):
+            teller.send(message_of(held))
+        elif not told.older_than(held):
+            self._start = told
+
+    def _renew(self, teller: EntryLines, message: ServerStarted) -> None:
+        self._log.write(
+            Event.SERVER_RESTARTED,
+            server=message.instance,
+            started_milliseconds=message.started_milliseconds,
+            revision=message.revision,
+            told_by=teller.entry,
+            running=self.admission.running,
+            waiting=self.admission.waiting,
+        )
+        self._granted_parts.clear()
+        for entry in self._entries - {teller}:
+            entry.send(message)
+        self.restart()
+
     def leave(self, entry: EntryLines) -> None:
         """Free what an entry held.
 
@@ -280,6 +321,7 @@
                 slots_left,
                 len(self._entries),
                 parts,
+                UNKNOWN_MARK if self._start is None else self._start.mark,
             )
             for entry in self._entries:
                 entry.send(message)
--- a/tests/relay/relay.feature
+++ b/tests/relay/relay.feature
@@ -237,3 +237,14 @@
     And no server is listed any more, and what is believed of it comes late
     And the list changes again
     Then the entry believes nothing of any server
+
+  Scenario: A connection whose request waits unread is not closed as idle
+    A late loop has more connections than it may hold and closes those that
+    were idle longest. The caller of one has just sent a request, which nobody
+    has read yet. Closed with unread bytes the connection is reset, and the
+    caller has no answer.
+
+    Given a relay before 1 plain server
+    When 2 callers that have fetched stay connected
+    And the first of them fetches while the entry makes room
+    Then the first has its answer, and the second's connection is closed
--- a/tests/relay/steps/connection_steps.py
+++ b/tests/relay/steps/connection_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import re
 
 from behave import given, then, when
@@ -185,3 +186,59 @@
 def answers_in_order(context, count):
     ids = re.findall(rb'Request-Id: r(\d+)', context.raw, re.IGNORECASE)
     assert [int(number) for number in ids] == list(range(1, count + 1))
+
+
+@when('{count:d} callers that have fetched stay connected')
+def stay_connected(context, count):
+    world = context.world
+
+    async def play():
+        context.ends = []
+        for _ in range(count):
+            end = await asyncio.open_connection('127.0.0.1', world.port)
+            await _fetch(world, end)
+            context.ends.append(end)
+
+    world.run(play())
+
+
+async def _fetch(world, end):
+    reader, writer = end
+    writer.write(world.request('fetch', closes=False))
+    return await _answer(reader)
+
+
+async def _answer(reader):
+    head = (await reader.readuntil(b'\r\n\r\n')).decode().lower()
+    length = int(head.split('content-length: ')[1].split()[0])
+    return await reader.readexactly(length)
+
+
+@when('the first of them fetches while the entry makes room')
+def fetch_beside_room(context):
+    world = context.world
+
+    async def play():
+        entry = world.entry
+        entry.capacity.most_connections = 1
+        writer = context.ends[0][1]
+        # Straight into the kernel: the loop has had no turn to read it.
+        sock = writer.get_extra_info('socket')
+        os.write(sock.fileno(), world.request('fetch', closes=False))
+        newest = next(
+            one
+            for one in entry._connections
+            if not one.unread  # noqa: SLF001
+        )
+        for _ in range(2):
+            entry._make_room(newest)  # noqa: SLF001
+        context.first = await asyncio.wait_for(_answer(context.ends[0][0]), 1)
+        context.second = await asyncio.wait_for(context.ends[1][0].read(), 1)
+
+    world.run(play())
+
+
+@then("the first has its answer, and the second's connection is closed")
+def first_answered(context):
+    assert context.first.startswith(b'done by'), context.first
+    assert not context.second
--- a/tests/relay/steps/relay_steps.py
+++ b/tests/relay/steps/relay_steps.py
@@ -88,15 +88,14 @@
     fleet.servers.replace(boot_clock(), [])
     fleet.servers_changed()
     for server in known if late else ():
-        fleet.load(server)
-        fleet.breaker(server)
+        fleet.beliefs.load(server)
+        fleet.beliefs.breaker(server)
 
 
 @then('the entry believes nothing of any server')
 def believes_nothing(context):
     fleet = context.world.fleet
-    assert not fleet.loads
-    assert not fleet._breakers  # noqa: SLF001
+    assert not len(fleet.beliefs)
 
 
 @when('a caller asks for the head alone')
@@ -163,6 +162,13 @@
         server.acts = shared
 
 
+@when('every server hangs on its first request but one')
+def hang_first(context):
+    shared = _Shared('hang')
+    for server in context.world.servers:
+        server.acts = shared
+
+
 class _Shared:
     """One act for the first request at any server."""
 
--- /dev/null
+++ b/tests/relay/steps/restart_steps.py
@@ -0,0 +1,156 @@
+"""Steps for servers that start again under their id."""
+
+from __future__ import annotations
+
+import asyncio
+
+from behave import given, then, when
+
+from sardinetrack.placement.load import FIRST_RATE
+from sardinetrack.routing.breaker import FAILURES_TO_OPEN, BreakerState
+from sardinetrack.topology.starts import ServerStart
+
+_PART = 'p7'
+_RATE = 90_000
+
+
+@given(
+    'every server is listed with start {started:d} and revision {revision:d}'
+)
+@when('every server is listed with start {started:d} and revision {revision:d}')
+def list_start(context, started, revision):
+    async def act():
+        context.world.list_servers(started=started, revision=revision)
+
+    context.world.run(act())
+
+
+def _first(context):
+    return context.world.fleet.servers.instances['i-0']
+
+
+@given('the first server holds part p7, is loaded, and its breaker is open')
+def believe(context):
+    async def act():
+        fleet, server = context.world.fleet, _first(context)
+        now = asyncio.get_running_loop().time()
+        fleet.holdings.note(now, server.ip, (_PART,))
+        fleet.beliefs.load(server).hear(now, 3, _RATE, 0)
+        kept = await fleet.connections.take(server.address)
+        fleet.connections.give_back(server.address, kept)
+        breaker = fleet.beliefs.breaker(server)
+        for _ in range(FAILURES_TO_OPEN):
+            breaker.failed(now, breaker.generation)
+
+    context.world.run(act())
+
+
+@when(
+    'a side tells the entry that the first server started at {started:d}, '
+    'revision {revision:d}',
+)
+def side_tells(context, started, revision):
+    async def act():
+        start = ServerStart('i-0', started, revision)
+        context.world.fleet.started(start)
+
+    context.world.run(act())
+
+
+def _beliefs(context):
+    fleet, server = context.world.fleet, _first(context)
+    load = fleet.beliefs.load(server)
+    return (
+        bool(fleet.holdings.of(context.world.loop.time(), _PART)),
+        fleet.beliefs.breaker(server).state is BreakerState.OPEN,
+        load.rate_tokens == _RATE and load.told_wait_seconds == 3,
+        fleet.connections.connections(server.address) == 1,
+    )
+
+
+@then('the entry believes nothing of the former start')
+def believes_nothing(context):
+    assert not any(_beliefs(context)), _beliefs(context)
+    load = context.world.fleet.beliefs.load(_first(context))
+    assert (load.rate_tokens, load.slots_left) == (FIRST_RATE, 1)
+
+
+@then('the entry believes what it did')
+def believes_all(context):
+    assert all(_beliefs(context)), _beliefs(context)
+
+
+@then('the first server is known by its start at {started:d}')
+def known_start(context, started):
+    assert _first(context).started_milliseconds == started
+
+
+@when('a caller asks for a resumable stream, and its server starts anew')
+def stream_restart(context):
+    world = context.world
+
+    async def play():
+        call = asyncio.ensure_future(world.call('stream'))
+        await asyncio.sleep(0.2)
+        began = world.loop.time()
+        world.list_servers(started=950, revision=30)
+        context.reply = await call
+        context.took_seconds = world.loop.time() - began
+
+    world.run(play())
+
+
+@when('a caller sends a report, and its server goes down and starts anew')
+def report_restart(context):
+    world = context.world
+
+    async def play():
+        call = asyncio.ensure_future(world.call('report'))
+        await world.servers[0].asked.wait()
+        world.list_servers(started=950, revision=30)
+        _cut_all(world.servers[0])
+        context.reply = await call
+
+    world.run(play())
+
+
+def _cut_all(server):
+    for writer in list(server.writers):
+        writer.transport.abort()
+
+
+@when(
+    '{count:d} callers send reports whose server goes down '
+    'after it is listed anew',
+)
+def reports_restart(context, count):
+    world = context.world
+
+    async def play():
+        calls = [
+            asyncio.ensure_future(world.call('report')) for _ in range(count)
+        ]
+        await asyncio.sleep(0.2)
+        assert len(world.servers[0].requests) == count
+        world.list_servers(started=950, revision=30)
+        _cut_all(world.servers[0])
+        await asyncio.gather(*calls)
+
+    world.run(play())
+
+
+@then('the breaker of the first server is closed')
+def breaker_closed(context):
+    breaker = context.world.fleet.beliefs.breaker(_first(context))
+    assert breaker.state is BreakerState.CLOSED
+
+
+@then('a request is suspected')
+def suspected(context):
+    assert len(context.world.fleet.crashes.book) == 1
+
+
+@then('the caller has all events once and the end within {seconds:d} second')
+def has_all_soon(context, seconds):
+    context.execute_steps('Then the caller has all events once and the end')
+    assert context.took_seconds < seconds, context.took_seconds
--- a/tests/support/object_store.py
+++ b/tests/support/object_store.py
@@ -26,6 +26,7 @@
         self.fault = ''
         self.writes_lost = False
         self._objects = {}
+        self._raw = {}
         self._events = []
         self._oldest = 0
         self._changed = asyncio.Event()
@@ -42,13 +43,17 @@
     async def close(self):
         self._server.close()
 
-    def put(self, kind, name, spec):
+    def put_raw(self, kind, texts):
+        """Let texts of another writer lie among the objects of a kind."""
+        self._raw[f'/v1/objects/{kind}'] = texts
+
+    def put(self, kind, name, spec, revision=None):
         """Write as the operator or a server does, past every fault."""
         self.revision += 1
         stored = {
             'metadata': {
                 'name': name,
-                'revision': self.revision,
+                'revision': revision or self.revision,
                 'created': 1,
                 'finalizers': [],
                 'deleting': False,
@@ -100,7 +105,7 @@
                 status, answer = await self._answer(method, target, body)
                 if self.fault == 'silent' or self._loses(method):
                     await asyncio.sleep(60)
-                payload = json.dumps(answer).encode()
+                payload = self._with_raw(target, json.dumps(answer).encode())
                 writer.write(
                     b'HTTP/1.1 %d Answer\r\nContent-Length: %d\r\n\r\n%b'
                     % (status, len(payload), payload),
@@ -108,6 +113,11 @@
                 await writer.drain()
         writer.close()
 
+    def _with_raw(self, target, payload):
+        """Put the texts of another writer into the first page of a kind."""
+        raw = b''.join(b'%b, ' % text for text in self._raw.get(target, ()))
+        return payload.replace(b'"items": [', b'"items": [%b' % raw, 1)
+
     def _loses(self, method):
         return self.writes_lost and method != 'GET'
 
--- a/tests/support/relay_world.py
+++ b/tests/support/relay_world.py
@@ -11,7 +11,6 @@
 from sardinetrack.platform.dialect import PlatformDialect
 from sardinetrack.relay.entry import Entry
 from sardinetrack.relay.fleet import Fleet
-from sardinetrack.relay.settings import NodeSettings
 from sardinetrack.topology.configuration import (
     CallerLimits,
     Configuration,
@@ -23,6 +22,7 @@
 )
 from sardinetrack.topology.freshness import boot_clock
 from sardinetrack.topology.servers import BackendServer
+from tests.support.example_settings import node_settings
 from tests.support.relay_servers import ScriptedServer
 
 KEY = 'pilot-key'
@@ -138,22 +138,11 @@
         max_descriptors=4096,
         memory_bytes=256_000_000,
     ):
-        settings = NodeSettings(
-            instance='entry-1',
-            ip=_IP,
-            failure_domain='galata',
-            callers=(_IP, 0),
-            ready=None,
-            turns_port=1,
-            metrics_port=0,
-            store=(_IP, 1),
+        settings = node_settings(
+            _IP,
             grace_seconds=grace_seconds,
-            revoke_seconds=5.0,
             memory_bytes=memory_bytes,
             max_descriptors=max_descriptors,
-            retry_ratio=0.2,
-            retry_window_seconds=10.0,
-            retry_slack=50.0,
         )
         self.fleet = Fleet(settings, self.log)
         self.fleet.configuration = configuration()
@@ -166,7 +155,7 @@
                 await self._open_server(pool)
         self.list_servers()
 
-    def list_servers(self, leaving=()):
+    def list_servers(self, leaving=(), started=None, revision=0):
         self.fleet.servers.replace(
             boot_clock(),
             [
@@ -178,6 +167,8 @@
                     'galata',
                     8,
                     server.instance in leaving,
+                    started,
+                    revision,
                 )
                 for server in self.servers
             ],
--- a/tests/topology/servers.feature
+++ b/tests/topology/servers.feature
@@ -36,3 +36,42 @@
     Given 3 listed servers
     When the store is away and comes back with a new server at the first address
     Then the old one at that address takes no work
+
+  Scenario: A later start of a listed server is taken from whoever tells it
+    A server starts again under its id. A side tells it before the list does.
+
+    Given 3 listed servers
+    When the first server is listed with start 800 and revision 10
+    And a side tells that the first server started at 900 with revision 20
+    Then that is news, and the first server's start is 900
+
+  Scenario: A start by a clock that has jumped back is taken too
+    The server's machine has set its clock back by a minute. By that clock
+    the later start looks older; the store's revision tells that it is not.
+
+    Given 3 listed servers
+    When the first server is listed with start 900 and revision 20
+    And the first server is listed with start 400 and revision 21
+    Then the first server's start is 400
+
+  Scenario: A late word about a former start changes nothing
+    A neighbour's view is behind: it tells of the start that is over, which
+    would bring back what was believed of it.
+
+    Given 3 listed servers
+    When the first server is listed with start 900 and revision 20
+    And the first server is listed with start 950 and revision 19
+    Then the first server's start is 900
+    When a side tells that the first server started at 990 with revision 18
+    Then that is no news, and the first server's start is 900
+
+  Scenario: An entry that can't be understood any more is no server
+    Given 3 listed servers
+    When the store is away, and something else is written for the first server
+    Then 2 servers take work
+
+  Scenario: A late entry that can't be understood changes nothing
+    Given 3 listed servers
+    When the first server is listed with start 900 and revision 20
+    And something else was written for the first server at revision 12
+    Then 3 servers take work
--- a/tests/topology/steps/topology_steps.py
+++ b/tests/topology/steps/topology_steps.py
@@ -6,9 +6,10 @@
 
 from sardinetrack.topology.freshness import Freshness, boot_clock
 from sardinetrack.topology.servers import BackendServer, ServerList
+from sardinetrack.topology.starts import ServerStart
 
 
-def _server(number, *, ip=None, leaving=False):
+def _server(number, *, ip=None, leaving=False, started=None, revision=0):
     return BackendServer(
         f'i-{number}',
         'models',
@@ -17,9 +18,56 @@
         'galata',
         8,
         leaving,
+        started,
+        revision,
     )
 
 
+@when(
+    'the first server is listed with start {started:d} '
+    'and revision {revision:d}',
+)
+def list_start(context, started, revision):
+    context.servers.put(_server(0, started=started, revision=revision))
+
+
+@when(
+    'a side tells that the first server started at {started:d} '
+    'with revision {revision:d}',
+)
+def tell_start(context, started, revision):
+    start = ServerStart('i-0', started, revision)
+    context.news = context.servers.started(start)
+
+
+@then("that is {some} news, and the first server's start is {started:d}")
+@then("that is news, and the first server's start is {started:d}")
+def is_news(context, started, some=''):
+    assert context.news is not bool(some)
+    has_start(context, started)
+
+
+@then("the first server's start is {started:d}")
+def has_start(context, started):
+    server = context.servers.instances['i-0']
+    assert server.started_milliseconds == started, server
+
+
+@when(
+    'the store is away, and something else is written for the first server',
+)
+def refuse_first(context):
+    context.servers.outage(context.now)
+    context.servers.refuse('i-0', 30)
+
+
+@when(
+    'something else was written for the first server at revision {revision:d}',
+)
+def refuse_late(context, revision):
+    context.servers.refuse('i-0', revision)
+
+
 @given('{count:d} listed servers')
 def list_servers(context, count):
     context.now = 100.0
--- a/tests/turns/side.feature
+++ b/tests/turns/side.feature
@@ -65,3 +65,35 @@
     Then entry 2 knows of 3 servers
     When another entry connects
     Then entry 3 knows of 3 servers
+
+  Scenario: An engine that starts anew is empty for its side at once
+    The engine crashes under a request and starts again under its id. The
+    entry that sent the request has not found out. What waits at the side was
+    never sent; it would wait for the end of a request that is gone.
+
+    Given a side of 1 slot and 2 entries
+    And the entries know that the engine started at 900 with revision 20
+    When entry 1 asks for 5000 tokens
+    And entry 2 asks for 5000 tokens
+    And entry 2 learns that the engine started at 400 with revision 25
+    Then entry 2 is granted
+    And entry 1 hears that the engine started at 400
+
+  Scenario: A late word about the former start is put right
+    Given a side and 2 entries
+    And the entries know that the engine started at 900 with revision 20
+    When entry 1 asks for 5000 tokens
+    And entry 2 learns that the engine started at 950 with revision 12
+    Then entry 2 hears that the engine started at 900
+    And the side holds 1 request and none waits
+
+  Scenario: A side's word about the former start is not believed
+    A word that lists the parts of the former start was on its way while the
+    engine started anew. An entry that believed it would send prompts there as
+    if they had been read.
+
+    Given a side and 2 entries
+    And the entries know that the engine started at 900 with revision 20
+    When entry 2 learns that the engine started at 950 with revision 30, and its side does not
+    And entry 1 is granted a prompt with shared part p7
+    Then entry 2 does not know within 0.6 seconds that the server holds p7
--- a/tests/turns/steps/side_steps.py
+++ b/tests/turns/steps/side_steps.py
@@ -12,8 +12,15 @@
 from sardinetrack.placement.holdings import Holdings
 from sardinetrack.placement.load import ServerLoad
 from sardinetrack.relay.crashes import STRIKE_SECONDS, CrashWatch
-from sardinetrack.turns.entry import Beliefs, SideLines
-from sardinetrack.turns.messages import AskTurn, Hello, Struck, TurnGranted
+from sardinetrack.topology.starts import ServerStart
+from sardinetrack.turns.entry import Beliefs, Restarts, SideLines
+from sardinetrack.turns.messages import (
+    AskTurn,
+    Hello,
+    Struck,
+    TurnGranted,
+    message_of,
+)
 from sardinetrack.turns.side import Side
 from sardinetrack.views.api import NoInbox
 from sardinetrack.views.watcher import Feeds, Watcher
@@ -28,6 +35,16 @@
         return []
 
 
+class _Heard(Restarts):
+    """The starts that an entry was told."""
+
+    def __init__(self):
+        self.starts = []
+
+    def started(self, start):
+        self.starts.append(start.started_milliseconds)
+
+
 class _Entry:
     """One entry's line to the side."""
 
@@ -35,9 +52,17 @@
         self.holdings = Holdings()
         self.load = ServerLoad()
         self.crashes = CrashWatch()
+        self.heard = _Heard()
+        self.beliefs = Beliefs(
+            self.load,
+            self.holdings,
+            NoInbox(),
+            self.crashes,
+            self.heard,
+        )
         self.lines = SideLines(
             Hello(name, slots, 100_000),
-            Beliefs(self.load, self.holdings, NoInbox(), self.crashes),
+            self.beliefs,
             _IP,
         )
         self.name = name
@@ -290,3 +315,54 @@
     assert context.closed
     ask(context, 1, 100)
     is_granted(context, 1)
+
+
+@given(
+    'the entries know that the engine started at {started:d} '
+    'with revision {revision:d}',
+)
+def know_start(context, started, revision):
+    for number in range(1, len(context.entries) + 1):
+        learn_start(context, number, started, revision)
+
+
+@when(
+    'entry {number:d} learns that the engine started at {started:d} '
+    'with revision {revision:d}',
+)
+def learn_start(context, number, started, revision):
+    async def act():
+        entry = _entry(context, number)
+        entry.beliefs.start = ServerStart('i-1', started, revision)
+        entry.lines.send(message_of(entry.beliefs.start))
+        await _settle()
+
+    _run(context, act())
+
+
+@when(
+    'entry {number:d} learns that the engine started at {started:d} '
+    'with revision {revision:d}, and its side does not',
+)
+def learn_alone(context, number, started, revision):
+    start = ServerStart('i-1', started, revision)
+    _entry(context, number).beliefs.start = start
+
+
+@then('entry {number:d} hears that the engine started at {started:d}')
+def hears_start(context, number, started):
+    heard = _entry(context, number).heard.starts
+    assert heard == [started], heard
+
+
+@then(
+    'entry {number:d} does not know within {seconds:g} seconds'
+    ' that the server holds {part}',
+)
+def knows_no_part(context, number, seconds, part):
+    async def act():
+        await asyncio.sleep(seconds)
+        now = asyncio.get_running_loop().time()
+        return _entry(context, number).holdings.of(now, part)
+
+    assert not _run(context, act())
