Work leaves servers whose address another has, and breakers that most have open

(2) With errors at all engines most breakers open; the only holder of a part is out, the others count as guests with 20 ms of patience: 37 refusals in four seconds beside engines that read half of the time. Change: of two servers at one address the one that was written last takes work; one at whose address another answers takes none for 4 s, and shadows none; holders that are not usable count for nothing; with fewer than half of the breakers closed none is heeded; a side that is not there is tried again after 0.1 s first. Ruled out: tripping the breaker at a 421 (its probe would cost another caller its only send). Shown by tests/topology, tests/placement, tests/relay.

--- a/src/sardinetrack/placement/choice.py
+++ b/src/sardinetrack/placement/choice.py
@@ -66,12 +66,16 @@
     waiting there costs more than reading it all elsewhere, and then it goes
     where other entries send the same part.
 
-    :param holders: the addresses of servers that hold the shared part.
+    :param holders: the addresses of servers that hold the shared part. Those
+        that are not among the servers count for nothing: with the only holder
+        behind an open breaker nobody would be at home anywhere, and everybody
+        refused as a guest beside idle servers.
     """
     by_name = {server.instance: server for server in servers}
     key = shared_part(prompt)
     order = ranked(key, by_name) if key else list(by_name)
-    readings = _readings(prompt, spares=not holders)
+    held = any(server.ip in holders for server in servers)
+    readings = _readings(prompt, spares=not held)
     found = [
         _model_candidate(
             by_name[name],
--- a/src/sardinetrack/platform/dialect.py
+++ b/src/sardinetrack/platform/dialect.py
@@ -116,16 +116,17 @@
     def reply(self, status: int, headers: Headers) -> ReplyHead:
         """Read the head of a server's answer."""
         fields = dict(headers)
-        not_run = status == HTTPStatus.MISDIRECTED_REQUEST
+        misdirected = status == HTTPStatus.MISDIRECTED_REQUEST
         encoded = b'content-encoding' in fields
         return ReplyHead(
             status=status,
             forwarded=_lines(headers, _NOT_CALLERS),
             request_id=fields.get(_REQUEST_ID, b'').decode(_TEXT),
-            not_run=not_run or _NOT_RUN in fields,
+            not_run=misdirected or _NOT_RUN in fields,
             genuine=_STAMP in fields and not encoded,
             running=_running(fields.get(_LOAD)),
             idle_seconds=_idle(fields.get(b'keep-alive', b'')),
+            misdirected=misdirected,
         )
 
     def identity(self, call: Call) -> bytes:
--- a/src/sardinetrack/relay/api.py
+++ b/src/sardinetrack/relay/api.py
@@ -70,6 +70,8 @@
     """Requests at the server, waiting ones too; -1 if it does not say."""
     idle_seconds: float | None = None
     """How long the server keeps an idle connection."""
+    misdirected: bool = False
+    """Another server than the named one runs at that address."""
 
 
 @dataclass(slots=True)
--- a/src/sardinetrack/relay/fleet.py
+++ b/src/sardinetrack/relay/fleet.py
@@ -33,6 +33,8 @@
 _MOST_SHARES: Final = 4.0
 """Even shares of a server's connections that one entry may keep, and never
 more than half of them all."""
+LEAST_ALLOWED_PART: Final = 0.5
+"""Part of a pool's servers below which breakers are not heeded."""
 FIRST_ENTRIES: Final = 6
 """Entries taken to exist until a side has told how many it sees."""
 
@@ -124,20 +126,26 @@
     def usable(self, now: float, pool: str) -> list[BackendServer]:
         """List the servers of a pool that may be sent a request.
 
-        When every breaker is open all servers are tried: they may be back,
-        and to refuse for certain is no better than to fail perhaps.
+        When fewer than half of the breakers are closed all servers are tried.
+        Then it is not single servers that fail, and the few whose breakers
+        happen to be closed would get the work of all.
         """
         servers = self.servers.of_pool(pool)
         allowed = [
             server for server in servers if self.beliefs.allows(now, server)
         ]
-        return allowed or list(servers)
+        few = len(allowed) < LEAST_ALLOWED_PART * len(servers)
+        return list(servers) if few else allowed
 
     def started(self, start: ServerStart) -> None:
         """Take a side's word that its server has started anew."""
         if self.servers.started(start):
             self.servers_changed()
 
+    def disown(self, server: BackendServer) -> None:
+        """Note that another server has answered at a server's address."""
+        self.servers.disown(boot_clock(), server.instance)
+
     def is_over(self, server: BackendServer) -> bool:
         """Whether that start of a server has been followed by another."""
         listed = self.servers.instances.get(server.instance)
@@ -202,5 +210,6 @@
             return
         for server in self.servers.instances.values():
             pool = self.configuration.pools.get(server.pool)
-            if pool is not None and pool.runs_models and not server.leaving:
+            works = self.servers.get(server.instance) is not None
+            if pool is not None and pool.runs_models and works:
                 yield server, pool
--- a/src/sardinetrack/relay/sender.py
+++ b/src/sardinetrack/relay/sender.py
@@ -240,9 +240,22 @@
             target.failed(self._loop.time())
         if end is AttemptEnd.NOT_RUN:
             self._trace.proved_not_run = True
-        if attempt.reply is not None:
+        if attempt.reply is not None and attempt.reply.misdirected:
+            self._disown(target)
+        elif attempt.reply is not None:
             target.load.reported_running = max(0, attempt.reply.running)
 
+    def _disown(self, target: _Target) -> None:
+        server = target.server
+        self._fleet.disown(server)
+        self._fleet.log.write(
+            Event.SERVER_SUSPECT,
+            request=self._call.request_id,
+            server=server.instance,
+            cause='another server answers there',
+            breaker=target.breaker.state.value,
+        )
+
     def _suspect(
         self,
         plan: Plan,
--- a/src/sardinetrack/topology/servers.py
+++ b/src/sardinetrack/topology/servers.py
@@ -16,6 +16,12 @@
 that one still missing then is gone; one that left must get nothing 2 s after
 this instance has read of it, so the grace ends before that.
 """
+DISOWNED_SECONDS: Final = 4.0
+"""How long a server gets no work after another answered at its address.
+
+Source: the platform removes the entry of a server that has gone down after
+three intervals of silence, 3.6 s.
+"""
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,6 +62,8 @@
         """Start empty."""
         self._listed: dict[str, BackendServer] = {}
         self._missing: dict[str, float] = {}
+        self._disowned: dict[str, float] = {}
+        self._working: dict[str, BackendServer] = {}
         self._shaky_until_seconds = float(0)
         self._by_pool: dict[str, tuple[BackendServer, ...]] = {}
 
@@ -124,6 +132,16 @@
         """
         self._shaky_until_seconds = now + RETURN_SECONDS
 
+    def disown(self, now: float, instance: str) -> None:
+        """Note that another server has answered at a server's address.
+
+        When all servers lose power and start again under other ids, the
+        entries of the former ones stay listed for seconds.
+        """
+        if instance in self._listed:
+            self._disowned[instance] = now + DISOWNED_SECONDS
+            self._regroup()
+
     def expire(self, now: float) -> tuple[str, ...]:
         """Drop the servers that did not come back in time.
 
@@ -137,7 +155,10 @@
         for instance in late:
             self._missing.pop(instance)
             self._listed.pop(instance, None)
-        if late:
+        owned = [one for one, until in self._disowned.items() if until <= now]
+        for instance in owned:
+            self._disowned.pop(instance)
+        if late or owned:
             self._regroup()
         return late
 
@@ -147,8 +168,7 @@
 
     def get(self, instance: str) -> BackendServer | None:
         """Find a server that takes new work."""
-        server = self._listed.get(instance)
-        return None if server is None or server.leaving else server
+        return self._working.get(instance)
 
     @property
     def instances(self) -> Mapping[str, BackendServer]:
@@ -179,8 +199,23 @@
         self._missing.setdefault(instance, now + RETURN_SECONDS)
 
     def _regroup(self) -> None:
-        pools: dict[str, list[BackendServer]] = {}
+        """Work out which servers take work.
+
+        Of two at one address the one that was written last runs there; the
+        other one's entry is about to lapse.
+        """
+        at_address: dict[tuple[str, int], BackendServer] = {}
         for server in self._listed.values():
-            if not server.leaving:
-                pools.setdefault(server.pool, []).append(server)
+            other = at_address.get(server.address)
+            later = other is None or server.revision >= other.revision
+            if later and server.instance not in self._disowned:
+                at_address[server.address] = server
+        self._working = {
+            holder.instance: holder
+            for holder in at_address.values()
+            if not holder.leaving
+        }
+        pools: dict[str, list[BackendServer]] = {}
+        for working in self._working.values():
+            pools.setdefault(working.pool, []).append(working)
         self._by_pool = {name: tuple(pool) for name, pool in pools.items()}
--- a/src/sardinetrack/turns/entry.py
+++ b/src/sardinetrack/turns/entry.py
@@ -37,7 +37,13 @@
 SILENT_SECONDS: Final = 1.4
 """A side that says nothing for three of its words counts as lost."""
 _CONNECT_SECONDS: Final = 0.4
-_PAUSE_SECONDS: Final = 0.4
+FIRST_PAUSE_SECONDS: Final = 0.1
+"""Until a side that was not there is tried again; then longer and longer.
+
+After a loss of power everywhere an entry is back some ten milliseconds before
+the sides; meanwhile it grants no more than its own part of each server.
+"""
+MOST_PAUSE_SECONDS: Final = 0.4
 
 Answer = TurnGranted | TurnRefused | None
 """``None``: the side was lost before it answered."""
@@ -250,15 +256,22 @@
 
     async def run(self) -> None:
         """Connect again and again until cancelled."""
+        pause_seconds = FIRST_PAUSE_SECONDS
         try:
             while True:
-                await self._hold()
-                await asyncio.sleep(_PAUSE_SECONDS)
+                held = await self._hold()
+                grown = min(2 * pause_seconds, MOST_PAUSE_SECONDS)
+                pause_seconds = FIRST_PAUSE_SECONDS if held else grown
+                await asyncio.sleep(pause_seconds)
         finally:
             if self.lines is not None:
                 self.lines.abort()
 
-    async def _hold(self) -> None:
+    async def _hold(self) -> bool:
+        """Connect, and stay connected.
+
+        :return: whether there was a connection.
+        """
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(_CONNECT_SECONDS):
@@ -269,7 +282,7 @@
         except OSError:
             # Told once, when the connection was lost; a side that never was
             # there has its server admitted by this entry alone.
-            return
+            return False
         self.lines = lines
         self._log.write(Event.SIDE_BACK, side=self.name)
         await lines.wait_lost()
@@ -278,6 +291,7 @@
         self.lines = None
         self.load.hear(loop_now(), 0, self.load.rate_tokens, 1)
         self._log.write(Event.SIDE_LOST, side=self.name)
+        return True
 
 
 def _give_up(waiting: asyncio.Future[Answer]) -> None:
--- a/tests/placement/choice.feature
+++ b/tests/placement/choice.feature
@@ -45,3 +45,11 @@
     When both holders of a part have 1.5 seconds to read
     Then the other holder is before the idle ones by cost
     And it is not among those that are in time
+
+  Scenario: A part whose only holder can't be used is at home elsewhere
+    The holder's breaker is open. Were every other server a mere guest's, the
+    request would be refused after a moment beside idle servers.
+
+    Given 9 idle engines
+    When the only holder of a part is not among the servers
+    Then one server would read it as its home, and the others again
--- a/tests/placement/steps/choice_steps.py
+++ b/tests/placement/steps/choice_steps.py
@@ -168,3 +168,20 @@
     kept = in_time(context.found[1:], 0.4)
     assert kept
     assert all(one.server not in context.holders for one in kept)
+
+
+@when('the only holder of a part is not among the servers')
+def lose_holder(context):
+    context.found = by_prompt(
+        _prompt('hot'),
+        context.servers,
+        context.loads,
+        holders={'10.0.0.99'},
+    )
+
+
+@then('one server would read it as its home, and the others again')
+def one_home(context):
+    again = [one.again_tokens for one in context.found]
+    assert again[0] == 0, again
+    assert set(again[1:]) == {5000}, again
--- a/tests/relay/relay.feature
+++ b/tests/relay/relay.feature
@@ -248,3 +248,19 @@
     When 2 callers that have fetched stay connected
     And the first of them fetches while the entry makes room
     Then the first has its answer, and the second's connection is closed
+
+  Scenario: Breakers are not heeded when most of them are open
+    All servers fail part of their requests. Those whose breakers happen to be
+    closed would get the work of all and refuse it beside idle ones.
+
+    Given a relay before 4 plain servers
+    When the breakers of 3 servers are open
+    Then 4 servers may be sent a request
+    When the breaker of 1 of them has closed again
+    Then 2 servers may be sent a request
+
+  Scenario: A server at whose address another answers gets nothing more
+    Given a relay before 2 plain servers
+    When the first server answers that it is another one
+    And 6 callers fetch one after the other
+    Then the first server got 1 requests
--- a/tests/relay/steps/relay_steps.py
+++ b/tests/relay/steps/relay_steps.py
@@ -15,6 +15,7 @@
     configuration,
 )
 
+from sardinetrack.routing.breaker import FAILURES_TO_OPEN
 from sardinetrack.topology.configuration import Pool
 from sardinetrack.topology.freshness import boot_clock
 
@@ -380,3 +381,31 @@
     _, fields, _ = context.world.servers[0].requests[0]
     for line in _OURS:
         assert line.split(':')[0].lower() not in fields, line
+
+
+@when('the breakers of {count:d} servers are open')
+def open_breakers(context, count):
+    fleet = context.world.fleet
+    for server in fleet.servers.of_pool('plain')[:count]:
+        breaker = fleet.beliefs.breaker(server)
+        for _ in range(FAILURES_TO_OPEN):
+            breaker.failed(context.world.loop.time(), breaker.generation)
+
+
+@when('the breaker of {count:d} of them has closed again')
+def close_breaker(context, count):
+    fleet = context.world.fleet
+    for server in fleet.servers.of_pool('plain')[:count]:
+        fleet.beliefs.forget(server.instance)
+
+
+@then('{count:d} servers may be sent a request')
+def may_be_sent(context, count):
+    now = context.world.loop.time()
+    assert len(context.world.fleet.usable(now, 'plain')) == count
+
+
+@when('the first server answers that it is another one')
+def answer_misdirected(context):
+    server = context.world.servers[0]
+    server.acts.extend('misdirect' for _ in range(9))
--- a/tests/support/relay_servers.py
+++ b/tests/support/relay_servers.py
@@ -107,6 +107,11 @@
             b'Content-Length: 0\r\n\r\n',
         )
 
+    async def _misdirect(self, fields, reader, writer):
+        writer.write(
+            b'HTTP/1.1 421 Another\r\nContent-Length: 0\r\n\r\n',
+        )
+
     async def _hang(self, fields, reader, writer):
         await reader.read()
         self.gone.set()
--- a/tests/topology/servers.feature
+++ b/tests/topology/servers.feature
@@ -75,3 +75,27 @@
     When the first server is listed with start 900 and revision 20
     And something else was written for the first server at revision 12
     Then 3 servers take work
+
+  Scenario: Of two servers at one address the later one runs there
+    All servers lose power and start again under other ids. The entries of the
+    former ones stay listed until they lapse; what is sent to them is not run.
+
+    Given 3 listed servers
+    When a later server is listed at the first address
+    Then 3 servers take work, and the first does not
+
+  Scenario: A server at whose address another answers gets no work
+    Given 3 listed servers
+    When another server answers at the first address
+    Then 2 servers take work
+    When 4.1 seconds pass
+    Then 3 servers take work
+
+  Scenario: A server that only claims the address of another stands aside
+    Somebody has listed a server at the address of the first. When the first
+    answers there, the claim counts for nothing.
+
+    Given 3 listed servers
+    When a later server is listed at the first address
+    And another server answers for the later one
+    Then 3 servers take work, and the first does
--- a/tests/topology/steps/topology_steps.py
+++ b/tests/topology/steps/topology_steps.py
@@ -140,3 +140,26 @@
 @then('keys are not taken as valid')
 def not_valid(context):
     assert not context.freshness.holds()
+
+
+@when('a later server is listed at the first address')
+def list_later(context):
+    context.servers.put(_server(9, ip='10.0.0.0', revision=50))
+
+
+@when('another server answers at the first address')
+def answer_other(context):
+    context.servers.disown(context.now, 'i-0')
+
+
+@when('another server answers for the later one')
+def answer_for_later(context):
+    context.servers.disown(context.now, 'i-9')
+
+
+@then('{count:d} servers take work, and the first {does}')
+def first_works(context, count, does):
+    working = {one.instance for one in context.servers.of_pool('models')}
+    assert len(working) == count, working
+    assert ('i-0' in working) is (does == 'does'), working
+    assert (context.servers.get('i-0') is not None) is (does == 'does')
