An engine's reading is reckoned by the clock; a request waits as long as it can

Hypothesis: an engine that is known by first events alone looks busy for the lag between the end of reading and the first event (some 55 ms of the 0.2 s that it was given ahead), and its rate, learned with that lag in it, looks half as high in calm (47,000 in place of 90,000 tokens a second): refusals that were not needed, and a queue inside the engine where the order is not ours. Change: admission/pace.py tells rate and lag apart and reckons when the engine has read what it was given; one that stands still counts as busy. 0.15 s given ahead, of which no part is the lag. A request waits as long as it can still begin in time by its own length, in place of 0.4 of the objective. Sides write engine_used: how their engine's time was used.

--- a/src/sardinetrack/admission/reading.py
+++ b/src/sardinetrack/admission/reading.py
@@ -8,14 +8,17 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Final
 
+from sardinetrack.admission.pace import ReadingPace
+from sardinetrack.admission.usage import EngineUse, Usage
 from sardinetrack.fairness.recent import SharedService
 
-READING_SECONDS: Final = 0.2
+READING_SECONDS: Final = 0.15
 """Reading that an engine is given ahead.
 
 Enough that it is never without work for a round trip (3 ms) and a late turn
@@ -24,6 +27,13 @@
 trouble, mean worth over the two sites: 0.12 s 0.53, 0.15 s 0.53, 0.2 s 0.54,
 0.35 s 0.53, 0.5 s 0.49; on the heaviest day 0.05 to 0.11 more than 0.5 s.
 """
+DRY_SECONDS: Final = 0.015
+"""Reading left at an engine when the next prompt is given whatever its size.
+
+A grant, the request and a late turn of a process take some 5 ms together.
+"""
+LEAST_PATIENCE_SECONDS: Final = 0.1
+"""Wait of a request that can't begin in time anyway."""
 MEMORY_PART: Final = 0.72
 """Part of an engine's memory given to the own tokens of requests.
 
@@ -31,9 +41,6 @@
 request is read again from the start.
 """
 SLOTS_PART: Final = 0.97
-FIRST_RATE_TOKENS: Final = 40_000.0
-_RATE_GAIN: Final = 0.08
-_LEAST_RATE_PART: Final = 0.04
 _ANSWER_WEIGHT: Final = 2.0
 """Tokens generated count twice (the platform's pages)."""
 _LEAST_RETRY_SECONDS: Final = 0.25
@@ -51,12 +58,15 @@
     """Tokens that it adds to the engine's memory, those of the answer too."""
     answer_tokens: int
     patience_seconds: float
+    """How long it may wait at the most."""
     priority: int = 0
     entry: str = ''
     served_tokens: float = 0
     """What the entry has had served to the workspace lately, anywhere."""
     part: str = ''
     """The shared part that the engine holds when the request has begun."""
+    due_seconds: float = math.inf
+    """From now to the moment at which its first event is late."""
 
     @property
     def cost(self) -> float:
@@ -89,6 +99,8 @@
 class _Running:
     ask: Ask
     granted_seconds: float
+    expected_seconds: float
+    """Until its first event, as expected when it was granted."""
     begun: bool = False
 
 
@@ -96,10 +108,7 @@
 class _Waiting:
     ask: Ask
     asked_seconds: float
-
-    @property
-    def until_seconds(self) -> float:
-        return self.asked_seconds + self.ask.patience_seconds
+    until_seconds: float
 
 
 class ReadingAdmission:
@@ -111,16 +120,15 @@
         :param slots: requests that the engine runs at once.
         :param memory_tokens: tokens that fit into its memory.
         """
-        self.rate_tokens = FIRST_RATE_TOKENS
+        self.pace = ReadingPace()
+        self.usage = Usage()
         self._slots = slots
         self._memory_tokens = memory_tokens
         self._share = float(1)
         self._running: dict[str, _Running] = {}
         self._queues: dict[str, deque[_Waiting]] = {}
         self._service = SharedService()
-        self._reading_tokens = 0
         self._kept_tokens = 0
-        self._last_begun_seconds = float(0)
 
     def resize(
         self,
@@ -151,14 +159,19 @@
         """Count the free slots."""
         return max(0, int(self._slots * SLOTS_PART) - len(self._running))
 
-    def wait_seconds(self) -> float:
+    @property
+    def rate_tokens(self) -> float:
+        """Prompt tokens that the engine reads a second."""
+        return self.pace.rate_tokens
+
+    def wait_seconds(self, now: float) -> float:
         """Estimate how long a request waits until it is read."""
         queued = sum(
             one.ask.new_tokens
             for queue in self._queues.values()
             for one in queue
         )
-        return (self._reading_tokens + queued) / self.rate_tokens
+        return self.pace.backlog_seconds(now) + queued / self.rate_tokens
 
     def restart(self, now: float) -> Sequence[Verdict]:
         """Note that the engine has started anew and knows of nothing.
@@ -167,27 +180,39 @@
         waits here was never sent; it goes on waiting, for an empty engine.
         What the workspaces were served stays true.
         """
-        self.rate_tokens = FIRST_RATE_TOKENS
+        self.pace = ReadingPace()
         self._running.clear()
-        self._reading_tokens = 0
         self._kept_tokens = 0
-        self._last_begun_seconds = now
         return self._turn(now)
 
     def ask(self, now: float, ask: Ask) -> Sequence[Verdict]:
         """Take in a request: it is granted, refused or waits."""
         self._service.hear(now, ask.entry, ask.workspace, ask.served_tokens)
-        ahead_tokens = self._ahead(now, ask)
-        wait_seconds = ahead_tokens / self.rate_tokens
-        if wait_seconds > ask.patience_seconds:
-            return (self._refusal(ask, wait_seconds, float(0), ahead_tokens),)
+        wait_seconds = self._wait_seconds(now, ask)
+        patience_seconds = self._patience_seconds(ask)
+        if wait_seconds > patience_seconds:
+            return (self._refusal(ask, wait_seconds, float(0)),)
         queue = self._queues.get(ask.workspace)
         if not queue:
             queue = deque()
             self._queues[ask.workspace] = queue
-        queue.append(_Waiting(ask, now))
+        queue.append(_Waiting(ask, now, now + patience_seconds))
         return self._turn(now)
 
+    def _patience_seconds(self, ask: Ask) -> float:
+        """Tell how long a request can wait here and still be in time.
+
+        What it needs once it is granted differs by its length: a short prompt
+        can wait where a long one has to begin. One that would be late at an
+        idle engine may wait a little all the same, or the longest prompts
+        would be refused whenever anything is read.
+        """
+        reading_seconds = DRY_SECONDS + ask.new_tokens / self.rate_tokens
+        needs_seconds = max(self._ahead_seconds, reading_seconds)
+        spare_seconds = ask.due_seconds - needs_seconds - self.pace.lag_seconds
+        least_seconds = LEAST_PATIENCE_SECONDS
+        return min(ask.patience_seconds, max(spare_seconds, least_seconds))
+
     def withdraw(self, now: float, ask_id: str) -> Sequence[Verdict]:
         """Forget a request whose caller has left, wherever it stands."""
         for workspace, queue in list(self._queues.items()):
@@ -204,8 +229,11 @@
         if running is None or running.begun:
             return ()
         running.begun = True
-        self._reading_tokens -= running.ask.new_tokens
-        self._learn(now, running)
+        self.usage.note_begun(
+            now - running.granted_seconds,
+            running.expected_seconds,
+        )
+        self.pace.begun(now, ask_id)
         return self._turn(now)
 
     def ended(self, now: float, ask_id: str) -> Sequence[Verdict]:
@@ -213,8 +241,7 @@
         running = self._running.pop(ask_id, None)
         if running is None:
             return ()
-        if not running.begun:
-            self._reading_tokens -= running.ask.new_tokens
+        self.pace.ended(now, ask_id)
         self._kept_tokens -= running.ask.kept_tokens
         return self._turn(now)
 
@@ -226,43 +253,61 @@
             for one in expired:
                 queue.remove(one)
                 waited = now - one.asked_seconds
-                late.append(
-                    self._refusal(
-                        one.ask,
-                        self.wait_seconds(),
-                        waited,
-                        self._reading_tokens,
-                    ),
-                )
+                wait_seconds = self.wait_seconds(now)
+                late.append(self._refusal(one.ask, wait_seconds, waited))
             self._drop_empty(workspace)
         return (*late, *self._turn(now))
 
-    def next_deadline_seconds(self) -> float | None:
+    def next_deadline_seconds(self, now: float) -> float | None:
         """Tell when ``tick`` is due.
 
-        A guest has far less patience than those before it in its queue.
+        A guest has far less patience than those before it in its queue; and
+        the engine has read enough for the next one at some moment of which
+        no first event tells.
         """
-        return min(
-            (
-                one.until_seconds
-                for queue in self._queues.values()
-                for one in queue
-            ),
-            default=None,
-        )
+        dues = [
+            one.until_seconds
+            for queue in self._queues.values()
+            for one in queue
+        ]
+        if not dues:
+            return None
+        first = self._queues[self._next_workspace(now)][0].ask
+        reading_seconds = first.new_tokens / self.rate_tokens
+        room_seconds = max(DRY_SECONDS, self._ahead_seconds - reading_seconds)
+        over_seconds = self.pace.backlog_seconds(now) - room_seconds
+        if over_seconds > 0:
+            dues.append(now + over_seconds)
+        return min(dues)
 
     def _turn(self, now: float) -> Sequence[Verdict]:
         granted: list[Verdict] = []
         while self._queues:
             workspace = self._next_workspace(now)
             one = self._queues[workspace][0]
-            if not self._fits(one.ask):
+            if not self._fits(now, one.ask):
                 break
             self._queues[workspace].popleft()
             self._drop_empty(workspace)
             granted.append(self._grant(now, one.ask))
+        self.usage.note(now, self._use(now))
         return granted
 
+    def _use(self, now: float) -> EngineUse:
+        reads = self.pace.backlog_seconds(now) > 0
+        if not self._queues:
+            return self._use_alone(reads=reads)
+        if reads:
+            return EngineUse.FULL
+        if len(self._running) >= self._slots * SLOTS_PART:
+            return EngineUse.HELD_SLOTS
+        return EngineUse.HELD_MEMORY
+
+    def _use_alone(self, *, reads: bool) -> EngineUse:
+        if not self._running:
+            return EngineUse.IDLE
+        return EngineUse.READING if reads else EngineUse.ANSWERING
+
     def _next_workspace(self, now: float) -> str:
         """Find the least served one.
 
@@ -274,7 +319,7 @@
             key=lambda name: self._service.tokens(now, name),
         )
 
-    def _fits(self, ask: Ask) -> bool:
+    def _fits(self, now: float, ask: Ask) -> bool:
         if not self._running:
             return True
         if len(self._running) >= self._slots * SLOTS_PART:
@@ -282,18 +327,23 @@
         kept = self._kept_tokens + ask.kept_tokens
         if kept > self._memory_tokens * MEMORY_PART:
             return False
-        ahead = self._reading_tokens + ask.new_tokens
-        return self._reading_tokens <= 0 or ahead <= self._room_tokens
+        backlog_seconds = self.pace.backlog_seconds(now)
+        if backlog_seconds <= DRY_SECONDS:
+            return True
+        reading_seconds = ask.new_tokens / self.rate_tokens
+        return backlog_seconds + reading_seconds <= self._ahead_seconds
 
     def _grant(self, now: float, ask: Ask) -> Verdict:
-        self._running[ask.ask_id] = _Running(ask, now)
-        self._reading_tokens += ask.new_tokens
+        expected_seconds = self.pace.first_event_seconds(now, ask.new_tokens)
+        self.pace.granted(now, ask.ask_id, ask.new_tokens)
+        self._running[ask.ask_id] = _Running(ask, now, expected_seconds)
+        self.usage.note_grant(ask.new_tokens)
         self._kept_tokens += ask.kept_tokens
         self._service.add(now, ask.entry, ask.workspace, ask.cost)
         return Granted(ask.ask_id)
 
-    def _ahead(self, now: float, ask: Ask) -> int:
-        """Count what is read before a request that comes now.
+    def _wait_seconds(self, now: float, ask: Ask) -> float:
+        """Tell how long a request that comes now waits for its grant.
 
         Of another workspace goes first what brings it to the service that
         this one has when its turn comes.
@@ -308,45 +358,26 @@
             tokens = sum(one.ask.new_tokens for one in queue)
             behind = level - self._service.tokens(now, workspace)
             others += max(0, min(tokens, behind))
-        return int(max(0, self._overhang()) + own_tokens + others)
-
-    def _overhang(self) -> int:
-        return int(self._reading_tokens - self._room_tokens)
+        over_seconds = self.pace.backlog_seconds(now) - self._ahead_seconds
+        queued_seconds = (own_tokens + others) / self.rate_tokens
+        return max(0, over_seconds) + queued_seconds
 
     @property
-    def _room_tokens(self) -> float:
-        return self.rate_tokens * READING_SECONDS * self._share
+    def _ahead_seconds(self) -> float:
+        return READING_SECONDS * self._share
 
     def _refusal(
         self,
         ask: Ask,
         wait_seconds: float,
         waited_seconds: float,
-        ahead_tokens: int,
     ) -> Refused:
+        self.usage.note_refusal(waited_seconds)
         return Refused(
             ask.ask_id,
             max(_LEAST_RETRY_SECONDS, wait_seconds),
             waited_seconds,
-            ahead_tokens,
-        )
-
-    def _learn(self, now: float, running: _Running) -> None:
-        """Learn the rate from how long a prompt took to be read."""
-        since = max(running.granted_seconds, self._last_begun_seconds)
-        self._last_begun_seconds = now
-        took_seconds = now - since
-        tokens = running.ask.new_tokens
-        if took_seconds <= 0 or not tokens:
-            return
-        gain = _RATE_GAIN * min(1, tokens / FIRST_RATE_TOKENS * 10)
-        seen = tokens / took_seconds
-        self.rate_tokens += gain * (
-            min(seen, 4 * FIRST_RATE_TOKENS) - self.rate_tokens
-        )
-        self.rate_tokens = max(
-            self.rate_tokens,
-            _LEAST_RATE_PART * FIRST_RATE_TOKENS,
+            int(wait_seconds * self.rate_tokens),
         )
 
     def _drop_empty(self, workspace: str) -> None:
--- a/src/sardinetrack/emulator/crowd.py
+++ b/src/sardinetrack/emulator/crowd.py
@@ -190,7 +190,7 @@
             admission = engine.admission
             self._loads[name].hear(
                 now,
-                admission.wait_seconds(),
+                admission.wait_seconds(now),
                 admission.rate_tokens,
                 admission.slots_left,
             )
--- a/src/sardinetrack/logs/events.py
+++ b/src/sardinetrack/logs/events.py
@@ -51,6 +51,7 @@
     REQUEST_RETRIED = 'request_retried'
     REQUEST_ENDED = 'request_ended'
     REFUSED = 'refused'
+    ENGINE_USED = 'engine_used'
     ENTRY_CONNECTED = 'entry_connected'
     ENTRY_LOST = 'entry_lost'
     LINES_DROPPED = 'lines_dropped'
--- a/src/sardinetrack/relay/metrics.py
+++ b/src/sardinetrack/relay/metrics.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable, Iterable, Mapping
 from itertools import accumulate
+from typing import Any
 
 from prometheus_client import CollectorRegistry, generate_latest
 from prometheus_client.core import (
@@ -16,6 +17,7 @@
 
 from sardinetrack.relay.fleet import Fleet
 from sardinetrack.relay.meters import BOUNDS_SECONDS, Histogram
+from sardinetrack.turns.clock import loop_now
 from sardinetrack.turns.side import Side
 
 
@@ -108,7 +110,7 @@
     yield _gauge(
         'reading_wait_seconds',
         'Until a new request is read',
-        admission.wait_seconds(),
+        admission.wait_seconds(loop_now()),
     )
     yield _gauge(
         'reading_rate_tokens',
@@ -122,10 +124,15 @@
         side.watcher.followers,
     )
     yield _plain('store_calls', 'Calls to the store', store_calls)
+    yield _counter(
+        'engine_use_seconds',
+        "The engine's time by its use",
+        side.used,
+    )
     yield _counter('turns', 'Verdicts on asked turns', side.verdicts)
 
 
-def _counter(name: str, text: str, counts: Mapping[str, int]) -> Metric:
+def _counter(name: str, text: str, counts: Mapping[Any, float]) -> Metric:
     family = CounterMetricFamily(f'sardinetrack_{name}', text, labels=['by'])
     for label, count in counts.items():
         family.add_metric([label], count)
--- a/src/sardinetrack/relay/placing.py
+++ b/src/sardinetrack/relay/placing.py
@@ -23,7 +23,7 @@
 from sardinetrack.relay.trace import Placed, Trace
 from sardinetrack.relay.turn import PlainTurn, TurnRefusedError, take_turn
 
-PATIENCE_PART: Final = 0.4
+PATIENCE_PART: Final = 0.8
 """Part of the objective to the first event that a request may wait.
 
 Of 0.25, 0.3, 0.4 and 0.55 none is better than 0.4 by more than two runs of
@@ -182,8 +182,13 @@
             entry=fleet.settings.instance,
             served_tokens=fleet.service.tokens(now, plan.workspace_name),
             part=self._part,
+            due_seconds=self._due_seconds(plan) - now,
         )
 
+    def _due_seconds(self, plan: Plan) -> float:
+        """Tell when the first event is late, on the loop's clock."""
+        return self._call.arrived_seconds + plan.route.first_answer_seconds
+
     def _refused(self, refusals: Sequence[TurnRefusedError]) -> AnsweredError:
         self._trace.reason = '; '.join(str(refusal) for refusal in refusals)
         return AnsweredError(
--- a/src/sardinetrack/relay/turn.py
+++ b/src/sardinetrack/relay/turn.py
@@ -128,6 +128,7 @@
         ask.priority,
         round(ask.served_tokens),
         ask.part,
+        round(ask.due_seconds, 3),
     )
     timeout_seconds = ask.patience_seconds + _ANSWER_SECONDS
     answer = await lines.ask(message, timeout_seconds)
--- a/src/sardinetrack/turns/desk.py
+++ b/src/sardinetrack/turns/desk.py
@@ -52,7 +52,7 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-        due = self.admission.next_deadline_seconds()
+        due = self.admission.next_deadline_seconds(loop_now())
         if due is not None:
             loop = asyncio.get_running_loop()
             self._timer = loop.call_at(due, self._late)
--- a/src/sardinetrack/turns/messages.py
+++ b/src/sardinetrack/turns/messages.py
@@ -37,6 +37,7 @@
     priority: int
     served_tokens: float
     part: str
+    due_seconds: float
 
 
 class Begun(msgspec.Struct, tag='begun', array_like=True, frozen=True):
--- a/tests/admission/reading.feature
+++ b/tests/admission/reading.feature
@@ -1,7 +1,7 @@
 Feature: Turns at an engine by what it has to read
 
-  Figures: an engine that reads 40,000 tokens a second is given at most 0.2 s
-  of reading ahead, so 8,000 tokens; more waits here, where the order is ours.
+  Figures: an engine that reads 40,000 tokens a second is given at most 0.15 s
+  of reading ahead, so 6,000 tokens; more waits here, where the order is ours.
 
   Scenario: An idle engine is never kept waiting
     Given an engine of 8 slots
@@ -116,3 +116,30 @@
     And a guest of agency with 0.02 seconds of patience asks for 100 tokens
     And 0.03 seconds pass at the engine
     Then 1 of agency are refused
+
+  Scenario: A short prompt waits where a long one has to begin
+    Both are due in 0.5 s. Reading takes the long one 0.3 s, so after 0.2 s it
+    can't be in time; the short one can wait longer.
+
+    Given an engine of 64 slots
+    When workspace agency asks for 7900 tokens
+    And workspace short asks for 400 tokens, due in 0.5 seconds
+    And workspace long asks for 12000 tokens, due in 0.5 seconds
+    And 0.25 seconds pass at the engine
+    Then 1 of long are refused
+    And short is not refused
+
+  Scenario: What would be late anyway waits a moment all the same
+    A prompt that takes an idle engine longer than its objective allows would
+    else be refused whenever the engine reads anything.
+
+    Given an engine of 64 slots
+    When workspace agency asks for 7900 tokens
+    And workspace long asks for 40000 tokens, due in 0.5 seconds
+    Then long is not refused
+
+  Scenario: How the engine's time is used is told
+    Given an engine of 64 slots
+    When workspace agency asks 3 times for 4000 tokens
+    And the engine reads prompts for 1 second
+    Then its usage tells of 3 turns, of reading with and without others waiting
--- a/tests/admission/steps/reading_steps.py
+++ b/tests/admission/steps/reading_steps.py
@@ -8,13 +8,14 @@
 
 from behave import given, step, then, when
 
+from sardinetrack.admission.pace import FIRST_RATE_TOKENS
 from sardinetrack.admission.reading import (
-    FIRST_RATE_TOKENS,
     Ask,
     Granted,
     ReadingAdmission,
     Refused,
 )
+from sardinetrack.admission.usage import EngineUse
 
 _PATIENCE_SECONDS = 0.4
 _MEMORY_TOKENS = 100_000
@@ -244,3 +245,28 @@
     # The past fades by half every 4 s, so a difference of a largest request
     # (6,100 tokens) may come anew in each of the seven spans of a run.
     assert most - least < 7 * 6100, served
+
+
+@step(
+    'workspace {workspace} asks for {tokens:d} tokens, '
+    'due in {seconds:g} seconds',
+)
+def ask_due(context, workspace, tokens, seconds):
+    context.engine.ask(
+        workspace,
+        tokens,
+        patience_seconds=seconds,
+        due_seconds=seconds,
+    )
+
+
+@then(
+    'its usage tells of {count:d} turns, '
+    'of reading with and without others waiting',
+)
+def tells_usage(context, count):
+    engine = context.engine
+    usage = engine.admission.usage
+    assert usage.granted == count, usage
+    assert usage.seconds[EngineUse.FULL] > 0, usage
+    assert usage.seconds[EngineUse.READING] > 0, usage
--- a/tests/turns/steps/side_steps.py
+++ b/tests/turns/steps/side_steps.py
@@ -79,6 +79,7 @@
             0,
             0,
             part,
+            2,
         )
         task = asyncio.ensure_future(self.lines.ask(ask, 3))
         self.asks.append((ask.ask_id, task))
