A crowded entry shares out what it holds, and holds no idle prompts

Cause 1: at its bound the entry refused blindly (1,454 times in six seconds); the few requests of the small workspace were lost in the flood before any side heard of them, so least served first could not help. Cause 2: each idle connection held the last prompt (its head was dropped only when the next began): 1,540 connections, 151 MB. Ruled out: the bound of connections (1,640 were never reached); the log's buffer, write buffers (near nothing, from the process's own numbers).

--- a/src/sardinetrack/logs/events.py
+++ b/src/sardinetrack/logs/events.py
@@ -46,6 +46,7 @@
     SERVER_SUSPECT = 'server_suspect'
     SERVER_CRASHED = 'server_crashed'
     OVERLOAD = 'overload'
+    MEMORY_SHORT = 'memory_short'
     CONNECTIONS_CLOSED = 'connections_closed'
     REQUEST_SENT = 'request_sent'
     REQUEST_RETRIED = 'request_retried'
--- a/src/sardinetrack/relay/caller_connection.py
+++ b/src/sardinetrack/relay/caller_connection.py
@@ -189,6 +189,9 @@
         """Hand the request on."""
         self.reading = False
         call = self._head
+        # A thousand idle connections would else hold the last prompt of each.
+        self._head = None
+        self._headers = []
         if call is None or self._refusal is not None:
             self._queue(self._refusal or AnsweredError(ErrorKind.BAD_REQUEST))
             return
--- a/src/sardinetrack/relay/entry.py
+++ b/src/sardinetrack/relay/entry.py
@@ -6,6 +6,7 @@
 import math
 import os
 import socket
+from collections import Counter
 from contextlib import AsyncExitStack
 from operator import attrgetter
 from types import TracebackType
@@ -15,7 +16,7 @@
 from sardinetrack.logs.events import Event
 from sardinetrack.relay.api import Call, Dialect
 from sardinetrack.relay.caller_connection import CallerConnection
-from sardinetrack.relay.capacity import Capacity
+from sardinetrack.relay.capacity import Capacity, Crowd
 from sardinetrack.relay.door import Door
 from sardinetrack.relay.exchange import Exchange
 from sardinetrack.relay.fleet import Fleet
@@ -61,6 +62,7 @@
         self._view = view
         self._connections: set[CallerConnection] = set()
         self._exchanges: set[Exchange] = set()
+        self._under_way: Counter[str] = Counter()
         self._loop = asyncio.get_running_loop()
         self._stack = AsyncExitStack()
         self._was_ready = False
@@ -79,10 +81,16 @@
         """Count the callers' connections."""
         return len(self._connections)
 
-    def _refusal(self) -> ErrorKind | None:
+    def _refusal(self, workspace: str) -> ErrorKind | None:
         if self._too_late:
             return ErrorKind.NOT_RUN_DRAINING
-        if not self.capacity.takes(len(self._exchanges)):
+        own = self._under_way[workspace]
+        crowd = Crowd(
+            len(self._exchanges),
+            own,
+            len(self._under_way) + (not own),
+        )
+        if not self.capacity.takes(crowd):
             return ErrorKind.INSTANCE_BUSY
         return None
 
@@ -181,7 +189,7 @@
     def opened(self, connection: CallerConnection) -> None:
         """Note a new connection."""
         self._connections.add(connection)
-        if len(self._connections) > self.capacity.most_connections:
+        if len(self._connections) > self.capacity.connections:
             self._make_room(connection)
         if self.draining:
             connection.end_after_answer()
@@ -216,12 +224,14 @@
     async def serve(self, call: Call, caller: CallerConnection) -> None:
         """Answer a call."""
         exchange = Exchange(self._fleet, self._dialect, call, caller)
-        refusal = self._refusal()
+        workspace = self._fleet.workspace_name(call.api_key)
+        refusal = self._refusal(workspace)
         if refusal is not None:
             exchange.refuse(AnsweredError(refusal))
             self._note(call, exchange)
             return
         self._exchanges.add(exchange)
+        self._under_way[workspace] += 1
         try:
             await exchange.run()
         except asyncio.CancelledError:
@@ -229,8 +239,14 @@
             exchange.trace.end = 'caller_left'
             raise
         finally:
+            self._leave(workspace)
             self._finished(call, exchange)
 
+    def _leave(self, workspace: str) -> None:
+        self._under_way[workspace] -= 1
+        if not self._under_way[workspace]:
+            self._under_way.pop(workspace)
+
     def failed(self, error: BaseException | None) -> None:
         """Tell of a fault of the program."""
         self._fleet.log.write(Event.FAULT, cause=repr(error))
@@ -277,6 +293,7 @@
             due_seconds = self.now() + SWEEP_SECONDS
             await asyncio.sleep(SWEEP_SECONDS)
             self._note_late(self.now() - due_seconds)
+            self._note_memory()
             count += 1
             self._find_silent()
             self._fleet.expire_servers()
@@ -296,6 +313,16 @@
                 requests=len(self._exchanges),
             )
 
+    def _note_memory(self) -> None:
+        requests, connections = len(self._exchanges), len(self._connections)
+        if self.capacity.note_memory(requests, connections):
+            self._fleet.log.write(
+                Event.MEMORY_SHORT,
+                short=self.capacity.short,
+                requests=requests,
+                connections=connections,
+            )
+
     def _close_idle(self) -> None:
         now = self.now()
         limits = self.limits
--- a/src/sardinetrack/relay/fleet.py
+++ b/src/sardinetrack/relay/fleet.py
@@ -90,6 +90,14 @@
             raise AnsweredError(ErrorKind.NOT_RUN_PLATFORM_DOWN)
         return self.configuration
 
+    def workspace_name(self, api_key: str | None) -> str:
+        """Name who holds a key; empty for nobody."""
+        configuration = self.configuration
+        if configuration is None or api_key is None:
+            return ''
+        workspace = configuration.workspaces.get(api_key)
+        return '' if workspace is None else workspace.name
+
     def desk(self, server: BackendServer, pool: Pool) -> LocalDesk:
         """Find the own desk for a server whose side is away."""
         return self.beliefs.desk(server, pool, 1 / self.entries)
--- /dev/null
+++ b/src/sardinetrack/relay/memory.py
@@ -0,0 +1,21 @@
+"""How much memory this process holds."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+from typing import Final
+
+_STATM: Final = Path('/proc/self/statm')
+_PAGE_BYTES: Final = os.sysconf('SC_PAGE_SIZE')
+_RESIDENT: Final = 1
+"""Place of the resident pages in the file."""
+
+
+def resident_bytes() -> int:
+    """Read the resident size; 0 where the system does not tell it."""
+    try:
+        fields = _STATM.read_text().split()
+        return int(fields[_RESIDENT]) * _PAGE_BYTES
+    except (OSError, ValueError, IndexError):
+        return 0
--- a/tests/relay/relay.feature
+++ b/tests/relay/relay.feature
@@ -264,3 +264,11 @@
     When the first server answers that it is another one
     And 6 callers fetch one after the other
     Then the first server got 1 requests
+
+  Scenario: An idle connection does not hold its last prompt
+    A thousand callers stay connected between their requests. With the last
+    prompt of each an instance of 150 MB ran out of memory.
+
+    Given a relay before 1 plain server
+    When 2 callers that have fetched stay connected
+    Then no connection holds a call
--- a/tests/relay/steps/connection_steps.py
+++ b/tests/relay/steps/connection_steps.py
@@ -242,3 +242,12 @@
 def first_answered(context):
     assert context.first.startswith(b'done by'), context.first
     assert not context.second
+
+
+@then('no connection holds a call')
+def holds_no_call(context):
+    connections = context.world.entry._connections  # noqa: SLF001
+    assert len(connections) == 2
+    for connection in connections:
+        held = (connection._head, connection._call)  # noqa: SLF001
+        assert held == (None, None), held
