A workspace that comes in starts near those that wait

Change: a workspace without a request waiting at a side starts from three quarters of the least service of those that wait there. It is counted as service and fades with it. A lone pilot still goes first. Ruled out: the entry's processor (same without it charged), an old ledger (what the entry told and what the sides held agree within a thousandth), the head of the line, guests. Not mended: a workspace spread over 24 entries is believed lower than it is, since each entry tells a side of it only when it asks there. Shown by tests/admission/reading.feature.

--- a/src/sardinetrack/admission/reading.py
+++ b/src/sardinetrack/admission/reading.py
@@ -36,6 +36,12 @@
 
 A grant, the request and a late turn of a process take some 5 ms together.
 """
+JOIN_PART: Final = 0.75
+"""Part of the least service of those that wait from which a newcomer starts.
+
+The rest is its head start: a lone pilot still goes first, and who was really
+passed over is made up to by a quarter.
+"""
 LEAST_PATIENCE_SECONDS: Final = 0.1
 """Wait of a request that can't begin in time anyway."""
 MEMORY_PART: Final = 0.72
@@ -207,6 +213,7 @@
     def ask(self, now: float, ask: Ask) -> Sequence[Verdict]:
         """Take in a request: it is granted, refused or waits."""
         self._service.hear(now, ask.entry, ask.workspace, ask.served_tokens)
+        self._join(now, ask.workspace)
         wait_seconds = self._wait_seconds(now, ask)
         patience_seconds = self._patience_seconds(ask)
         if wait_seconds > patience_seconds:
@@ -218,6 +225,23 @@
         queue.append(_Waiting(ask, now, now + patience_seconds))
         return self._turn(now)
 
+    def _join(self, now: float, workspace: str) -> None:
+        """Let a workspace that comes in start near those that wait.
+
+        What another one was served while nobody else asked is no debt. Were
+        the newcomer at zero, it alone would be served until it has had as
+        much, and who used the idle engines before would starve for seconds.
+        """
+        if self._queues.get(workspace):
+            return
+        waiting = [
+            self._service.tokens(now, name)
+            for name in self._queues
+            if name != workspace
+        ]
+        if waiting:
+            self._service.lift(now, workspace, JOIN_PART * min(waiting))
+
     def _patience_seconds(self, ask: Ask) -> float:
         """Tell how long a request can wait here and still be in time.
 
--- a/src/sardinetrack/fairness/recent.py
+++ b/src/sardinetrack/fairness/recent.py
@@ -12,6 +12,8 @@
 """
 _FORGET_TOKENS: Final = 1.0
 _MOST_NAMES: Final = 20_000
+_LIFT: Final = '*'
+"""Stands for no entry."""
 
 
 class RecentService:
@@ -87,6 +89,15 @@
         """Count a grant until the entry tells of it."""
         self._of(workspace).add(now, entry, tokens)
 
+    def lift(self, now: float, workspace: str, least_tokens: float) -> None:
+        """Count a workspace as served at least so much.
+
+        It fades as service does.
+        """
+        short_tokens = least_tokens - self.tokens(now, workspace)
+        if short_tokens > 0:
+            self._of(workspace).add(now, _LIFT, short_tokens)
+
     def tokens(self, now: float, workspace: str) -> float:
         """Sum the faded service over all entries."""
         served = self._by_workspace.get(workspace)
--- a/tests/admission/reading.feature
+++ b/tests/admission/reading.feature
@@ -154,3 +154,16 @@
     Then it keeps a part for longer than 60 seconds
     When workspace agency asks for 60000 tokens that stay
     Then it keeps a part for less than 20 seconds
+
+  Scenario: Who used an idle engine does not starve when another comes
+    For ten seconds only one workspace asks, and has the engine for itself;
+    another floods from the eleventh on. It is owed half from there on, not
+    all until it has had as much as the first one had before. The users' bound:
+    nobody who waits gets less than half of what another one gets. With the
+    newcomer at zero the first got a tenth here.
+
+    Given an engine of 64 slots
+    When workspace agency floods for 10 seconds
+    And workspaces agency and newcomer flood for 4 seconds
+    Then agency got at least 0.5 of what newcomer got
+    And newcomer got at least 0.9 of what agency got
--- a/tests/admission/steps/reading_steps.py
+++ b/tests/admission/steps/reading_steps.py
@@ -289,3 +289,36 @@
 def keeps_short(context, seconds):
     engine = context.engine
     assert engine.admission.hold_seconds(engine.now) < seconds
+
+
+def _flood(engine, workspaces, seconds):
+    """Keep four requests of each workspace waiting."""
+    ends = engine.now + seconds
+    served = Counter()
+    while engine.now < ends:
+        for workspace in workspaces:
+            ended = (*engine.granted, *engine.refused)
+            asked = engine.count(engine.asks, workspace)
+            open_asks = asked - engine.count(ended, workspace)
+            for _ in range(4 - open_asks):
+                engine.ask(workspace, 3000, patience_seconds=9)
+        name = engine.read_one()
+        engine.take(engine.admission.ended(engine.now, name))
+        served[name.partition('.')[0]] += engine.asks[name].new_tokens
+    return served
+
+
+@when('workspace {workspace} floods for {seconds:d} seconds')
+def flood_alone(context, workspace, seconds):
+    _flood(context.engine, (workspace,), seconds)
+
+
+@when('workspaces {first} and {second} flood for {seconds:d} seconds')
+def flood_both(context, first, second, seconds):
+    context.served = _flood(context.engine, (first, second), seconds)
+
+
+@then('{one} got at least {part:g} of what {other} got')
+def got_part(context, one, part, other):
+    served = context.served
+    assert served[one] >= part * served[other], served
