--- a/src/sardinetrack/admission/reading.py
+++ b/src/sardinetrack/admission/reading.py
@@ -90,7 +90,7 @@
         self._running: dict[str, _Running] = {}
         self._queues: dict[str, deque[_Waiting]] = {}
         self._service = SharedService()
-        self._turnover = RecentService()
+        self._turnover = RecentService[str]()
         self._kept_tokens = 0
 
     def resize(
--- a/src/sardinetrack/emulator/crowd.py
+++ b/src/sardinetrack/emulator/crowd.py
@@ -37,7 +37,7 @@
         self._order = order
         self._numbers = count()
         self._events: list[tuple[float, int, Act]] = []
-        self._service = RecentService()
+        self._service = RecentService[str]()
         self._holdings = Holdings()
         self._asking: dict[str, _Try] = {}
         engines = [Engine(one, shape) for one in range(shape.engines)]
--- a/src/sardinetrack/relay/fleet.py
+++ b/src/sardinetrack/relay/fleet.py
@@ -50,7 +50,7 @@
         self.freshness = Freshness(settings.revoke_seconds)
         self.servers = ServerList()
         self.connections = ServerPool()
-        self.service = RecentService()
+        self.service = RecentService[str]()
         self.holdings = Holdings()
         self.beliefs = ServerBeliefs()
         self.meters = Meters()
