The watch over silent attempts ends in the attempt's own group

The watch had a task group of its own inside the attempt's, whose end took some more turns of the loop after the caller had its answer.

Change: the watching tasks are started in the attempt's group.

A resend within the few turns after the last byte can still be told "in progress", as docs/design/once.md says; that is as binding.

--- a/src/sardinetrack/entry/attempt.py
+++ b/src/sardinetrack/entry/attempt.py
@@ -97,7 +97,7 @@
             scope.deadline = anyio.current_time() + (
                 run_seconds + self._dispatch.wait_seconds
             )
-            tasks.start_soon(silence.watch, scope)
+            silence.start(tasks)
             result = await self._exchange(side)
             scope.cancel()
         return result
--- a/src/sardinetrack/entry/silence.py
+++ b/src/sardinetrack/entry/silence.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 import anyio
+from anyio.abc import TaskGroup
 
 from sardinetrack.entry.fate import FateQuery
 from sardinetrack.entry.sides import KnownSide, Sides
@@ -47,14 +48,16 @@
         self._attempt_id = attempt_id
         self._silent_seconds = silent_seconds
 
-    async def watch(self, waiting: anyio.CancelScope) -> None:
-        """Cancel the wait when the answer can't come; run beside it.
+    def start(self, tasks: TaskGroup) -> None:
+        """Watch in a group, and cancel it when the answer can't come.
 
-        :param waiting: the scope that waits for the answer.
+        The watching tasks are the group's own: whatever ends after the answer
+        delays the note that the attempt has ended, by which a resend is told
+        so.
         """
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._until_side_lost, waiting)
-            tasks.start_soon(self._until_connection_lost, waiting)
+        waiting = tasks.cancel_scope
+        tasks.start_soon(self._until_side_lost, waiting)
+        tasks.start_soon(self._until_connection_lost, waiting)
 
     async def _until_side_lost(self, waiting: anyio.CancelScope) -> None:
         await self._sides.lost(self._side)
