Metric unreadable_objects: what a store holds that says nothing

Cause: objects of other writers that can't be decoded were counted by the client of the store and shown nowhere. Change: the client's counts are one record (calls, unreadable), handed to the page of entries and sides.

--- a/src/sardinetrack/platform/store.py
+++ b/src/sardinetrack/platform/store.py
@@ -24,6 +24,7 @@
     PlatformError,
     RefusedError,
     StoredObject,
+    StoreUse,
     ThrottledError,
     UnavailableError,
     UncertainError,
@@ -106,8 +107,7 @@
         """Remember where the store is."""
         self._address = address
         self._pool = ServerPool()
-        self.calls = 0
-        self.unreadable = 0
+        self.use = StoreUse()
 
     async def get(self, key: str) -> StoredObject | None:
         """Read one object."""
@@ -206,7 +206,7 @@
             try:
                 found.append(_stored(kind, _decode(raw, _Object)))
             except NoAnswerError:
-                self.unreadable += 1
+                self.use.unreadable += 1
                 found.extend(_named(kind, as_of, raw))
         return found
 
@@ -219,7 +219,7 @@
         query: dict[str, Any] | None = None,
         timeout_seconds: float = CALL_SECONDS,
     ) -> tuple[int, bytes]:
-        self.calls += 1
+        self.use.calls += 1
         request = self._request(method, key, body, query)
         try:
             async with asyncio.timeout(timeout_seconds):
--- a/src/sardinetrack/relay/metrics.py
+++ b/src/sardinetrack/relay/metrics.py
@@ -17,6 +17,7 @@
 
 from sardinetrack.relay.fleet import Fleet
 from sardinetrack.relay.meters import BOUNDS_SECONDS, Histogram
+from sardinetrack.store.api import StoreUse
 from sardinetrack.turns.clock import loop_now
 from sardinetrack.turns.side import Side
 
@@ -36,10 +37,10 @@
     return generate_latest(registry)
 
 
-def entry_metrics(fleet: Fleet, store_calls: int) -> Iterable[Metric]:
+def entry_metrics(fleet: Fleet, store: StoreUse) -> Iterable[Metric]:
     """Tell the numbers of an entry.
 
-    :param store_calls: that it has made since its start.
+    :param store: its calls to the store since its start.
     """
     meters = fleet.meters
     yield _counter('requests', 'Requests by how they ended', meters.ends)
@@ -54,11 +55,11 @@
     yield _histogram(
         'first_event', 'Arrival to first event', meters.first_event
     )
-    yield from _knowledge(fleet, store_calls)
+    yield from _knowledge(fleet, store)
     yield _plain('log_lines_dropped', 'Dropped lines', fleet.log.dropped)
 
 
-def _knowledge(fleet: Fleet, store_calls: int) -> Iterable[Metric]:
+def _knowledge(fleet: Fleet, store: StoreUse) -> Iterable[Metric]:
     """Tell what an entry knows, and by whom."""
     yield _gauge(
         'configuration_age_seconds',
@@ -90,7 +91,7 @@
         'Connections opened to servers',
         fleet.connections.opened,
     )
-    yield _plain('store_calls', 'Calls to the store', store_calls)
+    yield from _of_store(store)
     yield _gauge(
         'view_borrowed',
         '1 while a side watches the store for this entry',
@@ -98,10 +99,10 @@
     )
 
 
-def side_metrics(side: Side, store_calls: int) -> Iterable[Metric]:
+def side_metrics(side: Side, store: StoreUse) -> Iterable[Metric]:
     """Tell the numbers of a side.
 
-    :param store_calls: that it has made since its start.
+    :param store: its calls to the store since its start.
     """
     admission = side.admission
     yield _gauge('running', 'Requests at the engine', admission.running)
@@ -123,7 +124,7 @@
         'Entries for which it watches the store',
         side.watcher.followers,
     )
-    yield _plain('store_calls', 'Calls to the store', store_calls)
+    yield from _of_store(store)
     yield _counter(
         'engine_use_seconds',
         "The engine's time by its use",
@@ -132,6 +133,15 @@
     yield _counter('turns', 'Verdicts on asked turns', side.verdicts)
 
 
+def _of_store(store: StoreUse) -> Iterable[Metric]:
+    yield _plain('store_calls', 'Calls to the store', store.calls)
+    yield _plain(
+        'unreadable_objects',
+        'Objects read from the store that say nothing',
+        store.unreadable,
+    )
+
+
 def _counter(name: str, text: str, counts: Mapping[Any, float]) -> Metric:
     family = CounterMetricFamily(f'sardinetrack_{name}', text, labels=['by'])
     for label, count in counts.items():
--- a/src/sardinetrack/store/api.py
+++ b/src/sardinetrack/store/api.py
@@ -96,6 +96,15 @@
     """The watch can't resume at this revision; list again."""
 
 
+@dataclass(slots=True)
+class StoreUse:
+    """What a client of the store counts since its start."""
+
+    calls: int = 0
+    unreadable: int = 0
+    """Objects read that can't be decoded."""
+
+
 class ObjectApi(ABC):
     """Objects with versions, conditional writes and watches."""
 
--- a/tests/platform/steps/entries_steps.py
+++ b/tests/platform/steps/entries_steps.py
@@ -155,7 +155,7 @@
     names = {stored.key for stored in listing.objects}
     servers = {f'{_KIND}i-{number}' for number in range(count)}
     assert names == servers | {f'{_KIND}i-x', f'{_KIND}i-y'}, names
-    assert context.client.unreadable == 3
+    assert context.client.use.unreadable == 3
 
 
 @when('an object without a revision is written while the client watches')
--- a/tests/relay/metrics.feature
+++ b/tests/relay/metrics.feature
@@ -6,4 +6,5 @@
     And a caller asks for a resumable stream
     Then the page counts 4 requests served
     And the page has the times to the first event in seconds
+    And the page counts the unreadable objects of the store
     And no key stands on the page or in the log
--- a/tests/relay/steps/metrics_steps.py
+++ b/tests/relay/steps/metrics_steps.py
@@ -6,12 +6,15 @@
 from tests.support.relay_world import KEY
 
 from sardinetrack.relay.metrics import entry_metrics, page_of
+from sardinetrack.store.api import StoreUse
+
+_STORE = StoreUse(calls=3, unreadable=2)
 
 
 @then('the page counts {count:d} requests served')
 def page_counts(context, count):
     fleet = context.world.fleet
-    context.page = page_of(lambda: entry_metrics(fleet, 3)).decode()
+    context.page = page_of(lambda: entry_metrics(fleet, _STORE)).decode()
     expected = f'sardinetrack_requests_total{{by="served"}} {count}.0'
     assert expected in context.page, context.page
 
@@ -21,6 +24,12 @@
     assert 'sardinetrack_first_event_seconds_count 1.0' in context.page
 
 
+@then('the page counts the unreadable objects of the store')
+def page_counts_unreadable(context):
+    expected = 'sardinetrack_unreadable_objects_total 2.0'
+    assert expected in context.page, context.page
+
+
 @then('no key stands on the page or in the log')
 def no_key(context):
     assert KEY not in context.page
