Entries tell a side whom they had served, beside each question

Cause: a side hears of a workspace from the entries that ask there for it.

Change: each question carries up to 8 workspaces that its entry had served, anywhere, since it last asked at that side (ServiceNews; the newest first, some 200 bytes). Older sides ignore the field, older entries leave it out.

--- a/src/sardinetrack/admission/reading.py
+++ b/src/sardinetrack/admission/reading.py
@@ -10,7 +10,7 @@
 
 import math
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from typing import Final
 
@@ -161,6 +161,19 @@
         self._kept_tokens = 0
         return self._turn(now)
 
+    def hear(
+        self,
+        now: float,
+        entry: str,
+        served: Iterable[tuple[str, float]],
+    ) -> None:
+        """Take an entry's word on what workspaces were served anywhere.
+
+        :param served: names and tokens.
+        """
+        for workspace, tokens in served:
+            self._service.hear(now, entry, workspace, tokens)
+
     def ask(self, now: float, ask: Ask) -> Sequence[Verdict]:
         """Take in a request: it is granted, refused or waits."""
         self._service.hear(now, ask.entry, ask.workspace, ask.served_tokens)
--- a/src/sardinetrack/relay/turn.py
+++ b/src/sardinetrack/relay/turn.py
@@ -10,6 +10,7 @@
 from sardinetrack.placement.load import ServerLoad
 from sardinetrack.relay.fleet import Fleet
 from sardinetrack.topology.configuration import Pool
+from sardinetrack.turns.clock import loop_now
 from sardinetrack.turns.desk import LocalDesk
 from sardinetrack.turns.entry import SideLines
 from sardinetrack.turns.messages import AskTurn, TurnGranted, TurnRefused
@@ -107,7 +108,7 @@
     """
     link = fleet.side(candidate.server)
     if link is not None and link.lines is not None:
-        turn = await _ask_side(link.lines, ask)
+        turn = await _ask_side(fleet, link.lines, ask)
         if turn is not None:
             return turn
     desk = fleet.desk(candidate.server, pool)
@@ -117,7 +118,11 @@
     raise TurnRefusedError(verdict.retry_after_seconds, 'own desk full')
 
 
-async def _ask_side(lines: SideLines, ask: Ask) -> Turn | None:
+async def _ask_side(
+    fleet: Fleet,
+    lines: SideLines,
+    ask: Ask,
+) -> Turn | None:
     message = AskTurn(
         ask.ask_id,
         ask.workspace,
@@ -129,6 +134,7 @@
         round(ask.served_tokens),
         ask.part,
         round(ask.due_seconds, 3),
+        lines.news.rows(loop_now(), fleet.service),
     )
     timeout_seconds = ask.patience_seconds + _ANSWER_SECONDS
     answer = await lines.ask(message, timeout_seconds)
--- a/src/sardinetrack/turns/entry.py
+++ b/src/sardinetrack/turns/entry.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from typing import Final
 
+from sardinetrack.fairness.news import ServiceNews
 from sardinetrack.logs.events import Event, EventLog
 from sardinetrack.messages.api import Strike
 from sardinetrack.placement.holdings import Holdings
@@ -99,6 +100,7 @@
         self.entries = 1
         self.heard_seconds = float(0)
         self.gone = asyncio.Event()
+        self.news = ServiceNews()
         self._hello = hello
         self._ip = ip
         self._beliefs = beliefs
--- a/src/sardinetrack/turns/messages.py
+++ b/src/sardinetrack/turns/messages.py
@@ -38,6 +38,9 @@
     served_tokens: float
     part: str
     due_seconds: float
+    others: tuple[tuple[str, int], ...] = ()
+    """What the entry has had served to other workspaces lately, anywhere:
+    those served since it last asked here."""
 
 
 class Begun(msgspec.Struct, tag='begun', array_like=True, frozen=True):
--- a/src/sardinetrack/turns/side.py
+++ b/src/sardinetrack/turns/side.py
@@ -248,6 +248,7 @@
         self._owners[message.ask_id] = entry
         if message.part:
             self._parts[message.ask_id] = message.part
+        self.admission.hear(loop_now(), entry.entry, message.others)
         ask = Ask(
             message.ask_id,
             message.workspace,
