--- a/tests/turns/side.feature
+++ b/tests/turns/side.feature
@@ -23,6 +23,17 @@
     And entry 2 asks for 5000 tokens
     Then entry 2 is granted
 
+  Scenario: What an entry had served at other servers counts for all
+    Workspace e2 had much served elsewhere, through entry 1. The side hears it
+    beside a question of entry 1 for its own workspace; e3, which comes after
+    e2, is next.
+
+    Given a side of 1 slot and 3 entries
+    When entry 1 is granted a turn and tells 400000 served to e2
+    And entry 2 asks for 5000 tokens
+    And entry 3 asks for 5000 tokens
+    Then entry 3 is granted before entry 2
+
   Scenario: A caller that leaves while its request waits frees its place
     Given a side of 1 slot and 2 entries
     When entry 1 asks for 5000 tokens
--- a/tests/turns/steps/side_steps.py
+++ b/tests/turns/steps/side_steps.py
@@ -68,7 +68,7 @@
         self.name = name
         self.asks = []
 
-    def ask(self, tokens, part=''):
+    def ask(self, tokens, part='', others=()):
         ask = AskTurn(
             f'{self.name}.{len(self.asks)}',
             self.name,
@@ -80,6 +80,7 @@
             0,
             part,
             2,
+            others,
         )
         task = asyncio.ensure_future(self.lines.ask(ask, 3))
         self.asks.append((ask.ask_id, task))
@@ -157,6 +158,30 @@
     _run(context, act())
 
 
+@when(
+    'entry {number:d} is granted a turn and tells {tokens:d} served '
+    'to e{other:d}',
+)
+def ask_and_tell(context, number, tokens, other):
+    async def act():
+        await _entry(context, number).ask(100, '', ((f'e{other}', tokens),))
+
+    _run(context, act())
+
+
+@then('entry {first:d} is granted before entry {second:d}')
+def granted_before(context, first, second):
+    async def act():
+        holder, task = _entry(context, 1).asks[0]
+        assert isinstance(await task, TurnGranted)
+        _entry(context, 1).lines.ended(holder)
+        await _settle()
+        tasks = [_entry(context, one).asks[0][1] for one in (first, second)]
+        assert [task.done() for task in tasks] == [True, False], tasks
+
+    _run(context, act())
+
+
 @when('entry {number:d} is lost')
 def lose(context, number):
     async def act():
