A server's start that is there but no whole number names no server

Cause: an entry whose field for its start was null was taken as one that does not tell it. Missing is allowed, since not all platforms tell it; there and mistyped is a damaged entry, and damaged entries name no engine.

Shown by: two rows more in the table of damaged entries, and the random entries now count a field that is there as one to be proper (stricter: null passed before). With the code before both fail (null; 1.5 was refused already).

--- a/src/sardinetrack/platform/servers.py
+++ b/src/sardinetrack/platform/servers.py
@@ -35,8 +35,9 @@
     state: Literal['ready', 'draining']
     warmup_left_ms: Annotated[float, msgspec.Meta(ge=0)]
     sequence: Annotated[int, msgspec.Meta(ge=0)]
-    # Unix milliseconds of the server's start; not all platforms tell it.
-    born: Annotated[int, msgspec.Meta(ge=0)] | None = None
+    # Unix milliseconds of the server's start; not all platforms tell it. One
+    # that is there but no number is mistyped like any other field.
+    born: Annotated[int, msgspec.Meta(ge=0)] | msgspec.UnsetType = msgspec.UNSET
 
 
 def server_of(instance: str, spec: bytes, revision: int = 0) -> BackendServer:
@@ -61,7 +62,7 @@
         failure_domain=read.zone,
         slots=read.slots,
         leaving=read.state != 'ready',
-        started_milliseconds=read.born,
+        started_milliseconds=None if read.born is msgspec.UNSET else read.born,
         revision=revision,
     )
 
--- a/tests/platform/entries.feature
+++ b/tests/platform/entries.feature
@@ -38,6 +38,8 @@
       | version      | 3                  |
       | warmupLeftMs | "soon"             |
       | born         | "yesterday"        |
+      | born         | null               |
+      | born         | 1.5                |
 
   Scenario: An entry that can't be read at all
     Given a fleet that lists 2 good servers
--- a/tests/platform/steps/entries_steps.py
+++ b/tests/platform/steps/entries_steps.py
@@ -234,7 +234,7 @@
 
 
 def _proper(entry):
-    kinds = {**_KINDS, 'born': int} if entry.get('born') else _KINDS
+    kinds = {**_KINDS, 'born': int} if 'born' in entry else _KINDS
     if not all(_is(entry.get(name), kind) for name, kind in kinds.items()):
         return False
     told = (entry['state'], entry['service'], entry['slots'] > 0)
