A short shared part makes nobody a guest

Cause: a request away from its home is a guest and waits 20 ms at the most.

Change: below 400 shared tokens, the size from which parts are tracked at all, every server counts as home.

--- a/src/sardinetrack/placement/choice.py
+++ b/src/sardinetrack/placement/choice.py
@@ -13,7 +13,8 @@
 from operator import attrgetter
 from typing import Final
 
-from sardinetrack.placement.home import ranked, shared_part
+from sardinetrack.placement.holdings import SHARED_TOKENS
+from sardinetrack.placement.home import ranked, shared_part, shared_tokens
 from sardinetrack.placement.load import ServerLoad
 from sardinetrack.placement.prompt import Prompt
 from sardinetrack.topology.servers import BackendServer
@@ -185,9 +186,16 @@
 def _readings(prompt: Prompt, *, spares: bool) -> _Readings:
     """Work out what there is to read.
 
+    A short shared part is read again wherever there is room: as a guest with
+    next to no patience its request would be refused for a few milliseconds'
+    reading, while longer ones wait at their homes.
+
     :param spares: nobody holds the shared part, so somebody has to read it
         and the home does.
     """
+    if shared_tokens(prompt) < SHARED_TOKENS:
+        anywhere = _Reading(prompt.tokens, 0)
+        return _Readings(anywhere, anywhere, anywhere)
     own_tokens = _own_tokens(prompt)
     whole = _Reading(prompt.tokens, prompt.tokens - own_tokens)
     home = _Reading(prompt.tokens, 0) if spares else whole
--- a/tests/placement/choice.feature
+++ b/tests/placement/choice.feature
@@ -61,6 +61,16 @@
     When the only holder of a part is not among the servers
     Then one server would read it as its home, and the others again
 
+  Scenario: A short shared part makes nobody a guest
+    198 tokens are read in 5 ms. With a guest's 20 ms of patience at all servers
+    except its home, a short question is refused more often than a long prompt.
+
+    Given 9 idle engines
+    When a prompt with 198 shared tokens is placed
+    Then it is a guest nowhere
+    When a prompt with 5000 shared tokens is placed
+    Then it is a guest everywhere but at home
+
   Scenario: A part counts as held for as long as its server keeps parts
     Given a server that keeps parts for 3 seconds and one that says nothing
     When both have used a part 5 seconds ago
