A request leaves its home once another server is the cheaper wait

Cause: a request chose its home by what waiting there costs against reading elsewhere, and then waited as long as its objective allowed, whatever became of that estimate. Short prompts that came just after a very long one was granted waited 0.5 to 0.8 s beside idle engines.

Change: it waits as long as the next best server with room costs more, and the age of a word longer; with none it waits as before.

--- a/src/sardinetrack/placement/choice.py
+++ b/src/sardinetrack/placement/choice.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import (
     Collection,
     Iterable,
@@ -42,6 +43,8 @@
 
 A word is 0.15 s old at the most where an engine is busy.
 """
+WORD_AGE_SECONDS: Final = 0.08
+"""Mean age of a word; what was told may be off by what was granted since."""
 _UNKNOWN: Final = ServerLoad()
 _COST: Final = attrgetter('cost_seconds')
 
@@ -143,6 +146,21 @@
             yield one
 
 
+def worth_waiting_seconds(one: Candidate, other: Candidate | None) -> float:
+    """Tell how long a request should wait at a server before it leaves it.
+
+    As long as waiting costs less than going to the next best. A short prompt
+    that came to its home just before a very long one was granted there would
+    else wait until it is late, beside servers that would read it at once.
+
+    :param other: the best of those that have room.
+    """
+    if other is None:
+        return math.inf
+    over_seconds = other.cost_seconds - one.cost_seconds
+    return one.wait_seconds + max(0, over_seconds) + WORD_AGE_SECONDS
+
+
 def without(
     found: Sequence[Candidate],
     instances: Collection[str],
--- a/src/sardinetrack/relay/placing.py
+++ b/src/sardinetrack/relay/placing.py
@@ -14,6 +14,7 @@
     by_prompt,
     with_room,
     without,
+    worth_waiting_seconds,
 )
 from sardinetrack.placement.holdings import SHARED_TOKENS
 from sardinetrack.placement.home import shared_part, shared_tokens
@@ -126,7 +127,12 @@
         while candidate is not None and len(asked) < MOST_ASKED:
             asked.add(candidate.server.instance)
             left_seconds = max(0, ends_seconds - self._loop.time())
-            ask = self._ask(plan, candidate, left_seconds)
+            others = without(found, asked)
+            stay_seconds = worth_waiting_seconds(
+                candidate,
+                next(with_room(others, left_seconds), None),
+            )
+            ask = self._ask(plan, candidate, min(left_seconds, stay_seconds))
             try:
                 return await self._wait_turn(plan, candidate, ask)
             except TurnRefusedError as refusal:
--- a/tests/placement/choice.feature
+++ b/tests/placement/choice.feature
@@ -71,6 +71,20 @@
     When a prompt with 5000 shared tokens is placed
     Then it is a guest everywhere but at home
 
+  Scenario: A short prompt does not wait for a long one beside idle servers
+    The home looks idle, and a very long prompt is granted there in the same
+    moment. Who came after it would wait for a second, and be late, because
+    its 600 shared tokens are here: an idle server reads them in 15 ms.
+
+    Given 9 idle engines
+    When a prompt with 600 shared tokens is placed
+    Then it is worth waiting at home for less than 0.4 seconds
+    When a prompt with 5000 shared tokens is placed
+    Then it is worth waiting at home for more than 2 seconds
+    When the home has 0.3 seconds to read
+    And a prompt with 5000 shared tokens is placed
+    Then it is worth waiting at home for more than 2 seconds
+
   Scenario: A part counts as held for as long as its server keeps parts
     Given a server that keeps parts for 3 seconds and one that says nothing
     When both have used a part 5 seconds ago
--- a/tests/placement/steps/choice_steps.py
+++ b/tests/placement/steps/choice_steps.py
@@ -6,7 +6,12 @@
 
 from behave import given, then, when
 
-from sardinetrack.placement.choice import by_load, by_prompt, with_room
+from sardinetrack.placement.choice import (
+    by_load,
+    by_prompt,
+    with_room,
+    worth_waiting_seconds,
+)
 from sardinetrack.placement.holdings import Holdings
 from sardinetrack.placement.home import ranked
 from sardinetrack.placement.load import ServerLoad
@@ -185,6 +190,21 @@
     context.found = by_prompt(prompt, context.servers, context.loads)
 
 
+def _worth_waiting(context):
+    home, *others = context.found
+    return worth_waiting_seconds(home, next(with_room(others, 0.4), None))
+
+
+@then('it is worth waiting at home for less than {seconds:g} seconds')
+def leaves_soon(context, seconds):
+    assert _worth_waiting(context) < seconds, _worth_waiting(context)
+
+
+@then('it is worth waiting at home for more than {seconds:g} seconds')
+def stays_long(context, seconds):
+    assert _worth_waiting(context) > seconds, _worth_waiting(context)
+
+
 @then('it is a guest nowhere')
 def guest_nowhere(context):
     assert not any(one.is_guest for one in context.found)
