A server that lapses after the store's return is kept no longer than others

Cause: a server whose entry vanished around an outage was kept for 1.6 s from when it vanished. Entries lapse one after the other, some of them 1.5 s after the store is back, so these got requests for up to 3 s after the return; the platform's pages call them gone after two.

Change: all are kept until 1.6 s after the return.

Shown by: 60 servers whose entries lapse over 1.5 s (fails with the code before), and 60 that come back in turn, none of them left out meanwhile (passes before too).

--- a/src/sardinetrack/topology/servers.py
+++ b/src/sardinetrack/topology/servers.py
@@ -9,7 +9,7 @@
 from sardinetrack.topology.starts import ServerStart, written_before
 
 RETURN_SECONDS: Final = 1.6
-"""How long a server that vanished from the list around an outage is kept.
+"""How long after an outage a server that vanished from the list is kept.
 
 Source: the platform's pages say that servers whose entries lapsed while the
 store was away are listed again within about two seconds of its return, and
@@ -196,7 +196,7 @@
             self._missing.pop(instance, None)
             return
         listed[instance] = server
-        self._missing.setdefault(instance, now + RETURN_SECONDS)
+        self._missing.setdefault(instance, self._shaky_until_seconds)
 
     def _regroup(self) -> None:
         """Work out which servers take work.
--- a/tests/topology/servers.feature
+++ b/tests/topology/servers.feature
@@ -21,6 +21,24 @@
     And 1.7 seconds pass
     Then 1 server takes work
 
+  Scenario: Entries that lapse late are not kept for longer
+    Sixty servers lost power with the store. Their entries lapse one after the
+    other, the last 1.5 s after the store's return. Kept for 1.6 s from its
+    own lapse each, the last would be sent requests for 3 s after the return,
+    each of them lost.
+
+    Given 60 listed servers
+    When the store is back, and the entries of all lapse over 1.5 seconds
+    And 0.4 seconds pass
+    Then 0 servers take work
+
+  Scenario: Sixty servers that come back one after the other take work
+    Given 60 listed servers
+    When the store is back, and the entries of all lapse over 0.5 seconds
+    And all are listed again over 1 second
+    Then 60 servers take work
+    And none of them was ever left out
+
   Scenario: In calm a server that vanishes is gone at once
     Given 3 listed servers
     When the first server vanishes
--- a/tests/topology/steps/topology_steps.py
+++ b/tests/topology/steps/topology_steps.py
@@ -81,6 +81,38 @@
     context.servers.replace(context.now, ())
 
 
+def _tick(context, seconds):
+    context.now += seconds
+    context.servers.expire(context.now)
+    working = len(context.servers.of_pool('models'))
+    context.least_working = min(working, context.least_working)
+
+
+@when(
+    'the store is back, and the entries of all lapse over {seconds:g} seconds',
+)
+def lapse_in_turn(context, seconds):
+    context.servers.outage(context.now)
+    names = sorted(context.servers.instances)
+    context.least_working = len(names)
+    for name in names:
+        _tick(context, seconds / len(names))
+        context.servers.remove(context.now, name)
+
+
+@step('all are listed again over {seconds:g} second')
+def list_in_turn(context, seconds):
+    count = len(context.servers.instances)
+    for number in range(count):
+        _tick(context, seconds / count)
+        context.servers.put(_server(number))
+
+
+@then('none of them was ever left out')
+def never_left_out(context):
+    assert context.least_working == len(context.servers.instances)
+
+
 @step(
     'the store is away and comes back with a new server at the first address',
 )
