Newcomers of one moment start alike: the pause of who was served is bounded

Cause: a workspace that comes in starts from nine tenths of the least service of those that wait. The next newcomer found the first one among these, and started a tenth below it, and so on: of eight the last started from 0.43 of the service of who had the engine before. That one paused for 1.57 s before two newcomers and 3.8 s before four (engine that reads 40,000 tokens a second, prompts of 3,000), where nine tenths for each of them means 1.05 and 1.94 s.

Change: a newcomer starts from the least of those that wait, or from nine tenths of the most where that is less. The constant now says which bound it follows from: the pause is 5.8 s * ln(1 + N / 10) before N newcomers.

Ruled out: starting at the least without a head start; a lone pilot would wait behind a flood of its equals.

Shown by: a scenario for 1, 2, 4 and 8 newcomers with the bound from the formula (2 and 4 failed before).

--- a/src/sardinetrack/admission/reading.py
+++ b/src/sardinetrack/admission/reading.py
@@ -38,12 +38,14 @@
 A grant, the request and a late turn of a process take some 5 ms together.
 """
 JOIN_PART: Final = 0.9
-"""Part of the least service of those that wait from which a newcomer starts.
+"""Part of the most service of those that wait from which a newcomer starts.
 
 The rest is its head start: a lone pilot still goes first, and who was really
-passed over is made up to by a tenth. With three quarters who had the engines
-before got 0.64 of a newcomer's service for four seconds, and less where the
-newcomer's entries are many and tell late.
+passed over is made up to by a tenth. Service fades with a time constant of
+5.8 s, so who had the engine for itself pauses for 5.8 s * ln(1 + N / 10) before
+N newcomers: 0.55 s before one, 1.9 s before four. With three quarters it is
+1.7 s before one, and longer where the newcomer's entries are many and tell
+late.
 """
 LEAST_PATIENCE_SECONDS: Final = 0.2
 """Wait of a request that can't begin in time anyway.
@@ -225,6 +227,8 @@
         What another one was served while nobody else asked is no debt. Were
         the newcomer at zero, it alone would be served until it has had as
         much, and who used the idle engines before would starve for seconds.
+        Newcomers of one moment start alike: were each a tenth below the last
+        one, the eighth would start from less than half.
         """
         if self._queues.get(workspace):
             return
@@ -234,7 +238,8 @@
             if name != workspace
         ]
         if waiting:
-            self._service.lift(now, workspace, JOIN_PART * min(waiting))
+            start = min(*waiting, JOIN_PART * max(waiting))
+            self._service.lift(now, workspace, start)
 
     def _patience_seconds(self, ask: Ask) -> float:
         """Tell how long a request can wait here and still be in time.
--- a/tests/admission/reading.feature
+++ b/tests/admission/reading.feature
@@ -203,3 +203,22 @@
     And workspaces agency and newcomer flood for 4 seconds
     Then agency got at least 0.5 of what newcomer got
     And newcomer got at least 0.9 of what agency got
+
+  Scenario Outline: Who had the engine for itself pauses for a bounded time
+    A workspace has had the engine for itself when <count> others begin to
+    flood it. They start from nine tenths of its service. Service fades with a
+    time constant of 5.8 s, so they have caught up after 5.8 s * ln(1 +
+    <count> / 10); the bounds are that, and a request of 0.075 s for each
+    workspace and the one that is being read.
+
+    Given an engine of 64 slots
+    When workspace first floods for 20 seconds
+    And workspace first and <count> newcomers flood for 8 seconds
+    Then first pauses for at most <most> seconds
+
+    Examples:
+      | count | most |
+      | 1     | 0.78 |
+      | 2     | 1.36 |
+      | 4     | 2.40 |
+      | 8     | 4.15 |
--- a/tests/admission/steps/reading_steps.py
+++ b/tests/admission/steps/reading_steps.py
@@ -4,6 +4,7 @@
 
 import random
 from collections import Counter
+from itertools import pairwise
 from math import isclose
 
 from behave import given, step, then, when
@@ -310,6 +311,7 @@
     """Keep four requests of each workspace waiting."""
     ends = engine.now + seconds
     served = Counter()
+    engine.served_seconds = [engine.now]
     while engine.now < ends:
         for workspace in workspaces:
             ended = (*engine.granted, *engine.refused)
@@ -319,7 +321,11 @@
                 engine.ask(workspace, 3000, patience_seconds=9)
         name = engine.read_one()
         engine.take(engine.admission.ended(engine.now, name))
-        served[name.partition('.')[0]] += engine.asks[name].new_tokens
+        workspace = name.partition('.')[0]
+        served[workspace] += engine.asks[name].new_tokens
+        if workspace == workspaces[0]:
+            engine.served_seconds.append(engine.now)
+    engine.served_seconds.append(engine.now)
     return served
 
 
@@ -337,3 +343,16 @@
 def got_part(context, one, part, other):
     served = context.served
     assert served[one] >= part * served[other], served
+
+
+@when('workspace {first} and {count:d} newcomers flood for {seconds:d} seconds')
+def flood_many(context, first, count, seconds):
+    newcomers = [f'newcomer-{number}' for number in range(count)]
+    _flood(context.engine, (first, *newcomers), seconds)
+
+
+@then('first pauses for at most {most:g} seconds')
+def pauses(context, most):
+    served = context.engine.served_seconds
+    pause = max(after - before for before, after in pairwise(served))
+    assert pause <= most, pause
