--- a/src/sardinetrack/admission/reading.py
+++ b/src/sardinetrack/admission/reading.py
@@ -129,6 +129,11 @@
         """Count the free slots."""
         return max(0, self._most_running - len(self._running))
 
+    @property
+    def held_seconds(self) -> float:
+        """Mean time that a request holds its slot; 0 until one has ended."""
+        return self._holding.seconds
+
     @property
     def rate_tokens(self) -> float:
         """Prompt tokens that the engine reads a second."""
--- a/src/sardinetrack/turns/usage.py
+++ b/src/sardinetrack/turns/usage.py
@@ -60,4 +60,5 @@
             rate_tokens=int(admission.rate_tokens),
             running=admission.running,
             slots_left=admission.slots_left,
+            held_seconds=round(admission.held_seconds, _DIGITS),
         )
