Nothing is sent for a caller whose end has not been read yet

A request and the end of its connection wait in the kernel together while the loop is late, and the request is served in the turn in which it is read, its end in the next.

Change: before a request is sent the kernel is asked whether its caller has hung up; if so it ends as if that had been read. One poll for each send.

--- a/src/sardinetrack/relay/caller_connection.py
+++ b/src/sardinetrack/relay/caller_connection.py
@@ -104,6 +104,19 @@
     @property
     def unread(self) -> bool:
         """Whether something has come that the loop has not read yet."""
+        return self._shows(select.POLLIN)
+
+    @property
+    def hung_up(self) -> bool:
+        """Whether the caller has closed, also if the loop has not read that.
+
+        A late loop reads requests and the ends of their connections in one
+        turn, and serves the request first: a server would work for nobody.
+        """
+        return self._shows(select.POLLRDHUP)
+
+    def _shows(self, event: int) -> bool:
+        """Ask the kernel about the socket, without waiting."""
         transport = self._transport
         if transport is None or transport.is_closing():
             return False
@@ -111,7 +124,7 @@
         if sock is None:
             return False
         poll = select.poll()
-        poll.register(sock.fileno(), select.POLLIN)
+        poll.register(sock.fileno(), event)
         return bool(poll.poll(0))
 
     def close_idle(self) -> bool:
--- a/src/sardinetrack/relay/sender.py
+++ b/src/sardinetrack/relay/sender.py
@@ -191,7 +191,11 @@
 
         A key that was taken away, or a server that is leaving, would
         otherwise get work for as long as requests wait.
+
+        :raises CancelledError: the caller has left, as if that had been read.
         """
+        if self._caller.hung_up:
+            raise asyncio.CancelledError
         still_allowed(self._fleet, plan, self._call)
         if self._fleet.servers.get(server.instance) is None:
             raise NotConnectedError('left meanwhile')
--- a/tests/relay/relay.feature
+++ b/tests/relay/relay.feature
@@ -96,6 +96,16 @@
     And a caller leaves after it has asked for a stream
     Then the server is told within 0.5 seconds
 
+  Scenario: Nothing is sent for a caller whose end has not been read yet
+    A crowded entry's loop is late. A request and the end of its connection
+    wait in the kernel together. Served as soon as it was read, the request
+    reached a server, which worked for a caller that had left long before.
+
+    Given a relay before 1 plain server
+    When 2 callers that have fetched stay connected
+    And the first of them fetches and leaves before the loop has its turn
+    Then the servers got 2 requests
+
   Scenario: A request is answered at its time-out
     Given a relay before 1 model server with a time-out of 0.3 seconds
     When the server hangs on its next request
--- a/tests/relay/steps/connection_steps.py
+++ b/tests/relay/steps/connection_steps.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 import re
+import socket
 
 from behave import given, then, when
 from tests.support.relay_world import RelayWorld, Reply, close_world
@@ -214,6 +215,20 @@
     return await reader.readexactly(length)
 
 
+@when('the first of them fetches and leaves before the loop has its turn')
+def fetch_and_leave(context):
+    world = context.world
+
+    async def play():
+        # Straight into the kernel: the loop has had no turn to read it.
+        sock = context.ends[0][1].get_extra_info('socket')
+        os.write(sock.fileno(), world.request('fetch', closes=False))
+        sock.shutdown(socket.SHUT_WR)
+        await asyncio.sleep(0.3)
+
+    world.run(play())
+
+
 @when('the first of them fetches while the entry makes room')
 def fetch_beside_room(context):
     world = context.world
