--- a/src/sardinetrack/relay/placing.py
+++ b/src/sardinetrack/relay/placing.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Sequence
+from functools import partial
 from typing import Final
 
 from sardinetrack.admission.ask import Ask
@@ -12,7 +13,6 @@
     Candidate,
     by_load,
     by_prompt,
-    with_room,
     without,
     worth_waiting_seconds,
 )
@@ -20,6 +20,7 @@
 from sardinetrack.placement.home import shared_part, shared_tokens
 from sardinetrack.relay.api import Call
 from sardinetrack.relay.fleet import Fleet
+from sardinetrack.relay.offers import Offers
 from sardinetrack.relay.plan import Plan
 from sardinetrack.relay.trace import Placed, Trace
 from sardinetrack.relay.turn import PlainTurn, TurnRefusedError, take_turn
@@ -124,24 +125,20 @@
         patience_seconds = PATIENCE_PART * plan.route.first_answer_seconds
         ends_seconds = self._loop.time() + patience_seconds
         refusals: list[TurnRefusedError] = []
-        asked: set[str] = set()
+        find = partial(self._candidates, plan)
+        offers = Offers(found, find, self._loop.time)
         candidate: Candidate | None = found[0]
-        while candidate is not None and len(asked) < MOST_ASKED:
-            asked.add(candidate.server.instance)
+        while candidate is not None and offers.asked < MOST_ASKED:
+            offers.ask(candidate)
             left_seconds = max(0, ends_seconds - self._loop.time())
-            others = without(found, asked)
-            stay_seconds = worth_waiting_seconds(
-                candidate,
-                next(with_room(others, left_seconds), None),
-            )
+            other = offers.best(left_seconds)
+            stay_seconds = worth_waiting_seconds(candidate, other)
             ask = self._ask(plan, candidate, min(left_seconds, stay_seconds))
             try:
                 return await self._wait_turn(plan, candidate, ask)
             except TurnRefusedError as refusal:
                 refusals.append(refusal)
-            left_seconds = max(0, ends_seconds - self._loop.time())
-            found = without(self._candidates(plan), asked)
-            candidate = next(with_room(found, left_seconds), None)
+            candidate = offers.best(ends_seconds - self._loop.time())
         raise self._refused(refusals)
 
     async def _wait_turn(
