--- a/src/sardinetrack/emulator/crowd.py
+++ b/src/sardinetrack/emulator/crowd.py
@@ -81,7 +81,7 @@
         attempt.tried.append(name)
         request = attempt.request
         patience = attempt.patience_seconds(self._shape, now)
-        guest = candidate.again_tokens > 0 and self._order.guests_hurry
+        guest = candidate.is_guest and self._order.guests_hurry
         ask = Ask(
             f'{request.name}.{int(request.returned)}.{len(attempt.tried)}',
             request.workspace,
