A caller that hung up is found by a look at its socket, not by poll's hint alone

The check relied on POLLRDHUP; a platform whose sockets do not tell that event tells only that there is something to read.

Change: where something is unread, one byte is looked at without taking it; none left means that the caller has closed. Costs a poll for each send, and three calls more only when something waits.

--- a/src/sardinetrack/relay/caller_connection.py
+++ b/src/sardinetrack/relay/caller_connection.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import select
+import socket
 from collections import deque
 from collections.abc import Callable
 from typing import Final, cast
@@ -104,7 +106,12 @@
     @property
     def unread(self) -> bool:
         """Whether something has come that the loop has not read yet."""
-        return self._shows(select.POLLIN)
+        fileno = self._fileno()
+        if fileno < 0:
+            return False
+        poll = select.poll()
+        poll.register(fileno, select.POLLIN)
+        return bool(poll.poll(0))
 
     @property
     def hung_up(self) -> bool:
@@ -113,19 +120,25 @@
         A late loop reads requests and the ends of their connections in one
         turn, and serves the request first: a server would work for nobody.
         """
-        return self._shows(select.POLLRDHUP)
-
-    def _shows(self, event: int) -> bool:
-        """Ask the kernel about the socket, without waiting."""
+        return self.unread and self._at_its_end()
+
+    def _at_its_end(self) -> bool:
+        """Whether nothing comes any more, from a look that takes nothing."""
+        with socket.socket(fileno=os.dup(self._fileno())) as look:
+            try:
+                return not look.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+            except BlockingIOError:
+                return False
+            except OSError:
+                return True
+
+    def _fileno(self) -> int:
+        """Tell the descriptor; negative if there is none any more."""
         transport = self._transport
         if transport is None or transport.is_closing():
-            return False
+            return -1
         sock = transport.get_extra_info('socket')
-        if sock is None:
-            return False
-        poll = select.poll()
-        poll.register(sock.fileno(), event)
-        return bool(poll.poll(0))
+        return -1 if sock is None else int(sock.fileno())
 
     def close_idle(self) -> bool:
         """Close a connection on which nothing is under way.
