Those that wait for an engine are a class of their own

Cause: admission/reading.py had grown to 470 lines with queues, slots, pace, patience and fairness in one; the bound for cold engines would come on top.

Change: the queues by workspace move to admission/waiting.py. Nothing is decided differently; tests/admission pass unchanged (470 to 424 lines).

--- a/src/sardinetrack/admission/reading.py
+++ b/src/sardinetrack/admission/reading.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import math
-from collections import deque
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from typing import Final
@@ -18,6 +17,7 @@
 from sardinetrack.admission.holding import SlotHolding
 from sardinetrack.admission.pace import ReadingPace
 from sardinetrack.admission.usage import EngineUse, Usage
+from sardinetrack.admission.waiting import Waiting, WaitingRoom, tokens_of
 from sardinetrack.fairness.recent import (
     HALF_SECONDS,
     RecentService,
@@ -72,13 +72,6 @@
     begun: bool = False
 
 
-@dataclass(slots=True)
-class _Waiting:
-    ask: Ask
-    asked_seconds: float
-    until_seconds: float
-
-
 class ReadingAdmission:
     """Decides which request goes to the engine next; reads no clock."""
 
@@ -95,7 +88,7 @@
         self._memory_tokens = memory_tokens
         self._share = float(1)
         self._running: dict[str, _Running] = {}
-        self._queues: dict[str, deque[_Waiting]] = {}
+        self._room = WaitingRoom()
         self._service = SharedService()
         self._turnover = RecentService[str]()
         self._kept_tokens = 0
@@ -122,7 +115,7 @@
     @property
     def waiting(self) -> int:
         """Count the requests that wait here."""
-        return sum(len(queue) for queue in self._queues.values())
+        return len(self._room)
 
     @property
     def slots_left(self) -> int:
@@ -154,7 +147,7 @@
 
     def wait_seconds(self, now: float) -> float:
         """Estimate how long a request waits until it is read."""
-        return self._wait_behind(now, self._queued_tokens(), self.waiting)
+        return self._wait_behind(now, self._room.tokens, self.waiting)
 
     def _wait_behind(
         self,
@@ -183,9 +176,6 @@
     def _most_running(self) -> int:
         return max(1, math.ceil(self._slots * SLOTS_PART))
 
-    def _queued_tokens(self) -> int:
-        return sum(_tokens(queue) for queue in self._queues.values())
-
     def restart(self, now: float) -> Sequence[Verdict]:
         """Note that the engine has started anew and knows of nothing.
 
@@ -219,11 +209,7 @@
         patience_seconds = self._patience_seconds(ask)
         if wait_seconds > patience_seconds:
             return (self._refusal(ask, wait_seconds, float(0)),)
-        queue = self._queues.get(ask.workspace)
-        if not queue:
-            queue = deque()
-            self._queues[ask.workspace] = queue
-        queue.append(_Waiting(ask, now, now + patience_seconds))
+        self._room.put(Waiting(ask, now, now + patience_seconds))
         return self._turn(now)
 
     def _join(self, now: float, workspace: str) -> None:
@@ -235,12 +221,10 @@
         Newcomers of one moment start alike: were each a tenth below the last
         one, the eighth would start from less than half.
         """
-        if self._queues.get(workspace):
+        if self._room.of(workspace):
             return
         waiting = [
-            self._service.tokens(now, name)
-            for name in self._queues
-            if name != workspace
+            self._service.tokens(now, name) for name in self._room.workspaces
         ]
         if waiting:
             start = min(*waiting, JOIN_PART * max(waiting))
@@ -264,13 +248,7 @@
         """Forget a request whose caller has left, wherever it stands."""
         if ask_id in self._running:
             return self.ended(now, ask_id)
-        for workspace, queue in self._queues.items():
-            for one in queue:
-                if one.ask.ask_id == ask_id:
-                    queue.remove(one)
-                    self._drop_empty(workspace)
-                    return self._turn(now)
-        return ()
+        return self._turn(now) if self._room.remove(ask_id) else ()
 
     def begun(self, now: float, ask_id: str) -> Sequence[Verdict]:
         """Note the first token: the prompt is read."""
@@ -298,18 +276,18 @@
 
     def tick(self, now: float) -> Sequence[Verdict]:
         """Refuse what has waited for too long."""
-        expired = self._take_expired(now)
+        expired = self._room.take_expired(now)
         late = self._refusals(now, expired) if expired else ()
         return (*late, *self._turn(now))
 
     def _refusals(
         self,
         now: float,
-        expired: Sequence[_Waiting],
+        expired: Sequence[Waiting],
     ) -> Sequence[Verdict]:
         """Refuse in turn; who is refused waits before nobody any more."""
         late: list[Verdict] = []
-        queued_tokens = self._queued_tokens() + _tokens(expired)
+        queued_tokens = self._room.tokens + tokens_of(expired)
         queued = self.waiting + len(expired)
         for one in expired:
             queued_tokens -= one.ask.new_tokens
@@ -319,16 +297,6 @@
             late.append(self._refusal(one.ask, wait_seconds, waited_seconds))
         return late
 
-    def _take_expired(self, now: float) -> list[_Waiting]:
-        expired: list[_Waiting] = []
-        for workspace, queue in list(self._queues.items()):
-            late = [one for one in queue if one.until_seconds <= now]
-            for one in late:
-                queue.remove(one)
-            self._drop_empty(workspace)
-            expired += late
-        return expired
-
     def next_deadline_seconds(self, now: float) -> float | None:
         """Tell when ``tick`` is due.
 
@@ -336,14 +304,10 @@
         the engine has read enough for the next one at some moment of which
         no first event tells.
         """
-        dues = [
-            one.until_seconds
-            for queue in self._queues.values()
-            for one in queue
-        ]
+        dues = [one.until_seconds for one in self._room]
         if not dues:
             return None
-        first = self._queues[self._next_workspace(now)][0].ask
+        first = self._room.first(self._next_workspace(now))
         over_seconds = self._over_seconds(now, first)
         if over_seconds > 0:
             dues.append(now + over_seconds)
@@ -351,20 +315,17 @@
 
     def _turn(self, now: float) -> Sequence[Verdict]:
         granted: list[Verdict] = []
-        while self._queues:
+        while self._room.workspaces:
             workspace = self._next_workspace(now)
-            one = self._queues[workspace][0]
-            if not self._fits(now, one.ask):
+            if not self._fits(now, self._room.first(workspace)):
                 break
-            self._queues[workspace].popleft()
-            self._drop_empty(workspace)
-            granted.append(self._grant(now, one.ask))
+            granted.append(self._grant(now, self._room.take_first(workspace)))
         self.usage.note(now, self._use(now))
         return granted
 
     def _use(self, now: float) -> EngineUse:
         reads = self.pace.backlog_seconds(now) > 0
-        if not self._queues:
+        if not self._room.workspaces:
             return self._use_alone(reads=reads)
         if reads:
             return EngineUse.FULL
@@ -384,7 +345,7 @@
         fleet would shut out all less urgent ones for as long as it likes.
         """
         return min(
-            self._queues,
+            self._room.workspaces,
             key=lambda name: self._service.tokens(now, name),
         )
 
@@ -418,17 +379,18 @@
         Of another workspace goes first what brings it to the service that
         this one has when its turn comes.
         """
-        own = self._queues.get(ask.workspace, ())
-        own_tokens = _tokens(own)
+        own = self._room.of(ask.workspace)
+        own_tokens = tokens_of(own)
         level = self._service.tokens(now, ask.workspace) + own_tokens
         others = float(0)
         before = len(own)
-        for workspace, queue in self._queues.items():
+        for workspace in self._room.workspaces:
             if workspace == ask.workspace:
                 continue
+            queue = self._room.of(workspace)
             behind = level - self._service.tokens(now, workspace)
             if behind > 0:
-                others += min(_tokens(queue), behind)
+                others += min(tokens_of(queue), behind)
                 before += len(queue)
         queued_seconds = (own_tokens + others) / self.rate_tokens
         over_seconds = max(0, self._over_seconds(now, ask))
@@ -460,11 +422,3 @@
             waited_seconds,
             int(wait_seconds * self.rate_tokens),
         )
-
-    def _drop_empty(self, workspace: str) -> None:
-        if not self._queues.get(workspace, True):
-            self._queues.pop(workspace)
-
-
-def _tokens(queue: Iterable[_Waiting]) -> int:
-    return sum(one.ask.new_tokens for one in queue)
