Cold engines get what they bear, evacuated domains get nothing new

The product read how long a server is still cold and used it nowhere: an engine that crashed under a crowd came back cold, was granted its whole queue at once, crashed, and so on. Evacuations were not read at all.

Change, cold servers: the list's word is counted from its first reading, so it is never too short; an entry tells it to the side with the start that it is about, before what waits there is granted to that start. After an evacuation servers are taken for cold as after a start. Starts that end cold are counted and told with the turns that they were given in their last second. Change, evacuations: followed as the configuration is, borrowed views too, only where the settings say that there are any; servers of an evacuated domain take no work, also after a granted turn; all evacuated: refused with that reason.

Ruled out: telling restarts by crashes alone (engines of a release and of a growing pool are as cold); own shares below one at hashed moments (bursts by chance, and an engine whose side is away for its cold seconds is rare).

--- a/src/sardinetrack/admission/reading.py
+++ b/src/sardinetrack/admission/reading.py
@@ -18,11 +18,13 @@
 from sardinetrack.admission.pace import ReadingPace
 from sardinetrack.admission.usage import EngineUse, Usage
 from sardinetrack.admission.waiting import Waiting, WaitingRoom, tokens_of
+from sardinetrack.admission.warming import WarmTurns
 from sardinetrack.fairness.recent import (
     HALF_SECONDS,
     RecentService,
     SharedService,
 )
+from sardinetrack.topology.cold import Cold
 
 READING_SECONDS: Final = 0.15
 """Reading that an engine is given ahead.
@@ -84,6 +86,7 @@
         self.pace = ReadingPace()
         self.usage = Usage()
         self._holding = SlotHolding()
+        self.warming = WarmTurns()
         self._slots = slots
         self._memory_tokens = memory_tokens
         self._share = float(1)
@@ -107,6 +110,11 @@
         self._memory_tokens = int(memory_tokens * share)
         self._share = share
 
+    def cool(self, now: float, cold: Cold) -> Sequence[Verdict]:
+        """Learn how long the engine stays cold, and what it bears."""
+        self.warming.cool(cold)
+        return self._turn(now)
+
     @property
     def running(self) -> int:
         """Count the requests at the engine."""
@@ -157,7 +165,11 @@
     ) -> float:
         backlog_seconds = self.pace.backlog_seconds(now)
         reading_seconds = backlog_seconds + queued_tokens / self.rate_tokens
-        return max(reading_seconds, self._slot_seconds(queued))
+        return max(
+            reading_seconds,
+            self._slot_seconds(queued),
+            self.warming.wait_seconds(now, queued),
+        )
 
     def _slot_seconds(self, before: int) -> float:
         """Estimate how long a request waits for a slot.
@@ -309,8 +321,9 @@
             return None
         first = self._room.first(self._next_workspace(now))
         over_seconds = self._over_seconds(now, first)
-        if over_seconds > 0:
-            dues.append(now + over_seconds)
+        warm_seconds = self.warming.wait_seconds(now, 0)
+        if max(over_seconds, warm_seconds) > 0:
+            dues.append(now + max(over_seconds, warm_seconds))
         return min(dues)
 
     def _turn(self, now: float) -> Sequence[Verdict]:
@@ -331,6 +344,8 @@
             return EngineUse.FULL
         if not self.slots_left:
             return EngineUse.HELD_SLOTS
+        if self.warming.bounds(now):
+            return EngineUse.HELD_COLD
         return EngineUse.HELD_MEMORY
 
     def _use_alone(self, *, reads: bool) -> EngineUse:
@@ -350,6 +365,8 @@
         )
 
     def _fits(self, now: float, ask: Ask) -> bool:
+        if self.warming.free_at_seconds(now) > now:
+            return False
         if not self._running:
             return True
         if not self.slots_left:
@@ -365,6 +382,7 @@
 
     def _grant(self, now: float, ask: Ask) -> Verdict:
         expected_seconds = self.pace.first_event_seconds(now, ask.new_tokens)
+        self.warming.granted(now)
         self.pace.granted(now, ask.ask_id, ask.new_tokens)
         self._running[ask.ask_id] = _Running(ask, now, expected_seconds)
         self.usage.note_grant(ask.new_tokens)
@@ -394,7 +412,11 @@
                 before += len(queue)
         queued_seconds = (own_tokens + others) / self.rate_tokens
         over_seconds = max(0, self._over_seconds(now, ask))
-        return max(over_seconds + queued_seconds, self._slot_seconds(before))
+        return max(
+            over_seconds + queued_seconds,
+            self._slot_seconds(before),
+            self.warming.wait_seconds(now, before),
+        )
 
     def _over_seconds(self, now: float, ask: Ask) -> float:
         """Tell when the engine has room for a request that is next.
--- a/src/sardinetrack/admission/usage.py
+++ b/src/sardinetrack/admission/usage.py
@@ -20,6 +20,8 @@
     """It reads a prompt, and others wait."""
     HELD_SLOTS = 'held_slots'
     """It reads nothing though others wait: no slot is free."""
+    HELD_COLD = 'held_cold'
+    """It reads nothing though others wait: it is cold, and bears no more."""
     HELD_MEMORY = 'held_memory'
     """It reads nothing though others wait: the next does not fit."""
 
--- a/src/sardinetrack/compose/node.py
+++ b/src/sardinetrack/compose/node.py
@@ -119,7 +119,7 @@
 async def _run_side(settings: NodeSettings, log: EventLog) -> None:
     stop = _stop_event(log)
     store = PlatformStore(settings.store)
-    watcher = watcher_of(store, log)
+    watcher = watcher_of(settings, store, log)
     address = (settings.ip, settings.turns_port)
     async with Side(address, watcher, log) as side:
         await _serve_metrics(
--- a/src/sardinetrack/compose/view.py
+++ b/src/sardinetrack/compose/view.py
@@ -10,6 +10,7 @@
 from sardinetrack.platform.catalogue import (
     CONFIGURATION_KEY,
     CONFIGURATION_PREFIX,
+    EVACUATIONS_PREFIX,
     configuration_of,
 )
 from sardinetrack.platform.servers import SERVERS_PREFIX, server_of
@@ -18,9 +19,11 @@
 from sardinetrack.relay.followers import (
     ConfigurationFollower,
     Decoder,
+    EvacuationsFollower,
     ServersFollower,
 )
 from sardinetrack.relay.neighbours import SideNeighbours
+from sardinetrack.relay.settings import NodeSettings
 from sardinetrack.store.api import StoredObject
 from sardinetrack.topology.configuration import Configuration
 from sardinetrack.topology.feed import CALM_SECONDS, CONFIRM_SECONDS, Feed
@@ -41,11 +44,21 @@
     {
         CONFIGURATION_PREFIX: WATCH_SECONDS,
         SERVERS_PREFIX: SLOW_WATCH_SECONDS,
+        EVACUATIONS_PREFIX: SLOW_WATCH_SECONDS,
     },
 )
 """What a side watches for entries, and how long each call waits."""
 
 
+def watched_prefixes(settings: NodeSettings) -> tuple[str, ...]:
+    """Name the kinds of objects that are followed on a platform."""
+    return tuple(
+        prefix
+        for prefix in _WATCHED
+        if prefix != EVACUATIONS_PREFIX or settings.evacuates
+    )
+
+
 class PlatformDecoder(Decoder):
     """Reads the objects as the platform's operator and servers write them."""
 
@@ -73,32 +86,27 @@
         """Make a feed for each mirror."""
         way = StoreWay(self._store)
         return [
-            Feed(way, prefix, mirrors[prefix], self._log, wait_seconds)
-            for prefix, wait_seconds in _WATCHED.items()
+            Feed(way, prefix, mirror, self._log, _WATCHED[prefix])
+            for prefix, mirror in mirrors.items()
         ]
 
 
 def view_of(fleet: Fleet, store: PlatformStore) -> ViewSource:
     """Wire an entry's view of the store."""
     decoder = PlatformDecoder()
-    views = {
-        CONFIGURATION_PREFIX: BorrowedView(
-            ConfigurationFollower(fleet, decoder),
-            boot_clock,
-        ),
-        SERVERS_PREFIX: BorrowedView(
-            ServersFollower(fleet, decoder),
-            boot_clock,
-        ),
+    followers = {
+        CONFIGURATION_PREFIX: ConfigurationFollower(fleet, decoder),
+        SERVERS_PREFIX: ServersFollower(fleet, decoder),
+        EVACUATIONS_PREFIX: EvacuationsFollower(fleet),
     }
-    waits = {
-        CONFIGURATION_PREFIX: CONFIRM_SECONDS,
-        SERVERS_PREFIX: CALM_SECONDS,
+    views = {
+        prefix: BorrowedView(followers[prefix], boot_clock)
+        for prefix in watched_prefixes(fleet.settings)
     }
     way = StoreWay(store)
     feeds = [
-        Feed(way, prefix, views[prefix], fleet.log, wait_seconds)
-        for prefix, wait_seconds in waits.items()
+        Feed(way, prefix, view, fleet.log, _own_wait_seconds(prefix))
+        for prefix, view in views.items()
     ]
     own = OwnFeeds(feeds, way)
     source = ViewSource(own, views, SideNeighbours(fleet), fleet.log)
@@ -106,6 +114,16 @@
     return source
 
 
-def watcher_of(store: PlatformStore, log: EventLog) -> Watcher:
+def watcher_of(
+    settings: NodeSettings,
+    store: PlatformStore,
+    log: EventLog,
+) -> Watcher:
     """Wire what a side lends to entries."""
-    return Watcher(StoreFeeds(store, log), tuple(_WATCHED), log)
+    return Watcher(StoreFeeds(store, log), watched_prefixes(settings), log)
+
+
+def _own_wait_seconds(prefix: str) -> float:
+    if prefix == CONFIGURATION_PREFIX:
+        return CONFIRM_SECONDS
+    return CALM_SECONDS
--- a/src/sardinetrack/logs/events.py
+++ b/src/sardinetrack/logs/events.py
@@ -45,6 +45,7 @@
     SERVER_RESTARTED = 'server_restarted'
     SERVER_SUSPECT = 'server_suspect'
     SERVER_CRASHED = 'server_crashed'
+    EVACUATION = 'evacuation'
     OVERLOAD = 'overload'
     MEMORY_SHORT = 'memory_short'
     CONNECTIONS_CLOSED = 'connections_closed'
--- a/src/sardinetrack/platform/catalogue.py
+++ b/src/sardinetrack/platform/catalogue.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from types import MappingProxyType
 from typing import Final, Literal
 
@@ -20,6 +21,8 @@
 
 CONFIGURATION_PREFIX: Final = 'config/'
 CONFIGURATION_KEY: Final = 'config/main'
+EVACUATIONS_PREFIX: Final = 'evacuations/'
+"""An object stands there for each zone that is evacuated, under its name."""
 _MILLISECONDS: Final = 1000.0
 _KINDS: Final = MappingProxyType(
     {
@@ -67,6 +70,8 @@
     name: str
     max_connections: int = 64
     engine: _Engine | None = None
+    warmup_s: float = 0
+    warmup_per_s: float = 0
 
 
 class _Limits(_Camel):
@@ -149,13 +154,18 @@
 
 
 def _pool(read: _Service) -> Pool:
-    if read.engine is None:
-        return Pool(read.name, read.max_connections)
-    return Pool(
+    pool = Pool(
         read.name,
         read.max_connections,
-        read.engine.slots,
-        read.engine.kv_capacity,
+        cold_per_second=read.warmup_per_s,
+        cold_seconds=read.warmup_s,
+    )
+    if read.engine is None:
+        return pool
+    return replace(
+        pool,
+        slots=read.engine.slots,
+        memory_tokens=read.engine.kv_capacity,
     )
 
 
--- a/src/sardinetrack/platform/servers.py
+++ b/src/sardinetrack/platform/servers.py
@@ -18,6 +18,7 @@
 """It goes into a header: one with a line break would add headers to it."""
 _PORT: Final = re.compile('[0-9]{1,5}')
 _MOST_PORT: Final = 65_535
+_MILLISECONDS: Final = 1000.0
 
 
 class _Server(msgspec.Struct, rename='camel'):
@@ -64,6 +65,7 @@
         leaving=read.state != 'ready',
         started_milliseconds=None if read.born is msgspec.UNSET else read.born,
         revision=revision,
+        cold_seconds=read.warmup_left_ms / _MILLISECONDS,
     )
 
 
--- a/src/sardinetrack/platform/settings.py
+++ b/src/sardinetrack/platform/settings.py
@@ -32,6 +32,8 @@
     retry_budget_ratio: float = 0.2
     retry_window_s: float = 10
     retry_slack: float = 50
+    # Told only where the operator evacuates zones.
+    evacuate_ms: float | None = None
 
 
 class _Limits(msgspec.Struct, rename='camel'):
@@ -100,6 +102,7 @@
         retry_ratio=bounds.retry_budget_ratio,
         retry_window_seconds=bounds.retry_window_s,
         retry_slack=bounds.retry_slack,
+        evacuates=bounds.evacuate_ms is not None,
     )
 
 
--- a/src/sardinetrack/relay/beliefs.py
+++ b/src/sardinetrack/relay/beliefs.py
@@ -5,6 +5,8 @@
 from collections.abc import Collection
 
 from sardinetrack.placement.load import ServerLoad
+from sardinetrack.relay.cold import EntryCold
+from sardinetrack.relay.side_links import SideLinks
 from sardinetrack.routing.breaker import Breaker
 from sardinetrack.topology.configuration import Pool
 from sardinetrack.topology.servers import BackendServer
@@ -14,8 +16,12 @@
 class ServerBeliefs:
     """Loads, breakers and own desks; made when they are first asked for."""
 
-    def __init__(self) -> None:
-        """Start believing nothing."""
+    def __init__(self, sides: SideLinks) -> None:
+        """Start believing nothing.
+
+        :param sides: tell how many entries there are.
+        """
+        self.cold = EntryCold(sides)
         self.loads: dict[str, ServerLoad] = {}
         self._breakers: dict[str, Breaker] = {}
         self._desks: dict[str, LocalDesk] = {}
@@ -75,3 +81,4 @@
         for kept in (self.loads, self._breakers, self._desks):
             for stale in set(kept) - set(instances):
                 kept.pop(stale)
+        self.cold.keep(instances)
--- a/src/sardinetrack/relay/fleet.py
+++ b/src/sardinetrack/relay/fleet.py
@@ -14,7 +14,7 @@
 from sardinetrack.relay.meters import Meters
 from sardinetrack.relay.server_pool import ServerPool
 from sardinetrack.relay.settings import NodeSettings
-from sardinetrack.relay.side_links import SideLinks
+from sardinetrack.relay.side_links import FIRST_ENTRIES, SideLinks
 from sardinetrack.routing.retries import RetryBudget
 from sardinetrack.topology.configuration import Configuration, Pool
 from sardinetrack.topology.freshness import Freshness, boot_clock
@@ -35,8 +35,6 @@
 more than half of them all."""
 LEAST_ALLOWED_PART: Final = 0.5
 """Part of a pool's servers below which breakers are not heeded."""
-FIRST_ENTRIES: Final = 6
-"""Entries taken to exist until a side has told how many it sees."""
 
 
 class Fleet(Restarts):
@@ -52,7 +50,6 @@
         self.connections = ServerPool()
         self.service = RecentService[str]()
         self.holdings = Holdings()
-        self.beliefs = ServerBeliefs()
         self.meters = Meters()
         self.crashes = CrashWatch()
         self.sides = SideLinks(
@@ -62,6 +59,7 @@
             self,
             log,
         )
+        self.beliefs = ServerBeliefs(self.sides)
         self._budgets: dict[str, RetryBudget] = {}
         self._known: dict[str, BackendServer] = {}
 
@@ -100,7 +98,31 @@
 
     def desk(self, server: BackendServer, pool: Pool) -> LocalDesk:
         """Find the own desk for a server whose side is away."""
-        return self.beliefs.desk(server, pool, 1 / self.entries)
+        desk = self.beliefs.desk(server, pool, 1 / self.entries)
+        desk.cool(self.beliefs.cold.own(server, pool))
+        return desk
+
+    def evacuate(self, failure_domains: frozenset[str]) -> None:
+        """Take over which failure domains get no new work.
+
+        The servers of one that takes part again may have become cold shortly
+        before, and their entries tell that seconds later.
+        """
+        ended = self.servers.evacuated - failure_domains
+        begun = failure_domains - self.servers.evacuated
+        if not ended and not begun:
+            return
+        self.servers.evacuate(failure_domains)
+        for server, pool in self._model_servers():
+            if server.failure_domain in ended:
+                self.beliefs.cold.presume(server, pool)
+        self.log.write(
+            Event.EVACUATION,
+            begun=sorted(begun),
+            ended=sorted(ended),
+            in_force=sorted(failure_domains),
+        )
+        self.servers_changed()
 
     def connection_share(self, server: BackendServer) -> float:
         """Tell how many connections to a server this entry may keep.
@@ -164,9 +186,12 @@
         for instance, known in self._known.items():
             if self.is_over(known):
                 self._restarted(known, self.servers.instances[instance])
-        for server, pool in self._model_servers():
-            self.beliefs.loads[server.instance] = self.sides.load(server, pool)
         listed = self.servers.instances
+        self.beliefs.cold.hear(listed.values())
+        for server, pool in self._model_servers():
+            cold = self.beliefs.cold.word(server, pool)
+            load = self.sides.load(server, pool, cold)
+            self.beliefs.loads[server.instance] = load
         self.sides.keep({one.ip for one in listed.values()})
         for gone in set(self._known) - set(listed):
             # Whatever runs at its address next starts with an empty memory.
--- a/src/sardinetrack/relay/followers.py
+++ b/src/sardinetrack/relay/followers.py
@@ -83,6 +83,37 @@
         """Let the view grow old."""
 
 
+class EvacuationsFollower(Follower):
+    """Keeps which failure domains get no new work.
+
+    They are known by the names of the objects: one whose content can't be
+    read evacuates all the same.
+    """
+
+    def __init__(self, fleet: Fleet) -> None:
+        """Feed a fleet."""
+        self._fleet = fleet
+        self._domains: set[str] = set()
+
+    def listed(self, listing: Listing) -> None:
+        """Take over all of them."""
+        self._domains = {_name(stored) for stored in listing.objects}
+        self._fleet.evacuate(frozenset(self._domains))
+
+    def changed(self, stored: StoredObject) -> None:
+        """Take one change."""
+        self._domains.discard(_name(stored))
+        if not stored.deleted:
+            self._domains.add(_name(stored))
+        self._fleet.evacuate(frozenset(self._domains))
+
+    def confirmed(self, asked_seconds: float) -> None:
+        """They have no age of their own; changes come by themselves."""
+
+    def lost(self) -> None:
+        """What was evacuated stays so until the store tells otherwise."""
+
+
 class ServersFollower(Follower):
     """Keeps the list of servers."""
 
@@ -105,7 +136,7 @@
         servers = self._fleet.servers
         servers.replace(boot_clock(), found)
         for unread in refused:
-            servers.refuse(_instance(unread), unread.version)
+            servers.refuse(_name(unread), unread.version)
         self._remember({one.key for one in refused})
         self._fleet.servers_changed()
 
@@ -113,7 +144,7 @@
         """Take one change."""
         if stored.deleted:
             self._refused.pop(stored.key, None)
-            self._fleet.servers.remove(boot_clock(), _instance(stored))
+            self._fleet.servers.remove(boot_clock(), _name(stored))
         else:
             self._put(stored)
         self._fleet.servers_changed()
@@ -130,7 +161,7 @@
         if server is None:
             # A good entry that stood here before says nothing any more: what
             # runs there gets no new work, and what it runs is not cut.
-            self._fleet.servers.refuse(_instance(stored), stored.version)
+            self._fleet.servers.refuse(_name(stored), stored.version)
             return
         self._refused.pop(stored.key, None)
         known = self._fleet.servers.instances.get(server.instance)
@@ -176,5 +207,5 @@
         )
 
 
-def _instance(stored: StoredObject) -> str:
+def _name(stored: StoredObject) -> str:
     return stored.key.partition('/')[2]
--- a/src/sardinetrack/relay/placing.py
+++ b/src/sardinetrack/relay/placing.py
@@ -48,6 +48,9 @@
 """
 MOST_UNREACHED: Final = 4
 """Servers that may turn out unreachable before a request is refused."""
+EVACUATED_SECONDS: Final = 1.0
+"""When it is worth coming back where the operator has evacuated all servers:
+nobody knows, and it takes a person longer than a server's return."""
 SERVER_AWAY_SECONDS: Final = 0.3
 """When it is worth coming back after a server was away or full."""
 
@@ -72,19 +75,34 @@
         """
         candidates = self._candidates(plan)
         if not candidates or len(self._trace.unreached) > MOST_UNREACHED:
-            raise AnsweredError(
-                ErrorKind.NOT_RUN_NO_SERVER,
-                retry_after_seconds=SERVER_AWAY_SECONDS,
-            )
+            raise self._nowhere(plan)
         if not plan.pool.runs_models:
-            load = self._fleet.beliefs.load(candidates[0].server)
-            return Placed(candidates[0], PlainTurn(load))
+            return self._take_plain(plan, candidates[0])
         began_seconds = self._loop.time()
         try:
             return await self._take_turn(plan, candidates)
         finally:
             self._note_wait(self._loop.time() - began_seconds)
 
+    def _nowhere(self, plan: Plan) -> AnsweredError:
+        """Tell why nobody may be sent the request."""
+        servers = self._fleet.servers
+        if servers.only_evacuated(plan.pool.name):
+            return AnsweredError(
+                ErrorKind.NOT_RUN_NO_SERVER,
+                'all servers are evacuated',
+                retry_after_seconds=EVACUATED_SECONDS,
+            )
+        return AnsweredError(
+            ErrorKind.NOT_RUN_NO_SERVER,
+            retry_after_seconds=SERVER_AWAY_SECONDS,
+        )
+
+    def _take_plain(self, plan: Plan, candidate: Candidate) -> Placed:
+        fleet, server = self._fleet, candidate.server
+        fleet.beliefs.cold.sent(server, plan.pool)
+        return Placed(candidate, PlainTurn(fleet.beliefs.load(server)))
+
     def _note_wait(self, waited_seconds: float) -> None:
         self._trace.waited_seconds += waited_seconds
         self._fleet.meters.waited.add(waited_seconds)
@@ -101,7 +119,11 @@
             )
         else:
             found = by_load(
-                servers,
+                [
+                    one
+                    for one in servers
+                    if fleet.beliefs.cold.bears(one, plan.pool)
+                ],
                 fleet.beliefs.loads,
                 fleet.settings.failure_domain,
                 fleet.entries,
--- a/src/sardinetrack/relay/settings.py
+++ b/src/sardinetrack/relay/settings.py
@@ -33,6 +33,9 @@
     retry_window_seconds: float
     retry_slack: float
     """Second sends of the whole fleet in a window beyond the ratio."""
+    evacuates: bool = False
+    """Whether the operator evacuates failure domains by objects in the store;
+    where none does nobody watches for them."""
 
     def changed_from(self, earlier: NodeSettings) -> list[str]:
         """Name the fields that differ from earlier settings."""
--- a/src/sardinetrack/relay/side_links.py
+++ b/src/sardinetrack/relay/side_links.py
@@ -13,6 +13,7 @@
 from sardinetrack.placement.load import ServerLoad
 from sardinetrack.relay.crashes import CrashWatch
 from sardinetrack.relay.settings import NodeSettings
+from sardinetrack.topology.cold import ColdWord
 from sardinetrack.topology.configuration import Pool
 from sardinetrack.topology.servers import BackendServer
 from sardinetrack.turns.clock import loop_now
@@ -20,6 +21,8 @@
 from sardinetrack.turns.messages import Hello, Struck
 from sardinetrack.views.api import Inbox, NoInbox
 
+FIRST_ENTRIES: Final = 6
+"""Entries taken to exist until a side has told how many it sees."""
 _EVERYBODY: Final = '*'
 
 
@@ -68,7 +71,12 @@
         link = self._links.get(ip)
         return link if link is not None and link.live else None
 
-    def load(self, server: BackendServer, pool: Pool) -> ServerLoad:
+    def load(
+        self,
+        server: BackendServer,
+        pool: Pool,
+        cold: ColdWord,
+    ) -> ServerLoad:
         """Find the load that a side tells; link it when it is new."""
         link = self._links.get(server.ip)
         if link is not None and link.pool != pool.name:
@@ -77,7 +85,7 @@
             link = None
         if link is None:
             link = self._open(server, pool)
-        link.know(server.start)
+        link.know(server.start, cold)
         return link.load
 
     def keep(self, ips: Collection[str]) -> None:
--- a/src/sardinetrack/relay/turn.py
+++ b/src/sardinetrack/relay/turn.py
@@ -111,6 +111,9 @@
         turn = await _ask_side(fleet, link.lines, ask)
         if turn is not None:
             return turn
+    cold_seconds = fleet.beliefs.cold.shut_out_seconds(candidate.server, pool)
+    if cold_seconds > 0:
+        raise TurnRefusedError(cold_seconds, 'cold, and its side away')
     desk = fleet.desk(candidate.server, pool)
     verdict = await desk.turn(ask)
     if isinstance(verdict, Granted):
--- a/src/sardinetrack/topology/configuration.py
+++ b/src/sardinetrack/topology/configuration.py
@@ -65,6 +65,10 @@
     slots: int = 0
     """Requests that a model engine runs at once; 0 for a plain service."""
     memory_tokens: int = 0
+    cold_per_second: float = 0
+    """Requests a second that a cold server bears; 0 for no bound."""
+    cold_seconds: float = 0
+    """How long a server is cold after its start."""
 
     @property
     def runs_models(self) -> bool:
--- a/src/sardinetrack/topology/servers.py
+++ b/src/sardinetrack/topology/servers.py
@@ -39,6 +39,8 @@
     """Unix time of its start by its own clock, if it tells it."""
     revision: int = 0
     """Of the store when this was written; 0 if that is unknown."""
+    cold_seconds: float = 0
+    """How long it was still cold when this was written."""
 
     @property
     def address(self) -> tuple[str, int]:
@@ -66,6 +68,29 @@
         self._working: dict[str, BackendServer] = {}
         self._shaky_until_seconds = float(0)
         self._by_pool: dict[str, tuple[BackendServer, ...]] = {}
+        self._evacuated: frozenset[str] = frozenset()
+
+    @property
+    def evacuated(self) -> frozenset[str]:
+        """Failure domains whose servers get no new work."""
+        return self._evacuated
+
+    def evacuate(self, failure_domains: frozenset[str]) -> None:
+        """Keep new work from the servers of some failure domains.
+
+        They stay listed, and what runs there runs to its end.
+        """
+        self._evacuated = failure_domains
+        self._regroup()
+
+    def only_evacuated(self, pool: str) -> bool:
+        """Whether servers of a pool would work if none were evacuated."""
+        return not self.of_pool(pool) and any(
+            server.pool == pool
+            and not server.leaving
+            and server.failure_domain in self._evacuated
+            for server in self._listed.values()
+        )
 
     def replace(self, now: float, servers: Iterable[BackendServer]) -> None:
         """Take over a whole listing."""
@@ -214,6 +239,7 @@
             holder.instance: holder
             for holder in at_address.values()
             if not holder.leaving
+            and holder.failure_domain not in self._evacuated
         }
         pools: dict[str, list[BackendServer]] = {}
         for working in self._working.values():
--- a/src/sardinetrack/turns/desk.py
+++ b/src/sardinetrack/turns/desk.py
@@ -8,6 +8,7 @@
 
 from sardinetrack.admission.ask import Ask, Granted, Verdict
 from sardinetrack.admission.reading import ReadingAdmission
+from sardinetrack.topology.cold import Cold
 from sardinetrack.turns.clock import loop_now
 
 
@@ -35,6 +36,10 @@
         """Note that the server has started anew."""
         self._carry_out(self.admission.restart(loop_now()))
 
+    def cool(self, cold: Cold) -> None:
+        """Learn how long the server stays cold."""
+        self._carry_out(self.admission.cool(loop_now(), cold))
+
     def withdraw(self, ask_id: str) -> None:
         """Forget a request, whether it waits or runs."""
         self._carry_out(self.admission.withdraw(loop_now(), ask_id))
--- a/src/sardinetrack/turns/entry.py
+++ b/src/sardinetrack/turns/entry.py
@@ -14,6 +14,7 @@
 from sardinetrack.messages.api import Strike
 from sardinetrack.placement.holdings import Holdings
 from sardinetrack.placement.load import ServerLoad
+from sardinetrack.topology.cold import ColdWord
 from sardinetrack.topology.starts import UNKNOWN_MARK, ServerStart
 from sardinetrack.turns.clock import loop_now
 from sardinetrack.turns.lines import LineProtocol
@@ -77,6 +78,12 @@
     restarts: Restarts
     start: ServerStart | None = None
     """The start of the server that the list tells; ``None`` before it does."""
+    cold: ColdWord = ColdWord()
+    """How long that start stays cold."""
+
+    def started(self, start: ServerStart) -> ServerStarted:
+        """Write for the side what the list tells of the server."""
+        return message_of(start, loop_now(), self.cold)
 
     def about_listed(self, mark: int) -> bool:
         """Whether a word is about the start that is listed.
@@ -125,7 +132,7 @@
         self.heard_seconds = loop_now()
         self.send(self._hello)
         if self._beliefs.start is not None:
-            self.send(message_of(self._beliefs.start))
+            self.send(self._beliefs.started(self._beliefs.start))
 
     def lost(self) -> None:
         """Answer every question with nothing."""
@@ -243,18 +250,20 @@
         if self.lines is not None:
             self.lines.send(message)
 
-    def know(self, start: ServerStart) -> None:
+    def know(self, start: ServerStart, cold: ColdWord) -> None:
         """Take the list's word on which start of the server runs."""
         beliefs = self._beliefs
         held = beliefs.start
         if held is not None and start.older_than(held):
             return
+        news = held is None or cold != beliefs.cold
         beliefs.start = start
-        if held is None:
-            self.tell(message_of(start))
-        elif start.supersedes(held):
+        beliefs.cold = cold
+        if held is not None and start.supersedes(held):
             beliefs.load.restart()
-            self.tell(message_of(start))
+            news = True
+        if news:
+            self.tell(beliefs.started(start))
 
     async def run(self) -> None:
         """Connect again and again until cancelled."""
--- a/src/sardinetrack/turns/messages.py
+++ b/src/sardinetrack/turns/messages.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from sardinetrack.messages.api import Strike
+from sardinetrack.topology.cold import ColdWord
 from sardinetrack.topology.starts import ServerStart
 from sardinetrack.views.messages import FromFollower, FromWatcher
 
@@ -63,6 +64,12 @@
     instance: str
     started_milliseconds: int | None
     revision: int
+    cold_seconds: float = 0
+    """How long the start stays cold by its entry in the list."""
+    presumed_cold_seconds: float = 0
+    """The same by what has happened to it."""
+    cold_per_second: float = 0
+    """Requests that it bears a second while cold; 0 for no bound."""
 
 
 class TurnGranted(msgspec.Struct, tag='granted', array_like=True, frozen=True):
@@ -120,12 +127,19 @@
     )
 
 
-def message_of(start: ServerStart) -> ServerStarted:
+def message_of(
+    start: ServerStart,
+    now: float,
+    cold: ColdWord,
+) -> ServerStarted:
     """Write a start for the wire."""
     return ServerStarted(
         start.instance,
         start.started_milliseconds,
         start.revision,
+        max(0, cold.told_until_seconds - now),
+        max(0, cold.presumed_until_seconds - now),
+        cold.per_second,
     )
 
 
--- a/src/sardinetrack/turns/side.py
+++ b/src/sardinetrack/turns/side.py
@@ -12,9 +12,9 @@
 from sardinetrack.logs.events import Event, EventLog
 from sardinetrack.placement.holdings import MOST_HOLD_SECONDS
 from sardinetrack.routing.strikes import StrikeBook
-from sardinetrack.topology.starts import UNKNOWN_MARK, ServerStart
 from sardinetrack.turns.clock import loop_now
 from sardinetrack.turns.desk import TurnDesk
+from sardinetrack.turns.engine_start import EngineStart, Heard
 from sardinetrack.turns.lines import LineProtocol
 from sardinetrack.turns.messages import (
     DECODE_FROM_ENTRY,
@@ -27,8 +27,6 @@
     Struck,
     TurnGranted,
     TurnRefused,
-    message_of,
-    start_of,
 )
 from sardinetrack.turns.usage import UsageLines
 from sardinetrack.views.api import Follower
@@ -124,7 +122,7 @@
         self._log = log
         self._entries: set[EntryLines] = set()
         self._owners: dict[str, EntryLines] = {}
-        self._start: ServerStart | None = None
+        self.engine = EngineStart()
         self._told: tuple[float, int, int] | None = None
         self._told_seconds = float(0)
         self.usage = UsageLines(log)
@@ -200,14 +198,14 @@
         told; a side that went on with what it had granted to the former
         start would keep an empty engine waiting until all of that has ended.
         """
-        told = start_of(message)
-        held = self._start
-        if held is not None and told.older_than(held):
-            if held.supersedes(told):
-                teller.send(message_of(held))
+        now = loop_now()
+        heard = self.engine.hear(now, message)
+        if heard is Heard.BEHIND:
+            teller.send(self.engine.message(now))
             return
-        self._start = told
-        if held is not None and told.supersedes(held):
+        # Before what waits is granted to the new start, which may be cold.
+        self.cool(self.engine.cold)
+        if heard is Heard.RENEWED:
             self._renew(teller, message)
 
     def _renew(self, teller: EntryLines, message: ServerStarted) -> None:
@@ -219,6 +217,12 @@
             told_by=teller.entry,
             running=self.admission.running,
             waiting=self.admission.waiting,
+            starts_in_a_row=self.engine.in_a_row,
+            granted_last_second=self.engine.granted_last_second,
+            cold_seconds=round(
+                self.engine.cold.left_seconds(loop_now()),
+                _TOLD_DIGITS,
+            ),
         )
         self._granted_parts.clear()
         for entry in self._entries - {teller}:
@@ -280,6 +284,7 @@
         part = self._parts.pop(verdict.ask_id, '')
         self.verdicts[type(verdict).__name__.lower()] += 1
         if isinstance(verdict, Granted):
+            self.engine.granted(loop_now())
             if part:
                 self._granted_parts.add(part)
             owner.send(TurnGranted(verdict.ask_id))
@@ -325,7 +330,7 @@
                 slots_left,
                 len(self._entries),
                 parts,
-                UNKNOWN_MARK if self._start is None else self._start.mark,
+                self.engine.mark,
                 round(self._hold_seconds(), 1),
             )
             for entry in self._entries:
--- /dev/null
+++ b/tests/relay/steps/evacuation_steps.py
@@ -0,0 +1,240 @@
+"""Steps for evacuated failure domains and cold servers."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+
+from behave import given, then, when
+from tests.support.relay_world import RelayWorld, close_world
+
+from sardinetrack.admission.ask import Ask, Granted
+from sardinetrack.relay.followers import EvacuationsFollower
+from sardinetrack.store.api import Listing, StoredObject
+
+_KEY = 'evacuations/{0}'
+
+
+@given('a relay before {models:d} model servers, the second one in kamchia')
+def open_domains(context, models):
+    context.world = RelayWorld()
+    context.add_cleanup(close_world, context.world)
+
+    async def act():
+        await context.world.open(models=models)
+        context.world.servers[1].failure_domain = 'kamchia'
+        context.world.list_servers()
+
+    context.world.run(act())
+    context.follower = EvacuationsFollower(context.world.fleet)
+
+
+def _change(context, domain, *, deleted=False):
+    async def act():
+        stored = StoredObject(_KEY.format(domain), 5, b'{}', deleted)
+        context.follower.changed(stored)
+
+    context.world.run(act())
+
+
+@when('a stream runs at each server')
+def run_streams(context):
+    async def act():
+        for server in context.world.servers:
+            server.acts.append('pause')
+        context.early = [
+            asyncio.ensure_future(context.world.call('stream'))
+            for _ in context.world.servers
+        ]
+        await asyncio.gather(
+            *(one.asked.wait() for one in context.world.servers),
+        )
+
+    context.world.run(act())
+
+
+@then('the streams that ran before are whole')
+def whole_streams(context):
+    replies = context.world.run(asyncio.wait_for(_all(context.early), 5))
+    assert all(reply.complete for reply in replies)
+
+
+async def _all(tasks):
+    return [await task for task in tasks]
+
+
+@when('{domain:w} is evacuated')
+def evacuate(context, domain):
+    _change(context, domain)
+
+
+@when('{one:w} and {other:w} are evacuated')
+def evacuate_both(context, one, other):
+    _change(context, one)
+    _change(context, other)
+
+
+@when('the evacuation of {domain:w} is taken back')
+def take_back(context, domain):
+    _change(context, domain, deleted=True)
+
+
+@when('the domain of a server is evacuated between its turn and its send')
+def evacuate_late(context):
+    fleet = context.world.fleet
+    take = fleet.connections.take
+    chosen = []
+
+    async def slow_take(address, **more):
+        if not chosen:
+            chosen.extend(
+                one for one in context.world.servers if one.port == address[1]
+            )
+            key = _KEY.format(chosen[0].failure_domain)
+            context.follower.changed(StoredObject(key, 5, b'{}'))
+        return await take(address, **more)
+
+    fleet.connections.take = slow_take
+    context.reply = context.world.run(context.world.call('stream'))
+    context.chosen = chosen[0]
+
+
+@then('that server got no request')
+def chosen_got_none(context):
+    assert not context.chosen.requests
+
+
+@when('{count:d} callers ask for streams one after the other')
+def ask_streams(context, count):
+    world = context.world
+    context.replies = [world.run(world.call('stream')) for _ in range(count)]
+
+
+@when('the store does not answer any more')
+def lose_store(context):
+    context.follower.lost()
+
+
+@when('all evacuations are listed anew')
+def list_anew(context):
+    async def act():
+        stored = StoredObject(_KEY.format('kamchia'), 5, b'not read')
+        context.follower.listed(Listing(9, (stored,)))
+
+    context.world.run(act())
+
+
+@then('{domain:w} is evacuated still')
+def evacuated_still(context, domain):
+    assert context.world.fleet.servers.evacuated == {domain}
+
+
+@then('nothing is evacuated')
+def nothing_evacuated(context):
+    assert not context.world.fleet.servers.evacuated
+
+
+@then('the second server got {count:d} request')
+@then('the second server got {count:d} requests')
+def second_got(context, count):
+    got = len(context.world.servers[1].requests)
+    assert got == count, got
+
+
+@then('the reason is that {why}')
+def reason(context, why):
+    ended = [
+        line
+        for line in context.world.lines()
+        if line['event'] == 'request_ended'
+    ]
+    word = 'evacuated' if 'evacuated' in why else 'cold'
+    assert word in ended[-1]['reason'], ended
+
+
+@given('cold servers bear {rate:g} requests a second for {seconds:g} seconds')
+def bear(context, rate, seconds):
+    fleet = context.world.fleet
+    held = fleet.configuration
+    pools = {
+        name: replace(
+            pool,
+            cold_per_second=rate,
+            cold_seconds=seconds,
+            slots=8 * pool.slots,
+        )
+        for name, pool in held.pools.items()
+    }
+    fleet.configuration = replace(held, pools=pools)
+
+
+@given('there are {count:d} entries')
+def count_entries(context, count):
+    cold = context.world.fleet.beliefs.cold
+    cold._sides = _Sides(count)  # noqa: SLF001
+
+
+class _Sides:
+    """What sides tell of the number of entries."""
+
+    def __init__(self, count):
+        self.entries_seen = count
+
+
+@when('every server is listed as cold for {seconds:g} seconds')
+def list_cold(context, seconds):
+    for server in context.world.servers:
+        server.cold_seconds = seconds
+    _list(context)
+
+
+@when('the first server is listed as cold for {seconds:g} seconds')
+def list_first_cold(context, seconds):
+    context.world.servers[0].cold_seconds = seconds
+    _list(context)
+
+
+def _list(context):
+    async def act():
+        context.world.list_servers(revision=7)
+
+    context.world.run(act())
+
+
+def _cold_seconds(context, number):
+    fleet = context.world.fleet
+    name = context.world.servers[number].instance
+    server = fleet.servers.instances[name]
+    word = fleet.beliefs.cold.word(server, fleet.configuration.pools['models'])
+    return word.cold.left_seconds(context.world.loop.time())
+
+
+@then('the second server is taken for cold for {seconds:g} seconds')
+def second_cold(context, seconds):
+    left = _cold_seconds(context, 1)
+    assert seconds - 0.5 < left <= seconds, left
+
+
+@then('the first server is taken for warm')
+def first_warm(context):
+    assert not _cold_seconds(context, 0)
+
+
+@then('this entry gives itself {turns:d} of {asked:d} turns at the cold server')
+def gives_itself(context, turns, asked):
+    fleet = context.world.fleet
+    server = next(iter(fleet.servers.instances.values()))
+    pool = fleet.configuration.pools['models']
+
+    async def act():
+        if fleet.beliefs.cold.shut_out_seconds(server, pool) > 0:
+            return 0
+        desk = fleet.desk(server, pool)
+        asks = [
+            Ask(f'a{one}', 'pilots', 10, 20, 10, 0.1) for one in range(asked)
+        ]
+        verdicts = await asyncio.gather(*map(desk.turn, asks))
+        return sum(isinstance(one, Granted) for one in verdicts)
+
+    granted = context.world.run(act())
+    assert granted == turns, granted
--- a/tests/support/relay_servers.py
+++ b/tests/support/relay_servers.py
@@ -28,6 +28,8 @@
         self.writers = set()
         self.deadly = None
         self.down = False
+        self.failure_domain = 'galata'
+        self.cold_seconds = 0
         self._server = None
 
     async def open(self, ip='127.0.0.1'):
@@ -112,6 +114,15 @@
             b'HTTP/1.1 421 Another\r\nContent-Length: 0\r\n\r\n',
         )
 
+    async def _pause(self, fields, reader, writer):
+        head = self._head(fields, '200 OK')
+        writer.write(f'{head}Transfer-Encoding: chunked\r\n\r\n'.encode())
+        for number in range(1, EVENTS + 1):
+            event = await self._event(fields, number)
+            writer.write(b'%x\r\n%b\r\n' % (len(event), event))
+            await asyncio.sleep(0.1)
+        writer.write(b'0\r\n\r\n')
+
     async def _hang(self, fields, reader, writer):
         await reader.read()
         self.gone.set()
--- a/tests/support/relay_world.py
+++ b/tests/support/relay_world.py
@@ -164,11 +164,12 @@
                     server.pool,
                     _IP,
                     server.port,
-                    'galata',
+                    server.failure_domain,
                     8,
                     server.instance in leaving,
                     started,
                     revision,
+                    server.cold_seconds,
                 )
                 for server in self.servers
             ],
--- /dev/null
+++ b/tests/topology/steps/cold_steps.py
@@ -0,0 +1,73 @@
+"""Steps for servers that are cold."""
+
+from __future__ import annotations
+
+import math
+
+from behave import given, then, when
+
+from sardinetrack.topology.cold import ColdServers
+from sardinetrack.topology.servers import BackendServer
+
+_PER_SECOND = 10
+
+
+def _server(revision, cold_seconds):
+    return BackendServer(
+        'i-1',
+        'models',
+        '127.0.0.1',
+        8000,
+        'galata',
+        8,
+        leaving=False,
+        revision=revision,
+        cold_seconds=cold_seconds,
+    )
+
+
+def _cold(context):
+    return context.cold.word('i-1', _PER_SECOND).cold
+
+
+@given(
+    'a server that tells at {now:g} seconds that it is cold for '
+    '{seconds:g} seconds',
+)
+def given_told(context, now, seconds):
+    context.cold = ColdServers()
+    context.revision = 0
+    tell(context, now, seconds)
+
+
+@when('it tells at {now:g} seconds that it is cold for {seconds:g} seconds')
+def tell(context, now, seconds):
+    context.revision += 1
+    context.word = _server(context.revision, seconds)
+    context.cold.hear(now, context.word)
+
+
+@when('the same word is read again at {now:g} seconds')
+def read_again(context, now):
+    context.cold.hear(now, context.word)
+
+
+@when('it is presumed cold at {now:g} seconds for {seconds:g} seconds')
+def presume(context, now, seconds):
+    context.cold.presume(now, 'i-1', seconds)
+
+
+@when('it is listed no more')
+def gone(context):
+    context.cold.keep(())
+
+
+@then('the server is cold until {until:g} seconds')
+def cold_until(context, until):
+    assert _cold(context).until_seconds == until
+
+
+@then('nothing is known of it')
+@then('it was never cold')
+def unknown(context):
+    assert _cold(context).until_seconds == -math.inf
--- a/tests/turns/side.feature
+++ b/tests/turns/side.feature
@@ -108,3 +108,42 @@
     When entry 2 learns that the engine started at 950 with revision 30, and its side does not
     And entry 1 is granted a prompt with shared part p7
     Then entry 2 does not know within 0.6 seconds that the server holds p7
+
+  Scenario: A crowd that waits does not crash the engine's next start
+    Pattern: an engine crashes under a crowd and comes back cold. What waits at
+    its side was never sent, and would all be granted to the new start at once.
+
+    Given a side of 64 slots and 2 entries
+    And the entries know that the engine started at 900 with revision 20
+    When entry 1 asks 30 times for 500 tokens
+    And entry 1 learns that the engine started at 950 with revision 30, cold for 2 seconds at 10 a second
+    Then at most 3 of these are granted within 0.1 seconds
+    And at most 14 of these are granted within 1 second
+
+  Scenario: An engine that never was cold is not held up
+    Given a side of 64 slots and 2 entries
+    When entry 1 learns that the engine started at 900 with revision 20, cold for 0 seconds at 10 a second
+    And entry 1 asks 12 times for 100 tokens
+    Then at least 12 of these are granted at once
+
+  Scenario: An entry that reads the same word later does not keep an engine cold
+    An entry that starts anew reads an entry of the list that was written long
+    before. Counted from then the engine would stay cold for as long again.
+
+    Given a side of 64 slots and 2 entries
+    When entry 1 learns that the engine started at 900 with revision 20, cold for 1 second at 10 a second
+    And 0.8 seconds pass
+    And entry 2 learns that the engine started at 900 with revision 20, cold for 1 second at 10 a second
+    Then the side takes the engine for cold for at most 0.3 seconds
+    When entry 2 learns that the engine started at 900 with revision 25, cold for 1 second at 10 a second
+    Then the side takes the engine for cold for at least 0.8 seconds
+
+  Scenario: Starts that end cold are counted, with what they were given
+    The operator sees a crash loop as such, and whether we are its cause.
+
+    Given a side of 64 slots and 2 entries
+    And the entries know that the engine started at 900 with revision 20
+    When entry 1 learns that the engine started at 910 with revision 21, cold for 2 seconds at 10 a second
+    And entry 1 asks 2 times for 100 tokens
+    And entry 1 learns that the engine started at 920 with revision 22, cold for 2 seconds at 10 a second
+    Then the side tells of 2 starts in a row and 2 turns in the last second
--- a/tests/turns/steps/side_steps.py
+++ b/tests/turns/steps/side_steps.py
@@ -12,6 +12,7 @@
 from sardinetrack.placement.holdings import Holdings
 from sardinetrack.placement.load import ServerLoad
 from sardinetrack.relay.crashes import STRIKE_SECONDS, CrashWatch
+from sardinetrack.topology.cold import ColdWord
 from sardinetrack.topology.starts import ServerStart
 from sardinetrack.turns.entry import Beliefs, Restarts, SideLines
 from sardinetrack.turns.messages import (
@@ -19,7 +20,6 @@
     Hello,
     Struck,
     TurnGranted,
-    message_of,
 )
 from sardinetrack.turns.side import Side
 from sardinetrack.views.api import NoInbox
@@ -93,6 +93,7 @@
 
 
 @given('a side of {slots:d} slot and {count:d} entries')
+@given('a side of {slots:d} slots and {count:d} entries')
 def open_sized(context, slots, count):
     context.loop = asyncio.new_event_loop()
     context.add_cleanup(_close, context)
@@ -364,7 +365,7 @@
     async def act():
         entry = _entry(context, number)
         entry.beliefs.start = ServerStart('i-1', started, revision)
-        entry.lines.send(message_of(entry.beliefs.start))
+        entry.lines.send(entry.beliefs.started(entry.beliefs.start))
         await _settle()
 
     _run(context, act())
@@ -391,3 +392,73 @@
 )
 def knows_no_part(context, number, seconds, part):
     assert not _holders(context, number, seconds, part)
+
+
+@when('entry {number:d} asks {count:d} times for {tokens:d} tokens')
+def ask_times(context, number, count, tokens):
+    async def act():
+        entry = _entry(context, number)
+        context.crowd = [entry.ask(tokens) for _ in range(count)]
+        await _settle()
+
+    _run(context, act())
+
+
+@when(
+    'entry {number:d} learns that the engine started at {started:d} with '
+    'revision {revision:d}, cold for {seconds:g} seconds at {rate:g} a second',
+)
+@when(
+    'entry {number:d} learns that the engine started at {started:d} with '
+    'revision {revision:d}, cold for {seconds:g} second at {rate:g} a second',
+)
+def learn_cold(context, number, started, revision, seconds, rate):
+    async def act():
+        beliefs = _entry(context, number).beliefs
+        until_seconds = asyncio.get_running_loop().time() + seconds
+        beliefs.cold = ColdWord(until_seconds, per_second=rate)
+
+    _run(context, act())
+    learn_start(context, number, started, revision)
+
+
+@when('{seconds:g} seconds pass')
+def pass_time(context, seconds):
+    _run(context, asyncio.sleep(seconds))
+
+
+@then('at most {most:d} of these are granted within {seconds:g} second')
+@then('at most {most:d} of these are granted within {seconds:g} seconds')
+def few_granted(context, most, seconds):
+    _run(context, asyncio.sleep(seconds))
+    running = context.side.admission.running
+    assert 0 < running <= most, running
+
+
+def _cold_seconds(context):
+    now = context.loop.time()
+    return context.side.engine.cold.left_seconds(now)
+
+
+@then('the side takes the engine for cold for at most {seconds:g} seconds')
+def cold_for_less(context, seconds):
+    assert _cold_seconds(context) <= seconds
+
+
+@then('the side takes the engine for cold for at least {seconds:g} seconds')
+def cold_for_longer(context, seconds):
+    assert _cold_seconds(context) >= seconds
+
+
+@then(
+    'the side tells of {starts:d} starts in a row '
+    'and {turns:d} turns in the last second',
+)
+def tells_starts(context, starts, turns):
+    assert context.side.engine.in_a_row == starts
+    assert context.side.engine.granted_last_second == turns
+
+
+@then('at least {least:d} of these are granted at once')
+def all_granted(context, least):
+    assert context.side.admission.running >= least
