--- a/src/sardinetrack/relay/metrics.py
+++ b/src/sardinetrack/relay/metrics.py
@@ -84,6 +84,11 @@
         'Servers that started again under their id',
         meters.restarts,
     )
+    yield _gauge(
+        'evacuated_domains',
+        'Failure domains that get no new work',
+        len(fleet.servers.evacuated),
+    )
     yield _gauge('live_sides', 'Sides that answer', len(fleet.sides.live))
     yield _gauge('entries', 'Entries that the sides see', fleet.entries)
     yield _plain(
@@ -119,6 +124,16 @@
         admission.rate_tokens,
     )
     yield _gauge('entries', 'Connected entries', side.entries)
+    yield _gauge(
+        'cold_seconds',
+        'How long the engine stays cold',
+        side.engine.cold.left_seconds(loop_now()),
+    )
+    yield _gauge(
+        'starts_in_a_row',
+        'Starts of the engine of which each ended before it was warm',
+        side.engine.in_a_row,
+    )
     yield _gauge(
         'followers',
         'Entries for which it watches the store',
