--- a/src/sardinetrack/admission/ask.py
+++ b/src/sardinetrack/admission/ask.py
@@ -31,6 +31,16 @@
     """The shared part that the engine holds when the request has begun."""
     due_seconds: float = math.inf
     """From now to the moment at which its first event is late."""
+    fingerprint: int = 0
+    """Stays the same when the caller sends the request again."""
+
+    @property
+    def is_late(self) -> bool:
+        """Whether its first event is late already.
+
+        Its caller has come back after a refusal, and waits on.
+        """
+        return self.due_seconds <= 0
 
     @property
     def cost(self) -> float:
--- a/src/sardinetrack/admission/reading.py
+++ b/src/sardinetrack/admission/reading.py
@@ -250,6 +250,8 @@
         idle engine may wait a little all the same, or the longest prompts
         would be refused whenever anything is read.
         """
+        if ask.is_late:
+            return ask.patience_seconds
         reading_seconds = DRY_SECONDS + ask.new_tokens / self.rate_tokens
         needs_seconds = max(self._ahead_seconds, reading_seconds)
         spare_seconds = ask.due_seconds - needs_seconds - self.pace.lag_seconds
@@ -397,7 +399,7 @@
         Of another workspace goes first what brings it to the service that
         this one has when its turn comes.
         """
-        own = self._room.of(ask.workspace)
+        own = self._room.before(ask)
         own_tokens = tokens_of(own)
         level = self._service.tokens(now, ask.workspace) + own_tokens
         others = float(0)
--- a/src/sardinetrack/admission/waiting.py
+++ b/src/sardinetrack/admission/waiting.py
@@ -20,7 +20,12 @@
 
 
 class WaitingRoom:
-    """Holds who waits; says nothing about who is next."""
+    """Holds who waits; says nothing about which workspace is next.
+
+    Of one workspace those that can still be in time go before those that are
+    late already. Under overload somebody has to be late; were both served in
+    the order they came, those that wait their turn would be late as well.
+    """
 
     def __init__(self) -> None:
         """Start empty."""
@@ -53,9 +58,18 @@
         """Find what a workspace that waits asked for first."""
         return self._queues[workspace][0].ask
 
+    def before(self, ask: Ask) -> list[Waiting]:
+        """List the requests of its workspace that go before one."""
+        return [
+            one
+            for one in self.of(ask.workspace)
+            if ask.is_late or not one.ask.is_late
+        ]
+
     def put(self, one: Waiting) -> None:
-        """Let a request wait behind the others of its workspace."""
-        self._queues.setdefault(one.ask.workspace, deque()).append(one)
+        """Let a request wait behind those of its workspace that go first."""
+        queue = self._queues.setdefault(one.ask.workspace, deque())
+        queue.insert(len(self.before(one.ask)), one)
 
     def take_first(self, workspace: str) -> Ask:
         """Take out what a workspace asked for first."""
--- a/src/sardinetrack/relay/placing.py
+++ b/src/sardinetrack/relay/placing.py
@@ -7,6 +7,8 @@
 from functools import partial
 from typing import Final
 
+import xxhash
+
 from sardinetrack.admission.ask import Ask
 from sardinetrack.errors.api import AnsweredError, ErrorKind
 from sardinetrack.placement.choice import (
@@ -67,6 +69,8 @@
         self._part = shared_part(call.prompt)
         if shared_tokens(call.prompt) < SHARED_TOKENS:
             self._part = ''
+        self._fingerprint = _fingerprint(call)
+        self._returned_seconds = float(0)
 
     async def place(self, plan: Plan) -> Placed:
         """Wait until the request may be sent.
@@ -160,6 +164,10 @@
                 return await self._wait_turn(plan, candidate, ask)
             except TurnRefusedError as refusal:
                 refusals.append(refusal)
+                self._returned_seconds = max(
+                    self._returned_seconds,
+                    refusal.returned_seconds,
+                )
             candidate = offers.best(ends_seconds - self._loop.time())
         raise self._refused(refusals)
 
@@ -205,11 +213,13 @@
             served_tokens=fleet.service.tokens(now, plan.workspace_name),
             part=self._part,
             due_seconds=self._due_seconds(plan) - now,
+            fingerprint=self._fingerprint,
         )
 
     def _due_seconds(self, plan: Plan) -> float:
         """Tell when the first event is late, on the loop's clock."""
-        return self._call.arrived_seconds + plan.route.first_answer_seconds
+        first_seconds = self._call.arrived_seconds - self._returned_seconds
+        return first_seconds + plan.route.first_answer_seconds
 
     def _refused(self, refusals: Sequence[TurnRefusedError]) -> AnsweredError:
         self._trace.reason = '; '.join(str(refusal) for refusal in refusals)
@@ -219,3 +229,11 @@
                 refusal.retry_after_seconds for refusal in refusals
             ),
         )
+
+
+def _fingerprint(call: Call) -> int:
+    """Name what stays the same when a caller sends a request again."""
+    digest = xxhash.xxh3_64(call.method)
+    digest.update(call.target)
+    digest.update(call.body)
+    return digest.intdigest() >> 1
--- a/src/sardinetrack/relay/turn.py
+++ b/src/sardinetrack/relay/turn.py
@@ -87,10 +87,19 @@
 class TurnRefusedError(Exception):
     """The server has no turn in time."""
 
-    def __init__(self, retry_after_seconds: float, reason: str) -> None:
-        """Remember when to come back."""
+    def __init__(
+        self,
+        retry_after_seconds: float,
+        reason: str,
+        returned_seconds: float = 0,
+    ) -> None:
+        """Remember when to come back.
+
+        :param returned_seconds: how long ago it had been refused before.
+        """
         super().__init__(reason)
         self.retry_after_seconds = retry_after_seconds
+        self.returned_seconds = returned_seconds
 
 
 async def take_turn(
@@ -138,6 +147,7 @@
         ask.part,
         round(ask.due_seconds, 3),
         lines.news.rows(loop_now(), fleet.service),
+        ask.fingerprint,
     )
     timeout_seconds = ask.patience_seconds + _ANSWER_SECONDS
     answer = await lines.ask(message, timeout_seconds)
@@ -147,5 +157,6 @@
         raise TurnRefusedError(
             answer.retry_after_seconds,
             f'side: {answer.ahead_tokens} tokens ahead',
+            answer.returned_seconds,
         )
     return None
--- a/src/sardinetrack/turns/messages.py
+++ b/src/sardinetrack/turns/messages.py
@@ -42,6 +42,8 @@
     others: tuple[tuple[str, int], ...] = ()
     """What the entry has had served to other workspaces lately, anywhere:
     those served since it last asked here."""
+    fingerprint: int = 0
+    """Stays the same when the caller sends the request again; 0 if unknown."""
 
 
 class Begun(msgspec.Struct, tag='begun', array_like=True, frozen=True):
@@ -85,6 +87,8 @@
     retry_after_seconds: float
     waited_seconds: float
     ahead_tokens: int
+    returned_seconds: float = 0
+    """How long before it had been refused here; 0 for the first time."""
 
 
 class SideWord(msgspec.Struct, tag='load', array_like=True, frozen=True):
--- a/src/sardinetrack/turns/side.py
+++ b/src/sardinetrack/turns/side.py
@@ -28,6 +28,7 @@
     TurnGranted,
     TurnRefused,
 )
+from sardinetrack.turns.refused import RefusedRequests
 from sardinetrack.turns.usage import UsageLines
 from sardinetrack.views.api import Follower
 from sardinetrack.views.messages import (
@@ -127,7 +128,8 @@
         self._told_seconds = float(0)
         self.usage = UsageLines(log)
         self.verdicts: Counter[str] = Counter()
-        self._parts: dict[str, str] = {}
+        self._asked: dict[str, AskTurn] = {}
+        self._refused = RefusedRequests()
         self._granted_parts: set[str] = set()
         self._strikes = StrikeBook()
         self._stack = AsyncExitStack()
@@ -248,9 +250,10 @@
     def take(self, entry: EntryLines, message: AskTurn) -> None:
         """Take in a request."""
         self._owners[message.ask_id] = entry
-        if message.part:
-            self._parts[message.ask_id] = message.part
-        self.admission.hear(loop_now(), entry.entry, message.others)
+        now = loop_now()
+        self._asked[message.ask_id] = message
+        self.admission.hear(now, entry.entry, message.others)
+        returned_seconds = self._returned_seconds(now, message)
         ask = Ask(
             message.ask_id,
             message.workspace,
@@ -262,14 +265,19 @@
             entry.entry,
             message.served_tokens,
             message.part,
-            message.due_seconds,
+            message.due_seconds - returned_seconds,
         )
         self.ask(ask)
 
+    def _returned_seconds(self, now: float, message: AskTurn) -> float:
+        if not message.fingerprint:
+            return 0
+        return self._refused.waited_seconds(now, message.fingerprint)
+
     def ended(self, ask_id: str) -> None:
         """Free a turn."""
         self._owners.pop(ask_id, None)
-        self._parts.pop(ask_id, None)
+        self._asked.pop(ask_id, None)
         self.withdraw(ask_id)
 
     def deliver(self, verdict: Verdict) -> None:
@@ -281,22 +289,28 @@
             self._tell(owner, verdict)
 
     def _tell(self, owner: EntryLines, verdict: Verdict) -> None:
-        part = self._parts.pop(verdict.ask_id, '')
+        asked = self._asked.pop(verdict.ask_id)
         self.verdicts[type(verdict).__name__.lower()] += 1
         if isinstance(verdict, Granted):
             self.engine.granted(loop_now())
-            if part:
-                self._granted_parts.add(part)
+            if asked.part:
+                self._granted_parts.add(asked.part)
             owner.send(TurnGranted(verdict.ask_id))
             return
         self._owners.pop(verdict.ask_id, None)
         owner.asked.discard(verdict.ask_id)
+        now = loop_now()
+        returned_seconds = self._returned_seconds(now, asked)
+        if asked.fingerprint:
+            asked_seconds = now - verdict.waited_seconds
+            self._refused.note(asked_seconds, asked.fingerprint)
         owner.send(
             TurnRefused(
                 verdict.ask_id,
                 round(verdict.retry_after_seconds, _TOLD_DIGITS),
                 round(verdict.waited_seconds, _TOLD_DIGITS),
                 verdict.ahead_tokens,
+                round(returned_seconds, _TOLD_DIGITS),
             ),
         )
         self._log.write(
@@ -304,6 +318,7 @@
             request=verdict.ask_id,
             entry=owner.entry,
             waited_seconds=round(verdict.waited_seconds, _TOLD_DIGITS),
+            returned_seconds=round(returned_seconds, _TOLD_DIGITS),
             ahead_tokens=verdict.ahead_tokens,
             rate_tokens=int(self.admission.rate_tokens),
             running=self.admission.running,
