Who can still be in time goes before who is late already

They had been refused and had come back: a caller's objective counts from its first attempt. Under overload the order of arrival makes those late that still could be in time.

Change: a side remembers what it has refused by a fingerprint (workspace, method, path, body) for 12 s, 10,000 at most. One that returns is due from its first attempt. Of one workspace those that are late already go behind the others, and may wait as long as a short prompt; between workspaces nothing changes, the least served one is next. The side tells the entry, which asks other sides accordingly.

Ruled out: telling returns by the deadline that callers send.

--- a/src/sardinetrack/admission/ask.py
+++ b/src/sardinetrack/admission/ask.py
@@ -31,7 +31,7 @@
     """The shared part that the engine holds when the request has begun."""
     due_seconds: float = math.inf
     """From now to the moment at which its first event is late."""
-    fingerprint: int = 0
+    fingerprint: str = ''
     """Stays the same when the caller sends the request again."""
 
     @property
--- a/src/sardinetrack/relay/placing.py
+++ b/src/sardinetrack/relay/placing.py
@@ -7,8 +7,6 @@
 from functools import partial
 from typing import Final
 
-import xxhash
-
 from sardinetrack.admission.ask import Ask
 from sardinetrack.errors.api import AnsweredError, ErrorKind
 from sardinetrack.placement.choice import (
@@ -21,6 +19,7 @@
 from sardinetrack.placement.holdings import SHARED_TOKENS
 from sardinetrack.placement.home import shared_part, shared_tokens
 from sardinetrack.relay.api import Call
+from sardinetrack.relay.crashes import fingerprint
 from sardinetrack.relay.fleet import Fleet
 from sardinetrack.relay.offers import Offers
 from sardinetrack.relay.plan import Plan
@@ -53,6 +52,9 @@
 EVACUATED_SECONDS: Final = 1.0
 """When it is worth coming back where the operator has evacuated all servers:
 nobody knows, and it takes a person longer than a server's return."""
+_FINGERPRINT_DIGITS: Final = 16
+"""64 bits: two of the requests that a side remembers are alike by chance once
+in 10^11 times."""
 SERVER_AWAY_SECONDS: Final = 0.3
 """When it is worth coming back after a server was away or full."""
 
@@ -69,7 +71,7 @@
         self._part = shared_part(call.prompt)
         if shared_tokens(call.prompt) < SHARED_TOKENS:
             self._part = ''
-        self._fingerprint = _fingerprint(call)
+        self._fingerprint = ''
         self._returned_seconds = float(0)
 
     async def place(self, plan: Plan) -> Placed:
@@ -213,9 +215,16 @@
             served_tokens=fleet.service.tokens(now, plan.workspace_name),
             part=self._part,
             due_seconds=self._due_seconds(plan) - now,
-            fingerprint=self._fingerprint,
+            fingerprint=self._name(plan),
         )
 
+    def _name(self, plan: Plan) -> str:
+        """Name what stays the same when the caller returns."""
+        if not self._fingerprint:
+            whole = fingerprint(self._call, plan.workspace_name)
+            self._fingerprint = whole[:_FINGERPRINT_DIGITS]
+        return self._fingerprint
+
     def _due_seconds(self, plan: Plan) -> float:
         """Tell when the first event is late, on the loop's clock."""
         first_seconds = self._call.arrived_seconds - self._returned_seconds
@@ -229,11 +238,3 @@
                 refusal.retry_after_seconds for refusal in refusals
             ),
         )
-
-
-def _fingerprint(call: Call) -> int:
-    """Name what stays the same when a caller sends a request again."""
-    digest = xxhash.xxh3_64(call.method)
-    digest.update(call.target)
-    digest.update(call.body)
-    return digest.intdigest() >> 1
--- a/src/sardinetrack/turns/messages.py
+++ b/src/sardinetrack/turns/messages.py
@@ -42,8 +42,9 @@
     others: tuple[tuple[str, int], ...] = ()
     """What the entry has had served to other workspaces lately, anywhere:
     those served since it last asked here."""
-    fingerprint: int = 0
-    """Stays the same when the caller sends the request again; 0 if unknown."""
+    fingerprint: str = ''
+    """Stays the same when the caller sends the request again; empty if that is
+    not known."""
 
 
 class Begun(msgspec.Struct, tag='begun', array_like=True, frozen=True):
--- a/src/sardinetrack/turns/refused.py
+++ b/src/sardinetrack/turns/refused.py
@@ -19,9 +19,9 @@
 
     def __init__(self) -> None:
         """Start with none."""
-        self._first: dict[int, float] = {}
+        self._first: dict[str, float] = {}
 
-    def note(self, first_seconds: float, fingerprint: int) -> None:
+    def note(self, first_seconds: float, fingerprint: str) -> None:
         """Note a refusal.
 
         :param first_seconds: when the request was first asked for.
@@ -32,7 +32,7 @@
         if len(self._first) > _MOST_REMEMBERED:
             self._first.pop(next(iter(self._first)))
 
-    def waited_seconds(self, now: float, fingerprint: int) -> float:
+    def waited_seconds(self, now: float, fingerprint: str) -> float:
         """Tell how long ago a request was first asked for; 0 if it is new."""
         first_seconds = self._first.get(fingerprint)
         if first_seconds is None:
--- a/tests/admission/reading.feature
+++ b/tests/admission/reading.feature
@@ -222,3 +222,32 @@
       | 2     | 1.36 |
       | 4     | 2.40 |
       | 8     | 4.15 |
+
+  Scenario: Who can still be in time goes before who is late already
+    Pattern: a crowd asks for twice what the engines can do. Half of it is
+    refused and comes back when its objective has passed. Served in the order
+    they come, those that return make those late that still could be in time.
+
+    Given an engine of 64 slots
+    When workspace agency asks for 6000 tokens
+    And 2 requests of agency that are late already ask for 3000 tokens
+    And workspace agency asks for 3000 tokens
+    And the engine has read one prompt
+    Then the last of agency's requests is granted before those that are late
+
+  Scenario: Who is late already waits for a gap, and gets it
+    Given an engine of 64 slots
+    When workspace agency asks for 6000 tokens
+    And 1 request of agency that is late already asks for 3000 tokens
+    And the engine has read one prompt
+    Then agency is granted 2 turns
+
+  Scenario: Being late costs a workspace nothing against others
+    The least served workspace is next, late or not.
+
+    Given an engine of 64 slots
+    When workspace agency asks for 6000 tokens
+    And 1 request of pilot that is late already asks for 3000 tokens
+    And workspace agency asks for 3000 tokens
+    And the engine has read one prompt
+    Then pilot is granted 1 turn
--- a/tests/admission/steps/reading_steps.py
+++ b/tests/admission/steps/reading_steps.py
@@ -303,3 +303,23 @@
     served = context.engine.served_seconds
     pause = max(after - before for before, after in pairwise(served))
     assert pause <= most, pause
+
+
+@when(
+    '{count:d} requests of {workspace} that are late already ask'
+    ' for {tokens:d} tokens',
+)
+@when(
+    '{count:d} request of {workspace} that is late already asks'
+    ' for {tokens:d} tokens',
+)
+def ask_late(context, count, workspace, tokens):
+    for _ in range(count):
+        context.engine.ask(workspace, tokens, due_seconds=-1)
+
+
+@then("the last of agency's requests is granted before those that are late")
+def in_time_first(context):
+    engine = context.engine
+    last = list(engine.asks)[-1]
+    assert engine.granted[1] == last, engine.granted
--- a/tests/turns/side.feature
+++ b/tests/turns/side.feature
@@ -147,3 +147,21 @@
     And entry 1 asks 2 times for 100 tokens
     And entry 1 learns that the engine started at 920 with revision 22, cold for 2 seconds at 10 a second
     Then the side tells of 2 starts in a row and 2 turns in the last second
+
+  Scenario: A caller that comes back after a refusal is known
+    It connects to another entry, with a new id. Its objective counts from its
+    first attempt: the side that refused it knows that it is late by now, and
+    tells the entry, which asks other sides too.
+
+    Given a side of 1 slot and 2 entries
+    When entry 1 asks for 5000 tokens
+    And entry 1 asks as caller 7 and is refused
+    And 0.3 seconds pass
+    And entry 2 asks as caller 7 and is refused
+    Then entry 2 is told that caller 7 was refused before, 0.3 seconds ago
+    And another caller was not
+
+  Scenario: A flood of refusals fills no memory
+    Given a side of 1 slot and 2 entries
+    When 30000 different callers are refused
+    Then the side remembers at most 10000 of them
--- a/tests/turns/steps/side_steps.py
+++ b/tests/turns/steps/side_steps.py
@@ -20,7 +20,9 @@
     Hello,
     Struck,
     TurnGranted,
+    TurnRefused,
 )
+from sardinetrack.turns.refused import RefusedRequests
 from sardinetrack.turns.side import Side
 from sardinetrack.views.api import NoInbox
 from sardinetrack.views.watcher import Feeds, Watcher
@@ -462,3 +464,58 @@
 @then('at least {least:d} of these are granted at once')
 def all_granted(context, least):
     assert context.side.admission.running >= least
+
+
+@when('entry {number:d} asks as caller {caller:d} and is refused')
+def ask_as(context, number, caller):
+    async def act():
+        entry = _entry(context, number)
+        ask = AskTurn(
+            f'{entry.name}.as-{caller}-{len(entry.asks)}',
+            'w',
+            100,
+            100,
+            50,
+            0.05,
+            0,
+            0,
+            '',
+            1,
+            fingerprint=f'c{caller}',
+        )
+        context.told = await entry.lines.ask(ask, 3)
+        assert isinstance(context.told, TurnRefused), context.told
+
+    _run(context, act())
+
+
+@then(
+    'entry 2 is told that caller 7 was refused before, {seconds:g} seconds ago',
+)
+def told_returned(context, seconds):
+    told = context.told.returned_seconds
+    assert seconds <= told < seconds + 0.2, told
+
+
+@then('another caller was not')
+def not_returned(context):
+    ask_as(context, 2, 8)
+    assert not context.told.returned_seconds
+
+
+@when('{count:d} different callers are refused')
+def refuse_many(context, count):
+    context.refused = RefusedRequests()
+    for caller in range(1, count + 1):
+        context.refused.note(0, f'c{caller}')
+
+
+@then('the side remembers at most {most:d} of them')
+def remembers(context, most):
+    known = [
+        caller
+        for caller in range(1, 30_001)
+        if context.refused.waited_seconds(1, f'c{caller}') > 0
+    ]
+    assert len(known) <= most
+    assert known[-1] == 30_000
