An engine's batch is bounded by the pace that its answers need

Change: a side learns the time of a token from whole answers (the mean of the logarithms, as estimates are off either way) and compares it with what the answers that are asked for need until their deadlines. While more than 2 in 100 need a faster pace it lets fewer run, down to half of the slots; with 12 slots or short answers nothing changes.

Ruled out: refusing at once whose own answer is too long for the pace: estimates are off by half, and the largest tenth would be shut out.

--- a/src/sardinetrack/admission/ask.py
+++ b/src/sardinetrack/admission/ask.py
@@ -31,6 +31,8 @@
     """The shared part that the engine holds when the request has begun."""
     due_seconds: float = math.inf
     """From now to the moment at which its first event is late."""
+    ends_seconds: float = math.inf
+    """From now to the moment at which its caller waits no longer."""
     fingerprint: str = ''
     """Stays the same when the caller sends the request again."""
 
--- a/src/sardinetrack/admission/reading.py
+++ b/src/sardinetrack/admission/reading.py
@@ -14,6 +14,7 @@
 from typing import Final
 
 from sardinetrack.admission.ask import Ask, Granted, Refused, Verdict
+from sardinetrack.admission.batch import BatchBound
 from sardinetrack.admission.holding import SlotHolding
 from sardinetrack.admission.pace import ReadingPace
 from sardinetrack.admission.usage import EngineUse, Usage
@@ -60,7 +61,6 @@
 The rest holds the shared parts in use; when memory runs out the newest
 request is read again from the start.
 """
-SLOTS_PART: Final = 0.97
 _ENGINE: Final = ''
 _LEAST_RETRY_SECONDS: Final = 0.25
 
@@ -71,7 +71,8 @@
     granted_seconds: float
     expected_seconds: float
     """Until its first event, as expected when it was granted."""
-    begun: bool = False
+    begun_seconds: float | None = None
+    """When its first event came."""
 
 
 class ReadingAdmission:
@@ -85,6 +86,7 @@
         """
         self.pace = ReadingPace()
         self.usage = Usage()
+        self.batch = BatchBound()
         self._holding = SlotHolding()
         self.warming = WarmTurns()
         self._slots = slots
@@ -186,7 +188,7 @@
 
     @property
     def _most_running(self) -> int:
-        return max(1, math.ceil(self._slots * SLOTS_PART))
+        return self.batch.most(self._slots)
 
     def restart(self, now: float) -> Sequence[Verdict]:
         """Note that the engine has started anew and knows of nothing.
@@ -216,6 +218,7 @@
     def ask(self, now: float, ask: Ask) -> Sequence[Verdict]:
         """Take in a request: it is granted, refused or waits."""
         self._service.hear(now, ask.entry, ask.workspace, ask.served_tokens)
+        self.batch.asked(now, ask.answer_tokens, ask.ends_seconds)
         self._join(now, ask.workspace)
         wait_seconds = self._wait_seconds(now, ask)
         patience_seconds = self._patience_seconds(ask)
@@ -258,18 +261,27 @@
         least_seconds = LEAST_PATIENCE_SECONDS
         return min(ask.patience_seconds, max(spare_seconds, least_seconds))
 
-    def withdraw(self, now: float, ask_id: str) -> Sequence[Verdict]:
-        """Forget a request whose caller has left, wherever it stands."""
+    def withdraw(
+        self,
+        now: float,
+        ask_id: str,
+        *,
+        whole: bool = False,
+    ) -> Sequence[Verdict]:
+        """Forget a request, wherever it stands.
+
+        :param whole: its caller has all of the answer.
+        """
         if ask_id in self._running:
-            return self.ended(now, ask_id)
+            return self.ended(now, ask_id, whole=whole)
         return self._turn(now) if self._room.remove(ask_id) else ()
 
     def begun(self, now: float, ask_id: str) -> Sequence[Verdict]:
         """Note the first token: the prompt is read."""
         running = self._running.get(ask_id)
-        if running is None or running.begun:
+        if running is None or running.begun_seconds is not None:
             return ()
-        running.begun = True
+        running.begun_seconds = now
         self.usage.note_begun(
             now - running.granted_seconds,
             running.expected_seconds,
@@ -277,13 +289,25 @@
         self.pace.begun(now, ask_id)
         return self._turn(now)
 
-    def ended(self, now: float, ask_id: str) -> Sequence[Verdict]:
-        """Free what a request held."""
+    def ended(
+        self,
+        now: float,
+        ask_id: str,
+        *,
+        whole: bool = True,
+    ) -> Sequence[Verdict]:
+        """Free what a request held.
+
+        :param whole: its caller has all of the answer.
+        """
         running = self._running.pop(ask_id, None)
         if running is None:
             return ()
-        if running.begun:
+        if running.begun_seconds is not None:
             self._holding.ended(now - running.granted_seconds)
+            if whole:
+                wrote_seconds = now - running.begun_seconds
+                self.batch.wrote(wrote_seconds, running.ask.answer_tokens)
         self.pace.ended(now, ask_id)
         self._kept_tokens -= running.ask.kept_tokens
         return self._turn(now)
--- a/src/sardinetrack/placement/prompt.py
+++ b/src/sardinetrack/placement/prompt.py
@@ -21,3 +21,6 @@
     tokens: int = 0
     answer_tokens: int = 0
     """Most tokens that the answer may have, or the caller's estimate."""
+    most_answer_tokens: int = 0
+    is_estimated: bool = False
+    """Whether the caller has told an estimate."""
--- a/src/sardinetrack/platform/dialect.py
+++ b/src/sardinetrack/platform/dialect.py
@@ -176,12 +176,19 @@
     if len(counts) != 2:
         return Prompt()
     tokens = _integer(counts[0]) or 0
-    answer_tokens = _integer(counts[1]) or 0
+    most_tokens = _integer(counts[1]) or 0
     hint = _integer(fields.get(b'x-sardinetrack-length-hint'))
+    answer_tokens = most_tokens
     if hint is not None:
-        answer_tokens = min(hint, answer_tokens or hint)
+        answer_tokens = min(hint, most_tokens or hint)
     prefix = fields.get(b'x-sardinetrack-prefix-hash', b'')
-    return Prompt(_parts(prefix), tokens, answer_tokens)
+    return Prompt(
+        _parts(prefix),
+        tokens,
+        answer_tokens,
+        most_tokens,
+        is_estimated=hint is not None,
+    )
 
 
 def _parts(prefix: bytes) -> tuple[PromptPart, ...]:
--- a/src/sardinetrack/relay/beliefs.py
+++ b/src/sardinetrack/relay/beliefs.py
@@ -6,6 +6,7 @@
 
 from sardinetrack.placement.load import ServerLoad
 from sardinetrack.relay.cold import EntryCold
+from sardinetrack.relay.lengths import AnswerLengths
 from sardinetrack.relay.side_links import SideLinks
 from sardinetrack.routing.breaker import Breaker
 from sardinetrack.topology.configuration import Pool
@@ -22,6 +23,7 @@
         :param sides: tell how many entries there are.
         """
         self.cold = EntryCold(sides)
+        self.lengths = AnswerLengths()
         self.loads: dict[str, ServerLoad] = {}
         self._breakers: dict[str, Breaker] = {}
         self._desks: dict[str, LocalDesk] = {}
--- a/src/sardinetrack/relay/cold.py
+++ b/src/sardinetrack/relay/cold.py
@@ -2,14 +2,15 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Collection, Iterable
 
 from sardinetrack.admission.warming import WarmTurns
 from sardinetrack.relay.side_links import FIRST_ENTRIES, SideLinks
 from sardinetrack.topology.cold import Cold, ColdServers, ColdWord
 from sardinetrack.topology.configuration import Pool
+from sardinetrack.topology.freshness import boot_clock
 from sardinetrack.topology.servers import BackendServer
+from sardinetrack.turns.clock import loop_now
 
 
 class EntryCold:
@@ -30,20 +31,22 @@
         self._sides = sides
         self._servers = ColdServers()
         self._paces: dict[str, WarmTurns] = {}
-        self._loop = asyncio.get_running_loop()
 
     def hear(self, servers: Iterable[BackendServer]) -> None:
         """Take the entries of the list."""
         for server in servers:
-            self._servers.hear(self._loop.time(), server)
+            self._servers.hear(boot_clock(), server)
 
     def presume(self, server: BackendServer, pool: Pool) -> None:
         """Take a server for as cold as after a start."""
-        now = self._loop.time()
-        self._servers.presume(now, server.instance, pool.cold_seconds)
+        self._servers.presume(
+            boot_clock(),
+            server.instance,
+            pool.cold_seconds,
+        )
 
     def word(self, server: BackendServer, pool: Pool) -> ColdWord:
-        """Tell what is known of a server."""
+        """Tell what is known of a server, by the boot clock."""
         return self._servers.word(server.instance, pool.cold_per_second)
 
     def keep(self, instances: Collection[str]) -> None:
@@ -55,13 +58,16 @@
     def own(self, server: BackendServer, pool: Pool) -> Cold:
         """Tell how long a server is cold, and this entry's part of its turns.
 
+        By the clock of the event loop.
+
         The part is 0 where nothing may be sent.
         """
         entries = self._sides.entries_seen
         if entries is None and not pool.runs_models:
             entries = FIRST_ENTRIES
         share = int(pool.cold_per_second / entries) if entries else 0
-        return Cold(self.word(server, pool).cold.until_seconds, share)
+        until_seconds = self.word(server, pool).cold.until_seconds
+        return Cold(until_seconds - boot_clock() + loop_now(), share)
 
     def shut_out_seconds(self, server: BackendServer, pool: Pool) -> float:
         """Tell how long this entry may send nothing to a server by itself."""
@@ -70,7 +76,7 @@
         cold = self.own(server, pool)
         if cold.per_second:
             return 0
-        return max(0, cold.until_seconds - self._loop.time())
+        return max(0, cold.until_seconds - loop_now())
 
     def bears(self, server: BackendServer, pool: Pool) -> bool:
         """Whether a server that admits by itself takes one more now."""
@@ -78,13 +84,13 @@
             return True
         if self.shut_out_seconds(server, pool) > 0:
             return False
-        now = self._loop.time()
+        now = loop_now()
         return self._pace(server, pool).free_at_seconds(now) <= now
 
     def sent(self, server: BackendServer, pool: Pool) -> None:
         """Note a request to a server that admits by itself."""
         if pool.cold_per_second:
-            self._pace(server, pool).granted(self._loop.time())
+            self._pace(server, pool).granted(loop_now())
 
     def _pace(self, server: BackendServer, pool: Pool) -> WarmTurns:
         pace = self._paces.setdefault(server.instance, WarmTurns())
--- a/src/sardinetrack/relay/exchange.py
+++ b/src/sardinetrack/relay/exchange.py
@@ -108,13 +108,15 @@
         delivered = False
         while not delivered:
             placed = await self._placer.place(plan)
+            whole = False
             try:
                 attempt = await self._sender.send(plan, placed, self.progress)
+                whole = attempt.done.result() is AttemptEnd.DELIVERED
             except NotConnectedError:
                 self.trace.unreached.add(placed.candidate.server.instance)
                 continue
             finally:
-                placed.turn.ended()
+                placed.turn.ended(whole=whole)
             delivered = self._judge(plan, attempt)
 
     def _judge(self, plan: Plan, attempt: Attempt) -> bool:
--- a/src/sardinetrack/relay/followers.py
+++ b/src/sardinetrack/relay/followers.py
@@ -66,6 +66,13 @@
         if held is not None and configuration.version <= held.version:
             return
         self._fleet.configuration = configuration
+        self._fleet.beliefs.lengths.keep(
+            {
+                route.name
+                for routes in configuration.routes.values()
+                for route in routes
+            },
+        )
         self._fleet.servers_changed()
         self._fleet.log.write(
             Event.CONFIGURED,
--- a/src/sardinetrack/relay/placing.py
+++ b/src/sardinetrack/relay/placing.py
@@ -72,6 +72,7 @@
         if shared_tokens(call.prompt) < SHARED_TOKENS:
             self._part = ''
         self._fingerprint = ''
+        self._answer: int | None = None
         self._returned_seconds = float(0)
 
     async def place(self, plan: Plan) -> Placed:
@@ -196,7 +197,6 @@
         candidate: Candidate,
         patience_seconds: float,
     ) -> Ask:
-        prompt = self._call.prompt
         fleet = self._fleet
         request_id = self._call.request_id
         number = self._trace.asks
@@ -206,8 +206,8 @@
             ask_id=f'{request_id}.{number}',
             workspace=plan.workspace_name,
             new_tokens=candidate.new_tokens,
-            kept_tokens=candidate.new_tokens + prompt.answer_tokens,
-            answer_tokens=prompt.answer_tokens,
+            kept_tokens=candidate.new_tokens + self._answer_tokens(plan),
+            answer_tokens=self._answer_tokens(plan),
             patience_seconds=(
                 GUEST_SECONDS if candidate.is_guest else patience_seconds
             ),
@@ -215,9 +215,16 @@
             served_tokens=fleet.service.tokens(now, plan.workspace_name),
             part=self._part,
             due_seconds=self._due_seconds(plan) - now,
+            ends_seconds=max(0, plan.ends_seconds - now),
             fingerprint=self._name(plan),
         )
 
+    def _answer_tokens(self, plan: Plan) -> int:
+        if self._answer is None:
+            lengths = self._fleet.beliefs.lengths
+            self._answer = lengths.tokens(plan.route.name, self._call.prompt)
+        return self._answer
+
     def _name(self, plan: Plan) -> str:
         """Name what stays the same when the caller returns."""
         if not self._fingerprint:
--- a/src/sardinetrack/relay/turn.py
+++ b/src/sardinetrack/relay/turn.py
@@ -27,8 +27,11 @@
         """Tell that the first event came."""
 
     @abstractmethod
-    def ended(self) -> None:
-        """Give it back."""
+    def ended(self, *, whole: bool) -> None:
+        """Give it back.
+
+        :param whole: the caller has all of the answer.
+        """
 
 
 class PlainTurn(Turn):
@@ -45,7 +48,7 @@
     def begun(self) -> None:
         """Nobody waits for it."""
 
-    def ended(self) -> None:
+    def ended(self, *, whole: bool) -> None:
         """Count it no more."""
         self._load.running -= 1
 
@@ -62,9 +65,9 @@
         """Tell the side."""
         self._lines.begun(self._ask_id)
 
-    def ended(self) -> None:
+    def ended(self, *, whole: bool) -> None:
         """Tell the side."""
-        self._lines.ended(self._ask_id)
+        self._lines.ended(self._ask_id, whole=whole)
 
 
 class OwnTurn(Turn):
@@ -79,9 +82,9 @@
         """Tell the desk."""
         self._desk.begun(self._ask_id)
 
-    def ended(self) -> None:
+    def ended(self, *, whole: bool) -> None:
         """Tell the desk."""
-        self._desk.withdraw(self._ask_id)
+        self._desk.withdraw(self._ask_id, whole=whole)
 
 
 class TurnRefusedError(Exception):
@@ -148,6 +151,7 @@
         round(ask.due_seconds, 3),
         lines.news.rows(loop_now(), fleet.service),
         ask.fingerprint,
+        round(ask.ends_seconds, 3),
     )
     timeout_seconds = ask.patience_seconds + _ANSWER_SECONDS
     answer = await lines.ask(message, timeout_seconds)
--- a/src/sardinetrack/turns/desk.py
+++ b/src/sardinetrack/turns/desk.py
@@ -40,9 +40,13 @@
         """Learn how long the server stays cold."""
         self._carry_out(self.admission.cool(loop_now(), cold))
 
-    def withdraw(self, ask_id: str) -> None:
-        """Forget a request, whether it waits or runs."""
-        self._carry_out(self.admission.withdraw(loop_now(), ask_id))
+    def withdraw(self, ask_id: str, *, whole: bool = False) -> None:
+        """Forget a request, whether it waits or runs.
+
+        :param whole: its caller has all of the answer.
+        """
+        now = loop_now()
+        self._carry_out(self.admission.withdraw(now, ask_id, whole=whole))
 
     def _carry_out(self, verdicts: Sequence[Verdict]) -> None:
         for verdict in verdicts:
--- a/src/sardinetrack/turns/entry.py
+++ b/src/sardinetrack/turns/entry.py
@@ -15,6 +15,7 @@
 from sardinetrack.placement.holdings import Holdings
 from sardinetrack.placement.load import ServerLoad
 from sardinetrack.topology.cold import ColdWord
+from sardinetrack.topology.freshness import boot_clock
 from sardinetrack.topology.starts import UNKNOWN_MARK, ServerStart
 from sardinetrack.turns.clock import loop_now
 from sardinetrack.turns.lines import LineProtocol
@@ -83,7 +84,7 @@
 
     def started(self, start: ServerStart) -> ServerStarted:
         """Write for the side what the list tells of the server."""
-        return message_of(start, loop_now(), self.cold)
+        return message_of(start, boot_clock(), self.cold)
 
     def about_listed(self, mark: int) -> bool:
         """Whether a word is about the start that is listed.
@@ -203,9 +204,12 @@
         """Tell that the first event came."""
         self.send(Begun(ask_id))
 
-    def ended(self, ask_id: str) -> None:
-        """Give the turn back."""
-        self.send(Ended(ask_id))
+    def ended(self, ask_id: str, *, whole: bool = False) -> None:
+        """Give the turn back.
+
+        :param whole: the caller has all of the answer.
+        """
+        self.send(Ended(ask_id, whole))
 
 
 class SideLink(Neighbour):
--- a/src/sardinetrack/turns/messages.py
+++ b/src/sardinetrack/turns/messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Final
 
 import msgspec
@@ -45,6 +46,13 @@
     fingerprint: str = ''
     """Stays the same when the caller sends the request again; empty if that is
     not known."""
+    ends_seconds: float = 0
+    """How long its caller waits for the whole answer; 0 if that is unknown."""
+
+    @property
+    def left_seconds(self) -> float:
+        """Tell how long its caller waits, as far as is known."""
+        return self.ends_seconds or math.inf
 
 
 class Begun(msgspec.Struct, tag='begun', array_like=True, frozen=True):
@@ -57,6 +65,8 @@
     """A request is over, or its caller left before it was granted."""
 
     ask_id: str
+    whole: bool = False
+    """Its caller has all of the answer."""
 
 
 class ServerStarted(
@@ -137,7 +147,10 @@
     now: float,
     cold: ColdWord,
 ) -> ServerStarted:
-    """Write a start for the wire."""
+    """Write a start for the wire.
+
+    :param now: on the clock of the word.
+    """
     return ServerStarted(
         start.instance,
         start.started_milliseconds,
--- a/src/sardinetrack/turns/side.py
+++ b/src/sardinetrack/turns/side.py
@@ -76,7 +76,7 @@
                 self._side.begun(message.ask_id)
             case Ended():
                 self.asked.discard(message.ask_id)
-                self._side.ended(message.ask_id)
+                self._side.ended(message.ask_id, whole=message.whole)
             case Hello():
                 self.entry = message.entry
                 self._side.met(self, message)
@@ -266,6 +266,7 @@
             message.served_tokens,
             message.part,
             message.due_seconds - returned_seconds,
+            message.left_seconds,
         )
         self.ask(ask)
 
@@ -274,11 +275,14 @@
             return 0
         return self._refused.waited_seconds(now, message.fingerprint)
 
-    def ended(self, ask_id: str) -> None:
-        """Free a turn."""
+    def ended(self, ask_id: str, *, whole: bool = False) -> None:
+        """Free a turn.
+
+        :param whole: the caller has all of the answer.
+        """
         self._owners.pop(ask_id, None)
         self._asked.pop(ask_id, None)
-        self.withdraw(ask_id)
+        self.withdraw(ask_id, whole=whole)
 
     def deliver(self, verdict: Verdict) -> None:
         """Tell the entry that asked."""
--- a/src/sardinetrack/turns/usage.py
+++ b/src/sardinetrack/turns/usage.py
@@ -61,4 +61,6 @@
             running=admission.running,
             slots_left=admission.slots_left,
             held_seconds=round(admission.held_seconds, _DIGITS),
+            token_seconds=round(admission.batch.token_seconds, 4),
+            slots_part=round(admission.batch.part, 2),
         )
--- a/tests/relay/steps/evacuation_steps.py
+++ b/tests/relay/steps/evacuation_steps.py
@@ -11,6 +11,7 @@
 from sardinetrack.admission.ask import Ask, Granted
 from sardinetrack.relay.followers import EvacuationsFollower
 from sardinetrack.store.api import Listing, StoredObject
+from sardinetrack.topology.freshness import boot_clock
 
 _KEY = 'evacuations/{0}'
 
@@ -206,7 +207,7 @@
     name = context.world.servers[number].instance
     server = fleet.servers.instances[name]
     word = fleet.beliefs.cold.word(server, fleet.configuration.pools['models'])
-    return word.cold.left_seconds(context.world.loop.time())
+    return word.cold.left_seconds(boot_clock())
 
 
 @then('the second server is taken for cold for {seconds:g} seconds')
--- a/tests/turns/steps/side_steps.py
+++ b/tests/turns/steps/side_steps.py
@@ -13,6 +13,7 @@
 from sardinetrack.placement.load import ServerLoad
 from sardinetrack.relay.crashes import STRIKE_SECONDS, CrashWatch
 from sardinetrack.topology.cold import ColdWord
+from sardinetrack.topology.freshness import boot_clock
 from sardinetrack.topology.starts import ServerStart
 from sardinetrack.turns.entry import Beliefs, Restarts, SideLines
 from sardinetrack.turns.messages import (
@@ -417,7 +418,7 @@
 def learn_cold(context, number, started, revision, seconds, rate):
     async def act():
         beliefs = _entry(context, number).beliefs
-        until_seconds = asyncio.get_running_loop().time() + seconds
+        until_seconds = boot_clock() + seconds
         beliefs.cold = ColdWord(until_seconds, per_second=rate)
 
     _run(context, act())
