A request leaves its home while it can still be in time elsewhere

Reading a shared part again counts twenty times its own time, which is more than the objective.

Change: a request waits at its home no longer than it can still be in time at the best of the others that have room. Where it would be late there too it stays, so nothing is read again for nothing; under overload nobody tells of room.

--- a/src/sardinetrack/placement/choice.py
+++ b/src/sardinetrack/placement/choice.py
@@ -45,6 +45,8 @@
 """
 WORD_AGE_SECONDS: Final = 0.08
 """Mean age of a word; what was told may be off by what was granted since."""
+LEAVE_SECONDS: Final = 0.1
+"""From leaving a server to the first event of another, beside its reading."""
 _UNKNOWN: Final = ServerLoad()
 _COST: Final = attrgetter('cost_seconds')
 
@@ -64,6 +66,8 @@
     """Prompt tokens that it would have to read."""
     again_tokens: int = 0
     """Those of them that its home would not have to read."""
+    begin_seconds: float = 0
+    """Until the prompt would be read there."""
 
     @property
     def is_guest(self) -> bool:
@@ -146,19 +150,30 @@
             yield one
 
 
-def worth_waiting_seconds(one: Candidate, other: Candidate | None) -> float:
+def worth_waiting_seconds(
+    one: Candidate,
+    other: Candidate | None,
+    due_seconds: float = math.inf,
+) -> float:
     """Tell how long a request should wait at a server before it leaves it.
 
-    As long as waiting costs less than going to the next best. A short prompt
-    that came to its home just before a very long one was granted there would
-    else wait until it is late, beside servers that would read it at once.
+    As long as waiting costs less than going to the next best, and no longer
+    than it can still be in time there. A short prompt that came to its home
+    just before a very long one was granted there would else wait until it is
+    late, beside servers that would read it at once.
 
     :param other: the best of those that have room.
+    :param due_seconds: from now until the first event is late.
     """
     if other is None:
         return math.inf
     over_seconds = other.cost_seconds - one.cost_seconds
-    return one.wait_seconds + max(0, over_seconds) + WORD_AGE_SECONDS
+    stay_seconds = one.wait_seconds + max(0, over_seconds) + WORD_AGE_SECONDS
+    spare_seconds = due_seconds - other.begin_seconds - LEAVE_SECONDS
+    if spare_seconds < 0:
+        # It would be late there too, and have a part read again besides.
+        return stay_seconds
+    return min(stay_seconds, spare_seconds)
 
 
 def without(
@@ -239,4 +254,5 @@
         cost_seconds,
         reading.new_tokens,
         reading.again_tokens,
+        wait_seconds + reading.new_tokens / rate_tokens,
     )
--- a/src/sardinetrack/relay/placing.py
+++ b/src/sardinetrack/relay/placing.py
@@ -160,8 +160,11 @@
         while candidate is not None and offers.asked < MOST_ASKED:
             offers.ask(candidate)
             left_seconds = max(0, ends_seconds - self._loop.time())
-            other = offers.best(left_seconds)
-            stay_seconds = worth_waiting_seconds(candidate, other)
+            stay_seconds = worth_waiting_seconds(
+                candidate,
+                offers.best(left_seconds),
+                self._due_seconds(plan) - self._loop.time(),
+            )
             ask = self._ask(plan, candidate, min(left_seconds, stay_seconds))
             try:
                 return await self._wait_turn(plan, candidate, ask)
--- a/tests/placement/choice.feature
+++ b/tests/placement/choice.feature
@@ -85,6 +85,21 @@
     And a prompt with 5000 shared tokens is placed
     Then it is worth waiting at home for more than 2 seconds
 
+  Scenario: Who would be late at home leaves while it can be in time elsewhere
+    Pattern: a calm day with some very long prompts. One of 50,000 tokens is read
+    at the home of a short one for a second; the short one's caller would see
+    its objective pass, and nobody else is hurt by reading its part again.
+
+    Given 9 idle engines
+    When a prompt with 5000 shared tokens is placed
+    Then due in 0.9 seconds it is worth waiting at home for less than 0.7 seconds
+    And due in 0.9 seconds it is worth waiting at home for more than 0.4 seconds
+
+  Scenario: Who would be late there too stays at home
+    Given 9 idle engines
+    When a prompt with 5000 shared tokens is placed
+    Then due in 0.15 seconds it is worth waiting at home for more than 2 seconds
+
   Scenario: A part counts as held for as long as its server keeps parts
     Given a server that keeps parts for 3 seconds and one that says nothing
     When both have used a part 5 seconds ago
--- a/tests/placement/steps/choice_steps.py
+++ b/tests/placement/steps/choice_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 
 from behave import given, then, when
@@ -190,9 +191,10 @@
     context.found = by_prompt(prompt, context.servers, context.loads)
 
 
-def _worth_waiting(context):
+def _worth_waiting(context, due_seconds=math.inf):
     home, *others = context.found
-    return worth_waiting_seconds(home, next(with_room(others, 0.4), None))
+    other = next(with_room(others, 0.4), None)
+    return worth_waiting_seconds(home, other, due_seconds)
 
 
 @then('it is worth waiting at home for less than {seconds:g} seconds')
@@ -253,3 +255,19 @@
 @then('only the one that says nothing counts as a holder')
 def one_holder(context):
     assert list(context.held) == ['10.0.0.2'], context.held
+
+
+@then(
+    'due in {due:g} seconds it is worth waiting at home'
+    ' for less than {seconds:g} seconds',
+)
+def worth_less_when_due(context, due, seconds):
+    assert _worth_waiting(context, due) < seconds
+
+
+@then(
+    'due in {due:g} seconds it is worth waiting at home'
+    ' for more than {seconds:g} seconds',
+)
+def worth_more_when_due(context, due, seconds):
+    assert _worth_waiting(context, due) > seconds
