--- a/tests/topology/cold.feature
+++ b/tests/topology/cold.feature
@@ -2,7 +2,7 @@
 
   Scenario: A word is counted from its first reading
     The list is read again when a view changes hands; its words are older then,
-    and the servers no colder.
+    its servers are no colder for that.
 
     Given a server that tells at 10 seconds that it is cold for 3 seconds
     When the same word is read again at 12 seconds
