Nothing is sent for a caller whose end was read in the same turn of the loop

The look at the caller's socket before each send takes a connection that the loop is closing already for one with nothing to read; the request is cancelled in the loop's next turn, which at such an entry is seconds away.

Change: a connection that is closing counts as hung up.

Shown: tests/relay/relay.feature 'Nothing is sent for a caller whose end was read in the same turn' fails before, passes after.

--- a/src/sardinetrack/relay/caller_connection.py
+++ b/src/sardinetrack/relay/caller_connection.py
@@ -119,7 +119,11 @@
 
         A late loop reads requests and the ends of their connections in one
         turn, and serves the request first: a server would work for nobody.
+        An end that was read cancels the request in the next turn only, which
+        may be seconds later, too.
         """
+        if self._transport is None or self._transport.is_closing():
+            return True
         return self.unread and self._at_its_end()
 
     def _at_its_end(self) -> bool:
--- a/tests/relay/relay.feature
+++ b/tests/relay/relay.feature
@@ -106,6 +106,15 @@
     And the first of them fetches and leaves before the loop has its turn
     Then the servers got 2 requests
 
+  Scenario: Nothing is sent for a caller whose end was read in the same turn
+    The loop of a crowded entry reads the end of a connection and closes it; the
+    request is cancelled in the loop's next turn, seconds later. In the rest of
+    this one it would be sent all the same.
+
+    Given a relay before 1 plain server
+    When a caller's end is read in the turn in which its request would be sent
+    Then the servers got 0 requests
+
   Scenario: A request is answered at its time-out
     Given a relay before 1 model server with a time-out of 0.3 seconds
     When the server hangs on its next request
--- a/tests/relay/steps/relay_steps.py
+++ b/tests/relay/steps/relay_steps.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import re
+from contextlib import suppress
 from dataclasses import replace
 
 from behave import given, then, when
@@ -409,3 +410,27 @@
 def answer_misdirected(context):
     server = context.world.servers[0]
     server.acts.extend('misdirect' for _ in range(9))
+
+
+@when("a caller's end is read in the turn in which its request would be sent")
+def end_in_turn(context):
+    world = context.world
+    take = world.fleet.connections.take
+    read = []
+
+    async def read_end_first(address, **more):
+        connection = await take(address, **more)
+        caller = next(iter(world.entry._connections))  # noqa: SLF001
+        caller._transport.close()  # noqa: SLF001
+        read.append(caller)
+        return connection
+
+    world.fleet.connections.take = read_end_first
+
+    async def act():
+        with suppress(ConnectionError):
+            await world.call('fetch')
+        await asyncio.sleep(0.05)
+
+    world.run(act())
+    assert read
