--- a/src/sardinetrack/placement/choice.py
+++ b/src/sardinetrack/placement/choice.py
@@ -24,10 +24,8 @@
 """How many times its own time reading a shared part again counts.
 
 Everybody at that server waits for it, and it drives other parts out of the
-memory. Measured on the users' days with trouble, 2 against 16: 55 % fewer
-tokens read again and 0.08 to 0.13 more of the worth of a day; 40 differs from
-16 by less than two runs do. A home that can't take a request in time refuses
-it, and it goes elsewhere all the same, so no server idles.
+memory. A home that can't take a request in time refuses it, and it goes
+elsewhere all the same, so no server idles.
 """
 RANK_SECONDS: Final = 0.015
 """Counted for each place behind the home.
--- a/src/sardinetrack/relay/capacity.py
+++ b/src/sardinetrack/relay/capacity.py
@@ -10,9 +10,9 @@
 from sardinetrack.relay.settings import NodeSettings
 
 BASE_BYTES: Final = 45_000_000
-"""A started entry with its metrics page loaded; 27 MB measured without."""
+"""A started entry with its metrics page loaded; 27 MB without."""
 CONNECTION_BYTES: Final = 64_000
-"""A caller's connection; 55 KB measured as the mean of 1,846 of which half
+"""A caller's connection; 55 KB is the mean of 1,846 of which half
 had a prompt of 12 KB under way."""
 REQUEST_BYTES: Final = 160_000
 """A request under way: its body, the copy on its way, and both connections."""
--- a/src/sardinetrack/relay/placing.py
+++ b/src/sardinetrack/relay/placing.py
@@ -36,8 +36,6 @@
 """Wait of a request at a server that has to read a shared part again for it.
 
 It takes capacity that is free and none that requests at home there wait for.
-Measured on the users' days with trouble against waiting as long as at home:
-0.02 to 0.06 more of the worth on 8 of 10, 30 % fewer tokens read again.
 """
 MOST_ASKED: Final = 8
 """Servers that are asked for a turn before a request is refused.
