A return that an entry knows of is reckoned once; a side's connections apart

Cause: an entry that hears from one side how long ago a request was refused tells the next side a due moment that counts it, and that side, which refused it too, took the same time off again: a request that could still be in time went behind.

Change: the entry tells what it has reckoned; a side takes off only what it knows beyond that. tests/turns/side.feature 'What an entry knows of a return by another side counts once' fails before (the field is not there), passes after.

--- a/src/sardinetrack/admission/ask.py
+++ b/src/sardinetrack/admission/ask.py
@@ -35,6 +35,8 @@
     """From now to the moment at which its caller waits no longer."""
     fingerprint: str = ''
     """Stays the same when the caller sends the request again."""
+    returned_seconds: float = 0
+    """How long before it was refused, as far as the entry knows."""
 
     @property
     def is_late(self) -> bool:
--- a/src/sardinetrack/relay/placing.py
+++ b/src/sardinetrack/relay/placing.py
@@ -218,6 +218,7 @@
             due_seconds=self._due_seconds(plan) - now,
             ends_seconds=max(0, plan.ends_seconds - now),
             fingerprint=self._name(plan),
+            returned_seconds=self._returned_seconds,
         )
 
     def _answer_tokens(self, plan: Plan) -> int:
--- a/src/sardinetrack/relay/turn.py
+++ b/src/sardinetrack/relay/turn.py
@@ -152,6 +152,7 @@
         lines.news.rows(loop_now(), fleet.service),
         ask.fingerprint,
         round(ask.ends_seconds, 3),
+        round(ask.returned_seconds, 3),
     )
     timeout_seconds = ask.patience_seconds + _ANSWER_SECONDS
     answer = await lines.ask(message, timeout_seconds)
--- a/src/sardinetrack/turns/messages.py
+++ b/src/sardinetrack/turns/messages.py
@@ -48,6 +48,9 @@
     not known."""
     ends_seconds: float = 0
     """How long its caller waits for the whole answer; 0 if that is unknown."""
+    returned_seconds: float = 0
+    """How long before the request was refused elsewhere, by ``due_seconds``
+    reckoned already."""
 
     @property
     def left_seconds(self) -> float:
--- a/src/sardinetrack/turns/side.py
+++ b/src/sardinetrack/turns/side.py
@@ -15,12 +15,9 @@
 from sardinetrack.turns.clock import loop_now
 from sardinetrack.turns.desk import TurnDesk
 from sardinetrack.turns.engine_start import EngineStart, Heard
-from sardinetrack.turns.lines import LineProtocol
+from sardinetrack.turns.entry_lines import EntryLines
 from sardinetrack.turns.messages import (
-    DECODE_FROM_ENTRY,
     AskTurn,
-    Begun,
-    Ended,
     Hello,
     ServerStarted,
     SideWord,
@@ -30,14 +27,6 @@
 )
 from sardinetrack.turns.refused import RefusedRequests
 from sardinetrack.turns.usage import UsageLines
-from sardinetrack.views.api import Follower
-from sardinetrack.views.messages import (
-    FollowView,
-    FromFollower,
-    FromWatcher,
-    LeaveView,
-    StampView,
-)
 from sardinetrack.views.watcher import Watcher
 
 WORD_SECONDS: Final = 0.15
@@ -47,61 +36,6 @@
 _TOLD_DIGITS: Final = 3
 
 
-class EntryLines(LineProtocol, Follower):
-    """One entry's connection."""
-
-    def __init__(self, side: Side) -> None:
-        """Belong to a side."""
-        super().__init__()
-        self.entry = ''
-        self.asked: set[str] = set()
-        self._side = side
-
-    def opened(self) -> None:
-        """Join the entries."""
-        self._side.join(self)
-
-    def lost(self) -> None:
-        """Leave the entries."""
-        self._side.leave(self)
-
-    def line(self, line: bytes) -> None:
-        """Hand a message on."""
-        message = DECODE_FROM_ENTRY(line)
-        match message:
-            case AskTurn():
-                self.asked.add(message.ask_id)
-                self._side.take(self, message)
-            case Begun():
-                self._side.begun(message.ask_id)
-            case Ended():
-                self.asked.discard(message.ask_id)
-                self._side.ended(message.ask_id, whole=message.whole)
-            case Hello():
-                self.entry = message.entry
-                self._side.met(self, message)
-            case Struck():
-                self._side.struck(self, message)
-            case ServerStarted():
-                self._side.started(self, message)
-            case _:
-                self._follow(message)
-
-    def _follow(self, message: FromFollower) -> None:
-        watcher = self._side.watcher
-        match message:
-            case FollowView():
-                watcher.follow(self, message.stamp_seconds)
-            case StampView():
-                watcher.stamp(self, message.stamp_seconds)
-            case LeaveView():
-                watcher.leave(self)
-
-    def tell(self, message: FromWatcher) -> None:
-        """Tell the entry of the store."""
-        self.send(message)
-
-
 class Side(TurnDesk):
     """Owns the admission to one engine, and the entries' connections."""
 
@@ -253,7 +187,9 @@
         now = loop_now()
         self._asked[message.ask_id] = message
         self.admission.hear(now, entry.entry, message.others)
+        # What the entry knows by another side is reckoned already.
         returned_seconds = self._returned_seconds(now, message)
+        more_seconds = max(0, returned_seconds - message.returned_seconds)
         ask = Ask(
             message.ask_id,
             message.workspace,
@@ -265,7 +201,7 @@
             entry.entry,
             message.served_tokens,
             message.part,
-            message.due_seconds - returned_seconds,
+            message.due_seconds - more_seconds,
             message.left_seconds,
         )
         self.ask(ask)
--- a/tests/turns/side.feature
+++ b/tests/turns/side.feature
@@ -165,3 +165,14 @@
     Given a side of 1 slot and 2 entries
     When 30000 different callers are refused
     Then the side remembers at most 10000 of them
+
+  Scenario: What an entry knows of a return by another side counts once
+    Two sides refused the first attempt. The entry hears it of the first one that
+    it asks, and tells the second how long ago that was.
+
+    Given a side of 1 slot and 2 entries
+    When entry 1 asks for 5000 tokens
+    And entry 1 asks as caller 7 and is refused
+    And 0.3 seconds pass
+    Then an ask of caller 7 that is due in 0.5 seconds and knows of 0.3 is not late
+    And an ask of caller 7 that is due in 0.2 seconds and knows of nothing is late
--- a/tests/turns/steps/side_steps.py
+++ b/tests/turns/steps/side_steps.py
@@ -520,3 +520,50 @@
     ]
     assert len(known) <= most
     assert known[-1] == 30_000
+
+
+def _taken(context, caller, due, known):
+    """Tell how a side sees an ask: what it hands to the admission."""
+    taken = []
+    side = context.side
+
+    async def act():
+        message = AskTurn(
+            'probe',
+            'w',
+            100,
+            100,
+            50,
+            0,
+            0,
+            0,
+            '',
+            due,
+            fingerprint=f'c{caller}',
+            returned_seconds=known,
+        )
+        ask = side.ask
+        side.ask = taken.append
+        try:
+            side.take(next(iter(side._entries)), message)  # noqa: SLF001
+        finally:
+            side.ask = ask
+
+    _run(context, act())
+    return taken[0]
+
+
+@then(
+    'an ask of caller {caller:d} that is due in {due:g} seconds'
+    ' and knows of {known:g} is not late',
+)
+def still_in_time(context, caller, due, known):
+    assert not _taken(context, caller, due, known).is_late
+
+
+@then(
+    'an ask of caller {caller:d} that is due in {due:g} seconds'
+    ' and knows of nothing is late',
+)
+def late_by_side(context, caller, due):
+    assert _taken(context, caller, due, 0).is_late
