--- a/src/sardinetrack/turns/engine_start.py
+++ b/src/sardinetrack/turns/engine_start.py
@@ -4,12 +4,13 @@
 
 import math
 from collections import deque
+from dataclasses import replace
 from enum import Enum, auto
 from typing import Final
 
-from sardinetrack.topology.cold import Cold
+from sardinetrack.topology.cold import Cold, ColdWord
 from sardinetrack.topology.starts import UNKNOWN_MARK, ServerStart
-from sardinetrack.turns.messages import ServerStarted, start_of
+from sardinetrack.turns.messages import ServerStarted, message_of, start_of
 
 _SECOND: Final = 1.0
 _MOST_GRANTS: Final = 1000
@@ -33,9 +34,7 @@
         self.start: ServerStart | None = None
         self.in_a_row = 0
         """Starts of which each ended before the engine was warm."""
-        self._told_until_seconds = -math.inf
-        self._presumed_until_seconds = -math.inf
-        self._per_second = float(0)
+        self._word = ColdWord()
         self._granted: deque[float] = deque(maxlen=_MOST_GRANTS)
 
     @property
@@ -46,8 +45,7 @@
     @property
     def cold(self) -> Cold:
         """Tell how long the engine stays cold."""
-        until = max(self._told_until_seconds, self._presumed_until_seconds)
-        return Cold(until, self._per_second)
+        return self._word.cold
 
     def message(self, now: float) -> ServerStarted:
         """Write down what is known.
@@ -56,14 +54,7 @@
         """
         if self.start is None:
             raise ValueError('no start is known')
-        return ServerStarted(
-            self.start.instance,
-            self.start.started_milliseconds,
-            self.start.revision,
-            max(0, self._told_until_seconds - now),
-            max(0, self._presumed_until_seconds - now),
-            self._per_second,
-        )
+        return message_of(self.start, now, self._word)
 
     def hear(self, now: float, message: ServerStarted) -> Heard:
         """Take an entry's word."""
@@ -73,7 +64,7 @@
         renewed = held is not None and told.supersedes(held)
         if renewed:
             self._count_start(now)
-            self._presumed_until_seconds = -math.inf
+            self._word = replace(self._word, presumed_until_seconds=-math.inf)
         newer = held is None or told.revision != held.revision
         self._take_cold(now, message, newer=newer or renewed)
         self.start = told
@@ -115,13 +106,12 @@
         """
         told_until = now + message.cold_seconds
         if not newer or not message.cold_seconds:
-            told_until = min(told_until, self._told_until_seconds)
+            told_until = min(told_until, self._word.told_until_seconds)
         presumed_until = now + message.presumed_cold_seconds
         if not message.presumed_cold_seconds:
             presumed_until = -math.inf
-        self._told_until_seconds = told_until
-        self._presumed_until_seconds = max(
-            presumed_until,
-            self._presumed_until_seconds,
+        self._word = ColdWord(
+            told_until,
+            max(presumed_until, self._word.presumed_until_seconds),
+            message.cold_per_second,
         )
-        self._per_second = message.cold_per_second
