An entry's lines tell why a request still waits, and who is suspect

Decision lines of entries and sides say who is a suspect.

No decision changes. tests/routing: the line is told once for each reason.

--- a/src/sardinetrack/entry/dispatcher.py
+++ b/src/sardinetrack/entry/dispatcher.py
@@ -9,7 +9,12 @@
 
 import anyio
 
-from sardinetrack.entry.log import log_dispatch, log_end, log_reject
+from sardinetrack.entry.log import (
+    log_dispatch,
+    log_end,
+    log_held,
+    log_reject,
+)
 from sardinetrack.entry.metrics import EntryMetrics
 from sardinetrack.entry.ticket import Ticket
 from sardinetrack.messages.api import Bids, Decline, ServiceReport, Strike
@@ -17,6 +22,7 @@
     AttemptEnd,
     Dispatch,
     EntryEffect,
+    Held,
     Reject,
     Routing,
     SendToEntries,
@@ -142,6 +148,8 @@
                 self._outbox.to_side(effect.side, effect.message)
             case SendToEntries():
                 self._outbox.to_entries(effect.message)
+            case Held():
+                self._held(effect)
         return ()
 
     def _dispatch(self, dispatch: Dispatch) -> Effects:
@@ -166,6 +174,13 @@
         log_reject(ticket, reject)
         ticket.decide(reject)
 
+    def _held(self, held: Held) -> None:
+        ticket = self._tickets.get(held.request_id)
+        if ticket is None:
+            return
+        log_held(ticket, held)
+        self._metrics.held(ticket.work.pool, held.reason)
+
     def _forget(self, ticket: Ticket) -> None:
         # A dispatch that was decided but never settled would hold its slot
         # and charge for ever: its task was cancelled by a vanished caller.
--- a/src/sardinetrack/entry/log.py
+++ b/src/sardinetrack/entry/log.py
@@ -6,7 +6,7 @@
 
 from sardinetrack.entry.ticket import Ticket
 from sardinetrack.logs.lines import DecisionRecord, Part, PartLogger
-from sardinetrack.routing.api import AttemptEnd, Dispatch, Reject
+from sardinetrack.routing.api import AttemptEnd, Dispatch, Held, Reject
 
 _LOG: Final = PartLogger(Part.ENTRY)
 _DIGITS: Final = 3
@@ -28,10 +28,27 @@
             reason=dispatch.reason,
             attempt_id=dispatch.attempt_id,
             waited_seconds=round(ticket.age_seconds(), _DIGITS),
+            suspect=dispatch.suspect,
         ),
     )
 
 
+def log_held(ticket: Ticket, held: Held) -> None:
+    """Write why a request still waits."""
+    work = ticket.work
+    _LOG.info(
+        'still waiting',
+        request_id=work.request_id,
+        workspace=work.workspace,
+        pool=work.pool,
+        reason=held.reason.value,
+        avoided=','.join(held.avoided),
+        waits_for=','.join(held.waits_for),
+        slots=held.slots,
+        waited_seconds=round(ticket.age_seconds(), _DIGITS),
+    )
+
+
 def log_reject(ticket: Ticket, reject: Reject) -> None:
     """Write that a request gets an error."""
     work = ticket.work
--- a/src/sardinetrack/entry/metrics.py
+++ b/src/sardinetrack/entry/metrics.py
@@ -16,7 +16,7 @@
 
 from sardinetrack.errors.api import ErrorKind
 from sardinetrack.links.api import PeerRole
-from sardinetrack.routing.api import AttemptEnd
+from sardinetrack.routing.api import AttemptEnd, HoldReason
 
 _POOL: Final = 'pool'
 _WAIT_BUCKETS: Final = (0.005, 0.02, 0.1, 0.5, 1, 2, 5, 10, 30, 60)
@@ -53,6 +53,12 @@
             buckets=_WAIT_BUCKETS,
             registry=self.registry,
         )
+        self._held = Counter(
+            'sardinetrack_entry_held',
+            'Waits of over a second by pool and reason.',
+            [_POOL, 'reason'],
+            registry=self.registry,
+        )
         self._cost = Histogram(
             'sardinetrack_entry_cost_units',
             'Cost of whole answers: generated tokens or run seconds.',
@@ -100,6 +106,10 @@
         """Take in the wait of a request."""
         self._wait.labels(pool).observe(seconds)
 
+    def held(self, pool: str, reason: HoldReason) -> None:
+        """Count a reason for which a request waits long."""
+        self._held.labels(pool, reason.value).inc()
+
     def ended(self, pool: str, end: AttemptEnd, cost: float) -> None:
         """Count an attempt."""
         self._attempts.labels(pool, end.value).inc()
--- a/src/sardinetrack/logs/lines.py
+++ b/src/sardinetrack/logs/lines.py
@@ -43,6 +43,8 @@
     reason: str
     attempt_id: str = ''
     waited_seconds: float | None = None
+    suspect: bool | None = None
+    """Whether it was running when another backend server crashed."""
 
 
 class PartLogger:
--- a/src/sardinetrack/routing/api.py
+++ b/src/sardinetrack/routing/api.py
@@ -108,7 +108,34 @@
     message: ServiceReport | Strike
 
 
-EntryEffect = Dispatch | Reject | SendToSide | SendToEntries
+class HoldReason(StrEnum):
+    """Why a request that is first in its line is not sent."""
+
+    NO_SLOT = 'no_slot'
+    """No side has told of a free slot."""
+    AT_LIMIT = 'at_limit'
+    """Its workspace runs as many requests as it may."""
+    AVOIDS = 'avoids'
+    """It waits for a side other than those that failed or refused it."""
+    SUSPECT = 'suspect'
+    """Where it may go runs another request that was there at a crash."""
+
+
+@dataclass(frozen=True, slots=True)
+class Held:
+    """Tell why a request still waits; nothing is sent."""
+
+    request_id: str
+    reason: HoldReason
+    avoided: tuple[str, ...]
+    """Sides that failed or refused it."""
+    waits_for: tuple[str, ...]
+    """Other sides that it counts on."""
+    slots: int
+    """Of these sides together, as they last told."""
+
+
+EntryEffect = Dispatch | Reject | SendToSide | SendToEntries | Held
 
 
 class Routing(ABC):
--- a/src/sardinetrack/routing/order.py
+++ b/src/sardinetrack/routing/order.py
@@ -10,7 +10,7 @@
 from sardinetrack.fairness.invariant import ensure
 from sardinetrack.fairness.ledger import Ledger
 from sardinetrack.messages.api import BidRow, Bids
-from sardinetrack.routing.api import Work
+from sardinetrack.routing.api import Held, HoldReason, Work
 from sardinetrack.routing.attempt import Attempt
 from sardinetrack.routing.queue import Waiting, WorkQueue
 from sardinetrack.routing.shared import Shared
@@ -96,6 +96,21 @@
         """Whether a request was running when a server crashed."""
         return self._shared.strikes.count(now, work.fingerprint) > 0
 
+    def hold(self, now: float, waiting: Waiting) -> Held:
+        """Tell why a request that is first in its line waits."""
+        others = [
+            side
+            for side in self._sides.usable(now)
+            if side.info.side not in waiting.avoid
+        ]
+        return Held(
+            waiting.work.request_id,
+            self._hold_reason(now, waiting),
+            tuple(sorted(waiting.avoid)),
+            tuple(sorted(side.info.side for side in others)),
+            sum(side.limit for side in others),
+        )
+
     def bids(self, pool: str, side: Side) -> Bids:
         """Compute the present bids for a side."""
         names = [one for one in self._queue.workspaces() if self.room(one) > 0]
@@ -104,6 +119,18 @@
         rows.extend(self._known(names, MAX_ROWS - len(rows)))
         return Bids(pool, side.grants_seen, tuple(rows))
 
+    def _hold_reason(self, now: float, waiting: Waiting) -> HoldReason:
+        workspace = waiting.work.workspace
+        if self.room(workspace) <= 0:
+            return HoldReason.AT_LIMIT
+        usable = self._sides.usable(now)
+        with_slots = [side for side in usable if side.limit]
+        if not all(self._blocked(now, workspace, one) for one in with_slots):
+            return HoldReason.NO_SLOT
+        if waiting.avoid and self._elsewhere(now, waiting):
+            return HoldReason.AVOIDS
+        return HoldReason.SUSPECT if with_slots else HoldReason.NO_SLOT
+
     def _eligible(self, now: float, side: Side | None) -> list[str]:
         """List the workspaces whose head may go to a side now."""
         return [
--- a/src/sardinetrack/routing/pool.py
+++ b/src/sardinetrack/routing/pool.py
@@ -23,6 +23,7 @@
 )
 from sardinetrack.routing.attempt import Attempt, give_up
 from sardinetrack.routing.gate import Gate
+from sardinetrack.routing.holds import Holds
 from sardinetrack.routing.order import Order
 from sardinetrack.routing.queue import Waiting, WorkQueue
 from sardinetrack.routing.reporting import Reporter
@@ -62,6 +63,7 @@
             self.attempts,
         )
         self._gate = Gate(shared, self.ledger, self.queue)
+        self._holds = Holds(self.queue, self._order)
         self._reporter = Reporter(name, shared.identity, self.ledger)
         self._side_seconds = float('-inf')
 
@@ -94,6 +96,8 @@
         """
         workspace = waiting.work.workspace
         was_waiting = self.queue.waiting(workspace)
+        waiting.queued_seconds = now
+        waiting.told_hold = None
         self.queue.put(waiting, first=first)
         self._count(now, workspace)
         effects = list(self.pump(now))
@@ -184,6 +188,7 @@
             effects.extend(self._give_up_all(now))
         effects.extend(self.pump(now))
         effects.extend(self._refresh(now))
+        effects.extend(self._holds.due(now))
         effects.extend(self._reporter.due(now))
         return effects
 
--- a/src/sardinetrack/routing/queue.py
+++ b/src/sardinetrack/routing/queue.py
@@ -9,7 +9,7 @@
 from typing import Final
 
 from sardinetrack.errors.api import ErrorKind
-from sardinetrack.routing.api import Work
+from sardinetrack.routing.api import HoldReason, Work
 
 _WINDOW: Final = 4
 """How far a request may be passed by one whose prefix is cached."""
@@ -28,6 +28,10 @@
     """Sides that failed it."""
     ran: ErrorKind | None = None
     """What an earlier attempt that may have run amounts to."""
+    queued_seconds: float = 0
+    """When it was last put in line."""
+    told_hold: HoldReason | None = None
+    """Why it waits, as last told."""
 
 
 @dataclass(slots=True)
--- a/src/sardinetrack/side/log.py
+++ b/src/sardinetrack/side/log.py
@@ -33,5 +33,6 @@
                 backend_server=self._identity.backend_server,
                 reason=reason,
                 attempt_id=order.attempt_id,
+                suspect=order.suspect,
             ),
         )
--- a/tests/routing/router.feature
+++ b/tests/routing/router.feature
@@ -120,3 +120,10 @@
     And 1 seconds pass at the entry
     And the side announces 1 free slot
     Then p1 is dispatched
+
+  Scenario: A request that waits long tells why, once for each reason
+    Given agency submits a1 of cost 5
+    And pilot submits p1 of cost 5
+    When 2 seconds pass at the entry
+    And 1 seconds pass at the entry
+    Then p1 is told once to wait as no_slot
--- a/tests/routing/steps/router_steps.py
+++ b/tests/routing/steps/router_steps.py
@@ -26,6 +26,7 @@
 from sardinetrack.routing.api import (
     AttemptEnd,
     Dispatch,
+    Held,
     Reject,
     SendToSide,
     SideInfo,
@@ -230,3 +231,13 @@
         for server in servers.split(' and ')
     ]
     assert context.router.strikes(context.now) == expected
+
+
+@then('{request} is told once to wait as {reason}')
+def told_hold(context, request, reason):
+    told = [
+        effect.reason.value
+        for effect in context.effects
+        if isinstance(effect, Held) and effect.request_id == request
+    ]
+    assert told == [reason], told
