A request that ran beside a crash no longer waits for servers that are gone

What callers saw: a request that had run beside one that killed its engine was tried again and never answered; so was another one of its workspace behind it. Two of four engines stood idle until the callers gave up after 60 s.

Cause, by the lines (reason=avoids avoided="side-engine-1,side-engine-3" waits_for="side-engine-0,side-engine-2" slots=0, engines 0 and 2 dead): a suspected request avoided sides that had refused it for want of room, as if they had failed it, in favour of any other side that is linked; a dead server's side is, with no slots. Only the head of a workspace's line was looked at, so everything behind it waited as well.

Ruled out: a lost grant or a slot set aside for nobody (the sides were idle and granted; the entry declined), the peer's share of a limit (room was left).

Fix: another side counts only if it has slots; a refusal closes a side to a suspect for a bounded time; what may go passes what may not; a closed side ends no search; sides that may take such a request hear of it each 0.25 s. There is now always a side with slots that is open to the request, or none at all, and then it is refused after the grace as before.

Failed before: the four scenarios of tests/routing/suspects.feature.

--- a/benchmarks/policy/carrier.py
+++ b/benchmarks/policy/carrier.py
@@ -46,7 +46,7 @@
             self._reject(effect)
         elif isinstance(effect, SendToSide):
             self._to_side(node, effect)
-        else:
+        elif isinstance(effect, SendToEntries):
             self._to_entries(node, effect)
 
     def from_side(self, side: SideNode, effect: SideEffect) -> None:
--- a/src/sardinetrack/routing/order.py
+++ b/src/sardinetrack/routing/order.py
@@ -65,6 +65,43 @@
         ahead = self._ledger.tag(granted) - self._ledger.tag(lowest)
         return granted if ahead <= self._ledger.charge_ahead else lowest
 
+    def next_of(
+        self,
+        now: float,
+        workspace: str,
+        side: Side | None,
+    ) -> Waiting | None:
+        """Find the first request of a workspace that may go to a side.
+
+        One that waits for another side holds up nobody behind it: a crash
+        can leave as many of them as its server ran.
+
+        :param now: monotonic time.
+        :param workspace: with waiting work.
+        :param side: where it would go, ``None`` while that is open.
+        :return: the request, ``None`` when the side is closed to all.
+        """
+        return next(
+            (
+                waiting
+                for waiting in self._queue.line(workspace)
+                if not self.closed(now, waiting, side)
+            ),
+            None,
+        )
+
+    def open_to_any(self, now: float, side: Side) -> bool:
+        """Whether a side may take some of the waiting work."""
+        return bool(self._eligible(now, side))
+
+    def some_kept(self, now: float) -> bool:
+        """Whether a request waits that not every side may take."""
+        heads = map(self._queue.head, self._queue.workspaces())
+        return any(
+            waiting.avoid or self.suspect(now, waiting.work)
+            for waiting in heads
+        )
+
     def check(self, now: float, workspace: str, side: Side) -> None:
         """Check that nobody eligible is passed over beyond one charge."""
         bound = self._ledger.tag(workspace) - self._ledger.charge_ahead
@@ -125,7 +162,7 @@
             return HoldReason.AT_LIMIT
         usable = self._sides.usable(now)
         with_slots = [side for side in usable if side.limit]
-        if not all(self._blocked(now, workspace, one) for one in with_slots):
+        if not all(self.closed(now, waiting, side) for side in with_slots):
             return HoldReason.NO_SLOT
         if waiting.avoid and self._elsewhere(now, waiting):
             return HoldReason.AVOIDS
@@ -136,7 +173,7 @@
         return [
             name
             for name in self._queue.workspaces()
-            if self.room(name) > 0 and not self._blocked(now, name, side)
+            if self.room(name) > 0 and self.next_of(now, name, side)
         ]
 
     def _known(self, names: list[str], count: int) -> list[BidRow]:
@@ -169,8 +206,8 @@
             work.hint_cost / weight,
         )
 
-    def _blocked(self, now: float, workspace: str, side: Side | None) -> bool:
-        """Whether the head must not go to a side.
+    def closed(self, now: float, waiting: Waiting, side: Side | None) -> bool:
+        """Whether a request must not go to a side.
 
         Two suspects on one server would both be struck when it crashes, and
         the innocent one condemned with the other. Kept apart, only the one
@@ -178,16 +215,23 @@
         """
         if side is None:
             return False
-        waiting = self._queue.head(workspace)
-        if side.info.side in waiting.avoid and self._elsewhere(now, waiting):
+        name = side.info.side
+        if name in waiting.avoid and self._elsewhere(now, waiting):
+            return True
+        if now < waiting.closed_until.get(name, 0):
             return True
         if not self.suspect(now, waiting.work):
             return False
         return self._suspect_at(side.info.backend_server)
 
     def _elsewhere(self, now: float, waiting: Waiting) -> bool:
+        """Whether a side that did not fail a request has slots.
+
+        The side of a server that is gone is linked and has none. A request
+        that was kept for such a one would wait for as long as its caller does.
+        """
         return any(
-            side.info.side not in waiting.avoid
+            side.limit and side.info.side not in waiting.avoid
             for side in self._sides.usable(now)
         )
 
--- a/src/sardinetrack/routing/outcome.py
+++ b/src/sardinetrack/routing/outcome.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+from typing import Final
 
 from sardinetrack.errors.api import ErrorKind
 from sardinetrack.messages.api import Strike
@@ -17,6 +18,10 @@
 from sardinetrack.routing.shared import Shared
 from sardinetrack.routing.strikes import STRIKE_SECONDS
 
+FIRST_CLOSED_SECONDS: Final = 0.1
+MOST_CLOSED_SECONDS: Final = 2.0
+"""Longest time that a side stays closed to a suspect it has refused."""
+
 
 class Outcome:
     """Settles attempts: breakers, strikes, retries, answers."""
@@ -78,12 +83,16 @@
         pool: PoolRouter,
         attempt: Attempt,
     ) -> Sequence[EntryEffect]:
-        side = pool.sides.find(attempt.side)
-        if side is not None:
-            side.free = 0
         waiting = attempt.waiting
+        side = pool.sides.find(attempt.side)
         if attempt.suspect:
-            waiting.avoid |= {attempt.side}
+            # The side may have room for others and run another suspect.
+            waiting.refusals += 1
+            pause = FIRST_CLOSED_SECONDS * 2 ** (waiting.refusals - 1)
+            until = now + min(pause, MOST_CLOSED_SECONDS)
+            waiting.closed_until[attempt.side] = until
+        elif side is not None:
+            side.free = 0
         if waiting.work.deadline_seconds <= now:
             pool.open_requests -= 1
             return (give_up(waiting, ErrorKind.NOT_RUN_DEADLINE),)
--- a/src/sardinetrack/routing/pool.py
+++ b/src/sardinetrack/routing/pool.py
@@ -31,8 +31,10 @@
 from sardinetrack.routing.sides import Side, SideTable
 
 SIDES_TOLD: Final = 2
+_SIDES_LOOKED_AT: Final = 8
 REFRESH_SECONDS: Final = 6.0
 _HOLD_SECONDS: Final = 4.0
+_RETELL_SECONDS: Final = 0.25
 _NO_SIDE_SECONDS: Final = 2.0
 _DIRECT: Final = Grant(0, 0)
 """Stands for no grant."""
@@ -66,6 +68,7 @@
         self._holds = Holds(self.queue, self._order)
         self._reporter = Reporter(name, shared.identity, self.ledger)
         self._side_seconds = float('-inf')
+        self._retold_seconds = float('-inf')
 
     def submit(self, now: float, work: Work) -> Sequence[EntryEffect]:
         """Dispatch, queue or reject a new request."""
@@ -108,18 +111,20 @@
     def pump(self, now: float) -> Sequence[EntryEffect]:
         """Send to sides believed free, lowest tags first."""
         effects: list[EntryEffect] = []
+        closed: set[str] = set()
         while self.sides.some_free():
             workspace = self._order.lowest(now, None)
             if workspace is None:
                 return effects
             affinity = self.queue.head(workspace).work.affinity
-            side = self.sides.free(now, affinity)
+            side = self.sides.free(now, affinity, closed)
             if side is None:
                 return effects
             step = self._next(now, side, _DIRECT, 'free slot')
             if step is None:
-                return effects
-            effects.append(step)
+                closed.add(side.info.side)
+            else:
+                effects.append(step)
         return effects
 
     def grant(
@@ -168,7 +173,8 @@
     def tell(self, now: float) -> Sequence[EntryEffect]:
         """Send bids to a few sides."""
         return [
-            self._bid(now, side) for side in self.sides.sample(now, SIDES_TOLD)
+            self._bid(now, side)
+            for side in self.sides.some_of(self.sides.usable(now), SIDES_TOLD)
         ]
 
     def tick(self, now: float) -> Sequence[EntryEffect]:
@@ -188,6 +194,7 @@
             effects.extend(self._give_up_all(now))
         effects.extend(self.pump(now))
         effects.extend(self._refresh(now))
+        effects.extend(self._retell(now))
         effects.extend(self._holds.due(now))
         effects.extend(self._reporter.due(now))
         return effects
@@ -226,12 +233,16 @@
         if workspace is None:
             return None
         self._order.check(now, workspace, side)
-        affinity = self.queue.head(workspace).work.affinity
+        first = self._order.next_of(now, workspace, side)
+        if first is None:
+            return None
+        affinity = first.work.affinity
         warm = self.sides.warm(affinity, side.info.side)
         waiting = self.queue.take(
             now,
-            workspace,
+            first,
             (affinity,) if warm else (),
+            lambda near: not self._order.closed(now, near, side),
         )
         self._count(now, workspace)
         strikes = self._shared.strikes
@@ -300,6 +311,20 @@
             if now - side.bid_seconds >= REFRESH_SECONDS
         ]
 
+    def _retell(self, now: float) -> Sequence[EntryEffect]:
+        """Bid again for work that was kept from sides with room.
+
+        Its bid there was declined, or was made when the side was closed to
+        it. Until the next refresh the side would stand idle beside it.
+        """
+        due = now - self._retold_seconds >= _RETELL_SECONDS
+        if not due or not self._order.some_kept(now):
+            return ()
+        self._retold_seconds = now
+        asked = self.sides.some_of(self.sides.usable(now), _SIDES_LOOKED_AT)
+        fit = [side for side in asked if self._order.open_to_any(now, side)]
+        return [self._bid(now, side) for side in fit[:SIDES_TOLD]]
+
     def _no_side(self, now: float) -> bool:
         return now - self._side_seconds > _NO_SIDE_SECONDS
 
--- a/src/sardinetrack/routing/queue.py
+++ b/src/sardinetrack/routing/queue.py
@@ -4,8 +4,9 @@
 
 import math
 from collections import deque
-from collections.abc import Collection, Iterable, Iterator
+from collections.abc import Callable, Collection, Iterable, Iterator
 from dataclasses import dataclass, field
+from itertools import islice
 from typing import Final
 
 from sardinetrack.errors.api import ErrorKind
@@ -26,6 +27,10 @@
     attempts: int = 0
     avoid: frozenset[str] = frozenset()
     """Sides that failed it."""
+    refusals: int = 0
+    """In a row, while it was suspected of a crash."""
+    closed_until: dict[str, float] = field(default_factory=dict)
+    """Sides that refused it while it was suspected, and until when."""
     ran: ErrorKind | None = None
     """What an earlier attempt that may have run amounts to."""
     queued_seconds: float = 0
@@ -34,6 +39,10 @@
     """Why it waits, as last told."""
 
 
+def _always(waiting: Waiting) -> bool:
+    return True
+
+
 @dataclass(slots=True)
 class _Line:
     waiting: deque[Waiting] = field(default_factory=deque)
@@ -83,26 +92,31 @@
             line.waiting.append(waiting)
 
     def head(self, workspace: str) -> Waiting:
-        """Look at the request that comes next."""
+        """Look at the request that is first in line."""
         return self._lines[workspace].waiting[0]
 
+    def line(self, workspace: str) -> Iterable[Waiting]:
+        """Look at the requests of a workspace, first in line first."""
+        return self._lines[workspace].waiting
+
     def take(
         self,
         now: float,
-        workspace: str,
+        waiting: Waiting,
         warm: Collection[int] = (),
+        may_pass: Callable[[Waiting], bool] = _always,
     ) -> Waiting:
         """Take the next request.
 
         :param now: monotonic time.
-        :param workspace: whose line.
+        :param waiting: the one whose turn it is.
         :param warm: prefixes for which one may pass a few others.
-        :return: the head, or a near one with a warm prefix.
+        :param may_pass: whether a request may go now.
+        :return: it, or a near one with a warm prefix.
         """
-        line = self._lines[workspace]
-        waiting = line.waiting[0]
-        for near in list(line.waiting)[:_WINDOW]:
-            if near.work.affinity in warm:
+        line = self._lines[waiting.work.workspace]
+        for near in islice(line.waiting, _WINDOW):
+            if near.work.affinity in warm and may_pass(near):
                 waiting = near
                 break
         line.waiting.remove(waiting)
--- a/src/sardinetrack/routing/sides.py
+++ b/src/sardinetrack/routing/sides.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -82,14 +82,24 @@
             for side in self._sides.values()
         )
 
-    def free(self, now: float, affinity: int) -> Side | None:
+    def free(
+        self,
+        now: float,
+        affinity: int,
+        closed: Collection[str] = (),
+    ) -> Side | None:
         """Choose a side believed to have a free slot.
 
         :param now: monotonic time.
         :param affinity: hash of the prompt's prefix; 0 for none.
+        :param closed: sides that nothing may go to now.
         :return: the better of two random ones, ``None`` when all are full.
         """
-        free = [side for side in self.usable(now) if side.free > 0]
+        free = [
+            side
+            for side in self.usable(now)
+            if side.free > 0 and side.info.side not in closed
+        ]
         if not free:
             return None
         chosen = self._random.sample(free, min(_CHOICES, len(free)))
@@ -112,9 +122,12 @@
         if len(self._prefixes) > _MAX_PREFIXES:
             self._prefixes.pop(next(iter(self._prefixes)))
 
-    def sample(self, now: float, count: int) -> Sequence[Side]:
-        """Choose sides that shall hear of waiting work."""
-        usable = self.usable(now)
+    def some_of(self, usable: Sequence[Side], count: int) -> Sequence[Side]:
+        """Choose some sides at random, those with slots if there are any.
+
+        :param usable: sides that take work.
+        :param count: how many at most.
+        """
         # A side whose server is gone has no slots and grants none: were both
         # that hear of a workspace's first request such, nobody would serve it
         # until the bids are refreshed, while others are served.
--- /dev/null
+++ b/tests/routing/steps/suspects_steps.py
@@ -0,0 +1,173 @@
+"""Steps for requests that ran beside a crash."""
+
+from __future__ import annotations
+
+from random import Random
+
+from behave import given, then, when
+from router_steps import POOL, pool, workspace
+
+from sardinetrack.messages.api import Bids, Grant, SideLoad, SidePhase
+from sardinetrack.routing.api import (
+    AttemptEnd,
+    Dispatch,
+    SendToSide,
+    SideInfo,
+    Work,
+)
+from sardinetrack.routing.router import Router
+from sardinetrack.routing.shared import Identity
+
+
+def announce(context, side, *, limit, free):
+    load = SideLoad('first', SidePhase.SERVING, limit, limit - free, free)
+    context.effects.extend(context.router.load(context.now, side, load))
+
+
+def submit(context, request):
+    work = Work(
+        request, 'pilot', POOL, 5, context.now + 60, True, f'print-{request}'
+    )
+    context.effects.extend(context.router.submit(context.now, work))
+
+
+def end(context, request, how):
+    attempt = sent(context, request)[-1]
+    context.effects.extend(
+        context.router.ended(
+            context.now,
+            attempt.attempt_id,
+            how,
+            cost=0,
+            answered=False,
+        ),
+    )
+
+
+def sent(context, request):
+    return [
+        effect
+        for effect in context.effects
+        if isinstance(effect, Dispatch) and effect.request_id == request
+    ]
+
+
+def where(context, request):
+    return sent(context, request)[-1].side
+
+
+@given('an entry with {count:d} sides of 1 free slot')
+def start_entry(context, count):
+    context.now = 0
+    context.effects = []
+    context.router = Router(Identity('a', 'first'), Random(1))
+    context.router.configure(0, [workspace('pilot')], [pool()])
+    context.sides = [f's{number}' for number in range(count)]
+    for side in context.sides:
+        info = SideInfo(side, POOL, f'engine-{side}', 'galata', '127.0.0.1:1')
+        context.router.side_up(0, info)
+        announce(context, side, limit=1, free=1)
+
+
+@given("pilot's p1 runs at one of them")
+def run_first(context):
+    submit(context, 'p1')
+    context.struck = where(context, 'p1')
+    context.other = next(
+        side for side in context.sides if side != context.struck
+    )
+
+
+@given('another server has died')
+def other_dies(context):
+    announce(context, context.other, limit=0, free=0)
+
+
+@given('the other side is full')
+def fill_other(context):
+    announce(context, context.other, limit=1, free=0)
+
+
+@when('its server dies under p1 and its side loses its slots')
+def server_dies(context):
+    announce(context, context.struck, limit=0, free=0)
+    end(context, 'p1', AttemptEnd.FAILED)
+
+
+@when('its server fails under p1')
+def server_fails(context):
+    end(context, 'p1', AttemptEnd.FAILED)
+
+
+@when('the other side refuses it')
+def other_refuses(context):
+    assert where(context, 'p1') == context.other
+    end(context, 'p1', AttemptEnd.NOT_STARTED)
+
+
+@when('the two sides that p1 is sent to refuse it')
+def all_refuse(context):
+    asked = set()
+    for _ in range(2):
+        asked.add(where(context, 'p1'))
+        end(context, 'p1', AttemptEnd.NOT_STARTED)
+    assert len(asked) == 2, asked
+    assert context.struck not in asked, asked
+    context.asked = sorted(asked)
+
+
+@when('a second passes, and one of these grants a slot')
+def later_grant(context):
+    context.now += 1
+    context.effects.extend(context.router.tick(context.now))
+    context.other = context.asked[0]
+    context.effects.extend(
+        context.router.grant(context.now, context.other, Grant(1, 1)),
+    )
+
+
+@when('the side that failed p1 announces 1 free slot')
+def failed_announces(context):
+    announce(context, context.struck, limit=1, free=1)
+
+
+@when('the side that failed p1 announces 2 free slots, the other one 1')
+def both_announce(context):
+    announce(context, context.struck, limit=2, free=2)
+    announce(context, context.other, limit=1, free=1)
+
+
+@then('p1 runs there')
+def runs_there(context):
+    assert where(context, 'p1') == context.other, context.effects
+    assert sent(context, 'p1')[-1].grant == 1, context.effects
+
+
+@then('the other side hears of p1 in this time')
+def hears(context):
+    told = [
+        effect.side
+        for effect in context.effects
+        if isinstance(effect, SendToSide)
+        and isinstance(effect.message, Bids)
+        and any(row.waiting for row in effect.message.rows)
+    ]
+    assert told.count(context.other) > 1, context.effects
+
+
+@then('p2 runs there')
+def second_runs(context):
+    assert [one.side for one in sent(context, 'p2')] == [context.struck]
+
+
+@then('p1 still waits for the other side')
+def first_waits(context):
+    assert len(sent(context, 'p1')) == 1, context.effects
+
+
+@then('p1 runs at the other side')
+def first_elsewhere(context):
+    assert [one.side for one in sent(context, 'p1')] == [
+        context.struck,
+        context.other,
+    ]
