Sides learn which requests were running at a crash

Cause, by the lines of one attempt: 'entry: dispatch ... entry-a.ee5f.13 suspect=True' and 'side: start ... entry-a.ee5f.13 suspect=False'. The rule that a side runs one suspected request at a time stood in its decisions and was tested there, but the order never carried it: the entry did not fill the field, the side did not hand it on, and its default is false. Suspects of two entries met on one engine, so an innocent one was struck at two servers.

Ruled out: equal fingerprints (the markers differ), strikes for ends that nobody knows (both ends were told as failed).

Fix: both ends pass it, and the order's field has no default, so an order built without it does not pass the type checker. Two suspects now meet only where the entry itself has not heard of the crash yet.

Failed before: 'the order of a second attempt tells that the first one crashed' (tests/entry), 'the decisions learn which order was running at a crash' (tests/side).

--- a/benchmarks/policy/carrier.py
+++ b/benchmarks/policy/carrier.py
@@ -99,6 +99,7 @@
             request.demand.hint,
             effect.grant,
             effect.wait_seconds,
+            suspect=effect.suspect,
         )
         links = self._world.links
         if links.cut(node.name, side.name):
--- a/src/sardinetrack/entry/order.py
+++ b/src/sardinetrack/entry/order.py
@@ -40,6 +40,7 @@
         path=call.path,
         headers=call.headers,
         fingerprint=call.work.fingerprint,
+        suspect=dispatch.suspect,
         bids=tuple(
             (row.workspace, row.tag, row.waiting, row.hint_cost)
             for row in bids.rows
--- a/src/sardinetrack/messages/run.py
+++ b/src/sardinetrack/messages/run.py
@@ -33,10 +33,10 @@
     """Path and query at the backend server."""
     headers: tuple[tuple[str, str], ...]
     fingerprint: str
+    suspect: bool
+    """It was running when another backend server crashed."""
     bids: tuple[tuple[str, float, int, float], ...] = ()
     """The entry's fresh bids, see ``BidRow``; saves a message."""
-    suspect: bool = False
-    """It was running when another backend server crashed."""
 
 
 class Fate(StrEnum):
--- a/src/sardinetrack/side/request_events.py
+++ b/src/sardinetrack/side/request_events.py
@@ -116,4 +116,5 @@
         grant=order.grant,
         wait_seconds=order.wait_seconds,
         fingerprint=order.fingerprint,
+        suspect=order.suspect,
     )
--- a/tests/entry/relay.feature
+++ b/tests/entry/relay.feature
@@ -110,6 +110,17 @@
     And the answer's body is that of the completion
     And the sides have received 2 orders in all
 
+  Scenario: The order of a second attempt tells that the first one crashed
+    Guards against innocent callers who are refused for minutes: the side must
+    know which requests were running at a crash, to keep them apart.
+    Given side "side-b" of pool "ice-llm" is linked
+    And whichever side is asked first breaks a plain answer
+    And the next one answers a completion of 40 tokens
+    And the sides answer questions with "failed"
+    When a caller asks for a plain completion
+    Then the answer has status 200 and is whole
+    And the second order tells that it is suspected, the first did not
+
   Scenario: A call that may not be repeated is not tried again
     Given "side-c" breaks a plain answer
     And the sides answer questions with "failed"
--- a/tests/entry/steps/relay_steps.py
+++ b/tests/entry/steps/relay_steps.py
@@ -320,6 +320,16 @@
     assert context.world.count_orders() == count
 
 
+@then('the second order tells that it is suspected, the first did not')
+def step_suspected(context):
+    sides = context.world.sides.values()
+    orders = [order for side in sides for order in side.orders]
+    assert sorted(order.suspect for order in orders) == [False, True], orders
+    assert max(orders, key=lambda order: order.suspect).attempt_id == max(
+        order.attempt_id for order in orders
+    )
+
+
 @then('"{name}" sees its connection broken off')
 def check_broken_off(context: Any, name: str) -> None:
     side = context.world.sides[name]
--- a/tests/side/runs.feature
+++ b/tests/side/runs.feature
@@ -43,6 +43,12 @@
     Then the backend server sees the request cancelled
     And attempt "a1" has fate stopped
 
+  Scenario: The decisions learn which order was running at a crash
+    Guards against innocent callers who are refused for minutes: two requests
+    that had been running at a crash met on the next server, which crashed.
+    When a suspected order for "/echo" comes
+    Then the decisions know the order as suspected
+
   Scenario: A question with cancel stops a running attempt
     The entry has lost sight of the attempt and asks. The side says that it
     runs and stops it; the answer to the order breaks.
--- a/tests/side/side_backend.py
+++ b/tests/side/side_backend.py
@@ -39,6 +39,7 @@
     path='/echo',
     headers=(('x-caller', 'pilot'),),
     fingerprint='f',
+    suspect=False,
 )
 
 
--- a/tests/side/side_fakes.py
+++ b/tests/side/side_fakes.py
@@ -36,6 +36,7 @@
     """Starts whatever fits into its slots, refuses the rest."""
 
     def __init__(self) -> None:
+        self.arrivals: list[Arrival] = []
         self.limit = 0
         self.fates: dict[str, Fate] = {}
         self.draining = False
@@ -49,6 +50,7 @@
 
     def arrive(self, now: float, arrival: Arrival) -> Sequence[SideEffect]:
         """Start what fits."""
+        self.arrivals.append(arrival)
         known = self.fates.get(arrival.attempt_id)
         if known is not None:
             tombstone = known is Fate.NOT_STARTED
--- a/tests/side/steps/side_steps.py
+++ b/tests/side/steps/side_steps.py
@@ -204,6 +204,18 @@
     assert first == b'first '
 
 
+@when('a suspected order for "{path}" comes')
+def step_suspected(context: Any, path: str) -> None:
+    context.order = msgspec.structs.replace(context.order, suspect=True)
+    step_order(context, path, '')
+
+
+@then('the decisions know the order as suspected')
+def step_known_suspected(context: Any) -> None:
+    arrivals = context.world.admission.arrivals
+    assert [one.suspect for one in arrivals] == [True], arrivals
+
+
 @when('{count:d} orders for "{path}" run')
 def step_many(context: Any, count: int, path: str) -> None:
     for number in range(count):
