An entry writes a line for each error answer, with how far its shutdown is

Cause: 'a second signal ends a process at once' failed once with a caller told not_run_draining where a broken stream is expected, and no line told whether that request had come before the signal or after it: what is refused before it is routed left no line at all.

Change: 'error answer' with the caller's id, the error, whether it is said not to have run, whether an answer had begun, the state of the shutdown and for how long it has lasted. No decision changes.

--- a/src/sardinetrack/entry/border.py
+++ b/src/sardinetrack/entry/border.py
@@ -29,6 +29,7 @@
 
 _LOG: Final = PartLogger(Part.ENTRY)
 _MODELS_PATH: Final = '/v1/models'
+_DIGITS: Final = 3
 
 Handler = Callable[[Exchange, Origin], Awaitable[None]]
 
@@ -114,6 +115,15 @@
         failure: AnsweredError,
     ) -> None:
         self._metrics.failed(failure.kind)
+        _LOG.info(
+            'error answer',
+            request_id=caller_id,
+            error=failure.kind.value,
+            not_run=answer_for(failure.kind).not_run,
+            answer_begun=exchange.started,
+            drain=self._gate.state.value,
+            in_state_seconds=round(self._gate.state_seconds(), _DIGITS),
+        )
         if exchange.started:
             return
         headers = [(REQUEST_ID_HEADER, caller_id), *error_headers(failure)]
--- a/src/sardinetrack/entry/gate.py
+++ b/src/sardinetrack/entry/gate.py
@@ -19,6 +19,16 @@
         self.inside = 0
         self._chart = DRAIN.start()
         self._empty = anyio.Event()
+        self._changed_at = anyio.current_time()
+
+    @property
+    def state(self) -> DrainState:
+        """How far the shutdown is."""
+        return self._chart.state
+
+    def state_seconds(self) -> float:
+        """Tell for how long the shutdown has been that far."""
+        return anyio.current_time() - self._changed_at
 
     @property
     def open(self) -> bool:
@@ -50,16 +60,20 @@
 
     def leave(self) -> None:
         """Be ready no longer."""
-        self._chart.fire(DrainEvent.DRAIN)
+        self._fire(DrainEvent.DRAIN)
 
     def shut(self) -> None:
         """Refuse requests from now on."""
-        self._chart.fire(DrainEvent.SHUT)
+        self._fire(DrainEvent.SHUT)
 
     def close(self) -> None:
         """Note that the wait for the last request is over."""
         late = self.inside > 0
-        self._chart.fire(DrainEvent.DEADLINE if late else DrainEvent.IDLE)
+        self._fire(DrainEvent.DEADLINE if late else DrainEvent.IDLE)
+
+    def _fire(self, event: DrainEvent) -> None:
+        self._chart.fire(event)
+        self._changed_at = anyio.current_time()
 
     async def empty(self) -> None:
         """Return when no request is inside."""
