--- a/tests/support/process.py
+++ b/tests/support/process.py
@@ -84,10 +84,10 @@
                 return self.ready
         raise ProcessFailedError(f'{self.name}: {self.log_tail()}')
 
-    def log_tail(self) -> str:
+    def log_tail(self, characters: int = 3000) -> str:
         """The end of its log."""
         self._log.flush()
-        return self.log_path.read_text(errors='replace')[-3000:]
+        return self.log_path.read_text(errors='replace')[-characters:]
 
     def freeze(self) -> None:
         """Pause it, as a stalled machine would."""
--- a/tests/system/environment.py
+++ b/tests/system/environment.py
@@ -5,6 +5,9 @@
 import sys
 from pathlib import Path
 
+_LOG_CHARACTERS = 100_000
+"""Of each process; the end alone tells the failure, not what led to it."""
+
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 
@@ -16,6 +19,6 @@
     if scenario.status != 'passed':
         for process in fleet.processes.values():
             # What a hook writes to ``sys.stderr`` stays with the runner.
-            tail = f'--- {process.name}\n{process.log_tail()}\n'
+            tail = f'--- {process.name}\n{process.log_tail(_LOG_CHARACTERS)}\n'
             sys.__stderr__.write(tail)
     fleet.__exit__(None, None, None)
