The streams of a leaving test have begun before the first signal

Cause, by lines: 'error answer ... drain=draining in_state_seconds=0.001', and 6 or 7 lines 'start' in place of 8. These requests came after the signal, were said not to have run, and no engine has started them: the case is allowed. The step that starts the streams waited until each engine ran something, not until all eight had begun.

Ruled out: a request that the entry had taken or granted before the signal. The error is raised at the gate alone, before a request is numbered, and the counts of the engines agree.

Change: the step waits for all eight. The check is as strict as before, and what the trace showed has a scenario of its own: a caller that comes between the signals is told so, and no engine ever starts its request.

--- a/tests/system/leaving.feature
+++ b/tests/system/leaving.feature
@@ -43,6 +43,16 @@
     And no stream that was cut looks complete
     And no slot is lost, and a small workspace is served beside a flood
 
+  Scenario: a caller that comes as an entry ends is told that nothing ran
+    The request arrives after the first signal and before the second one. The
+    entry takes it no more; no engine may ever start it.
+    Given a failing fleet with 2 engines and 0 services
+    When a long stream runs at each engine
+    And entry-a is asked to end
+    And one more caller asks entry-a 0.4 s later
+    Then this caller is told not_run_draining, and no engine has started its request
+    And the long streams are whole
+
   Scenario: a side is lost
     The side's process is killed. What ran there ends in a clear error or was
     tried again; new work goes to the other engine.
--- a/tests/system/steps/leaving_steps.py
+++ b/tests/system/steps/leaving_steps.py
@@ -25,6 +25,7 @@
 
 _LONG_TOKENS = 700
 _TOKENS = 30
+_LATE_MARKER = 'late'
 _CALLERS = 10
 _MOVES = 20
 _TRUE_FAILURES = frozenset(
@@ -76,10 +77,13 @@
     scene = context.scene
     url = scene.fleet.url(ENTRIES[0])
     names = scene.stand_ins.names()
-    for number in range(2 * scene.plan.slots):
-        marker = f'whole-{number}'
+    markers = [f'whole-{number}' for number in range(2 * scene.plan.slots)]
+    for marker in markers:
         scene.crowd.send(ask_stream, scene.caller, url, marker, _LONG_TOKENS)
     eventually(lambda: all(scene.load(name)['running'] for name in names))
+    # One that is not taken yet would be refused by an entry that ends.
+    started = scene.stand_ins.started
+    eventually(lambda: all(map(started, markers)))
 
 
 @when('{count:d} long streams run through {entry:S}')
@@ -154,6 +158,22 @@
     assert found == code, (found, context.ending.log_tail())
 
 
+@when('one more caller asks {entry} {seconds:g} s later')
+def when_late_caller(context, entry: str, seconds: float):
+    scene = context.scene
+    time.sleep(seconds)
+    url = scene.fleet.url(entry)
+    context.late = ask_stream(scene.caller, url, _LATE_MARKER)
+
+
+@then('this caller is told {code:S}, and no engine has started its request')
+def then_late_not_run(context, code: str):
+    assert context.late.verdict == code, context.late
+    assert context.late.not_run, context.late
+    context.ending.wait()
+    assert not context.scene.stand_ins.started(_LATE_MARKER)
+
+
 @then('the process has ended before its streams would have')
 def then_ended_at_once(context):
     context.ending.wait()
