A wait of the system tests tells what it waited for and what it saw last

Cause: 'a stream that the engine cuts never looks complete' failed once with 'not within 30 s' and nothing else: a lost slot, a slow start and a busy machine look alike.

Change: eventually() names the line of its check and shows the slots of the sides or the pools of the entries that it looked at. No check changes.

--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import linecache
 import time
 from collections.abc import Callable
 from contextlib import AbstractContextManager, ExitStack
@@ -23,9 +24,15 @@
 _PAUSE_SECONDS: Final = 0.05
 
 
-def eventually(check: Any, *, within_seconds: float = _READY_SECONDS) -> Any:
+def eventually(
+    check: Any,
+    *,
+    within_seconds: float = _READY_SECONDS,
+    shows: Any = None,
+) -> Any:
     """Poll until a check gives something true.
 
+    :param shows: describes what the check looks at, for a failure.
     :return: what it gave; fails after the time.
     """
     deadline = time.monotonic() + within_seconds
@@ -33,10 +40,23 @@
         found = check()
         if found:
             return found
-        assert time.monotonic() < deadline, f'not within {within_seconds} s'
+        if time.monotonic() >= deadline:
+            seen = found if shows is None else shows()
+            raise AssertionError(
+                f'not within {within_seconds} s: {_where(check)}: {seen}'
+            )
         time.sleep(_PAUSE_SECONDS)
 
 
+def _where(check: Any) -> str:
+    """Name the line of a check."""
+    code = getattr(check, '__code__', None)
+    if code is None:
+        return repr(check)
+    path, line = code.co_filename, code.co_firstlineno
+    return f'{path}:{line} {linecache.getline(path, line).strip()}'
+
+
 class Fleet:
     """Processes by name; everything ends with the context."""
 
--- a/tests/support/slots.py
+++ b/tests/support/slots.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 from itertools import cycle
-from typing import Final
+from typing import Any, Final
 
 from support.caller import Caller
 from support.crowd import (
@@ -44,8 +44,11 @@
 
 def check_idle(scene: Scene, names: list[str]) -> None:
     """Check that nothing runs and that all slots are free."""
-    eventually(lambda: all(_idle(scene, name) for name in names))
-    eventually(lambda: _entries_idle(scene))
+    eventually(
+        lambda: all(_idle(scene, name) for name in names),
+        shows=lambda: {name: scene.load(name) for name in names},
+    )
+    eventually(lambda: _entries_idle(scene), shows=lambda: _pools(scene))
 
 
 def _check_flood(scene: Scene, names: list[str], ask: Ask) -> None:
@@ -55,7 +58,10 @@
             crowd.send(ask, scene.caller, next(urls), f'flood-{number}')
             for number in range(_ROUNDS * scene.plan.slots * len(names))
         ]
-        eventually(lambda: all(_full(scene, name) for name in names))
+        eventually(
+            lambda: all(_full(scene, name) for name in names),
+            shows=lambda: {name: scene.load(name) for name in names},
+        )
         small = ask(scene.small, next(urls), 'small')
         assert small.verdict == WHOLE, small
         waited_for = sum(future.done() for future in flood)
@@ -82,13 +88,17 @@
 
 
 def _entries_idle(scene: Scene) -> bool:
+    pools = [pool for entry in _pools(scene).values() for pool in entry]
+    return not any(pool['running'] or pool['waiting'] for pool in pools)
+
+
+def _pools(scene: Scene) -> dict[str, list[Any]]:
     fleet = scene.fleet
-    for name, process in fleet.processes.items():
-        if 'callers_url' in process.ready and process.running:
-            pools = fleet.operator(name, '/status').json()['pools']
-            if any(pool['running'] or pool['waiting'] for pool in pools):
-                return False
-    return True
+    return {
+        name: fleet.operator(name, '/status').json()['pools']
+        for name, process in fleet.processes.items()
+        if 'callers_url' in process.ready and process.running
+    }
 
 
 def _all_whole(rows: list[Told]) -> None:
