Callers' listener: no connection closes with a request on its way

What callers saw: 'server disconnected without sending a response' as their entry was asked to end under load (the issue quotes it).

Cause: mended the protocol class of peers' and operators' listeners; callers are served by another class, which kept the library's end: every connection without a request under way is closed at once. Beside it, on both listeners: a head half read was cut; a listener that closes resets who waits in the kernel (20 of 20 callers while the loop was 0.5 s late); an answer that had promised to keep its connection was closed behind; the longest idle connection was cut although its request had arrived unread.

Fix: one class for all listeners (http/ending.py). At the end a waiting connection stays open for 0.3 s and while something has begun to arrive; the server accepts who has connected and closes the listener in the same step; from the first signal on every answer says that its connection ends, so that callers have moved on by then. The check for unread bytes is shared with the relay.

Left: two system calls lie between the last accept and the close.

--- a/src/sardinetrack/entry/border.py
+++ b/src/sardinetrack/entry/border.py
@@ -57,6 +57,7 @@
     async def handle(self, exchange: Exchange) -> None:
         """Answer one request."""
         caller_id = caller_request_id(exchange.header(REQUEST_ID_HEADER))
+        exchange.is_last = self._leaves
         try:
             await self._serve(exchange, caller_id)
         except AnsweredError as failure:
@@ -79,6 +80,14 @@
                 origin = Origin(workspace, caller_id, request_id, account)
                 await handler(exchange, origin)
 
+    def _leaves(self) -> bool:
+        """Whether callers should come back to another instance.
+
+        A connection that was kept until the process ends would close as the
+        next request is on its way.
+        """
+        return self._gate.draining
+
     def _handler(self, exchange: Exchange) -> Handler:
         path = exchange.path
         if exchange.target.startswith(SERVICES_PATH):
@@ -127,8 +136,6 @@
         if exchange.started:
             return
         headers = [(REQUEST_ID_HEADER, caller_id), *error_headers(failure)]
-        if not self._gate.open:
-            headers.append(('connection', 'close'))
         await exchange.answer_json(
             answer_for(failure.kind).status,
             error_document(failure),
--- a/src/sardinetrack/entry/protocol.py
+++ b/src/sardinetrack/entry/protocol.py
@@ -8,16 +8,14 @@
 
 import httptools
 import msgspec
-from uvicorn.protocols.http.httptools_impl import (
-    STATUS_LINE,
-    HttpToolsProtocol,
-)
+from uvicorn.protocols.http.httptools_impl import STATUS_LINE
 
 from sardinetrack.entry.answers import error_document, error_headers
 from sardinetrack.entry.caller import TRANSPORT_STATE
 from sardinetrack.entry.heads import HeadBounds, check_head
 from sardinetrack.errors.api import AnsweredError, ErrorKind
 from sardinetrack.errors.table import answer_for
+from sardinetrack.http.ending import EndingProtocol
 from sardinetrack.http.idle import IdleConnections
 
 _LATIN: Final = 'latin-1'
@@ -25,7 +23,7 @@
 _END: Final = '\r\n'
 
 
-class CallerProtocol(HttpToolsProtocol):
+class CallerProtocol(EndingProtocol):
     """Refuses heads that are too large, too slow or ambiguous."""
 
     bounds: ClassVar[HeadBounds]
@@ -50,7 +48,7 @@
         super().connection_made(transport)
         self._start_timer(self.bounds.head_seconds, self._head_is_late)
         if self.idle.make_room(len(self.connections)):
-            self.idle.add(self, transport.abort)
+            self.idle.add(self, self.close_idle)
         else:
             self._refuse(AnsweredError(ErrorKind.TOO_MANY_CONNECTIONS))
 
@@ -105,7 +103,7 @@
         self._in_body = False
         self._stop_timer()
         if self.cycle.response_complete:
-            self.idle.add(self, self.transport.abort)
+            self.idle.add(self, self.close_idle)
 
     def on_response_complete(self) -> None:
         """Throw the rest of the body away for a while, or wait idle."""
@@ -115,7 +113,7 @@
             # answer before a caller that still sends has read it.
             self._start_timer(self.bounds.linger_seconds, self._abort)
         elif not self.pipeline:
-            self.idle.add(self, self.transport.abort)
+            self.idle.add(self, self.close_idle)
 
     def timeout_keep_alive_handler(self) -> None:
         """Close an idle connection, also one that doesn't read."""
--- a/src/sardinetrack/http/asgi.py
+++ b/src/sardinetrack/http/asgi.py
@@ -25,6 +25,11 @@
 
 _JSON: Final = (('content-type', 'application/json'),)
 _LATIN: Final = 'latin-1'
+_CLOSE: Final = ('connection', 'close')
+
+
+def _is_not_last() -> bool:
+    return False
 
 
 class CallerGoneError(Exception):
@@ -40,6 +45,8 @@
         self._receive = receive
         self._send = send
         self.started = False
+        self.is_last: Callable[[], bool] = _is_not_last
+        """Whether the answer says that its connection ends."""
 
     @property
     def method(self) -> str:
@@ -110,6 +117,8 @@
     async def start(self, status: int, headers: HeaderPairs) -> None:
         """Send status and headers."""
         self.started = True
+        if self.is_last():
+            headers = [*headers, _CLOSE]
         await self._send(
             {
                 'type': 'http.response.start',
--- a/src/sardinetrack/http/guard.py
+++ b/src/sardinetrack/http/guard.py
@@ -7,8 +7,7 @@
 from dataclasses import dataclass
 from typing import Any, ClassVar, Final, cast
 
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
-
+from sardinetrack.http.ending import EndingProtocol
 from sardinetrack.http.idle import IdleConnections
 
 _MAX_HEAD_BYTES: Final = 262_144
@@ -26,11 +25,9 @@
     """From a connection's begin, or a head's first byte, to the head's end."""
     linger_seconds: float = 2.0
     """How long a body is thrown away after an early answer."""
-    last_request_seconds: float = 0.3
-    """How long a connection that waits for a request stays open at the end."""
 
 
-class GuardedProtocol(HttpToolsProtocol):
+class GuardedProtocol(EndingProtocol):
     """Closes connections whose head is too large or too slow.
 
     The server's own protocol has no such bound: whoever reaches the port
@@ -47,7 +44,6 @@
         self._head_bytes = 0
         self._in_head = True
         self._timer: asyncio.TimerHandle | None = None
-        self._leaving = False
 
     def connection_made(  # type: ignore[override] # as uvicorn's own
         self,
@@ -73,37 +69,12 @@
         if self._in_head and self._head_bytes > self.bounds.max_head_bytes:
             self.transport.abort()
 
-    def shutdown(self) -> None:
-        """Leave, but answer a request that is on its way.
-
-        A caller that connected as its process ended would else find the
-        connection closed without an answer, and could not know whether its
-        request has run. Within this time a request that was sent before the
-        close could be seen has arrived; later ones meet a closed listener.
-        """
-        if self._waits:
-            self._leaving = True
-            self._stop_timer()
-            linger_seconds = self.bounds.last_request_seconds
-            self._timer = self.loop.call_later(
-                linger_seconds,
-                self.transport.close,
-            )
-        else:
-            super().shutdown()
-
-    @property
-    def _waits(self) -> bool:
-        return self.cycle is None or self.cycle.response_complete
-
     def on_headers_complete(self) -> None:
         """Take up a request, or a link."""
         self._in_head = False
         self._head_bytes = 0
         self._work()
         super().on_headers_complete()
-        if self._leaving and self.cycle is not None:
-            self.cycle.keep_alive = False
 
     def on_message_complete(self) -> None:
         """Expect the next head."""
@@ -111,7 +82,7 @@
         self._in_head = True
         self._stop_timer()
         if self.cycle is not None and self.cycle.response_complete:
-            self.idle.add(self, self.transport.abort)
+            self.idle.add(self, self.close_idle)
 
     def on_response_complete(self) -> None:
         """Throw the rest of the body away for a while, or wait idle."""
@@ -119,10 +90,10 @@
         if not self._in_head:
             self._start_timer(self.bounds.linger_seconds)
         elif not self.pipeline:
-            self.idle.add(self, self.transport.abort)
+            self.idle.add(self, self.close_idle)
 
     def _wait_for_head(self) -> None:
-        self.idle.add(self, self.transport.abort)
+        self.idle.add(self, self.close_idle)
         self._start_timer(self.bounds.head_seconds)
 
     def _work(self) -> None:
--- a/src/sardinetrack/http/idle.py
+++ b/src/sardinetrack/http/idle.py
@@ -20,32 +20,35 @@
         :param most: connections that the listener holds in all.
         """
         self._most = most
-        self._idle: dict[Hashable, Callable[[], None]] = {}
+        self._idle: dict[Hashable, Callable[[], bool]] = {}
 
     def __len__(self) -> int:
         return len(self._idle)
 
-    def add(self, connection: Hashable, abort: Callable[[], None]) -> None:
+    def add(self, connection: Hashable, close: Callable[[], bool]) -> None:
         """Note that a connection has no request.
 
-        :param abort: cuts it.
+        :param close: closes it, and tells whether it did: a request that is
+            not read yet may be on its way.
         """
-        self._idle[connection] = abort
+        self._idle[connection] = close
 
     def remove(self, connection: Hashable) -> None:
         """Note that a connection has a request or is gone."""
         self._idle.pop(connection, None)
 
     def make_room(self, held: int) -> bool:
-        """Cut the oldest idle connection when there are too many.
+        """Close the oldest idle connection when there are too many.
 
         :param held: connections that the listener holds now.
         :return: whether there is room for the newest one.
         """
         if held <= self._most:
             return True
-        if not self._idle:
+        return any(self._close(one) for one in list(self._idle))
+
+    def _close(self, connection: Hashable) -> bool:
+        if not self._idle[connection]():
             return False
-        oldest = next(iter(self._idle))
-        self._idle.pop(oldest)()
+        self.remove(connection)
         return True
--- a/src/sardinetrack/http/server.py
+++ b/src/sardinetrack/http/server.py
@@ -6,7 +6,7 @@
 import socket
 from collections.abc import AsyncIterator, Iterator
 from contextlib import asynccontextmanager, contextmanager
-from typing import Final
+from typing import Any, Final, cast
 
 import anyio
 import uvicorn
@@ -41,6 +41,34 @@
         await super().startup(sockets=sockets)
         self.listening.set()
 
+    async def shutdown(
+        self,
+        sockets: list[socket.socket] | None = None,
+    ) -> None:
+        """Take in who has connected, then close.
+
+        A listener that is closed resets the connections that wait to be
+        accepted; while the loop is late these are many, and their requests
+        are on the way.
+        """
+        accepted = [one for each in sockets or () for one in _accept_all(each)]
+        for listening in self.servers:
+            listening.close()
+        for connection in accepted:
+            await asyncio.get_running_loop().connect_accepted_socket(
+                self._protocol,
+                connection,
+            )
+        await super().shutdown(sockets)
+
+    def _protocol(self) -> asyncio.Protocol:
+        made = cast('type[Any]', self.config.http_protocol_class)(
+            config=self.config,
+            server_state=self.server_state,
+            app_state=self.lifespan.state,
+        )
+        return cast(asyncio.Protocol, made)
+
     @contextmanager
     def capture_signals(self) -> Iterator[None]:
         """Install no handlers: one process may run several servers."""
@@ -82,6 +110,17 @@
         self._server.force_exit = True
 
 
+def _accept_all(listener: socket.socket) -> Iterator[socket.socket]:
+    """Accept what waits at a listener that does not block."""
+    while True:
+        try:
+            connection, _ = listener.accept()
+        except BlockingIOError:
+            return
+        connection.setblocking(False)
+        yield connection
+
+
 def bind(ip: str, port: int) -> socket.socket:
     """Open a listening socket.
 
--- a/src/sardinetrack/relay/caller_connection.py
+++ b/src/sardinetrack/relay/caller_connection.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import os
-import select
 import socket
 from collections import deque
 from collections.abc import Callable
@@ -13,6 +12,7 @@
 import httptools
 
 from sardinetrack.errors.api import AnsweredError, ErrorKind
+from sardinetrack.http.unread import descriptor, has_unread
 from sardinetrack.relay.api import Call, Dialect
 from sardinetrack.relay.door import Door
 from sardinetrack.relay.own_answer import own_answer, status_line
@@ -106,12 +106,7 @@
     @property
     def unread(self) -> bool:
         """Whether something has come that the loop has not read yet."""
-        fileno = self._fileno()
-        if fileno < 0:
-            return False
-        poll = select.poll()
-        poll.register(fileno, select.POLLIN)
-        return bool(poll.poll(0))
+        return has_unread(self._transport)
 
     @property
     def hung_up(self) -> bool:
@@ -128,7 +123,8 @@
 
     def _at_its_end(self) -> bool:
         """Whether nothing comes any more, from a look that takes nothing."""
-        with socket.socket(fileno=os.dup(self._fileno())) as look:
+        fileno = descriptor(self._transport)
+        with socket.socket(fileno=os.dup(fileno)) as look:
             try:
                 return not look.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
             except BlockingIOError:
@@ -136,14 +132,6 @@
             except OSError:
                 return True
 
-    def _fileno(self) -> int:
-        """Tell the descriptor; negative if there is none any more."""
-        transport = self._transport
-        if transport is None or transport.is_closing():
-            return -1
-        sock = transport.get_extra_info('socket')
-        return -1 if sock is None else int(sock.fileno())
-
     def close_idle(self) -> bool:
         """Close a connection on which nothing is under way.
 
--- a/tests/entry/drain.feature
+++ b/tests/entry/drain.feature
@@ -22,6 +22,14 @@
     Then all waiting callers get their whole answers
     And the entry ends by itself
 
+  Scenario: Who is served while the entry leaves is told that it leaves
+    Guards against a kept connection on which the next request crosses the
+    close: the answer before it says that it is the last one.
+    When the entry is told to drain
+    And a caller gets "/v1/models"
+    Then the answer has status 200 and is whole
+    And the answer has header "connection" of "close"
+
   Scenario: A drain has a bound
     Given "side-c" holds what it answers, which is "chart"
     And a caller waits for "/services/chart-api/charts"
--- a/tests/http/server.feature
+++ b/tests/http/server.feature
@@ -33,6 +33,68 @@
     Then the caller is answered and the connection is closed
     And the server has ended within 2 seconds
 
+  Scenario Outline: whoever listens answers a caller that has just connected
+    Guards against an end without an answer at the callers' listener, whose
+    protocol is another one than that of peers and operators.
+    Given a server of <listener> that answers every call
+    When a caller connects, the server stops, and the caller sends a call
+    Then the caller is answered and the connection is closed
+    And the server has ended within 2 seconds
+
+    Examples:
+      | listener |
+      | callers  |
+      | peers    |
+
+  Scenario Outline: a request that is half sent when the server ends is answered
+    Guards against a slow caller whose head is cut in the middle.
+    Given a server of <listener> that answers every call
+    When a caller sends half a head, the server stops, and the rest follows
+    Then the caller is answered and the connection is closed
+    And the server has ended within 2 seconds
+
+    Examples:
+      | listener |
+      | callers  |
+      | peers    |
+
+  Scenario Outline: callers that a late loop has not accepted yet are answered
+    Guards against a reset of connections that wait in the kernel when the
+    listener closes: the callers have connected and sent their requests.
+    Given a server of <listener> that answers every call
+    When 20 callers connect and ask while the loop is late and the server ends
+    Then all callers are answered
+
+    Examples:
+      | listener |
+      | callers  |
+      | peers    |
+
+  Scenario Outline: an answer under way at the end keeps what it has promised
+    Guards against a kept connection that closes without a word: its answer
+    began before the server ended and did not say that it is the last one.
+    Given a server of <listener> that answers slowly
+    When an answer has begun, the server stops, and a second call follows it
+    Then the caller has both answers and the connection is closed
+    And the server has ended within 3 seconds
+
+    Examples:
+      | listener |
+      | callers  |
+      | peers    |
+
+  Scenario Outline: an idle connection with an unread request is not cut
+    Guards against a reset of a request that a late loop has not read yet, when
+    its connection is the one that was idle longest.
+    Given a server of <listener> that answers every call
+    When room is made while a request waits unread on the idle connection
+    Then the caller is answered
+
+    Examples:
+      | listener |
+      | callers  |
+      | peers    |
+
   Scenario: a connection that asks nothing does not hold the end up
     Given a server that answers every call
     When a caller connects, and the server stops
--- a/tests/http/steps/server_steps.py
+++ b/tests/http/steps/server_steps.py
@@ -4,15 +4,32 @@
 
 import asyncio
 import socket
+import time
+from concurrent.futures import ThreadPoolExecutor
+from unittest.mock import patch
 
 import anyio
 from behave import given, then, when
 
+from sardinetrack.entry.heads import HeadBounds
+from sardinetrack.entry.protocol import caller_protocol
 from sardinetrack.http.asgi import Exchange, Receive, Scope, Send
 from sardinetrack.http.client import BrokenError, HttpClient, NotSentError
-from sardinetrack.http.server import bind, serving
+from sardinetrack.http.guard import ServerBounds, guarded_protocol
+from sardinetrack.http.server import _Server, bind, serving
 
 _IP = '127.0.0.1'
+_CALL = b'GET / HTTP/1.1\r\nhost: h\r\n\r\n'
+_HALF = len(_CALL) // 2
+_LATE_SECONDS = 0.5
+_SLOW_SECONDS = 0.4
+_MOST = 20
+
+
+def _protocol(listener):
+    if listener == 'callers':
+        return caller_protocol(HeadBounds(), _MOST)
+    return guarded_protocol(ServerBounds(max_connections=_MOST))
 
 
 async def _answer(scope: Scope, receive: Receive, send: Send) -> None:
@@ -122,17 +139,42 @@
 @given('a server that answers every call')
 def given_answering(context):
     context.application = _answer
+    context.protocol = None
+
+
+@given('a server of {listener} that answers every call')
+def given_listener_answering(context, listener):
+    context.application = _answer
+    context.protocol = _protocol(listener)
+
 
+async def _answer_slowly(scope: Scope, receive: Receive, send: Send) -> None:
+    exchange = Exchange(scope, receive, send)
+    await exchange.start(200, [('content-length', '2')])
+    await exchange.write(b'o')
+    await anyio.sleep(_SLOW_SECONDS)
+    await exchange.finish(b'k')
+
+
+@given('a server of {listener} that answers slowly')
+def given_listener_slow(context, listener):
+    context.application = _answer_slowly
+    context.protocol = _protocol(listener)
 
-async def _stop_under(application, call):
+
+async def _stop_under(context, call, before=b''):
     """Stop a server to which a caller has just connected."""
     loop = asyncio.get_running_loop()
-    async with serving(application, _IP, 0) as server:
+    serves = serving(context.application, _IP, 0, protocol=context.protocol)
+    async with serves as server:
         reader, writer = await asyncio.open_connection(_IP, server.port)
+        writer.write(before)
         await anyio.sleep(0.05)
         server.stop()
         stopped_seconds = loop.time()
         await anyio.sleep(0.15)
+        if before:
+            await anyio.sleep(_LATE_SECONDS)
         writer.write(call)
         with anyio.fail_after(5):
             answer = await reader.read()
@@ -143,13 +185,129 @@
 
 @when('a caller connects, the server stops, and the caller sends a call')
 def when_stopped_under(context):
-    call = b'GET / HTTP/1.1\r\nhost: h\r\n\r\n'
-    context.told = anyio.run(_stop_under, context.application, call)
+    context.told = anyio.run(_stop_under, context, _CALL)
 
 
 @when('a caller connects, and the server stops')
 def when_stopped(context):
-    context.told = anyio.run(_stop_under, context.application, b'')
+    context.told = anyio.run(_stop_under, context, b'')
+
+
+@when('a caller sends half a head, the server stops, and the rest follows')
+def when_stopped_in_head(context):
+    context.told = anyio.run(_stop_under, context, _CALL[_HALF:], _CALL[:_HALF])
+
+
+def _hold_up():
+    time.sleep(_LATE_SECONDS)
+
+
+def _ask(port):
+    """Send a call on a new connection and read to the end."""
+    with socket.create_connection((_IP, port), timeout=5) as link:
+        link.sendall(_CALL)
+        try:
+            return b''.join(iter(lambda: link.recv(4096), b''))
+        except ConnectionError as error:
+            return repr(error).encode()
+
+
+async def _stop_late(context):
+    """Let callers connect while the loop is held up just before the end."""
+    serves = serving(context.application, _IP, 0, protocol=context.protocol)
+    main_loop = _Server.main_loop
+    with ThreadPoolExecutor(_MOST) as threads:
+        futures = []
+
+        async def late(server):
+            await main_loop(server)
+            futures.extend(threads.submit(_ask, port) for _ in range(_MOST))
+            _hold_up()
+
+        with patch.object(_Server, 'main_loop', late):
+            async with serves as server:
+                port = server.port
+                server.stop()
+                await server.closed()
+    return [future.result() for future in futures]
+
+
+@when(
+    '{count:d} callers connect and ask while the loop is late'
+    ' and the server ends'
+)
+def when_backlog(context, count):
+    assert count == _MOST
+    context.answers = anyio.run(_stop_late, context)
+
+
+@then('all callers are answered')
+def then_all_answered(context):
+    wrong = [
+        answer
+        for answer in context.answers
+        if not answer.startswith(b'HTTP/1.1 200')
+    ]
+    assert len(context.answers) == _MOST
+    assert not wrong, (len(wrong), wrong[:3])
+
+
+async def _stop_in_answer(context):
+    loop = asyncio.get_running_loop()
+    serves = serving(context.application, _IP, 0, protocol=context.protocol)
+    async with serves as server:
+        reader, writer = await asyncio.open_connection(_IP, server.port)
+        writer.write(_CALL)
+        first = await reader.readuntil(b'\r\n\r\n')
+        server.stop()
+        stopped_seconds = loop.time()
+        with anyio.fail_after(5):
+            first += await reader.readexactly(2)
+            writer.write(_CALL)
+            second = await reader.read()
+            await server.closed()
+        writer.close()
+    return first, second, loop.time() - stopped_seconds
+
+
+@when('an answer has begun, the server stops, and a second call follows it')
+def when_stopped_in_answer(context):
+    first, second, seconds = anyio.run(_stop_in_answer, context)
+    context.answers = [first, second]
+    context.told = (second, seconds)
+
+
+@then('the caller has both answers and the connection is closed')
+def then_both(context):
+    first, second = context.answers
+    assert b'connection: close' not in first.lower(), first
+    assert first.endswith(b'ok'), context.answers
+    assert second.startswith(b'HTTP/1.1 200'), context.answers
+    assert second.endswith(b'ok'), context.answers
+
+
+async def _make_room(context):
+    serves = serving(context.application, _IP, 0, protocol=context.protocol)
+    async with serves as server:
+        reader, writer = await asyncio.open_connection(_IP, server.port)
+        await anyio.sleep(0.05)
+        writer.write(_CALL)
+        # The loop has no turn between the request's arrival and the cut.
+        context.protocol.idle.make_room(_MOST + 1)
+        with anyio.fail_after(5):
+            answer = await reader.read(4096)
+        writer.close()
+    return answer
+
+
+@when('room is made while a request waits unread on the idle connection')
+def when_room(context):
+    context.told = (anyio.run(_make_room, context), 0)
+
+
+@then('the caller is answered')
+def then_told(context):
+    assert context.told[0].startswith(b'HTTP/1.1 200'), context.told
 
 
 @then('the caller is answered and the connection is closed')
