A request that ran to its end is cleared at all entries

What callers would see: a request that once ran beside a crash and has been answered since is refused as crashes_servers for ten minutes after one more crash, at entries other than the one that answered it.

Cause: a whole answer cleared the strikes in the book of its own entry; peers keep theirs for 600 s, and equal prompts have one fingerprint for all callers of a workspace.

Fix: the entry sends the strikes that it forgets to its peers with no time left, a message that they take as any other strike. A request that ran to its end has then no strike anywhere.

Failed before: 'a request that ran to its end is no suspect at any entry' (tests/routing).

--- a/src/sardinetrack/routing/outcome.py
+++ b/src/sardinetrack/routing/outcome.py
@@ -53,8 +53,10 @@
             pool.open_requests -= 1
         if end is AttemptEnd.WHOLE:
             breaker.succeeded(attempt.generation)
-            self._shared.strikes.clear(attempt.waiting.work.fingerprint)
-            return self._freed(now, pool, attempt)
+            return [
+                *self._cleared(attempt),
+                *self._freed(now, pool, attempt),
+            ]
         if end is AttemptEnd.NOT_STARTED:
             breaker.undecided(attempt.generation)
             return self._again(now, pool, attempt)
@@ -64,6 +66,16 @@
         breaker.failed(now, attempt.generation)
         return self._failed(now, pool, attempt, end, answered=answered)
 
+    def _cleared(self, attempt: Attempt) -> Sequence[EntryEffect]:
+        """Clear a request that ran to its end, at all entries.
+
+        Another entry would count the crash that it was innocent of together
+        with the next one, and refuse it for minutes.
+        """
+        fingerprint = attempt.waiting.work.fingerprint
+        cleared = self._shared.strikes.clear(fingerprint)
+        return [SendToEntries(strike) for strike in cleared]
+
     def _freed(
         self,
         now: float,
--- a/src/sardinetrack/routing/strikes.py
+++ b/src/sardinetrack/routing/strikes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from typing import Final
 
 from sardinetrack.messages.api import Strike
@@ -64,9 +65,14 @@
             if expiry > now
         ]
 
-    def clear(self, fingerprint: str) -> None:
-        """Forget the strikes of a request that ran to its end."""
-        self._expiries.pop(fingerprint, None)
+    def clear(self, fingerprint: str) -> Sequence[Strike]:
+        """Forget the strikes of a request that ran to its end.
+
+        :param fingerprint: of the request.
+        :return: strikes that expire at once; they clear it at other entries.
+        """
+        servers = self._expiries.pop(fingerprint, {})
+        return [Strike(fingerprint, server, 0) for server in servers]
 
     def forget(self, now: float) -> None:
         """Drop expired strikes."""
--- a/tests/routing/steps/suspects_steps.py
+++ b/tests/routing/steps/suspects_steps.py
@@ -7,10 +7,17 @@
 from behave import given, then, when
 from router_steps import POOL, pool, workspace
 
-from sardinetrack.messages.api import Bids, Grant, SideLoad, SidePhase
+from sardinetrack.messages.api import (
+    Bids,
+    Grant,
+    SideLoad,
+    SidePhase,
+    Strike,
+)
 from sardinetrack.routing.api import (
     AttemptEnd,
     Dispatch,
+    SendToEntries,
     SendToSide,
     SideInfo,
     Work,
@@ -88,6 +95,47 @@
     announce(context, context.other, limit=1, free=0)
 
 
+@given('a peer has told that p1 ran at a crash of server {server}')
+def peer_strikes(context, server):
+    context.router.strike(context.now, Strike('print-p1', server, 60.0))
+
+
+@when("pilot's p1 runs at one of them and has its whole answer")
+def run_whole(context):
+    run_first(context)
+    end(context, 'p1', AttemptEnd.WHOLE)
+
+
+@then('all entries hear that it was not to blame for the crash of {server}')
+def all_hear(context, server):
+    told = [
+        effect.message
+        for effect in context.effects
+        if isinstance(effect, SendToEntries)
+    ]
+    assert told == [Strike('print-p1', server, 0)], told
+
+
+@when('a peer tells the same, and that p1 ran at a crash of server {server}')
+def peer_clears(context, server):
+    context.router = Router(Identity('b', 'first'), Random(1))
+    context.router.configure(0, [workspace('pilot')], [pool()])
+    context.router.strike(context.now, Strike('print-p1', 'one', 60.0))
+    context.router.strike(context.now, Strike('print-p1', 'one', 0))
+    context.router.strike(context.now, Strike('print-p1', server, 60.0))
+
+
+@then('p1 is still served')
+def still_served(context):
+    for side in context.sides:
+        info = SideInfo(side, POOL, f'engine-{side}', 'galata', '127.0.0.1:1')
+        context.router.side_up(context.now, info)
+        announce(context, side, limit=1, free=1)
+    before = len(sent(context, 'p1'))
+    submit(context, 'p1')
+    assert len(sent(context, 'p1')) == before + 1, context.effects
+
+
 @when('its server dies under p1 and its side loses its slots')
 def server_dies(context):
     announce(context, context.struck, limit=0, free=0)
--- a/tests/routing/suspects.feature
+++ b/tests/routing/suspects.feature
@@ -34,6 +34,16 @@
     Then p2 runs there
     And p1 still waits for the other side
 
+  Scenario: A request that ran to its end is no suspect at any entry
+    Guards against innocent requests that are refused for minutes: another
+    entry would count a crash that this one has forgotten, with the next one.
+    Given an entry with 2 sides of 1 free slot
+    And a peer has told that p1 ran at a crash of server one
+    When pilot's p1 runs at one of them and has its whole answer
+    Then all entries hear that it was not to blame for the crash of one
+    When a peer tells the same, and that p1 ran at a crash of server two
+    Then p1 is still served
+
   Scenario: A free side is used though another one is closed to the request
     Guards against work that waits beside an idle server because the first
     side that was looked at is closed to it.
