The check that a side without its engine starts nothing counts its lines again

Cause: the step 'the side starts no new work after 4 s' counted ' start attempt=' in the side's log; the line has read 'side: start workspace=...' for long, so it compared 0 with 0 and could not fail.

Change: it counts the line as it is, and asks first that the side has started something.

--- a/tests/system/steps/leaving_steps.py
+++ b/tests/system/steps/leaving_steps.py
@@ -215,6 +215,7 @@
     time.sleep(seconds)
     name = f'side-{server}'
     before = _starts(context, name)
+    assert before, 'the side has started nothing at all'
     time.sleep(1)
     assert _starts(context, name) == before
     assert context.scene.load(server)['limit'] == 0
@@ -222,7 +223,7 @@
 
 def _starts(context, name: str) -> int:
     log = context.fleet.processes[name].log_path.read_text()
-    return log.count(' start attempt=')
+    return log.count('side: start ')
 
 
 @then('the long streams are whole')
