--- a/src/sardinetrack/entry/border.py
+++ b/src/sardinetrack/entry/border.py
@@ -124,7 +124,9 @@
         failure: AnsweredError,
     ) -> None:
         self._metrics.failed(failure.kind)
-        _LOG.info(
+        stranger = failure.kind is ErrorKind.UNAUTHENTICATED
+        write = _LOG.debug if stranger else _LOG.info
+        write(
             'error answer',
             request_id=caller_id,
             error=failure.kind.value,
