Half a head keeps nobody else out; an excess of connections goes at once

A connection with half a head was protected from making room, so strangers could have kept everybody out for ten seconds with a few bytes on each connection; and one connection was closed for each newcomer, which never brings an excess down that arose while requests waited unread.

Change: only unread bytes protect an idle connection; a newcomer closes the whole excess, not counting those that are closing already. A listener without a descriptor for one more connection ends its last accepts quietly.

Before: 'connections with half a head give way like idle ones' fails (503); after: 6 of 6 runs of tests/http.

--- a/src/sardinetrack/http/ending.py
+++ b/src/sardinetrack/http/ending.py
@@ -65,11 +65,14 @@
             self.cycle.keep_alive = False
 
     def close_idle(self) -> bool:
-        """Close the connection unless a request is on its way.
+        """Close the connection unless a request waits unread.
+
+        Half a head protects no connection: whoever sends that much on
+        thousands of them would keep everybody else out.
 
         :return: whether it is closed.
         """
-        if self._expects:
+        if has_unread(self.transport):
             return False
         if self.transport.get_write_buffer_size():
             # Whoever does not read its last answer would stay for good.
--- a/src/sardinetrack/http/idle.py
+++ b/src/sardinetrack/http/idle.py
@@ -21,6 +21,7 @@
         """
         self._most = most
         self._idle: dict[Hashable, Callable[[], bool]] = {}
+        self._closing: set[Hashable] = set()
 
     def __len__(self) -> int:
         return len(self._idle)
@@ -36,19 +37,25 @@
     def remove(self, connection: Hashable) -> None:
         """Note that a connection has a request or is gone."""
         self._idle.pop(connection, None)
+        self._closing.discard(connection)
 
     def make_room(self, held: int) -> bool:
-        """Close the oldest idle connection when there are too many.
+        """Close the oldest idle connections when there are too many.
 
-        :param held: connections that the listener holds now.
+        :param held: connections that the listener holds now, those among them
+            that are closing.
         :return: whether there is room for the newest one.
         """
-        if held <= self._most:
-            return True
-        return any(self._close(one) for one in list(self._idle))
+        excess = held - len(self._closing) - self._most
+        for connection in list(self._idle):
+            if excess <= 0:
+                break
+            excess -= self._close(connection)
+        return excess <= 0
 
     def _close(self, connection: Hashable) -> bool:
         if not self._idle[connection]():
             return False
-        self.remove(connection)
+        self._idle.pop(connection)
+        self._closing.add(connection)
         return True
--- a/src/sardinetrack/http/sockets.py
+++ b/src/sardinetrack/http/sockets.py
@@ -45,7 +45,10 @@
     while True:
         try:
             connection, _ = listener.accept()
-        except BlockingIOError:
+        except ConnectionAbortedError:
+            continue
+        except OSError:
+            # None waits, or there is no descriptor for one more.
             return
         connection.setblocking(False)
         yield connection
--- a/tests/http/guard.feature
+++ b/tests/http/guard.feature
@@ -33,6 +33,12 @@
     When strangers open 60 connections and send nothing
     Then another call is answered
 
+  Scenario: connections with half a head give way like idle ones
+    Guards against strangers who keep everybody out by a few bytes on each of
+    many connections.
+    When strangers open 60 connections and send half a head on each
+    Then another call is answered
+
   Scenario: a slow body of a request under way is not cut
     The bounds are on heads. A request whose body takes longer is the
     application's to bound.
--- a/tests/http/steps/guard_steps.py
+++ b/tests/http/steps/guard_steps.py
@@ -108,6 +108,13 @@
         _connect(context)
 
 
+@when('strangers open {count:d} connections and send half a head on each')
+def when_half_heads(context: Any, count: int) -> None:
+    for _ in range(count):
+        _connect(context).sendall(_HALF)
+    time.sleep(_STEP_SECONDS)
+
+
 @when('a peer sends a body that takes longer than a head may')
 def when_slow_body(context: Any) -> None:
     context.link = _connect(context)
