--- a/tests/system/environment.py
+++ b/tests/system/environment.py
@@ -21,4 +21,10 @@
             # What a hook writes to ``sys.stderr`` stays with the runner.
             tail = f'--- {process.name}\n{process.log_tail(_LOG_CHARACTERS)}\n'
             sys.__stderr__.write(tail)
-    fleet.__exit__(None, None, None)
+    load = getattr(context, 'load', None)
+    try:
+        if load is not None:
+            # The fleet waits for its callers, who ask until they are told.
+            load.stop()
+    finally:
+        fleet.__exit__(None, None, None)
