A suspected request waits a moment for what other entries know of it

Cause, by lines: entry-a told its caller server_failed and its peers of the second strike at one moment; the caller's next sending was at entry-b 0.04 s later, which dispatched it with suspect=True, knowing one strike.

Ruled out: a request that ran twice at one entry (one start each), a strike that was not sent (entry-b refused the sending after that).

--- a/tests/routing/steps/suspects_steps.py
+++ b/tests/routing/steps/suspects_steps.py
@@ -17,6 +17,7 @@
 from sardinetrack.routing.api import (
     AttemptEnd,
     Dispatch,
+    Reject,
     SendToEntries,
     SendToSide,
     SideInfo,
@@ -95,6 +96,33 @@
     announce(context, context.other, limit=1, free=0)
 
 
+@when('pilot submits p1')
+def submit_first(context):
+    submit(context, 'p1')
+
+
+@then('p1 is not sent yet')
+def not_sent(context):
+    assert not sent(context, 'p1'), context.effects
+
+
+@then('p1 is sent once')
+def sent_once(context):
+    assert len(sent(context, 'p1')) == 1, context.effects
+
+
+@then('p1 is refused as {kind} and was never sent')
+def refused_unsent(context, kind):
+    kinds = [
+        effect.kind.value
+        for effect in context.effects
+        if isinstance(effect, Reject)
+    ]
+    assert kinds == [kind], context.effects
+    assert not sent(context, 'p1'), context.effects
+
+
+@when('a peer tells that p1 ran at a crash of server {server}')
 @given('a peer has told that p1 ran at a crash of server {server}')
 def peer_strikes(context, server):
     context.router.strike(context.now, Strike('print-p1', server, 60.0))
@@ -102,7 +130,9 @@
 
 @when("pilot's p1 runs at one of them and has its whole answer")
 def run_whole(context):
-    run_first(context)
+    submit(context, 'p1')
+    context.now += 0.1
+    context.effects.extend(context.router.tick(context.now))
     end(context, 'p1', AttemptEnd.WHOLE)
 
 
@@ -112,6 +142,7 @@
         effect.message
         for effect in context.effects
         if isinstance(effect, SendToEntries)
+        and isinstance(effect.message, Strike)
     ]
     assert told == [Strike('print-p1', server, 0)], told
 
@@ -133,6 +164,8 @@
         announce(context, side, limit=1, free=1)
     before = len(sent(context, 'p1'))
     submit(context, 'p1')
+    context.now += 0.1
+    context.effects.extend(context.router.tick(context.now))
     assert len(sent(context, 'p1')) == before + 1, context.effects
 
 
--- a/tests/routing/suspects.feature
+++ b/tests/routing/suspects.feature
@@ -34,6 +34,24 @@
     Then p2 runs there
     And p1 still waits for the other side
 
+  Scenario: A suspected request waits a moment for what other entries know
+    Guards against a third server that dies: the caller was told of the second
+    crash by one entry, and is at another before the news of it.
+    Given an entry with 2 sides of 1 free slot
+    And a peer has told that p1 ran at a crash of server one
+    When pilot submits p1
+    Then p1 is not sent yet
+    When a peer tells that p1 ran at a crash of server two
+    And 0.1 seconds pass at the entry
+    Then p1 is refused as crashes_servers and was never sent
+
+  Scenario: A suspected request is sent when no entry knows more of it
+    Given an entry with 2 sides of 1 free slot
+    And a peer has told that p1 ran at a crash of server one
+    When pilot submits p1
+    And 0.1 seconds pass at the entry
+    Then p1 is sent once
+
   Scenario: A request that ran to its end is no suspect at any entry
     Guards against innocent requests that are refused for minutes: another
     entry would count a crash that this one has forgotten, with the next one.
