--- a/tests/routing/steps/suspects_steps.py
+++ b/tests/routing/steps/suspects_steps.py
@@ -5,7 +5,7 @@
 from random import Random
 
 from behave import given, then, when
-from router_steps import POOL, pool, workspace
+from router_steps import POOL, attempts, end, pool, workspace
 
 from sardinetrack.messages.api import (
     Bids,
@@ -16,7 +16,6 @@
 )
 from sardinetrack.routing.api import (
     AttemptEnd,
-    Dispatch,
     Reject,
     SendToEntries,
     SendToSide,
@@ -39,29 +38,8 @@
     context.effects.extend(context.router.submit(context.now, work))
 
 
-def end(context, request, how):
-    attempt = sent(context, request)[-1]
-    context.effects.extend(
-        context.router.ended(
-            context.now,
-            attempt.attempt_id,
-            how,
-            cost=0,
-            answered=False,
-        ),
-    )
-
-
-def sent(context, request):
-    return [
-        effect
-        for effect in context.effects
-        if isinstance(effect, Dispatch) and effect.request_id == request
-    ]
-
-
 def where(context, request):
-    return sent(context, request)[-1].side
+    return attempts(context, request)[-1].side
 
 
 @given('an entry with {count:d} sides of 1 free slot')
@@ -103,12 +81,12 @@
 
 @then('p1 is not sent yet')
 def not_sent(context):
-    assert not sent(context, 'p1'), context.effects
+    assert not attempts(context, 'p1'), context.effects
 
 
 @then('p1 is sent once')
 def sent_once(context):
-    assert len(sent(context, 'p1')) == 1, context.effects
+    assert len(attempts(context, 'p1')) == 1, context.effects
 
 
 @then('p1 is refused as {kind} and was never sent')
@@ -119,7 +97,7 @@
         if isinstance(effect, Reject)
     ]
     assert kinds == [kind], context.effects
-    assert not sent(context, 'p1'), context.effects
+    assert not attempts(context, 'p1'), context.effects
 
 
 @when('a peer tells that p1 ran at a crash of server {server}')
@@ -162,11 +140,11 @@
         info = SideInfo(side, POOL, f'engine-{side}', 'galata', '127.0.0.1:1')
         context.router.side_up(context.now, info)
         announce(context, side, limit=1, free=1)
-    before = len(sent(context, 'p1'))
+    before = len(attempts(context, 'p1'))
     submit(context, 'p1')
     context.now += 0.1
     context.effects.extend(context.router.tick(context.now))
-    assert len(sent(context, 'p1')) == before + 1, context.effects
+    assert len(attempts(context, 'p1')) == before + 1, context.effects
 
 
 @when('its server dies under p1 and its side loses its slots')
@@ -221,7 +199,7 @@
 @then('p1 runs there')
 def runs_there(context):
     assert where(context, 'p1') == context.other, context.effects
-    assert sent(context, 'p1')[-1].grant == 1, context.effects
+    assert attempts(context, 'p1')[-1].grant == 1, context.effects
 
 
 @then('the other side hears of p1 in this time')
@@ -238,17 +216,17 @@
 
 @then('p2 runs there')
 def second_runs(context):
-    assert [one.side for one in sent(context, 'p2')] == [context.struck]
+    assert [one.side for one in attempts(context, 'p2')] == [context.struck]
 
 
 @then('p1 still waits for the other side')
 def first_waits(context):
-    assert len(sent(context, 'p1')) == 1, context.effects
+    assert len(attempts(context, 'p1')) == 1, context.effects
 
 
 @then('p1 runs at the other side')
 def first_elsewhere(context):
-    assert [one.side for one in sent(context, 'p1')] == [
+    assert [one.side for one in attempts(context, 'p1')] == [
         context.struck,
         context.other,
     ]
