What a held request avoids is told as it is now; one check of a busy connection

Read once more: since a refusal is no failure any more, the words of 'avoids' and 'avoided' were out of date.

--- a/src/sardinetrack/entry/protocol.py
+++ b/src/sardinetrack/entry/protocol.py
@@ -157,7 +157,7 @@
     @property
     def _busy(self) -> bool:
         """Whether an earlier request has not got its whole answer."""
-        return self.cycle is not None and not self.cycle.response_complete
+        return not self.waits
 
     def _refuse(self, failure: AnsweredError) -> None:
         """Answer outside the application, then close."""
--- a/src/sardinetrack/routing/api.py
+++ b/src/sardinetrack/routing/api.py
@@ -116,9 +116,9 @@
     AT_LIMIT = 'at_limit'
     """Its workspace runs as many requests as it may."""
     AVOIDS = 'avoids'
-    """It waits for a side other than those that failed or refused it."""
+    """It waits for a side other than those that failed it."""
     SUSPECT = 'suspect'
-    """Where it may go runs another request that was there at a crash."""
+    """It was there at a crash, and where it may go runs another such one."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -128,7 +128,7 @@
     request_id: str
     reason: HoldReason
     avoided: tuple[str, ...]
-    """Sides that failed or refused it."""
+    """Sides that failed it."""
     waits_for: tuple[str, ...]
     """Other sides that it counts on."""
     slots: int
