--- a/tests/runner/verdict.feature
+++ b/tests/runner/verdict.feature
@@ -22,6 +22,19 @@
     And the last line is "2 passed, 0 failed"
     And a line is "KNOWN RED: tests/a.feature:two: failed; cause: the lease is late; issue: 5"
 
+  Scenario: All faults of one known red scenario are printed
+    Guards against a fault that hides behind another one of its scenario.
+    Given the known red list
+      """
+      tests/a.feature:two | the lease is late | 5
+      # Seen under load only.
+      tests/a.feature:two | no answer comes | 6
+      """
+    When they are judged
+    Then the run is green
+    And a line is "KNOWN RED: tests/a.feature:two: failed; cause: the lease is late; issue: 5"
+    And a line is "KNOWN RED: tests/a.feature:two: failed; cause: no answer comes; issue: 6"
+
   Scenario: A known red scenario that nothing ran is a fault
     Given the known red list
       """
