A caller is told of a crash after the linked entries know of it

Everybody else lost what ran there.

Cause, by lines: entry-a told its caller server_failed and its peers of the strikes at one moment; entry-b dispatched the caller's next sending with suspect=False, as it had heard of nothing, and counted two crashes of its own. A cut stream told its caller even earlier, before the side was asked. The pause of 0.05 s for suspected requests covered only news that is faster.

A link that is silent or breaks is waited for no more; one that comes back is told all strikes and waited for. A broken stream is cut once its fate is noted, after 1 s at the latest. The caller can't outrun what is waited for; how late the news is no longer matters.

Ruled out: asking all entries about each request (every request pays), strikes in the store (its watch is as late).

--- a/src/sardinetrack/entry/attempt.py
+++ b/src/sardinetrack/entry/attempt.py
@@ -7,9 +7,9 @@
 
 import anyio
 
-from sardinetrack.entry.answers import cut_event
 from sardinetrack.entry.call import Call
 from sardinetrack.entry.caller import Caller
+from sardinetrack.entry.cut import cut
 from sardinetrack.entry.dispatcher import Dispatcher
 from sardinetrack.entry.fate import FateQuery
 from sardinetrack.entry.meters import Meter, meter_for
@@ -25,6 +25,7 @@
 from sardinetrack.routing.api import AttemptEnd, Dispatch
 
 _LOG: Final = PartLogger(Part.ENTRY)
+_ASK_SECONDS: Final = 1.0
 _MARGIN_SECONDS: Final = 5.0
 """The side ends a run by its own clock first."""
 
@@ -73,15 +74,24 @@
         result = await self._watched(side)
         if result is not None:
             return result
-        if self._caller.started:
-            # The caller's error goes out before anybody is asked.
-            await self._cut()
-        query = FateQuery(self._sides, side)
-        end = await query.ask(self._dispatch, self._began)
+        end = await self._ask(side)
         return AttemptResult(end, self._cost())
 
-    async def _cut(self) -> None:
-        await self._caller.cut(cut_event() if self._call.streams else b'')
+    async def _ask(self, side: KnownSide) -> AttemptEnd:
+        query = FateQuery(self._sides, side)
+        async with anyio.create_task_group() as tasks:
+            if self._caller.started:
+                tasks.start_soon(self._cut_late)
+            end = await query.ask(self._dispatch, self._began)
+            tasks.cancel_scope.cancel()
+        return end
+
+    async def _cut_late(self) -> None:
+        # The caller is told after the other entries know of a crash, but a
+        # side that can't be asked must not leave it with a silent stream.
+        await anyio.sleep(_ASK_SECONDS)
+        with anyio.CancelScope(shield=True):
+            await cut(self._call, self._caller)
 
     async def _watched(self, side: KnownSide) -> AttemptResult | None:
         result: AttemptResult | None = None
--- a/src/sardinetrack/entry/dispatcher.py
+++ b/src/sardinetrack/entry/dispatcher.py
@@ -143,7 +143,7 @@
             case Dispatch():
                 return self._dispatch(effect)
             case Reject():
-                self._reject(effect)
+                return self._reject(effect)
             case SendToSide():
                 self._outbox.to_side(effect.side, effect.message)
             case SendToEntries():
@@ -167,12 +167,15 @@
         ticket.decide(dispatch)
         return ()
 
-    def _reject(self, reject: Reject) -> None:
+    def _reject(self, reject: Reject) -> Effects:
         ticket = self._tickets.get(reject.request_id)
         if ticket is None:
-            return
+            return ()
+        if reject.strike:
+            return self.routing.answer(self.clock(), reject)
         log_reject(ticket, reject)
         ticket.decide(reject)
+        return ()
 
     def _held(self, held: Held) -> None:
         ticket = self._tickets.get(held.request_id)
--- a/src/sardinetrack/entry/metrics.py
+++ b/src/sardinetrack/entry/metrics.py
@@ -55,7 +55,7 @@
         )
         self._held = Counter(
             'sardinetrack_entry_held',
-            'Waits of over a second by pool and reason.',
+            'Reasons for which requests or their answers wait, by pool.',
             [_POOL, 'reason'],
             registry=self.registry,
         )
@@ -107,7 +107,7 @@
         self._wait.labels(pool).observe(seconds)
 
     def held(self, pool: str, reason: HoldReason) -> None:
-        """Count a reason for which a request waits long."""
+        """Count a reason for which a request or its answer waits."""
         self._held.labels(pool, reason.value).inc()
 
     def ended(self, pool: str, end: AttemptEnd, cost: float) -> None:
--- a/src/sardinetrack/entry/peers.py
+++ b/src/sardinetrack/entry/peers.py
@@ -26,6 +26,7 @@
     ServiceReport,
     SideLoad,
     Strike,
+    StrikeNoted,
 )
 from sardinetrack.routing.api import SideInfo
 
@@ -84,14 +85,15 @@
         if link.peer.role is PeerRole.SIDE:
             self._side_up(link)
         else:
-            self._tell_strikes(link)
+            self._entry_up(link)
         self._exchange.linked(link)
 
-    def _tell_strikes(self, link: Link) -> None:
-        # An entry that starts, or was cut off, has not heard them: through it
-        # a request that crashes servers would take down two more.
+    def _entry_up(self, link: Link) -> None:
+        # An entry that starts, or was cut off, has not heard the strikes:
+        # through it a request that crashes servers would take down two more.
         now = self._dispatcher.clock()
-        for strike in self._dispatcher.routing.strikes(now):
+        routing = self._dispatcher.routing
+        for strike in routing.peer_linked(now, link.peer.instance):
             link.post(strike)
 
     def _side_up(self, link: Link) -> None:
@@ -168,10 +170,19 @@
             case ServiceReport():
                 return routing.peer_service(now, message)
             case Strike():
-                return routing.strike(now, message)
+                return self._struck(link, message)
+            case StrikeNoted():
+                return routing.strike_noted(now, name, message.number)
         _LOG.warning('unexpected message', peer=name)
         return ()
 
+    def _struck(self, link: Link, strike: Strike) -> Effects:
+        now = self._dispatcher.clock()
+        effects = self._dispatcher.routing.strike(now, strike)
+        if strike.number:
+            link.post(StrikeNoted(strike.number))
+        return effects
+
     def _load(self, name: str, load: SideLoad) -> Effects:
         linked = self._peers.side(name)
         if linked is None or not linked.in_use:
--- a/src/sardinetrack/entry/runner.py
+++ b/src/sardinetrack/entry/runner.py
@@ -9,6 +9,7 @@
 from sardinetrack.entry.call import Call
 from sardinetrack.entry.caller import Caller, run_until_gone
 from sardinetrack.entry.cost import CostKey, LearnedCosts
+from sardinetrack.entry.cut import cut
 from sardinetrack.entry.dispatcher import Dispatcher
 from sardinetrack.entry.history import RunHistory
 from sardinetrack.entry.keyed import KeyedRuns
@@ -73,7 +74,7 @@
                 if result.end is AttemptEnd.WHOLE:
                     ticket.over = True
                     return
-                decision = await self._next(ticket, caller)
+                decision = await self._next(ticket, call, caller, result.end)
             raise history.failure(decision)
 
     async def _attempt(
@@ -93,15 +94,23 @@
         self._settle(call, caller, dispatch, result)
         return result
 
-    async def _next(self, ticket: Ticket, caller: Caller) -> Dispatch | Reject:
-        if caller.vanished:
+    async def _next(
+        self,
+        ticket: Ticket,
+        call: Call,
+        caller: Caller,
+        end: AttemptEnd,
+    ) -> Dispatch | Reject:
+        if caller.vanished or end is AttemptEnd.ABANDONED:
             raise CallerGoneError
+        decision = await ticket.next()
         if caller.started:
             # Part of one run's answer has gone out: another run's answer must
             # not follow it, whatever was decided.
             ticket.over = True
+            await cut(call, caller)
             raise AnsweredError(ErrorKind.ANSWER_CUT)
-        return await ticket.next()
+        return decision
 
     def _settle(
         self,
--- a/src/sardinetrack/messages/api.py
+++ b/src/sardinetrack/messages/api.py
@@ -125,6 +125,14 @@
     fingerprint: str
     backend_server: str
     expires_in_seconds: float
+    number: int = 0
+    """Counts up at its sender, which waits for it to be noted; 0 for none."""
+
+
+class StrikeNoted(Struct, frozen=True, tag='strike_noted'):
+    """The sender acts on all strikes up to a number of the receiver's."""
+
+    number: int
 
 
 LinkMessage = (
@@ -136,4 +144,5 @@
     | ConfigUpdate
     | ConfigDigest
     | Strike
+    | StrikeNoted
 )
--- a/src/sardinetrack/routing/api.py
+++ b/src/sardinetrack/routing/api.py
@@ -91,6 +91,8 @@
     kind: ErrorKind
     retry_after_seconds: float | None = None
     detail: str = ''
+    strike: int = 0
+    """Number of a strike that other entries must know of first; 0 for none."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,6 +121,10 @@
     """It waits for a side other than those that failed it."""
     SUSPECT = 'suspect'
     """It was there at a crash, and where it may go runs another such one."""
+    CRASH_NEWS = 'crash_news'
+    """Its answer waits until other entries know of a crash."""
+    CRASH_UNKNOWN = 'crash_unknown'
+    """Its answer goes out although other entries may not know of a crash."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -130,7 +136,7 @@
     avoided: tuple[str, ...]
     """Sides that failed it."""
     waits_for: tuple[str, ...]
-    """Other sides that it counts on."""
+    """Other sides that it counts on, or the entries that may not know."""
     slots: int
     """Of these sides together, as they last told."""
 
@@ -218,6 +224,13 @@
     ) -> Sequence[EntryEffect]:
         """Take in what workspaces received through another entry."""
 
+    @abstractmethod
+    def peer_linked(self, now: float, entry: str) -> Sequence[Strike]:
+        """Note that another entry is linked.
+
+        :return: the strikes that hold, to be told to it.
+        """
+
     @abstractmethod
     def peer_lost(self, now: float, entry: str) -> Sequence[EntryEffect]:
         """Note that another entry is gone or cut off."""
@@ -227,8 +240,17 @@
         """Note that a request crashed a backend server."""
 
     @abstractmethod
-    def strikes(self, now: float) -> Sequence[Strike]:
-        """List the strikes that hold, for an entry that has just linked."""
+    def strike_noted(
+        self,
+        now: float,
+        entry: str,
+        number: int,
+    ) -> Sequence[EntryEffect]:
+        """Note that another entry knows of the strikes up to a number."""
+
+    @abstractmethod
+    def answer(self, now: float, reject: Reject) -> Sequence[EntryEffect]:
+        """Let an error answer go, or hold it until other entries may know."""
 
     @abstractmethod
     def tick(self, now: float) -> Sequence[EntryEffect]:
--- a/src/sardinetrack/routing/attempt.py
+++ b/src/sardinetrack/routing/attempt.py
@@ -33,6 +33,8 @@
     :param kind: what to say when no attempt ran.
     :return: the answer.
     """
-    if waiting.ran is not None:
-        return Reject(waiting.work.request_id, waiting.ran)
-    return Reject(waiting.work.request_id, kind)
+    return Reject(
+        waiting.work.request_id,
+        waiting.ran or kind,
+        strike=waiting.strike,
+    )
--- a/src/sardinetrack/routing/order.py
+++ b/src/sardinetrack/routing/order.py
@@ -215,8 +215,6 @@
         """
         if side is None:
             return False
-        if now < waiting.not_before_seconds:
-            return True
         name = side.info.side
         if name in waiting.avoid and self._elsewhere(now, waiting):
             return True
--- a/src/sardinetrack/routing/outcome.py
+++ b/src/sardinetrack/routing/outcome.py
@@ -10,7 +10,6 @@
 from sardinetrack.routing.api import (
     AttemptEnd,
     EntryEffect,
-    Reject,
     SendToEntries,
 )
 from sardinetrack.routing.attempt import Attempt, give_up
@@ -136,7 +135,7 @@
             effects.extend(pool.enqueue(now, waiting, first=True))
             return effects
         pool.open_requests -= 1
-        effects.append(Reject(waiting.work.request_id, waiting.ran))
+        effects.append(give_up(waiting, waiting.ran))
         effects.extend(pool.pump(now))
         return effects
 
@@ -149,6 +148,12 @@
         fingerprint = attempt.waiting.work.fingerprint
         if not fingerprint:
             return ()
-        strike = Strike(fingerprint, attempt.backend_server, STRIKE_SECONDS)
+        strike = Strike(
+            fingerprint,
+            attempt.backend_server,
+            STRIKE_SECONDS,
+            self._shared.news.next_number(),
+        )
+        attempt.waiting.strike = strike.number
         self._shared.strikes.add(now, strike)
         return (SendToEntries(strike),)
--- a/src/sardinetrack/routing/pool.py
+++ b/src/sardinetrack/routing/pool.py
@@ -35,13 +35,6 @@
 REFRESH_SECONDS: Final = 6.0
 _HOLD_SECONDS: Final = 4.0
 _RETELL_SECONDS: Final = 0.25
-_NEWS_SECONDS: Final = 0.05
-"""Time for the news of a crash between entries.
-
-An entry tells the caller of a crash and the other entries at one moment. The
-caller may be at another entry first; sent at once, its request would take down
-one server more than it may.
-"""
 _NO_SIDE_SECONDS: Final = 2.0
 _DIRECT: Final = Grant(0, 0)
 """Stands for no grant."""
@@ -88,10 +81,7 @@
             return (refusal,)
         self._shared.retries.first_attempt()
         self.open_requests += 1
-        waiting = Waiting(work, now)
-        if self._order.suspect(now, work):
-            waiting.not_before_seconds = now + _NEWS_SECONDS
-        return self.enqueue(now, waiting)
+        return self.enqueue(now, Waiting(work, now))
 
     def enqueue(
         self,
--- a/src/sardinetrack/routing/queue.py
+++ b/src/sardinetrack/routing/queue.py
@@ -27,8 +27,8 @@
     attempts: int = 0
     avoid: frozenset[str] = frozenset()
     """Sides that failed it."""
-    not_before_seconds: float = 0
-    """It waits so long for what other entries know of it."""
+    strike: int = 0
+    """Number of the last strike told of it; 0 for none."""
     refusals: int = 0
     """In a row, while it was suspected of a crash."""
     closed_until: dict[str, float] = field(default_factory=dict)
--- a/src/sardinetrack/routing/router.py
+++ b/src/sardinetrack/routing/router.py
@@ -5,6 +5,8 @@
 from collections.abc import Sequence
 from typing import Final
 
+from msgspec.structs import replace
+
 from sardinetrack.catalogue.api import Pool, Workspace
 from sardinetrack.errors.api import ErrorKind
 from sardinetrack.messages.api import (
@@ -158,26 +160,48 @@
         self._pool(report.pool).ledger.hear(now, report)
         return ()
 
+    def peer_linked(self, now: float, entry: str) -> Sequence[Strike]:
+        """Note that another entry is linked."""
+        news = self._shared.news
+        strikes = [
+            replace(strike, number=news.next_number())
+            for strike in self._shared.strikes.holding(now)
+        ]
+        news.linked(entry, strikes[-1].number if strikes else 0)
+        return strikes
+
     def peer_lost(self, now: float, entry: str) -> Sequence[EntryEffect]:
         """Note that another entry is gone or cut off."""
         for pool in self._pools.values():
             pool.ledger.lose(entry)
-        return ()
+        self._shared.news.lost(entry)
+        return self._shared.news.due(now)
 
     def strike(self, now: float, strike: Strike) -> Sequence[EntryEffect]:
         """Note that a request crashed a backend server."""
         self._shared.strikes.add(now, strike)
         return ()
 
-    def strikes(self, now: float) -> Sequence[Strike]:
-        """List the strikes that hold, for an entry that has just linked."""
-        return self._shared.strikes.holding(now)
+    def strike_noted(
+        self,
+        now: float,
+        entry: str,
+        number: int,
+    ) -> Sequence[EntryEffect]:
+        """Note that another entry knows of the strikes up to a number."""
+        self._shared.news.note(entry, number)
+        return self._shared.news.due(now)
+
+    def answer(self, now: float, reject: Reject) -> Sequence[EntryEffect]:
+        """Let an error answer go, or hold it until other entries may know."""
+        return self._shared.news.answer(now, reject)
 
     def tick(self, now: float) -> Sequence[EntryEffect]:
         """Expire deadlines; refresh bids and reports that are due."""
         effects: list[EntryEffect] = []
         for pool in self._pools.values():
             effects.extend(pool.tick(now))
+        effects.extend(self._shared.news.due(now))
         if now - self._forget_seconds >= _FORGET_SECONDS:
             self._forget_seconds = now
             self._shared.strikes.forget(now)
--- a/src/sardinetrack/routing/shared.py
+++ b/src/sardinetrack/routing/shared.py
@@ -9,6 +9,7 @@
 from sardinetrack.catalogue.api import Workspace, WorkspaceLimits
 from sardinetrack.routing.breaker import Breaker
 from sardinetrack.routing.chance import Chance
+from sardinetrack.routing.news import CrashNews
 from sardinetrack.routing.retries import RetryBudget
 from sardinetrack.routing.strikes import StrikeBook
 
@@ -36,6 +37,7 @@
         self.identity = identity
         self.random = random
         self.strikes = StrikeBook()
+        self.news = CrashNews()
         self.retries = RetryBudget()
         self._limits: dict[str, WorkspaceLimits] = {}
         self._breakers: dict[str, Breaker] = {}
