An answer that has begun outlives a side that stalls for seconds

Cause: a side that is silent for 4.3 s counts as lost, whatever hangs on it; a process that a crowded machine does not schedule is silent too.

The same lines and the same four cut streams at will, with all sides stopped for 6 s (SIGSTOP, SIGCONT): tests/system/stalls.feature on, 1 of 3 scenarios failed.

Fix: an answer of which the caller has a part waits until its side has been silent and unlinked for 15 s, or has restarted; nobody else could go on with it. A side that dies as a process breaks its connections and is told of at once as before. The line of a side that is lost tells for how long it was silent.

After: stalls 3 of 3; answers 8, crashes 7, leaving 7, not_run 14, tests/entry 136 passed.

--- a/src/sardinetrack/entry/attempt.py
+++ b/src/sardinetrack/entry/attempt.py
@@ -101,6 +101,7 @@
             side,
             self._dispatch.attempt_id,
             self._silent_seconds,
+            lambda: self._caller.started,
         )
         async with anyio.create_task_group() as tasks:
             scope = tasks.cancel_scope
--- a/src/sardinetrack/entry/silence.py
+++ b/src/sardinetrack/entry/silence.py
@@ -16,6 +16,13 @@
 _LOG: Final = PartLogger(Part.ENTRY)
 SILENCE_SECONDS: Final = 2.0
 """An answer that flows is heard of more often than that."""
+RETURN_SECONDS: Final = 15.0
+"""How long an answer that has begun waits for a side that is gone.
+
+A request that has not begun to answer is better tried elsewhere, but nobody
+can give the rest of an answer but the side that began it. A side whose
+process or machine stalls for seconds still has it.
+"""
 _ALIVE: Final = frozenset((Fate.RUNNING, None))
 """Fates that say nothing against waiting on; ``None`` is no answer."""
 
@@ -35,6 +42,7 @@
         side: KnownSide,
         attempt_id: str,
         silent_seconds: Callable[[], float],
+        begun: Callable[[], bool],
     ) -> None:
         """Prepare.
 
@@ -42,12 +50,14 @@
         :param side: where the attempt went.
         :param attempt_id: the attempt.
         :param silent_seconds: for how long nothing was heard of it.
+        :param begun: whether the caller has a part of the answer.
         """
         self._sides = sides
         self._side = side
         self._query = FateQuery(sides, side)
         self._attempt_id = attempt_id
         self._silent_seconds = silent_seconds
+        self._begun = begun
 
     def start(self, tasks: TaskGroup) -> None:
         """Watch in a group, and cancel it when the answer can't come.
@@ -63,11 +73,17 @@
     async def _until_side_lost(self, waiting: anyio.CancelScope) -> None:
         await self._sides.lost(self._side)
         # The link may break alone while the answer still flows.
-        while self._silent_seconds() < SILENCE_SECONDS:
+        while self._silent_seconds() < self._patience_seconds():
             await anyio.sleep(SILENCE_SECONDS / 2)
             await self._sides.lost(self._side)
         self._give_up(waiting, 'side lost during an attempt')
 
+    def _patience_seconds(self) -> float:
+        successor = self._sides.find(self._side.name)
+        if not self._begun() or successor not in {None, self._side}:
+            return SILENCE_SECONDS
+        return RETURN_SECONDS
+
     async def _until_connection_lost(self, waiting: anyio.CancelScope) -> None:
         await self._sides.broke(self._side)
         while True:
@@ -88,5 +104,11 @@
         return self._silent_seconds() >= SILENCE_SECONDS
 
     def _give_up(self, waiting: anyio.CancelScope, cause: str) -> None:
-        _LOG.warning(cause, attempt_id=self._attempt_id, side=self._side.name)
+        _LOG.warning(
+            cause,
+            attempt_id=self._attempt_id,
+            side=self._side.name,
+            silent_seconds=round(self._silent_seconds(), 1),
+            begun=self._begun(),
+        )
         waiting.cancel()
