Strikes go through a side of each failure domain; a start tells what it cost

Looked for after the crash that outran its news: on the platform an entry tells others of a crash through one side. If that side had just stalled or was cut off, nobody else heard, and a strike is not sent again: a request that crashes servers could take down three at each entry.

A daemon's first line is now 'starts', after its settings; it and 'serving' tell running_seconds and processor_seconds.

--- a/src/sardinetrack/cli/entry.py
+++ b/src/sardinetrack/cli/entry.py
@@ -10,6 +10,7 @@
 from sardinetrack.compose.entry import run_entry
 from sardinetrack.config.loader import load_settings
 from sardinetrack.config.model import EntrySettings
+from sardinetrack.process.startup import log_start
 
 
 class EntryCommand(Command):
@@ -29,4 +30,5 @@
     def run(self, options: Namespace) -> int:
         """Run until a SIGTERM has drained the entry."""
         settings = load_settings(options.settings, EntrySettings)
+        log_start()
         return anyio.run(run_entry, settings)
--- a/src/sardinetrack/cli/side.py
+++ b/src/sardinetrack/cli/side.py
@@ -10,6 +10,7 @@
 from sardinetrack.compose.side import run_side
 from sardinetrack.config.loader import load_settings
 from sardinetrack.config.model import SideSettings
+from sardinetrack.process.startup import log_start
 
 
 class SideCommand(Command):
@@ -29,4 +30,5 @@
     def run(self, options: Namespace) -> int:
         """Run until a SIGTERM has drained the side."""
         settings = load_settings(options.settings, SideSettings)
+        log_start()
         return anyio.run(run_side, settings)
--- a/src/sardinetrack/cli/stand_in.py
+++ b/src/sardinetrack/cli/stand_in.py
@@ -15,6 +15,7 @@
 from sardinetrack.cli.arguments import port_number
 from sardinetrack.cli.exit_codes import ExitCode
 from sardinetrack.config.loader import load_settings
+from sardinetrack.process.startup import log_start
 from sardinetrack.standin.engine import run_engine
 from sardinetrack.standin.platform_process import (
     PlatformStandinSettings,
@@ -72,5 +73,6 @@
             settings = load_settings(options.settings, standin.settings)
         if options.port is not None:
             settings = settings.model_copy(update={'port': options.port})
+        log_start()
         anyio.run(standin.run, settings)
         return ExitCode.DONE
--- a/src/sardinetrack/entry/attempt.py
+++ b/src/sardinetrack/entry/attempt.py
@@ -25,7 +25,7 @@
 from sardinetrack.routing.api import AttemptEnd, Dispatch
 
 _LOG: Final = PartLogger(Part.ENTRY)
-_ASK_SECONDS: Final = 1.0
+_CUT_AFTER_SECONDS: Final = 1.0
 _MARGIN_SECONDS: Final = 5.0
 """The side ends a run by its own clock first."""
 
@@ -89,7 +89,7 @@
     async def _cut_late(self) -> None:
         # The caller is told after the other entries know of a crash, but a
         # side that can't be asked must not leave it with a silent stream.
-        await anyio.sleep(_ASK_SECONDS)
+        await anyio.sleep(_CUT_AFTER_SECONDS)
         with anyio.CancelScope(shield=True):
             await cut(self._call, self._caller)
 
--- a/src/sardinetrack/entry/daemon.py
+++ b/src/sardinetrack/entry/daemon.py
@@ -18,6 +18,7 @@
 from sardinetrack.http.server import BoundServer
 from sardinetrack.logs.lines import Part, PartLogger
 from sardinetrack.process.daemon import ServingDaemon
+from sardinetrack.process.startup import startup_cost
 
 _LOG: Final = PartLogger(Part.ENTRY)
 
@@ -79,6 +80,7 @@
             callers=self.callers.address,
             peers=self.peer.address,
             operators=self.operator.address,
+            **startup_cost(),
         )
 
     def _operator_application(self) -> Application:
--- a/src/sardinetrack/relay/side_links.py
+++ b/src/sardinetrack/relay/side_links.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Iterable, Sequence
 from typing import Final
 
 from sardinetrack.logs.events import Event, EventLog
@@ -26,6 +26,22 @@
 _EVERYBODY: Final = '*'
 
 
+def messengers(links: Iterable[SideLink]) -> list[SideLink]:
+    """Choose the sides that pass news on to all entries.
+
+    One of each failure domain: a side that has just stalled or been cut off
+    would keep the news from everybody if it were the only one.
+
+    :param links: to the sides that may be asked.
+    """
+    by_name = {link.name: link for link in links}
+    chosen: dict[str, SideLink] = {}
+    for name in ranked(_EVERYBODY, by_name):
+        link = by_name[name]
+        chosen.setdefault(link.failure_domain, link)
+    return list(chosen.values())
+
+
 class SideLinks:
     """Owns a connection to each side, by the address of its engine."""
 
@@ -119,10 +135,10 @@
             self.struck(strikes)
 
     def struck(self, strikes: Sequence[Strike]) -> None:
-        """Tell all entries, through one side that is connected to each."""
-        live = {link.name: link for link in self.live}
-        for name in ranked(_EVERYBODY, live)[:1]:
-            live[name].tell(Struck(tuple(strikes)))
+        """Tell all entries, through sides that are connected to each."""
+        message = Struck(tuple(strikes))
+        for link in messengers(self.live):
+            link.tell(message)
 
     def close(self) -> None:
         """End all links."""
--- a/src/sardinetrack/side/daemon.py
+++ b/src/sardinetrack/side/daemon.py
@@ -11,6 +11,7 @@
 from sardinetrack.http.server import BoundServer
 from sardinetrack.logs.lines import Part, PartLogger
 from sardinetrack.process.daemon import ServingDaemon
+from sardinetrack.process.startup import startup_cost
 from sardinetrack.side.events import CutOff, DrainBegan
 from sardinetrack.side.ordering import model_orders
 from sardinetrack.side.parts import SideParts
@@ -78,4 +79,5 @@
             peers=self.peer.address,
             operators=self.operator.address,
             backend_server=self._parts.settings.backend_server,
+            **startup_cost(),
         )
--- a/tests/relay/crashes.feature
+++ b/tests/relay/crashes.feature
@@ -39,3 +39,11 @@
     When the connection of a request to i-1 ends
     And i-1 is away 5.0 seconds later
     Then the request has 0 strikes
+
+  Scenario: The news of a crash goes through several failure domains
+    Guards against a request that crashes more than three servers: the one side
+    that passed the strikes on had stalled, and no other entry heard of them.
+
+    Given links to 3 sides in each of 4 failure domains
+    Then news of a crash goes through 1 side of each
+    And while the sides of one failure domain are cut off, through the 3 others
--- a/tests/relay/steps/crash_steps.py
+++ b/tests/relay/steps/crash_steps.py
@@ -2,15 +2,25 @@
 
 from __future__ import annotations
 
+from collections import Counter
+from dataclasses import dataclass
+
 from behave import given, then, when
 
 from sardinetrack.placement.prompt import Prompt
 from sardinetrack.relay.api import Call
 from sardinetrack.relay.crashes import CrashWatch, fingerprint
+from sardinetrack.relay.side_links import messengers
 
 _BODY = b'the report that crashes'
 
 
+@dataclass(frozen=True)
+class _Link:
+    name: str
+    failure_domain: str
+
+
 def _call():
     return Call(
         'r1', b'POST', b'/x/1', 'h', '/x/1', b'', _BODY, 0, 1, '', Prompt()
@@ -87,3 +97,29 @@
 def has_strikes(context, count):
     name = fingerprint(_call(), 'pilots')
     assert context.watch.book.count(105.0, name) == count
+
+
+@given('links to {sides:d} sides in each of {domains:d} failure domains')
+def open_links(context, sides, domains):
+    context.links = [
+        _Link(f'10.0.{domain}.{side}', f'zone-{domain}')
+        for domain in range(domains)
+        for side in range(sides)
+    ]
+
+
+@then('news of a crash goes through {count:d} side of each')
+def through_each(context, count):
+    chosen = Counter(link.failure_domain for link in messengers(context.links))
+    assert set(chosen.values()) == {count}, chosen
+    assert len(chosen) == len({one.failure_domain for one in context.links})
+
+
+@then(
+    'while the sides of one failure domain are cut off, '
+    'through the {count:d} others'
+)
+def through_others(context, count):
+    lost = context.links[0].failure_domain
+    left = [link for link in context.links if link.failure_domain != lost]
+    assert len(messengers(left)) == count, messengers(left)
