--- a/tests/routing/crash_world.py
+++ b/tests/routing/crash_world.py
@@ -33,7 +33,6 @@
         self._random = random
         self._now = float(0)
         self._number = 0
-        self._answered = False
         self._told: Reject | None = None
         self._attempts: deque[tuple[Router, Dispatch]] = deque()
         self._pipes = {pair: deque() for pair in permutations(ENTRIES, 2)}
