A response that has begun is continued or truncated, never answered again

What callers saw: a stream whose server stopped was sent to a second server for the rest. If that one answered 500, its status line and body followed the events within the chunked response, and the caller could not parse it (MIXED). So did any status below 500 of the second server (404, 204).

Cause: whether the response had begun was a flag that only Exchange.refuse asked. Exchange._handle_outcome wrote the buffered failure, and ServerAttempt._finish_buffered any response below 500, without asking.

Change: CallerResponse, one for each request, knows whether the response is not started, started, complete or truncated, and is all that writes it. What would be a second status line truncates a response that is started, and writes nothing after one that is complete. When a request ends, its connection is kept only if the response is complete. A complete answer that can't continue the stream ends the attempt as ANSWERED: another attempt may follow, within the route's number and the budget as before; if none may, the response is truncated, with the line response_truncated and the counter sardinetrack_truncated_responses_total. The breaker counts a status below 500 as a sign that the server works, as before.

Ruled out: the two servers' connections being mixed up; the bytes carry the right request id. A server that closes at once instead of answering: that was truncated before as well.

--- a/src/sardinetrack/relay/attempt.py
+++ b/src/sardinetrack/relay/attempt.py
@@ -10,7 +10,7 @@
 from typing import Final
 
 from sardinetrack.relay.api import CallerRequest, ProtocolAdapter, ResponseHead
-from sardinetrack.relay.caller_connection import CallerConnection
+from sardinetrack.relay.caller_response import CallerResponse
 from sardinetrack.relay.events import EventSplitter
 from sardinetrack.relay.server_connection import BreakReason, ResponseSink
 
@@ -23,7 +23,8 @@
     DELIVERED = auto()
     """The caller has the complete response."""
     ANSWERED = auto()
-    """A complete response that reports a failure is buffered."""
+    """A complete response is buffered: it reports a failure, or can't continue
+    the one that the caller has in part."""
     NOT_RUN = auto()
     """The server proves that it did not run the request."""
     UNKNOWN = auto()
@@ -35,7 +36,6 @@
     """What the caller has received so far, over all attempts."""
 
     splitter: EventSplitter
-    started: bool = False
     first_event_seconds: float | None = None
     """When the first event arrived, on the clock of the event loop."""
 
@@ -46,7 +46,7 @@
     def __init__(
         self,
         call: CallerRequest,
-        caller: CallerConnection,
+        caller_response: CallerResponse,
         adapter: ProtocolAdapter,
         progress: Progress,
         *,
@@ -61,7 +61,7 @@
         self.last_data_seconds = loop.time()
         self.body = b''
         self._call = call
-        self._caller = caller
+        self._caller_response = caller_response
         self._adapter = adapter
         self._progress = progress
         self._streams = streams
@@ -109,7 +109,7 @@
             return
         if not self.first_event_received:
             self._start_response()
-        self._caller.write_chunk(events)
+        self._caller_response.write_chunk(events)
 
     def completed(self) -> None:
         """Handle the end of a complete response."""
@@ -131,12 +131,21 @@
     def deliver_buffered(self) -> None:
         """Send the buffered response to the caller."""
         assert self.response is not None  # noqa: S101
-        self._caller.write_response(
+        self._caller_response.send(
             self.response.status,
             self.response.forwarded,
             self.body,
         )
 
+    @property
+    def failed(self) -> bool:
+        """Whether the server reports a failure of its own."""
+        response = self.response
+        return (
+            response is not None
+            and response.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+        )
+
     @property
     def _status(self) -> str:
         status = 0 if self.response is None else self.response.status
@@ -145,11 +154,11 @@
     def _finish_stream(self) -> None:
         if (
             self._progress.splitter.ends_inside_event
-            or not self._progress.started
+            or not self._caller_response.started
         ):
             self._finish(SendOutcome.UNKNOWN, 'stream ended inside an event')
             return
-        self._caller.finish_response()
+        self._caller_response.finish()
         self._finish(SendOutcome.DELIVERED, '')
 
     def _finish_buffered(self) -> None:
@@ -157,7 +166,7 @@
             self._finish(SendOutcome.UNKNOWN, 'no response head')
             return
         self.body = b''.join(self._pieces)
-        if self.response.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+        if self.failed or self._caller_response.started:
             self._finish(SendOutcome.ANSWERED, self._status)
             return
         self.deliver_buffered()
@@ -174,10 +183,9 @@
         self.first_event_received = True
         self._on_first_event()
         response = self.response
-        if not self._progress.started and response is not None:
-            self._progress.started = True
+        if not self._caller_response.started and response is not None:
             self._progress.first_event_seconds = self._loop.time()
-            self._caller.start_response(response.status, response.forwarded)
+            self._caller_response.start(response.status, response.forwarded)
 
     def _finish(self, outcome: SendOutcome, reason: str) -> None:
         if not self.done.done():
--- a/src/sardinetrack/relay/caller_connection.py
+++ b/src/sardinetrack/relay/caller_connection.py
@@ -14,13 +14,10 @@
 from sardinetrack.errors.api import ErrorKind, RequestError
 from sardinetrack.http.sockets import file_descriptor, has_unread_data
 from sardinetrack.relay.api import CallerRequest, ProtocolAdapter
+from sardinetrack.relay.caller_response import CallerResponse
 from sardinetrack.relay.connection_owner import ConnectionOwner
-from sardinetrack.relay.error_response import error_response, status_line
+from sardinetrack.relay.error_response import error_response
 
-_CHUNK_END: Final = b'0\r\n\r\n'
-_LINE: Final = b'\r\n'
-_CHUNKED: Final = b'transfer-encoding: chunked\r\n\r\n'
-_CLOSE: Final = b'connection: close\r\n'
 _CONTINUE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
 _MAX_PIPELINED: Final = 16
 """Pipelined requests that may wait for earlier responses on one connection."""
@@ -52,9 +49,9 @@
         self._task: asyncio.Task[None] | None = None
         self._pipelined: deque[CallerRequest | RequestError] = deque()
         self._closing = False
-        self._close_announced = False
         self._unreadable = False
         self._received_any = False
+        self.response = CallerResponse(self._write, self._closes)
         self.flow: Callable[[bool], None] | None = None
         self.changed_seconds = float(0)
         self.reading = False
@@ -230,40 +227,16 @@
         self._body = []
         self._queue(call)
 
-    def start_response(self, status: int, headers: bytes) -> None:
-        """Write the head of a response of unknown length."""
-        connection_header = self._connection_header()
-        self._write(
-            status_line(status) + headers + connection_header + _CHUNKED
-        )
-
-    def write_chunk(self, chunk: bytes) -> None:
-        """Write a chunk of the response."""
-        self._write(b'%x\r\n' % len(chunk) + chunk + _LINE)
-
-    def finish_response(self) -> None:
-        """Write the end of a complete response."""
-        self._write(_CHUNK_END)
-
     def truncate(self) -> None:
         """Close the connection so that the response can't look complete."""
         self._closing = True
         if self._transport is not None:
             self._transport.close()
 
-    def write_response(self, status: int, headers: bytes, body: bytes) -> None:
-        """Write a complete response."""
-        connection_header = self._connection_header()
-        length = b'content-length: %d\r\n\r\n' % len(body)
-        self._write(
-            status_line(status) + headers + connection_header + length + body
-        )
-
-    def _connection_header(self) -> bytes:
-        """Return the header that announces the close, if any."""
+    def _closes(self) -> bool:
+        """Whether the connection closes after a response that starts now."""
         closes = self._call is not None and self._call.closes_connection
-        self._close_announced = closes or self._closing
-        return _CLOSE if self._close_announced else b''
+        return closes or self._closing
 
     def _queue(self, request: CallerRequest | RequestError) -> None:
         self._pipelined.append(request)
@@ -280,6 +253,7 @@
                 self._write_rejection(request)
                 return
             self._call = request
+            self.response = CallerResponse(self._write, self._closes)
             self._task = asyncio.get_running_loop().create_task(
                 self._owner.serve(request, self),
             )
@@ -293,7 +267,8 @@
         # it would be parsed as the next request.
         self._closing = True
         status, headers, body = error_response(rejection)
-        self.write_response(status, headers, body)
+        self.response = CallerResponse(self._write, self._closes)
+        self.response.send(status, headers, body)
         self.close()
 
     def _request_done(self, task: asyncio.Task[None]) -> None:
@@ -306,12 +281,16 @@
         error = task.exception()
         if error:
             self._owner.failed(error)
-            self.truncate()
-        elif self._close_announced:
+        self._end_response()
+
+    def _end_response(self) -> None:
+        if self.response.close_announced and self.response.complete:
             self.close()
-        else:
+        elif self.response.complete:
             self._call = None
             self._serve_next()
+        else:
+            self.truncate()
 
     def _write(self, data: bytes) -> None:
         transport = self._transport
--- a/src/sardinetrack/relay/exchange.py
+++ b/src/sardinetrack/relay/exchange.py
@@ -38,7 +38,7 @@
         self._state = state
         self._adapter = adapter
         self._call = call
-        self._caller = caller
+        self._response = caller.response
         self.progress = Progress(EventSplitter(call.last_event_id))
         self._placer = Placer(state, call, self.trace)
         self._sender = Sender(state, adapter, call, caller, self.trace)
@@ -67,13 +67,26 @@
         kind = error.kind.value
         self.trace.outcome = kind
         self.trace.reason = f'{kind}: {cause}'
-        if self.progress.started:
-            self._caller.truncate()
+        if self._response.started:
+            self._truncate(kind, cause)
             return
         status, headers, body = error_response(error)
         self.trace.status = status
         identity = self._adapter.own_headers(self._call)
-        self._caller.write_response(status, identity + headers, body)
+        self._response.send(status, identity + headers, body)
+
+    def _truncate(self, kind: str, cause: str) -> None:
+        """Truncate the response, and log why it can't be completed."""
+        self._response.truncate()
+        self._state.meters.truncated[kind] += 1
+        self._state.log.write(
+            Event.RESPONSE_TRUNCATED,
+            request=self._call.request_id,
+            kind=kind,
+            cause=cause,
+            sends=self.trace.sent,
+            last_event=self.progress.splitter.last_event,
+        )
 
     async def _run_with_deadline(self) -> None:
         self.plan = make_plan(self._state, self._call)
@@ -142,7 +155,7 @@
                 last_event=attempt.last_event,
             )
             return False
-        if outcome is SendOutcome.ANSWERED:
+        if outcome is SendOutcome.ANSWERED and not self._response.started:
             attempt.deliver_buffered()
             return True
         raise _final_error(outcome, attempt.reason)
--- a/src/sardinetrack/relay/meters.py
+++ b/src/sardinetrack/relay/meters.py
@@ -34,6 +34,8 @@
         delivered."""
         self.retries: Counter[str] = Counter()
         """By the cause of the retry."""
+        self.truncated: Counter[str] = Counter()
+        """Responses that were started and not completed, by kind of error."""
         self.workspaces: Counter[str] = Counter()
         self.refused_entries = 0
         """Listed records that could not be read; each change counts."""
--- a/src/sardinetrack/relay/sender.py
+++ b/src/sardinetrack/relay/sender.py
@@ -160,7 +160,7 @@
         progress.splitter.resume()
         return ServerAttempt(
             self._call,
-            self._caller,
+            self._caller.response,
             self._adapter,
             progress,
             streams=plan.route.kind is RouteKind.STREAMING,
@@ -249,7 +249,8 @@
 
     def _record_outcome(self, target: _Target, attempt: ServerAttempt) -> None:
         outcome = attempt.done.result()
-        if outcome in {SendOutcome.DELIVERED, SendOutcome.NOT_RUN}:
+        works = outcome is SendOutcome.ANSWERED and not attempt.failed
+        if works or outcome in {SendOutcome.DELIVERED, SendOutcome.NOT_RUN}:
             target.record_success()
         else:
             target.record_failure(self._loop.time())
--- a/tests/support/relay_servers.py
+++ b/tests/support/relay_servers.py
@@ -76,6 +76,12 @@
     async def _fail(self, fields, reader, writer):
         self._whole(fields, writer, '500 Oops', b'broken')
 
+    async def _find_nothing(self, fields, reader, writer):
+        self._whole(fields, writer, '404 Not Found', b'no such path')
+
+    async def _have_nothing(self, fields, reader, writer):
+        writer.write(f'{self._head(fields, "204 No Content")}\r\n'.encode())
+
     async def _answer_twice(self, fields, reader, writer):
         await self._answer(fields, reader, writer)
         self._whole(fields, writer, '200 OK', b'nobody asked')
