A time-out after a complete response changes neither wire nor record

The log and the counters said timed_out for a request that was served.

Cause: asyncio.timeout_at cancels the task. If the deadline fires in the iteration of the event loop that reads the end of the response, the future of the attempt is done and the cancellation can't take it back: the task is cancelled after the delivery, and Exchange.refuse responded once more or truncated. An exception after the delivery closed the connection in the same way.

Change: Exchange.refuse leaves a delivered response alone, so outcome and reason stay those of the response; whether a request is delivered is asked of its CallerResponse alone, also for the release of its permit, which reported such a request to the side as incomplete.

Why this works: the state changes where the last byte is written, so no order of callbacks within an iteration can make it out of date.

Ruled out: the order of timers and sockets; asyncio runs the callbacks of both in one iteration in this order by design. A caller that stops reading: its stream was and is truncated at the time-out (a scenario now, which passed before).

Not changed: an attempt that is cancelled so late still counts as inconclusive for the breaker, and its connection to the server is closed.

--- a/src/sardinetrack/relay/exchange.py
+++ b/src/sardinetrack/relay/exchange.py
@@ -48,6 +48,11 @@
         """The latest attempt."""
         return self._sender.attempt
 
+    @property
+    def delivered(self) -> bool:
+        """Whether the caller has the complete response."""
+        return self._response.complete
+
     @property
     def server_restarted(self) -> bool:
         """Whether the server has restarted since the latest attempt."""
@@ -62,7 +67,12 @@
             self.refuse(error)
 
     def refuse(self, error: RequestError) -> None:
-        """Send an error response, or truncate a response that has begun."""
+        """Send an error response, or truncate a response that has begun.
+
+        A complete response stays as it is: the request ended with it.
+        """
+        if self.delivered:
+            return
         cause = self.trace.reason or error.detail
         kind = error.kind.value
         self.trace.outcome = kind
@@ -120,30 +130,27 @@
         )
 
     async def _serve(self, plan: Plan) -> None:
-        delivered = False
-        while not delivered:
+        while not self.delivered:
             placement = await self._placer.place(plan)
-            complete = False
             try:
                 attempt = await self._sender.send(
                     plan, placement, self.progress
                 )
-                complete = attempt.done.result() is SendOutcome.DELIVERED
             except NotConnectedError:
                 self.trace.unreachable.add(placement.candidate.server.instance)
                 continue
             finally:
-                placement.permit.release(complete=complete)
-            delivered = self._handle_outcome(plan, attempt)
+                placement.permit.release(complete=self.delivered)
+            self._handle_outcome(plan, attempt)
 
-    def _handle_outcome(self, plan: Plan, attempt: ServerAttempt) -> bool:
-        """Return whether the response is delivered; if not, retry.
+    def _handle_outcome(self, plan: Plan, attempt: ServerAttempt) -> None:
+        """Deliver a buffered response unless the request is to be retried.
 
         :raises RequestError: the request may not be retried.
         """
         outcome = attempt.done.result()
         if outcome is SendOutcome.DELIVERED:
-            return True
+            return
         self.trace.reason = attempt.reason
         if self._may_retry(plan, outcome):
             self._state.meters.retries[outcome.name.lower()] += 1
@@ -154,11 +161,10 @@
                 cause=attempt.reason,
                 last_event=attempt.last_event,
             )
-            return False
-        if outcome is SendOutcome.ANSWERED and not self._response.started:
+        elif outcome is SendOutcome.ANSWERED and not self._response.started:
             attempt.deliver_buffered()
-            return True
-        raise _final_error(outcome, attempt.reason)
+        else:
+            raise _final_error(outcome, attempt.reason)
 
     def _may_retry(self, plan: Plan, outcome: SendOutcome) -> bool:
         if outcome is not SendOutcome.NOT_RUN and not plan.route.repeatable:
--- a/tests/relay/responses.feature
+++ b/tests/relay/responses.feature
@@ -28,3 +28,42 @@
     And a caller requests a resumable stream
     Then the caller receives all events once and the end
     And the log reports 0 truncated responses, because of "status 404"
+
+  Scenario: A time-out in the iteration that delivers a response changes nothing
+    The event loop is late: it reads the end of a response, and in the same
+    iteration the request's time is over. Guards against an error response after
+    the complete one, which the caller would read as that of its next request.
+
+    Given a relay in front of 1 plain server
+    And a time-out of 0.1 seconds
+    When the server responds and the event loop is late for the time-out
+    And a caller sends 2 fetch requests on one connection
+    Then it gets a complete response with status 200 to each
+    And the log reports 2 requests served
+
+  Scenario: A time-out in the iteration that ends a stream changes nothing
+    Guards against a connection that closes without having announced it, after
+    a complete stream: the next request on it would get no response.
+
+    Given a relay in front of 1 model server
+    And a time-out of 0.1 seconds
+    When the server responds and the event loop is late for the time-out
+    And a caller sends 2 once-stream requests on one connection
+    Then it gets a complete response with status 200 to each
+    And the log reports 2 requests served
+
+  Scenario: A fault after a complete response does not close the connection
+    Guards against a connection that closes without having announced it, where
+    the entry fails to record what became of a request.
+
+    Given a relay in front of 1 plain server
+    When the connection of the next request can't be released
+    And a caller sends 2 fetch requests on one connection
+    Then it gets a complete response with status 200 to each
+
+  Scenario: A stream whose caller stops reading is truncated at its time-out
+    Given a relay in front of 1 model server
+    And a time-out of 0.3 seconds
+    When the server sends more than its caller reads in 0.6 seconds
+    Then the caller's response is truncated
+    And it has one status line
--- a/tests/relay/steps/response_steps.py
+++ b/tests/relay/steps/response_steps.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
+import re
 from collections import deque
 from dataclasses import replace
 
 from behave import given, then, when
 from tests.support.relay_servers import EVENTS
+from tests.support.relay_world import Reply, configuration
 
 _EVENTS = tuple(
     b'id: %d\ndata: token %d\n\n' % (number, number)
@@ -51,3 +54,103 @@
     assert all(line['cause'] == cause for line in lines), lines
     meters = context.world.entry_state.meters
     assert meters.truncated.total() == count, meters.truncated
+
+
+@given('a time-out of {seconds:g} seconds')
+def set_timeout(context, seconds):
+    context.world.entry_state.configuration = configuration(2, seconds)
+
+
+@when('the server responds and the event loop is late for the time-out')
+def respond_late(context):
+    context.world.servers[0].acts.append('answer_and_block')
+
+
+@when("the connection of the next request can't be released")
+def fail_release(context):
+    connections = context.world.entry_state.connections
+    release = connections.release
+
+    def fail_once(*_arguments):
+        connections.release = release
+        raise RuntimeError('not released')
+
+    connections.release = fail_once
+
+
+@when('a caller sends {count:d} {name} requests on one connection')
+def send_on_one(context, count, name):
+    async def send():
+        world = context.world
+        reader, writer = await asyncio.open_connection('127.0.0.1', world.port)
+        context.replies = []
+        for _ in range(count):
+            writer.write(world.request(name, closes=False))
+            context.replies.append(await _read_reply(reader))
+        writer.close()
+
+    context.world.run(send())
+
+
+async def _read_reply(reader):
+    """Read one response as a caller does, by its length or its last chunk."""
+    try:
+        async with asyncio.timeout(2):
+            head = await reader.readuntil(b'\r\n\r\n')
+            length = re.search(rb'content-length: (\d+)', head)
+            if length is None:
+                return Reply(head + await reader.readuntil(b'0\r\n\r\n'))
+            return Reply(head + await reader.readexactly(int(length[1])))
+    except asyncio.IncompleteReadError as error:
+        return Reply(error.partial)
+    except ConnectionError:
+        return Reply(b'')
+
+
+@then('it gets a complete response with status {status:d} to each')
+def gets_each(context, status):
+    got = [(reply.status, _request_ids(reply.raw)) for reply in context.replies]
+    expected = [
+        (status, [b'r%d' % number])
+        for number in range(1, len(context.replies) + 1)
+    ]
+    assert got == expected, [reply.raw for reply in context.replies]
+
+
+def _request_ids(raw):
+    return re.findall(rb'request-id: (\w+)', raw)
+
+
+@then('the log reports {count:d} requests served')
+def reports_served(context, count):
+    lines = context.world.lines()
+    reasons = [
+        line['reason'] for line in lines if line['event'] == 'request_ended'
+    ]
+    assert len(reasons) == count, lines
+    assert not any(reasons), reasons
+    meters = context.world.entry_state.meters
+    assert meters.outcomes == {'served': count}, meters.outcomes
+
+
+@when('the server sends more than its caller reads in {seconds:g} seconds')
+def stop_reading(context, seconds):
+    async def play():
+        world = context.world
+        world.servers[0].acts.append('flood')
+        reader, writer = await asyncio.open_connection('127.0.0.1', world.port)
+        writer.transport.pause_reading()
+        writer.write(world.request('once-stream', closes=False))
+        await asyncio.sleep(seconds)
+        writer.transport.resume_reading()
+        async with asyncio.timeout(5):
+            raw = await reader.read()
+        writer.close()
+        return Reply(raw)
+
+    context.reply = context.world.run(play())
+
+
+@then('it has one status line')
+def has_one_status_line(context):
+    assert context.reply.raw.count(b'HTTP/1.1 ') == 1
--- a/tests/support/relay_servers.py
+++ b/tests/support/relay_servers.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections import deque
 from contextlib import suppress
 
 STAMP = 'X-Sardinetrack-Server-Stamp: s1'
 EVENTS = 6
+_LATE_SECONDS = 0.15
 _DISCONNECTED = (
     asyncio.IncompleteReadError,
     asyncio.CancelledError,
@@ -82,6 +84,18 @@
     async def _have_nothing(self, fields, reader, writer):
         writer.write(f'{self._head(fields, "204 No Content")}\r\n'.encode())
 
+    async def _answer_and_block(self, fields, reader, writer):
+        await self._answer(fields, reader, writer)
+        _block(_LATE_SECONDS)
+
+    async def _flood(self, fields, reader, writer):
+        head = self._head(fields, '200 OK')
+        writer.write(f'{head}Transfer-Encoding: chunked\r\n\r\n'.encode())
+        while True:
+            event = await self._event(fields, 1)
+            writer.write(b'%x\r\n%b\r\n' % (len(event), event) * 1000)
+            await writer.drain()
+
     async def _answer_twice(self, fields, reader, writer):
         await self._answer(fields, reader, writer)
         self._whole(fields, writer, '200 OK', b'nobody asked')
@@ -165,6 +179,10 @@
         )
 
 
+def _block(seconds):
+    time.sleep(seconds)
+
+
 def _fields(head):
     lines = head.decode().split('\r\n')[1:-2]
     pairs = (line.split(': ', 1) for line in lines)
