100 Continue waits for the responses to earlier requests

Cause: CallerConnection.on_headers_complete wrote it as soon as the head was read, whatever was in progress on the connection.

Change: it is written once no earlier request is in progress, and no more when the body has begun to arrive without it.

Why this works: a request is in progress until its response is complete, and the parser reads one head at a time, so at most one request waits for it.

--- a/src/sardinetrack/relay/caller_connection.py
+++ b/src/sardinetrack/relay/caller_connection.py
@@ -19,6 +19,7 @@
 from sardinetrack.relay.error_response import error_response
 
 _CONTINUE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
+_EXPECTS_CONTINUE: Final = (b'expect', b'100-continue')
 _MAX_PIPELINED: Final = 16
 """Pipelined requests that may wait for earlier responses on one connection."""
 
@@ -46,6 +47,7 @@
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._rejection: RequestError | None = None
+        self._awaits_continue = False
         self._task: asyncio.Task[None] | None = None
         self._pipelined: deque[CallerRequest | RequestError] = deque()
         self._closing = False
@@ -175,6 +177,7 @@
         self._target = b''
         self._head = None
         self._rejection = None
+        self._awaits_continue = False
 
     def on_url(self, url: bytes) -> None:
         """Collect the target."""
@@ -200,11 +203,12 @@
         except RequestError as error:
             self._rejection = self._rejection or error
             return
-        if (b'expect', b'100-continue') in self._headers:
-            self._write(_CONTINUE)
+        self._awaits_continue = _EXPECTS_CONTINUE in self._headers
+        self._write_continue()
 
     def on_body(self, body: bytes) -> None:
         """Collect the body."""
+        self._awaits_continue = False
         self._body_bytes += len(body)
         if self._body_bytes > self._owner.limits.body_bytes:
             self._reject(ErrorKind.BODY_TOO_LARGE)
@@ -214,6 +218,7 @@
     def on_message_complete(self) -> None:
         """Queue the complete request."""
         self.reading = False
+        self._awaits_continue = False
         call = self._head
         # Otherwise a thousand idle connections would keep the last prompt of
         # each.
@@ -289,9 +294,19 @@
         elif self.response.complete:
             self._call = None
             self._serve_next()
+            self._write_continue()
         else:
             self.truncate()
 
+    def _write_continue(self) -> None:
+        """Invite the body of a request, after the responses to earlier ones.
+
+        Within the response to an earlier request it would corrupt that one.
+        """
+        if self._awaits_continue and not self.busy:
+            self._awaits_continue = False
+            self._write(_CONTINUE)
+
     def _write(self, data: bytes) -> None:
         transport = self._transport
         if transport is None or transport.is_closing():
--- a/tests/relay/responses.feature
+++ b/tests/relay/responses.feature
@@ -67,3 +67,17 @@
     When the server sends more than its caller reads in 0.6 seconds
     Then the caller's response is truncated
     And it has one status line
+
+  Scenario: A pipelined request is told to continue after the earlier response
+    A caller sends the head of a request while it reads a stream. Guards against
+    an interim response within the stream.
+
+    Given a relay in front of 1 model server and 1 plain server
+    When a caller that reads a stream sends the head of a report
+    Then the stream is complete, and "100 Continue" follows it
+    And the report gets status 200
+
+  Scenario: A request on an idle connection is told to continue immediately
+    Given a relay in front of 1 plain server
+    When a caller sends the head of a report
+    Then it is told to continue, and the report gets status 200
--- a/tests/relay/steps/response_steps.py
+++ b/tests/relay/steps/response_steps.py
@@ -11,6 +11,7 @@
 from tests.support.relay_servers import EVENTS
 from tests.support.relay_world import Reply, configuration
 
+_CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 _EVENTS = tuple(
     b'id: %d\ndata: token %d\n\n' % (number, number)
     for number in range(1, EVENTS // 2 + 1)
@@ -154,3 +155,56 @@
 @then('it has one status line')
 def has_one_status_line(context):
     assert context.reply.raw.count(b'HTTP/1.1 ') == 1
+
+
+@when('a caller that reads a stream sends the head of a report')
+def send_head_in_stream(context):
+    async def play():
+        world = context.world
+        for server in world.servers:
+            server.acts.append('pause')
+        reader, writer = await asyncio.open_connection('127.0.0.1', world.port)
+        writer.write(world.request('once-stream', closes=False))
+        await reader.readuntil(b'token 1')
+        await _send_after_continue(context, reader, writer)
+
+    context.world.run(play())
+
+
+@when('a caller sends the head of a report')
+def send_head_only(context):
+    async def play():
+        reader, writer = await asyncio.open_connection(
+            '127.0.0.1', context.world.port
+        )
+        await _send_after_continue(context, reader, writer)
+
+    context.world.run(play())
+
+
+async def _send_after_continue(context, reader, writer):
+    body = b'position'
+    request = context.world.request('report', ('Expect: 100-continue',), body)
+    writer.write(request.removesuffix(body))
+    async with asyncio.timeout(5):
+        context.before = await reader.readuntil(_CONTINUE)
+        writer.write(body)
+        context.reply = Reply(await reader.read())
+    writer.close()
+
+
+@then('the stream is complete, and "100 Continue" follows it')
+def continue_follows(context):
+    end = b'\r\n0\r\n\r\n%b' % _CONTINUE
+    assert context.before.endswith(end), context.before
+
+
+@then('the report gets status {status:d}')
+def report_gets(context, status):
+    assert context.reply.status == status, context.reply.raw
+
+
+@then('it is told to continue, and the report gets status {status:d}')
+def continues_immediately(context, status):
+    assert context.before == _CONTINUE, context.before
+    report_gets(context, status)
