The entry's own response to a HEAD request has no body

What callers saw: the caller of a kept connection that sends a HEAD request and gets an error of the entry read its body as the response to the next request.

Cause: all that writes a response wrote head and body, whatever the method. Responses of servers were not concerned: their body is never read for HEAD.

Evidence: the new scenarios on, a HEAD request and the next one on its connection, and a rejected one:

ASSERT FAILED: b'{"error":{"message":"No backend server is available; not run." ... "not_run":true}}HTTP/1.1 503 Service Unavailable\r\n ... r2' ASSERT FAILED: b'HTTP/1.1 400 Bad Request ... content-length: 126\r\n\r\n {"error":{"message":"header host must occur exactly once" ...

Change: CallerResponse is told when its request is a HEAD request and writes no body; the length in the head stays that of the body, as HTTP has it. A rejected request keeps whether it was one.

Why this works: CallerResponse is all that writes a response.

Ruled out: a request whose head can't be parsed; its method is not known, and its connection closes after the response, as before.

After: tests/relay 83 scenarios passed.

--- a/src/sardinetrack/relay/caller_connection.py
+++ b/src/sardinetrack/relay/caller_connection.py
@@ -7,7 +7,7 @@
 import socket
 from collections import deque
 from collections.abc import Callable
-from typing import Final, cast
+from typing import Final, NamedTuple, cast
 
 import httptools
 
@@ -20,10 +20,16 @@
 
 _CONTINUE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
 _EXPECTS_CONTINUE: Final = (b'expect', b'100-continue')
+_HEAD: Final = b'HEAD'
 _MAX_PIPELINED: Final = 16
 """Pipelined requests that may wait for earlier responses on one connection."""
 
 
+class _Rejection(NamedTuple):
+    error: RequestError
+    bodiless: bool = False
+
+
 class CallerConnection(asyncio.Protocol):
     """Parses requests, writes responses and detects a disconnected caller."""
 
@@ -49,7 +55,7 @@
         self._rejection: RequestError | None = None
         self._awaits_continue = False
         self._task: asyncio.Task[None] | None = None
-        self._pipelined: deque[CallerRequest | RequestError] = deque()
+        self._pipelined: deque[CallerRequest | _Rejection] = deque()
         self._closing = False
         self._unreadable = False
         self._received_any = False
@@ -89,7 +95,7 @@
             # parsed: that could be a request smuggled in the body of another
             # one.
             self._unreadable = True
-            self._queue(RequestError(ErrorKind.BAD_REQUEST))
+            self._queue(_Rejection(RequestError(ErrorKind.BAD_REQUEST)))
 
     def eof_received(self) -> bool:
         """Treat a half-closed connection as a disconnected caller."""
@@ -225,7 +231,9 @@
         self._head = None
         self._headers = []
         if call is None or self._rejection is not None:
-            self._queue(self._rejection or RequestError(ErrorKind.BAD_REQUEST))
+            error = self._rejection or RequestError(ErrorKind.BAD_REQUEST)
+            bodiless = self._parser.get_method() == _HEAD
+            self._queue(_Rejection(error, bodiless))
             return
         call.body = b''.join(self._body)
         call.closes_connection = not self._parser.should_keep_alive()
@@ -243,7 +251,7 @@
         closes = self._call is not None and self._call.closes_connection
         return closes or self._closing
 
-    def _queue(self, request: CallerRequest | RequestError) -> None:
+    def _queue(self, request: CallerRequest | _Rejection) -> None:
         self._pipelined.append(request)
         if self._task is None:
             self._serve_next()
@@ -254,11 +262,11 @@
         """Serve the next queued request."""
         while self._pipelined and self._task is None:
             request = self._pipelined.popleft()
-            if isinstance(request, RequestError):
+            if isinstance(request, _Rejection):
                 self._write_rejection(request)
                 return
             self._call = request
-            self.response = CallerResponse(self._write, self._closes)
+            self._begin_response(bodiless=request.method == _HEAD)
             self._task = asyncio.get_running_loop().create_task(
                 self._owner.serve(request, self),
             )
@@ -267,12 +275,17 @@
     def _reject(self, kind: ErrorKind) -> None:
         self._rejection = self._rejection or RequestError(kind)
 
-    def _write_rejection(self, rejection: RequestError) -> None:
+    def _begin_response(self, *, bodiless: bool) -> None:
+        self.response = CallerResponse(
+            self._write, self._closes, bodiless=bodiless
+        )
+
+    def _write_rejection(self, rejection: _Rejection) -> None:
         # The rejected request may not have been read to its end; the rest of
         # it would be parsed as the next request.
         self._closing = True
-        status, headers, body = error_response(rejection)
-        self.response = CallerResponse(self._write, self._closes)
+        status, headers, body = error_response(rejection.error)
+        self._begin_response(bodiless=rejection.bodiless)
         self.response.send(status, headers, body)
         self.close()
 
--- a/src/sardinetrack/relay/caller_response.py
+++ b/src/sardinetrack/relay/caller_response.py
@@ -37,17 +37,21 @@
         self,
         write: Callable[[bytes], None],
         closes: Callable[[], bool],
+        *,
+        bodiless: bool = False,
     ) -> None:
         """Create a response of which nothing is written.
 
         :param write: writes to the caller's connection.
         :param closes: whether the connection closes after a response that
             starts now.
+        :param bodiless: it has a head only, as the response to a HEAD request.
         """
         self.state = ResponseState.NOT_STARTED
         self.close_announced = False
         self._write = write
         self._closes = closes
+        self._bodiless = bodiless
 
     @property
     def started(self) -> bool:
@@ -86,9 +90,8 @@
             return
         self.state = ResponseState.COMPLETE
         length = b'content-length: %d\r\n\r\n' % len(body)
-        self._write(
-            status_line(status) + headers + self._announcement() + length + body
-        )
+        head = status_line(status) + headers + self._announcement() + length
+        self._write(head if self._bodiless else head + body)
 
     def truncate(self) -> None:
         """Write no more of a response that is started.
--- a/tests/relay/responses.feature
+++ b/tests/relay/responses.feature
@@ -81,3 +81,18 @@
     Given a relay in front of 1 plain server
     When a caller sends the head of a report
     Then it is told to continue, and the report gets status 200
+
+  Scenario: An error response to a HEAD request has no body
+    Guards against a body that the caller of a persistent connection would read
+    as the response to its next request.
+
+    Given a relay in front of 1 plain server
+    When one server stops
+    And a caller sends a HEAD request, and then fetches on the same connection
+    Then each of the 2 responses is read with status 503
+
+  Scenario: The response to a rejected HEAD request has no body
+    Given a relay in front of 1 plain server
+    When a caller sends a HEAD request with two hosts
+    Then the caller gets status 400
+    And it has no body
--- a/tests/relay/steps/response_steps.py
+++ b/tests/relay/steps/response_steps.py
@@ -208,3 +208,47 @@
 def continues_immediately(context, status):
     assert context.before == _CONTINUE, context.before
     report_gets(context, status)
+
+
+@when('a caller sends a HEAD request, and then fetches on the same connection')
+def send_head_and_fetch(context):
+    async def play():
+        world = context.world
+        reader, writer = await asyncio.open_connection('127.0.0.1', world.port)
+        request = world.request('fetch', closes=False)
+        writer.write(request.replace(b'GET', b'HEAD', 1))
+        async with asyncio.timeout(2):
+            head = await reader.readuntil(b'\r\n\r\n')
+            writer.write(world.request('fetch'))
+            rest = await reader.read()
+        writer.close()
+        context.heads = [head, rest]
+
+    context.world.run(play())
+
+
+@then('each of the {count:d} responses is read with status {status:d}')
+def each_is_read(context, count, status):
+    assert len(context.heads) == count
+    for head in context.heads:
+        assert head.startswith(b'HTTP/1.1 %d ' % status), head
+
+
+@when('a caller sends a HEAD request with two hosts')
+def send_head_with_hosts(context):
+    async def play():
+        world = context.world
+        reader, writer = await asyncio.open_connection('127.0.0.1', world.port)
+        request = world.request('fetch', ('Host: other.example',))
+        writer.write(request.replace(b'GET', b'HEAD', 1))
+        async with asyncio.timeout(2):
+            raw = await reader.read()
+        writer.close()
+        return Reply(raw)
+
+    context.reply = context.world.run(play())
+
+
+@then('it has no body')
+def has_no_body(context):
+    assert not context.reply.body, context.reply.raw
