A HEAD request on a streaming route gets the server's head

What callers saw: a HEAD request on a streaming route got 502 "stream ended inside an event", though its server had answered 200.

Cause: the attempt took the response for a stream, in which an end without any event is a failure; the response to a HEAD request has no events.

Evidence: the new scenario without the change:

ASSERT FAILED: b'HTTP/1.1 502 Bad Gateway ... "stream ended inside an event", "type":"server_error","code":"outcome_unknown","not_run":false}}'

Change: an attempt of a HEAD request does not expect a stream; its response is delivered as a complete one.

Why this works: the connection to the server already ends such a response at its head.

Ruled out: a GET or POST stream without an event; it still fails as before.

--- a/src/sardinetrack/relay/sender.py
+++ b/src/sardinetrack/relay/sender.py
@@ -158,12 +158,13 @@
         target: _Target,
     ) -> ServerAttempt:
         progress.splitter.resume()
+        streams = plan.route.kind is RouteKind.STREAMING
         return ServerAttempt(
             self._call,
             self._caller.response,
             self._adapter,
             progress,
-            streams=plan.route.kind is RouteKind.STREAMING,
+            streams=streams and self._call.method != _HEAD,
             on_first_event=partial(_first_event, placement.permit, target),
         )
 
--- a/tests/relay/responses.feature
+++ b/tests/relay/responses.feature
@@ -91,6 +91,11 @@
     And a caller sends a HEAD request, and then fetches on the same connection
     Then each of the 2 responses is read with status 503
 
+  Scenario: A HEAD request for a stream gets its head
+    Given a relay in front of 1 model server
+    When a caller sends a HEAD request for a stream
+    Then the caller gets status 200
+
   Scenario: The response to a rejected HEAD request has no body
     Given a relay in front of 1 plain server
     When a caller sends a HEAD request with two hosts
--- a/tests/relay/steps/response_steps.py
+++ b/tests/relay/steps/response_steps.py
@@ -234,6 +234,21 @@
         assert head.startswith(b'HTTP/1.1 %d ' % status), head
 
 
+@when('a caller sends a HEAD request for a stream')
+def send_head_for_stream(context):
+    async def play():
+        world = context.world
+        reader, writer = await asyncio.open_connection('127.0.0.1', world.port)
+        request = world.request('once-stream')
+        writer.write(request.replace(b'POST', b'HEAD', 1))
+        async with asyncio.timeout(2):
+            raw = await reader.read()
+        writer.close()
+        return Reply(raw)
+
+    context.reply = context.world.run(play())
+
+
 @when('a caller sends a HEAD request with two hosts')
 def send_head_with_hosts(context):
     async def play():
