Too many pipelined requests break off no response

What callers saw: with more than 16 requests waiting behind the one in progress, the connection closed at once, within a response that a server was still making and without having announced it (LOST: a request that was passed on and whose connection closes without an answer).

Cause: CallerConnection._queue truncated whatever was in progress, to bound what one connection may hold.

Change: nothing more is parsed on such a connection, the response in progress goes on, and the next one announces the close. The other requests are not passed on, which an announced close allows their caller to know.

Why this works: what a connection holds is bounded as before, and there is always a next response to carry the announcement, as 16 requests wait.

Ruled out: pausing the reading instead; the end of a connection would not be read then, and a server would run requests for a caller that has disconnected.

--- a/src/sardinetrack/relay/caller_connection.py
+++ b/src/sardinetrack/relay/caller_connection.py
@@ -252,11 +252,15 @@
         return closes or self._closing
 
     def _queue(self, request: CallerRequest | _Rejection) -> None:
+        if len(self._pipelined) >= _MAX_PIPELINED:
+            # The response in progress is not to be broken off; the next one
+            # announces the close, and what follows it is not served.
+            self._closing = True
+            self._unreadable = True
+            return
         self._pipelined.append(request)
         if self._task is None:
             self._serve_next()
-        elif len(self._pipelined) > _MAX_PIPELINED:
-            self.truncate()
 
     def _serve_next(self) -> None:
         """Serve the next queued request."""
--- a/tests/relay/responses.feature
+++ b/tests/relay/responses.feature
@@ -101,3 +101,12 @@
     When a caller sends a HEAD request with two hosts
     Then the caller gets status 400
     And it has no body
+
+  Scenario: Too many pipelined requests break off no response
+    Guards against a connection that closes within the response in progress, and
+    without having announced it: the caller could not tell what has run.
+
+    Given a relay in front of 1 model server and 1 plain server
+    When a caller that reads a stream pipelines 18 fetches
+    Then the stream is complete, and one response that closes follows it
+    And the servers got 2 requests
--- a/tests/relay/steps/response_steps.py
+++ b/tests/relay/steps/response_steps.py
@@ -267,3 +267,30 @@
 @then('it has no body')
 def has_no_body(context):
     assert not context.reply.body, context.reply.raw
+
+
+@when('a caller that reads a stream pipelines {count:d} fetches')
+def pipeline_in_stream(context, count):
+    async def play():
+        world = context.world
+        for server in world.servers:
+            server.acts.append('pause')
+        reader, writer = await asyncio.open_connection('127.0.0.1', world.port)
+        writer.write(world.request('once-stream', closes=False))
+        context.before = await reader.readuntil(b'token 1')
+        for _ in range(count):
+            writer.write(world.request('fetch', closes=False))
+        async with asyncio.timeout(5):
+            context.raw = await reader.read()
+        writer.close()
+
+    context.world.run(play())
+
+
+@then('the stream is complete, and one response that closes follows it')
+def one_closes(context):
+    _, end, after = context.raw.partition(b'\r\n0\r\n\r\n')
+    assert end, context.raw
+    assert after.startswith(b'HTTP/1.1 200 '), after
+    assert after.count(b'connection: close') == 1, after
+    assert _request_ids(after) == [b'r2'], after
