--- a/src/sardinetrack/relay/caller_connection.py
+++ b/src/sardinetrack/relay/caller_connection.py
@@ -7,25 +7,29 @@
 import socket
 from collections import deque
 from collections.abc import Callable
-from typing import Final, cast
+from typing import Final, NamedTuple, cast
 
 import httptools
 
 from sardinetrack.errors.api import ErrorKind, RequestError
 from sardinetrack.http.sockets import file_descriptor, has_unread_data
 from sardinetrack.relay.api import CallerRequest, ProtocolAdapter
+from sardinetrack.relay.caller_response import CallerResponse
 from sardinetrack.relay.connection_owner import ConnectionOwner
-from sardinetrack.relay.error_response import error_response, status_line
+from sardinetrack.relay.error_response import error_response
 
-_CHUNK_END: Final = b'0\r\n\r\n'
-_LINE: Final = b'\r\n'
-_CHUNKED: Final = b'transfer-encoding: chunked\r\n\r\n'
-_CLOSE: Final = b'connection: close\r\n'
 _CONTINUE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
+_EXPECTS_CONTINUE: Final = (b'expect', b'100-continue')
+_HEAD: Final = b'HEAD'
 _MAX_PIPELINED: Final = 16
 """Pipelined requests that may wait for earlier responses on one connection."""
 
 
+class _Rejection(NamedTuple):
+    error: RequestError
+    bodiless: bool = False
+
+
 class CallerConnection(asyncio.Protocol):
     """Parses requests, writes responses and detects a disconnected caller."""
 
@@ -49,12 +53,13 @@
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._rejection: RequestError | None = None
+        self._awaits_continue = False
         self._task: asyncio.Task[None] | None = None
-        self._pipelined: deque[CallerRequest | RequestError] = deque()
+        self._pipelined: deque[CallerRequest | _Rejection] = deque()
         self._closing = False
-        self._close_announced = False
         self._unreadable = False
         self._received_any = False
+        self.response = CallerResponse(self._write, self._closes)
         self.flow: Callable[[bool], None] | None = None
         self.changed_seconds = float(0)
         self.reading = False
@@ -90,7 +95,7 @@
             # parsed: that could be a request smuggled in the body of another
             # one.
             self._unreadable = True
-            self._queue(RequestError(ErrorKind.BAD_REQUEST))
+            self._queue(_Rejection(RequestError(ErrorKind.BAD_REQUEST)))
 
     def eof_received(self) -> bool:
         """Treat a half-closed connection as a disconnected caller."""
@@ -178,6 +183,7 @@
         self._target = b''
         self._head = None
         self._rejection = None
+        self._awaits_continue = False
 
     def on_url(self, url: bytes) -> None:
         """Collect the target."""
@@ -203,11 +209,12 @@
         except RequestError as error:
             self._rejection = self._rejection or error
             return
-        if (b'expect', b'100-continue') in self._headers:
-            self._write(_CONTINUE)
+        self._awaits_continue = _EXPECTS_CONTINUE in self._headers
+        self._write_continue()
 
     def on_body(self, body: bytes) -> None:
         """Collect the body."""
+        self._awaits_continue = False
         self._body_bytes += len(body)
         if self._body_bytes > self._owner.limits.body_bytes:
             self._reject(ErrorKind.BODY_TOO_LARGE)
@@ -217,69 +224,53 @@
     def on_message_complete(self) -> None:
         """Queue the complete request."""
         self.reading = False
+        self._awaits_continue = False
         call = self._head
         # Otherwise a thousand idle connections would keep the last prompt of
         # each.
         self._head = None
         self._headers = []
         if call is None or self._rejection is not None:
-            self._queue(self._rejection or RequestError(ErrorKind.BAD_REQUEST))
+            error = self._rejection or RequestError(ErrorKind.BAD_REQUEST)
+            bodiless = self._parser.get_method() == _HEAD
+            self._queue(_Rejection(error, bodiless))
             return
         call.body = b''.join(self._body)
         call.closes_connection = not self._parser.should_keep_alive()
         self._body = []
         self._queue(call)
 
-    def start_response(self, status: int, headers: bytes) -> None:
-        """Write the head of a response of unknown length."""
-        connection_header = self._connection_header()
-        self._write(
-            status_line(status) + headers + connection_header + _CHUNKED
-        )
-
-    def write_chunk(self, chunk: bytes) -> None:
-        """Write a chunk of the response."""
-        self._write(b'%x\r\n' % len(chunk) + chunk + _LINE)
-
-    def finish_response(self) -> None:
-        """Write the end of a complete response."""
-        self._write(_CHUNK_END)
-
     def truncate(self) -> None:
         """Close the connection so that the response can't look complete."""
         self._closing = True
         if self._transport is not None:
             self._transport.close()
 
-    def write_response(self, status: int, headers: bytes, body: bytes) -> None:
-        """Write a complete response."""
-        connection_header = self._connection_header()
-        length = b'content-length: %d\r\n\r\n' % len(body)
-        self._write(
-            status_line(status) + headers + connection_header + length + body
-        )
-
-    def _connection_header(self) -> bytes:
-        """Return the header that announces the close, if any."""
+    def _closes(self) -> bool:
+        """Whether the connection closes after a response that starts now."""
         closes = self._call is not None and self._call.closes_connection
-        self._close_announced = closes or self._closing
-        return _CLOSE if self._close_announced else b''
+        return closes or self._closing
 
-    def _queue(self, request: CallerRequest | RequestError) -> None:
+    def _queue(self, request: CallerRequest | _Rejection) -> None:
+        if len(self._pipelined) >= _MAX_PIPELINED:
+            # The response in progress is not to be broken off; the next one
+            # announces the close, and what follows it is not served.
+            self._closing = True
+            self._unreadable = True
+            return
         self._pipelined.append(request)
         if self._task is None:
             self._serve_next()
-        elif len(self._pipelined) > _MAX_PIPELINED:
-            self.truncate()
 
     def _serve_next(self) -> None:
         """Serve the next queued request."""
         while self._pipelined and self._task is None:
             request = self._pipelined.popleft()
-            if isinstance(request, RequestError):
+            if isinstance(request, _Rejection):
                 self._write_rejection(request)
                 return
             self._call = request
+            self._begin_response(bodiless=request.method == _HEAD)
             self._task = asyncio.get_running_loop().create_task(
                 self._owner.serve(request, self),
             )
@@ -288,12 +279,18 @@
     def _reject(self, kind: ErrorKind) -> None:
         self._rejection = self._rejection or RequestError(kind)
 
-    def _write_rejection(self, rejection: RequestError) -> None:
+    def _begin_response(self, *, bodiless: bool) -> None:
+        self.response = CallerResponse(
+            self._write, self._closes, bodiless=bodiless
+        )
+
+    def _write_rejection(self, rejection: _Rejection) -> None:
         # The rejected request may not have been read to its end; the rest of
         # it would be parsed as the next request.
         self._closing = True
-        status, headers, body = error_response(rejection)
-        self.write_response(status, headers, body)
+        status, headers, body = error_response(rejection.error)
+        self._begin_response(bodiless=rejection.bodiless)
+        self.response.send(status, headers, body)
         self.close()
 
     def _request_done(self, task: asyncio.Task[None]) -> None:
@@ -306,12 +303,26 @@
         error = task.exception()
         if error:
             self._owner.failed(error)
-            self.truncate()
-        elif self._close_announced:
+        self._end_response()
+
+    def _end_response(self) -> None:
+        if self.response.close_announced and self.response.complete:
             self.close()
-        else:
+        elif self.response.complete:
             self._call = None
             self._serve_next()
+            self._write_continue()
+        else:
+            self.truncate()
+
+    def _write_continue(self) -> None:
+        """Invite the body of a request, after the responses to earlier ones.
+
+        Within the response to an earlier request it would corrupt that one.
+        """
+        if self._awaits_continue and not self.busy:
+            self._awaits_continue = False
+            self._write(_CONTINUE)
 
     def _write(self, data: bytes) -> None:
         transport = self._transport
--- a/src/sardinetrack/relay/sender.py
+++ b/src/sardinetrack/relay/sender.py
@@ -158,12 +158,13 @@
         target: _Target,
     ) -> ServerAttempt:
         progress.splitter.resume()
+        streams = plan.route.kind is RouteKind.STREAMING
         return ServerAttempt(
             self._call,
-            self._caller,
+            self._caller.response,
             self._adapter,
             progress,
-            streams=plan.route.kind is RouteKind.STREAMING,
+            streams=streams and self._call.method != _HEAD,
             on_first_event=partial(_first_event, placement.permit, target),
         )
 
@@ -249,7 +250,8 @@
 
     def _record_outcome(self, target: _Target, attempt: ServerAttempt) -> None:
         outcome = attempt.done.result()
-        if outcome in {SendOutcome.DELIVERED, SendOutcome.NOT_RUN}:
+        works = outcome is SendOutcome.ANSWERED and not attempt.failed
+        if works or outcome in {SendOutcome.DELIVERED, SendOutcome.NOT_RUN}:
             target.record_success()
         else:
             target.record_failure(self._loop.time())
