A response to another request proves nothing about this one

What callers saw: a request that may run once was answered 503, "not run", and its server ran it. A repeatable one was sent twice, and its connection returned to the pool with the true response still on its way. A late 421 also took a sound server out of use, and the load header of a late response was recorded.

Cause: `ServerAttempt.head_received` kept the head and acted on "not run" (503 or 429 with Not-Processed, 421) before it compared the request ids.

Why this works: the ids are compared first, and a head that may be another request's is not kept, so neither the proof, the misdirected mark, the load nor the keep-alive time of it is read. The attempt ends as unknown, which closes the connection: a request that may run once gets 502, which promises nothing.

A head without any id is no other request's either. Its "not run" is believed on a connection that has carried no earlier request, where nothing else can be meant, and nowhere else: for a request that may run once a false promise is worse than an honest 502.

Ruled out: never to believe a head without an id, since the servers' protocol does not say that a 421 echoes it, and a fresh connection leaves no doubt. The breaker counts such a response as a failure, as before: the server did send it. Crash suspects are not affected: the reason is not the end of a connection.

--- a/src/sardinetrack/relay/attempt.py
+++ b/src/sardinetrack/relay/attempt.py
@@ -51,11 +51,13 @@
         progress: Progress,
         *,
         streams: bool,
+        connection_unused: bool,
         on_first_event: Callable[[], None],
     ) -> None:
         loop = asyncio.get_running_loop()
         self.done: asyncio.Future[SendOutcome] = loop.create_future()
         self.response: ResponseHead | None = None
+        """The head of the response to this request."""
         self.reason = ''
         self.first_event_received = False
         self.last_data_seconds = loop.time()
@@ -65,6 +67,7 @@
         self._adapter = adapter
         self._progress = progress
         self._streams = streams
+        self._connection_unused = connection_unused
         self._on_first_event = on_first_event
         self._pieces: list[bytes] = []
         self._size = 0
@@ -81,16 +84,16 @@
     ) -> None:
         """Check the head; end the attempt if the response is not acceptable."""
         response = self._adapter.parse_response_head(status, headers)
-        self.response = response
         self.last_data_seconds = self._loop.time()
+        doubt = self._attribution_doubt(response)
+        if doubt:
+            self._finish(SendOutcome.UNKNOWN, doubt)
+            return
+        self.response = response
         if response.not_run:
             self._finish(SendOutcome.NOT_RUN, self._status)
             return
-        # A late response to an earlier request, or one without the server's
-        # stamp, must not reach this caller.
-        if response.request_id != self._call.request_id:
-            self._finish(SendOutcome.UNKNOWN, 'response to another request')
-        elif not response.is_signed:
+        if not response.is_signed:
             self._finish(
                 SendOutcome.UNKNOWN, 'response without the server stamp'
             )
@@ -137,6 +140,21 @@
             self.body,
         )
 
+    def _attribution_doubt(self, response: ResponseHead) -> str:
+        """Return why a response may not be the one to this request, or ''.
+
+        A late second response to an earlier request proves nothing about this
+        one, whatever its status.
+        """
+        if response.request_id == self._call.request_id:
+            return ''
+        if response.request_id:
+            return 'response to another request'
+        if response.not_run and self._connection_unused:
+            # No earlier request on this connection could be meant.
+            return ''
+        return 'response without a request id'
+
     @property
     def _status(self) -> str:
         status = 0 if self.response is None else self.response.status
--- a/src/sardinetrack/relay/sender.py
+++ b/src/sardinetrack/relay/sender.py
@@ -123,7 +123,7 @@
         except BaseException:
             target.record_inconclusive()
             raise
-        attempt = self._prepare(plan, placement, progress, target)
+        attempt = self._prepare(plan, placement, progress, target, connection)
         try:
             await self._exchange(plan, placement.candidate, connection, attempt)
         except BaseException:
@@ -156,6 +156,7 @@
         placement: Placement,
         progress: Progress,
         target: _Target,
+        connection: ServerConnection,
     ) -> ServerAttempt:
         progress.splitter.resume()
         return ServerAttempt(
@@ -164,6 +165,7 @@
             self._adapter,
             progress,
             streams=plan.route.kind is RouteKind.STREAMING,
+            connection_unused=not connection.requests,
             on_first_event=partial(_first_event, placement.permit, target),
         )
 
--- a/src/sardinetrack/relay/server_connection.py
+++ b/src/sardinetrack/relay/server_connection.py
@@ -61,6 +61,8 @@
 
     def __init__(self) -> None:
         self.transport: asyncio.Transport | None = None
+        self.requests = 0
+        """How many were sent on this connection."""
         self.idle_since_seconds = float(0)
         self.idle_limit_seconds: float | None = None
         self._sink: ResponseSink | None = None
@@ -94,6 +96,7 @@
 
         :param bodiless: the response has no body, whatever length it states.
         """
+        self.requests += 1
         self._sink = sink
         self._bodiless = bodiless
         self._parser = httptools.HttpResponseParser(self)
--- a/tests/support/relay_servers.py
+++ b/tests/support/relay_servers.py
@@ -34,6 +34,8 @@
         self.failure_domain = 'galata'
         self.cold_seconds = 0
         self._server = None
+        # Sent on the same connection before the response to its next request.
+        self._late = {}
 
     async def open(self, ip='127.0.0.1'):
         self._server = await asyncio.start_server(
@@ -58,6 +60,7 @@
                 self.asked.set()
                 if body == self.deadly:
                     self.acts = deque(['crash'])
+                writer.write(self._late.pop(writer, b''))
                 act = self.acts.popleft() if self.acts else 'answer'
                 if head.startswith(b'HEAD'):
                     act = 'bare'
@@ -84,6 +87,22 @@
         other = {**fields, 'x-sardinetrack-request-id': 'another'}
         self._whole(other, writer, '200 OK', b'for another caller')
 
+    async def _answer_and_shed_late(self, fields, reader, writer):
+        await self._answer(fields, reader, writer)
+        self._late[writer] = _not_run(fields, '503 Full')
+
+    async def _answer_and_misdirect_late(self, fields, reader, writer):
+        await self._answer(fields, reader, writer)
+        self._late[writer] = _not_run(fields, '421 Another')
+
+    async def _answer_and_repeat_late(self, fields, reader, writer):
+        await self._answer(fields, reader, writer)
+        self._late[writer] = self._response(fields, '200 OK', b'late')
+
+    async def _fail_and_repeat_late(self, fields, reader, writer):
+        await self._fail(fields, reader, writer)
+        self._late[writer] = self._response(fields, '500 Oops', b'late')
+
     async def _answer_unsigned(self, fields, reader, writer):
         writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfake')
 
@@ -147,9 +166,12 @@
         return b'id: %d\ndata: token %d\n\n' % (number, number)
 
     def _whole(self, fields, writer, status, body):
+        writer.write(self._response(fields, status, body))
+
+    def _response(self, fields, status, body):
         head = self._head(fields, status)
         length = f'Content-Length: {len(body)}\r\n\r\n'
-        writer.write(head.encode() + length.encode() + body)
+        return head.encode() + length.encode() + body
 
     def _head(self, fields, status):
         request_id = fields['x-sardinetrack-request-id']
@@ -159,6 +181,15 @@
         )
 
 
+def _not_run(fields, status):
+    request_id = fields['x-sardinetrack-request-id']
+    return (
+        f'HTTP/1.1 {status}\r\nX-Sardinetrack-Not-Processed: 1\r\n'
+        f'X-Sardinetrack-Request-Id: {request_id}\r\n'
+        'X-Sardinetrack-Server-Load: 90,9,8\r\nContent-Length: 0\r\n\r\n'
+    ).encode()
+
+
 def _fields(head):
     lines = head.decode().split('\r\n')[1:-2]
     pairs = (line.split(': ', 1) for line in lines)
