A connection carries each request id once

What callers saw: the failure of a request's first attempt as the end of its second one, while the server ran that; and of two callers with the same request id, the second got the first one's response.

Cause: the request id is forwarded as the caller sent it, so it is the same in each attempt. A server that responds twice sends the second response where the next one is due. On a connection that the second attempt reused, its id is right.

Evidence: the new scenarios on the code before:

A late response to the first attempt is not the second attempt's ASSERT FAILED: b'HTTP/1.1 500 Internal Server Error ... r1 ... late' Callers that use the same request id get no response of each other ASSERT FAILED: b'HTTP/1.1 200 OK ... x-sardinetrack-request-id: same ... late' A retry keeps the connections that it can't use ASSERT FAILED: b'HTTP/1.1 500 Internal Server Error ... r3 ... late' A connection is closed before its record of ids is full ASSERT FAILED: 1 4 scenarios failed

Why this works: a response arrives on the connection of its request, and no two requests on one connection have the same id, so id and connection together name one attempt. The pool passes over an idle connection that has carried the id, keeps it for other requests and takes another or a new one.

Weighed: a new connection for each retry does not help two callers with one id, and closing every connection whose attempt is retried costs a connection for each shed, of which there are most when servers are full. A record that forgets the oldest ids leaves the fault rare.

--- a/src/sardinetrack/relay/connection_pool.py
+++ b/src/sardinetrack/relay/connection_pool.py
@@ -41,24 +41,20 @@
         address: Address,
         *,
         max_idle_seconds: float = IDLE_SECONDS,
+        request_id: str | None = None,
     ) -> ServerConnection:
         """Reuse an idle connection or open one.
 
         :param max_idle_seconds: an idle one must have been used within this.
+        :param request_id: an idle one must not have carried a request with this
+            id.
         :raises NotConnectedError: the server accepts no connection.
         """
-        loop = asyncio.get_running_loop()
-        idle = self._idle.get(address)
-        while idle:
-            connection = idle.pop()
-            age_seconds = loop.time() - connection.idle_since_seconds
-            if connection.reusable and age_seconds < _limit(
-                connection, max_idle_seconds
-            ):
-                self._open[address] = self._open.get(address, 0) + 1
-                return connection
-            connection.abort()
-        return await self._connect(address)
+        connection = self._take_idle(address, max_idle_seconds, request_id)
+        if connection is None:
+            return await self._connect(address)
+        self._open[address] = self._open.get(address, 0) + 1
+        return connection
 
     def release(
         self,
@@ -94,6 +90,29 @@
         for connection in self._idle.pop(address, ()):
             connection.abort()
 
+    def _take_idle(
+        self,
+        address: Address,
+        max_idle_seconds: float,
+        request_id: str | None,
+    ) -> ServerConnection | None:
+        now = asyncio.get_running_loop().time()
+        idle = self._idle.get(address)
+        passed_over: list[ServerConnection] = []
+        taken = None
+        while idle and taken is None:
+            connection = idle.pop()
+            if not _may_serve(connection, now, max_idle_seconds):
+                connection.abort()
+                continue
+            if connection.has_carried(request_id):
+                passed_over.append(connection)
+                continue
+            taken = connection
+        if passed_over:
+            self._idle[address].extend(reversed(passed_over))
+        return taken
+
     async def _connect(self, address: Address) -> ServerConnection:
         loop = asyncio.get_running_loop()
         self._open[address] = self._open.get(address, 0) + 1
@@ -118,6 +137,15 @@
     return min(max_idle_seconds, _IDLE_FRACTION * connection.idle_limit_seconds)
 
 
+def _may_serve(
+    connection: ServerConnection, now: float, max_idle_seconds: float
+) -> bool:
+    age_seconds = now - connection.idle_since_seconds
+    return connection.reusable and age_seconds < _limit(
+        connection, max_idle_seconds
+    )
+
+
 def _is_expired(connection: ServerConnection, now: float) -> bool:
     age_seconds = now - connection.idle_since_seconds
     return not connection.reusable or age_seconds > _limit(
--- a/src/sardinetrack/relay/sender.py
+++ b/src/sardinetrack/relay/sender.py
@@ -148,6 +148,7 @@
         return await self._state.connections.acquire(
             server.address,
             max_idle_seconds=max_idle_seconds,
+            request_id=self._call.request_id,
         )
 
     def _prepare(
@@ -165,7 +166,7 @@
             self._adapter,
             progress,
             streams=plan.route.kind is RouteKind.STREAMING,
-            connection_unused=not connection.requests,
+            connection_unused=connection.unused,
             on_first_event=partial(_first_event, placement.permit, target),
         )
 
@@ -190,6 +191,7 @@
             connection.send(
                 request,
                 attempt,
+                request_id=self._call.request_id,
                 bodiless=self._call.method == _HEAD,
             )
             self._caller.flow = connection.flow
--- a/src/sardinetrack/relay/server_connection.py
+++ b/src/sardinetrack/relay/server_connection.py
@@ -9,6 +9,7 @@
 import asyncio
 import socket
 from abc import ABC, abstractmethod
+from array import array
 from enum import StrEnum
 from typing import Final, cast
 
@@ -22,6 +23,12 @@
 """Interval of the keep-alive probes on a silent connection; the minimum."""
 PROBES: Final = 2
 """Unanswered probes that end the connection; one may be lost."""
+MAX_REQUESTS: Final = 128
+"""A connection is closed after as many requests with an id.
+
+The record of their ids stays complete and below 2 KB; it costs one new
+connection in 128 requests.
+"""
 _MILLISECONDS: Final = 1000
 _NO_BODY: Final = frozenset((204, 304))
 
@@ -61,10 +68,11 @@
 
     def __init__(self) -> None:
         self.transport: asyncio.Transport | None = None
-        self.requests = 0
-        """How many were sent on this connection."""
         self.idle_since_seconds = float(0)
         self.idle_limit_seconds: float | None = None
+        # Hashes need less memory than ids, whose length callers choose; equal
+        # ones of different ids cost a new connection.
+        self._carried = array('q')
         self._sink: ResponseSink | None = None
         self._parser: httptools.HttpResponseParser | None = None
         self._headers: list[tuple[bytes, bytes]] = []
@@ -75,6 +83,19 @@
         self._status_seen = False
         self._bodiless = False
 
+    @property
+    def unused(self) -> bool:
+        """Whether no request with an id was sent on this connection."""
+        return not self._carried
+
+    def has_carried(self, request_id: str | None) -> bool:
+        """Return whether a request with this id was sent on this connection.
+
+        A late second response to it could not be told from the response to
+        another request, or another attempt, with the same id.
+        """
+        return request_id is not None and hash(request_id) in self._carried
+
     @property
     def reusable(self) -> bool:
         """Whether another request may be sent on this connection."""
@@ -83,6 +104,7 @@
             transport is not None
             and not transport.is_closing()
             and self._sink is None
+            and len(self._carried) < MAX_REQUESTS
         )
 
     def send(
@@ -90,13 +112,17 @@
         request: bytes,
         sink: ResponseSink,
         *,
+        request_id: str | None = None,
         bodiless: bool = False,
     ) -> None:
         """Send a request whose response goes to the sink.
 
+        :param request_id: the id that the response will bear; ``None`` if the
+            server knows no ids.
         :param bodiless: the response has no body, whatever length it states.
         """
-        self.requests += 1
+        if request_id is not None:
+            self._carried.append(hash(request_id))
         self._sink = sink
         self._bodiless = bodiless
         self._parser = httptools.HttpResponseParser(self)
--- a/tests/relay/late_responses.feature
+++ b/tests/relay/late_responses.feature
@@ -41,3 +41,44 @@
     And a caller sends a report
     Then the caller gets status 502
     And 1 connection was opened to the servers
+
+  Scenario: A late response to the first attempt is not the second attempt's
+    A server fails a request and the relay sends it to the same server again.
+    The failure arrives twice, the second time where the response to the second
+    attempt is due, and with the same request id.
+
+    Given a relay in front of 1 plain server
+    When the server fails its next request and repeats the failure late
+    And a caller fetches
+    Then the caller gets status 200
+    And the servers got 2 requests
+    And 2 connections were opened to the servers
+
+  Scenario: Callers that use the same request id get no response of each other
+    The late second response to one caller's request has the id of another
+    caller's request, which goes over the same connection.
+
+    Given a relay in front of 1 plain server
+    When the server's next response is followed late by another one
+    And 2 callers send reports with the same request id, one after the other
+    Then each caller got its own response
+
+  Scenario: A retry keeps the connections that it can't use
+    Guards against a new connection for each attempt that is retried: only the
+    connection that carried the first attempt is passed over.
+
+    Given a relay in front of 1 plain server
+    When 2 callers fetch concurrently
+    And the server fails its next request and repeats the failure late
+    And a caller fetches
+    Then the caller gets status 200
+    And 2 connections were opened to the servers
+    And the entry keeps 2 connections to the servers
+
+  Scenario: A connection is closed before its record of ids is full
+    Guards against a record that forgets: a late response to a request that it
+    no longer has would be taken for that of a later one with the same id.
+
+    Given a relay in front of 1 plain server
+    When as many callers as a connection may serve fetch one after the other
+    Then the entry keeps 0 connections to the servers
--- a/tests/relay/steps/late_response_steps.py
+++ b/tests/relay/steps/late_response_steps.py
@@ -4,6 +4,8 @@
 
 from behave import then, when
 
+from sardinetrack.relay.server_connection import MAX_REQUESTS
+
 
 @when("the server's next response is followed late by a shed")
 def shed_late(context):
@@ -15,6 +17,45 @@
     _act(context, 'answer_and_misdirect_late')
 
 
+@when("the server's next response is followed late by another one")
+def repeat_late(context):
+    _act(context, 'answer_and_repeat_late')
+
+
+@when('the server fails its next request and repeats the failure late')
+def fail_and_repeat(context):
+    _act(context, 'fail_and_repeat_late')
+
+
+@when(
+    '{count:d} callers send reports with the same request id, '
+    'one after the other'
+)
+def send_same_id(context, count):
+    world = context.world
+    context.replies = [
+        world.run(world.call('report', request_id='same')) for _ in range(count)
+    ]
+
+
+@when('as many callers as a connection may serve fetch one after the other')
+def fetch_to_the_limit(context):
+    world = context.world
+    for _ in range(MAX_REQUESTS):
+        assert world.run(world.call('fetch')).status == 200
+    assert world.entry_state.connections.opened == 1
+
+
+@then('the entry keeps {count:d} connections to the servers')
+def keeps(context, count):
+    pool = context.world.entry_state.connections
+    kept = sum(
+        pool.connections(('127.0.0.1', server.port))
+        for server in context.world.servers
+    )
+    assert kept == count, kept
+
+
 def _act(context, act):
     for server in context.world.servers:
         server.acts.append(act)
--- a/tests/support/relay_world.py
+++ b/tests/support/relay_world.py
@@ -183,9 +183,14 @@
         body=b'',
         timeout_seconds=5,
         target='',
+        request_id=None,
     ):
         reader, writer = await asyncio.open_connection(_IP, self.port)
-        writer.write(self.request(name, headers, body, target=target))
+        writer.write(
+            self.request(
+                name, headers, body, target=target, request_id=request_id
+            ),
+        )
         try:
             async with asyncio.timeout(timeout_seconds):
                 raw = await reader.read()
@@ -193,14 +198,22 @@
             writer.close()
         return Reply(raw)
 
-    def request(self, name, headers=(), body=b'', closes=True, target=''):
+    def request(
+        self,
+        name,
+        headers=(),
+        body=b'',
+        closes=True,
+        target='',
+        request_id=None,
+    ):
         self._number += 1
         spec = next(one for one in _ROUTES if one.name == name)
         method = 'GET' if spec.kind is RouteKind.IDEMPOTENT else 'POST'
         lines = [
             f'{method} {spec.path}{target or self._number} HTTP/1.1',
             'Host: h.example',
-            f'X-Sardinetrack-Request-Id: r{self._number}',
+            f'X-Sardinetrack-Request-Id: {request_id or f"r{self._number}"}',
             f'Content-Length: {len(body)}',
             *headers,
         ]
