The target of an attempt has a module of its own

`_Target` moves unchanged and loses its underscore; the relay's and the platform's scenarios pass as before.

--- a/src/sardinetrack/relay/sender.py
+++ b/src/sardinetrack/relay/sender.py
@@ -3,13 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
 from functools import partial
-from typing import Final, Self
+from typing import Final
 
 from sardinetrack.logs.events import Event
 from sardinetrack.placement.choice import Candidate
-from sardinetrack.placement.load import EstimatedLoad
 from sardinetrack.relay.api import (
     AttemptContext,
     CallerRequest,
@@ -25,8 +23,8 @@
     BreakReason,
     ServerConnection,
 )
+from sardinetrack.relay.target import Target
 from sardinetrack.relay.trace import Placement, Trace
-from sardinetrack.routing.breaker import Breaker
 from sardinetrack.topology.configuration import RouteKind
 from sardinetrack.topology.servers import BackendServer
 
@@ -42,43 +40,6 @@
 _CONNECTION_ENDS: Final = frozenset((BreakReason.CLOSED, BreakReason.RESET))
 
 
-@dataclass(frozen=True, slots=True)
-class _Target:
-    """A server in the state it had when a request was sent to it.
-
-    The outcome counts for that start of the server; a later start has another
-    breaker and another load.
-    """
-
-    server: BackendServer
-    breaker: Breaker
-    generation: int
-    load: EstimatedLoad
-
-    @classmethod
-    def of(cls, state: EntryState, server: BackendServer) -> Self:
-        """Return the current state of a server, and count a request to it."""
-        breaker = state.server_states.breaker(server)
-        return cls(
-            server,
-            breaker,
-            breaker.request_sent(),
-            state.server_states.load(server),
-        )
-
-    def record_success(self) -> None:
-        """Record a response."""
-        self.breaker.request_succeeded(self.generation)
-
-    def record_failure(self, now: float) -> None:
-        """Record a failure."""
-        self.breaker.request_failed(now, self.generation)
-
-    def record_inconclusive(self) -> None:
-        """Record an outcome that shows nothing about the server."""
-        self.breaker.request_inconclusive(self.generation)
-
-
 class Sender:
     """Sends one request, in one or more successive attempts."""
 
@@ -114,7 +75,7 @@
         """
         server = placement.candidate.server
         self.server = server
-        target = _Target.of(self._state, server)
+        target = Target.of(self._state, server)
         try:
             connection = await self._connect(plan, server)
         except NotConnectedError as error:
@@ -156,7 +117,7 @@
         plan: Plan,
         placement: Placement,
         progress: Progress,
-        target: _Target,
+        target: Target,
         connection: ServerConnection,
     ) -> ServerAttempt:
         progress.splitter.resume()
@@ -251,7 +212,7 @@
             again_tokens=candidate.recomputed_tokens,
         )
 
-    def _record_outcome(self, target: _Target, attempt: ServerAttempt) -> None:
+    def _record_outcome(self, target: Target, attempt: ServerAttempt) -> None:
         outcome = attempt.done.result()
         if outcome in {SendOutcome.DELIVERED, SendOutcome.NOT_RUN}:
             target.record_success()
@@ -264,7 +225,7 @@
         elif attempt.response is not None:
             target.load.reported_running = max(0, attempt.response.running)
 
-    def _mark_misaddressed(self, target: _Target) -> None:
+    def _mark_misaddressed(self, target: Target) -> None:
         server = target.server
         self._state.mark_misaddressed(server)
         self._state.log.write(
@@ -314,7 +275,7 @@
 
     def _record_unreachable(
         self,
-        target: _Target,
+        target: Target,
         error: NotConnectedError,
     ) -> None:
         detail, server = str(error), target.server
@@ -330,7 +291,7 @@
         )
 
 
-def _first_event(permit: Permit, target: _Target) -> None:
+def _first_event(permit: Permit, target: Target) -> None:
     """Record the first event, which already shows that the server works."""
     permit.first_event_received()
     target.record_success()
