Log and count responses that may be to another request

What operators saw: nothing. A server that responds twice shows only in its callers' errors, without the id of the request that the response was to.

--- a/src/sardinetrack/logs/events.py
+++ b/src/sardinetrack/logs/events.py
@@ -52,6 +52,7 @@
     CONNECTIONS_CLOSED = 'connections_closed'
     REQUEST_SENT = 'request_sent'
     REQUEST_RETRIED = 'request_retried'
+    RESPONSE_DISCARDED = 'response_discarded'
     REQUEST_ENDED = 'request_ended'
     REFUSED = 'refused'
     ENGINE_USED = 'engine_used'
--- a/src/sardinetrack/relay/attempt.py
+++ b/src/sardinetrack/relay/attempt.py
@@ -58,6 +58,8 @@
         self.done: asyncio.Future[SendOutcome] = loop.create_future()
         self.response: ResponseHead | None = None
         """The head of the response to this request."""
+        self.discarded: ResponseHead | None = None
+        """The head of a response that may be to another request."""
         self.reason = ''
         self.first_event_received = False
         self.last_data_seconds = loop.time()
@@ -87,6 +89,7 @@
         self.last_data_seconds = self._loop.time()
         doubt = self._attribution_doubt(response)
         if doubt:
+            self.discarded = response
             self._finish(SendOutcome.UNKNOWN, doubt)
             return
         self.response = response
--- a/src/sardinetrack/relay/meters.py
+++ b/src/sardinetrack/relay/meters.py
@@ -34,6 +34,8 @@
         delivered."""
         self.retries: Counter[str] = Counter()
         """By the cause of the retry."""
+        self.discarded: Counter[str] = Counter()
+        """Responses that may not be the one to the request, by the reason."""
         self.workspaces: Counter[str] = Counter()
         self.refused_entries = 0
         """Listed records that could not be read; each change counts."""
--- a/src/sardinetrack/relay/metrics.py
+++ b/src/sardinetrack/relay/metrics.py
@@ -45,6 +45,11 @@
     meters = state.meters
     yield _counter('requests', 'Requests by how they ended', meters.outcomes)
     yield _counter('retries', 'Repeated sends by their cause', meters.retries)
+    yield _counter(
+        'responses_discarded',
+        'Responses that may be to another request, by the reason',
+        meters.discarded,
+    )
     yield _counter(
         'workspace_requests',
         'Requests by workspace',
--- a/tests/relay/late_responses.feature
+++ b/tests/relay/late_responses.feature
@@ -42,6 +42,17 @@
     Then the caller gets status 502
     And 1 connection was opened to the servers
 
+  Scenario: An operator sees which servers respond to another request
+    The caller only gets an error; nothing else shows that a server responds
+    twice, or to which request. Ids have any length, lines have not.
+
+    Given a relay in front of 1 plain server
+    When the server's next response is followed late by a shed
+    And a caller fetches with a request id of 200 characters
+    And a caller sends a report
+    Then a line names the discarded response, with 64 characters of its id
+    And the page counts 1 discarded response to another request
+
   Scenario: A late response to the first attempt is not the second attempt's
     A server fails a request and the relay sends it to the same server again.
     The failure arrives twice, the second time where the response to the second
--- a/tests/relay/steps/late_response_steps.py
+++ b/tests/relay/steps/late_response_steps.py
@@ -4,7 +4,9 @@
 
 from behave import then, when
 
+from sardinetrack.relay.metrics import entry_metrics, render_metrics
 from sardinetrack.relay.server_connection import MAX_REQUESTS
+from sardinetrack.store.api import StoreCounters
 
 
 @when("the server's next response is followed late by a shed")
@@ -56,6 +58,45 @@
     assert kept == count, kept
 
 
+@when('a caller fetches with a request id of {length:d} characters')
+def fetch_with_long_id(context, length):
+    context.long_id = 'x' * length
+    context.world.run(context.world.call('fetch', request_id=context.long_id))
+
+
+@then(
+    'a line names the discarded response, with {length:d} characters of its id'
+)
+def line_names_response(context, length):
+    lines = [
+        line
+        for line in context.world.lines()
+        if line['event'] == 'response_discarded'
+    ]
+    assert len(lines) == 1, lines
+    assert (
+        lines[0].items()
+        >= {
+            'request': 'r2',
+            'server': context.world.servers[0].instance,
+            'cause': 'response to another request',
+            'other': context.long_id[:length],
+            'response_status': 503,
+        }.items()
+    ), lines
+
+
+@then('the page counts {count:d} discarded response to another request')
+def page_counts_discarded(context, count):
+    state = context.world.entry_state
+    page = render_metrics(
+        lambda: entry_metrics(state, StoreCounters())
+    ).decode()
+    labels = '{by="response to another request"}'
+    expected = f'sardinetrack_responses_discarded_total{labels} {count}.0'
+    assert expected in page, page
+
+
 def _act(context, act):
     for server in context.world.servers:
         server.acts.append(act)
