A connection with unread data gets no request

What callers saw: a request that may run once was answered 502 because of a late response, or the end of the connection, that had arrived before it was sent.

Cause: the pool looked only at what the event loop had read. A late one sends the request first and then reads the old bytes as its response. Half a response is worse than a whole one: the response that follows completes it.

Why this works: the kernel is asked before the connection is chosen, and nothing comes between that and the sending, since an idle connection is taken without waiting. Bytes that are still on their way are told by their request id, as before.

--- a/src/sardinetrack/relay/connection_pool.py
+++ b/src/sardinetrack/relay/connection_pool.py
@@ -7,6 +7,7 @@
 from collections import deque
 from typing import Final
 
+from sardinetrack.http.sockets import has_unread_data
 from sardinetrack.relay.server_connection import (
     CONNECT_SECONDS,
     ServerConnection,
@@ -141,9 +142,13 @@
     connection: ServerConnection, now: float, max_idle_seconds: float
 ) -> bool:
     age_seconds = now - connection.idle_since_seconds
-    return connection.reusable and age_seconds < _limit(
-        connection, max_idle_seconds
-    )
+    if not connection.reusable:
+        return False
+    if age_seconds >= _limit(connection, max_idle_seconds):
+        return False
+    # What waits unread belongs to no request, or ends the connection. Once a
+    # request is sent, it would be read as the response to that.
+    return not has_unread_data(connection.transport)
 
 
 def _is_expired(connection: ServerConnection, now: float) -> bool:
--- a/tests/relay/late_responses.feature
+++ b/tests/relay/late_responses.feature
@@ -42,6 +42,27 @@
     Then the caller gets status 502
     And 1 connection was opened to the servers
 
+  Scenario: A late response that waits unread costs no caller its response
+    A late event loop sends a request before it reads the late response that has
+    arrived meanwhile. It would be read as the response to the new request,
+    which is then lost, though nothing had been sent when it arrived.
+
+    Given a relay in front of 1 plain server
+    When a caller fetches
+    And a late response arrives just before a caller's report is sent
+    Then the caller gets status 200
+    And the servers got 2 requests
+
+  Scenario: Nothing is sent on a connection whose end waits unread
+    Guards against a report that is answered 502, as it may have run, though its
+    server had closed the connection before.
+
+    Given a relay in front of 1 plain server
+    When a caller fetches
+    And the server closes its connections just before a caller's report is sent
+    Then the caller gets status 200
+    And the servers got 2 requests
+
   Scenario: An operator sees which servers respond to another request
     The caller only gets an error; nothing else shows that a server responds
     twice, or to which request. Ids have any length, lines have not.
--- a/tests/relay/steps/late_response_steps.py
+++ b/tests/relay/steps/late_response_steps.py
@@ -58,6 +58,30 @@
     assert kept == count, kept
 
 
+@when("a late response arrives just before a caller's report is sent")
+def late_before_report(context):
+    _report_after(context, context.world.servers[0].send_late)
+
+
+@when("the server closes its connections just before a caller's report is sent")
+def end_before_report(context):
+    _report_after(context, context.world.servers[0].end_connections)
+
+
+def _report_after(context, act):
+    # No iteration of the event loop lies between the act and the sending, so
+    # the entry can't read what the server has done.
+    world = context.world
+    take = world.entry_state.connections.acquire
+
+    async def act_first(address, **more):
+        act()
+        return await take(address, **more)
+
+    world.entry_state.connections.acquire = act_first
+    context.reply = world.run(world.call('report'))
+
+
 @when('a caller fetches with a request id of {length:d} characters')
 def fetch_with_long_id(context, length):
     context.long_id = 'x' * length
--- a/tests/support/relay_servers.py
+++ b/tests/support/relay_servers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections import deque
 from contextlib import suppress
 
@@ -48,6 +49,16 @@
     async def close(self):
         self._server.close()
 
+    def send_late(self):
+        """Repeat a response to the last request, on every connection."""
+        fields = self.requests[-1][1]
+        for writer in self.writers:
+            writer.write(self._response(fields, '200 OK', b'late'))
+
+    def end_connections(self):
+        for writer in self.writers:
+            writer.get_extra_info('socket').shutdown(socket.SHUT_WR)
+
     async def _serve(self, reader, writer):
         self.writers.add(writer)
         with suppress(*_DISCONNECTED):
