A pooled connection reads again after a slow caller

What callers saw: 504 at the route's time-out for a request that its server had answered at once, after another caller had read a long response slowly.

Cause: while a caller reads slowly the entry stops reading from its server. When the end of the response has already been read then, the connection returns to the pool with reading paused, and the next response on it is never read. A late second response or the end of the connection is not noticed either.

Why this works: reading resumes whenever a connection returns to the pool. By then no caller controls it any more.

--- a/src/sardinetrack/relay/connection_pool.py
+++ b/src/sardinetrack/relay/connection_pool.py
@@ -74,6 +74,9 @@
         if not connection.reusable or self.connections(address) >= max_kept:
             connection.abort()
             return
+        # A slow caller may have paused it at the end of its response; the next
+        # response would never be read.
+        connection.flow(reading=True)
         connection.idle_since_seconds = asyncio.get_running_loop().time()
         self._idle.setdefault(address, deque()).append(connection)
 
--- a/tests/support/relay_servers.py
+++ b/tests/support/relay_servers.py
@@ -87,6 +87,9 @@
             return
         self._whole(fields, writer, '200 OK', b'done by %d' % self.port)
 
+    async def _answer_at_length(self, fields, reader, writer):
+        self._whole(fields, writer, '200 OK', bytes(8_000_000))
+
     async def _fail(self, fields, reader, writer):
         self._whole(fields, writer, '500 Oops', b'broken')
 
