Bytes after a complete response don't invalidate it

What callers saw: 502 for a request that its server had run and answered. The server had sent bytes that are no response right after the complete one.

Cause: the parser's error on these bytes was reported as that of the response, which had been received to its end.

Why this works: a response with a length is complete at its last byte, and what follows belongs to no request. It only makes the connection unusable, as a complete second response did already. An error before the end still counts as one of the response.

--- a/src/sardinetrack/relay/server_connection.py
+++ b/src/sardinetrack/relay/server_connection.py
@@ -171,8 +171,10 @@
         try:
             parser.feed_data(data)
         except httptools.HttpParserError:
-            self._fail(BreakReason.UNREADABLE)
-            return
+            if not self._complete:
+                self._fail(BreakReason.UNREADABLE)
+                return
+            self._unusable = True
         if self._complete:
             self._finish()
 
--- a/tests/relay/late_responses.feature
+++ b/tests/relay/late_responses.feature
@@ -63,6 +63,16 @@
     Then the caller gets status 200
     And the servers got 2 requests
 
+  Scenario: Bytes after a complete response do not invalidate it
+    A faulty server sends a complete response and bytes that are no response, in
+    one packet. Only the connection is lost by that; the caller got 502.
+
+    Given a relay in front of 1 plain server
+    When the server's next response is followed by bytes that are none
+    And a caller sends a report
+    Then the caller gets status 200
+    And the entry keeps 0 connections to the servers
+
   Scenario: An operator sees which servers respond to another request
     The caller only gets an error; nothing else shows that a server responds
     twice, or to which request. Ids have any length, lines have not.
--- a/tests/relay/steps/late_response_steps.py
+++ b/tests/relay/steps/late_response_steps.py
@@ -24,6 +24,21 @@
     _act(context, 'answer_and_repeat_late')
 
 
+@when("the server's next response is followed by bytes that are none")
+def follow_by_junk(context):
+    _act(context, 'answer_and_junk')
+
+
+@when("the server's next response is followed by a part of another one")
+def follow_by_part(context):
+    _act(context, 'answer_and_begin')
+
+
+@when('the server sends a body with its next HEAD response')
+def send_body(context):
+    _act(context, 'bare_with_body')
+
+
 @when('the server fails its next request and repeats the failure late')
 def fail_and_repeat(context):
     _act(context, 'fail_and_repeat_late')
--- a/tests/support/relay_servers.py
+++ b/tests/support/relay_servers.py
@@ -73,7 +73,7 @@
                     self.acts = deque(['crash'])
                 writer.write(self._late.pop(writer, b''))
                 act = self.acts.popleft() if self.acts else 'answer'
-                if head.startswith(b'HEAD'):
+                if head.startswith(b'HEAD') and act == 'answer':
                     act = 'bare'
                 await getattr(self, f'_{act}')(fields, reader, writer)
                 await writer.drain()
@@ -97,6 +97,18 @@
         await self._answer(fields, reader, writer)
         self._whole(fields, writer, '200 OK', b'nobody asked')
 
+    async def _answer_and_junk(self, fields, reader, writer):
+        await self._answer(fields, reader, writer)
+        writer.write(b'\x00 no response')
+
+    async def _answer_and_begin(self, fields, reader, writer):
+        await self._answer(fields, reader, writer)
+        writer.write(b'HTTP/1.1 50')
+
+    async def _bare_with_body(self, fields, reader, writer):
+        await self._bare(fields, reader, writer)
+        writer.write(bytes(10))
+
     async def _answer_other(self, fields, reader, writer):
         other = {**fields, 'x-sardinetrack-request-id': 'another'}
         self._whole(other, writer, '200 OK', b'for another caller')
