Any byte after a response makes its connection unusable

What callers could see: 502 for a request that may run once, because the rest of a second response, whose beginning had been read with the first one, was read as the response to it.

Cause: a connection counted as unusable only from the end of the second response's status on. The bytes before that went with the parser of the first one, and the connection returned to the pool. The same held for the body that a server sends with a response to HEAD.

Evidence: the new scenarios on the code before:

The beginning of a second response makes the connection unusable ASSERT FAILED: 1 (connections that the entry keeps) A body that follows a response without one makes it unusable ASSERT FAILED: 1

Why this works: the parser reports the first byte of a second message, and of a body, and either closes the connection once the first response is delivered.

--- a/src/sardinetrack/relay/server_connection.py
+++ b/src/sardinetrack/relay/server_connection.py
@@ -190,7 +190,7 @@
         """Report the failure to the sink."""
         self._fail(BreakReason.CLOSED if exc is None else BreakReason.RESET)
 
-    def on_status(self, _status: bytes) -> None:
+    def on_message_begin(self) -> None:
         """Begin a response; after a complete one the connection is unusable."""
         if self._complete:
             self._unusable = True
@@ -219,7 +219,10 @@
 
     def on_body(self, body: bytes) -> None:
         """Pass a piece of the body to the sink."""
-        if self._sink is not None and not self._complete:
+        if self._complete:
+            # The rest of it would be read as the next response.
+            self._unusable = True
+        elif self._sink is not None:
             self._sink.body_received(body)
 
     def on_message_complete(self) -> None:
--- a/tests/relay/late_responses.feature
+++ b/tests/relay/late_responses.feature
@@ -73,6 +73,25 @@
     Then the caller gets status 200
     And the entry keeps 0 connections to the servers
 
+  Scenario: The beginning of a second response makes the connection unusable
+    Guards against the rest of it, which would be read as the beginning of the
+    response to the next request.
+
+    Given a relay in front of 1 plain server
+    When the server's next response is followed by a part of another one
+    And a caller sends a report
+    Then the caller gets status 200
+    And the entry keeps 0 connections to the servers
+
+  Scenario: A body that follows a response without one makes it unusable
+    Guards against the rest of the body of a HEAD response, as above.
+
+    Given a relay in front of 1 plain server
+    When the server sends a body with its next HEAD response
+    And a caller sends a HEAD request
+    Then the caller gets status 200
+    And the entry keeps 0 connections to the servers
+
   Scenario: An operator sees which servers respond to another request
     The caller only gets an error; nothing else shows that a server responds
     twice, or to which request. Ids have any length, lines have not.
