A truncated response isn't completed by the next one

What callers could see: "not run" for a request that its server ran, or the server's stamp and body with another status than the server gave.

Cause: when a late response breaks off inside its status line or a header, the next response continues that line. The parser reads one head, with the status and "not run" of the first and the request id and stamp of the second.

Why this works: a status line inside a reason phrase or the value of a header is an error, so the attempt ends as unknown. Elsewhere in a head the parser already rejects one: it is no header name, no status code and no line end. A break in the body is harmless, since the id before it is another one. A version as in `Via: HTTP/1.1 host` is still accepted.

--- a/src/sardinetrack/relay/server_connection.py
+++ b/src/sardinetrack/relay/server_connection.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import socket
 from abc import ABC, abstractmethod
 from array import array
@@ -30,6 +31,7 @@
 connection in 128 requests.
 """
 _MILLISECONDS: Final = 1000
+_STATUS_LINE: Final = re.compile(rb'HTTP/1\.\d \d{3}(?: |$)')
 _NO_BODY: Final = frozenset((204, 304))
 
 
@@ -82,6 +84,7 @@
         self._unusable = False
         self._status_seen = False
         self._bodiless = False
+        self._reason_phrase = b''
 
     @property
     def unused(self) -> bool:
@@ -192,11 +195,18 @@
 
     def on_message_begin(self) -> None:
         """Begin a response; after a complete one the connection is unusable."""
+        self._reason_phrase = b''
         if self._complete:
             self._unusable = True
 
+    def on_status(self, piece: bytes) -> None:
+        """Check the reason phrase, which may arrive in pieces."""
+        self._reason_phrase += piece
+        _reject_status_line(self._reason_phrase)
+
     def on_header(self, name: bytes, content: bytes) -> None:
-        """Collect a header."""
+        """Check and collect a header."""
+        _reject_status_line(content)
         self._headers.append((name.lower(), content))
 
     def on_headers_complete(self) -> None:
@@ -256,6 +266,18 @@
             self.transport.close()
 
 
+def _reject_status_line(part: bytes) -> None:
+    """Raise if a part of a head contains the beginning of another response.
+
+    A truncated response and the one after it would be read as one head, with
+    the status of the first and the request id of the second.
+
+    :raises ValueError: the parser reports it as an error of its own.
+    """
+    if b'HTTP/1.' in part and _STATUS_LINE.search(part):
+        raise ValueError('a response begins inside a head')
+
+
 def _enable_dead_peer_detection(sock: socket.socket) -> None:
     """Let the kernel end a connection whose peer has become unreachable.
 
--- a/tests/relay/late_responses.feature
+++ b/tests/relay/late_responses.feature
@@ -92,6 +92,24 @@
     Then the caller gets status 200
     And the entry keeps 0 connections to the servers
 
+  Scenario Outline: A truncated response is not completed by the next one
+    A server sends the beginning of a late "not run", and then the response to
+    the next request. Read as one head, they have the status of the first and
+    the request id of the second.
+
+    Given a relay in front of 1 plain server
+    When the server's next response is followed late by one cut in its <place>
+    And a caller fetches
+    And a caller sends a report
+    Then the caller gets status 502
+    And the servers got 2 requests
+    And 1 connection was opened to the servers
+
+    Examples:
+      | place  |
+      | header |
+      | status |
+
   Scenario: An operator sees which servers respond to another request
     The caller only gets an error; nothing else shows that a server responds
     twice, or to which request. Ids have any length, lines have not.
--- a/tests/relay/steps/late_response_steps.py
+++ b/tests/relay/steps/late_response_steps.py
@@ -39,6 +39,11 @@
     _act(context, 'bare_with_body')
 
 
+@when("the server's next response is followed late by one cut in its {place}")
+def cut_late(context, place):
+    _act(context, f'answer_and_cut_{place}_late')
+
+
 @when('the server fails its next request and repeats the failure late')
 def fail_and_repeat(context):
     _act(context, 'fail_and_repeat_late')
--- a/tests/support/relay_servers.py
+++ b/tests/support/relay_servers.py
@@ -105,6 +105,14 @@
         await self._answer(fields, reader, writer)
         writer.write(b'HTTP/1.1 50')
 
+    async def _answer_and_cut_header_late(self, fields, reader, writer):
+        await self._answer(fields, reader, writer)
+        self._late[writer] = _not_run(fields, '503 Full')[:50]
+
+    async def _answer_and_cut_status_late(self, fields, reader, writer):
+        await self._answer(fields, reader, writer)
+        self._late[writer] = _not_run(fields, '503 Full')[:15]
+
     async def _bare_with_body(self, fields, reader, writer):
         await self._bare(fields, reader, writer)
         writer.write(bytes(10))
