--- a/src/sardinetrack/logs/events.py
+++ b/src/sardinetrack/logs/events.py
@@ -53,6 +53,7 @@
     REQUEST_SENT = 'request_sent'
     REQUEST_RETRIED = 'request_retried'
     RESPONSE_TRUNCATED = 'response_truncated'
+    RESPONSE_DISCARDED = 'response_discarded'
     REQUEST_ENDED = 'request_ended'
     REFUSED = 'refused'
     ENGINE_USED = 'engine_used'
--- a/src/sardinetrack/relay/meters.py
+++ b/src/sardinetrack/relay/meters.py
@@ -36,6 +36,8 @@
         """By the cause of the retry."""
         self.truncated: Counter[str] = Counter()
         """Responses that were started and not completed, by kind of error."""
+        self.discarded: Counter[str] = Counter()
+        """Responses that may not be the one to the request, by the reason."""
         self.workspaces: Counter[str] = Counter()
         self.refused_entries = 0
         """Listed records that could not be read; each change counts."""
--- a/src/sardinetrack/relay/metrics.py
+++ b/src/sardinetrack/relay/metrics.py
@@ -50,6 +50,11 @@
         'Responses cut after their start, by the error',
         meters.truncated,
     )
+    yield _counter(
+        'responses_discarded',
+        'Responses that may be to another request, by the reason',
+        meters.discarded,
+    )
     yield _counter(
         'workspace_requests',
         'Requests by workspace',
--- a/src/sardinetrack/relay/sender.py
+++ b/src/sardinetrack/relay/sender.py
@@ -3,17 +3,16 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
 from functools import partial
-from typing import Final, Self
+from typing import Final
 
 from sardinetrack.logs.events import Event
 from sardinetrack.placement.choice import Candidate
-from sardinetrack.placement.load import EstimatedLoad
 from sardinetrack.relay.api import (
     AttemptContext,
     CallerRequest,
     ProtocolAdapter,
+    ResponseHead,
 )
 from sardinetrack.relay.attempt import Progress, SendOutcome, ServerAttempt
 from sardinetrack.relay.caller_connection import CallerConnection
@@ -25,8 +24,8 @@
     BreakReason,
     ServerConnection,
 )
+from sardinetrack.relay.target import Target
 from sardinetrack.relay.trace import Placement, Trace
-from sardinetrack.routing.breaker import Breaker
 from sardinetrack.topology.configuration import RouteKind
 from sardinetrack.topology.servers import BackendServer
 
@@ -39,46 +38,10 @@
 _MIN_TIMEOUT_SECONDS: Final = 0.02
 _DIGITS: Final = 3
 _HEAD: Final = b'HEAD'
+_MAX_LOGGED_ID_LENGTH: Final = 64
 _CONNECTION_ENDS: Final = frozenset((BreakReason.CLOSED, BreakReason.RESET))
 
 
-@dataclass(frozen=True, slots=True)
-class _Target:
-    """A server in the state it had when a request was sent to it.
-
-    The outcome counts for that start of the server; a later start has another
-    breaker and another load.
-    """
-
-    server: BackendServer
-    breaker: Breaker
-    generation: int
-    load: EstimatedLoad
-
-    @classmethod
-    def of(cls, state: EntryState, server: BackendServer) -> Self:
-        """Return the current state of a server, and count a request to it."""
-        breaker = state.server_states.breaker(server)
-        return cls(
-            server,
-            breaker,
-            breaker.request_sent(),
-            state.server_states.load(server),
-        )
-
-    def record_success(self) -> None:
-        """Record a response."""
-        self.breaker.request_succeeded(self.generation)
-
-    def record_failure(self, now: float) -> None:
-        """Record a failure."""
-        self.breaker.request_failed(now, self.generation)
-
-    def record_inconclusive(self) -> None:
-        """Record an outcome that shows nothing about the server."""
-        self.breaker.request_inconclusive(self.generation)
-
-
 class Sender:
     """Sends one request, in one or more successive attempts."""
 
@@ -114,7 +77,7 @@
         """
         server = placement.candidate.server
         self.server = server
-        target = _Target.of(self._state, server)
+        target = Target.of(self._state, server)
         try:
             connection = await self._connect(plan, server)
         except NotConnectedError as error:
@@ -123,7 +86,7 @@
         except BaseException:
             target.record_inconclusive()
             raise
-        attempt = self._prepare(plan, placement, progress, target)
+        attempt = self._prepare(plan, placement, progress, target, connection)
         try:
             await self._exchange(plan, placement.candidate, connection, attempt)
         except BaseException:
@@ -148,6 +111,7 @@
         return await self._state.connections.acquire(
             server.address,
             max_idle_seconds=max_idle_seconds,
+            request_id=self._call.request_id,
         )
 
     def _prepare(
@@ -155,7 +119,8 @@
         plan: Plan,
         placement: Placement,
         progress: Progress,
-        target: _Target,
+        target: Target,
+        connection: ServerConnection,
     ) -> ServerAttempt:
         progress.splitter.resume()
         streams = plan.route.kind is RouteKind.STREAMING
@@ -165,6 +130,7 @@
             self._adapter,
             progress,
             streams=streams and self._call.method != _HEAD,
+            connection_unused=connection.unused,
             on_first_event=partial(_first_event, placement.permit, target),
         )
 
@@ -189,6 +155,7 @@
             connection.send(
                 request,
                 attempt,
+                request_id=self._call.request_id,
                 bodiless=self._call.method == _HEAD,
             )
             self._caller.flow = connection.flow
@@ -248,7 +215,7 @@
             again_tokens=candidate.recomputed_tokens,
         )
 
-    def _record_outcome(self, target: _Target, attempt: ServerAttempt) -> None:
+    def _record_outcome(self, target: Target, attempt: ServerAttempt) -> None:
         outcome = attempt.done.result()
         works = outcome is SendOutcome.ANSWERED and not attempt.failed
         if works or outcome in {SendOutcome.DELIVERED, SendOutcome.NOT_RUN}:
@@ -257,12 +224,30 @@
             target.record_failure(self._loop.time())
         if outcome is SendOutcome.NOT_RUN:
             self._trace.proved_not_run = True
+        if attempt.discarded is not None:
+            self._record_discarded(target.server, attempt, attempt.discarded)
         if attempt.response is not None and attempt.response.misdirected:
             self._mark_misaddressed(target)
         elif attempt.response is not None:
             target.load.reported_running = max(0, attempt.response.running)
 
-    def _mark_misaddressed(self, target: _Target) -> None:
+    def _record_discarded(
+        self,
+        server: BackendServer,
+        attempt: ServerAttempt,
+        head: ResponseHead,
+    ) -> None:
+        self._state.meters.discarded[attempt.reason] += 1
+        self._state.log.write(
+            Event.RESPONSE_DISCARDED,
+            request=self._call.request_id,
+            server=server.instance,
+            cause=attempt.reason,
+            other=head.request_id[:_MAX_LOGGED_ID_LENGTH],
+            response_status=head.status,
+        )
+
+    def _mark_misaddressed(self, target: Target) -> None:
         server = target.server
         self._state.mark_misaddressed(server)
         self._state.log.write(
@@ -312,7 +297,7 @@
 
     def _record_unreachable(
         self,
-        target: _Target,
+        target: Target,
         error: NotConnectedError,
     ) -> None:
         detail, server = str(error), target.server
@@ -328,7 +313,7 @@
         )
 
 
-def _first_event(permit: Permit, target: _Target) -> None:
+def _first_event(permit: Permit, target: Target) -> None:
     """Record the first event, which already shows that the server works."""
     permit.first_event_received()
     target.record_success()
--- a/src/sardinetrack/relay/server_connection.py
+++ b/src/sardinetrack/relay/server_connection.py
@@ -7,8 +7,10 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import socket
 from abc import ABC, abstractmethod
+from array import array
 from enum import StrEnum
 from typing import Final, cast
 
@@ -22,7 +24,14 @@
 """Interval of the keep-alive probes on a silent connection; the minimum."""
 PROBES: Final = 2
 """Unanswered probes that end the connection; one may be lost."""
+MAX_REQUESTS: Final = 128
+"""A connection is closed after as many requests with an id.
+
+The record of their ids stays complete and below 2 KB; it costs one new
+connection in 128 requests.
+"""
 _MILLISECONDS: Final = 1000
+_STATUS_LINE: Final = re.compile(rb'HTTP/1\.\d \d{3}(?: |$)')
 _NO_BODY: Final = frozenset((204, 304))
 
 
@@ -63,6 +72,9 @@
         self.transport: asyncio.Transport | None = None
         self.idle_since_seconds = float(0)
         self.idle_limit_seconds: float | None = None
+        # Hashes need less memory than ids, whose length callers choose; equal
+        # ones of different ids cost a new connection.
+        self._carried = array('q')
         self._sink: ResponseSink | None = None
         self._parser: httptools.HttpResponseParser | None = None
         self._headers: list[tuple[bytes, bytes]] = []
@@ -72,6 +84,20 @@
         self._unusable = False
         self._status_seen = False
         self._bodiless = False
+        self._reason_phrase = b''
+
+    @property
+    def unused(self) -> bool:
+        """Whether no request with an id was sent on this connection."""
+        return not self._carried
+
+    def has_carried(self, request_id: str | None) -> bool:
+        """Return whether a request with this id was sent on this connection.
+
+        A late second response to it could not be told from the response to
+        another request, or another attempt, with the same id.
+        """
+        return request_id is not None and hash(request_id) in self._carried
 
     @property
     def reusable(self) -> bool:
@@ -81,6 +107,7 @@
             transport is not None
             and not transport.is_closing()
             and self._sink is None
+            and len(self._carried) < MAX_REQUESTS
         )
 
     def send(
@@ -88,12 +115,17 @@
         request: bytes,
         sink: ResponseSink,
         *,
+        request_id: str | None = None,
         bodiless: bool = False,
     ) -> None:
         """Send a request whose response goes to the sink.
 
+        :param request_id: the id that the response will bear; ``None`` if the
+            server knows no ids.
         :param bodiless: the response has no body, whatever length it states.
         """
+        if request_id is not None:
+            self._carried.append(hash(request_id))
         self._sink = sink
         self._bodiless = bodiless
         self._parser = httptools.HttpResponseParser(self)
@@ -142,8 +174,10 @@
         try:
             parser.feed_data(data)
         except httptools.HttpParserError:
-            self._fail(BreakReason.UNREADABLE)
-            return
+            if not self._complete:
+                self._fail(BreakReason.UNREADABLE)
+                return
+            self._unusable = True
         if self._complete:
             self._finish()
 
@@ -159,13 +193,20 @@
         """Report the failure to the sink."""
         self._fail(BreakReason.CLOSED if exc is None else BreakReason.RESET)
 
-    def on_status(self, _status: bytes) -> None:
+    def on_message_begin(self) -> None:
         """Begin a response; after a complete one the connection is unusable."""
+        self._reason_phrase = b''
         if self._complete:
             self._unusable = True
 
+    def on_status(self, piece: bytes) -> None:
+        """Check the reason phrase, which may arrive in pieces."""
+        self._reason_phrase += piece
+        _reject_status_line(self._reason_phrase)
+
     def on_header(self, name: bytes, content: bytes) -> None:
-        """Collect a header."""
+        """Check and collect a header."""
+        _reject_status_line(content)
         self._headers.append((name.lower(), content))
 
     def on_headers_complete(self) -> None:
@@ -188,7 +229,10 @@
 
     def on_body(self, body: bytes) -> None:
         """Pass a piece of the body to the sink."""
-        if self._sink is not None and not self._complete:
+        if self._complete:
+            # The rest of it would be read as the next response.
+            self._unusable = True
+        elif self._sink is not None:
             self._sink.body_received(body)
 
     def on_message_complete(self) -> None:
@@ -222,6 +266,18 @@
             self.transport.close()
 
 
+def _reject_status_line(part: bytes) -> None:
+    """Raise if a part of a head contains the beginning of another response.
+
+    A truncated response and the one after it would be read as one head, with
+    the status of the first and the request id of the second.
+
+    :raises ValueError: the parser reports it as an error of its own.
+    """
+    if b'HTTP/1.' in part and _STATUS_LINE.search(part):
+        raise ValueError('a response begins inside a head')
+
+
 def _enable_dead_peer_detection(sock: socket.socket) -> None:
     """Let the kernel end a connection whose peer has become unreachable.
 
--- a/tests/support/relay_servers.py
+++ b/tests/support/relay_servers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import time
 from collections import deque
 from contextlib import suppress
@@ -36,6 +37,8 @@
         self.failure_domain = 'galata'
         self.cold_seconds = 0
         self._server = None
+        # Sent on the same connection before the response to its next request.
+        self._late = {}
 
     async def open(self, ip='127.0.0.1'):
         self._server = await asyncio.start_server(
@@ -48,6 +51,16 @@
     async def close(self):
         self._server.close()
 
+    def send_late(self):
+        """Repeat a response to the last request, on every connection."""
+        fields = self.requests[-1][1]
+        for writer in self.writers:
+            writer.write(self._response(fields, '200 OK', b'late'))
+
+    def end_connections(self):
+        for writer in self.writers:
+            writer.get_extra_info('socket').shutdown(socket.SHUT_WR)
+
     async def _serve(self, reader, writer):
         self.writers.add(writer)
         with suppress(*_DISCONNECTED):
@@ -60,8 +73,9 @@
                 self.asked.set()
                 if body == self.deadly:
                     self.acts = deque(['crash'])
+                writer.write(self._late.pop(writer, b''))
                 act = self.acts.popleft() if self.acts else 'answer'
-                if head.startswith(b'HEAD'):
+                if head.startswith(b'HEAD') and act == 'answer':
                     act = 'bare'
                 await getattr(self, f'_{act}')(fields, reader, writer)
                 await writer.drain()
@@ -75,6 +89,9 @@
             return
         self._whole(fields, writer, '200 OK', b'done by %d' % self.port)
 
+    async def _answer_at_length(self, fields, reader, writer):
+        self._whole(fields, writer, '200 OK', bytes(8_000_000))
+
     async def _fail(self, fields, reader, writer):
         self._whole(fields, writer, '500 Oops', b'broken')
 
@@ -100,10 +117,46 @@
         await self._answer(fields, reader, writer)
         self._whole(fields, writer, '200 OK', b'nobody asked')
 
+    async def _answer_and_junk(self, fields, reader, writer):
+        await self._answer(fields, reader, writer)
+        writer.write(b'\x00 no response')
+
+    async def _answer_and_begin(self, fields, reader, writer):
+        await self._answer(fields, reader, writer)
+        writer.write(b'HTTP/1.1 50')
+
+    async def _answer_and_cut_header_late(self, fields, reader, writer):
+        await self._answer(fields, reader, writer)
+        self._late[writer] = _not_run(fields, '503 Full')[:50]
+
+    async def _answer_and_cut_status_late(self, fields, reader, writer):
+        await self._answer(fields, reader, writer)
+        self._late[writer] = _not_run(fields, '503 Full')[:15]
+
+    async def _bare_with_body(self, fields, reader, writer):
+        await self._bare(fields, reader, writer)
+        writer.write(bytes(10))
+
     async def _answer_other(self, fields, reader, writer):
         other = {**fields, 'x-sardinetrack-request-id': 'another'}
         self._whole(other, writer, '200 OK', b'for another caller')
 
+    async def _answer_and_shed_late(self, fields, reader, writer):
+        await self._answer(fields, reader, writer)
+        self._late[writer] = _not_run(fields, '503 Full')
+
+    async def _answer_and_misdirect_late(self, fields, reader, writer):
+        await self._answer(fields, reader, writer)
+        self._late[writer] = _not_run(fields, '421 Another')
+
+    async def _answer_and_repeat_late(self, fields, reader, writer):
+        await self._answer(fields, reader, writer)
+        self._late[writer] = self._response(fields, '200 OK', b'late')
+
+    async def _fail_and_repeat_late(self, fields, reader, writer):
+        await self._fail(fields, reader, writer)
+        self._late[writer] = self._response(fields, '500 Oops', b'late')
+
     async def _answer_unsigned(self, fields, reader, writer):
         writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfake')
 
@@ -167,9 +220,12 @@
         return b'id: %d\ndata: token %d\n\n' % (number, number)
 
     def _whole(self, fields, writer, status, body):
+        writer.write(self._response(fields, status, body))
+
+    def _response(self, fields, status, body):
         head = self._head(fields, status)
         length = f'Content-Length: {len(body)}\r\n\r\n'
-        writer.write(head.encode() + length.encode() + body)
+        return head.encode() + length.encode() + body
 
     def _head(self, fields, status):
         request_id = fields['x-sardinetrack-request-id']
@@ -183,6 +239,15 @@
     time.sleep(seconds)
 
 
+def _not_run(fields, status):
+    request_id = fields['x-sardinetrack-request-id']
+    return (
+        f'HTTP/1.1 {status}\r\nX-Sardinetrack-Not-Processed: 1\r\n'
+        f'X-Sardinetrack-Request-Id: {request_id}\r\n'
+        'X-Sardinetrack-Server-Load: 90,9,8\r\nContent-Length: 0\r\n\r\n'
+    ).encode()
+
+
 def _fields(head):
     lines = head.decode().split('\r\n')[1:-2]
     pairs = (line.split(': ', 1) for line in lines)
