A side ends an attempt whose response has the id of another request

A server that answers an earlier request again, after the next one was sent on the connection, gives the second caller the first caller's response. Neither the parser nor the socket shows surplus bytes when the request is sent, so only an id can tell.

The side sends an id that is used once in sardinetrack-exchange. If the server returns another one, the exchange ends before a byte is passed on: the outcome is unknown (stopped: no strike, retried elsewhere if repeatable), and the connection is closed, since its response was not read. Probes of the load and load commands share the connections and send ids too. Servers that return no id are served as before.

x-request-id was ruled out: the entry sends the caller's own in it, callers may use one twice, and servers often return one of their own making.

--- a/src/sardinetrack/http/client.py
+++ b/src/sardinetrack/http/client.py
@@ -12,6 +12,8 @@
 
 from sardinetrack.http.connections import ClientConnectionPool
 
+EXCHANGE_HEADER: Final = 'sardinetrack-exchange'
+"""Id of one request; a server may send it back with the response."""
 _LATIN: Final = 'latin-1'
 
 
@@ -23,6 +25,10 @@
     """The exchange failed after the request may have arrived."""
 
 
+class OtherResponseError(ConnectionBrokenError):
+    """The response that arrived belongs to another request."""
+
+
 @dataclass(frozen=True, slots=True)
 class HttpResponse:
     """A complete response."""
@@ -117,14 +123,19 @@
         headers: Iterable[tuple[str, str]] = (),
         body: bytes = b'',
         read_timeout_seconds: float | None = None,
+        exchange_id: str | None = None,
     ) -> AsyncIterator[StreamedResponse]:
         """Send a request and yield its response while it arrives.
 
         :param read_timeout_seconds: timeout of each read and write, ``None``
             for no limit.
+        :param exchange_id: unique id, sent in ``EXCHANGE_HEADER``; a response
+            with another one ends the exchange.
         :raises RequestNotSentError: not one byte of the request was sent.
         :raises ConnectionBrokenError: the exchange failed after that.
         """
+        if exchange_id is not None:
+            headers = (*headers, (EXCHANGE_HEADER, exchange_id))
         request = self._request(
             method, url, headers, body, read_timeout_seconds
         )
@@ -137,7 +148,10 @@
                 raise RequestNotSentError(str(error)) from error
             except _EXCHANGE_ERRORS as error:
                 raise ConnectionBrokenError(str(error)) from error
-            yield StreamedResponse(response)
+            streamed = StreamedResponse(response)
+            if exchange_id is not None:
+                _check_exchange(streamed, exchange_id)
+            yield streamed
 
     async def call(
         self,
@@ -147,6 +161,7 @@
         headers: Iterable[tuple[str, str]] = (),
         body: bytes = b'',
         read_timeout_seconds: float | None = None,
+        exchange_id: str | None = None,
     ) -> HttpResponse:
         """Send a request and read its complete response; see ``stream``."""
         async with self.stream(
@@ -155,6 +170,7 @@
             headers=headers,
             body=body,
             read_timeout_seconds=read_timeout_seconds,
+            exchange_id=exchange_id,
         ) as response:
             return HttpResponse(
                 response.status,
@@ -191,6 +207,12 @@
         )
 
 
+def _check_exchange(response: StreamedResponse, exchange_id: str) -> None:
+    found = response.header(EXCHANGE_HEADER)
+    if found is not None and found != exchange_id:
+        raise OtherResponseError(f'response to {found}, not to {exchange_id}')
+
+
 def _host(url: httpcore.URL) -> bytes:
     if url.port is None:
         return url.host
--- a/src/sardinetrack/side/backend.py
+++ b/src/sardinetrack/side/backend.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import uuid
 from contextlib import AbstractAsyncContextManager
 from http import HTTPStatus
 from typing import Final
@@ -52,6 +53,7 @@
         """Send a request; leaving the context early cancels it at the server.
 
         :raises RequestNotSentError: not a single byte was sent.
+        :raises OtherResponseError: another request's response arrived.
         :raises ConnectionBrokenError: the connection broke later.
         """
         return self._client.stream(
@@ -59,6 +61,7 @@
             f'{self._url}{run_request.path}',
             headers=run_request.headers,
             body=body,
+            exchange_id=run_request.attempt_id,
         )
 
     async def load(self) -> LoadReport | None:
@@ -70,7 +73,9 @@
         """
         try:
             with anyio.fail_after(_PROBE_SECONDS):
-                response = await self._client.call('GET', f'{self._url}/load')
+                response = await self._client.call(
+                    'GET', f'{self._url}/load', exchange_id=uuid.uuid4().hex
+                )
         except RequestNotSentError as unsent:
             raise UnreachableError from unsent
         except (ConnectionBrokenError, TimeoutError) as error:
--- a/src/sardinetrack/side/backend_run.py
+++ b/src/sardinetrack/side/backend_run.py
@@ -11,6 +11,7 @@
 from sardinetrack.http.asgi import HttpExchange
 from sardinetrack.http.client import (
     ConnectionBrokenError,
+    OtherResponseError,
     RequestNotSentError,
     StreamedResponse,
 )
@@ -62,8 +63,7 @@
             await self._report_failure(error)
             await self._respond_not_started()
         except ConnectionBrokenError as error:
-            await self._report_failure(error)
-            return await self._respond_failed()
+            return await self._end_broken(error)
         except TimeoutError:
             _LOG.warning(
                 'entry stopped reading the response; cancelling the request',
@@ -119,6 +119,20 @@
         )
         await start_response(self._exchange, run_result, response)
 
+    async def _end_broken(self, error: ConnectionBrokenError) -> bool:
+        if not isinstance(error, OtherResponseError):
+            await self._report_failure(error)
+            return await self._respond_failed()
+        # Not a failure of the server, which may still run the request: the
+        # outcome is unknown, and the request gets no strike.
+        _LOG.warning(
+            'response to another request',
+            attempt_id=self._attempt.run_request.attempt_id,
+            backend_server=self._dependencies.backend.name,
+            error=str(error),
+        )
+        return False
+
     async def _report_failure(self, error: Exception) -> None:
         _LOG.warning(
             'backend server failed',
--- a/src/sardinetrack/side/model_server.py
+++ b/src/sardinetrack/side/model_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import uuid
 from http import HTTPStatus
 from typing import Final
 
@@ -95,6 +96,7 @@
                     f'{self._url}{path}',
                     headers=[('content-type', 'application/json')],
                     body=body,
+                    exchange_id=uuid.uuid4().hex,
                 )
             except (RequestNotSentError, ConnectionBrokenError):
                 return None
--- a/tests/http/steps/surplus_steps.py
+++ b/tests/http/steps/surplus_steps.py
@@ -12,10 +12,16 @@
 from anyio.streams.buffered import BufferedByteReceiveStream
 from behave import given, then, when
 
-from sardinetrack.http.client import ConnectionBrokenError, HttpClient
+from sardinetrack.http.client import (
+    EXCHANGE_HEADER,
+    ConnectionBrokenError,
+    HttpClient,
+    OtherResponseError,
+)
 
 _IP: Final = '127.0.0.1'
 _TIMEOUT_SECONDS: Final = 5.0
+_OTHER: Final = b'a response to another request'
 _MAX_HEAD_BYTES: Final = 10_000
 
 Reply = Callable[[SocketStream, bytes], Awaitable[None]]
@@ -70,6 +76,27 @@
             await first_reply(stream, path)
 
 
+class _LateServer(_RawServer):
+    """Responds to the first request again when the second has arrived."""
+
+    def __init__(self) -> None:
+        super().__init__(_twice)
+        self._paths: list[bytes] = []
+
+    async def _reply(self, stream: SocketStream, path: bytes) -> None:
+        self._paths.append(path)
+        responses = [_echoing(path)]
+        if len(self._paths) == 2:
+            responses.insert(0, _echoing(self._paths[0]))
+        await _send(stream, *responses)
+
+
+def _echoing(path: bytes) -> bytes:
+    status, rest = _response(path).split(b'\r\n', 1)
+    name = EXCHANGE_HEADER.encode()
+    return b'%b\r\n%b: %b\r\n%b' % (status, name, path, rest)
+
+
 async def _twice(stream: SocketStream, path: bytes) -> None:
     await _send(stream, _response(path), _response(path))
 
@@ -123,11 +150,21 @@
     context.raw_server = _RawServer(_sized(size))
 
 
-async def _call(client: HttpClient, url: str) -> bytes:
+@given('a server that sends a second response after the next request')
+def given_late(context: Any) -> None:
+    context.raw_server = _LateServer()
+
+
+async def _call(client: HttpClient, url: str, path: str) -> bytes:
     try:
         response = await client.call(
-            'GET', url, read_timeout_seconds=_TIMEOUT_SECONDS
+            'GET',
+            url + path,
+            read_timeout_seconds=_TIMEOUT_SECONDS,
+            exchange_id=path,
         )
+    except OtherResponseError:
+        return _OTHER
     except ConnectionBrokenError as error:
         return repr(error).encode()
     return response.body.rstrip()
@@ -143,7 +180,7 @@
         ):
             for number in range(calls):
                 path = f'/{number}'
-                bodies[path.encode()] = await _call(client, f'{url}{path}')
+                bodies[path.encode()] = await _call(client, url, path)
                 await anyio.sleep(seconds)
         return bodies
 
@@ -156,6 +193,13 @@
         assert path == body, context.bodies
 
 
+@then('call {number:d} ends without a response and the others get their own')
+def then_one_other(context: Any, number: int) -> None:
+    expected = {path: path for path in context.bodies}
+    expected[b'/%d' % number] = _OTHER
+    assert context.bodies == expected, context.bodies
+
+
 @then('the calls used {count:d} connections')
 def then_connections(context: Any, count: int) -> None:
     assert context.raw_server.connections == count
--- a/tests/http/surplus.feature
+++ b/tests/http/surplus.feature
@@ -30,3 +30,11 @@
       | 65536  |
       | 131072 |
       | 262144 |
+
+  Scenario: a late second response is told by its id
+    It arrives when the next request has been sent. Nothing but an id that the
+    server sends back can tell that it belongs to the request before.
+    Given a server that sends a second response after the next request
+    When a client makes 3 calls, 0.0 seconds apart
+    Then call 1 ends without a response and the others get their own
+    And the calls used 2 connections
--- a/tests/side/runs.feature
+++ b/tests/side/runs.feature
@@ -25,6 +25,20 @@
     When a run request for "/gated" has returned its first chunk
     Then the backend server's last chunk follows once it is sent
 
+  Scenario: A response with another attempt's id is not passed on
+    The backend server stutters: it responds to an earlier request a second
+    time. This caller would get the earlier caller's response. The request may
+    still run, so its outcome is unknown, and it gets no strike.
+    When a run request for "/other" with body "of another caller" is sent
+    Then the response has fate stopped and status 0
+    And the response's body is ""
+    And attempt "a1" has fate stopped
+
+  Scenario: A response with the attempt's own id is passed on
+    When a run request for "/identified" with body "own" is sent
+    Then the response has fate running and status 200
+    And the response's body is "own"
+
   Scenario: A stream truncated by the backend server never looks complete
     The backend server closes the connection in the middle of its response. The
     entry has received the status and half of the body by then. The side breaks
--- a/tests/side/side_backend.py
+++ b/tests/side/side_backend.py
@@ -9,6 +9,7 @@
 
 from sardinetrack.catalogue.api import Pool, PoolClass
 from sardinetrack.http.asgi import HttpExchange, Receive, Scope, Send
+from sardinetrack.http.client import EXCHANGE_HEADER
 from sardinetrack.messages.run import RunRequest
 
 INCARNATION: Final = 'side-1-second'
@@ -76,6 +77,13 @@
         ]
         await exchange.respond(201, body, pairs)
 
+    async def _identified(self, exchange: HttpExchange, body: bytes) -> None:
+        pair = (EXCHANGE_HEADER, exchange.header(EXCHANGE_HEADER) or '')
+        await exchange.respond(200, body, [pair])
+
+    async def _other(self, exchange: HttpExchange, body: bytes) -> None:
+        await exchange.respond(200, body, [(EXCHANGE_HEADER, 'a0')])
+
     async def _empty(self, exchange: HttpExchange, body: bytes) -> None:
         await exchange.start(204, ())
         await exchange.finish()
