--- a/src/sardinetrack/standin/base.py
+++ b/src/sardinetrack/standin/base.py
@@ -21,6 +21,7 @@
 from sardinetrack.standin.executions import Execution, Executions, Outcome
 from sardinetrack.standin.faults import Faults, FaultSwitch
 from sardinetrack.standin.fencing import FencingCheck
+from sardinetrack.standin.second_response import RecordedResponse
 
 FENCING_HEADER: Final = 'sardinetrack-fencing'
 OK: Final = 200
@@ -31,6 +32,7 @@
 
 _MAX_BODY_BYTES: Final = 64_000_000
 _BODY_SECONDS: Final = 600.0
+_CONTROL_PATH: Final = '/standin/'
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,7 +73,12 @@
         """Handle one request."""
         if scope['type'] != 'http':
             return
-        exchange = HttpExchange(scope, receive, send)
+        response = RecordedResponse(
+            HttpExchange(scope, receive, send),
+            send,
+            keeps_copy=self.faults.current.second_response_seconds is not None,
+        )
+        exchange = HttpExchange(scope, receive, response.send)
         # A crash interrupts requests in any state: this scope also covers
         # those that wait frozen and have no execution yet.
         request_scope = anyio.CancelScope()
@@ -79,6 +86,7 @@
         try:
             with request_scope:
                 await self._receive(exchange)
+                await self._respond_again(exchange, response)
         finally:
             self._scopes.discard(request_scope)
         if request_scope.cancelled_caught:
@@ -130,7 +138,7 @@
         except ClientDisconnectedError:
             return
         request = Request(exchange, body)
-        if exchange.path.startswith('/standin/'):
+        if exchange.path.startswith(_CONTROL_PATH):
             await self._control(request)
             return
         await self.faults.wait_unfrozen()
@@ -140,6 +148,19 @@
         else:
             await self.respond_error(request, status)
 
+    async def _respond_again(
+        self, exchange: HttpExchange, response: RecordedResponse
+    ) -> None:
+        seconds = self.faults.current.second_response_seconds
+        if seconds is None or not response.is_complete:
+            return
+        if exchange.path.startswith(_CONTROL_PATH):
+            return
+        await anyio.sleep(seconds)
+        self.connections.write_between_responses(
+            exchange.scope['client'], response.encode()
+        )
+
     async def _control(self, request: Request) -> None:
         if request.route == 'GET /standin/executions':
             await request.exchange.respond_json(OK, self.executions.counts)
--- a/src/sardinetrack/standin/faults.py
+++ b/src/sardinetrack/standin/faults.py
@@ -29,6 +29,8 @@
     :param cut_after_chunks: number of tokens or body chunks after which the
         connection is aborted.
     :param error_status: status of the error response to every request.
+    :param second_response_seconds: how long after each response the same one
+        is sent again, unless another has begun; 0 sends it at once.
     :param error_after_run: run the request before responding with the error.
     """
 
@@ -40,6 +42,7 @@
     cut_after_chunks: Count | None = None
     error_status: ErrorStatus | None = None
     error_after_run: bool = False
+    second_response_seconds: Delay | None = None
 
     def crashes_on(self, text: str) -> bool:
         """Return whether a request with this text crashes the stand-in."""
--- a/tests/standin/service.feature
+++ b/tests/standin/service.feature
@@ -28,6 +28,23 @@
     When it is sent GET "/file?bytes=1000003" with ""
     Then the response was interrupted
 
+  Scenario Outline: A service stutters
+    It sends each response a second time, with the id of the request, so that
+    tests can show that no caller gets a response that is not its own.
+    Given a plain service
+    And its faults are {"second_response_seconds": <seconds>}
+    When a connection sends GET "/a" with exchange id "e1" and reads 2 responses
+    Then both responses are the same and have exchange id "e1"
+
+    Examples:
+      | seconds |
+      | 0       |
+      | 0.1     |
+
+  Scenario: A negative delay of the second response is refused
+    Given a plain service
+    Then the faults {"second_response_seconds": -1} are refused for "greater_than_equal"
+
   Scenario: A render runs to its end though its caller disconnected
     The caller disconnects while the service is frozen, and the freeze ends
     later. The render then runs: a closed connection does not mean that the
--- a/tests/standin/steps/service_steps.py
+++ b/tests/standin/steps/service_steps.py
@@ -4,13 +4,21 @@
 
 import hashlib
 import json
+import re
 from typing import Any
 
 import anyio
+from anyio.streams.buffered import BufferedByteReceiveStream
 from behave import given, then, when
-from standin_steps import call, counts, host, wait_until
-
-from sardinetrack.http.client import ConnectionBrokenError
+from standin_steps import (
+    MAX_WAIT_SECONDS,
+    call,
+    counts,
+    host,
+    wait_until,
+)
+
+from sardinetrack.http.client import EXCHANGE_HEADER, ConnectionBrokenError
 from sardinetrack.standin.service import Service
 from sardinetrack.standin.settings import ServiceSettings
 
@@ -83,6 +91,49 @@
     assert found['started'] == found['finished'] == number, found
 
 
+async def read_responses(
+    url: str, target: str, exchange_id: str, count: int
+) -> list[tuple[bytes, bytes]]:
+    host, port = url.removeprefix('http://').split(':')
+    request = (
+        f'GET {target} HTTP/1.1\r\nhost: service\r\n'
+        f'{EXCHANGE_HEADER}: {exchange_id}\r\n\r\n'
+    )
+    responses = []
+    with anyio.fail_after(MAX_WAIT_SECONDS):
+        async with await anyio.connect_tcp(host, int(port)) as stream:
+            await stream.send(request.encode())
+            reader = BufferedByteReceiveStream(stream)
+            for _ in range(count):
+                head = await reader.receive_until(b'\r\n\r\n', 10_000)
+                length = re.search(rb'content-length: (\d+)', head)
+                assert length is not None, head
+                body = await reader.receive_exactly(int(length[1]))
+                responses.append((head, body))
+    return responses
+
+
+@when(
+    'a connection sends GET "{target}" with exchange id "{exchange_id}"'
+    ' and reads {count:d} responses'
+)
+def send_and_read(
+    context: Any, target: str, exchange_id: str, count: int
+) -> None:
+    context.responses = context.portal.call(
+        read_responses, context.url, target, exchange_id, count
+    )
+
+
+@then('both responses are the same and have exchange id "{exchange_id}"')
+def same_responses(context: Any, exchange_id: str) -> None:
+    line = f'{EXCHANGE_HEADER}: {exchange_id}'.encode()
+    (first_head, first_body), (second_head, second_body) = context.responses
+    assert line in first_head, first_head
+    assert line in second_head, second_head
+    assert first_body == second_body, context.responses
+
+
 @then('the body has {size:d} bytes')
 def body_size(context: Any, size: int) -> None:
     assert not context.interrupted
--- a/tests/standin/steps/standin_steps.py
+++ b/tests/standin/steps/standin_steps.py
@@ -73,6 +73,13 @@
     raise AssertionError('a response arrived')
 
 
+@then('the faults {faults} are refused for "{reason}"')
+def faults_refused_for(context: Any, faults: str, reason: str) -> None:
+    reply = call(context, 'PUT', '/standin/faults', faults.encode())
+    assert reply.status == 400, reply
+    assert reason.encode() in reply.body, reply
+
+
 @then('the faults {faults} are refused')
 def faults_refused(context: Any, faults: str) -> None:
     reply = call(context, 'PUT', '/standin/faults', faults.encode())
--- a/tests/system/answers.feature
+++ b/tests/system/answers.feature
@@ -38,6 +38,23 @@
     When the service works again
     Then no slot is lost, and a small workspace is served during a flood
 
+  Scenario Outline: servers that answer twice
+    Each server sends each response a second time, at once or when the next
+    request on the connection may be under way. A caller may get an error that
+    says that the outcome is unknown, but never another caller's response.
+    Given a fleet with 1 engine and 1 service
+    When every server sends each response again after <seconds> seconds
+    And 60 callers send requests concurrently
+    Then each of them receives exactly its own words or an error
+    And at least 20 of them receive their own words
+    When every server responds once again
+    Then no slot is lost, and a small workspace is served during a flood
+
+    Examples:
+      | seconds |
+      | 0       |
+      | 0.05    |
+
   Scenario: a call that may run twice is tried again at another server
     One engine and one service close each connection midway. Short responses
     are buffered until they are complete: the callers of plain completions and
--- a/tests/system/steps/answers_steps.py
+++ b/tests/system/steps/answers_steps.py
@@ -23,6 +23,7 @@
 from support.standard import ENTRIES, TOKEN, completion
 
 _SEED = 7
+_STUTTER_ERRORS = ('outcome_unknown', 'not_run_no_server')
 _MAX_TOKENS = 40
 _LONG_TOKENS = 250
 _MIDWAY_SECONDS = 0.3
@@ -31,6 +32,11 @@
 _REQUESTS = (request_plain, request_stream, post_service)
 
 
+@when('{callers:d} callers send requests concurrently')
+def when_concurrent(context, callers: int):
+    when_many(context, callers, 0)
+
+
 @when(
     '{callers:d} callers send requests concurrently '
     'and {disconnecting:d} more disconnect midway'
@@ -90,6 +96,35 @@
         assert len(result.response.text.split()) == context.sent_tokens, result
 
 
+@when('every server sends each response again after {seconds:g} seconds')
+def when_servers_stutter(context, seconds: float):
+    stand_ins = context.scene.stand_ins
+    stand_ins.fault(*stand_ins.names(), second_response_seconds=seconds)
+    context.stutter_seconds = seconds
+
+
+@then('each of them receives exactly its own words or an error')
+def then_own_or_error(context):
+    rows = context.scene.caller_pool.results()
+    allowed = {COMPLETE, *_STUTTER_ERRORS}
+    wrong = [row for row in rows if row.outcome not in allowed]
+    assert rows and not wrong, describe(wrong)
+
+
+@then('at least {count:d} of them receive their own words')
+def then_some_own(context, count: int):
+    rows = context.scene.caller_pool.results()
+    complete = [row for row in rows if row.outcome == COMPLETE]
+    assert len(complete) >= count, describe(rows)
+
+
+@when('every server responds once again')
+def when_stutter_ends(context):
+    when_work_again(context)
+    # Second responses that are due already are still sent.
+    time.sleep(2 * context.stutter_seconds)
+
+
 @when('the engines work again')
 @when('the service works again')
 def when_work_again(context):
--- a/tests/system/steps/failure_steps.py
+++ b/tests/system/steps/failure_steps.py
@@ -16,6 +16,7 @@
     return context.scene
 
 
+@given('a fleet with {engines:d} engine and {services:d} service')
 @given('a fleet with {engines:d} engines and {services:d} service')
 @given('a fleet with {engines:d} engines and {services:d} services')
 def given_failing_fleet(context, engines: int, services: int):
