A side logs and counts second responses that it discards

Operators could not see that a backend server answers twice. A discarded second response is now a line ("surplus response discarded" or "response to another request discarded") and counts in sardinetrack_side_surplus_responses_total by how it was found: unread on a connection without a request, or by another id. An idle connection that the server has closed is also readable; the pool reads one byte to tell the two apart, and only from a connection that it closes anyway.

This adds no protection. The tests' backend server is served with the stand-ins' protocol, which can write a second response.

--- a/src/sardinetrack/http/connections.py
+++ b/src/sardinetrack/http/connections.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from typing import Final
 
@@ -17,9 +17,14 @@
 
 _MAX_IDLE: Final = 256
 _IDLE_TIMEOUT_SECONDS: Final = 30.0
+_SURPLUS_READ_SECONDS: Final = 1.0
 _CONNECT_TIMEOUT: Final = 'connect'
 
 
+def _ignore(origin: str) -> None:
+    """Ignore a surplus response."""
+
+
 class ClientConnection(httpcore.AsyncHTTP11Connection):
     """A connection that shows whether its parser holds surplus bytes."""
 
@@ -33,6 +38,19 @@
         unparsed, _ = self._h11_state.trailing_data
         return bool(unparsed)
 
+    async def received_surplus(self) -> bool:
+        """Whether an idle connection has received bytes and not its end.
+
+        Reads a byte, so the connection must be closed afterwards.
+        """
+        if not self._network_stream.get_extra_info('is_readable'):
+            return False
+        try:
+            first = await self._network_stream.read(1, _SURPLUS_READ_SECONDS)
+        except (httpcore.ReadError, httpcore.ReadTimeout):
+            return False
+        return bool(first)
+
 
 class ClientConnectionPool:
     """Reuses the newest idle connection to an origin, or opens one."""
@@ -42,12 +60,16 @@
         *,
         max_idle: int = _MAX_IDLE,
         idle_timeout_seconds: float = _IDLE_TIMEOUT_SECONDS,
+        on_surplus: Callable[[str], None] = _ignore,
     ) -> None:
         """Create an empty pool.
 
         :param max_idle: maximum of idle connections to all origins together.
         :param idle_timeout_seconds: how long a connection may be idle.
+        :param on_surplus: called with the origin when a connection is closed
+            because of bytes after a complete response.
         """
+        self._on_surplus = on_surplus
         self._backend = httpcore.AnyIOBackend()
         self._max_idle = max_idle
         self._idle_timeout_seconds = idle_timeout_seconds
@@ -97,7 +119,7 @@
             if not connection.has_expired():
                 self._remove_idle(connection)
                 return connection
-            await self._close_idle(connection)
+            await self._discard(connection)
         return await self._connect(request)
 
     async def _connect(self, request: httpcore.Request) -> ClientConnection:
@@ -125,13 +147,23 @@
             return
         if connection.has_surplus:
             # The parser would take it for the response to the next request.
+            self._on_surplus(origin)
             await _close(connection)
             return
         self._idle_by_origin[origin].append(connection)
         self._idle[connection] = origin
         oldest = next(iter(self._idle))
         if self.idle_count > self._max_idle or oldest.has_expired():
-            await self._close_idle(oldest)
+            await self._discard(oldest)
+
+    async def _discard(self, connection: ClientConnection) -> None:
+        origin = self._idle[connection]
+        self._remove_idle(connection)
+        try:
+            if await connection.received_surplus():
+                self._on_surplus(origin)
+        finally:
+            await _close(connection)
 
     async def _close_idle(
         self,
--- a/src/sardinetrack/side/backend_run.py
+++ b/src/sardinetrack/side/backend_run.py
@@ -125,8 +125,9 @@
             return await self._respond_failed()
         # Not a failure of the server, which may still run the request: the
         # outcome is unknown, and the request gets no strike.
+        self._dependencies.metrics.surplus.labels('other_id').inc()
         _LOG.warning(
-            'response to another request',
+            'response to another request discarded',
             attempt_id=self._attempt.run_request.attempt_id,
             backend_server=self._dependencies.backend.name,
             error=str(error),
--- a/src/sardinetrack/side/components.py
+++ b/src/sardinetrack/side/components.py
@@ -8,6 +8,7 @@
 
 from sardinetrack.http.client import HttpClient
 from sardinetrack.links.server import LinkAcceptor
+from sardinetrack.logs.lines import ComponentLogger, LogComponent
 from sardinetrack.side.backend import BackendServer
 from sardinetrack.side.backend_watch import BackendWatch, ProbeNow
 from sardinetrack.side.dependencies import SideDependencies
@@ -22,6 +23,7 @@
 from sardinetrack.side.run_dependencies import RunDependencies
 from sardinetrack.side.run_endpoint import RunEndpoint
 
+_LOG: Final = ComponentLogger(LogComponent.SIDE)
 _WAITING_EVENTS: Final = 1024
 
 
@@ -66,6 +68,15 @@
             probes[1],
         )
 
+    def record_surplus(self, origin: str) -> None:
+        """Log and count a second response of the backend server."""
+        self._metrics.surplus.labels('unread').inc()
+        _LOG.warning(
+            'surplus response discarded',
+            backend_server=self._identity.backend_server,
+            origin=origin,
+        )
+
     def peer_application(self) -> PeerApplication:
         """Build the application for peers."""
         acceptor = LinkAcceptor(
--- a/src/sardinetrack/side/daemon.py
+++ b/src/sardinetrack/side/daemon.py
@@ -8,6 +8,7 @@
 import anyio
 
 from sardinetrack.http.client import HttpClient
+from sardinetrack.http.connections import ClientConnectionPool
 from sardinetrack.http.server import BoundServer
 from sardinetrack.logs.lines import ComponentLogger, LogComponent
 from sardinetrack.process.daemon import ServingDaemon
@@ -48,7 +49,10 @@
         await self._close_servers()
 
     async def _open(self, stack: AsyncExitStack) -> None:
-        client = await stack.enter_async_context(HttpClient())
+        connections = ClientConnectionPool(on_surplus=self._record_surplus)
+        client = await stack.enter_async_context(
+            HttpClient(connections=connections)
+        )
         self._components = SideComponents(self._dependencies, client)
         tasks = await stack.enter_async_context(anyio.create_task_group())
         stack.callback(tasks.cancel_scope.cancel)
@@ -73,6 +77,9 @@
             settings.peer,
         )
 
+    def _record_surplus(self, origin: str) -> None:
+        self._components.record_surplus(origin)
+
     def _log_serving(self) -> None:
         _LOG.info(
             'serving',
--- a/src/sardinetrack/side/metrics.py
+++ b/src/sardinetrack/side/metrics.py
@@ -42,6 +42,12 @@
             ['end'],
             registry=self.registry,
         )
+        self.surplus = Counter(
+            'sardinetrack_side_surplus_responses',
+            'Responses of the backend server that were discarded',
+            ['found'],
+            registry=self.registry,
+        )
         self.cost = self._counter('cost_units', 'Cost of ended requests')
         self.run_seconds = Histogram(
             'sardinetrack_side_run_seconds',
--- a/tests/http/steps/surplus_steps.py
+++ b/tests/http/steps/surplus_steps.py
@@ -18,6 +18,7 @@
     HttpClient,
     OtherResponseError,
 )
+from sardinetrack.http.connections import ClientConnectionPool
 
 _IP: Final = '127.0.0.1'
 _TIMEOUT_SECONDS: Final = 5.0
@@ -172,11 +173,16 @@
 
 @when('a client makes {calls:d} calls, {seconds:f} seconds apart')
 def when_calls(context: Any, calls: int, seconds: float) -> None:
+    context.surplus_origins = []
+
     async def run() -> dict[bytes, bytes]:
         bodies = {}
+        connections = ClientConnectionPool(
+            on_surplus=context.surplus_origins.append
+        )
         async with (
             context.raw_server.serving() as url,
-            HttpClient() as client,
+            HttpClient(connections=connections) as client,
         ):
             for number in range(calls):
                 path = f'/{number}'
@@ -203,3 +209,8 @@
 @then('the calls used {count:d} connections')
 def then_connections(context: Any, count: int) -> None:
     assert context.raw_server.connections == count
+
+
+@then('the client reports {count:d} surplus response')
+def then_reported(context: Any, count: int) -> None:
+    assert len(context.surplus_origins) == count, context.surplus_origins
--- a/tests/http/surplus.feature
+++ b/tests/http/surplus.feature
@@ -8,6 +8,7 @@
     When a client makes 2 calls, 0.1 seconds apart
     Then each call gets its own response
     And the calls used 2 connections
+    And the client reports 1 surplus response
 
     Examples:
       | surplus                               |
--- a/tests/side/runs.feature
+++ b/tests/side/runs.feature
@@ -33,6 +33,17 @@
     Then the response has fate stopped and status 0
     And the response's body is ""
     And attempt "a1" has fate stopped
+    And the log has "response to another request discarded" once
+    When an operator reads /metrics
+    Then the text contains "sardinetrack_side_surplus_responses_total{found="other_id"} 1.0"
+
+  Scenario: A second response is discarded, logged and counted
+    When a run request for "/twice" with body "own" is sent
+    And another run request for "/echo" with body "next" is sent
+    Then the response's body is "next"
+    And the log has "surplus response discarded" once
+    When an operator reads /metrics
+    Then the text contains "sardinetrack_side_surplus_responses_total{found="unread"} 1.0"
 
   Scenario: A response with the attempt's own id is passed on
     When a run request for "/identified" with body "own" is sent
--- a/tests/side/side_backend.py
+++ b/tests/side/side_backend.py
@@ -11,6 +11,7 @@
 from sardinetrack.http.asgi import HttpExchange, Receive, Scope, Send
 from sardinetrack.http.client import EXCHANGE_HEADER
 from sardinetrack.messages.run import RunRequest
+from sardinetrack.standin.connections import ConnectionRegistry
 
 INCARNATION: Final = 'side-1-second'
 _BODY_SECONDS: Final = 15.0
@@ -48,6 +49,7 @@
     """A backend server whose behaviour depends on the path."""
 
     def __init__(self) -> None:
+        self.connections = ConnectionRegistry()
         self.executions: list[str] = []
         self.bodies: list[bytes] = []
         self.cancelled = anyio.Event()
@@ -84,6 +86,13 @@
     async def _other(self, exchange: HttpExchange, body: bytes) -> None:
         await exchange.respond(200, body, [(EXCHANGE_HEADER, 'a0')])
 
+    async def _twice(self, exchange: HttpExchange, body: bytes) -> None:
+        await exchange.respond(200, body)
+        self.connections.write_between_responses(
+            exchange.scope['client'],
+            b'HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n',
+        )
+
     async def _empty(self, exchange: HttpExchange, body: bytes) -> None:
         await exchange.start(204, ())
         await exchange.finish()
--- a/tests/side/side_world.py
+++ b/tests/side/side_world.py
@@ -176,7 +176,8 @@
 async def running_side(pool: Pool = POOL) -> AsyncIterator[World]:
     """Run a side beside its backend server."""
     backend = Backend()
-    async with serve(backend, '127.0.0.1', 0) as server:
+    protocol = backend.connections.protocol()
+    async with serve(backend, '127.0.0.1', 0, protocol=protocol) as server:
         dependencies = SideDependencies(
             settings=settings(server.url),
             peer_secret=SECRET,
--- a/tests/side/steps/side_steps.py
+++ b/tests/side/steps/side_steps.py
@@ -503,6 +503,12 @@
     assert text not in context.page, context.page
 
 
+@then('the log has "{sentence}" once')
+def step_logged_once(context: Any, sentence: str) -> None:
+    found = [line['sentence'] for line in context.lines.lines]
+    assert found.count(sentence) == 1, found
+
+
 @then('the decision "{sentence}" is logged with')
 def step_log_line(context: Any, sentence: str) -> None:
     row = context.table[0].as_dict()
