Closing a client connection does not lose the result of another exchange

Releasing a connection may close the oldest idle one. Since surplus responses are counted, that reads a byte, and a deadline in that moment would have ended a complete exchange as if it had no result.

A new scenario shows that a connection whose response never arrived, since its reader was cancelled, is not reused. It passes without any change, as does the one for a response cancelled midway: no connection is kept after an unfinished exchange.

--- a/src/sardinetrack/http/connections.py
+++ b/src/sardinetrack/http/connections.py
@@ -159,11 +159,12 @@
     async def _discard(self, connection: ClientConnection) -> None:
         origin = self._idle[connection]
         self._remove_idle(connection)
-        try:
+        # A cancellation here would lose the result of an exchange that is
+        # complete, since its release may discard another connection.
+        with anyio.CancelScope(shield=True):
             if await connection.received_surplus():
                 self._on_surplus(origin)
-        finally:
-            await _close(connection)
+            await connection.aclose()
 
     async def _close_idle(
         self,
--- a/tests/http/client.feature
+++ b/tests/http/client.feature
@@ -26,6 +26,13 @@
     When a client is cancelled in the middle of a response
     Then the client has no idle connections
 
+  Scenario: a connection is not reused after a response that did not arrive
+    An attempt is abandoned before its response. The response to it would be
+    read as the one to the next request on the connection.
+    Given a server that counts its connections
+    When a client is cancelled before its response arrives
+    Then the client has no idle connections
+
   Scenario: the number of idle connections is limited
     Given a server that counts its connections
     When a client with at most 2 idle connections makes 4 concurrent calls
--- a/tests/http/steps/client_steps.py
+++ b/tests/http/steps/client_steps.py
@@ -122,6 +122,22 @@
     context.idle_count = anyio.run(run)
 
 
+@when('a client is cancelled before its response arrives')
+def when_cancelled_early(context):
+    async def run() -> int:
+        connections = ClientConnectionPool()
+        async with (
+            serve(context.application, _IP, 0) as server,
+            HttpClient(connections=connections) as client,
+        ):
+            with anyio.move_on_after(_DELAY_SECONDS / 2) as scope:
+                await client.call('GET', server.url)
+            assert scope.cancelled_caught
+            return connections.idle_count
+
+    context.idle_count = anyio.run(run)
+
+
 @when(
     'a client with at most {idle:d} idle connections'
     ' makes {calls:d} concurrent calls'
