An entry ends a stream at its end event

An engine that stutters may send its events a second time in the same response. The entry passed on what follows [DONE]: the caller got its stream twice, or once and a part of a second one that broke, reported as complete. The reader of events returns nothing after [DONE] now, and counts no cost for it.

The three new examples failed before:

ASSERT FAILED: b'...data: [DONE]\n\ndata: {"choices": [{"delta": {"content": "ice 0"}}]}\n\n...' 0 scenarios passed, 3 failed

Ruled out by reading, no test added: a second response written by the entry itself. An error response asks whether the exchange has started, the runner truncates before it raises, nothing awaits between the end of a response and the result of its attempt, and uvicorn closes a connection whose response was not completed.

--- a/src/sardinetrack/entry/sse.py
+++ b/src/sardinetrack/entry/sse.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Iterator
 from typing import Final
 
 _DONE: Final = b'[DONE]'
@@ -29,15 +30,18 @@
         """Parse a chunk of the stream.
 
         :param chunk: may start and end anywhere.
-        :return: the events that are now complete.
+        :return: the events that are now complete, none after ``[DONE]``.
         """
+        if self.done:
+            return b''
         buffered = self._buffer + chunk
         end = _last_end(buffered)
         if not end and len(buffered) > _MAX_BUFFERED_BYTES:
             end = len(buffered)
-        self._buffer = buffered[end:]
-        self._scan(buffered[:end])
-        return buffered[:end]
+        events = _until_done(buffered[:end])
+        self._scan(events)
+        self._buffer = b'' if self.done else buffered[end:]
+        return events
 
     def remainder(self) -> bytes:
         """Return what follows the last complete event when the stream ends."""
@@ -47,9 +51,8 @@
         return remainder
 
     def _scan(self, events: bytes) -> None:
-        for line in events.splitlines():
-            if line.startswith(_DATA):
-                self._scan_data(line[len(_DATA) :].strip())
+        for data in _data_lines(events):
+            self._scan_data(data)
 
     def _scan_data(self, data: bytes) -> None:
         if data == _DONE:
@@ -60,6 +63,23 @@
             self.usage_event = data
 
 
+def _data_lines(events: bytes) -> Iterator[bytes]:
+    for line in events.splitlines():
+        if line.startswith(_DATA):
+            yield line[len(_DATA) :].strip()
+
+
+def _until_done(events: bytes) -> bytes:
+    if _DONE not in events:
+        return events
+    start = 0
+    for match in _EVENT_END.finditer(events):
+        if _DONE in _data_lines(events[start : match.end()]):
+            return events[: match.end()]
+        start = match.end()
+    return events
+
+
 def _last_end(buffered: bytes) -> int:
     end = 0
     for match in _EVENT_END.finditer(buffered):
--- a/tests/entry/relay.feature
+++ b/tests/entry/relay.feature
@@ -12,6 +12,20 @@
     And the response body is 3 events and the end event
     And the response has header "content-type" with value "text/event-stream"
 
+  Scenario Outline: A stream that the engine sends twice in one response
+    An engine that stutters continues after its end event. The caller gets the
+    stream once, and no half of a second one that breaks.
+    Given "side-a" streams 3 events and the end event, then again <how>
+    When a caller requests a streamed completion
+    Then the response has status 200 and is complete
+    And the response body is 3 events and the end event
+
+    Examples:
+      | how           |
+      | as a whole    |
+      | at once       |
+      | until a break |
+
   Scenario: A non-streamed chat completion
     Given "side-a" returns a completion of 40 tokens
     When a caller requests a non-streamed completion
--- a/tests/entry/steps/relay_steps.py
+++ b/tests/entry/steps/relay_steps.py
@@ -55,6 +55,18 @@
     context.world.script(name, Script(headers=EVENTS, chunks=chunks))
 
 
+@given('"{name}" streams {count:d} events and the end event, then again {how}')
+def stream_twice(context: Any, name: str, count: int, how: str) -> None:
+    chunks = (*map(event, range(count)), DONE)
+    script = {
+        'as a whole': Script(chunks=(*chunks, *chunks)),
+        'at once': Script(chunks=(b''.join((*chunks, *chunks)),)),
+        'until a break': Script(chunks=(*chunks, chunks[0]), ends=False),
+    }[how]
+    script.headers = EVENTS
+    context.world.script(name, script)
+
+
 @given('"{name}" streams {count:d} events and breaks')
 def stream_broken(context: Any, name: str, count: int) -> None:
     chunks = tuple(map(event, range(count)))
