--- a/tests/side/runs.feature
+++ b/tests/side/runs.feature
@@ -25,6 +25,31 @@
     When a run request for "/gated" has returned its first chunk
     Then the backend server's last chunk follows once it is sent
 
+  Scenario: A response with another attempt's id is not passed on
+    The backend server stutters: it responds to an earlier request a second
+    time. This caller would get the earlier caller's response. The request may
+    still run, so its outcome is unknown, and it gets no strike.
+    When a run request for "/other" with body "of another caller" is sent
+    Then the response has fate stopped and status 0
+    And the response's body is ""
+    And attempt "a1" has fate stopped
+    And the log has "response to another request discarded" once
+    When an operator reads /metrics
+    Then the text contains "sardinetrack_side_surplus_responses_total{found="other_id"} 1.0"
+
+  Scenario: A second response is discarded, logged and counted
+    When a run request for "/twice" with body "own" is sent
+    And another run request for "/echo" with body "next" is sent
+    Then the response's body is "next"
+    And the log has "surplus response discarded" once
+    When an operator reads /metrics
+    Then the text contains "sardinetrack_side_surplus_responses_total{found="unread"} 1.0"
+
+  Scenario: A response with the attempt's own id is passed on
+    When a run request for "/identified" with body "own" is sent
+    Then the response has fate running and status 200
+    And the response's body is "own"
+
   Scenario: A stream truncated by the backend server never looks complete
     The backend server closes the connection in the middle of its response. The
     entry has received the status and half of the body by then. The side breaks
