Nothing is sent to a server that has asked for rest

Cause: the header of a server's response was not read. A 503 that proves "not run" is a success for the breaker, and a server that turns everything away looks idle, so it was chosen first; requests placed before, or waiting for a permit, were sent after the rest had begun.

Change: the adapter reads Retry-After of 503 and 429; `ServerRests` records per server until when it rests. Such servers are left out where one is chosen, before the rule that ignores breakers, and `EntryState.check_available` stands before a connection is taken and right before the send. A request withheld there is placed anew: no failure, no unreachable server, no retry spent. Draining and evacuated servers take the same path; until now each counted as one of the four unreachable servers after which a request is refused. Where all servers rest, callers get not_run_no_server with the shortest rest that is left, rounded up, also after the last permitted attempt, and no retry is spent.

Why it works: the check in `_recheck` and the send share one iteration of the event loop, so no response can come between; a rest is counted from the arrival of the response, later than the server's own count, and by the boot clock, which does not stop in suspension.

Ruled out: an open breaker (ignored where most are open, closed by a late success); the side (it sees no responses, and plain services have none).

Tests: `_Shared` of relay_steps.py is `SharedActs` in tests/support; the step "the reason is that ..." knows one more word. No check is weaker.

--- a/src/sardinetrack/platform/protocol_adapter.py
+++ b/src/sardinetrack/platform/protocol_adapter.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from http import HTTPStatus
 from typing import Final
 
@@ -22,6 +23,9 @@
 _SERVER_STAMP: Final = b'x-sardinetrack-server-stamp'
 _SERVER_LOAD: Final = b'x-sardinetrack-server-load'
 _NOT_PROCESSED: Final = b'x-sardinetrack-not-processed'
+_TURNED_AWAY: Final = frozenset(
+    (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS),
+)
 _HOP_BY_HOP: Final = frozenset(
     (
         b'connection',
@@ -135,6 +139,7 @@
             running=_parse_load(fields.get(_SERVER_LOAD)),
             idle_seconds=_parse_idle_timeout(fields.get(b'keep-alive', b'')),
             misdirected=misdirected,
+            rest_seconds=_parse_rest(status, fields.get(b'retry-after')),
         )
 
     def own_headers(self, call: CallerRequest) -> bytes:
@@ -218,6 +223,17 @@
     return (counts[0] or 0) + (counts[1] or 0)
 
 
+def _parse_rest(status: int, content: bytes | None) -> float | None:
+    """Return the seconds of a refusal; a date depends on two clocks."""
+    if status not in _TURNED_AWAY or content is None:
+        return None
+    try:
+        seconds = float(content)
+    except ValueError:
+        return None
+    return seconds if math.isfinite(seconds) and seconds >= 0 else None
+
+
 def _parse_idle_timeout(keep_alive: bytes) -> float | None:
     for item in keep_alive.split(b','):
         name, _, content = item.strip().partition(b'=')
--- a/src/sardinetrack/relay/attempt.py
+++ b/src/sardinetrack/relay/attempt.py
@@ -51,6 +51,7 @@
         progress: Progress,
         *,
         streams: bool,
+        on_head: Callable[[ResponseHead], None],
         on_first_event: Callable[[], None],
     ) -> None:
         loop = asyncio.get_running_loop()
@@ -65,6 +66,7 @@
         self._adapter = adapter
         self._progress = progress
         self._streams = streams
+        self._on_head = on_head
         self._on_first_event = on_first_event
         self._pieces: list[bytes] = []
         self._size = 0
@@ -81,6 +83,7 @@
     ) -> None:
         """Check the head; end the attempt if the response is not acceptable."""
         response = self._adapter.parse_response_head(status, headers)
+        self._on_head(response)
         self.response = response
         self.last_data_seconds = self._loop.time()
         if response.not_run:
--- a/src/sardinetrack/relay/entry_state.py
+++ b/src/sardinetrack/relay/entry_state.py
@@ -12,7 +12,10 @@
 from sardinetrack.relay.connection_pool import ConnectionPool
 from sardinetrack.relay.crashes import CrashWatch
 from sardinetrack.relay.meters import Meters
-from sardinetrack.relay.server_states import ServerStates
+from sardinetrack.relay.server_states import (
+    ServerStates,
+    ServerUnavailableError,
+)
 from sardinetrack.relay.settings import InstanceSettings
 from sardinetrack.relay.side_links import INITIAL_ENTRIES, SideLinks
 from sardinetrack.routing.retries import RetryBudget
@@ -167,18 +170,45 @@
     def usable_servers(self, now: float, pool: str) -> list[BackendServer]:
         """List the servers of a pool that may be sent a request.
 
-        If fewer than half of the breakers are closed, all servers are used. The
-        fault then lies not with single servers, and the few whose breakers
-        happen to be closed would get the requests of all.
+        Servers that rest are left out. If fewer than half of the breakers of
+        the others are closed, all of these are used. The fault then lies not
+        with single servers, and the few whose breakers happen to be closed
+        would get the requests of all.
         """
-        servers = self.servers.in_pool(pool)
+        resting = self.server_states.rests.in_force(boot_clock())
+        servers = [
+            server
+            for server in self.servers.in_pool(pool)
+            if server.instance not in resting
+        ]
         allowed = [
             server
             for server in servers
             if self.server_states.allows(now, server)
         ]
         few = len(allowed) < MIN_ALLOWED_FRACTION * len(servers)
-        return list(servers) if few else allowed
+        return servers if few else allowed
+
+    def check_available(self, server: BackendServer) -> None:
+        """Check that a server that was chosen before still gets requests.
+
+        :raises ServerUnavailableError: it drains, is evacuated or rests.
+        """
+        rests = self.server_states.rests
+        left_seconds = rests.left_seconds(boot_clock(), server.instance)
+        if left_seconds > 0 or self.servers.get(server.instance) is None:
+            raise ServerUnavailableError
+
+    def rest_seconds(self, pool: str) -> float:
+        """Return how long all servers of a pool rest; 0 if one does not."""
+        now, rests = boot_clock(), self.server_states.rests
+        return min(
+            (
+                rests.left_seconds(now, server.instance)
+                for server in self.servers.in_pool(pool)
+            ),
+            default=0,
+        )
 
     def started(self, start: ServerStart) -> None:
         """Handle a side's report that its server has restarted."""
--- a/src/sardinetrack/relay/exchange.py
+++ b/src/sardinetrack/relay/exchange.py
@@ -15,10 +15,8 @@
 from sardinetrack.relay.events import EventSplitter
 from sardinetrack.relay.request_plan import Plan, make_plan
 from sardinetrack.relay.sender import Sender
-from sardinetrack.relay.server_choice import (
-    SERVER_UNREACHABLE_RETRY_SECONDS,
-    Placer,
-)
+from sardinetrack.relay.server_choice import Placer
+from sardinetrack.relay.server_states import ServerUnavailableError
 from sardinetrack.relay.trace import Trace
 from sardinetrack.turns.clock import loop_now
 
@@ -116,8 +114,7 @@
                     plan, placement, self.progress
                 )
                 complete = attempt.done.result() is SendOutcome.DELIVERED
-            except NotConnectedError:
-                self.trace.unreachable.add(placement.candidate.server.instance)
+            except (NotConnectedError, ServerUnavailableError):
                 continue
             finally:
                 placement.permit.release(complete=complete)
@@ -145,7 +142,9 @@
         if outcome is SendOutcome.ANSWERED:
             attempt.deliver_buffered()
             return True
-        raise _final_error(outcome, attempt.reason)
+        if outcome is SendOutcome.NOT_RUN:
+            raise self._placer.no_server_error(plan)
+        raise RequestError(ErrorKind.OUTCOME_UNKNOWN, attempt.reason)
 
     def _may_retry(self, plan: Plan, outcome: SendOutcome) -> bool:
         if outcome is not SendOutcome.NOT_RUN and not plan.route.repeatable:
@@ -154,13 +153,6 @@
             return False
         if self._refused_seconds(plan) > 0:
             return False
+        if self._state.rest_seconds(plan.pool.name) > 0:
+            return False
         return self._state.budget(plan.pool.name).try_withdraw()
-
-
-def _final_error(outcome: SendOutcome, reason: str) -> RequestError:
-    if outcome is SendOutcome.NOT_RUN:
-        return RequestError(
-            ErrorKind.NOT_RUN_NO_SERVER,
-            retry_after_seconds=SERVER_UNREACHABLE_RETRY_SECONDS,
-        )
-    return RequestError(ErrorKind.OUTCOME_UNKNOWN, reason)
--- a/src/sardinetrack/relay/meters.py
+++ b/src/sardinetrack/relay/meters.py
@@ -39,6 +39,8 @@
         """Listed records that could not be read; each change counts."""
         self.restarts = 0
         """Servers that restarted under the same id."""
+        self.rests = 0
+        """Rests that servers asked for, as far as lines report them."""
         self.took = Histogram()
         self.waited = Histogram()
         self.first_event = Histogram()
--- a/src/sardinetrack/relay/metrics.py
+++ b/src/sardinetrack/relay/metrics.py
@@ -18,6 +18,7 @@
 from sardinetrack.relay.entry_state import EntryState
 from sardinetrack.relay.meters import BOUNDS_SECONDS, Histogram
 from sardinetrack.store.api import StoreCounters
+from sardinetrack.topology.freshness import boot_clock
 from sardinetrack.turns.clock import loop_now
 from sardinetrack.turns.side import SideServer
 
@@ -84,6 +85,16 @@
         'Servers that started again under their id',
         meters.restarts,
     )
+    yield _total(
+        'server_rests',
+        'Rests that servers asked for',
+        meters.rests,
+    )
+    yield _gauge(
+        'resting_servers',
+        'Servers that get nothing until their rest ends',
+        len(state.server_states.rests.in_force(boot_clock())),
+    )
     yield _gauge(
         'evacuated_domains',
         'Failure domains that get no new work',
--- a/src/sardinetrack/relay/sender.py
+++ b/src/sardinetrack/relay/sender.py
@@ -24,6 +24,7 @@
     BreakReason,
     ServerConnection,
 )
+from sardinetrack.relay.server_notices import apply_notices
 from sardinetrack.relay.trace import Placement, Trace
 from sardinetrack.topology.configuration import RouteKind
 from sardinetrack.topology.servers import BackendServer
@@ -70,10 +71,13 @@
 
         :return: the attempt, whose outcome is known.
         :raises NotConnectedError: nothing was sent.
+        :raises ServerUnavailableError: nothing was sent.
         :raises RequestError: the request is no longer allowed; nothing was
             sent.
         """
         server = placement.candidate.server
+        # Before a connection is taken, which would be closed unused.
+        self._state.check_available(server)
         self.server = server
         target = SendTarget.of(self._state, server)
         try:
@@ -125,6 +129,12 @@
             self._adapter,
             progress,
             streams=plan.route.kind is RouteKind.STREAMING,
+            on_head=partial(
+                apply_notices,
+                self._state,
+                target.server,
+                self._call.request_id,
+            ),
             on_first_event=partial(_first_event, placement.permit, target),
         )
 
@@ -159,18 +169,17 @@
     def _recheck(self, plan: Plan, server: BackendServer) -> None:
         """Check again what may have changed while the request waited.
 
-        Otherwise a revoked key or a draining server would get requests for as
-        long as requests wait.
+        Otherwise a revoked key, or a draining or resting server, would get
+        requests for as long as requests wait.
 
         :raises CancelledError: the caller has disconnected, handled as if that
             had been read.
-        :raises NotConnectedError: the server may get no more requests.
+        :raises ServerUnavailableError: the server may get no more requests.
         """
         if self._caller.disconnected:
             raise asyncio.CancelledError
         check_still_allowed(self._state, plan, self._call)
-        if self._state.servers.get(server.instance) is None:
-            raise NotConnectedError('the server accepts no more requests')
+        self._state.check_available(server)
 
     def _sending(
         self,
@@ -277,6 +286,7 @@
         error: NotConnectedError,
     ) -> None:
         detail, server = str(error), target.server
+        self._trace.unreachable.add(server.instance)
         if isinstance(error.__cause__, ConnectionRefusedError):
             self._state.sides.server_unreachable(server.instance, detail)
         target.record_failure(self._loop.time())
--- a/src/sardinetrack/relay/server_choice.py
+++ b/src/sardinetrack/relay/server_choice.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Sequence
 from functools import partial
 from typing import Final
@@ -66,6 +67,7 @@
 _FINGERPRINT_DIGITS: Final = 16
 """64 bits: two of the requests that a side remembers collide once in 10^11
 times."""
+_MILLISECONDS: Final = 1000
 SERVER_UNREACHABLE_RETRY_SECONDS: Final = 0.3
 """When to retry after a server was unreachable or full."""
 
@@ -94,7 +96,7 @@
         """
         candidates = self._candidates(plan)
         if not candidates or len(self._trace.unreachable) > MAX_UNREACHABLE:
-            raise self._no_server_error(plan)
+            raise self.no_server_error(plan)
         if not plan.pool.runs_models:
             return self._place_plain(plan, candidates[0])
         began_seconds = self._loop.time()
@@ -103,8 +105,15 @@
         finally:
             self._record_wait(self._loop.time() - began_seconds)
 
-    def _no_server_error(self, plan: Plan) -> RequestError:
+    def no_server_error(self, plan: Plan) -> RequestError:
         """Return the error for a request that no server can run."""
+        rest_seconds = self._state.rest_seconds(plan.pool.name)
+        if rest_seconds > 0:
+            return RequestError(
+                ErrorKind.NOT_RUN_NO_SERVER,
+                'all servers have asked for rest',
+                retry_after_seconds=_round_up(rest_seconds),
+            )
         servers = self._state.servers
         if servers.only_evacuated(plan.pool.name):
             return RequestError(
@@ -289,3 +298,8 @@
                 refusal.retry_after_seconds for refusal in refusals
             ),
         )
+
+
+def _round_up(seconds: float) -> float:
+    """Round to the milliseconds of a response, for no return too early."""
+    return math.ceil(seconds * _MILLISECONDS) / _MILLISECONDS
--- a/src/sardinetrack/relay/server_states.py
+++ b/src/sardinetrack/relay/server_states.py
@@ -7,6 +7,7 @@
 from sardinetrack.placement.load import EstimatedLoad
 from sardinetrack.relay.cold_start import ColdStartTracker
 from sardinetrack.relay.lengths import OutputLengths
+from sardinetrack.relay.server_rest import ServerRests
 from sardinetrack.relay.side_links import SideLinks
 from sardinetrack.routing.breaker import Breaker
 from sardinetrack.topology.configuration import Pool
@@ -14,6 +15,10 @@
 from sardinetrack.turns.driver import LocalAdmission
 
 
+class ServerUnavailableError(Exception):
+    """The server gets no new requests since it was chosen; nothing was sent."""
+
+
 class ServerStates:
     """Loads, breakers and local admissions, created on first use."""
 
@@ -24,13 +29,15 @@
         """
         self.cold_starts = ColdStartTracker(sides)
         self.lengths = OutputLengths()
+        self.rests = ServerRests()
         self.loads: dict[str, EstimatedLoad] = {}
         self._breakers: dict[str, Breaker] = {}
         self._local_admissions: dict[str, LocalAdmission] = {}
 
     def __len__(self) -> int:
         """Count the servers for which any state is kept."""
-        return len({*self.loads, *self._breakers, *self._local_admissions})
+        kept = {*self.loads, *self._breakers, *self._local_admissions}
+        return len(kept) + len(self.rests)
 
     def load(self, server: BackendServer) -> EstimatedLoad:
         """Return the estimated load of a server."""
@@ -73,7 +80,10 @@
         return breaker is None or breaker.allows(now)
 
     def forget(self, instance: str) -> None:
-        """Forget a server, or its former start."""
+        """Forget a server, or its former start.
+
+        A rest, of a few seconds, stays: it is not known which start asked.
+        """
         for kept in (self.loads, self._breakers, self._local_admissions):
             kept.pop(instance, None)
 
@@ -87,3 +97,4 @@
             for stale in set(kept) - set(instances):
                 kept.pop(stale)
         self.cold_starts.keep(instances)
+        self.rests.keep(instances)
--- a/tests/platform/steps/translation_steps.py
+++ b/tests/platform/steps/translation_steps.py
@@ -272,6 +272,33 @@
     )
 
 
+@given('a response with status {status:d}')
+def response_head(context, status):
+    _parse_response(context, status)
+
+
+@given('a response with status {status:d} and {name} {content}')
+def response_with_header(context, status, name, content):
+    header = (name.lower().encode(), content.encode())
+    _parse_response(context, status, header)
+
+
+def _parse_response(context, status, *headers):
+    stamp = (b'x-sardinetrack-server-stamp', b's1')
+    adapter = PlatformProtocolAdapter()
+    context.response = adapter.parse_response_head(status, (stamp, *headers))
+
+
+@then('the server asks for no seconds of rest')
+def asks_for_none(context):
+    assert context.response.rest_seconds is None, context.response
+
+
+@then('the server asks for {seconds:g} seconds of rest')
+def asks_for_rest(context, seconds):
+    assert context.response.rest_seconds == seconds, context.response
+
+
 @then('no module outside the adapter contains a name of the platform')
 def no_platform_names(context):
     found = [
--- a/tests/platform/translation.feature
+++ b/tests/platform/translation.feature
@@ -65,3 +65,26 @@
   Scenario: Only some responses prove that the request has not run
     Then these responses prove that nothing has run: 421, 503 with the header
     And these do not: 500, 503, 504
+
+  Scenario Outline: The rest that a server asks for
+    Given a response with status <status> and Retry-After <content>
+    Then the server asks for <rest> of rest
+
+    Examples:
+      | status | content                       | rest        |
+      | 503    | 3                             | 3 seconds   |
+      | 503    | 0.25                          | 0.25 seconds |
+      | 429    | 2                             | 2 seconds   |
+      | 503    | 0                             | 0 seconds   |
+      | 503    | -1                            | no seconds  |
+      | 503    | nan                           | no seconds  |
+      | 503    | inf                           | no seconds  |
+      | 503    | 1e999                         | no seconds  |
+      | 503    | soon                          | no seconds  |
+      | 503    | Wed, 21 Oct 2026 07:28:00 GMT | no seconds  |
+      | 500    | 3                             | no seconds  |
+      | 200    | 3                             | no seconds  |
+
+  Scenario: A refusal without a time asks for no rest
+    Given a response with status 503
+    Then the server asks for no seconds of rest
--- a/tests/relay/steps/evacuation_steps.py
+++ b/tests/relay/steps/evacuation_steps.py
@@ -151,7 +151,7 @@
         for line in context.world.lines()
         if line['event'] == 'request_ended'
     ]
-    word = 'evacuated' if 'evacuated' in why else 'cold'
+    word = next(one for one in ('evacuated', 'cold', 'rest') if one in why)
     assert word in ended[-1]['reason'], ended
 
 
--- a/tests/relay/steps/relay_steps.py
+++ b/tests/relay/steps/relay_steps.py
@@ -8,7 +8,7 @@
 from dataclasses import replace
 
 from behave import given, then, when
-from tests.support.relay_servers import EVENTS
+from tests.support.relay_servers import EVENTS, SharedActs
 from tests.support.relay_world import (
     RelayWorld,
     Reply,
@@ -152,38 +152,25 @@
 def interrupt_first(context):
     # The hash decides which server is the home server: the first that gets a
     # request interrupts its response, whichever it is.
-    shared = _Shared('cut')
+    shared = SharedActs('cut')
     for server in context.world.servers:
         server.acts = shared
 
 
 @when('the first server that gets a request fails it')
 def fail_first(context):
-    shared = _Shared('fail')
+    shared = SharedActs('fail')
     for server in context.world.servers:
         server.acts = shared
 
 
 @when('the first server that gets a request hangs')
 def hang_first(context):
-    shared = _Shared('hang')
+    shared = SharedActs('hang')
     for server in context.world.servers:
         server.acts = shared
 
 
-class _Shared:
-    """One act for the first request at any of the servers."""
-
-    def __init__(self, act):
-        self._acts = [act]
-
-    def __bool__(self):
-        return bool(self._acts)
-
-    def popleft(self):
-        return self._acts.pop()
-
-
 @when('every server interrupts its next stream')
 def interrupt_next(context):
     _act(context, 'cut')
--- a/tests/support/relay_servers.py
+++ b/tests/support/relay_servers.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections import deque
 from contextlib import suppress
+from dataclasses import dataclass, field
 
 STAMP = 'X-Sardinetrack-Server-Stamp: s1'
 EVENTS = 6
@@ -15,6 +16,35 @@
 )
 
 
+class SharedActs:
+    """Acts of several servers, for the first requests at any of them."""
+
+    def __init__(self, *acts):
+        self._acts = deque(acts)
+
+    def __bool__(self):
+        return bool(self._acts)
+
+    def popleft(self):
+        return self._acts.popleft()
+
+
+@dataclass
+class Notices:
+    """What a server says about itself in the heads of its responses."""
+
+    rests: deque = field(default_factory=deque)
+    """Seconds of rest that its next refusals ask for."""
+    rests_until: float = 0
+    """By the clock of the event loop."""
+    leaving: bool = False
+    leaving_act: str = 'answer'
+    """What it does when it first says that it leaves (act ``leave``)."""
+    held_act: str = 'answer'
+    """What follows the act ``held`` once it is released."""
+    released: asyncio.Event = field(default_factory=asyncio.Event)
+
+
 class ScriptedServer:
     """Performs one act for each request; responds normally if none is left.
 
@@ -33,6 +63,7 @@
         self.down = False
         self.failure_domain = 'galata'
         self.cold_seconds = 0
+        self.notices = Notices()
         self._server = None
 
     async def open(self, ip='127.0.0.1'):
@@ -108,15 +139,35 @@
 
     async def _shed(self, fields, reader, writer):
         writer.write(
-            b'HTTP/1.1 503 Full\r\nX-Sardinetrack-Not-Processed: 1\r\n'
-            b'Content-Length: 0\r\n\r\n',
+            self._refusal('503 Full', 'X-Sardinetrack-Not-Processed: 1')
         )
 
     async def _misdirect(self, fields, reader, writer):
+        writer.write(self._refusal('421 Another'))
+
+    async def _rest(self, fields, reader, writer):
         writer.write(
-            b'HTTP/1.1 421 Another\r\nContent-Length: 0\r\n\r\n',
+            self._refusal(
+                '503 Full',
+                'X-Sardinetrack-Not-Processed: 1',
+                self._retry_after(),
+            ),
         )
 
+    async def _held(self, fields, reader, writer):
+        await self.notices.released.wait()
+        act = getattr(self, f'_{self.notices.held_act}')
+        await act(fields, reader, writer)
+
+    async def _rest_other(self, fields, reader, writer):
+        other = 'X-Sardinetrack-Request-Id: another'
+        writer.write(self._refusal('503 Full', other, self._retry_after()))
+
+    async def _leave(self, fields, reader, writer):
+        self.notices.leaving = True
+        act = getattr(self, f'_{self.notices.leaving_act}')
+        await act(fields, reader, writer)
+
     async def _pause(self, fields, reader, writer):
         head = self._head(fields, '200 OK')
         writer.write(f'{head}Transfer-Encoding: chunked\r\n\r\n'.encode())
@@ -154,10 +205,23 @@
     def _head(self, fields, status):
         request_id = fields['x-sardinetrack-request-id']
         return (
-            f'HTTP/1.1 {status}\r\n{STAMP}\r\n'
+            f'HTTP/1.1 {status}\r\n{STAMP}\r\n{self._leaving_line()}'
             f'X-Sardinetrack-Request-Id: {request_id}\r\n'
         )
 
+    def _refusal(self, status, *lines):
+        head = (f'HTTP/1.1 {status}', *lines, 'Content-Length: 0')
+        return '\r\n'.join((*head, f'{self._leaving_line()}\r\n')).encode()
+
+    def _leaving_line(self):
+        return 'Server-Leaving: 1\r\n' if self.notices.leaving else ''
+
+    def _retry_after(self):
+        seconds = self.notices.rests.popleft()
+        until = asyncio.get_running_loop().time() + seconds
+        self.notices.rests_until = max(self.notices.rests_until, until)
+        return f'Retry-After: {seconds}'
+
 
 def _fields(head):
     lines = head.decode().split('\r\n')[1:-2]
