Nothing new is sent to a server that says in a response that it leaves

Seen: the users' rule DRAIN: a request reaches an engine later than drainMs after a machine passed on an answer of it with Server-Leaving.

Cause: the header was not read, and was forwarded to callers.

Change: the adapter reads and drops it; the head of any response, also one to another request, marks the start to which the request was sent (`AnnouncedLeavings` beside the records of `ServerList`). The list then shows its record as leaving, so all that holds for a draining server holds for it: not chosen, checked again at the moment of sending, running requests end, no grace period, its end no crash. The mark outlasts records that say otherwise and the removal of the record; a later start ends it. Of unlisted servers the newest 1,000 marks are kept. A 421 marks nothing: another server responded. `server_listed` reports what is in effect, not what the record says.

Why it works: records and marks are kept apart, so no record, however it arrives, can undo a mark, and a side's report of a later start brings back the record as it was. The mark is set in the iteration of the event loop that reads the head, before the next send.

Ruled out: changing the known record (the next one that says ready undoes it); a set of ids for good (a later start would never get work).

The check for names of the platform outside its adapter knows the header too.

--- a/src/sardinetrack/logs/events.py
+++ b/src/sardinetrack/logs/events.py
@@ -45,6 +45,7 @@
     SERVER_REFUSED = 'server_refused'
     SERVER_RESTARTED = 'server_restarted'
     SERVER_SUSPECT = 'server_suspect'
+    SERVER_LEAVING = 'server_leaving'
     SERVER_REST = 'server_rest'
     SERVER_CRASHED = 'server_crashed'
     EVACUATION = 'evacuation'
--- a/src/sardinetrack/platform/protocol_adapter.py
+++ b/src/sardinetrack/platform/protocol_adapter.py
@@ -22,6 +22,7 @@
 _REQUEST_ID: Final = b'x-sardinetrack-request-id'
 _SERVER_STAMP: Final = b'x-sardinetrack-server-stamp'
 _SERVER_LOAD: Final = b'x-sardinetrack-server-load'
+_SERVER_LEAVING: Final = b'server-leaving'
 _NOT_PROCESSED: Final = b'x-sardinetrack-not-processed'
 _TURNED_AWAY: Final = frozenset(
     (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS),
@@ -60,7 +61,7 @@
     ),
 )
 _DROPPED_FROM_REQUESTS: Final = _HOP_BY_HOP | _ROUTER_ONLY
-_DROPPED_FROM_RESPONSES: Final = _HOP_BY_HOP | {_SERVER_LOAD}
+_DROPPED_FROM_RESPONSES: Final = _HOP_BY_HOP | {_SERVER_LOAD, _SERVER_LEAVING}
 
 
 class PlatformProtocolAdapter(ProtocolAdapter):
@@ -139,6 +140,7 @@
             running=_parse_load(fields.get(_SERVER_LOAD)),
             idle_seconds=_parse_idle_timeout(fields.get(b'keep-alive', b'')),
             misdirected=misdirected,
+            leaving=fields.get(_SERVER_LEAVING) == b'1' and not misdirected,
             rest_seconds=_parse_rest(status, fields.get(b'retry-after')),
         )
 
--- a/src/sardinetrack/relay/api.py
+++ b/src/sardinetrack/relay/api.py
@@ -55,6 +55,8 @@
     """How long the server keeps an idle connection open."""
     misdirected: bool = False
     """A server other than the addressed one runs at that address."""
+    leaving: bool = False
+    """The addressed server says that it leaves."""
     rest_seconds: float | None = None
     """How long the server, which turns the request away, wants no more."""
 
--- a/src/sardinetrack/relay/entry_state.py
+++ b/src/sardinetrack/relay/entry_state.py
@@ -219,6 +219,16 @@
         """Mark a server at whose address another server has responded."""
         self.servers.record_misaddressed(boot_clock(), server.instance)
 
+    def mark_leaving(self, server: BackendServer) -> bool:
+        """Mark a server that has said in a response that it leaves.
+
+        :return: whether that was unknown.
+        """
+        news = self.servers.record_leaving(server.start)
+        if news:
+            self.apply_server_changes()
+        return news
+
     def is_superseded(self, server: BackendServer) -> bool:
         """Whether a later start of the server is known."""
         listed = self.servers.instances.get(server.instance)
--- a/src/sardinetrack/relay/feed_listeners.py
+++ b/src/sardinetrack/relay/feed_listeners.py
@@ -180,13 +180,14 @@
         self._refused.pop(stored.key, None)
         known = self._state.servers.instances.get(server.instance)
         self._state.servers.put(server)
-        if known is None or known.leaving != server.leaving:
+        listed = self._state.servers.instances[server.instance]
+        if known is None or known.leaving != listed.leaving:
             self._state.log.write(
                 Event.SERVER_LISTED,
                 server=server.instance,
                 pool=server.pool,
                 address=f'{server.ip}:{server.port}',
-                leaving=server.leaving,
+                leaving=listed.leaving,
                 revision=stored.version,
             )
 
--- a/src/sardinetrack/relay/meters.py
+++ b/src/sardinetrack/relay/meters.py
@@ -41,6 +41,8 @@
         """Servers that restarted under the same id."""
         self.rests = 0
         """Rests that servers asked for, as far as lines report them."""
+        self.announced_leavings = 0
+        """Servers that said in a response that they leave."""
         self.took = Histogram()
         self.waited = Histogram()
         self.first_event = Histogram()
--- a/src/sardinetrack/relay/metrics.py
+++ b/src/sardinetrack/relay/metrics.py
@@ -57,6 +57,7 @@
         'first_event', 'Arrival to first event', meters.first_event
     )
     yield from _view_metrics(state, store)
+    yield from _server_metrics(state)
     yield _total('log_lines_dropped', 'Dropped lines', state.log.dropped)
 
 
@@ -80,21 +81,6 @@
         'Listed entries that name no server',
         meters.refused_entries,
     )
-    yield _total(
-        'server_restarts',
-        'Servers that started again under their id',
-        meters.restarts,
-    )
-    yield _total(
-        'server_rests',
-        'Rests that servers asked for',
-        meters.rests,
-    )
-    yield _gauge(
-        'resting_servers',
-        'Servers that get nothing until their rest ends',
-        len(state.server_states.rests.in_force(boot_clock())),
-    )
     yield _gauge(
         'evacuated_domains',
         'Failure domains that get no new work',
@@ -115,6 +101,31 @@
     )
 
 
+def _server_metrics(state: EntryState) -> Iterable[Metric]:
+    """Return the metrics of what an entry knows of its servers."""
+    meters = state.meters
+    yield _total(
+        'server_restarts',
+        'Servers that started again under their id',
+        meters.restarts,
+    )
+    yield _total(
+        'leaving_announced',
+        'Servers that said in a response that they leave',
+        meters.announced_leavings,
+    )
+    yield _total(
+        'server_rests',
+        'Rests that servers asked for',
+        meters.rests,
+    )
+    yield _gauge(
+        'resting_servers',
+        'Servers that get nothing until their rest ends',
+        len(state.server_states.rests.in_force(boot_clock())),
+    )
+
+
 def side_metrics(side: SideServer, store: StoreCounters) -> Iterable[Metric]:
     """Return the metrics of a side.
 
--- a/src/sardinetrack/relay/server_notices.py
+++ b/src/sardinetrack/relay/server_notices.py
@@ -21,6 +21,14 @@
     """
     if response.rest_seconds is not None:
         _apply_rest(state, server, request_id, response)
+    if response.leaving and state.mark_leaving(server):
+        state.meters.announced_leavings += 1
+        state.log.write(
+            Event.SERVER_LEAVING,
+            server=server.instance,
+            request=request_id,
+            source='response',
+        )
 
 
 def _apply_rest(
--- a/src/sardinetrack/topology/servers.py
+++ b/src/sardinetrack/topology/servers.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, replace
 from typing import Final
 
+from sardinetrack.topology.announced import AnnouncedLeavings
 from sardinetrack.topology.starts import ServerStart, written_before
 
 RELIST_GRACE_SECONDS: Final = 1.6
@@ -63,6 +64,8 @@
 
     def __init__(self) -> None:
         """Start without servers."""
+        self.announced = AnnouncedLeavings()
+        self._instances: dict[str, BackendServer] = {}
         self._listed: dict[str, BackendServer] = {}
         self._missing: dict[str, float] = {}
         self._misaddressed: dict[str, float] = {}
@@ -90,7 +93,7 @@
             server.pool == pool
             and not server.leaving
             and server.failure_domain in self._evacuated
-            for server in self._listed.values()
+            for server in self._instances.values()
         )
 
     def replace(self, now: float, servers: Iterable[BackendServer]) -> None:
@@ -168,6 +171,20 @@
             self._misaddressed[instance] = now + ADDRESS_CONFLICT_SECONDS
             self._rebuild_pools()
 
+    def record_leaving(self, start: ServerStart) -> bool:
+        """Send a server no new work: it has announced that it leaves.
+
+        :param start: that announced it.
+        :return: whether the server was not known to leave.
+        """
+        known = self._instances.get(start.instance)
+        former = known is not None and known.start.supersedes(start)
+        if former or start in self.announced:
+            return False
+        self.announced.add(start)
+        self._rebuild_pools()
+        return known is None or not known.leaving
+
     def expire(self, now: float) -> tuple[str, ...]:
         """Remove the servers that were not listed again in time.
 
@@ -201,7 +218,7 @@
     @property
     def instances(self) -> Mapping[str, BackendServer]:
         """All listed servers, also those that are draining."""
-        return self._listed
+        return self._instances
 
     def _newest(self, server: BackendServer) -> BackendServer:
         """Return the known record if the given one is older."""
@@ -210,30 +227,41 @@
             return known
         return server
 
+    def _announced(self, server: BackendServer) -> BackendServer:
+        """Return the record with what its server has announced."""
+        if not server.leaving and server.start in self.announced:
+            return replace(server, leaving=True)
+        return server
+
     def _unlist(
         self,
         now: float,
         instance: str,
         listed: dict[str, BackendServer],
     ) -> None:
-        server = self._listed[instance]
+        server = self._instances[instance]
         taken = any(
             other.address == server.address for other in listed.values()
         )
         if server.leaving or taken or now >= self._grace_until_seconds:
             self._missing.pop(instance, None)
             return
-        listed[instance] = server
+        listed[instance] = self._listed[instance]
         self._missing.setdefault(instance, self._grace_until_seconds)
 
     def _rebuild_pools(self) -> None:
-        """Compute which servers get work.
+        """Compute which servers are leaving, and which get work.
 
         Of two servers at one address the one whose record was written last
         runs there; the record of the other one is about to expire.
         """
+        self.announced.update(self._listed)
+        self._instances = {
+            instance: self._announced(server)
+            for instance, server in self._listed.items()
+        }
         at_address: dict[tuple[str, int], BackendServer] = {}
-        for server in self._listed.values():
+        for server in self._instances.values():
             other = at_address.get(server.address)
             later = other is None or server.revision >= other.revision
             if later and server.instance not in self._misaddressed:
--- a/tests/platform/server_objects.feature
+++ b/tests/platform/server_objects.feature
@@ -81,3 +81,11 @@
     When hypothesis writes 300 objects in place of the first
     Then each defined a server only if every field was valid
     And the second server was available all the time
+
+  Scenario: Records of a server that has announced its end change nothing
+    Given a fleet that lists 2 valid servers
+    When the first server announces its end
+    And the object of the first is valid again
+    And everything is listed 2 times
+    Then only the second server is available
+    And no line lists the first server again
--- a/tests/platform/steps/server_object_steps.py
+++ b/tests/platform/steps/server_object_steps.py
@@ -108,6 +108,25 @@
     _change(context, _FIRST_KEY, text)
 
 
+@when('the first server announces its end')
+def announce_end(context):
+    async def act():
+        first = context.state.servers.instances['i-0']
+        assert context.state.mark_leaving(first)
+
+    context.loop.run_until_complete(act())
+
+
+@then('no line lists the first server again')
+def not_listed_again(context):
+    context.log.flush()
+    try:
+        raw = os.read(context.log_read, 100_000)
+    except BlockingIOError:
+        return
+    assert b'server_listed' not in raw, raw
+
+
 @when('everything is listed {count:d} times')
 def list_often(context, count):
     for _ in range(count):
--- a/tests/platform/steps/translation_steps.py
+++ b/tests/platform/steps/translation_steps.py
@@ -30,7 +30,7 @@
     r'x-sardinetrack-|/v1/(readyz|report|objects|hold|kv-)|SARDINETRACK_BOOT|'
     'kvCapacity|pathPrefix|weightedServices|streamResume|sessionAffinity|'
     'maxAttempts|apiKeys|healthPath|warmupLeftMs|internalPortRange|'
-    'listenAddresses|nodeName',
+    'listenAddresses|nodeName|server-leaving',
     re.IGNORECASE,
 )
 _ALLOWED_PACKAGES = ('platform', 'standin')
@@ -299,6 +299,13 @@
     assert context.response.rest_seconds == seconds, context.response
 
 
+@then('the server {leaves}, and its caller gets no such header')
+def says_leaving(context, leaves):
+    assert context.response.leaving is (leaves == 'leaves'), context.response
+    assert b'server-leaving' not in context.response.forwarded
+    assert b'server-stamp' in context.response.forwarded
+
+
 @then('no module outside the adapter contains a name of the platform')
 def no_platform_names(context):
     found = [
--- a/tests/platform/translation.feature
+++ b/tests/platform/translation.feature
@@ -88,3 +88,18 @@
   Scenario: A refusal without a time asks for no rest
     Given a response with status 503
     Then the server asks for no seconds of rest
+
+  Scenario Outline: Servers that leave say so in a header
+    Given a response with status <status> and Server-Leaving <content>
+    Then the server <leaves>, and its caller gets no such header
+
+    Examples:
+      | status | content | leaves         |
+      | 200    | 1       | leaves         |
+      | 503    | 1       | leaves         |
+      | 200    | 0       | does not leave |
+      | 421    | 1       | does not leave |
+
+  Scenario: A response without that header
+    Given a response with status 200
+    Then the server does not leave, and its caller gets no such header
--- a/tests/topology/servers.feature
+++ b/tests/topology/servers.feature
@@ -118,3 +118,77 @@
     When a later server is listed at the first address
     And another server responds in place of the later one
     Then 3 servers get work, and the first does
+
+  Scenario: A server that has announced its end gets no work
+    Its responses say so before its record does.
+
+    Given 3 listed servers
+    When the first server announces its end
+    Then 2 servers get work, and the first does not
+    And the first server is listed as leaving
+
+  Scenario: An announced end outlasts records that say otherwise
+    Given 3 listed servers
+    When the first server is listed with start 900 and revision 20
+    And the first server announces its end
+    And the first server is listed with start 900 and revision 20
+    And the first server is listed with start 900 and revision 25
+    And the first server is listed with start 700 and revision 15
+    Then 2 servers get work, and the first does not
+
+  Scenario: A server that has announced its end has no grace period
+    Given 3 listed servers
+    When the first server announces its end
+    And the store is unreachable and returns with an empty list
+    Then 2 servers get work, and the first does not
+
+  Scenario: A server that is listed again after an announced end gets no work
+    Given 3 listed servers
+    When the first server is listed with start 900 and revision 20
+    And the first server announces its end
+    And the first server is no longer listed
+    And the first server is listed with start 900 and revision 25
+    Then 2 servers get work, and the first does not
+
+  Scenario: An announcement that arrives while the record is missing counts
+    Given 3 listed servers
+    When the first server is listed with start 900 and revision 20
+    And the first server is no longer listed
+    And the start 900 with revision 20 announces its end for the first time
+    And the first server is listed with start 900 and revision 25
+    Then 2 servers get work, and the first does not
+
+  Scenario: A server that reports no start is bound by its announcement
+    Given 3 listed servers
+    When the first server announces its end
+    And the first server is no longer listed
+    And the first server is listed again
+    Then 2 servers get work, and the first does not
+
+  Scenario: A later start has announced nothing
+    Given 3 listed servers
+    When the first server is listed with start 900 and revision 20
+    And the first server announces its end
+    And the first server is listed with start 950 and revision 30
+    Then 3 servers get work, and the first does
+
+  Scenario: A side reports the later start after an announced end
+    Given 3 listed servers
+    When the first server is listed with start 900 and revision 20
+    And the first server announces its end
+    And a side reports that the first server started at 950 with revision 30
+    Then 3 servers get work, and the first does
+
+  Scenario: A late announcement of a former start changes nothing
+    Given 3 listed servers
+    When the first server is listed with start 900 and revision 20
+    And the first server is listed with start 950 and revision 30
+    And the start 900 with revision 20 of the first server announces its end
+    Then 3 servers get work, and the first does
+
+  Scenario: Announcements of servers that are gone are bounded
+    Given 3 listed servers
+    When the first server announces its end
+    And 2000 other servers are listed, announce their end and disappear
+    Then 2 servers get work, and the first does not
+    And at most 1001 announcements are kept
--- a/tests/topology/steps/topology_steps.py
+++ b/tests/topology/steps/topology_steps.py
@@ -200,3 +200,46 @@
     assert len(available) == count, available
     assert ('i-0' in available) is (does == 'does'), available
     assert (context.servers.get('i-0') is not None) is (does == 'does')
+
+
+@when('the first server announces its end')
+def announce(context):
+    known = context.servers.instances['i-0']
+    assert context.servers.record_leaving(known.start)
+    assert not context.servers.record_leaving(known.start)
+
+
+@when(
+    'the start {started:d} with revision {revision:d} of the first server '
+    'announces its end',
+)
+def announce_late(context, started, revision):
+    start = ServerStart('i-0', started, revision)
+    assert not context.servers.record_leaving(start)
+
+
+@when(
+    'the start {started:d} with revision {revision:d} announces its end '
+    'for the first time',
+)
+def announce_unlisted(context, started, revision):
+    assert context.servers.record_leaving(ServerStart('i-0', started, revision))
+
+
+@then('the first server is listed as leaving')
+def listed_as_leaving(context):
+    assert context.servers.instances['i-0'].leaving
+
+
+@when('{count:d} other servers are listed, announce their end and disappear')
+def announce_many(context, count):
+    for number in range(10, 10 + count):
+        server = _server(number, ip='10.0.1.1')
+        context.servers.put(server)
+        context.servers.record_leaving(server.start)
+        context.servers.remove(context.now, server.instance)
+
+
+@then('at most {count:d} announcements are kept')
+def announcements_kept(context, count):
+    assert len(context.servers.announced) <= count
