--- a/src/sardinetrack/relay/attempt.py
+++ b/src/sardinetrack/relay/attempt.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from abc import ABC, abstractmethod
 from dataclasses import dataclass
 from enum import Enum, auto
 from http import HTTPStatus
@@ -40,6 +40,18 @@
     """When the first event arrived, on the clock of the event loop."""
 
 
+class AttemptObserver(ABC):
+    """Learns from a response before it is complete."""
+
+    @abstractmethod
+    def head_received(self, response: ResponseHead) -> None:
+        """Handle the head of any response, also of one to another request."""
+
+    @abstractmethod
+    def first_event_received(self) -> None:
+        """Handle the first event of the stream."""
+
+
 class ServerAttempt(ResponseSink):
     """Forwards events as they arrive; buffers any other response."""
 
@@ -52,7 +64,7 @@
         *,
         streams: bool,
         connection_unused: bool,
-        on_first_event: Callable[[], None],
+        observer: AttemptObserver,
     ) -> None:
         loop = asyncio.get_running_loop()
         self.done: asyncio.Future[SendOutcome] = loop.create_future()
@@ -70,7 +82,7 @@
         self._progress = progress
         self._streams = streams
         self._connection_unused = connection_unused
-        self._on_first_event = on_first_event
+        self._observer = observer
         self._pieces: list[bytes] = []
         self._size = 0
         self._forwards = False
@@ -86,6 +98,7 @@
     ) -> None:
         """Check the head; end the attempt if the response is not acceptable."""
         response = self._adapter.parse_response_head(status, headers)
+        self._observer.head_received(response)
         self.last_data_seconds = self._loop.time()
         doubt = self._attribution_doubt(response)
         if doubt:
@@ -202,7 +215,7 @@
 
     def _start_response(self) -> None:
         self.first_event_received = True
-        self._on_first_event()
+        self._observer.first_event_received()
         response = self.response
         if not self._caller_response.started and response is not None:
             self._progress.first_event_seconds = self._loop.time()
--- a/src/sardinetrack/relay/exchange.py
+++ b/src/sardinetrack/relay/exchange.py
@@ -15,10 +15,8 @@
 from sardinetrack.relay.events import EventSplitter
 from sardinetrack.relay.request_plan import Plan, make_plan
 from sardinetrack.relay.sender import Sender
-from sardinetrack.relay.server_choice import (
-    SERVER_UNREACHABLE_RETRY_SECONDS,
-    Placer,
-)
+from sardinetrack.relay.server_choice import Placer
+from sardinetrack.relay.server_states import ServerUnavailableError
 from sardinetrack.relay.trace import Trace
 from sardinetrack.turns.clock import loop_now
 
@@ -136,8 +134,7 @@
                 attempt = await self._sender.send(
                     plan, placement, self.progress
                 )
-            except NotConnectedError:
-                self.trace.unreachable.add(placement.candidate.server.instance)
+            except (NotConnectedError, ServerUnavailableError):
                 continue
             finally:
                 placement.permit.release(complete=self.delivered)
@@ -164,7 +161,14 @@
         elif outcome is SendOutcome.ANSWERED and not self._response.started:
             attempt.deliver_buffered()
         else:
-            raise _final_error(outcome, attempt.reason)
+            raise self._final_error(plan, outcome, attempt.reason)
+
+    def _final_error(
+        self, plan: Plan, outcome: SendOutcome, reason: str
+    ) -> RequestError:
+        if outcome is SendOutcome.NOT_RUN:
+            return self._placer.no_server_error(plan)
+        return RequestError(ErrorKind.OUTCOME_UNKNOWN, reason)
 
     def _may_retry(self, plan: Plan, outcome: SendOutcome) -> bool:
         if outcome is not SendOutcome.NOT_RUN and not plan.route.repeatable:
@@ -173,13 +177,6 @@
             return False
         if self._refused_seconds(plan) > 0:
             return False
+        if self._state.rest_seconds(plan.pool.name) > 0:
+            return False
         return self._state.budget(plan.pool.name).try_withdraw()
-
-
-def _final_error(outcome: SendOutcome, reason: str) -> RequestError:
-    if outcome is SendOutcome.NOT_RUN:
-        return RequestError(
-            ErrorKind.NOT_RUN_NO_SERVER,
-            retry_after_seconds=SERVER_UNREACHABLE_RETRY_SECONDS,
-        )
-    return RequestError(ErrorKind.OUTCOME_UNKNOWN, reason)
--- a/src/sardinetrack/relay/sender.py
+++ b/src/sardinetrack/relay/sender.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from functools import partial
 from typing import Final
 
 from sardinetrack.logs.events import Event
@@ -18,12 +17,12 @@
 from sardinetrack.relay.caller_connection import CallerConnection
 from sardinetrack.relay.connection_pool import IDLE_SECONDS, NotConnectedError
 from sardinetrack.relay.entry_state import EntryState
-from sardinetrack.relay.permit import Permit
 from sardinetrack.relay.request_plan import Plan, check_still_allowed
 from sardinetrack.relay.server_connection import (
     BreakReason,
     ServerConnection,
 )
+from sardinetrack.relay.server_notices import ServerNotices
 from sardinetrack.relay.target import Target
 from sardinetrack.relay.trace import Placement, Trace
 from sardinetrack.topology.configuration import RouteKind
@@ -72,10 +71,13 @@
 
         :return: the attempt, whose outcome is known.
         :raises NotConnectedError: nothing was sent.
+        :raises ServerUnavailableError: nothing was sent.
         :raises RequestError: the request is no longer allowed; nothing was
             sent.
         """
         server = placement.candidate.server
+        # Before a connection is taken, which would be closed unused.
+        self._state.check_available(server)
         self.server = server
         target = Target.of(self._state, server)
         try:
@@ -131,7 +133,12 @@
             progress,
             streams=streams and self._call.method != _HEAD,
             connection_unused=connection.unused,
-            on_first_event=partial(_first_event, placement.permit, target),
+            observer=ServerNotices(
+                self._state,
+                target,
+                placement.permit,
+                self._call.request_id,
+            ),
         )
 
     async def _exchange(
@@ -166,18 +173,17 @@
     def _recheck(self, plan: Plan, server: BackendServer) -> None:
         """Check again what may have changed while the request waited.
 
-        Otherwise a revoked key or a draining server would get requests for as
-        long as requests wait.
+        Otherwise a revoked key, or a draining or resting server, would get
+        requests for as long as requests wait.
 
         :raises CancelledError: the caller has disconnected, handled as if that
             had been read.
-        :raises NotConnectedError: the server may get no more requests.
+        :raises ServerUnavailableError: the server may get no more requests.
         """
         if self._caller.disconnected:
             raise asyncio.CancelledError
         check_still_allowed(self._state, plan, self._call)
-        if self._state.servers.get(server.instance) is None:
-            raise NotConnectedError('the server accepts no more requests')
+        self._state.check_available(server)
 
     def _sending(
         self,
@@ -301,6 +307,7 @@
         error: NotConnectedError,
     ) -> None:
         detail, server = str(error), target.server
+        self._trace.unreachable.add(server.instance)
         if isinstance(error.__cause__, ConnectionRefusedError):
             self._state.sides.server_unreachable(server.instance, detail)
         target.record_failure(self._loop.time())
@@ -311,9 +318,3 @@
             cause=detail or 'no connection in time',
             breaker=target.breaker.state.value,
         )
-
-
-def _first_event(permit: Permit, target: Target) -> None:
-    """Record the first event, which already shows that the server works."""
-    permit.first_event_received()
-    target.record_success()
--- /dev/null
+++ b/src/sardinetrack/relay/server_notices.py
@@ -0,0 +1,71 @@
+"""What servers say about themselves in their responses."""
+
+from __future__ import annotations
+
+from sardinetrack.logs.events import Event
+from sardinetrack.relay.api import ResponseHead
+from sardinetrack.relay.attempt import AttemptObserver
+from sardinetrack.relay.entry_state import EntryState
+from sardinetrack.relay.permit import Permit
+from sardinetrack.relay.target import Target
+from sardinetrack.topology.freshness import boot_clock
+
+
+class ServerNotices(AttemptObserver):
+    """Applies to a server what the response to one attempt says of it."""
+
+    def __init__(
+        self,
+        state: EntryState,
+        target: Target,
+        permit: Permit,
+        request_id: str,
+    ) -> None:
+        """Create the observer of one attempt.
+
+        :param target: the server.
+        :param permit: of the attempt.
+        :param request_id: of the request that was sent.
+        """
+        self._state = state
+        self._target = target
+        self._permit = permit
+        self._request_id = request_id
+
+    def head_received(self, response: ResponseHead) -> None:
+        """Apply a request for rest and the announcement of a leaving."""
+        if response.rest_seconds is not None:
+            self._apply_rest(response.rest_seconds, response.status)
+        if response.leaving:
+            self._apply_leaving()
+
+    def first_event_received(self) -> None:
+        """Record the first event, which already shows that it works."""
+        self._permit.first_event_received()
+        self._target.record_success()
+
+    def _apply_rest(self, seconds: float, status: int) -> None:
+        instance = self._target.server.instance
+        rests = self._state.server_states.rests
+        if not rests.begin(boot_clock(), instance, seconds):
+            return
+        self._state.meters.rests += 1
+        self._state.log.write(
+            Event.SERVER_REST,
+            server=instance,
+            seconds=seconds,
+            request=self._request_id,
+            status=status,
+        )
+
+    def _apply_leaving(self) -> None:
+        server = self._target.server
+        if not self._state.mark_leaving(server):
+            return
+        self._state.meters.announced_leavings += 1
+        self._state.log.write(
+            Event.SERVER_LEAVING,
+            server=server.instance,
+            request=self._request_id,
+            source='response',
+        )
