--- a/tests/relay/rest.feature
+++ b/tests/relay/rest.feature
@@ -80,6 +80,14 @@
     And the server turns them away and asks for 2 seconds of rest
     Then every caller gets status 503
     And the server got only the streams that it held
+    And the entry keeps the connections of these streams
+
+  Scenario: A request that no server may get spends no retry
+    Given a relay in front of 1 plain server
+    When every server asks for 1 seconds of rest
+    And 1 callers fetch one after the other
+    Then every caller gets status 503
+    And no server is suspected, and 0 requests were retried
 
   Scenario: A resting server gets nothing where breakers are ignored
     Given a relay in front of 4 plain servers
--- a/tests/relay/steps/rest_steps.py
+++ b/tests/relay/steps/rest_steps.py
@@ -139,6 +139,13 @@
     assert got == context.held, (got, context.held)
 
 
+@then('the entry keeps the connections of these streams')
+def keeps_connections(context):
+    address = ('127.0.0.1', context.world.servers[0].port)
+    kept = context.world.entry_state.connections.connections(address)
+    assert kept == context.held, (kept, context.held)
+
+
 def _resting(context):
     return next(one for one in context.world.servers if one.notices.rests_until)
 
--- a/tests/topology/servers.feature
+++ b/tests/topology/servers.feature
@@ -141,6 +141,7 @@
     When the first server announces its end
     And the store is unreachable and returns with an empty list
     Then 2 servers get work, and the first does not
+    And the first server is not kept
 
   Scenario: A server that is listed again after an announced end gets no work
     Given 3 listed servers
--- a/tests/topology/steps/topology_steps.py
+++ b/tests/topology/steps/topology_steps.py
@@ -226,6 +226,11 @@
     assert context.servers.record_leaving(ServerStart('i-0', started, revision))
 
 
+@then('the first server is not kept')
+def is_not_kept(context):
+    assert 'i-0' not in context.servers.instances
+
+
 @then('the first server is listed as leaving')
 def listed_as_leaving(context):
     assert context.servers.instances['i-0'].leaving
