--- a/benchmarks/chaos/virtual/client.py
+++ b/benchmarks/chaos/virtual/client.py
@@ -21,6 +21,7 @@
 from benchmarks.chaos.virtual.pipe import Pipe, PipeBrokenError
 from benchmarks.chaos.virtual.serve import RawHeaders, VirtualRequest
 from sardinetrack.http.client import (
+    EXCHANGE_HEADER,
     ConnectionBrokenError,
     HttpClient,
     RequestNotSentError,
@@ -52,10 +53,13 @@
         headers: Iterable[tuple[str, str]] = (),
         body: bytes = b'',
         read_timeout_seconds: float | None = None,
+        exchange_id: str | None = None,
     ) -> AsyncIterator[StreamedResponse]:
         """Send a request and yield its response while it arrives."""
         address, target = _split(url)
         pairs = [*headers, ('host', address)]
+        if exchange_id is not None:
+            pairs.append((EXCHANGE_HEADER, exchange_id))
         if body or method != 'GET':
             pairs.append(('content-length', str(len(body))))
         request = VirtualRequest(method, target, _encoded(pairs), body)
