A request for a protocol upgrade gets one response

A server ran such a request with an empty body, whatever body its caller had sent (UNASKED).

Cause: httptools skips the body of such a request, calls on_message_complete, which queues it, and raises HttpParserUpgrade. CallerConnection.data_received queued an error response for that as well.

Evidence: the new scenarios on the code before:

A request for a protocol upgrade gets one response -- @1.1 (fetch), @1.2 ASSERT FAILED: b'HTTP/1.1 200 OK ... request-id: r1\r\ncontent-length: 13 \r\n\r\ndone by 42901HTTP/1.1 400 Bad Request ... "code":"bad_request" 0 scenarios passed, 2 failed

Why this works: the head shows the upgrade, so the request is rejected there, as the other data path does it, and is queued once, as a rejection; that response announces the close. CONNECT is an upgrade to the parser too.

Ruled out: serving it without the upgrade, which HTTP allows. The parser can't be told to read the body.

After: tests/relay 104 scenarios passed.

--- a/src/sardinetrack/relay/caller_connection.py
+++ b/src/sardinetrack/relay/caller_connection.py
@@ -90,7 +90,10 @@
             return
         try:
             self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+        except httptools.HttpParserUpgrade:
+            # The request is rejected; the parser reads nothing after its head.
+            self._unreadable = True
+        except httptools.HttpParserError:
             # It is unknown where this request ends, so nothing after it may be
             # parsed: that could be a request smuggled in the body of another
             # one.
@@ -199,6 +202,12 @@
 
     def on_headers_complete(self) -> None:
         """Parse the head; the body is read even if the head is rejected."""
+        if self._parser.should_upgrade():
+            # The parser would skip the body.
+            self._rejection = self._rejection or RequestError(
+                ErrorKind.BAD_REQUEST, 'protocol upgrades are not supported'
+            )
+            return
         try:
             self._head = self._adapter.parse_request(
                 self._parser.get_method(),
--- a/tests/relay/responses.feature
+++ b/tests/relay/responses.feature
@@ -110,3 +110,18 @@
     When a caller that reads a stream pipelines 18 fetches
     Then the stream is complete, and one response that closes follows it
     And the servers got 2 requests
+
+  Scenario Outline: A request for a protocol upgrade gets one response
+    The parser skips its body. Guards against a request that a server runs
+    without its body, and against an error response after the server's, which
+    the caller would read as the response to its next request.
+
+    Given a relay in front of 1 plain server
+    When a caller sends a <name> request for a protocol upgrade
+    Then it gets one response with status 400, which announces the close
+    And the servers got 0 requests
+
+    Examples:
+      | name   |
+      | fetch  |
+      | report |
--- a/tests/relay/steps/response_steps.py
+++ b/tests/relay/steps/response_steps.py
@@ -294,3 +294,26 @@
     assert after.startswith(b'HTTP/1.1 200 '), after
     assert after.count(b'connection: close') == 1, after
     assert _request_ids(after) == [b'r2'], after
+
+
+@when('a caller sends a {name} request for a protocol upgrade')
+def request_upgrade(context, name):
+    async def play():
+        world = context.world
+        reader, writer = await asyncio.open_connection('127.0.0.1', world.port)
+        headers = ('Connection: Upgrade', 'Upgrade: h2c')
+        body = b'' if name == 'fetch' else b'position'
+        writer.write(world.request(name, headers, body, closes=False))
+        async with asyncio.timeout(2):
+            context.raw = await reader.read()
+        writer.close()
+
+    context.world.run(play())
+
+
+@then('it gets one response with status {status:d}, which announces the close')
+def one_response_closes(context, status):
+    raw = context.raw
+    assert raw.startswith(b'HTTP/1.1 %d ' % status), raw
+    assert raw.count(b'HTTP/1.1 ') == 1, raw
+    assert raw.count(b'connection: close') == 1, raw
