An interim response is not the response

What callers saw: 502 "response without a request id" for a request that may run once, though its server answered it; it had sent an interim response (1xx) before. A repeatable request ran twice.

Cause: ServerConnection passed the head of an interim response to the attempt as that of the response. It bears neither the request id nor the server's stamp.

Evidence: the new scenario on the code before:

An interim response is not the response ASSERT FAILED: b'HTTP/1.1 502 Bad Gateway ... "response without a request id" ... "code":"outcome_unknown"

Why this works: HTTP lets any number of interim responses precede the response, and they have no body. Their heads are dropped, so no header of one is taken for one of the response, and a connection that ends after one has no response.

--- a/src/sardinetrack/relay/server_connection.py
+++ b/src/sardinetrack/relay/server_connection.py
@@ -12,6 +12,7 @@
 from abc import ABC, abstractmethod
 from array import array
 from enum import StrEnum
+from http import HTTPStatus
 from typing import Final, cast
 
 import httptools
@@ -216,6 +217,10 @@
             self._unusable = True
             return
         status = parser.get_status_code()
+        if status < HTTPStatus.OK:
+            # An interim response; the response itself follows.
+            self._headers = []
+            return
         self._status_seen = True
         self._framed = status in _NO_BODY or any(
             name in {b'content-length', b'transfer-encoding'}
--- a/tests/relay/responses.feature
+++ b/tests/relay/responses.feature
@@ -125,3 +125,13 @@
       | name   |
       | fetch  |
       | report |
+
+  Scenario: An interim response is not the response
+    A server sends "103 Early Hints", without a request id, before the response
+    itself. Guards against a report that is answered 502 though it was served.
+
+    Given a relay in front of 1 plain server
+    When the server sends an interim response before its next one
+    And a caller sends a report
+    Then the caller gets status 200
+    And the entry keeps 1 connections to the servers
--- a/tests/relay/steps/response_steps.py
+++ b/tests/relay/steps/response_steps.py
@@ -317,3 +317,8 @@
     assert raw.startswith(b'HTTP/1.1 %d ' % status), raw
     assert raw.count(b'HTTP/1.1 ') == 1, raw
     assert raw.count(b'connection: close') == 1, raw
+
+
+@when('the server sends an interim response before its next one')
+def send_interim(context):
+    context.world.servers[0].acts.append('hint_and_answer')
--- a/tests/support/relay_servers.py
+++ b/tests/support/relay_servers.py
@@ -113,6 +113,10 @@
             writer.write(b'%x\r\n%b\r\n' % (len(event), event) * 1000)
             await writer.drain()
 
+    async def _hint_and_answer(self, fields, reader, writer):
+        writer.write(b'HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n')
+        await self._answer(fields, reader, writer)
+
     async def _answer_twice(self, fields, reader, writer):
         await self._answer(fields, reader, writer)
         self._whole(fields, writer, '200 OK', b'nobody asked')
