Test that 100 Continue waits for requests that are queued, too

A test only; the code does it right.

The scenario that was there keeps its steps and checks. Only the model server pauses in it now, since nothing in it needs a report in pauses.

--- a/tests/relay/responses.feature
+++ b/tests/relay/responses.feature
@@ -77,6 +77,16 @@
     Then the stream is complete, and "100 Continue" follows it
     And the report gets status 200
 
+  Scenario: A request is told to continue after all earlier responses
+    A complete request waits between the one in progress and the one that asks.
+    Guards against an interim response that precedes the response to another
+    request.
+
+    Given a relay in front of 1 model server and 1 plain server
+    When a caller that reads a stream sends a fetch and the head of a report
+    Then the response to the fetch is complete before it is told to continue
+    And the report gets status 200
+
   Scenario: A request on an idle connection is told to continue immediately
     Given a relay in front of 1 plain server
     When a caller sends the head of a report
--- a/tests/relay/steps/response_steps.py
+++ b/tests/relay/steps/response_steps.py
@@ -159,16 +159,32 @@
 
 @when('a caller that reads a stream sends the head of a report')
 def send_head_in_stream(context):
-    async def play():
-        world = context.world
-        for server in world.servers:
-            server.acts.append('pause')
-        reader, writer = await asyncio.open_connection('127.0.0.1', world.port)
-        writer.write(world.request('once-stream', closes=False))
-        await reader.readuntil(b'token 1')
-        await _send_after_continue(context, reader, writer)
+    context.world.run(_send_head_in_stream(context, ()))
 
-    context.world.run(play())
+
+@when('a caller that reads a stream sends a fetch and the head of a report')
+def send_fetch_and_head(context):
+    context.world.run(_send_head_in_stream(context, ('fetch',)))
+
+
+async def _send_head_in_stream(context, between):
+    world = context.world
+    world.servers[0].acts.append('pause')
+    reader, writer = await asyncio.open_connection('127.0.0.1', world.port)
+    writer.write(world.request('once-stream', closes=False))
+    await reader.readuntil(b'token 1')
+    for name in between:
+        writer.write(world.request(name, closes=False))
+    await _send_after_continue(context, reader, writer)
+
+
+@then('the response to the fetch is complete before it is told to continue')
+def fetch_before_continue(context):
+    _, end, after = context.before.partition(b'\r\n0\r\n\r\n')
+    assert end, context.before
+    assert _request_ids(after) == [b'r2'], after
+    body = b'done by %d' % context.world.servers[-1].port
+    assert after.endswith(b'\r\n\r\n%b%b' % (body, _CONTINUE)), after
 
 
 @when('a caller sends the head of a report')
