A server that switches protocols did not crash

What operators saw: a traceback on stderr and "outcome_unknown: reset". A request whose server had answered 101 was recorded as one that may have crashed it; the fingerprint of a request with such records is refused in the end.

Cause: httptools.HttpParserUpgrade is no HttpParserError. It left data_received, and asyncio closed the connection with it, which looks like a reset.

Why this works: the entry asks for no other protocol (Upgrade is not forwarded), so such a response is unreadable like any other that isn't HTTP. "unreadable" is no end of a connection to CrashWatch.

--- a/src/sardinetrack/relay/server_connection.py
+++ b/src/sardinetrack/relay/server_connection.py
@@ -174,7 +174,7 @@
             return
         try:
             parser.feed_data(data)
-        except httptools.HttpParserError:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             if not self._complete:
                 self._fail(BreakReason.UNREADABLE)
                 return
--- a/tests/relay/responses.feature
+++ b/tests/relay/responses.feature
@@ -145,3 +145,14 @@
     And a caller sends a report
     Then the caller gets status 200
     And the entry keeps 1 connections to the servers
+
+  Scenario: A server that switches protocols did not crash
+    The entry has asked for no other protocol, so the response is unreadable.
+    Guards against an error in the connection that looks like a reset: requests
+    whose servers reset their connections are suspected of crashing them.
+
+    Given a relay in front of 1 plain server
+    When the server switches to another protocol at its next request
+    And a caller sends a report
+    Then the caller gets status 502
+    And the request ended because of "outcome_unknown: unreadable"
--- a/tests/relay/steps/response_steps.py
+++ b/tests/relay/steps/response_steps.py
@@ -338,3 +338,18 @@
 @when('the server sends an interim response before its next one')
 def send_interim(context):
     context.world.servers[0].acts.append('hint_and_answer')
+
+
+@when('the server switches to another protocol at its next request')
+def switch_protocol(context):
+    context.world.servers[0].acts.append('switch_protocol')
+
+
+@then('the request ended because of "{reason}"')
+def ended_because(context, reason):
+    reasons = [
+        line['reason']
+        for line in context.world.lines()
+        if line['event'] == 'request_ended'
+    ]
+    assert reasons == [reason], reasons
--- a/tests/support/relay_servers.py
+++ b/tests/support/relay_servers.py
@@ -117,6 +117,11 @@
         writer.write(b'HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n')
         await self._answer(fields, reader, writer)
 
+    async def _switch_protocol(self, fields, reader, writer):
+        head = self._head(fields, '101 Switching Protocols')
+        fields = 'Connection: Upgrade\r\nUpgrade: other\r\n'
+        writer.write(f'{head}{fields}\r\n'.encode())
+
     async def _answer_twice(self, fields, reader, writer):
         await self._answer(fields, reader, writer)
         self._whole(fields, writer, '200 OK', b'nobody asked')
