--- a/src/sardinetrack/relay/server_connection.py
+++ b/src/sardinetrack/relay/server_connection.py
@@ -12,6 +12,7 @@
 from abc import ABC, abstractmethod
 from array import array
 from enum import StrEnum
+from http import HTTPStatus
 from typing import Final, cast
 
 import httptools
@@ -173,7 +174,7 @@
             return
         try:
             parser.feed_data(data)
-        except httptools.HttpParserError:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             if not self._complete:
                 self._fail(BreakReason.UNREADABLE)
                 return
@@ -216,6 +217,10 @@
             self._unusable = True
             return
         status = parser.get_status_code()
+        if status < HTTPStatus.OK:
+            # An interim response; the response itself follows.
+            self._headers = []
+            return
         self._status_seen = True
         self._framed = status in _NO_BODY or any(
             name in {b'content-length', b'transfer-encoding'}
--- a/tests/relay/responses.feature
+++ b/tests/relay/responses.feature
@@ -77,6 +77,16 @@
     Then the stream is complete, and "100 Continue" follows it
     And the report gets status 200
 
+  Scenario: A request is told to continue after all earlier responses
+    A complete request waits between the one in progress and the one that asks.
+    Guards against an interim response that precedes the response to another
+    request.
+
+    Given a relay in front of 1 model server and 1 plain server
+    When a caller that reads a stream sends a fetch and the head of a report
+    Then the response to the fetch is complete before it is told to continue
+    And the report gets status 200
+
   Scenario: A request on an idle connection is told to continue immediately
     Given a relay in front of 1 plain server
     When a caller sends the head of a report
@@ -110,3 +120,39 @@
     When a caller that reads a stream pipelines 18 fetches
     Then the stream is complete, and one response that closes follows it
     And the servers got 2 requests
+
+  Scenario Outline: A request for a protocol upgrade gets one response
+    The parser skips its body. Guards against a request that a server runs
+    without its body, and against an error response after the server's, which
+    the caller would read as the response to its next request.
+
+    Given a relay in front of 1 plain server
+    When a caller sends a <name> request for a protocol upgrade
+    Then it gets one response with status 400, which announces the close
+    And the servers got 0 requests
+
+    Examples:
+      | name   |
+      | fetch  |
+      | report |
+
+  Scenario: An interim response is not the response
+    A server sends "103 Early Hints", without a request id, before the response
+    itself. Guards against a report that is answered 502 though it was served.
+
+    Given a relay in front of 1 plain server
+    When the server sends an interim response before its next one
+    And a caller sends a report
+    Then the caller gets status 200
+    And the entry keeps 1 connections to the servers
+
+  Scenario: A server that switches protocols did not crash
+    The entry has asked for no other protocol, so the response is unreadable.
+    Guards against an error in the connection that looks like a reset: requests
+    whose servers reset their connections are suspected of crashing them.
+
+    Given a relay in front of 1 plain server
+    When the server switches to another protocol at its next request
+    And a caller sends a report
+    Then the caller gets status 502
+    And the request ended because of "outcome_unknown: unreadable"
--- a/tests/relay/steps/response_steps.py
+++ b/tests/relay/steps/response_steps.py
@@ -159,16 +159,32 @@
 
 @when('a caller that reads a stream sends the head of a report')
 def send_head_in_stream(context):
-    async def play():
-        world = context.world
-        for server in world.servers:
-            server.acts.append('pause')
-        reader, writer = await asyncio.open_connection('127.0.0.1', world.port)
-        writer.write(world.request('once-stream', closes=False))
-        await reader.readuntil(b'token 1')
-        await _send_after_continue(context, reader, writer)
+    context.world.run(_send_head_in_stream(context, ()))
 
-    context.world.run(play())
+
+@when('a caller that reads a stream sends a fetch and the head of a report')
+def send_fetch_and_head(context):
+    context.world.run(_send_head_in_stream(context, ('fetch',)))
+
+
+async def _send_head_in_stream(context, between):
+    world = context.world
+    world.servers[0].acts.append('pause')
+    reader, writer = await asyncio.open_connection('127.0.0.1', world.port)
+    writer.write(world.request('once-stream', closes=False))
+    await reader.readuntil(b'token 1')
+    for name in between:
+        writer.write(world.request(name, closes=False))
+    await _send_after_continue(context, reader, writer)
+
+
+@then('the response to the fetch is complete before it is told to continue')
+def fetch_before_continue(context):
+    _, end, after = context.before.partition(b'\r\n0\r\n\r\n')
+    assert end, context.before
+    assert _request_ids(after) == [b'r2'], after
+    body = b'done by %d' % context.world.servers[-1].port
+    assert after.endswith(b'\r\n\r\n%b%b' % (body, _CONTINUE)), after
 
 
 @when('a caller sends the head of a report')
@@ -294,3 +310,46 @@
     assert after.startswith(b'HTTP/1.1 200 '), after
     assert after.count(b'connection: close') == 1, after
     assert _request_ids(after) == [b'r2'], after
+
+
+@when('a caller sends a {name} request for a protocol upgrade')
+def request_upgrade(context, name):
+    async def play():
+        world = context.world
+        reader, writer = await asyncio.open_connection('127.0.0.1', world.port)
+        headers = ('Connection: Upgrade', 'Upgrade: h2c')
+        body = b'' if name == 'fetch' else b'position'
+        writer.write(world.request(name, headers, body, closes=False))
+        async with asyncio.timeout(2):
+            context.raw = await reader.read()
+        writer.close()
+
+    context.world.run(play())
+
+
+@then('it gets one response with status {status:d}, which announces the close')
+def one_response_closes(context, status):
+    raw = context.raw
+    assert raw.startswith(b'HTTP/1.1 %d ' % status), raw
+    assert raw.count(b'HTTP/1.1 ') == 1, raw
+    assert raw.count(b'connection: close') == 1, raw
+
+
+@when('the server sends an interim response before its next one')
+def send_interim(context):
+    context.world.servers[0].acts.append('hint_and_answer')
+
+
+@when('the server switches to another protocol at its next request')
+def switch_protocol(context):
+    context.world.servers[0].acts.append('switch_protocol')
+
+
+@then('the request ended because of "{reason}"')
+def ended_because(context, reason):
+    reasons = [
+        line['reason']
+        for line in context.world.lines()
+        if line['event'] == 'request_ended'
+    ]
+    assert reasons == [reason], reasons
