A body cut short isn't completed by the response that follows

What callers could see: 200 with the first bytes of their response, then the head and the beginning of another one, as a complete body.

Cause: a server that stops within a body of known length, keeps the connection and responds again, at once or late, completes the length with the bytes of the second response.

Evidence: the new scenario on the code before:

A body cut short is not completed by the same response again ASSERT FAILED: b'HTTP/1.1 200 OK ... content-length: 300 ... xxxxHTTP/1.1 200 OK\r\nX-Sardinetrack-Server-Stamp: s1 ...

Why this works: a buffered body in which a status line is followed by the header of the request id ends the attempt as unknown. A server whose content is such a head gets 502 for it.

Ruled out: looking for the id of this request only, since the second response may be a late one to another request.

--- a/src/sardinetrack/platform/protocol_adapter.py
+++ b/src/sardinetrack/platform/protocol_adapter.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import re
 from http import HTTPStatus
 from typing import Final
 
@@ -24,6 +25,7 @@
 _SERVER_LOAD: Final = b'x-sardinetrack-server-load'
 _SERVER_LEAVING: Final = b'server-leaving'
 _NOT_PROCESSED: Final = b'x-sardinetrack-not-processed'
+_STATUS_LINE: Final = re.compile(rb'HTTP/1\.\d \d{3} [^\r\n]*\r\n')
 _TURNED_AWAY: Final = frozenset(
     (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS),
 )
@@ -144,6 +146,13 @@
             rest_seconds=_parse_rest(status, fields.get(b'retry-after')),
         )
 
+    def contains_response(self, body: bytes) -> bool:
+        """Find a status line with the request id header below it."""
+        if b'HTTP/1.' not in body:
+            return False
+        begin = _STATUS_LINE.search(body)
+        return begin is not None and _REQUEST_ID in body[begin.end() :].lower()
+
     def own_headers(self, call: CallerRequest) -> bytes:
         """Encode the header line with the request id."""
         encoded_id = call.request_id.encode(_ENCODING)
--- a/src/sardinetrack/relay/api.py
+++ b/src/sardinetrack/relay/api.py
@@ -99,6 +99,14 @@
     ) -> ResponseHead:
         """Parse the head of a server's response."""
 
+    @abstractmethod
+    def contains_response(self, body: bytes) -> bool:
+        """Return whether the head of a server's response stands in a body.
+
+        A server may stop within a body and send another response, or the same
+        one again; its bytes would complete the first.
+        """
+
     @abstractmethod
     def own_headers(self, call: CallerRequest) -> bytes:
         """Serialise the header lines of every response of the entry itself."""
--- a/src/sardinetrack/relay/attempt.py
+++ b/src/sardinetrack/relay/attempt.py
@@ -200,6 +200,9 @@
             self._finish(SendOutcome.UNKNOWN, 'no response head')
             return
         self.body = b''.join(self._pieces)
+        if self._adapter.contains_response(self.body):
+            self._finish(SendOutcome.UNKNOWN, 'response within a response')
+            return
         if self.failed or self._caller_response.started:
             self._finish(SendOutcome.ANSWERED, self._status)
             return
--- a/tests/relay/late_responses.feature
+++ b/tests/relay/late_responses.feature
@@ -161,3 +161,14 @@
     Given a relay in front of 1 plain server
     When as many callers as a connection may serve fetch one after the other
     Then the entry keeps 0 connections to the servers
+
+  Scenario: A body cut short is not completed by the same response again
+    A server stops within the body of a response, keeps the connection and sends
+    the whole response a second time. The missing bytes of the first would be
+    taken from the head and the body of the second.
+
+    Given a relay in front of 1 plain server
+    When the server cuts the body of its next response and repeats it
+    And a caller sends a report
+    Then the caller gets status 502
+    And the servers got 1 request
--- a/tests/relay/steps/late_response_steps.py
+++ b/tests/relay/steps/late_response_steps.py
@@ -44,6 +44,11 @@
     _act(context, f'answer_and_cut_{place}_late')
 
 
+@when('the server cuts the body of its next response and repeats it')
+def cut_body(context):
+    _act(context, 'cut_body_and_repeat')
+
+
 @when('the server fails its next request and repeats the failure late')
 def fail_and_repeat(context):
     _act(context, 'fail_and_repeat_late')
--- a/tests/support/relay_servers.py
+++ b/tests/support/relay_servers.py
@@ -193,6 +193,11 @@
         await self._answer(fields, reader, writer)
         self._late[writer] = self._response(fields, '200 OK', b'late')
 
+    async def _cut_body_and_repeat(self, fields, reader, writer):
+        whole = self._response(fields, '200 OK', b'x' * 300)
+        writer.write(whole[:-250])
+        writer.write(whole)
+
     async def _fail_and_repeat_late(self, fields, reader, writer):
         await self._fail(fields, reader, writer)
         self._late[writer] = self._response(fields, '500 Oops', b'late')
