Stand-ins ask for rest and announce that they leave

No stand-in could show what a server does that turns requests away with 503 and Retry-After, or that says Server-Leaving in its responses.

The fault rest_seconds refuses requests with that Retry-After before they run; the load query of an engine is still answered, as the load of a resting engine is no request to it. The fault leaving adds Server-Leaving: 1 to every response, also to those of other faults. Both are validated.

Before, on the unchanged stand-ins (34 scenarios passed, 8 failed):

Unexpected keyword argument [type=unexpected_keyword_argument, input_value='perhaps', input_type=str]

After: tests/standin 42 scenarios passed.

--- a/src/sardinetrack/standin/base.py
+++ b/src/sardinetrack/standin/base.py
@@ -5,14 +5,17 @@
 import signal
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
-from typing import Final
+from functools import partial
+from typing import ClassVar, Final
 
 import anyio
 from pydantic import ValidationError
 
 from sardinetrack.http.asgi import (
     ClientDisconnectedError,
+    HeaderPairs,
     HttpExchange,
+    Message,
     Receive,
     Scope,
     Send,
@@ -29,10 +32,12 @@
 BAD_REQUEST: Final = 400
 NOT_FOUND: Final = 404
 CONFLICT: Final = 409
+UNAVAILABLE: Final = 503
 
 _MAX_BODY_BYTES: Final = 64_000_000
 _BODY_SECONDS: Final = 600.0
 _CONTROL_PATH: Final = '/standin/'
+_LEAVING_HEADER: Final = (b'server-leaving', b'1')
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,6 +56,9 @@
 class StandIn(ABC):
     """ASGI application with faults, a fencing check and execution counts."""
 
+    load_route: ClassVar[str | None] = None
+    """Method and path of the load query, if there is one."""
+
     def __init__(self, faults: Faults, *, checks_fencing: bool) -> None:
         """Build a stand-in; ``sardinetrack.standin.serve_standin`` serves it.
 
@@ -78,7 +86,8 @@
             send,
             keeps_copy=self.faults.current.second_response_seconds is not None,
         )
-        exchange = HttpExchange(scope, receive, response.send)
+        send_marked = partial(self._send_marked, response.send)
+        exchange = HttpExchange(scope, receive, send_marked)
         # A crash interrupts requests in any state: this scope also covers
         # those that wait frozen and have no execution yet.
         request_scope = anyio.CancelScope()
@@ -127,10 +136,12 @@
         execution.stop(Outcome.INTERRUPTED)
         await anyio.sleep_forever()
 
-    async def respond_error(self, request: Request, status: int) -> None:
+    async def respond_error(
+        self, request: Request, status: int, headers: HeaderPairs = ()
+    ) -> None:
         """Respond with an error body as model engines write it."""
         content = {'error': {'message': 'stand-in', 'code': status}}
-        await request.exchange.respond_json(status, content)
+        await request.exchange.respond_json(status, content, headers)
 
     async def _receive(self, exchange: HttpExchange) -> None:
         try:
@@ -142,12 +153,24 @@
             await self._control(request)
             return
         await self.faults.wait_unfrozen()
+        rest_seconds = self.faults.current.rest_seconds
+        if rest_seconds is not None and request.route != self.load_route:
+            pair = ('retry-after', format(rest_seconds, 'g'))
+            await self.respond_error(request, UNAVAILABLE, [pair])
+            return
         status = self._rejection_status(request)
         if status is None:
             await self.handle(request)
         else:
             await self.respond_error(request, status)
 
+    async def _send_marked(self, send: Send, message: Message) -> None:
+        starts = message['type'] == 'http.response.start'
+        if starts and self.faults.current.leaving:
+            headers = [*message['headers'], _LEAVING_HEADER]
+            message = {**message, 'headers': headers}
+        await send(message)
+
     async def _respond_again(
         self, exchange: HttpExchange, response: RecordedResponse
     ) -> None:
--- a/src/sardinetrack/standin/engine.py
+++ b/src/sardinetrack/standin/engine.py
@@ -38,6 +38,8 @@
 class Engine(StandIn):
     """Starts requests as they arrive; beyond the knee all slow down."""
 
+    load_route = 'GET /load'
+
     def __init__(self, settings: EngineSettings) -> None:
         """Build an idle engine; needs a running event loop."""
         super().__init__(
@@ -62,7 +64,7 @@
                 await self._chat(request)
             case 'GET /v1/models':
                 await self._list_models(request)
-            case 'GET /load':
+            case self.load_route:
                 load = self._meter.report(anyio.current_time())
                 await request.exchange.respond_json(OK, load)
             case 'POST /orders':
--- a/src/sardinetrack/standin/faults.py
+++ b/src/sardinetrack/standin/faults.py
@@ -12,6 +12,7 @@
 _MAX_STATUS: Final = 599
 
 Delay = Annotated[float, Field(ge=0)]
+RestTime = Annotated[float, Field(ge=0, allow_inf_nan=False)]
 Count = Annotated[int, Field(ge=0)]
 ErrorStatus = Annotated[int, Field(ge=_MIN_STATUS, le=_MAX_STATUS)]
 
@@ -32,6 +33,9 @@
     :param second_response_seconds: how long after each response the same one
         is sent again, unless another has begun; 0 sends it at once.
     :param error_after_run: run the request before responding with the error.
+    :param rest_seconds: requests are refused with 503 and this ``Retry-After``
+        before they run; load queries are not.
+    :param leaving: every response has the header ``Server-Leaving: 1``.
     """
 
     crash_marker: str | None = None
@@ -43,6 +47,8 @@
     error_status: ErrorStatus | None = None
     error_after_run: bool = False
     second_response_seconds: Delay | None = None
+    rest_seconds: RestTime | None = None
+    leaving: bool = False
 
     def crashes_on(self, text: str) -> bool:
         """Return whether a request with this text crashes the stand-in."""
--- a/tests/standin/engine.feature
+++ b/tests/standin/engine.feature
@@ -95,6 +95,14 @@
       | {"error_status": 503}                          | 0    |
       | {"error_status": 503, "error_after_run": true} | 1    |
 
+  Scenario: An engine that asks for rest still reports its load
+    Given a model engine
+    And its faults are {"rest_seconds": 2, "leaving": true}
+    When "id=rest" is sent
+    Then the response's status is 503
+    And the engine soon counts for "rest": 0 started, 0 finished, 0 cancelled, 0 cut
+    And its load report has the header "server-leaving"
+
   Scenario: Unknown faults are refused
     Given a model engine
     Then the faults {"no_such_fault": 1} are refused
--- a/tests/standin/service.feature
+++ b/tests/standin/service.feature
@@ -45,6 +45,45 @@
     Given a plain service
     Then the faults {"second_response_seconds": -1} are refused for "greater_than_equal"
 
+  Scenario Outline: A service asks for rest
+    It refuses requests with the time for which it wants no others; none runs.
+    Given a plain service
+    And its faults are {"rest_seconds": <seconds>}
+    When it is sent POST "/a" with ""
+    Then the status is 503 and the header "retry-after" is "<header>"
+    And the service counted 0 executions of "POST /a"
+    When its faults become {}
+    And it is sent POST "/a" with ""
+    Then the status is 200 and the response has no header "retry-after"
+
+    Examples:
+      | seconds | header |
+      | 3       | 3      |
+      | 0.25    | 0.25   |
+
+  Scenario: A service that leaves says so in every response
+    Given a plain service
+    And its faults are {"leaving": true}
+    When it is sent GET "/a" with ""
+    Then the status is 200 and the header "server-leaving" is "1"
+    When its faults become {"leaving": true, "error_status": 500}
+    And it is sent GET "/a" with ""
+    Then the status is 500 and the header "server-leaving" is "1"
+    When its faults become {}
+    And it is sent GET "/a" with ""
+    Then the status is 200 and the response has no header "server-leaving"
+
+  Scenario Outline: Invalid settings of rest and leaving are refused
+    Given a plain service
+    Then the faults <faults> are refused for "<reason>"
+
+    Examples:
+      | faults                     | reason             |
+      | {"rest_seconds": -1}       | greater_than_equal |
+      | {"rest_seconds": Infinity} | finite_number      |
+      | {"rest_seconds": NaN}      | finite_number      |
+      | {"leaving": "perhaps"}     | bool_parsing       |
+
   Scenario: A render runs to its end though its caller disconnected
     The caller disconnects while the service is frozen, and the freeze ends
     later. The render then runs: a closed connection does not mean that the
--- a/tests/standin/steps/engine_steps.py
+++ b/tests/standin/steps/engine_steps.py
@@ -326,3 +326,10 @@
     orders = json.loads(call(context, 'GET', '/orders').body)
     found = [order['fencing'] for order in orders]
     assert found == [int(text) for text in numbers.split(',')], found
+
+
+@then('its load report has the header "{name}"')
+def load_has_header(context: Any, name: str) -> None:
+    reply = call(context, 'GET', '/load')
+    assert reply.status == 200, reply
+    assert reply.header(name) == '1', reply
--- a/tests/standin/steps/service_steps.py
+++ b/tests/standin/steps/service_steps.py
@@ -58,6 +58,12 @@
     assert context.reply.header(name) == text, context.reply
 
 
+@then('the status is {status:d} and the response has no header "{name}"')
+def status_without_header(context: Any, status: int, name: str) -> None:
+    assert context.reply.status == status, context.reply
+    assert context.reply.header(name) is None, context.reply
+
+
 @then('the echo has the method, target and digest of "{body}"')
 def echoed(context: Any, body: str) -> None:
     echo = json.loads(context.reply.body)
