A side sends nothing to a server that has asked for rest

Cause: a side relayed the response without reading it. A server that turns everything away looks idle, so its side granted its slots at once to the next requests.

Change: the heads of all responses of the server, also to load queries and load commands, go through one observer. A 503 or 429 with a number of seconds begins a rest of the admission object: no starts, no grants, no slots in the load, and what waits at the side is refused as not started (reason "resting"). Load commands wait, load queries go on. The owner task ends the rest on time. One line and metrics for its begin and its end; an extension writes none.

Why this works: the side is the only sender to its server, and its admission object starts every request. The response is reported before it is passed on. At the end the load is always sent, so that no entry keeps a limit of 0.

Ruled out: a limit of 0 set by the watch, as granted requests would wait at the side until they expire; a check at entries, which do not see each other's responses; HTTP dates, as the clocks may differ.

--- a/src/sardinetrack/admission/api.py
+++ b/src/sardinetrack/admission/api.py
@@ -42,6 +42,8 @@
     TOMBSTONED = 'tombstoned'
     DUPLICATE = 'duplicate'
     NO_LEASE = 'no_lease'
+    RESTING = 'resting'
+    """The backend server asked for no requests for some time."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -151,6 +153,14 @@
     def resize(self, now: float, limit: int) -> Sequence[AdmissionEffect]:
         """Change how many requests may run concurrently."""
 
+    @abstractmethod
+    def begin_rest(self, now: float) -> Sequence[AdmissionEffect]:
+        """Start nothing until ``end_rest``; running requests go on."""
+
+    @abstractmethod
+    def end_rest(self, now: float) -> Sequence[AdmissionEffect]:
+        """Start requests again."""
+
     @abstractmethod
     def drain(self, now: float) -> Sequence[AdmissionEffect]:
         """Accept no new requests; running requests finish."""
--- a/src/sardinetrack/admission/slots.py
+++ b/src/sardinetrack/admission/slots.py
@@ -28,6 +28,10 @@
 from sardinetrack.messages.api import Bids, Grant, SideLoad, SidePhase
 from sardinetrack.messages.run import AttemptStatus
 
+_FINAL_REFUSALS: Final = frozenset(
+    (RefusalReason.BUSY, RefusalReason.DRAINING, RefusalReason.RESTING)
+)
+"""Refusals of attempts that were unseen; they are tombstoned."""
 _ANNOUNCE_SECONDS: Final = 5.0
 """Interval at which an idle side announces a changed load."""
 
@@ -50,6 +54,7 @@
         self._incarnation = incarnation
         self._limit = limit
         self._draining = False
+        self._resting = False
         self._bids = BidTable()
         self._attempts = AttemptRegistry()
         self._prefetch = GrantPrefetch()
@@ -154,13 +159,24 @@
         # requests to a side without slots, and to no other side.
         return (*effects, self._announce(now)) if closed else effects
 
+    def begin_rest(self, now: float) -> Sequence[AdmissionEffect]:
+        """Start nothing until ``end_rest``; running requests go on."""
+        self._resting = True
+        refusals = self._refuse_all_queued(now, RefusalReason.RESTING)
+        return (*refusals, self._announce(now))
+
+    def end_rest(self, now: float) -> Sequence[AdmissionEffect]:
+        """Start requests again."""
+        self._resting = False
+        # Announced even if grants take all slots: entries that know of no slot
+        # would reject their requests.
+        return (*self._fill_slots(now), self._announce(now))
+
     def drain(self, now: float) -> Sequence[AdmissionEffect]:
         """Accept no new requests; running requests finish."""
         self._draining = True
-        effects: list[AdmissionEffect] = []
-        for attempt_id in list(self._queued):
-            effects.extend(self._refuse_queued(now, attempt_id, 'draining'))
-        return (*effects, BroadcastLoad())
+        refusals = self._refuse_all_queued(now, RefusalReason.DRAINING)
+        return (*refusals, BroadcastLoad())
 
     def tick(self, now: float) -> Sequence[AdmissionEffect]:
         """Expire grants, queued requests and old records."""
@@ -170,7 +186,9 @@
         effects: list[AdmissionEffect] = []
         for attempt_id, queued in list(self._queued.items()):
             if queued.expires_seconds <= now:
-                effects.extend(self._refuse_queued(now, attempt_id, 'expired'))
+                effects.append(
+                    self._refuse_queued(now, attempt_id, RefusalReason.EXPIRED)
+                )
         effects.extend(self._fill_slots(now))
         free, announced_seconds = self._announced
         due = now - announced_seconds >= _ANNOUNCE_SECONDS
@@ -184,21 +202,26 @@
         return SideLoad(
             self._incarnation,
             phase,
-            self._limit,
+            self._usable_limit,
             len(self._running),
             0 if self._draining else self._free,
             self._virtual_time,
         )
 
+    @property
+    def _usable_limit(self) -> int:
+        return 0 if self._resting else self._limit
+
     @property
     def _free(self) -> int:
         taken = len(self._running) + len(self._queued) + self._bids.open_grants
-        return max(0, self._limit - taken)
+        return max(0, self._usable_limit - taken)
 
     @property
     def _grantable(self) -> int:
         taken = len(self._running) + len(self._queued) + self._bids.open_grants
-        return self._limit + self._prefetch.depth(self._limit) - taken
+        limit = self._usable_limit
+        return limit + self._prefetch.depth(limit) - taken
 
     def _use_grant(self, now: float, arrival: Arrival) -> bool:
         """Close the grant of an arrival, and update the round trip time.
@@ -227,11 +250,11 @@
             return RefusalReason.DUPLICATE
         if self._draining:
             return RefusalReason.DRAINING
-        if arrival.suspect and self._suspects:
-            return RefusalReason.BUSY
-        if granted or self._free > 0:
-            return None
-        return RefusalReason.BUSY
+        if self._resting:
+            return RefusalReason.RESTING
+        avoids = arrival.suspect and self._suspects
+        startable = granted or self._free > 0
+        return None if startable and not avoids else RefusalReason.BUSY
 
     def _refuse_new(
         self,
@@ -239,7 +262,7 @@
         attempt_id: str,
         reason: RefusalReason,
     ) -> Sequence[AdmissionEffect]:
-        if reason in {RefusalReason.BUSY, RefusalReason.DRAINING}:
+        if reason in _FINAL_REFUSALS:
             self._attempts.apply(now, attempt_id, AttemptEvent.REFUSE)
         return (RefuseRequest(attempt_id, reason), *self._fill_slots(now))
 
@@ -247,16 +270,24 @@
         self,
         now: float,
         attempt_id: str,
-        reason: str,
-    ) -> Sequence[AdmissionEffect]:
+        reason: RefusalReason,
+    ) -> AdmissionEffect:
         self._queued.pop(attempt_id)
         self._suspects.discard(attempt_id)
         self._attempts.apply(now, attempt_id, AttemptEvent.REFUSE)
-        return (RefuseRequest(attempt_id, RefusalReason(reason)),)
+        return RefuseRequest(attempt_id, reason)
+
+    def _refuse_all_queued(
+        self, now: float, reason: RefusalReason
+    ) -> Sequence[AdmissionEffect]:
+        return [
+            self._refuse_queued(now, attempt_id, reason)
+            for attempt_id in list(self._queued)
+        ]
 
     def _fill_slots(self, now: float) -> Sequence[AdmissionEffect]:
         effects: list[AdmissionEffect] = []
-        while self._queued and len(self._running) < self._limit:
+        while self._queued and len(self._running) < self._usable_limit:
             effects.append(self._start_lowest(now))
         if not self._draining:
             effects.extend(self._grant_available(now))
@@ -269,7 +300,7 @@
 
     def _start_lowest(self, now: float) -> AdmissionEffect:
         ensure(
-            len(self._running) < self._limit,
+            len(self._running) < self._usable_limit,
             'a request starts only on a free slot',
         )
         attempt_id = min(
--- a/src/sardinetrack/side/backend.py
+++ b/src/sardinetrack/side/backend.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import uuid
-from contextlib import AbstractAsyncContextManager
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from http import HTTPStatus
 from typing import Final
 
@@ -19,6 +20,7 @@
 )
 from sardinetrack.messages.run import RunRequest
 from sardinetrack.side.load_report import LoadReport
+from sardinetrack.side.response_observer import ResponseObserver
 
 _PROBE_SECONDS: Final = 1.0
 
@@ -34,35 +36,46 @@
 class BackendServer:
     """The one backend server of a side."""
 
-    def __init__(self, name: str, url: str, client: HttpClient) -> None:
+    def __init__(
+        self,
+        name: str,
+        url: str,
+        client: HttpClient,
+        observer: ResponseObserver,
+    ) -> None:
         """Create a client of the server.
 
         :param name: name of the backend server.
         :param url: ``http://IP:port``.
         :param client: HTTP client that makes the calls.
+        :param observer: receives the head of each response.
         """
         self.name = name
         self._url = url.rstrip('/')
         self._client = client
+        self._observer = observer
 
-    def run(
+    @asynccontextmanager
+    async def run(
         self,
         run_request: RunRequest,
         body: bytes,
-    ) -> AbstractAsyncContextManager[StreamedResponse]:
+    ) -> AsyncIterator[StreamedResponse]:
         """Send a request; leaving the context early cancels it at the server.
 
         :raises RequestNotSentError: not a single byte was sent.
         :raises OtherResponseError: another request's response arrived.
         :raises ConnectionBrokenError: the connection broke later.
         """
-        return self._client.stream(
+        async with self._client.stream(
             run_request.method,
             f'{self._url}{run_request.path}',
             headers=run_request.headers,
             body=body,
             exchange_id=run_request.attempt_id,
-        )
+        ) as response:
+            await self._observer.observe(response, run_request.attempt_id)
+            yield response
 
     async def load(self) -> LoadReport | None:
         """Fetch the load report.
@@ -80,6 +93,7 @@
             raise UnreachableError from unsent
         except (ConnectionBrokenError, TimeoutError) as error:
             raise UnresponsiveError from error
+        await self._observer.observe(response)
         return _report(response) if response.status == HTTPStatus.OK else None
 
     async def connect(self) -> None:
--- a/src/sardinetrack/side/components.py
+++ b/src/sardinetrack/side/components.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from sardinetrack.admission.rest import RestPeriod
 from sardinetrack.http.client import HttpClient
 from sardinetrack.links.server import LinkAcceptor
 from sardinetrack.side.backend import BackendServer
@@ -19,6 +20,7 @@
 from sardinetrack.side.owner import AdmissionOwner
 from sardinetrack.side.owner_state import OwnerState
 from sardinetrack.side.peer_application import PeerApplication
+from sardinetrack.side.response_observer import ResponseObserver
 from sardinetrack.side.run_dependencies import RunDependencies
 from sardinetrack.side.run_endpoint import RunEndpoint
 
@@ -41,13 +43,16 @@
             dependencies.settings, dependencies.incarnation
         )
         self._metrics = SideMetrics()
+        streams = anyio.create_memory_object_stream[SideEvent](_WAITING_EVENTS)
+        self.events = streams[0]
+        self.rest = RestPeriod()
+        self.observer = ResponseObserver(self.events)
         self._backend = BackendServer(
             dependencies.settings.backend_server,
             str(dependencies.settings.backend_url),
             client,
+            self.observer,
         )
-        streams = anyio.create_memory_object_stream[SideEvent](_WAITING_EVENTS)
-        self.events = streams[0]
         probes = anyio.create_memory_object_stream[ProbeNow](1)
         self._probe = probes[0]
         state = OwnerState.build(
@@ -56,6 +61,7 @@
             dependencies.configuration,
             self._metrics,
             self._probe,
+            self.rest,
         )
         self.owner = AdmissionOwner(state, streams[1])
         self.watch = BackendWatch(
--- a/src/sardinetrack/side/daemon.py
+++ b/src/sardinetrack/side/daemon.py
@@ -59,6 +59,8 @@
                 self._dependencies,
                 self._dependencies.platform,
                 client,
+                self._components.observer,
+                self._components.rest,
             )
             tasks.start_soon(model_loader.run)
         settings = self._dependencies.settings
--- a/src/sardinetrack/side/events.py
+++ b/src/sardinetrack/side/events.py
@@ -69,6 +69,15 @@
     responses: MemoryObjectSendStream[AttemptStatusResponse]
 
 
+@dataclass(frozen=True, slots=True)
+class RestRequested:
+    """A response of the backend server asks for no requests for some time."""
+
+    seconds: float
+    attempt_id: str
+    """Empty if the side itself had queried the server."""
+
+
 @dataclass(frozen=True, slots=True)
 class LimitChanged:
     """The number of requests that the backend server can run has changed."""
@@ -116,6 +125,7 @@
     | AttemptEnded
     | AttemptQueried
     | LimitChanged
+    | RestRequested
     | DrainStarted
     | DrainTimedOut
     | StatusRequested
--- a/src/sardinetrack/side/metrics.py
+++ b/src/sardinetrack/side/metrics.py
@@ -36,6 +36,12 @@
             ['reason'],
             registry=self.registry,
         )
+        self.rests = self._counter(
+            'server_rests', 'Times that the backend server asked for rest'
+        )
+        self.resting = self._gauge(
+            'server_resting', 'Whether the backend server rests'
+        )
         self.ended = Counter(
             'sardinetrack_side_ended_requests',
             'Requests ended after their start',
@@ -56,6 +62,12 @@
         self.free.set(load.free)
         self.limit.set(load.limit)
 
+    def record_rest(self, *, active: bool) -> None:
+        """Record that a rest of the backend server begins or ends."""
+        self.resting.set(active)
+        if active:
+            self.rests.inc()
+
     def record_end(
         self, *, complete: bool, cost: float, seconds: float
     ) -> None:
--- a/src/sardinetrack/side/model_loader.py
+++ b/src/sardinetrack/side/model_loader.py
@@ -5,6 +5,7 @@
 import random
 from typing import Final
 
+from sardinetrack.admission.rest import RestPeriod
 from sardinetrack.http.client import HttpClient
 from sardinetrack.lease.decision import Lease
 from sardinetrack.lease.manager import LeaseManager
@@ -12,6 +13,7 @@
 from sardinetrack.lease.record import lease_key
 from sardinetrack.side.dependencies import SideDependencies
 from sardinetrack.side.model_server import HttpModelServer
+from sardinetrack.side.response_observer import ResponseObserver
 from sardinetrack.store.api import Platform
 
 _MARGIN_FRACTION: Final = 0.2
@@ -22,12 +24,16 @@
     dependencies: SideDependencies,
     platform: Platform,
     client: HttpClient,
+    observer: ResponseObserver,
+    rest: RestPeriod,
 ) -> ModelLoader:
     """Build the task.
 
     :param dependencies: settings and configuration of the side.
     :param platform: stores the lease.
     :param client: for calls to the backend server.
+    :param observer: receives the heads of the server's responses.
+    :param rest: during which no load command is sent.
     """
     settings = dependencies.settings
     lease = Lease(
@@ -41,6 +47,8 @@
             settings.backend_server,
             str(settings.backend_url),
             client,
+            observer,
+            rest,
         ),
         LeaseManager(platform, key, lease),
         dependencies.configuration.pool,
--- a/src/sardinetrack/side/model_server.py
+++ b/src/sardinetrack/side/model_server.py
@@ -9,6 +9,7 @@
 import anyio
 import msgspec
 
+from sardinetrack.admission.rest import RestPeriod
 from sardinetrack.http.client import (
     ConnectionBrokenError,
     HttpClient,
@@ -16,6 +17,7 @@
     RequestNotSentError,
 )
 from sardinetrack.lease.model_loader import LoadResult, ModelServer
+from sardinetrack.side.response_observer import ResponseObserver
 
 _LIST_MODELS_SECONDS: Final = 2.0
 _LOAD_MODELS_SECONDS: Final = 5.0
@@ -45,10 +47,27 @@
 class HttpModelServer(ModelServer):
     """A model engine that accepts load commands over HTTP."""
 
-    def __init__(self, name: str, url: str, client: HttpClient) -> None:
+    def __init__(
+        self,
+        name: str,
+        url: str,
+        client: HttpClient,
+        observer: ResponseObserver,
+        rest: RestPeriod,
+    ) -> None:
+        """Create a client of the server.
+
+        :param name: name of the backend server.
+        :param url: ``http://IP:port``.
+        :param client: HTTP client that makes the calls.
+        :param observer: receives the head of each response.
+        :param rest: during which no call is made.
+        """
         self.name = name
         self._url = url.rstrip('/')
         self._client = client
+        self._observer = observer
+        self._rest = rest
 
     async def models(self) -> frozenset[str] | None:
         """Return the loaded models; ``None`` when they are unknown."""
@@ -89,9 +108,11 @@
         body: bytes,
         seconds: float,
     ) -> HttpResponse | None:
+        if self._rest.is_active(anyio.current_time()):
+            return None
         with anyio.move_on_after(seconds):
             try:
-                return await self._client.call(
+                response = await self._client.call(
                     method,
                     f'{self._url}{path}',
                     headers=[('content-type', 'application/json')],
@@ -100,4 +121,6 @@
                 )
             except (RequestNotSentError, ConnectionBrokenError):
                 return None
+            await self._observer.observe(response)
+            return response
         return None
--- a/src/sardinetrack/side/owner.py
+++ b/src/sardinetrack/side/owner.py
@@ -33,6 +33,7 @@
     DrainStarted,
     DrainTimedOut,
     LimitChanged,
+    RestRequested,
     RunRequestReceived,
     SideEvent,
     SideStatusPage,
@@ -41,6 +42,7 @@
 from sardinetrack.side.link_event_handler import LinkEventHandler
 from sardinetrack.side.owner_state import Effects, OwnerState
 from sardinetrack.side.request_event_handler import RequestEventHandler
+from sardinetrack.side.server_event_handler import ServerEventHandler
 
 _LOG: Final = ComponentLogger(LogComponent.SIDE)
 _TICK_SECONDS: Final = 0.1
@@ -64,6 +66,7 @@
         self._state = state
         self._events = events
         self._requests = RequestEventHandler(state)
+        self._server = ServerEventHandler(state)
         self._drain = DRAIN_CHART.start()
         self._idle = anyio.Event()
         self._tick_at: float = 0
@@ -77,6 +80,7 @@
                 LinkDown: links.closed,
                 LinkMessageReceived: links.received,
                 LimitChanged: self._limit_changed,
+                RestRequested: self._server.rest_requested,
                 DrainStarted: self._drain_started,
                 DrainTimedOut: self._drain_timed_out,
                 StatusRequested: self._status_requested,
@@ -99,6 +103,7 @@
         if event is not None:
             handle = self._handlers[type(event)]
             self._apply(now, handle(now, event))
+        self._apply(now, self._server.tick(now))
         if now >= self._tick_at:
             self._tick_at = now + _TICK_SECONDS
             self._apply(now, self._state.admission.tick(now))
@@ -122,7 +127,11 @@
 
     async def _next_event(self) -> SideEvent | None:
         due_at = self._state.load_broadcaster.due_at()
-        deadline = min(self._tick_at, math.inf if due_at is None else due_at)
+        deadline = min(
+            self._tick_at,
+            self._server.due_at(),
+            math.inf if due_at is None else due_at,
+        )
         with anyio.CancelScope(deadline=deadline):
             return await self._events.receive()
         return None
--- a/src/sardinetrack/side/owner_state.py
+++ b/src/sardinetrack/side/owner_state.py
@@ -8,6 +8,7 @@
 from anyio.streams.memory import MemoryObjectSendStream
 
 from sardinetrack.admission.api import Admission, AdmissionEffect
+from sardinetrack.admission.rest import RestPeriod
 from sardinetrack.links.table import LinkTable
 from sardinetrack.side.active_attempts import ActiveAttempts
 from sardinetrack.side.backend_watch import ProbeNow
@@ -36,6 +37,8 @@
     configuration_sync: ConfigurationSync
     load_broadcaster: LoadBroadcaster
     metrics: SideMetrics
+    rest: RestPeriod
+    """Written by the owner task only; others read it."""
 
     @classmethod
     def build(
@@ -45,6 +48,7 @@
         configuration: SideConfiguration,
         metrics: SideMetrics,
         probe: MemoryObjectSendStream[ProbeNow],
+        rest: RestPeriod,
     ) -> OwnerState:
         """Create the state, without links and attempts."""
         links = LinkTable()
@@ -57,4 +61,5 @@
             configuration_sync=ConfigurationSync(configuration, links, probe),
             load_broadcaster=LoadBroadcaster(links),
             metrics=metrics,
+            rest=rest,
         )
--- a/tests/admission/slots.feature
+++ b/tests/admission/slots.feature
@@ -69,3 +69,51 @@
     Given a side with 2 slots
     When the server's slots change to 0
     Then the load is announced immediately
+
+  Scenario: A rest refuses queued requests and stops grants
+    A granted request waits at the side for a slot when its server asks for
+    rest. It is refused as not started, so that the entry can use another
+    server; the running one goes on.
+
+    Given a side with 1 slot
+    And entry a bids pilot 1 times at tag 0
+    And entry a has grant 1
+    And the server's slots change to 0
+    And entry a sends attempt a1 with grant 1
+    When the server's rest begins
+    Then a1 is refused as resting
+    And the load is announced immediately
+    And the status of a1 is not_started
+
+  Scenario: A rest leaves running requests alone and ends with all slots
+    Given a side with 2 slots
+    And entry a sends attempt a1 with tag 0
+    When the server's rest begins
+    And entry b sends attempt b1 with tag 0
+    Then b1 is refused as resting
+    And the status of a1 is running
+    And the side offers 0 of 0 slots
+    When entry b bids pilot 3 times at tag 0
+    And a1 finishes
+    And 1 seconds pass
+    Then no grant is sent
+    When the server's rest ends
+    Then entry b has grant 2
+    And the load is announced immediately
+    And the side offers 0 of 2 slots
+
+  Scenario: A side whose server rests and whose slots change meanwhile
+    Given a side with 1 slot
+    When the server's rest begins
+    And the server's slots change to 3
+    Then the side offers 0 of 0 slots
+    When the server's rest ends
+    Then the side offers 3 of 3 slots
+
+  Scenario: A rest does not end a drain
+    Given a side with 1 slot
+    When the server's rest begins
+    And the side drains
+    And the server's rest ends
+    And entry a sends attempt a1 with tag 0
+    Then a1 is refused as draining
--- a/tests/admission/steps/slots_steps.py
+++ b/tests/admission/steps/slots_steps.py
@@ -99,7 +99,35 @@
     assert found == status, found
 
 
-@when("the server's slots change to {count:d}")
+@step('entry {entry} sends attempt {attempt} with grant {grant:d}')
+def send_granted(context, entry, attempt, grant):
+    arrival = Arrival(attempt, entry, 'pilot', 0, 1, grant, 5)
+    context.effects.extend(context.side.arrive(context.now, arrival))
+
+
+@when("the server's rest begins")
+def begin_rest(context):
+    context.effects = list(context.side.begin_rest(context.now))
+
+
+@when("the server's rest ends")
+def end_rest(context):
+    context.effects = list(context.side.end_rest(context.now))
+
+
+@then('no grant is sent')
+def check_no_grant(context):
+    grants = [one for one in context.effects if isinstance(one, SendGrant)]
+    assert not grants, grants
+
+
+@then('the side offers {free:d} of {limit:d} slots')
+def check_offer(context, free, limit):
+    load = context.side.load()
+    assert (load.free, load.limit) == (free, limit), load
+
+
+@step("the server's slots change to {count:d}")
 def resize(context, count):
     context.effects = list(context.side.resize(context.now, count))
 
--- a/tests/naive.py
+++ b/tests/naive.py
@@ -146,6 +146,8 @@
     decline = _ignore
     entry_disconnected = _ignore
     resize = _ignore
+    begin_rest = _ignore
+    end_rest = _ignore
     drain = _ignore
     tick = _ignore
 
--- a/tests/side/side_backend.py
+++ b/tests/side/side_backend.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
 from typing import Final
+from urllib.parse import parse_qs
 
 import anyio
 from anyio.lowlevel import checkpoint
@@ -54,6 +56,10 @@
         self.gate = anyio.Event()
         self.responsive = anyio.Event()
         self.responsive.set()
+        self.load_retry_after: str | None = None
+        """Sent once with status 503 to a load query."""
+        self.rest_until = float(0)
+        """End of the longest rest that it has asked for."""
 
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
@@ -63,13 +69,25 @@
         body = await exchange.body(10_000, _BODY_SECONDS)
         if exchange.path == '/load':
             await self.responsive.wait()
-            await exchange.respond_json(200, {'running': 0})
+            await self._report_load(exchange)
             return
         self.executions.append(exchange.target)
         self.bodies.append(body)
         name = exchange.path.replace('/', '_')
         await getattr(self, name)(exchange, body)
 
+    async def _report_load(self, exchange: HttpExchange) -> None:
+        if self.load_retry_after is None:
+            await exchange.respond_json(200, {'running': 0})
+            return
+        self.rest_until = anyio.current_time() + float(self.load_retry_after)
+        pair = ('retry-after', self.load_retry_after)
+        self.load_retry_after = None
+        await exchange.respond(503, b'', [pair])
+
+    async def _orders(self, exchange: HttpExchange, body: bytes) -> None:
+        await exchange.respond_json(200, {})
+
     async def _echo(self, exchange: HttpExchange, body: bytes) -> None:
         pairs = [
             ('x-server', 'galata \xe9'),
@@ -88,6 +106,20 @@
         await exchange.start(204, ())
         await exchange.finish()
 
+    async def _rest(self, exchange: HttpExchange, body: bytes) -> None:
+        query = parse_qs(exchange.scope['query_string'].decode())
+        pairs = [('retry-after', after) for after in query.get('after', ())]
+        with suppress(ValueError):
+            until = anyio.current_time() + float(
+                ''.join(query.get('after', ()))
+            )
+            self.rest_until = max(self.rest_until, until)
+        await exchange.respond(int(query['status'][0]), b'', pairs)
+
+    async def _gated_rest(self, exchange: HttpExchange, body: bytes) -> None:
+        await self.gate.wait()
+        await self._rest(exchange, body)
+
     async def _head(self, exchange: HttpExchange, body: bytes) -> None:
         await exchange.start(200, [('content-length', '4711')])
         await exchange.finish()
--- a/tests/side/side_fakes.py
+++ b/tests/side/side_fakes.py
@@ -118,6 +118,16 @@
         self.limit = limit
         return [BroadcastLoad()]
 
+    def begin_rest(self, now: float) -> Sequence[AdmissionEffect]:
+        """Record the call."""
+        self.calls.append('begin rest')
+        return ()
+
+    def end_rest(self, now: float) -> Sequence[AdmissionEffect]:
+        """Record the call."""
+        self.calls.append('end rest')
+        return ()
+
     def drain(self, now: float) -> Sequence[AdmissionEffect]:
         """Refuse from now on."""
         self.draining = True
--- a/tests/side/side_world.py
+++ b/tests/side/side_world.py
@@ -12,6 +12,7 @@
 from side_backend import INCARNATION, POOL, Backend
 from side_fakes import FakeAdmission, FakeConfiguration
 
+from sardinetrack.admission.api import Admission
 from sardinetrack.catalogue.api import Pool
 from sardinetrack.config.model import SideSettings
 from sardinetrack.http.client import (
@@ -173,15 +174,20 @@
 
 
 @asynccontextmanager
-async def running_side(pool: Pool = POOL) -> AsyncIterator[World]:
-    """Run a side beside its backend server."""
+async def running_side(
+    pool: Pool = POOL, admission: Admission | None = None
+) -> AsyncIterator[World]:
+    """Run a side beside its backend server.
+
+    :param admission: its admission object, by default a scripted one.
+    """
     backend = Backend()
     async with serve(backend, '127.0.0.1', 0) as server:
         dependencies = SideDependencies(
             settings=settings(server.url),
             peer_secret=SECRET,
             incarnation=INCARNATION,
-            admission=FakeAdmission(),
+            admission=admission or FakeAdmission(),
             configuration=FakeConfiguration(pool),
             link_limits=LinkLimits(
                 heartbeat_interval_seconds=0.1, heartbeat_timeout_seconds=0.5
--- a/tests/side/steps/side_steps.py
+++ b/tests/side/steps/side_steps.py
@@ -76,11 +76,15 @@
 
 
 def _open(context: Any, pool: Any, *, revision: int) -> None:
+    _open_side(context, running_side(pool), revision=revision)
+
+
+def _open_side(context: Any, side: Any, *, revision: int) -> None:
     context.lines = _LogLines()
     logger = logging.getLogger('sardinetrack.side')
     logger.setLevel(logging.INFO)
     logger.addHandler(context.lines)
-    context.world = _enter(context, running_side(pool))
+    context.world = _enter(context, side)
     if revision:
         context.portal.call(_configure, context.world, revision)
     context.run_request = RUN_REQUEST
@@ -100,7 +104,7 @@
     # Without a configuration the side would request one by its digest of
     # revision 0; here it is set directly.
     world.dependencies.configuration.apply(configured(revision))
-    await world.wait_until(lambda: world.admission.limit > 0)
+    await world.wait_until(lambda: world.admission.load().limit > 0)
 
 
 @given('a side with 2 slots and its configuration')
