A side starts nothing at a server that says it is leaving

What callers would see: a server that says Server-Leaving: 1 in its responses got requests from its side until its process ended, and callers lost what ran then (DRAIN).

Cause: the side passed the header on without reading it.

Evidence, on the side as it was:

tests/side/leaving_server.feature, A request with a grant from before: ASSERT FAILED: RunResult(fate=<AttemptStatus.RUNNING: 'running'>, ..., status=201, reason='', free=0) tests/side/leaving_server.feature: 3 scenarios passed, 2 failed, 4 error tests/system/server_notices.feature, an engine leaves: ASSERT FAILED: not within 5 s: ... scene.load(server)['phase'] == 'draining'

Change: any response with the header, also to load queries, puts the admission object into its drain; the side does not end. It accepts requests again when the server has restarted: for a model engine, when a load query that was sent after the last response with the header is answered without it; for a plain service, when its port has refused a connection and then accepts one. The side's own drain is never ended. Load commands wait. One line for the begin, one for the end, and a gauge.

Why this works: a server that leaves says so in every response, so one without the header to a later request comes from another process. A response to an earlier request, or one of the earlier process that arrives late, is recognised by the time at which its request was sent.

Ruled out: connections that time out as evidence of a restart, as the path to the server may be cut; the instance list, which has no incarnation of servers for a side; an end after some time.

Limit: a plain service that restarts within a quarter of a second, between two polls, is not recognised; its side has to be restarted then (operators.md).

--- a/src/sardinetrack/admission/api.py
+++ b/src/sardinetrack/admission/api.py
@@ -165,6 +165,10 @@
     def drain(self, now: float) -> Sequence[AdmissionEffect]:
         """Accept no new requests; running requests finish."""
 
+    @abstractmethod
+    def end_drain(self, now: float) -> Sequence[AdmissionEffect]:
+        """Accept requests again."""
+
     @abstractmethod
     def tick(self, now: float) -> Sequence[AdmissionEffect]:
         """Expire grants, queued requests and old records."""
--- a/src/sardinetrack/admission/slots.py
+++ b/src/sardinetrack/admission/slots.py
@@ -178,6 +178,11 @@
         refusals = self._refuse_all_queued(now, RefusalReason.DRAINING)
         return (*refusals, BroadcastLoad())
 
+    def end_drain(self, now: float) -> Sequence[AdmissionEffect]:
+        """Accept requests again."""
+        self._draining = False
+        return (*self._fill_slots(now), self._announce(now))
+
     def tick(self, now: float) -> Sequence[AdmissionEffect]:
         """Expire grants, queued requests and old records."""
         self._bids.expire(now)
--- a/src/sardinetrack/side/backend.py
+++ b/src/sardinetrack/side/backend.py
@@ -29,6 +29,10 @@
     """No connection to the backend server can be opened."""
 
 
+class RefusedConnectionError(UnreachableError):
+    """Nothing listens at the port of the backend server."""
+
+
 class UnresponsiveError(Exception):
     """The backend server accepts connections but does not respond."""
 
@@ -67,6 +71,7 @@
         :raises OtherResponseError: another request's response arrived.
         :raises ConnectionBrokenError: the connection broke later.
         """
+        sent_at = anyio.current_time()
         async with self._client.stream(
             run_request.method,
             f'{self._url}{run_request.path}',
@@ -74,7 +79,9 @@
             body=body,
             exchange_id=run_request.attempt_id,
         ) as response:
-            await self._observer.observe(response, run_request.attempt_id)
+            await self._observer.observe(
+                response, sent_at, run_request.attempt_id
+            )
             yield response
 
     async def load(self) -> LoadReport | None:
@@ -84,6 +91,7 @@
         :raises UnreachableError: no connection could be opened.
         :raises UnresponsiveError: no response arrived in time.
         """
+        sent_at = anyio.current_time()
         try:
             with anyio.fail_after(_PROBE_SECONDS):
                 response = await self._client.call(
@@ -93,12 +101,13 @@
             raise UnreachableError from unsent
         except (ConnectionBrokenError, TimeoutError) as error:
             raise UnresponsiveError from error
-        await self._observer.observe(response)
+        await self._observer.observe(response, sent_at)
         return _report(response) if response.status == HTTPStatus.OK else None
 
     async def connect(self) -> None:
         """Open a connection and close it again.
 
+        :raises RefusedConnectionError: nothing listens at its port.
         :raises UnreachableError: no connection could be opened.
         """
         host, _, port = self._url.rpartition('/')[2].rpartition(':')
@@ -106,7 +115,10 @@
             with anyio.fail_after(_PROBE_SECONDS):
                 stream = await anyio.connect_tcp(host.strip('[]'), int(port))
         except (OSError, TimeoutError) as error:
-            raise UnreachableError from error
+            refused = isinstance(error.__cause__, ConnectionRefusedError)
+            raise (
+                RefusedConnectionError if refused else UnreachableError
+            ) from error
         await stream.aclose()
 
 
--- a/src/sardinetrack/side/backend_watch.py
+++ b/src/sardinetrack/side/backend_watch.py
@@ -11,16 +11,22 @@
     MemoryObjectSendStream,
 )
 
+from sardinetrack.admission.server_condition import ServerCondition
 from sardinetrack.catalogue.api import Pool, PoolClass
 from sardinetrack.logs.lines import ComponentLogger, LogComponent
 from sardinetrack.side.backend import (
     BackendServer,
+    RefusedConnectionError,
     UnreachableError,
     UnresponsiveError,
 )
 from sardinetrack.side.concurrency import ConcurrencyLimit
 from sardinetrack.side.configuration import SideConfiguration
-from sardinetrack.side.events import LimitChanged, SideEvents
+from sardinetrack.side.events import (
+    LimitChanged,
+    ServerReconnected,
+    SideEvents,
+)
 from sardinetrack.side.load_report import LoadReport
 
 _LOG: Final = ComponentLogger(LogComponent.SIDE)
@@ -58,6 +64,7 @@
         concurrency: ConcurrencyLimit,
         owner: SideEvents,
         probes: MemoryObjectReceiveStream[ProbeNow],
+        condition: ServerCondition,
     ) -> None:
         """Create the task; it offers no slots before its first poll.
 
@@ -66,6 +73,7 @@
         :param concurrency: chooses the limit while the server responds.
         :param owner: stream of events to the owner task.
         :param probes: wake-ups, see ``request_probe``.
+        :param condition: whether the server is leaving.
         """
         self._backend = backend
         self._configuration = configuration
@@ -75,6 +83,8 @@
         self._limit = _NO_SLOTS
         self._probe_requested = False
         self._last_response_at = anyio.current_time()
+        self._condition = condition
+        self._refused_at: float | None = None
 
     async def run(self) -> None:
         """Poll the server until cancelled."""
@@ -102,10 +112,24 @@
             return await self._backend.load()
         # Plain services have no endpoint that is safe to call: opening a
         # connection must suffice, and only when there is a reason to doubt.
-        if self._probe_requested or self._limit == _NO_SLOTS:
-            await self._backend.connect()
+        if self._probe_requested or self._polls_often():
+            await self._connect()
         return None
 
+    async def _connect(self) -> None:
+        began_at = anyio.current_time()
+        try:
+            await self._backend.connect()
+        except RefusedConnectionError:
+            self._refused_at = began_at
+            raise
+        if self._refused_at is not None:
+            await self._owner.send(ServerReconnected(self._refused_at))
+            self._refused_at = None
+
+    def _polls_often(self) -> bool:
+        return self._limit == _NO_SLOTS or self._condition.departure.is_active
+
     def _is_unresponsive(self) -> bool:
         silent_seconds = anyio.current_time() - self._last_response_at
         return (
@@ -127,7 +151,9 @@
     async def _wait_for_next_poll(self) -> None:
         self._probe_requested = False
         seconds = (
-            _POLL_INTERVAL_SECONDS if self._limit else _RETRY_INTERVAL_SECONDS
+            _RETRY_INTERVAL_SECONDS
+            if self._polls_often()
+            else _POLL_INTERVAL_SECONDS
         )
         with anyio.move_on_after(seconds):
             await self._probes.receive()
--- a/src/sardinetrack/side/components.py
+++ b/src/sardinetrack/side/components.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from sardinetrack.admission.rest import RestPeriod
+from sardinetrack.admission.server_condition import ServerCondition
 from sardinetrack.http.client import HttpClient
 from sardinetrack.links.server import LinkAcceptor
 from sardinetrack.side.backend import BackendServer
@@ -45,7 +45,7 @@
         self._metrics = SideMetrics()
         streams = anyio.create_memory_object_stream[SideEvent](_WAITING_EVENTS)
         self.events = streams[0]
-        self.rest = RestPeriod()
+        self.condition = ServerCondition()
         self.observer = ResponseObserver(self.events)
         self._backend = BackendServer(
             dependencies.settings.backend_server,
@@ -61,7 +61,7 @@
             dependencies.configuration,
             self._metrics,
             self._probe,
-            self.rest,
+            self.condition,
         )
         self.owner = AdmissionOwner(state, streams[1])
         self.watch = BackendWatch(
@@ -70,6 +70,7 @@
             dependencies.concurrency,
             self.events,
             probes[1],
+            self.condition,
         )
 
     def peer_application(self) -> PeerApplication:
--- a/src/sardinetrack/side/daemon.py
+++ b/src/sardinetrack/side/daemon.py
@@ -60,7 +60,7 @@
                 self._dependencies.platform,
                 client,
                 self._components.observer,
-                self._components.rest,
+                self._components.condition,
             )
             tasks.start_soon(model_loader.run)
         settings = self._dependencies.settings
--- a/src/sardinetrack/side/events.py
+++ b/src/sardinetrack/side/events.py
@@ -78,6 +78,25 @@
     """Empty if the side itself had queried the server."""
 
 
+@dataclass(frozen=True, slots=True)
+class ServerResponded:
+    """A response of the backend server says whether the server is leaving."""
+
+    sent_at: float
+    """When its request was sent (monotonic)."""
+    leaving: bool
+    attempt_id: str
+    """Empty if the side itself had queried the server."""
+
+
+@dataclass(frozen=True, slots=True)
+class ServerReconnected:
+    """The backend server accepts connections again."""
+
+    refused_at: float
+    """When it refused one (monotonic): no process of it was listening."""
+
+
 @dataclass(frozen=True, slots=True)
 class LimitChanged:
     """The number of requests that the backend server can run has changed."""
@@ -126,6 +145,8 @@
     | AttemptQueried
     | LimitChanged
     | RestRequested
+    | ServerResponded
+    | ServerReconnected
     | DrainStarted
     | DrainTimedOut
     | StatusRequested
--- a/src/sardinetrack/side/metrics.py
+++ b/src/sardinetrack/side/metrics.py
@@ -36,12 +36,15 @@
             ['reason'],
             registry=self.registry,
         )
-        self.rests = self._counter(
+        self._rests = self._counter(
             'server_rests', 'Times that the backend server asked for rest'
         )
-        self.resting = self._gauge(
+        self._resting = self._gauge(
             'server_resting', 'Whether the backend server rests'
         )
+        self._leaving = self._gauge(
+            'server_leaving', 'Whether the backend server is leaving'
+        )
         self.ended = Counter(
             'sardinetrack_side_ended_requests',
             'Requests ended after their start',
@@ -64,9 +67,13 @@
 
     def record_rest(self, *, active: bool) -> None:
         """Record that a rest of the backend server begins or ends."""
-        self.resting.set(active)
+        self._resting.set(active)
         if active:
-            self.rests.inc()
+            self._rests.inc()
+
+    def record_departure(self, *, active: bool) -> None:
+        """Record that the backend server is leaving, or has restarted."""
+        self._leaving.set(active)
 
     def record_end(
         self, *, complete: bool, cost: float, seconds: float
--- a/src/sardinetrack/side/model_loader.py
+++ b/src/sardinetrack/side/model_loader.py
@@ -5,7 +5,7 @@
 import random
 from typing import Final
 
-from sardinetrack.admission.rest import RestPeriod
+from sardinetrack.admission.server_condition import ServerCondition
 from sardinetrack.http.client import HttpClient
 from sardinetrack.lease.decision import Lease
 from sardinetrack.lease.manager import LeaseManager
@@ -25,7 +25,7 @@
     platform: Platform,
     client: HttpClient,
     observer: ResponseObserver,
-    rest: RestPeriod,
+    condition: ServerCondition,
 ) -> ModelLoader:
     """Build the task.
 
@@ -33,7 +33,7 @@
     :param platform: stores the lease.
     :param client: for calls to the backend server.
     :param observer: receives the heads of the server's responses.
-    :param rest: during which no load command is sent.
+    :param condition: whether the server may be sent load commands.
     """
     settings = dependencies.settings
     lease = Lease(
@@ -48,7 +48,7 @@
             str(settings.backend_url),
             client,
             observer,
-            rest,
+            condition,
         ),
         LeaseManager(platform, key, lease),
         dependencies.configuration.pool,
--- a/src/sardinetrack/side/model_server.py
+++ b/src/sardinetrack/side/model_server.py
@@ -9,7 +9,7 @@
 import anyio
 import msgspec
 
-from sardinetrack.admission.rest import RestPeriod
+from sardinetrack.admission.server_condition import ServerCondition
 from sardinetrack.http.client import (
     ConnectionBrokenError,
     HttpClient,
@@ -53,7 +53,7 @@
         url: str,
         client: HttpClient,
         observer: ResponseObserver,
-        rest: RestPeriod,
+        condition: ServerCondition,
     ) -> None:
         """Create a client of the server.
 
@@ -61,13 +61,13 @@
         :param url: ``http://IP:port``.
         :param client: HTTP client that makes the calls.
         :param observer: receives the head of each response.
-        :param rest: during which no call is made.
+        :param condition: whether the server may be called.
         """
         self.name = name
         self._url = url.rstrip('/')
         self._client = client
         self._observer = observer
-        self._rest = rest
+        self._condition = condition
 
     async def models(self) -> frozenset[str] | None:
         """Return the loaded models; ``None`` when they are unknown."""
@@ -108,7 +108,8 @@
         body: bytes,
         seconds: float,
     ) -> HttpResponse | None:
-        if self._rest.is_active(anyio.current_time()):
+        sent_at = anyio.current_time()
+        if not self._condition.accepts_work(sent_at):
             return None
         with anyio.move_on_after(seconds):
             try:
@@ -121,6 +122,6 @@
                 )
             except (RequestNotSentError, ConnectionBrokenError):
                 return None
-            await self._observer.observe(response)
+            await self._observer.observe(response, sent_at)
             return response
         return None
--- a/src/sardinetrack/side/owner.py
+++ b/src/sardinetrack/side/owner.py
@@ -35,6 +35,8 @@
     LimitChanged,
     RestRequested,
     RunRequestReceived,
+    ServerReconnected,
+    ServerResponded,
     SideEvent,
     SideStatusPage,
     StatusRequested,
@@ -81,6 +83,8 @@
                 LinkMessageReceived: links.received,
                 LimitChanged: self._limit_changed,
                 RestRequested: self._server.rest_requested,
+                ServerResponded: self._server.responded,
+                ServerReconnected: self._server.reconnected,
                 DrainStarted: self._drain_started,
                 DrainTimedOut: self._drain_timed_out,
                 StatusRequested: self._status_requested,
@@ -168,6 +172,7 @@
     def _drain_started(self, now: float, event: DrainStarted) -> Effects:
         _LOG.info('draining', requests=len(self._state.attempts))
         self._idle = event.idle
+        self._server.side_drains = True
         # Run requests come from entries that receive the drain notice over
         # their links: unlike a balancer in front of an entry, they need no
         # time to notice it.
--- a/src/sardinetrack/side/owner_state.py
+++ b/src/sardinetrack/side/owner_state.py
@@ -8,7 +8,7 @@
 from anyio.streams.memory import MemoryObjectSendStream
 
 from sardinetrack.admission.api import Admission, AdmissionEffect
-from sardinetrack.admission.rest import RestPeriod
+from sardinetrack.admission.server_condition import ServerCondition
 from sardinetrack.links.table import LinkTable
 from sardinetrack.side.active_attempts import ActiveAttempts
 from sardinetrack.side.backend_watch import ProbeNow
@@ -37,7 +37,7 @@
     configuration_sync: ConfigurationSync
     load_broadcaster: LoadBroadcaster
     metrics: SideMetrics
-    rest: RestPeriod
+    condition: ServerCondition
     """Written by the owner task only; others read it."""
 
     @classmethod
@@ -48,7 +48,7 @@
         configuration: SideConfiguration,
         metrics: SideMetrics,
         probe: MemoryObjectSendStream[ProbeNow],
-        rest: RestPeriod,
+        condition: ServerCondition,
     ) -> OwnerState:
         """Create the state, without links and attempts."""
         links = LinkTable()
@@ -61,5 +61,5 @@
             configuration_sync=ConfigurationSync(configuration, links, probe),
             load_broadcaster=LoadBroadcaster(links),
             metrics=metrics,
-            rest=rest,
+            condition=condition,
         )
--- a/src/sardinetrack/side/response_observer.py
+++ b/src/sardinetrack/side/response_observer.py
@@ -10,11 +10,17 @@
 import anyio
 
 from sardinetrack.http.client import HttpResponse, StreamedResponse
-from sardinetrack.side.events import RestRequested, SideEvents
+from sardinetrack.side.events import (
+    RestRequested,
+    ServerResponded,
+    SideEvent,
+    SideEvents,
+)
 
 _REST_STATUSES: Final = frozenset(
     (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS)
 )
+_LEAVING: Final = '1'
 _SECONDS: Final = re.compile(r'[0-9]+(\.[0-9]*)?|\.[0-9]+', re.ASCII)
 _OWNER_ENDED: Final = (anyio.BrokenResourceError, anyio.ClosedResourceError)
 
@@ -33,18 +39,27 @@
         self._owner = owner
 
     async def observe(
-        self, response: ObservedResponse, attempt_id: str = ''
+        self,
+        response: ObservedResponse,
+        sent_at: float,
+        attempt_id: str = '',
     ) -> None:
         """Report a response.
 
         :param response: the response of the backend server.
+        :param sent_at: when its request was sent (monotonic).
         :param attempt_id: the attempt; empty for a query of the side itself.
         """
+        leaving = response.header('server-leaving') == _LEAVING
+        if leaving or not attempt_id:
+            await self._report(ServerResponded(sent_at, leaving, attempt_id))
         seconds = rest_seconds(response)
-        if seconds <= 0:
-            return
+        if seconds > 0:
+            await self._report(RestRequested(seconds, attempt_id))
+
+    async def _report(self, event: SideEvent) -> None:
         try:
-            await self._owner.send(RestRequested(seconds, attempt_id))
+            await self._owner.send(event)
         except _OWNER_ENDED:
             return
 
--- a/tests/naive.py
+++ b/tests/naive.py
@@ -149,6 +149,7 @@
     begin_rest = _ignore
     end_rest = _ignore
     drain = _ignore
+    end_drain = _ignore
     tick = _ignore
 
 
--- a/tests/side/side_backend.py
+++ b/tests/side/side_backend.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from contextlib import suppress
+from functools import partial
 from typing import Final
 from urllib.parse import parse_qs
 
@@ -10,7 +11,13 @@
 from anyio.lowlevel import checkpoint
 
 from sardinetrack.catalogue.api import Pool, PoolClass
-from sardinetrack.http.asgi import HttpExchange, Receive, Scope, Send
+from sardinetrack.http.asgi import (
+    HttpExchange,
+    Message,
+    Receive,
+    Scope,
+    Send,
+)
 from sardinetrack.http.client import EXCHANGE_HEADER
 from sardinetrack.messages.run import RunRequest
 
@@ -56,6 +63,8 @@
         self.gate = anyio.Event()
         self.responsive = anyio.Event()
         self.responsive.set()
+        self.leaving: str | None = None
+        """The header Server-Leaving of each response."""
         self.load_retry_after: str | None = None
         """Sent once with status 503 to a load query."""
         self.rest_until = float(0)
@@ -65,7 +74,8 @@
         self, scope: Scope, receive: Receive, send: Send
     ) -> None:
         """Run the method named after the path."""
-        exchange = HttpExchange(scope, receive, send)
+        send_marked = partial(self._send_marked, send)
+        exchange = HttpExchange(scope, receive, send_marked)
         body = await exchange.body(10_000, _BODY_SECONDS)
         if exchange.path == '/load':
             await self.responsive.wait()
@@ -76,6 +86,13 @@
         name = exchange.path.replace('/', '_')
         await getattr(self, name)(exchange, body)
 
+    async def _send_marked(self, send: Send, message: Message) -> None:
+        starts = message['type'] == 'http.response.start'
+        if starts and self.leaving is not None:
+            pair = (b'server-leaving', self.leaving.encode())
+            message = {**message, 'headers': [*message['headers'], pair]}
+        await send(message)
+
     async def _report_load(self, exchange: HttpExchange) -> None:
         if self.load_retry_after is None:
             await exchange.respond_json(200, {'running': 0})
--- a/tests/side/side_fakes.py
+++ b/tests/side/side_fakes.py
@@ -133,6 +133,11 @@
         self.draining = True
         return ()
 
+    def end_drain(self, now: float) -> Sequence[AdmissionEffect]:
+        """Accept requests again."""
+        self.draining = False
+        return ()
+
     def tick(self, now: float) -> Sequence[AdmissionEffect]:
         """Do nothing."""
         return ()
--- a/tests/side/steps/rest_steps.py
+++ b/tests/side/steps/rest_steps.py
@@ -140,7 +140,7 @@
         world.server.url,
         world.client,
         components.observer,
-        components.rest,
+        components.condition,
     )
     return await server.load_models(1, ('ice',))
 
--- a/tests/system/steps/server_notices_steps.py
+++ b/tests/system/steps/server_notices_steps.py
@@ -18,6 +18,20 @@
     scene.stand_ins.fault(server)
 
 
+@when('{server} says that it leaves')
+def when_leaves(context, server: str):
+    scene = context.scene
+    scene.stand_ins.fault(server, leaving=True)
+    eventually(
+        lambda: scene.load(server)['phase'] == 'draining', within_seconds=5
+    )
+
+
+@when('the next process of {server} does not leave')
+def when_stays(context, server: str):
+    context.scene.stand_ins.fault(server)
+
+
 @then(
     'the side of {server} starts nothing for {seconds:g} s '
     'while {other} runs requests'
