--- a/src/sardinetrack/side/components.py
+++ b/src/sardinetrack/side/components.py
@@ -6,9 +6,9 @@
 
 import anyio
 
+from sardinetrack.admission.server_condition import ServerCondition
 from sardinetrack.http.client import HttpClient
 from sardinetrack.links.server import LinkAcceptor
-from sardinetrack.logs.lines import ComponentLogger, LogComponent
 from sardinetrack.side.backend import BackendServer
 from sardinetrack.side.backend_watch import BackendWatch, ProbeNow
 from sardinetrack.side.dependencies import SideDependencies
@@ -20,10 +20,10 @@
 from sardinetrack.side.owner import AdmissionOwner
 from sardinetrack.side.owner_state import OwnerState
 from sardinetrack.side.peer_application import PeerApplication
+from sardinetrack.side.response_observer import ResponseObserver
 from sardinetrack.side.run_dependencies import RunDependencies
 from sardinetrack.side.run_endpoint import RunEndpoint
 
-_LOG: Final = ComponentLogger(LogComponent.SIDE)
 _WAITING_EVENTS: Final = 1024
 
 
@@ -42,14 +42,18 @@
         self._identity = SideIdentity.of(
             dependencies.settings, dependencies.incarnation
         )
+        self._log = DecisionLog(self._identity)
         self._metrics = SideMetrics()
+        streams = anyio.create_memory_object_stream[SideEvent](_WAITING_EVENTS)
+        self.events = streams[0]
+        self.condition = ServerCondition()
+        self.observer = ResponseObserver(self.events)
         self._backend = BackendServer(
             dependencies.settings.backend_server,
             str(dependencies.settings.backend_url),
             client,
+            self.observer,
         )
-        streams = anyio.create_memory_object_stream[SideEvent](_WAITING_EVENTS)
-        self.events = streams[0]
         probes = anyio.create_memory_object_stream[ProbeNow](1)
         self._probe = probes[0]
         state = OwnerState.build(
@@ -58,6 +62,7 @@
             dependencies.configuration,
             self._metrics,
             self._probe,
+            self.condition,
         )
         self.owner = AdmissionOwner(state, streams[1])
         self.watch = BackendWatch(
@@ -66,16 +71,13 @@
             dependencies.concurrency,
             self.events,
             probes[1],
+            self.condition,
         )
 
     def record_surplus(self, origin: str) -> None:
         """Log and count a second response of the backend server."""
         self._metrics.surplus.labels('unread').inc()
-        _LOG.warning(
-            'surplus response discarded',
-            backend_server=self._identity.backend_server,
-            origin=origin,
-        )
+        self._log.surplus_discarded(origin)
 
     def peer_application(self) -> PeerApplication:
         """Build the application for peers."""
@@ -92,7 +94,7 @@
                 backend=self._backend,
                 owner=self.events,
                 probe=self._probe,
-                log=DecisionLog(self._identity),
+                log=self._log,
                 metrics=self._metrics,
                 send_seconds=self._dependencies.send_seconds,
             ),
--- a/src/sardinetrack/side/daemon.py
+++ b/src/sardinetrack/side/daemon.py
@@ -63,6 +63,8 @@
                 self._dependencies,
                 self._dependencies.platform,
                 client,
+                self._components.observer,
+                self._components.condition,
             )
             tasks.start_soon(model_loader.run)
         settings = self._dependencies.settings
--- a/src/sardinetrack/side/events.py
+++ b/src/sardinetrack/side/events.py
@@ -69,6 +69,34 @@
     responses: MemoryObjectSendStream[AttemptStatusResponse]
 
 
+@dataclass(frozen=True, slots=True)
+class RestRequested:
+    """A response of the backend server asks for no requests for some time."""
+
+    seconds: float
+    attempt_id: str
+    """Empty if the side itself had queried the server."""
+
+
+@dataclass(frozen=True, slots=True)
+class ServerResponded:
+    """A response of the backend server says whether the server is leaving."""
+
+    sent_at: float
+    """When its request was sent (monotonic)."""
+    leaving: bool
+    attempt_id: str
+    """Empty if the side itself had queried the server."""
+
+
+@dataclass(frozen=True, slots=True)
+class ServerReconnected:
+    """The backend server accepts connections again."""
+
+    refused_at: float
+    """When it refused one (monotonic): no process of it was listening."""
+
+
 @dataclass(frozen=True, slots=True)
 class LimitChanged:
     """The number of requests that the backend server can run has changed."""
@@ -116,6 +144,9 @@
     | AttemptEnded
     | AttemptQueried
     | LimitChanged
+    | RestRequested
+    | ServerResponded
+    | ServerReconnected
     | DrainStarted
     | DrainTimedOut
     | StatusRequested
--- a/src/sardinetrack/side/log.py
+++ b/src/sardinetrack/side/log.py
@@ -16,7 +16,7 @@
 
 
 class DecisionLog:
-    """Writes one log line for each decision."""
+    """Writes the log lines of a side that name its backend server."""
 
     def __init__(self, identity: SideIdentity) -> None:
         self._identity = identity
@@ -41,3 +41,11 @@
                 suspect=run_request.suspect,
             ),
         )
+
+    def surplus_discarded(self, origin: str) -> None:
+        """Log a second response of the backend server."""
+        _LOG.warning(
+            'surplus response discarded',
+            backend_server=self._identity.backend_server,
+            origin=origin,
+        )
--- a/src/sardinetrack/side/metrics.py
+++ b/src/sardinetrack/side/metrics.py
@@ -36,6 +36,15 @@
             ['reason'],
             registry=self.registry,
         )
+        self._rests = self._counter(
+            'server_rests', 'Times that the backend server asked for rest'
+        )
+        self._resting = self._gauge(
+            'server_resting', 'Whether the backend server rests'
+        )
+        self._leaving = self._gauge(
+            'server_leaving', 'Whether the backend server is leaving'
+        )
         self.ended = Counter(
             'sardinetrack_side_ended_requests',
             'Requests ended after their start',
@@ -62,6 +71,16 @@
         self.free.set(load.free)
         self.limit.set(load.limit)
 
+    def record_rest(self, *, active: bool) -> None:
+        """Record that a rest of the backend server begins or ends."""
+        self._resting.set(active)
+        if active:
+            self._rests.inc()
+
+    def record_departure(self, *, active: bool) -> None:
+        """Record that the backend server is leaving, or has restarted."""
+        self._leaving.set(active)
+
     def record_end(
         self, *, complete: bool, cost: float, seconds: float
     ) -> None:
--- a/src/sardinetrack/side/model_loader.py
+++ b/src/sardinetrack/side/model_loader.py
@@ -5,6 +5,7 @@
 import random
 from typing import Final
 
+from sardinetrack.admission.server_condition import ServerCondition
 from sardinetrack.http.client import HttpClient
 from sardinetrack.lease.decision import Lease
 from sardinetrack.lease.manager import LeaseManager
@@ -12,6 +13,7 @@
 from sardinetrack.lease.record import lease_key
 from sardinetrack.side.dependencies import SideDependencies
 from sardinetrack.side.model_server import HttpModelServer
+from sardinetrack.side.response_observer import ResponseObserver
 from sardinetrack.store.api import Platform
 
 _MARGIN_FRACTION: Final = 0.2
@@ -22,12 +24,16 @@
     dependencies: SideDependencies,
     platform: Platform,
     client: HttpClient,
+    observer: ResponseObserver,
+    condition: ServerCondition,
 ) -> ModelLoader:
     """Build the task.
 
     :param dependencies: settings and configuration of the side.
     :param platform: stores the lease.
     :param client: for calls to the backend server.
+    :param observer: receives the heads of the server's responses.
+    :param condition: whether the server may be sent load commands.
     """
     settings = dependencies.settings
     lease = Lease(
@@ -41,6 +47,8 @@
             settings.backend_server,
             str(settings.backend_url),
             client,
+            observer,
+            condition,
         ),
         LeaseManager(platform, key, lease),
         dependencies.configuration.pool,
--- a/src/sardinetrack/side/model_server.py
+++ b/src/sardinetrack/side/model_server.py
@@ -9,6 +9,7 @@
 import anyio
 import msgspec
 
+from sardinetrack.admission.server_condition import ServerCondition
 from sardinetrack.http.client import (
     ConnectionBrokenError,
     HttpClient,
@@ -16,6 +17,7 @@
     RequestNotSentError,
 )
 from sardinetrack.lease.model_loader import LoadResult, ModelServer
+from sardinetrack.side.response_observer import ResponseObserver
 
 _LIST_MODELS_SECONDS: Final = 2.0
 _LOAD_MODELS_SECONDS: Final = 5.0
@@ -45,10 +47,27 @@
 class HttpModelServer(ModelServer):
     """A model engine that accepts load commands over HTTP."""
 
-    def __init__(self, name: str, url: str, client: HttpClient) -> None:
+    def __init__(
+        self,
+        name: str,
+        url: str,
+        client: HttpClient,
+        observer: ResponseObserver,
+        condition: ServerCondition,
+    ) -> None:
+        """Create a client of the server.
+
+        :param name: name of the backend server.
+        :param url: ``http://IP:port``.
+        :param client: HTTP client that makes the calls.
+        :param observer: receives the head of each response.
+        :param condition: whether the server may be called.
+        """
         self.name = name
         self._url = url.rstrip('/')
         self._client = client
+        self._observer = observer
+        self._condition = condition
 
     async def models(self) -> frozenset[str] | None:
         """Return the loaded models; ``None`` when they are unknown."""
@@ -89,9 +108,12 @@
         body: bytes,
         seconds: float,
     ) -> HttpResponse | None:
+        sent_at = anyio.current_time()
+        if not self._condition.accepts_work(sent_at):
+            return None
         with anyio.move_on_after(seconds):
             try:
-                return await self._client.call(
+                response = await self._client.call(
                     method,
                     f'{self._url}{path}',
                     headers=[('content-type', 'application/json')],
@@ -100,4 +122,6 @@
                 )
             except (RequestNotSentError, ConnectionBrokenError):
                 return None
+            await self._observer.observe(response, sent_at)
+            return response
         return None
