An attempt that is cancelled releases its connection

What callers saw: nothing at once. With each time-out and each caller who left, the entry counted one more open connection to that server, for ever. It then kept fewer idle connections to it, or none, and opened new ones.

Cause: Sender._release ran in a `finally` and asked for the result of the attempt. That of a cancelled future raises CancelledError, so the pool's `release` behind it was never reached. The attempt was also created between acquiring the connection and the `try` that released it.

Evidence, on the code before (tests/relay/connections.feature):

A request that times out leaves no connection counted ASSERT FAILED: 1 A caller that disconnects leaves no connection counted ASSERT FAILED: 1 A fault before a request is sent leaves no connection counted ASSERT FAILED: 1 0 scenarios passed, 3 failed

Why it works: ConnectionPool.lease acquires and releases around a block, with nothing between that could raise, and releases in any case. What the outcome decides (reuse or not) is inside the block; an exception keeps no connection.

Ruled out: a lost decrement in ConnectionPool._connect, which undoes its count on any exception, and in `release`, which decrements first.

--- a/src/sardinetrack/relay/connection_pool.py
+++ b/src/sardinetrack/relay/connection_pool.py
@@ -5,6 +5,8 @@
 import asyncio
 import math
 from collections import deque
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
 from typing import Final
 
 from sardinetrack.http.sockets import has_unread_data
@@ -37,6 +39,35 @@
         """Count the connections to a server, idle ones too."""
         return self._open.get(address, 0) + len(self._idle.get(address, ()))
 
+    @asynccontextmanager
+    async def lease(
+        self,
+        address: Address,
+        max_kept: Callable[[], float],
+        *,
+        max_idle_seconds: float,
+        request_id: str,
+    ) -> AsyncIterator[ServerConnection]:
+        """Acquire a connection for a block, and release it at its end.
+
+        After an exception, a cancellation included, it is closed: a response
+        may still be due on it.
+
+        :param max_kept: as for :meth:`release`, at that time.
+        :param max_idle_seconds: as for :meth:`acquire`.
+        :param request_id: as for :meth:`acquire`.
+        :raises NotConnectedError: the server accepts no connection.
+        """
+        connection = await self.acquire(
+            address, max_idle_seconds=max_idle_seconds, request_id=request_id
+        )
+        limit = float(0)
+        try:
+            yield connection
+            limit = max_kept()
+        finally:
+            self.release(address, connection, limit)
+
     async def acquire(
         self,
         address: Address,
--- a/src/sardinetrack/relay/sender.py
+++ b/src/sardinetrack/relay/sender.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import AbstractAsyncContextManager
+from functools import partial
 from typing import Final
 
 from sardinetrack.logs.events import Event
@@ -81,37 +83,35 @@
         self.server = server
         target = Target.of(self._state, server)
         try:
-            connection = await self._connect(plan, server)
+            async with self._connection(plan, server) as connection:
+                attempt = self._prepare(
+                    plan, placement, progress, target, connection
+                )
+                await self._exchange(
+                    plan, placement.candidate, connection, attempt
+                )
+                _prepare_reuse(connection, attempt)
         except NotConnectedError as error:
             self._record_unreachable(target, error)
             raise
         except BaseException:
             target.record_inconclusive()
             raise
-        attempt = self._prepare(plan, placement, progress, target, connection)
-        try:
-            await self._exchange(plan, placement.candidate, connection, attempt)
-        except BaseException:
-            target.record_inconclusive()
-            connection.abort()
-            raise
-        else:
-            self._record_outcome(target, attempt)
-            self._update_suspects(plan, server, attempt)
-        finally:
-            self._release(server, connection, attempt)
+        self._record_outcome(target, attempt)
+        self._update_suspects(plan, server, attempt)
         return attempt
 
-    async def _connect(
+    def _connection(
         self,
         plan: Plan,
         server: BackendServer,
-    ) -> ServerConnection:
+    ) -> AbstractAsyncContextManager[ServerConnection]:
         max_idle_seconds = IDLE_SECONDS
         if not plan.route.repeatable:
             max_idle_seconds = RUN_ONCE_IDLE_SECONDS
-        return await self._state.connections.acquire(
+        return self._state.connections.lease(
             server.address,
+            partial(self._state.connection_limit, server),
             max_idle_seconds=max_idle_seconds,
             request_id=self._call.request_id,
         )
@@ -284,23 +284,6 @@
             if strikes:
                 self._state.sides.report_strikes(strikes)
 
-    def _release(
-        self,
-        server: BackendServer,
-        connection: ServerConnection,
-        attempt: ServerAttempt,
-    ) -> None:
-        if attempt.response is not None:
-            connection.idle_limit_seconds = attempt.response.idle_seconds
-        done = attempt.done
-        if not done.done() or done.result() is SendOutcome.UNKNOWN:
-            connection.abort()
-        self._state.connections.release(
-            server.address,
-            connection,
-            self._state.connection_limit(server),
-        )
-
     def _record_unreachable(
         self,
         target: Target,
@@ -318,3 +301,13 @@
             cause=detail or 'no connection in time',
             breaker=target.breaker.state.value,
         )
+
+
+def _prepare_reuse(
+    connection: ServerConnection, attempt: ServerAttempt
+) -> None:
+    """Record how long a connection may stay idle; close it in mid-response."""
+    if attempt.response is not None:
+        connection.idle_limit_seconds = attempt.response.idle_seconds
+    if attempt.done.result() is SendOutcome.UNKNOWN:
+        connection.abort()
--- /dev/null
+++ b/tests/relay/connections.feature
@@ -0,0 +1,33 @@
+Feature: The entry's count of its connections to each server
+
+  A connection that stays counted after its request leaves fewer idle ones to
+  keep, and more connections are opened.
+
+  Scenario: A request that times out leaves no connection counted
+    Guards against a count that grows with each attempt that is cancelled at the
+    time-out.
+
+    Given a relay in front of 1 model server with a time-out of 0.3 seconds
+    When the server hangs on its next request
+    And a caller requests a stream that may run once
+    Then the caller gets status 504 within 0.6 seconds
+    And the entry keeps 0 connections to the servers
+
+  Scenario: A caller that disconnects leaves no connection counted
+    Guards against a count that grows with each attempt whose caller leaves.
+
+    Given a relay in front of 1 model server
+    When the server hangs on its next request
+    And a caller disconnects after it has requested a stream
+    Then the server detects that within 0.5 seconds
+    And the entry keeps 0 connections to the servers
+
+  Scenario: A fault before a request is sent leaves no connection counted
+    Guards against an exception between the moment at which a connection is
+    acquired and the one from which it is released in any case.
+
+    Given a relay in front of 1 plain server
+    When the next request can't be prepared once its connection is acquired
+    And a caller fetches
+    Then the servers got 0 requests
+    And the entry keeps 0 connections to the servers
