A server that is not read for a slow caller is not called silent

What callers saw: mostly nothing; a stream that a caller reads slowly ran twice, at two servers, and took a retry from the budget that all requests to the pool share. Other requests were then refused their retry.

Cause: while a caller reads slowly, the entry stops reading from its server.

Evidence, on the code before (tests/relay/slow_callers.feature):

A server that is not read for a slow caller is not called silent And the servers got 1 request ASSERT FAILED: 2 A resumable stream that is never read is ended by its time-out Then the caller's response is truncated ASSERT FAILED (the second run was read without pausing and became complete in the buffer)

Why it works: FlowControl, one for each caller's connection, knows whether reading is paused and when it was resumed. Paused time is no silence, and the clock starts anew when reading resumes, before anything could have been read: with the fix but without that, "The time that a server was not read does not count as silence" fails with 2 requests in place of 1 (on the code before, its step could not run). A server that stays silent after that is still abandoned, and a caller that never reads is ended by the deadline: both have a scenario.

Ruled out: a longer limit on silence, which a caller that reads slower still exceeds. A restarted server is left as before, read or not.

The limits moved from entry.py to silence.py, the check to Exchange. The scripted servers get two acts, a long stream and one that stops midway.

--- a/src/sardinetrack/relay/caller_connection.py
+++ b/src/sardinetrack/relay/caller_connection.py
@@ -6,7 +6,6 @@
 import os
 import socket
 from collections import deque
-from collections.abc import Callable
 from typing import Final, NamedTuple, cast
 
 import httptools
@@ -17,6 +16,7 @@
 from sardinetrack.relay.caller_response import CallerResponse
 from sardinetrack.relay.connection_owner import ConnectionOwner
 from sardinetrack.relay.error_response import error_response
+from sardinetrack.relay.flow_control import FlowControl
 
 _CONTINUE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
 _EXPECTS_CONTINUE: Final = (b'expect', b'100-continue')
@@ -60,7 +60,7 @@
         self._unreadable = False
         self._received_any = False
         self.response = CallerResponse(self._write, self._closes)
-        self.flow: Callable[[bool], None] | None = None
+        self.flow = FlowControl()
         self.changed_seconds = float(0)
         self.reading = False
 
@@ -109,13 +109,11 @@
 
     def pause_writing(self) -> None:
         """Stop reading from the server while the caller reads slowly."""
-        if self.flow is not None:
-            self.flow(False)
+        self.flow.pause()
 
     def resume_writing(self) -> None:
         """Continue to read from the server."""
-        if self.flow is not None:
-            self.flow(True)
+        self.flow.resume()
 
     @property
     def unread_input(self) -> bool:
@@ -295,7 +293,6 @@
 
     def _request_done(self, task: asyncio.Task[None]) -> None:
         self._task = None
-        self.flow = None
         self.changed_seconds = self._owner.now()
         if task.cancelled():
             self.truncate()
--- a/src/sardinetrack/relay/entry.py
+++ b/src/sardinetrack/relay/entry.py
@@ -20,7 +20,7 @@
 from sardinetrack.relay.entry_state import EntryState
 from sardinetrack.relay.exchange import Exchange
 from sardinetrack.relay.listener import Listener
-from sardinetrack.topology.configuration import CallerLimits, Route, RouteKind
+from sardinetrack.topology.configuration import CallerLimits
 from sardinetrack.views.source import ViewSource
 
 SWEEP_SECONDS: Final = 0.1
@@ -34,9 +34,6 @@
 _EVICT_DIVISOR: Final = 10
 _DRAIN_FRACTION: Final = 0.9
 """Fraction of the grace period after which running requests are interrupted."""
-SILENT_START_SECONDS: Final = 2.0
-SILENT_GAP_FACTOR: Final = 5.0
-MIN_SILENT_GAP_SECONDS: Final = 1.2
 _SWEEPS_A_SECOND: Final = 10
 
 
@@ -312,7 +309,8 @@
             self._update_lateness(self.now() - due_seconds)
             self._update_memory()
             count += 1
-            self._abandon_silent()
+            for exchange in self._exchanges:
+                exchange.abandon_if_silent(self.now())
             self._state.expire_servers()
             self._state.log.flush()
             if not count % _SWEEPS_A_SECOND:
@@ -354,40 +352,9 @@
             if now - connection.changed_seconds > allowed:
                 connection.close_idle()
 
-    def _abandon_silent(self) -> None:
-        """Abandon attempts on silent servers if the request may be repeated.
-
-        An unreachable server sends no reset; without this check its streams
-        would hang until their callers give up. A server that has restarted
-        knows nothing of the requests sent to its former start.
-        """
-        now = self.now()
-        for exchange in self._exchanges:
-            plan, attempt = exchange.plan, exchange.attempt
-            if plan is None or attempt is None or attempt.done.done():
-                continue
-            allowed = _silence_seconds(
-                plan.route, started=attempt.first_event_received
-            )
-            silent = now - attempt.last_data_seconds > allowed
-            superseded = plan.route.repeatable and exchange.server_restarted
-            if silent or superseded:
-                attempt.abandon()
-
 
 def _since_arrival(call: CallerRequest, seconds: float | None) -> float | None:
     """Return how long after its arrival something happened to a request."""
     if seconds is None:
         return None
     return round(seconds - call.arrived_seconds, 3)
-
-
-def _silence_seconds(route: Route, *, started: bool) -> float:
-    """Return how long a server may send nothing."""
-    if route.kind is not RouteKind.STREAMING or not route.resumable:
-        return math.inf
-    if not started:
-        return SILENT_START_SECONDS + route.first_event_objective_seconds
-    return max(
-        MIN_SILENT_GAP_SECONDS, SILENT_GAP_FACTOR * route.event_gap_seconds
-    )
--- a/src/sardinetrack/relay/exchange.py
+++ b/src/sardinetrack/relay/exchange.py
@@ -17,6 +17,7 @@
 from sardinetrack.relay.sender import Sender
 from sardinetrack.relay.server_choice import Placer
 from sardinetrack.relay.server_states import ServerUnavailableError
+from sardinetrack.relay.silence import max_silence_seconds
 from sardinetrack.relay.trace import Trace
 from sardinetrack.turns.clock import loop_now
 
@@ -37,6 +38,7 @@
         self._adapter = adapter
         self._call = call
         self._response = caller.response
+        self._flow = caller.flow
         self.progress = Progress(EventSplitter(call.last_event_id))
         self._placer = Placer(state, call, self.trace)
         self._sender = Sender(state, adapter, call, caller, self.trace)
@@ -57,6 +59,34 @@
         server = self._sender.server
         return server is not None and self._state.is_superseded(server)
 
+    def abandon_if_silent(self, now: float) -> None:
+        """Abandon an attempt on a silent server if the request may be repeated.
+
+        An unreachable server sends no reset; without this check its streams
+        would hang until their callers give up. A server that has restarted
+        knows nothing of the requests sent to its former start.
+        """
+        plan, attempt = self.plan, self.attempt
+        if plan is None or attempt is None or attempt.done.done():
+            return
+        allowed = max_silence_seconds(
+            plan.route, started=attempt.first_event_received
+        )
+        silent = self._silent_seconds(now, attempt) > allowed
+        superseded = plan.route.repeatable and self.server_restarted
+        if silent or superseded:
+            attempt.abandon()
+
+    def _silent_seconds(self, now: float, attempt: ServerAttempt) -> float:
+        """Return how long a server has sent nothing, though it was read.
+
+        While reading is paused for a slow caller, a working server looks
+        silent too.
+        """
+        if self._flow.paused:
+            return 0
+        return now - max(attempt.last_data_seconds, self._flow.resumed_seconds)
+
     async def run(self) -> None:
         """Serve the request."""
         try:
--- a/src/sardinetrack/relay/sender.py
+++ b/src/sardinetrack/relay/sender.py
@@ -158,17 +158,14 @@
         self.attempt = attempt
         load = self._state.server_states.load(server)
         load.added_tokens += candidate.prefill_tokens
-        try:
+        with self._caller.flow.applied_to(connection):
             connection.send(
                 request,
                 attempt,
                 request_id=self._call.request_id,
                 bodiless=self._call.method == _HEAD,
             )
-            self._caller.flow = connection.flow
             await attempt.done
-        finally:
-            self._caller.flow = None
 
     def _recheck(self, plan: Plan, server: BackendServer) -> None:
         """Check again what may have changed while the request waited.
--- a/tests/support/relay_servers.py
+++ b/tests/support/relay_servers.py
@@ -11,6 +11,8 @@
 
 STAMP = 'X-Sardinetrack-Server-Stamp: s1'
 EVENTS = 6
+LONG_EVENTS = 320
+_PADDING = b': %b\n' % bytes(65_536).replace(b'\0', b'.')
 _LATE_SECONDS = 0.15
 _DISCONNECTED = (
     asyncio.IncompleteReadError,
@@ -136,6 +138,14 @@
         await self._answer(fields, reader, writer)
         _block(_LATE_SECONDS)
 
+    async def _stream_at_length(self, fields, reader, writer):
+        await self._stream(fields, writer, LONG_EVENTS, _PADDING)
+        writer.write(b'0\r\n\r\n')
+
+    async def _stop_midway(self, fields, reader, writer):
+        await self._stream(fields, writer, LONG_EVENTS // 2, _PADDING)
+        await self._hang(fields, reader, writer)
+
     async def _flood(self, fields, reader, writer):
         head = self._head(fields, '200 OK')
         writer.write(f'{head}Transfer-Encoding: chunked\r\n\r\n'.encode())
@@ -258,12 +268,12 @@
         await self.close()
         await self._cut(fields, reader, writer)
 
-    async def _stream(self, fields, writer, last):
+    async def _stream(self, fields, writer, last, padding=b''):
         head = self._head(fields, '200 OK')
         writer.write(f'{head}Transfer-Encoding: chunked\r\n\r\n'.encode())
         first = int(fields.get('last-event-id', 0)) + 1
         for number in range(first, last + 1):
-            event = await self._event(fields, number)
+            event = padding + await self._event(fields, number)
             writer.write(b'%x\r\n%b\r\n' % (len(event), event))
             await writer.drain()
 
