A slow caller slows down the next attempt and the next request too

What callers saw: nothing; the entry's memory grew by what a server sent, for callers that read slowly, up to whole streams.

Cause: reading was paused on the connection of the attempt at that moment. The next attempt's connection started unpaused, and asyncio reports no second pause while the caller's buffer is above its limit, so the stream was read without end. So did a pipelined request behind a response that is not read yet.

Why it works: FlowControl keeps the state of the caller's connection, and pauses the connection of each attempt at its start if the caller is paused. The caller that reads on gets the whole stream, which the first one checks.

Ruled out: a connection that goes back to the pool paused; the pool resumes it, which has a scenario of its own.

--- a/src/sardinetrack/relay/flow_control.py
+++ b/src/sardinetrack/relay/flow_control.py
@@ -34,8 +34,14 @@
 
     @contextmanager
     def applied_to(self, connection: ServerConnection) -> Iterator[None]:
-        """Control the reading from a connection during one attempt."""
+        """Control the reading from a connection during one attempt.
+
+        A caller that is slow at its start would otherwise fill the memory with
+        all that this server sends.
+        """
         self._connection = connection
+        if self.paused:
+            connection.flow(reading=False)
         try:
             yield
         finally:
--- a/tests/relay/slow_callers.feature
+++ b/tests/relay/slow_callers.feature
@@ -55,3 +55,26 @@
     And a caller requests a resumable stream, and reads nothing for 2.2 seconds
     Then the caller's response is truncated
     And the servers got 1 request
+
+  Scenario: A slow caller slows down the next attempt too
+    A server is listed as restarted while its stream is not read. Guards against
+    a second server whose whole stream is read into the entry's memory, since
+    only the first one's connection was paused.
+
+    Given a relay in front of 2 model servers
+    And a time-out of 10 seconds
+    And every server is listed with start 900 and revision 20
+    When the servers send long streams
+    And a caller requests a resumable stream, and its server restarts unread
+    Then the servers got 2 requests
+    And the entry holds less than 4 MB for the caller
+    And the caller then receives every event of the long stream once, and the end
+
+  Scenario: A slow caller slows down its next request too
+    Guards against a pipelined stream that is read into the entry's memory while
+    its caller has not read the response before it.
+
+    Given a relay in front of 1 model server and 1 plain server
+    And a time-out of 10 seconds
+    When a caller pipelines a long fetch and a long stream, and reads nothing
+    Then the entry holds less than 12 MB for the caller
--- a/tests/relay/steps/slow_caller_steps.py
+++ b/tests/relay/steps/slow_caller_steps.py
@@ -13,6 +13,9 @@
 
 from sardinetrack.relay.caller_connection import CallerConnection
 
+_READING_SECONDS = 0.5
+"""An entry that is not paused reads a whole long stream in this."""
+
 
 @when('a caller fetches a long response and does not read it')
 def fetch_unread(context):
@@ -88,6 +91,77 @@
     context.reply = context.world.run(play())
 
 
+@when('a caller requests a resumable stream, and its server restarts unread')
+def request_over_restart(context):
+    async def play():
+        world = context.world
+        context.slow = await asyncio.open_connection('127.0.0.1', world.port)
+        context.slow[1].transport.pause_reading()
+        context.slow[1].write(world.request('stream'))
+        await _asked(world)
+        await asyncio.sleep(_READING_SECONDS)
+        assert _caller(world).flow.paused
+        world.list_servers(started=400, revision=30)
+        await _asked(world)
+        await asyncio.sleep(_READING_SECONDS)
+
+    context.world.run(play())
+
+
+async def _asked(world):
+    """Wait for the next request at any server."""
+    for server in world.servers:
+        server.asked.clear()
+    waits = [asyncio.ensure_future(one.asked.wait()) for one in world.servers]
+    await asyncio.wait(waits, timeout=5, return_when=asyncio.FIRST_COMPLETED)
+    for wait in waits:
+        wait.cancel()
+
+
+@when('a caller pipelines a long fetch and a long stream, and reads nothing')
+def pipeline_unread(context):
+    async def play():
+        world = context.world
+        model, plain = world.servers
+        model.acts.append('stream_at_length')
+        plain.acts.append('answer_at_length')
+        context.slow = await asyncio.open_connection('127.0.0.1', world.port)
+        context.slow[1].transport.pause_reading()
+        for name in ('fetch', 'once-stream'):
+            context.slow[1].write(world.request(name, closes=False))
+        await asyncio.wait_for(model.asked.wait(), 5)
+        await asyncio.sleep(_READING_SECONDS)
+
+    context.world.run(play())
+
+
+def _caller(world):
+    return next(iter(world.entry._connections))  # noqa: SLF001
+
+
+@then('the entry holds less than {megabytes:d} MB for the caller')
+def holds_less(context, megabytes):
+    transport = _caller(context.world)._transport  # noqa: SLF001
+    held = transport.get_write_buffer_size()
+    assert held < megabytes * 1_000_000, held
+
+
+@then(
+    'the caller then receives every event of the long stream once, and the end'
+)
+def reads_on(context):
+    async def play():
+        reader, writer = context.slow
+        writer.transport.resume_reading()
+        async with asyncio.timeout(8):
+            raw = await reader.read()
+        writer.close()
+        return Reply(raw)
+
+    context.reply = context.world.run(play())
+    receives_long(context)
+
+
 @then('it receives every event of the long stream once, and the end')
 def receives_long(context):
     numbers = re.findall(rb'data: token (\d+)\n\n', context.reply.body)
