A request skips late responses to others and gets its own

What callers saw: 502 `outcome_unknown` for a request that may run once, although its server had run it and its response followed. A repeatable request was sent to a second server, from the shared budget.

Cause: a late response, which its id shows to be to another request, ended the attempt that met it and closed the connection before the request's own response.

Why it works: the sink decides on the head whether to skip a response, the connection whether it can: up to three, with a length or in chunks. It parses to the end, passes nothing on, and expects the next response within the same attempt and deadline. Such a connection serves no further request. A status line within a skipped body ends the attempt: the response was truncated, or is one to a HEAD request, and would swallow the next one. After a response to another request, "not run" without an id is not believed on a new connection either. The line `response_discarded` and its counter are written when the head arrives, so one that is followed by a time-out is reported too.

Ruled out: a parser of its own for the next response. httptools does not say how much of its input it has used, so the one that has read the skipped response reads on; the collected head is reset, and it refuses what follows a response that closes the connection.

What remains: a request that gets only the response to another one waits for its own until its deadline, also where it could be sent to another server.

--- a/src/sardinetrack/platform/store.py
+++ b/src/sardinetrack/platform/store.py
@@ -87,9 +87,14 @@
         self.body = b''
 
     def head_received(
-        self, status: int, headers: list[tuple[bytes, bytes]]
-    ) -> None:
+        self,
+        status: int,
+        headers: list[tuple[bytes, bytes]],
+        *,
+        skippable: bool,
+    ) -> bool:
         self.status = status
+        return False
 
     def body_received(self, piece: bytes) -> None:
         self.body += piece
--- a/src/sardinetrack/relay/attempt.py
+++ b/src/sardinetrack/relay/attempt.py
@@ -15,6 +15,7 @@
 from sardinetrack.relay.server_connection import BreakReason, ResponseSink
 
 _MAX_BUFFERED_BYTES: Final = 16_777_216
+_OTHER_REQUEST: Final = 'response to another request'
 
 
 class SendOutcome(Enum):
@@ -47,6 +48,10 @@
     def head_received(self, response: ResponseHead) -> None:
         """Handle the head of any response, also of one to another request."""
 
+    @abstractmethod
+    def response_discarded(self, response: ResponseHead, cause: str) -> None:
+        """Handle the head of a response that may be to another request."""
+
     @abstractmethod
     def first_event_received(self) -> None:
         """Handle the first event of the stream."""
@@ -70,8 +75,6 @@
         self.done: asyncio.Future[SendOutcome] = loop.create_future()
         self.response: ResponseHead | None = None
         """The head of the response to this request."""
-        self.discarded: ResponseHead | None = None
-        """The head of a response that may be to another request."""
         self.reason = ''
         self.first_event_received = False
         self.last_data_seconds = loop.time()
@@ -94,17 +97,32 @@
         return self._progress.splitter.last_event
 
     def head_received(
-        self, status: int, headers: list[tuple[bytes, bytes]]
-    ) -> None:
-        """Check the head; end the attempt if the response is not acceptable."""
+        self,
+        status: int,
+        headers: list[tuple[bytes, bytes]],
+        *,
+        skippable: bool,
+    ) -> bool:
+        """Check the head; end the attempt if the response is not acceptable.
+
+        :return: whether it is a late one to another request, to be skipped.
+        """
         response = self._adapter.parse_response_head(status, headers)
         self._observer.head_received(response)
         self.last_data_seconds = self._loop.time()
         doubt = self._attribution_doubt(response)
-        if doubt:
-            self.discarded = response
-            self._finish(SendOutcome.UNKNOWN, doubt)
-            return
+        if not doubt:
+            self._accept(response)
+            return False
+        self._observer.response_discarded(response, doubt)
+        # Whatever follows without an id may be late as well.
+        self._connection_unused = False
+        if skippable and doubt == _OTHER_REQUEST:
+            return True
+        self._finish(SendOutcome.UNKNOWN, doubt)
+        return False
+
+    def _accept(self, response: ResponseHead) -> None:
         self.response = response
         if response.not_run:
             self._finish(SendOutcome.NOT_RUN, self._status)
@@ -113,7 +131,7 @@
             self._finish(
                 SendOutcome.UNKNOWN, 'response without the server stamp'
             )
-        self._forwards = self._streams and status == HTTPStatus.OK
+        self._forwards = self._streams and response.status == HTTPStatus.OK
 
     def body_received(self, piece: bytes) -> None:
         """Forward complete events, or buffer the piece."""
@@ -165,7 +183,7 @@
         if response.request_id == self._call.request_id:
             return ''
         if response.request_id:
-            return 'response to another request'
+            return _OTHER_REQUEST
         if response.not_run and self._connection_unused:
             # No earlier request on this connection could be meant.
             return ''
--- a/src/sardinetrack/relay/sender.py
+++ b/src/sardinetrack/relay/sender.py
@@ -13,7 +13,6 @@
     AttemptContext,
     CallerRequest,
     ProtocolAdapter,
-    ResponseHead,
 )
 from sardinetrack.relay.attempt import Progress, SendOutcome, ServerAttempt
 from sardinetrack.relay.caller_connection import CallerConnection
@@ -39,7 +38,6 @@
 _MIN_TIMEOUT_SECONDS: Final = 0.02
 _DIGITS: Final = 3
 _HEAD: Final = b'HEAD'
-_MAX_LOGGED_ID_LENGTH: Final = 64
 _CONNECTION_ENDS: Final = frozenset((BreakReason.CLOSED, BreakReason.RESET))
 
 
@@ -227,29 +225,11 @@
             target.record_failure(self._loop.time())
         if outcome is SendOutcome.NOT_RUN:
             self._trace.proved_not_run = True
-        if attempt.discarded is not None:
-            self._record_discarded(target.server, attempt, attempt.discarded)
         if attempt.response is not None and attempt.response.misdirected:
             self._mark_misaddressed(target)
         elif attempt.response is not None:
             target.load.reported_running = max(0, attempt.response.running)
 
-    def _record_discarded(
-        self,
-        server: BackendServer,
-        attempt: ServerAttempt,
-        head: ResponseHead,
-    ) -> None:
-        self._state.meters.discarded[attempt.reason] += 1
-        self._state.log.write(
-            Event.RESPONSE_DISCARDED,
-            request=self._call.request_id,
-            server=server.instance,
-            cause=attempt.reason,
-            other=head.request_id[:_MAX_LOGGED_ID_LENGTH],
-            response_status=head.status,
-        )
-
     def _mark_misaddressed(self, target: Target) -> None:
         server = target.server
         self._state.mark_misaddressed(server)
--- a/src/sardinetrack/relay/server_connection.py
+++ b/src/sardinetrack/relay/server_connection.py
@@ -30,9 +30,13 @@
 The record of their ids stays complete and below 2 KB; it costs one new
 connection in 128 requests.
 """
+MAX_SKIPPED: Final = 3
+"""Responses to other requests that are skipped before the one to a request."""
 _MILLISECONDS: Final = 1000
 _STATUS_LINE: Final = re.compile(rb'HTTP/1\.\d \d{3}(?: |$)')
+_STATUS_LINE_BYTES: Final = len(b'HTTP/1.1 200 ')
 _NO_BODY: Final = frozenset((204, 304))
+_CHUNKED: Final = (b'transfer-encoding', b'chunked')
 
 
 class BreakReason(StrEnum):
@@ -48,9 +52,17 @@
 
     @abstractmethod
     def head_received(
-        self, status: int, headers: list[tuple[bytes, bytes]]
-    ) -> None:
-        """Handle the status and the headers."""
+        self,
+        status: int,
+        headers: list[tuple[bytes, bytes]],
+        *,
+        skippable: bool,
+    ) -> bool:
+        """Handle the status and the headers.
+
+        :param skippable: the response may be skipped, as its end is known.
+        :return: whether to skip it and wait for the next one.
+        """
 
     @abstractmethod
     def body_received(self, piece: bytes) -> None:
@@ -84,6 +96,9 @@
         self._unusable = False
         self._status_seen = False
         self._bodiless = False
+        self._skipping = False
+        self._skipped = 0
+        self._skipped_end = b''
         self._reason_phrase = b''
 
     @property
@@ -221,7 +236,9 @@
             name in {b'content-length', b'transfer-encoding'}
             for name, _ in self._headers
         )
-        sink.head_received(status, self._headers)
+        self._skipping = sink.head_received(
+            status, self._headers, skippable=self._skippable(status)
+        )
         if self._bodiless:
             # The parser would wait for the body that the length announces.
             self._complete = True
@@ -229,19 +246,47 @@
 
     def on_body(self, body: bytes) -> None:
         """Pass a piece of the body to the sink."""
-        if self._complete:
+        if self._skipping:
+            # A truncated response, or one to a HEAD request, would end within
+            # the next one.
+            self._skipped_end += body
+            _reject_status_line(self._skipped_end)
+            self._skipped_end = self._skipped_end[-_STATUS_LINE_BYTES:]
+        elif self._complete:
             # The rest of it would be read as the next response.
             self._unusable = True
         elif self._sink is not None:
             self._sink.body_received(body)
 
     def on_message_complete(self) -> None:
-        """Mark the response as complete."""
-        if self._framed:
+        """Mark the response as complete, or wait for the one after it."""
+        if self._skipping:
+            self._end_skipped()
+        elif self._framed:
             self._complete = True
             parser = self._parser
             self._keep_alive = parser is not None and parser.should_keep_alive()
 
+    def _skippable(self, status: int) -> bool:
+        """Whether the response can be skipped: it is clear where it ends."""
+        if self._bodiless or self._skipped >= MAX_SKIPPED:
+            return False
+        return (
+            status in _NO_BODY
+            or _CHUNKED in self._headers
+            or any(name == b'content-length' for name, _ in self._headers)
+        )
+
+    def _end_skipped(self) -> None:
+        """Expect the next response; the connection serves no other request."""
+        self._skipping = False
+        self._skipped += 1
+        self._skipped_end = b''
+        self._unusable = True
+        self._headers = []
+        self._framed = False
+        self._status_seen = False
+
     def _finish(self) -> None:
         self._parser = None
         if not self._keep_alive or self._unusable:
--- a/src/sardinetrack/relay/server_notices.py
+++ b/src/sardinetrack/relay/server_notices.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Final
+
 from sardinetrack.logs.events import Event
 from sardinetrack.relay.api import ResponseHead
 from sardinetrack.relay.attempt import AttemptObserver
@@ -10,6 +12,8 @@
 from sardinetrack.relay.target import Target
 from sardinetrack.topology.freshness import boot_clock
 
+_MAX_LOGGED_ID_LENGTH: Final = 64
+
 
 class ServerNotices(AttemptObserver):
     """Applies to a server what the response to one attempt says of it."""
@@ -39,6 +43,18 @@
         if response.leaving:
             self._apply_leaving()
 
+    def response_discarded(self, response: ResponseHead, cause: str) -> None:
+        """Log and count a response that may be to another request."""
+        self._state.meters.discarded[cause] += 1
+        self._state.log.write(
+            Event.RESPONSE_DISCARDED,
+            request=self._request_id,
+            server=self._target.server.instance,
+            cause=cause,
+            other=response.request_id[:_MAX_LOGGED_ID_LENGTH],
+            response_status=response.status,
+        )
+
     def first_event_received(self) -> None:
         """Record the first event, which already shows that it works."""
         self._permit.first_event_received()
--- a/tests/relay/relay.feature
+++ b/tests/relay/relay.feature
@@ -26,10 +26,14 @@
     forwarded, a caller would receive what another one requested.
 
     Given a relay in front of 2 plain servers
+    And a time-out of 0.3 seconds
     When every server sends the response of another request next
     And a caller sends a report
-    Then the caller gets status 502
+    Then the caller gets status 504
+    And the caller gets nothing of the response to another request
+    And the page counts 1 discarded response to another request
     And the servers got 1 request
+    And the entry keeps 0 connections to the servers
 
   Scenario: A second response makes the connection unusable
     A server sends bytes after a complete response. The connection is closed,
--- a/tests/relay/rest.feature
+++ b/tests/relay/rest.feature
@@ -108,9 +108,10 @@
 
   Scenario: A response to another request counts too
     Given a relay in front of 1 plain server
+    And a time-out of 0.3 seconds
     When the server responds to another request and asks for 2 seconds of rest
     And a caller sends a report
-    Then the caller gets status 502
+    Then the caller gets status 504
     When a caller sends a report
     Then the caller gets status 503 and when to retry
     And the servers got 1 request
--- a/tests/support/relay_servers.py
+++ b/tests/support/relay_servers.py
@@ -69,6 +69,7 @@
         self.failure_domain = 'galata'
         self.cold_seconds = 0
         self.notices = Notices()
+        self._preceding = None
         self._server = None
         # Sent on the same connection before the response to its next request.
         self._late = {}
@@ -90,6 +91,11 @@
         for writer in self.writers:
             writer.write(self._response(fields, '200 OK', b'late'))
 
+    def follow(self, preceding):
+        """Let something of the last request's id precede the next response."""
+        self._preceding = preceding
+        self.acts.append('follow')
+
     def end_connections(self):
         for writer in self.writers:
             writer.get_extra_info('socket').shutdown(socket.SHUT_WR)
@@ -182,6 +188,10 @@
         other = {**fields, 'x-sardinetrack-request-id': 'another'}
         self._whole(other, writer, '200 OK', b'for another caller')
 
+    async def _answer_other_and_shed(self, fields, reader, writer):
+        await self._answer_other(fields, reader, writer)
+        await self._shed(fields, reader, writer)
+
     async def _answer_and_shed_late(self, fields, reader, writer):
         await self._answer(fields, reader, writer)
         self._late[writer] = _not_run(fields, '503 Full')
@@ -198,6 +208,11 @@
         await self._fail(fields, reader, writer)
         self._late[writer] = self._response(fields, '500 Oops', b'late')
 
+    async def _follow(self, fields, reader, writer):
+        last_id = self.requests[-2][1]['x-sardinetrack-request-id']
+        writer.write(self._preceding(last_id))
+        await self._answer(fields, reader, writer)
+
     async def _answer_unsigned(self, fields, reader, writer):
         writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfake')
 
