--- a/src/sardinetrack/relay/attempt.py
+++ b/src/sardinetrack/relay/attempt.py
@@ -12,7 +12,11 @@
 from sardinetrack.relay.api import CallerRequest, ProtocolAdapter, ResponseHead
 from sardinetrack.relay.caller_response import CallerResponse
 from sardinetrack.relay.events import EventSplitter
-from sardinetrack.relay.server_connection import BreakReason, ResponseSink
+from sardinetrack.relay.server_connection import (
+    BreakReason,
+    ResponseSink,
+    ServerConnection,
+)
 
 _MAX_BUFFERED_BYTES: Final = 16_777_216
 
@@ -47,6 +51,10 @@
     def head_received(self, response: ResponseHead) -> None:
         """Handle the head of any response, also of one to another request."""
 
+    @abstractmethod
+    def response_discarded(self, response: ResponseHead, cause: str) -> None:
+        """Handle the head of a response that may be to another request."""
+
     @abstractmethod
     def first_event_received(self) -> None:
         """Handle the first event of the stream."""
@@ -63,15 +71,13 @@
         progress: Progress,
         *,
         streams: bool,
-        connection_unused: bool,
+        connection: ServerConnection,
         observer: AttemptObserver,
     ) -> None:
         loop = asyncio.get_running_loop()
         self.done: asyncio.Future[SendOutcome] = loop.create_future()
         self.response: ResponseHead | None = None
         """The head of the response to this request."""
-        self.discarded: ResponseHead | None = None
-        """The head of a response that may be to another request."""
         self.reason = ''
         self.first_event_received = False
         self.last_data_seconds = loop.time()
@@ -81,7 +87,8 @@
         self._adapter = adapter
         self._progress = progress
         self._streams = streams
-        self._connection_unused = connection_unused
+        self._connection = connection
+        self._connection_unused = connection.unused
         self._observer = observer
         self._pieces: list[bytes] = []
         self._size = 0
@@ -94,17 +101,39 @@
         return self._progress.splitter.last_event
 
     def head_received(
-        self, status: int, headers: list[tuple[bytes, bytes]]
-    ) -> None:
-        """Check the head; end the attempt if the response is not acceptable."""
+        self,
+        status: int,
+        headers: list[tuple[bytes, bytes]],
+        *,
+        skippable: bool,
+    ) -> bool:
+        """Check the head; end the attempt if the response is not acceptable.
+
+        :return: whether it is a late one to another request, to be skipped.
+        """
         response = self._adapter.parse_response_head(status, headers)
         self._observer.head_received(response)
         self.last_data_seconds = self._loop.time()
         doubt = self._attribution_doubt(response)
-        if doubt:
-            self.discarded = response
-            self._finish(SendOutcome.UNKNOWN, doubt)
-            return
+        if not doubt:
+            self._accept(response)
+            return False
+        self._observer.response_discarded(response, doubt)
+        # Whatever follows without an id may be late as well.
+        self._connection_unused = False
+        # Only a second response to an earlier request of this connection is
+        # known to be followed by the one to this request.
+        if skippable and self._is_late(response):
+            return True
+        self._finish(SendOutcome.UNKNOWN, doubt)
+        return False
+
+    def _is_late(self, response: ResponseHead) -> bool:
+        """Whether an earlier request on this connection had this id."""
+        request_id = response.request_id
+        return bool(request_id) and self._connection.has_carried(request_id)
+
+    def _accept(self, response: ResponseHead) -> None:
         self.response = response
         if response.not_run:
             self._finish(SendOutcome.NOT_RUN, self._status)
@@ -113,7 +142,7 @@
             self._finish(
                 SendOutcome.UNKNOWN, 'response without the server stamp'
             )
-        self._forwards = self._streams and status == HTTPStatus.OK
+        self._forwards = self._streams and response.status == HTTPStatus.OK
 
     def body_received(self, piece: bytes) -> None:
         """Forward complete events, or buffer the piece."""
--- a/src/sardinetrack/relay/sender.py
+++ b/src/sardinetrack/relay/sender.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import AbstractAsyncContextManager
+from functools import partial
 from typing import Final
 
 from sardinetrack.logs.events import Event
@@ -11,7 +13,6 @@
     AttemptContext,
     CallerRequest,
     ProtocolAdapter,
-    ResponseHead,
 )
 from sardinetrack.relay.attempt import Progress, SendOutcome, ServerAttempt
 from sardinetrack.relay.caller_connection import CallerConnection
@@ -37,7 +38,6 @@
 _MIN_TIMEOUT_SECONDS: Final = 0.02
 _DIGITS: Final = 3
 _HEAD: Final = b'HEAD'
-_MAX_LOGGED_ID_LENGTH: Final = 64
 _CONNECTION_ENDS: Final = frozenset((BreakReason.CLOSED, BreakReason.RESET))
 
 
@@ -81,37 +81,35 @@
         self.server = server
         target = Target.of(self._state, server)
         try:
-            connection = await self._connect(plan, server)
+            async with self._connection(plan, server) as connection:
+                attempt = self._prepare(
+                    plan, placement, progress, target, connection
+                )
+                await self._exchange(
+                    plan, placement.candidate, connection, attempt
+                )
+                _prepare_reuse(connection, attempt)
         except NotConnectedError as error:
             self._record_unreachable(target, error)
             raise
         except BaseException:
             target.record_inconclusive()
             raise
-        attempt = self._prepare(plan, placement, progress, target, connection)
-        try:
-            await self._exchange(plan, placement.candidate, connection, attempt)
-        except BaseException:
-            target.record_inconclusive()
-            connection.abort()
-            raise
-        else:
-            self._record_outcome(target, attempt)
-            self._update_suspects(plan, server, attempt)
-        finally:
-            self._release(server, connection, attempt)
+        self._record_outcome(target, attempt)
+        self._update_suspects(plan, server, attempt)
         return attempt
 
-    async def _connect(
+    def _connection(
         self,
         plan: Plan,
         server: BackendServer,
-    ) -> ServerConnection:
+    ) -> AbstractAsyncContextManager[ServerConnection]:
         max_idle_seconds = IDLE_SECONDS
         if not plan.route.repeatable:
             max_idle_seconds = RUN_ONCE_IDLE_SECONDS
-        return await self._state.connections.acquire(
+        return self._state.connections.lease(
             server.address,
+            partial(self._state.connection_limit, server),
             max_idle_seconds=max_idle_seconds,
             request_id=self._call.request_id,
         )
@@ -132,7 +130,7 @@
             self._adapter,
             progress,
             streams=streams and self._call.method != _HEAD,
-            connection_unused=connection.unused,
+            connection=connection,
             observer=ServerNotices(
                 self._state,
                 target,
@@ -158,17 +156,14 @@
         self.attempt = attempt
         load = self._state.server_states.load(server)
         load.added_tokens += candidate.prefill_tokens
-        try:
+        with self._caller.flow.applied_to(connection):
             connection.send(
                 request,
                 attempt,
                 request_id=self._call.request_id,
                 bodiless=self._call.method == _HEAD,
             )
-            self._caller.flow = connection.flow
             await attempt.done
-        finally:
-            self._caller.flow = None
 
     def _recheck(self, plan: Plan, server: BackendServer) -> None:
         """Check again what may have changed while the request waited.
@@ -230,29 +225,11 @@
             target.record_failure(self._loop.time())
         if outcome is SendOutcome.NOT_RUN:
             self._trace.proved_not_run = True
-        if attempt.discarded is not None:
-            self._record_discarded(target.server, attempt, attempt.discarded)
         if attempt.response is not None and attempt.response.misdirected:
             self._mark_misaddressed(target)
         elif attempt.response is not None:
             target.load.reported_running = max(0, attempt.response.running)
 
-    def _record_discarded(
-        self,
-        server: BackendServer,
-        attempt: ServerAttempt,
-        head: ResponseHead,
-    ) -> None:
-        self._state.meters.discarded[attempt.reason] += 1
-        self._state.log.write(
-            Event.RESPONSE_DISCARDED,
-            request=self._call.request_id,
-            server=server.instance,
-            cause=attempt.reason,
-            other=head.request_id[:_MAX_LOGGED_ID_LENGTH],
-            response_status=head.status,
-        )
-
     def _mark_misaddressed(self, target: Target) -> None:
         server = target.server
         self._state.mark_misaddressed(server)
@@ -284,23 +261,6 @@
             if strikes:
                 self._state.sides.report_strikes(strikes)
 
-    def _release(
-        self,
-        server: BackendServer,
-        connection: ServerConnection,
-        attempt: ServerAttempt,
-    ) -> None:
-        if attempt.response is not None:
-            connection.idle_limit_seconds = attempt.response.idle_seconds
-        done = attempt.done
-        if not done.done() or done.result() is SendOutcome.UNKNOWN:
-            connection.abort()
-        self._state.connections.release(
-            server.address,
-            connection,
-            self._state.connection_limit(server),
-        )
-
     def _record_unreachable(
         self,
         target: Target,
@@ -318,3 +278,13 @@
             cause=detail or 'no connection in time',
             breaker=target.breaker.state.value,
         )
+
+
+def _prepare_reuse(
+    connection: ServerConnection, attempt: ServerAttempt
+) -> None:
+    """Record how long a connection may stay idle; close it in mid-response."""
+    if attempt.response is not None:
+        connection.idle_limit_seconds = attempt.response.idle_seconds
+    if attempt.done.result() is SendOutcome.UNKNOWN:
+        connection.abort()
--- a/tests/support/relay_servers.py
+++ b/tests/support/relay_servers.py
@@ -11,6 +11,8 @@
 
 STAMP = 'X-Sardinetrack-Server-Stamp: s1'
 EVENTS = 6
+LONG_EVENTS = 320
+_PADDING = b': %b\n' % bytes(65_536).replace(b'\0', b'.')
 _LATE_SECONDS = 0.15
 _DISCONNECTED = (
     asyncio.IncompleteReadError,
@@ -67,6 +69,7 @@
         self.failure_domain = 'galata'
         self.cold_seconds = 0
         self.notices = Notices()
+        self._preceding = None
         self._server = None
         # Sent on the same connection before the response to its next request.
         self._late = {}
@@ -88,6 +91,11 @@
         for writer in self.writers:
             writer.write(self._response(fields, '200 OK', b'late'))
 
+    def follow(self, preceding):
+        """Let something of the last request's id precede the next response."""
+        self._preceding = preceding
+        self.acts.append('follow')
+
     def end_connections(self):
         for writer in self.writers:
             writer.get_extra_info('socket').shutdown(socket.SHUT_WR)
@@ -136,6 +144,14 @@
         await self._answer(fields, reader, writer)
         _block(_LATE_SECONDS)
 
+    async def _stream_at_length(self, fields, reader, writer):
+        await self._stream(fields, writer, LONG_EVENTS, _PADDING)
+        writer.write(b'0\r\n\r\n')
+
+    async def _stop_midway(self, fields, reader, writer):
+        await self._stream(fields, writer, LONG_EVENTS // 2, _PADDING)
+        await self._hang(fields, reader, writer)
+
     async def _flood(self, fields, reader, writer):
         head = self._head(fields, '200 OK')
         writer.write(f'{head}Transfer-Encoding: chunked\r\n\r\n'.encode())
@@ -181,6 +197,10 @@
         other = {**fields, 'x-sardinetrack-request-id': 'another'}
         self._whole(other, writer, '200 OK', b'for another caller')
 
+    async def _answer_other_and_shed(self, fields, reader, writer):
+        await self._answer_other(fields, reader, writer)
+        await self._shed(fields, reader, writer)
+
     async def _answer_and_shed_late(self, fields, reader, writer):
         await self._answer(fields, reader, writer)
         self._late[writer] = _not_run(fields, '503 Full')
@@ -202,6 +222,11 @@
         await self._fail(fields, reader, writer)
         self._late[writer] = self._response(fields, '500 Oops', b'late')
 
+    async def _follow(self, fields, reader, writer):
+        last_id = self.requests[-2][1]['x-sardinetrack-request-id']
+        writer.write(self._preceding(last_id))
+        await self._answer(fields, reader, writer)
+
     async def _answer_unsigned(self, fields, reader, writer):
         writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfake')
 
@@ -272,12 +297,12 @@
         await self.close()
         await self._cut(fields, reader, writer)
 
-    async def _stream(self, fields, writer, last):
+    async def _stream(self, fields, writer, last, padding=b''):
         head = self._head(fields, '200 OK')
         writer.write(f'{head}Transfer-Encoding: chunked\r\n\r\n'.encode())
         first = int(fields.get('last-event-id', 0)) + 1
         for number in range(first, last + 1):
-            event = await self._event(fields, number)
+            event = padding + await self._event(fields, number)
             writer.write(b'%x\r\n%b\r\n' % (len(event), event))
             await writer.drain()
 
