--- a/src/sardinetrack/platform/store.py
+++ b/src/sardinetrack/platform/store.py
@@ -11,11 +11,8 @@
 
 import msgspec
 
+from sardinetrack.platform.response_collector import ResponseCollector
 from sardinetrack.relay.connection_pool import ConnectionPool, NotConnectedError
-from sardinetrack.relay.server_connection import (
-    BreakReason,
-    ResponseSink,
-)
 from sardinetrack.store.api import (
     CallRejectedError,
     ConflictError,
@@ -77,37 +74,6 @@
     events: list[_Change] = []
 
 
-class _ResponseCollector(ResponseSink):
-    """Collects one response."""
-
-    def __init__(self) -> None:
-        loop = asyncio.get_running_loop()
-        self.done: asyncio.Future[BreakReason | None] = loop.create_future()
-        self.status = 0
-        self.body = b''
-
-    def head_received(
-        self,
-        status: int,
-        headers: list[tuple[bytes, bytes]],
-        *,
-        skippable: bool,
-    ) -> bool:
-        self.status = status
-        return False
-
-    def body_received(self, piece: bytes) -> None:
-        self.body += piece
-
-    def completed(self) -> None:
-        if not self.done.done():
-            self.done.set_result(None)
-
-    def interrupted(self, reason: BreakReason) -> None:
-        if not self.done.done():
-            self.done.set_result(reason)
-
-
 class PlatformStore(ObjectApi):
     """Objects under ``KIND/NAME``; every call has a timeout."""
 
@@ -269,7 +235,7 @@
         request: bytes,
     ) -> tuple[int, bytes]:
         connection = await self._pool.acquire(self._address)
-        response = _ResponseCollector()
+        response = ResponseCollector()
         try:
             connection.send(request, response)
             break_reason = await response.done
