--- a/benchmarks/soak/engine.py
+++ b/benchmarks/soak/engine.py
@@ -1,4 +1,4 @@
-"""A slow backend server that crashes and restarts under a new id."""
+"""A slow backend server that crashes, fails, stutters or asks for rest."""
 
 from __future__ import annotations
 
@@ -30,6 +30,12 @@
         """Held during a crash and the restart, because faults overlap."""
         self.run_starts: list[tuple[float, str]] = []
         """Start time and workspace of each run."""
+        self.responds_twice = False
+        """Sends a second response where the next one is due."""
+        self.fails = False
+        """Runs requests and responds with a failure."""
+        self.rest_until_seconds = float('-inf')
+        """Turns requests away until then, on the clock of the event loop."""
 
     async def start(self) -> None:
         """Start, or start again, under a new id."""
@@ -48,16 +54,34 @@
         if expected != self.instance:
             writer.write(b'HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n')
             return
+        rest_seconds = self.rest_until_seconds - _now()
+        if rest_seconds > 0:
+            self._turn_away(fields, writer, rest_seconds)
+            return
         self.runs[fields['x-sardinetrack-request-id']] += 1
         workspace = fields.get('x-sardinetrack-tenant', '')
-        self.run_starts.append((asyncio.get_running_loop().time(), workspace))
+        self.run_starts.append((_now(), workspace))
+        if self.fails:
+            self._whole(fields, writer, '500 Oops', b'broken')
+            return
         if 'x-sardinetrack-token-count' not in fields:
             await asyncio.sleep(EVENT_SECONDS)
-            self._whole(fields, writer, '200 OK', self._mark(fields))
+            response = self._response(fields, '200 OK', self._mark(fields))
+            writer.write(response)
+            if self.responds_twice:
+                self._late[writer] = response
             return
         await self._stream(fields, writer, EVENTS)
         writer.write(b'0\r\n\r\n')
 
+    def _turn_away(self, fields, writer, rest_seconds):
+        request_id = fields['x-sardinetrack-request-id']
+        writer.write(
+            b'HTTP/1.1 503 Full\r\nX-Sardinetrack-Not-Processed: 1\r\n'
+            b'X-Sardinetrack-Request-Id: %b\r\nRetry-After: %.3f\r\n'
+            b'Content-Length: 0\r\n\r\n' % (request_id.encode(), rest_seconds)
+        )
+
     async def _event(self, fields, number):
         await asyncio.sleep(EVENT_SECONDS)
         return b'id: %d\ndata: %b %d\n\n' % (
@@ -70,3 +94,7 @@
         # A request that resumes a stream has another request id.
         name = fields.get('x-mark', fields['x-sardinetrack-request-id'])
         return name.encode()
+
+
+def _now():
+    return asyncio.get_running_loop().time()
--- a/benchmarks/soak/faults.py
+++ b/benchmarks/soak/faults.py
@@ -33,6 +33,9 @@
             self._stop,
             self._crash_server,
             self._replace_server,
+            self._respond_twice,
+            self._fail_requests,
+            self._ask_for_rest,
             self._store_unreachable,
             self._impair_store_proxy,
             self._impair_store_proxy,
@@ -88,6 +91,23 @@
         await server.start()
         self._world.list_server(server)
 
+    async def _respond_twice(self) -> None:
+        server = self._rng.choice(self._world.servers)
+        server.responds_twice = True
+        await asyncio.sleep(self._rng.uniform(0.5, 4))
+        server.responds_twice = False
+
+    async def _fail_requests(self) -> None:
+        server = self._rng.choice(self._world.servers)
+        server.fails = True
+        await asyncio.sleep(self._rng.uniform(0.1, 2))
+        server.fails = False
+
+    async def _ask_for_rest(self) -> None:
+        server = self._rng.choice(self._world.servers)
+        now = asyncio.get_running_loop().time()
+        server.rest_until_seconds = now + self._rng.uniform(0.5, 3)
+
     async def _store_unreachable(self) -> None:
         store = self._world.store
         store.fault = self._rng.choice(('busy', 'many', 'silent'))
