--- a/tests/relay/steps/response_steps.py
+++ b/tests/relay/steps/response_steps.py
@@ -9,9 +9,8 @@
 
 from behave import given, then, when
 from tests.support.relay_servers import EVENTS
-from tests.support.relay_world import Reply, configuration
+from tests.support.relay_world import Reply, configuration, request_ids
 
-_CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 _EVENTS = tuple(
     b'id: %d\ndata: token %d\n\n' % (number, number)
     for number in range(1, EVENTS // 2 + 1)
@@ -110,7 +109,7 @@
 
 @then('it gets a complete response with status {status:d} to each')
 def gets_each(context, status):
-    got = [(reply.status, _request_ids(reply.raw)) for reply in context.replies]
+    got = [(reply.status, request_ids(reply.raw)) for reply in context.replies]
     expected = [
         (status, [b'r%d' % number])
         for number in range(1, len(context.replies) + 1)
@@ -118,10 +117,6 @@
     assert got == expected, [reply.raw for reply in context.replies]
 
 
-def _request_ids(raw):
-    return re.findall(rb'request-id: (\w+)', raw)
-
-
 @then('the log reports {count:d} requests served')
 def reports_served(context, count):
     lines = context.world.lines()
@@ -157,75 +152,6 @@
     assert context.reply.raw.count(b'HTTP/1.1 ') == 1
 
 
-@when('a caller that reads a stream sends the head of a report')
-def send_head_in_stream(context):
-    context.world.run(_send_head_in_stream(context, ()))
-
-
-@when('a caller that reads a stream sends a fetch and the head of a report')
-def send_fetch_and_head(context):
-    context.world.run(_send_head_in_stream(context, ('fetch',)))
-
-
-async def _send_head_in_stream(context, between):
-    world = context.world
-    world.servers[0].acts.append('pause')
-    reader, writer = await asyncio.open_connection('127.0.0.1', world.port)
-    writer.write(world.request('once-stream', closes=False))
-    await reader.readuntil(b'token 1')
-    for name in between:
-        writer.write(world.request(name, closes=False))
-    await _send_after_continue(context, reader, writer)
-
-
-@then('the response to the fetch is complete before it is told to continue')
-def fetch_before_continue(context):
-    _, end, after = context.before.partition(b'\r\n0\r\n\r\n')
-    assert end, context.before
-    assert _request_ids(after) == [b'r2'], after
-    body = b'done by %d' % context.world.servers[-1].port
-    assert after.endswith(b'\r\n\r\n%b%b' % (body, _CONTINUE)), after
-
-
-@when('a caller sends the head of a report')
-def send_head_only(context):
-    async def play():
-        reader, writer = await asyncio.open_connection(
-            '127.0.0.1', context.world.port
-        )
-        await _send_after_continue(context, reader, writer)
-
-    context.world.run(play())
-
-
-async def _send_after_continue(context, reader, writer):
-    body = b'position'
-    request = context.world.request('report', ('Expect: 100-continue',), body)
-    writer.write(request.removesuffix(body))
-    async with asyncio.timeout(5):
-        context.before = await reader.readuntil(_CONTINUE)
-        writer.write(body)
-        context.reply = Reply(await reader.read())
-    writer.close()
-
-
-@then('the stream is complete, and "100 Continue" follows it')
-def continue_follows(context):
-    end = b'\r\n0\r\n\r\n%b' % _CONTINUE
-    assert context.before.endswith(end), context.before
-
-
-@then('the report gets status {status:d}')
-def report_gets(context, status):
-    assert context.reply.status == status, context.reply.raw
-
-
-@then('it is told to continue, and the report gets status {status:d}')
-def continues_immediately(context, status):
-    assert context.before == _CONTINUE, context.before
-    report_gets(context, status)
-
-
 @when('a caller sends a HEAD request, and then fetches on the same connection')
 def send_head_and_fetch(context):
     async def play():
@@ -309,7 +235,7 @@
     assert end, context.raw
     assert after.startswith(b'HTTP/1.1 200 '), after
     assert after.count(b'connection: close') == 1, after
-    assert _request_ids(after) == [b'r2'], after
+    assert request_ids(after) == [b'r2'], after
 
 
 @when('a caller sends a {name} request for a protocol upgrade')
--- a/tests/support/relay_world.py
+++ b/tests/support/relay_world.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+import re
 from typing import NamedTuple
 
 from sardinetrack.logs.events import EventLog
@@ -107,6 +108,10 @@
         return b'0\r\n\r\n' in self.body
 
 
+def request_ids(raw):
+    return re.findall(rb'request-id: (\w+)', raw)
+
+
 def close_world(world):
     world.run(world.close())
     world.loop.close()
