--- a/tests/runner/verdict.feature
+++ b/tests/runner/verdict.feature
@@ -45,6 +45,18 @@
     Then the run is red
     And a line is "FAULT: the known red tests/a.feature:gone names no scenario that was run"
 
+  Scenario: A known red day of the users' bench is printed and excuses nothing
+    Guards against a day that failed outside CI and is then forgotten, and
+    against an entry for a day that hides a failed scenario.
+    Given the known red list
+      """
+      fleetbench run site.toml scale-1 --seed 7 | a workspace waits | 5
+      """
+    When their verdict is computed
+    Then the run is red
+    And the last line is "2 passed, 1 failed"
+    And a line is "KNOWN RED: fleetbench run site.toml scale-1 --seed 7: not run by CI; cause: a workspace waits; issue: 5"
+
   Scenario: More than three known red scenarios are refused
     Given the known red list
       """
