The line of a sent request says who granted its permit

The lines could not tell whether its side had granted them, or entries whose side was not up yet, each for its own fraction of the server.

Change: request_sent has permit_by (side, entry or none) and entries, the number of entries that the fraction was computed from.

Ruled out as a means: counting permits at the sides alone (granted_last_second): it shows nothing of what entries grant themselves.

--- a/src/sardinetrack/relay/permit.py
+++ b/src/sardinetrack/relay/permit.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from typing import Final
+from typing import ClassVar, Final
 
 from sardinetrack.admission.request import AdmissionRequest, Granted
 from sardinetrack.placement.choice import Candidate
@@ -26,6 +26,9 @@
 class Permit(ABC):
     """Permit to send one request to one server."""
 
+    granted_by: ClassVar[str]
+    """Who granted it, for the log."""
+
     @abstractmethod
     def first_event_received(self) -> None:
         """Report that the first event arrived."""
@@ -44,6 +47,8 @@
     Simultaneous requests are all placed before any of them is sent.
     """
 
+    granted_by = 'none'
+
     def __init__(self, load: EstimatedLoad) -> None:
         """Count the request.
 
@@ -63,6 +68,8 @@
 class SidePermit(Permit):
     """Granted by the server's side."""
 
+    granted_by = 'side'
+
     def __init__(self, connection: SideConnection, permit_id: str) -> None:
         """Create a permit granted by a side.
 
@@ -84,6 +91,8 @@
 class LocalPermit(Permit):
     """Granted by the entry itself."""
 
+    granted_by = 'entry'
+
     def __init__(self, local_admission: LocalAdmission, permit_id: str) -> None:
         """Create a permit granted by the entry itself.
 
--- a/src/sardinetrack/relay/sender.py
+++ b/src/sardinetrack/relay/sender.py
@@ -8,7 +8,6 @@
 from typing import Final
 
 from sardinetrack.logs.events import Event
-from sardinetrack.placement.choice import Candidate
 from sardinetrack.relay.api import (
     AttemptContext,
     CallerRequest,
@@ -85,9 +84,7 @@
                 attempt = self._prepare(
                     plan, placement, progress, target, connection
                 )
-                await self._exchange(
-                    plan, placement.candidate, connection, attempt
-                )
+                await self._exchange(plan, placement, connection, attempt)
                 _prepare_reuse(connection, attempt)
         except NotConnectedError as error:
             self._record_unreachable(target, error)
@@ -142,17 +139,18 @@
     async def _exchange(
         self,
         plan: Plan,
-        candidate: Candidate,
+        placement: Placement,
         connection: ServerConnection,
         attempt: ServerAttempt,
     ) -> None:
+        candidate = placement.candidate
         server = candidate.server
         self._recheck(plan, server)
         request = self._adapter.encode_request(
             self._call,
             self._sending(plan, server, attempt),
         )
-        self._log_sent(plan, candidate)
+        self._log_sent(plan, placement)
         self.attempt = attempt
         load = self._state.server_states.load(server)
         load.added_tokens += candidate.prefill_tokens
@@ -194,8 +192,9 @@
             attempt.last_event,
         )
 
-    def _log_sent(self, plan: Plan, candidate: Candidate) -> None:
+    def _log_sent(self, plan: Plan, placement: Placement) -> None:
         state, trace = self._state, self._trace
+        candidate = placement.candidate
         if not trace.sent:
             state.budget(plan.pool.name).deposit()
         trace.servers.append(candidate.server.instance)
@@ -208,6 +207,8 @@
             workspace=plan.workspace_name,
             send=trace.sent,
             ask=max(0, trace.permit_requests - 1),
+            permit_by=placement.permit.granted_by,
+            entries=state.entries,
             config_version=plan.version,
             config_age_seconds=round(state.freshness.age_seconds(), _DIGITS),
             waited_seconds=round(trace.waited_seconds, _DIGITS),
