A side that has just started reports no number of entries

Cause: an entry whose side is unreachable sends a cold server its fraction of the rate that the server handles, by the number of entries that the sides report. A connection counted as 1 entry before its first report, and a side that was back for some milliseconds reported the few entries that had reached it. So each of the first entries took the whole rate.

Change: for 2 s after its start a side reports no number, and a connection without a report has none.

Ruled out: engines whose restart is unknown (the requests to former starts get 421 and count for nothing); the side's own spacing (12 a second at most).

Before: the new scenario fails (entries know of 2 and 1 entries at once).

--- a/src/sardinetrack/relay/side_links.py
+++ b/src/sardinetrack/relay/side_links.py
@@ -75,13 +75,13 @@
 
     @property
     def reported_entries(self) -> int | None:
-        """The number of entries by the sides; ``None`` without a report."""
+        """The number of entries by the sides; ``None`` if none knows it."""
         seen = [
             link.connection.entries
             for link in self._links.values()
             if link.connection is not None
         ]
-        return max(seen, default=None)
+        return max(seen, default=0) or None
 
     def find(self, ip: str) -> SideLink | None:
         """Return the link to a side if it can be reached."""
--- a/src/sardinetrack/turns/messages.py
+++ b/src/sardinetrack/turns/messages.py
@@ -117,6 +117,7 @@
     slots_left: int
     """For entries of the previous version during a rolling upgrade."""
     entries: int
+    """Entries connected to the side; 0 while it can't know them all."""
     prefixes: tuple[str, ...]
     """Shared prefixes of the requests permitted since the last report."""
     start_hash: int
--- a/src/sardinetrack/turns/side.py
+++ b/src/sardinetrack/turns/side.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import Counter
 from contextlib import AsyncExitStack
 from types import TracebackType
@@ -37,6 +38,13 @@
 """Interval of a side's load reports; an entry adds what it sent since."""
 IDLE_REPORT_INTERVAL_SECONDS: Final = 0.45
 """Interval of the reports while nothing changes, as a heartbeat."""
+COUNT_ENTRIES_SECONDS: Final = 2.0
+"""After its start a side reports no number of entries for so long.
+
+A side that is back after a power failure sees the first entry before the
+others. Told that it is alone, that entry would send a cold engine all that the
+engine handles, and so would each of the next ones.
+"""
 _DIGITS: Final = 3
 
 
@@ -64,6 +72,7 @@
         self.engine_starts = EngineStarts()
         self._reported: tuple[float, int, int] | None = None
         self._reported_seconds = float(0)
+        self._started_seconds = math.inf
         self.usage = UsageLog(log)
         self.decisions: Counter[str] = Counter()
         self._requests: dict[str, PermitRequest] = {}
@@ -81,6 +90,7 @@
             reuse_address=True,
         )
         self.port = server.sockets[0].getsockname()[1]
+        self._started_seconds = loop.time()
         self._stack.callback(server.close)
         self._stack.enter_context(self.watcher)
         self._report_task = loop.create_task(self._report_load())
@@ -103,6 +113,12 @@
         """Number of connected entries."""
         return len(self._entries)
 
+    @property
+    def reported_entries(self) -> int:
+        """Number of entries to report; 0 while not all may be connected."""
+        listened_seconds = loop_now() - self._started_seconds
+        return self.entries if listened_seconds > COUNT_ENTRIES_SECONDS else 0
+
     def add_entry(self, entry: EntryConnection) -> None:
         """Add a connection."""
         self._entries.add(entry)
@@ -298,7 +314,7 @@
             self.usage.log_if_due(loop_now(), self.admission)
             wait_seconds = round(self.admission.wait_seconds(loop_now()), 2)
             slots_left = self.admission.slots_left
-            load = (wait_seconds, slots_left, len(self._entries))
+            load = (wait_seconds, slots_left, self.reported_entries)
             recent = (
                 loop_now() - self._reported_seconds
                 < IDLE_REPORT_INTERVAL_SECONDS
@@ -313,7 +329,7 @@
                 wait_seconds,
                 round(self.admission.rate_tokens),
                 slots_left,
-                len(self._entries),
+                self.reported_entries,
                 prefixes,
                 self.engine_starts.start_hash,
                 round(self._retention_seconds(), 1),
--- a/src/sardinetrack/turns/side_link.py
+++ b/src/sardinetrack/turns/side_link.py
@@ -111,8 +111,8 @@
         :param ip: address of the side and its server.
         """
         super().__init__()
-        self.entries = 1
-        """Entries that are connected to the side, by its last report."""
+        self.entries = 0
+        """Entries connected to the side by its last report; 0 if unknown."""
         self.received_seconds = float(0)
         """When the last message arrived, by the clock of the event loop."""
         self.closed = asyncio.Event()
@@ -174,7 +174,7 @@
 
     def _apply_report(self, message: SideReport) -> None:
         now = self.received_seconds
-        self.entries = max(1, message.entries)
+        self.entries = message.entries
         if not self._state.is_current_start(message.start_hash):
             return
         self._state.load.update(
--- a/tests/turns/side.feature
+++ b/tests/turns/side.feature
@@ -58,11 +58,10 @@
     When the side stops sending reports
     Then entry 1 counts it as disconnected within 2 seconds
 
-  Scenario: Entries receive the cached prefixes and the number of entries
+  Scenario: Entries receive the cached prefixes
     Given a side and 2 entries
     When entry 1 is granted a permit for a prompt with shared prefix p7
     Then entry 2 records within 0.6 seconds that the server caches p7
-    And each entry records that 2 entries are connected
 
   Scenario: An invalid line closes the connection
     Given a side and 2 entries
@@ -181,3 +180,14 @@
     And 0.3 seconds pass
     Then a request of caller 7 that is due in 0.5 seconds and reports a refusal 0.3 seconds ago is not late
     And a request of caller 7 that is due in 0.2 seconds and reports no refusal is late
+
+  Scenario: A side that has just started reports no number of entries
+    After a power failure the first entry would be told that it is alone, and
+    send a cold engine whose side is not up yet all that the engine handles;
+    so would each of the next ones.
+
+    Given a side and 2 entries
+    When the side has sent its first load report
+    Then no entry knows how many entries there are
+    When the side has run for 2.2 seconds
+    Then each entry records that 2 entries are connected
--- a/tests/turns/steps/side_steps.py
+++ b/tests/turns/steps/side_steps.py
@@ -23,7 +23,7 @@
     StrikesReported,
 )
 from sardinetrack.turns.refused import RefusedRequests
-from sardinetrack.turns.side import SideServer
+from sardinetrack.turns.side import REPORT_INTERVAL_SECONDS, SideServer
 from sardinetrack.turns.side_link import (
     RestartListener,
     SideConnection,
@@ -581,3 +581,18 @@
 )
 def late_by_side(context, caller, due):
     assert _handled(context, caller, due, 0).is_past_objective
+
+
+@when('the side has sent its first load report')
+def first_report(context):
+    _run(context, asyncio.sleep(REPORT_INTERVAL_SECONDS + 0.1))
+
+
+@when('the side has run for {seconds:g} seconds')
+def run_side(context, seconds):
+    _run(context, asyncio.sleep(seconds))
+
+
+@then('no entry knows how many entries there are')
+def entries_unknown(context):
+    assert {entry.connection.entries for entry in context.entries} == {0}
