Requests that wait for a cold server get none when the fraction is zero

Cause: a rate of 0 meant no limit to the limiter and nothing may be sent to the tracker. New requests were refused, but those that waited in the entry's own admission were all granted when the fraction became zero.

Change: a cold period says by a field of its own that nothing may be sent.

--- a/src/sardinetrack/admission/cold_start.py
+++ b/src/sardinetrack/admission/cold_start.py
@@ -35,6 +35,8 @@
 
     def is_limited(self, now: float) -> bool:
         """Whether the rate is limited now."""
+        if self.cold_period.closed:
+            return now < self.cold_period.until_seconds
         over = now >= self.cold_period.until_seconds + RAMP_SECONDS
         return not over and self.cold_period.per_second > 0
 
@@ -42,6 +44,8 @@
         """Return when the next request may go; in the past if it may now."""
         if not self.is_limited(now):
             return -math.inf
+        if self.cold_period.closed:
+            return self.cold_period.until_seconds
         return self._due_seconds - (_BURST - 1) * self._interval(now)
 
     def wait_seconds(self, now: float, before: int) -> float:
@@ -51,6 +55,8 @@
         """
         if not self.is_limited(now):
             return 0
+        if self.cold_period.closed:
+            return self.cold_period.until_seconds - now
         wait_seconds = max(0, self.free_at_seconds(now) - now)
         wait_seconds += before * self._interval(now)
         limited_seconds = self.cold_period.until_seconds + RAMP_SECONDS - now
@@ -58,7 +64,7 @@
 
     def granted(self, now: float) -> None:
         """Count a request that goes to the server."""
-        if self.is_limited(now):
+        if self.is_limited(now) and not self.cold_period.closed:
             begins_seconds = max(now, self._due_seconds)
             self._due_seconds = begins_seconds + self._interval(now)
 
--- a/src/sardinetrack/relay/cold_start.py
+++ b/src/sardinetrack/relay/cold_start.py
@@ -59,22 +59,23 @@
     def own_period(self, server: BackendServer, pool: Pool) -> ColdPeriod:
         """Return a server's cold period with this entry's fraction of the rate.
 
-        Its end is on the clock of the event loop; the rate is 0 where nothing
-        may be sent.
+        Its end is on the clock of the event loop.
         """
         entries = self._sides.reported_entries
         if entries is None and not pool.runs_models:
             entries = INITIAL_ENTRIES
         rate = int(pool.cold_per_second / entries) if entries else 0
         until_seconds = self.estimate(server, pool).period.until_seconds
-        return ColdPeriod(until_seconds - boot_clock() + loop_now(), rate)
+        return ColdPeriod(
+            until_seconds - boot_clock() + loop_now(),
+            rate,
+            closed=pool.cold_per_second > 0 and not rate,
+        )
 
     def no_send_seconds(self, server: BackendServer, pool: Pool) -> float:
         """Return how long this entry alone may send a server nothing."""
-        if not pool.cold_per_second:
-            return 0
         cold = self.own_period(server, pool)
-        if cold.per_second:
+        if not cold.closed:
             return 0
         return max(0, cold.until_seconds - loop_now())
 
--- a/src/sardinetrack/topology/cold.py
+++ b/src/sardinetrack/topology/cold.py
@@ -17,6 +17,8 @@
     """By the clock of the code that made it; ``-inf`` if never cold."""
     per_second: float = 0
     """Requests a second from all callers; 0 where there is no limit."""
+    closed: bool = False
+    """Whether nothing may be sent until its end."""
 
     def left_seconds(self, now: float) -> float:
         """Return how long it is still cold; 0 without a limit."""
--- a/tests/relay/evacuations.feature
+++ b/tests/relay/evacuations.feature
@@ -68,6 +68,19 @@
       | 21      | 0       |
       | 5       | 2       |
 
+  Scenario: Requests that wait for a fraction get none when it becomes zero
+    An entry knows of five entries, then of all. What waited for its fraction
+    was granted at once when the fraction became zero, as if the cold server
+    had no limit.
+
+    Given a relay in front of 1 model server
+    And cold servers can handle 10 requests a second for 3 seconds
+    And there are 5 entries
+    When every server is listed as cold for 3 seconds
+    And 30 requests wait for this entry's fraction of the cold server
+    And there are 21 entries
+    Then none of those that still wait is granted within 0.3 seconds
+
   Scenario: The reason names a cold server whose side is unreachable
     Given a relay in front of 1 model server
     And cold servers can handle 10 requests a second for 3 seconds
--- a/tests/relay/steps/evacuation_steps.py
+++ b/tests/relay/steps/evacuation_steps.py
@@ -175,6 +175,7 @@
 
 
 @given('there are {count:d} entries')
+@when('there are {count:d} entries')
 def count_entries(context, count):
     cold_starts = context.world.entry_state.server_states.cold_starts
     cold_starts._sides = _Sides(count)  # noqa: SLF001
@@ -228,25 +229,66 @@
     assert not _cold_seconds(context, 0)
 
 
+def _only_server(context):
+    state = context.world.entry_state
+    server = next(iter(state.servers.instances.values()))
+    return state, server, state.configuration.pools['models']
+
+
+def _requests(count, max_wait_seconds):
+    return [
+        AdmissionRequest(f'a{one}', 'pilots', 10, 20, 10, max_wait_seconds)
+        for one in range(count)
+    ]
+
+
+@when("{count:d} requests wait for this entry's fraction of the cold server")
+def wait_for_fraction(context, count):
+    state, server, pool = _only_server(context)
+
+    async def act():
+        local_admission = state.local_admission(server, pool)
+        context.waiting = [
+            asyncio.ensure_future(local_admission.request_permit(one))
+            for one in _requests(count, 2.5)
+        ]
+        await asyncio.sleep(0.05)
+
+    context.world.run(act())
+
+
+@then('none of those that still wait is granted within {seconds:g} seconds')
+def none_granted(context, seconds):
+    state, server, pool = _only_server(context)
+
+    async def act():
+        waiting = [one for one in context.waiting if not one.done()]
+        state.local_admission(server, pool)
+        await asyncio.sleep(seconds)
+        granted = [one for one in waiting if one.done()]
+        for one in context.waiting:
+            one.cancel()
+        await asyncio.gather(*context.waiting, return_exceptions=True)
+        return len(waiting), len(granted)
+
+    waiting, granted = context.world.run(act())
+    assert waiting > 0
+    assert not granted, granted
+
+
 @then(
     'this entry grants itself {granted:d} of {requested:d} permits'
     ' for the cold server',
 )
 def grants_itself(context, granted, requested):
-    state = context.world.entry_state
-    server = next(iter(state.servers.instances.values()))
-    pool = state.configuration.pools['models']
+    state, server, pool = _only_server(context)
 
     async def act():
         if state.server_states.cold_starts.no_send_seconds(server, pool) > 0:
             return 0
         local_admission = state.local_admission(server, pool)
-        admission_requests = [
-            AdmissionRequest(f'a{one}', 'pilots', 10, 20, 10, 0.1)
-            for one in range(requested)
-        ]
         decisions = await asyncio.gather(
-            *map(local_admission.request_permit, admission_requests)
+            *map(local_admission.request_permit, _requests(requested, 0.1))
         )
         return sum(isinstance(one, Granted) for one in decisions)
 
