--- a/src/sardinetrack/relay/entry_state.py
+++ b/src/sardinetrack/relay/entry_state.py
@@ -156,14 +156,20 @@
         return self.sides.find(server.ip)
 
     def budget(self, pool: str) -> RetryBudget:
-        """Return the retry budget of a pool."""
+        """Return the retry budget of a pool.
+
+        This entry's part of the fleet's slack follows the number of entries:
+        the one computed while few were known would be several times too large.
+        """
+        settings = self.settings
+        slack = _BUDGET_SLACK_FRACTION * settings.retry_slack / self.entries
+        burst = max(1, slack)
         budget = self._budgets.get(pool)
         if budget is None:
-            settings = self.settings
-            slack = _BUDGET_SLACK_FRACTION * settings.retry_slack / self.entries
             ratio = _BUDGET_RATIO_FRACTION * settings.retry_ratio
-            budget = RetryBudget(ratio, max(1, slack))
+            budget = RetryBudget(ratio, burst)
             self._budgets[pool] = budget
+        budget.set_burst(burst)
         return budget
 
     def usable_servers(self, now: float, pool: str) -> list[BackendServer]:
--- a/src/sardinetrack/routing/retries.py
+++ b/src/sardinetrack/routing/retries.py
@@ -25,6 +25,11 @@
         self._burst = burst
         self._tokens = burst
 
+    def set_burst(self, burst: float) -> None:
+        """Change the most retries that the budget holds."""
+        self._burst = burst
+        self._tokens = min(self._tokens, burst)
+
     def deposit(self) -> None:
         """Add the fraction of a retry for one first attempt."""
         self._tokens = min(self._burst, self._tokens + self._ratio)
