--- a/src/sardinetrack/relay/entry_state.py
+++ b/src/sardinetrack/relay/entry_state.py
@@ -169,7 +169,7 @@
             ratio = _BUDGET_RATIO_FRACTION * settings.retry_ratio
             budget = RetryBudget(ratio, burst)
             self._budgets[pool] = budget
-        budget.set_burst(burst)
+        budget.resize(burst)
         return budget
 
     def usable_servers(self, now: float, pool: str) -> list[BackendServer]:
--- a/src/sardinetrack/routing/retries.py
+++ b/src/sardinetrack/routing/retries.py
@@ -25,7 +25,7 @@
         self._burst = burst
         self._tokens = burst
 
-    def set_burst(self, burst: float) -> None:
+    def resize(self, burst: float) -> None:
         """Change the most retries that the budget holds."""
         self._burst = burst
         self._tokens = min(self._tokens, burst)
