Fields for the pace of an engine's steps, not yet filled

No decision reads them yet. Messages have the new fields last and with defaults, so processes of the previous version understand them.

--- a/src/sardinetrack/admission/request.py
+++ b/src/sardinetrack/admission/request.py
@@ -39,6 +39,8 @@
     """Stays the same when the caller sends the request again."""
     since_refusal_seconds: float = 0
     """Time since the request was first refused, as far as the entry knows."""
+    event_gap_seconds: float = math.inf
+    """Objective for the longest pause between two events of its stream."""
 
     @property
     def is_past_objective(self) -> bool:
--- a/src/sardinetrack/placement/load.py
+++ b/src/sardinetrack/placement/load.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from typing import Final
 
+from sardinetrack.placement.step_pace import StepPace
+
 FIRST_RATE: Final = 40_000.0
 """Prompt tokens a second assumed for a server without measurements.
 
@@ -28,6 +30,11 @@
     reported_running: int = 0
     """Requests there by the server's own last response."""
 
+    pace: StepPace = StepPace()
+    """Of the engine's steps, by the side's last report."""
+    streams: int = 0
+    """Requests that run at the engine, by the side's last report."""
+
     def wait_seconds(self) -> float:
         """Estimate how long a request that is sent now waits."""
         return self.reported_wait_seconds + self.added_tokens / self.rate_tokens
@@ -36,6 +43,8 @@
         """Reset the estimates: the server has restarted and is idle."""
         self.update(0, FIRST_RATE)
         self.reported_running = 0
+        self.pace = StepPace()
+        self.streams = 0
 
     def update(
         self,
--- a/src/sardinetrack/relay/permit.py
+++ b/src/sardinetrack/relay/permit.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from abc import ABC, abstractmethod
 from typing import ClassVar, Final
 
@@ -189,6 +190,7 @@
         admission_request.fingerprint,
         round(admission_request.until_deadline_seconds, 3),
         round(admission_request.since_refusal_seconds, 3),
+        _finite(admission_request.event_gap_seconds),
     )
     timeout_seconds = admission_request.max_wait_seconds + _RESPONSE_SECONDS
     response = await connection.request_permit(message, timeout_seconds)
@@ -201,3 +203,8 @@
             response.since_refusal_seconds,
         )
     return None
+
+
+def _finite(seconds: float) -> float:
+    """Encode an infinite objective as 0; JSON has no infinity."""
+    return seconds if math.isfinite(seconds) else 0
--- a/src/sardinetrack/relay/server_choice.py
+++ b/src/sardinetrack/relay/server_choice.py
@@ -264,6 +264,7 @@
             until_deadline_seconds=max(0, plan.deadline_seconds - now),
             fingerprint=self._request_fingerprint(plan),
             since_refusal_seconds=self._since_refusal_seconds,
+            event_gap_seconds=plan.route.event_gap_seconds or math.inf,
         )
 
     def _output_tokens(self, plan: Plan) -> int:
--- a/src/sardinetrack/turns/messages.py
+++ b/src/sardinetrack/turns/messages.py
@@ -50,6 +50,9 @@
     since_refusal_seconds: float = 0
     """Time since another side refused the request first; already subtracted
     from the due time."""
+    event_gap_seconds: float = 0
+    """Objective of its route for the longest pause between two events; 0 if
+    there is none."""
 
     @property
     def left_seconds(self) -> float:
@@ -124,6 +127,12 @@
     """Of the start that the report is about; see ``ServerStart``."""
     retention_seconds: float
     """How long the engine caches a prefix after its last use."""
+    event_tokens: float = 0
+    """Pace of the engine's steps, see ``StepPace``; 0 if unknown."""
+    decode_step_seconds: float = 0
+    prefill_step_seconds: float = 0
+    streams: int = 0
+    """Requests that run at the engine."""
 
 
 class StrikesReported(
--- a/src/sardinetrack/turns/side.py
+++ b/src/sardinetrack/turns/side.py
@@ -241,6 +241,7 @@
             message.shared_prefix,
             message.first_event_due_seconds - more_seconds,
             message.left_seconds,
+            event_gap_seconds=message.event_gap_seconds or math.inf,
         )
         self.request(request)
 
