--- a/src/sardinetrack/turns/messages.py
+++ b/src/sardinetrack/turns/messages.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from sardinetrack.messages.api import Strike
+from sardinetrack.placement.step_pace import StepPace
 from sardinetrack.topology.cold import ColdEstimate
 from sardinetrack.topology.starts import ServerStart
 from sardinetrack.views.messages import FromFollower, FromWatcher
@@ -162,6 +163,15 @@
 )
 
 
+def decode_pace(message: SideReport) -> StepPace:
+    """Decode the pace of an engine's steps from its side's report."""
+    return StepPace(
+        message.event_tokens,
+        message.decode_step_seconds,
+        message.prefill_step_seconds,
+    )
+
+
 def decode_start(message: ServerStarted) -> ServerStart:
     """Decode a start from its message."""
     return ServerStart(
--- a/src/sardinetrack/turns/side_link.py
+++ b/src/sardinetrack/turns/side_link.py
@@ -14,7 +14,6 @@
 from sardinetrack.messages.api import Strike
 from sardinetrack.placement.load import EstimatedLoad
 from sardinetrack.placement.prefix_index import PrefixCacheIndex
-from sardinetrack.placement.step_pace import StepPace
 from sardinetrack.topology.cold import ColdEstimate
 from sardinetrack.topology.freshness import boot_clock
 from sardinetrack.topology.starts import UNKNOWN_START_HASH, ServerStart
@@ -32,6 +31,7 @@
     ServerStarted,
     SideReport,
     StrikesReported,
+    decode_pace,
     decode_start,
     encode_start,
 )
@@ -182,11 +182,7 @@
             message.wait_seconds,
             message.rate_tokens,
         )
-        self._state.load.pace = StepPace(
-            message.event_tokens,
-            message.decode_step_seconds,
-            message.prefill_step_seconds,
-        )
+        self._state.load.pace = decode_pace(message)
         self._state.load.streams = message.streams
         prefix_index = self._state.prefix_index
         prefix_index.record(now, self._ip, message.prefixes)
