The end of a request is recorded in a module of its own

Change: what is counted and logged at the end moves to relay/request_end.py; the exchange, which owns the request over all its attempts, calls it. No count and no line changes.

--- a/src/sardinetrack/relay/entry.py
+++ b/src/sardinetrack/relay/entry.py
@@ -238,7 +238,7 @@
         refusal = self._refusal(workspace)
         if refusal is not None:
             exchange.refuse(RequestError(refusal))
-            self._record_end(call, exchange)
+            exchange.record_end()
             return
         self._exchanges.add(exchange)
         self._in_progress[workspace] += 1
@@ -250,7 +250,7 @@
             raise
         finally:
             self._count_ended(workspace)
-            self._request_finished(call, exchange)
+            self._request_finished(exchange)
 
     def _count_ended(self, workspace: str) -> None:
         self._in_progress[workspace] -= 1
@@ -269,37 +269,11 @@
         if not task.cancelled() and task.exception() is not None:
             self.failed(task.exception())
 
-    def _request_finished(
-        self, call: CallerRequest, exchange: Exchange
-    ) -> None:
+    def _request_finished(self, exchange: Exchange) -> None:
         self._exchanges.discard(exchange)
         if not self._exchanges:
             self._all_finished.set()
-        self._record_end(call, exchange)
-
-    def _record_end(self, call: CallerRequest, exchange: Exchange) -> None:
-        took_seconds = self.now() - call.arrived_seconds
-        plan, trace = exchange.plan, exchange.trace
-        workspace = plan.workspace_name if plan else ''
-        first_seconds = _since_arrival(
-            call, exchange.progress.first_event_seconds
-        )
-        meters = self._state.meters
-        meters.ended(trace.outcome, workspace, took_seconds)
-        if first_seconds is not None:
-            meters.first_event.add(first_seconds)
-        self._state.log.write(
-            Event.REQUEST_ENDED,
-            request=call.request_id,
-            status=trace.status or None,
-            reason=trace.reason,
-            route=plan.route.name if plan else None,
-            workspace=workspace,
-            servers=trace.servers,
-            waited_seconds=round(trace.waited_seconds, 3),
-            first_seconds=first_seconds,
-            took_seconds=round(took_seconds, 3),
-        )
+        exchange.record_end()
 
     async def _sweep(self) -> None:
         count = 0
@@ -351,10 +325,3 @@
                 )
             if now - connection.changed_seconds > allowed:
                 connection.close_idle()
-
-
-def _since_arrival(call: CallerRequest, seconds: float | None) -> float | None:
-    """Return how long after its arrival something happened to a request."""
-    if seconds is None:
-        return None
-    return round(seconds - call.arrived_seconds, 3)
--- a/src/sardinetrack/relay/exchange.py
+++ b/src/sardinetrack/relay/exchange.py
@@ -13,6 +13,7 @@
 from sardinetrack.relay.entry_state import EntryState
 from sardinetrack.relay.error_response import error_response
 from sardinetrack.relay.events import EventSplitter
+from sardinetrack.relay.request_end import record_end
 from sardinetrack.relay.request_plan import Plan, make_plan
 from sardinetrack.relay.sender import Sender
 from sardinetrack.relay.server_choice import Placer
@@ -94,6 +95,12 @@
         except RequestError as error:
             self.refuse(error)
 
+    def record_end(self) -> None:
+        """Count the request, which has ended, and log its last line."""
+        record_end(
+            self._state, self._call, self.plan, self.trace, self.progress
+        )
+
     def refuse(self, error: RequestError) -> None:
         """Send an error response, or truncate a response that has begun.
 
