The longest pause of each stream is measured, counted and logged

Cause: a stream is also late if two of its events are too far apart, and no entry knew of any pause. Callers alone saw it.

Change: an entry keeps the longest pause of a stream over all its attempts, so the gap between two servers counts too.

Ruled out: flow.paused alone for a caller that reads slowly. It is reset before the event after the pause arrives, so the time of the last resumption counts as well. A field named event in the line: it is the kind of the line; it is next_event.

--- a/src/sardinetrack/logs/events.py
+++ b/src/sardinetrack/logs/events.py
@@ -56,6 +56,7 @@
     REQUEST_RETRIED = 'request_retried'
     RESPONSE_TRUNCATED = 'response_truncated'
     RESPONSE_DISCARDED = 'response_discarded'
+    STREAM_LATE = 'stream_late'
     REQUEST_ENDED = 'request_ended'
     REFUSED = 'refused'
     ENGINE_USED = 'engine_used'
--- a/src/sardinetrack/relay/attempt.py
+++ b/src/sardinetrack/relay/attempt.py
@@ -12,6 +12,7 @@
 from sardinetrack.relay.api import CallerRequest, ProtocolAdapter, ResponseHead
 from sardinetrack.relay.caller_response import CallerResponse
 from sardinetrack.relay.events import EventSplitter
+from sardinetrack.relay.pauses import StreamPauses
 from sardinetrack.relay.server_connection import (
     BreakReason,
     ResponseSink,
@@ -40,6 +41,7 @@
     """What the caller has received so far, over all attempts."""
 
     splitter: EventSplitter
+    pauses: StreamPauses
     first_event_seconds: float | None = None
     """When the first event arrived, on the clock of the event loop."""
 
@@ -151,12 +153,14 @@
         if not self._forwards:
             self._buffer(piece)
             return
-        self.last_data_seconds = self._loop.time()
+        now = self._loop.time()
+        self.last_data_seconds = now
         events = self._progress.splitter.feed(piece)
         if not events:
             return
         if not self.first_event_received:
             self._start_response()
+        self._progress.pauses.events_forwarded(now, events)
         self._caller_response.write_chunk(events)
 
     def completed(self) -> None:
--- a/src/sardinetrack/relay/events.py
+++ b/src/sardinetrack/relay/events.py
@@ -57,7 +57,7 @@
         """Drop the events that the caller already has."""
         kept: list[bytes] = []
         for event in complete.split(_END)[:-1]:
-            number = _number(event)
+            number = event_number(event)
             if number is not None and number <= (self._delivered_up_to or 0):
                 continue
             kept.append(event + _END)
@@ -70,12 +70,13 @@
         start = complete.rfind(_ID)
         if start < 0:
             return
-        number = _number(complete[start:])
+        number = event_number(complete[start:])
         if number is not None:
             self.last_event = number
 
 
-def _number(event: bytes) -> int | None:
+def event_number(event: bytes) -> int | None:
+    """Return the number of an event, or of the first of several."""
     start = event.find(_ID)
     if start < 0:
         return None
--- a/src/sardinetrack/relay/exchange.py
+++ b/src/sardinetrack/relay/exchange.py
@@ -13,6 +13,7 @@
 from sardinetrack.relay.entry_state import EntryState
 from sardinetrack.relay.error_response import error_response
 from sardinetrack.relay.events import EventSplitter
+from sardinetrack.relay.pauses import StreamPauses
 from sardinetrack.relay.request_end import record_end
 from sardinetrack.relay.request_plan import Plan, make_plan
 from sardinetrack.relay.sender import Sender
@@ -40,7 +41,9 @@
         self._call = call
         self._response = caller.response
         self._flow = caller.flow
-        self.progress = Progress(EventSplitter(call.last_event_id))
+        self.progress = Progress(
+            EventSplitter(call.last_event_id), StreamPauses(caller.flow)
+        )
         self._placer = Placer(state, call, self.trace)
         self._sender = Sender(state, adapter, call, caller, self.trace)
 
--- a/src/sardinetrack/relay/meters.py
+++ b/src/sardinetrack/relay/meters.py
@@ -4,25 +4,61 @@
 
 from bisect import bisect_left
 from collections import Counter
+from enum import StrEnum
 from typing import Final
 
 BOUNDS_SECONDS: Final = (0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8)
+PAUSE_RATIO_BOUNDS: Final = (0.1, 0.25, 0.5, 0.75, 1.0, 1.5, 2.0, 4.0)
+"""Of the longest pause of a stream to the objective of its route."""
 MAX_WORKSPACES: Final = 200
 """Workspaces counted by name; more would let a label grow without limit."""
+MAX_ROUTES: Final = 50
+"""Routes whose pauses are counted by name."""
 OTHERS: Final = 'others'
 
 
+class LateCause(StrEnum):
+    """Why a stream was late."""
+
+    FIRST_EVENT = 'first_event'
+    PAUSE = 'pause'
+
+
 class Histogram:
-    """Counts durations by bucket."""
+    """Counts amounts by bucket: seconds, unless other bounds are given."""
+
+    def __init__(self, bounds: tuple[float, ...] = BOUNDS_SECONDS) -> None:
+        self.bounds = bounds
+        self.counts = [0 for _ in (*bounds, None)]
+        self.total = float(0)
+
+    def add(self, amount: float) -> None:
+        """Count one amount."""
+        self.counts[bisect_left(self.bounds, amount)] += 1
+        self.total += amount
+
+
+class StreamMeters:
+    """Counts the streams that have ended, if they had begun."""
 
     def __init__(self) -> None:
-        self.counts = [0 for _ in (*BOUNDS_SECONDS, None)]
-        self.sum_seconds = float(0)
+        self.first_event = Histogram()
+        self.late = Counter(dict.fromkeys(LateCause, 0))
+        """By cause; a stream that was late for both counts for both."""
+        self.pause_ratios: dict[str, Histogram] = {}
+        """Longest pause of a stream to the objective, by route."""
 
-    def add(self, seconds: float) -> None:
-        """Count one duration."""
-        self.counts[bisect_left(BOUNDS_SECONDS, seconds)] += 1
-        self.sum_seconds += seconds
+    def add_pause(self, route: str, ratio: float) -> None:
+        """Count the longest pause of a stream that has ended.
+
+        :param ratio: to the objective of its route.
+        """
+        known = route in self.pause_ratios
+        if not known and len(self.pause_ratios) >= MAX_ROUTES:
+            route = OTHERS
+        if route not in self.pause_ratios:
+            self.pause_ratios[route] = Histogram(PAUSE_RATIO_BOUNDS)
+        self.pause_ratios[route].add(ratio)
 
 
 class Meters:
@@ -49,7 +85,7 @@
         """Servers that said in a response that they leave."""
         self.took = Histogram()
         self.waited = Histogram()
-        self.first_event = Histogram()
+        self.streams = StreamMeters()
 
     def ended(self, outcome: str, workspace: str, took_seconds: float) -> None:
         """Count the end of a request.
--- a/src/sardinetrack/relay/metrics.py
+++ b/src/sardinetrack/relay/metrics.py
@@ -16,7 +16,7 @@
 from prometheus_client.registry import Collector
 
 from sardinetrack.relay.entry_state import EntryState
-from sardinetrack.relay.meters import BOUNDS_SECONDS, Histogram
+from sardinetrack.relay.meters import Histogram
 from sardinetrack.store.api import StoreCounters
 from sardinetrack.topology.freshness import boot_clock
 from sardinetrack.turns.clock import loop_now
@@ -64,8 +64,12 @@
     yield _histogram('request', 'Arrival to end', meters.took)
     yield _histogram('turn_wait', 'Wait for a turn', meters.waited)
     yield _histogram(
-        'first_event', 'Arrival to first event', meters.first_event
+        'first_event', 'Arrival to first event', meters.streams.first_event
     )
+    yield _counter(
+        'late_streams', 'Streams by why they were late', meters.streams.late
+    )
+    yield _pause_ratios(meters.streams.pause_ratios)
     yield from _view_metrics(state, store)
     yield from _server_metrics(state)
     yield _total('log_lines_dropped', 'Dropped lines', state.log.dropped)
@@ -205,11 +209,25 @@
 
 
 def _histogram(name: str, text: str, histogram: Histogram) -> Metric:
-    bounds = [*map(str, BOUNDS_SECONDS), '+Inf']
-    buckets = list(zip(bounds, accumulate(histogram.counts), strict=True))
     return HistogramMetricFamily(
         f'sardinetrack_{name}_seconds',
         text,
-        buckets=buckets,
-        sum_value=histogram.sum_seconds,
+        buckets=_buckets(histogram),
+        sum_value=histogram.total,
+    )
+
+
+def _pause_ratios(histograms: Mapping[str, Histogram]) -> Metric:
+    family = HistogramMetricFamily(
+        'sardinetrack_stream_pause_ratio',
+        'Longest pause of a stream to the objective of its route',
+        labels=['by'],
     )
+    for route, histogram in histograms.items():
+        family.add_metric([route], _buckets(histogram), histogram.total)
+    return family
+
+
+def _buckets(histogram: Histogram) -> list[tuple[str, int]]:
+    bounds = [*map(str, histogram.bounds), '+Inf']
+    return list(zip(bounds, accumulate(histogram.counts), strict=True))
--- a/src/sardinetrack/relay/sender.py
+++ b/src/sardinetrack/relay/sender.py
@@ -120,6 +120,11 @@
         connection: ServerConnection,
     ) -> ServerAttempt:
         progress.splitter.resume()
+        progress.pauses.begin_attempt(
+            self._loop.time(),
+            target.server.instance,
+            placement.candidate.prefill_tokens,
+        )
         streams = plan.route.kind is RouteKind.STREAMING
         return ServerAttempt(
             self._call,
--- a/tests/support/relay_servers.py
+++ b/tests/support/relay_servers.py
@@ -5,7 +5,7 @@
 import asyncio
 import socket
 import time
-from collections import deque
+from collections import defaultdict, deque
 from contextlib import suppress
 from dataclasses import dataclass, field
 
@@ -50,6 +50,8 @@
     held_act: str = 'answer'
     """What follows the act ``held`` once it is released."""
     released: asyncio.Event = field(default_factory=asyncio.Event)
+    stalls: defaultdict = field(default_factory=lambda: defaultdict(float))
+    """Seconds that its streams pause, by the number of the event after."""
 
 
 class ScriptedServer(LateResponses):
@@ -246,6 +248,8 @@
         writer.write(f'{head}Transfer-Encoding: chunked\r\n\r\n'.encode())
         first = int(fields.get('last-event-id', 0)) + 1
         for number in range(first, last + 1):
+            if self.notices.stalls[number]:
+                await asyncio.sleep(self.notices.stalls[number])
             event = padding + await self._event(fields, number)
             writer.write(b'%x\r\n%b\r\n' % (len(event), event))
             await writer.drain()
