The soak checks that every ended stream counts with its pause

Cause: a stream could end in a way that no scenario has, and be missing from the histogram of pauses. Change: at the end of a soak each entry's page must count as many pauses as first events; all streams of the soak have a pause objective.

--- a/benchmarks/soak/__main__.py
+++ b/benchmarks/soak/__main__.py
@@ -41,6 +41,7 @@
             task.cancel()
         await asyncio.gather(*callers, return_exceptions=True)
         log.check(world.runs)
+        log.violations.extend(await world.uncounted_streams())
         log.violations.extend(world.runs_after_revocation())
         responses = dict(log.responses.most_common())
         sys.stdout.write(
--- a/benchmarks/soak/world.py
+++ b/benchmarks/soak/world.py
@@ -4,18 +4,21 @@
 
 import asyncio
 import os
+import re
 import signal
 import socket
 import sys
 import tempfile
 from collections import Counter
-from contextlib import AsyncExitStack, suppress
+from contextlib import AsyncExitStack, closing, suppress
+from http.client import HTTPConnection
 from pathlib import Path
 from typing import Self
 
 from tests.support.object_store import ObjectStore
 
 from benchmarks.soak.engine import SoakServer
+from sardinetrack.platform.settings import METRICS_PORT
 from sardinetrack.standin.tcp_proxy import TcpProxy, open_proxy
 
 ROOT = Path(__file__).parents[2]
@@ -182,6 +185,17 @@
             late.extend(f'{workspace} ran, {one:.1f} s late' for one in delays)
         return late
 
+    async def uncounted_streams(self) -> list[str]:
+        """Describe the entries that ended streams without their pauses."""
+        found: list[str] = []
+        for entry in self.entries:
+            page = await asyncio.to_thread(_metrics, entry.ip)
+            paused = re.findall(r'stream_pause_ratio_count{.+} (\S+)', page)
+            begun = re.findall(r'first_event_seconds_count (\S+)', page)
+            if sum(map(float, paused)) != sum(map(float, begun)):
+                found.append(f'{entry.ip} counts {paused} of {begun} streams')
+        return found
+
     def configure(self) -> None:
         """Write a new version of the configuration to the store."""
         self.version += 1
@@ -251,6 +265,13 @@
     return entry.ip, _CALLERS_PORT
 
 
+def _metrics(ip: str) -> str:
+    connection = HTTPConnection(ip, METRICS_PORT, timeout=2)
+    with closing(connection):
+        connection.request('GET', '/metrics')
+        return connection.getresponse().read().decode()
+
+
 def _route(
     name: str,
     kind: str,
