How much prefill an engine gets ahead has a module of its own

Change: limits of the backlog and of a request's wait move to admission/prefill_ahead.py. Whether a request fits and when the next tick is due now follow from one formula (excess_seconds) in place of two that were equal except for rounding. No decision is meant to change.

--- a/src/sardinetrack/admission/prefill.py
+++ b/src/sardinetrack/admission/prefill.py
@@ -15,6 +15,7 @@
 from sardinetrack.admission.cold_start import ColdStartLimiter
 from sardinetrack.admission.order import ServiceOrder
 from sardinetrack.admission.pace import PrefillEstimator
+from sardinetrack.admission.prefill_ahead import PrefillAhead
 from sardinetrack.admission.request import (
     AdmissionDecision,
     AdmissionRequest,
@@ -22,28 +23,14 @@
     Refused,
 )
 from sardinetrack.admission.running import RunningRequests
-from sardinetrack.admission.usage import EngineActivity, EngineUsage
+from sardinetrack.admission.usage import (
+    EngineActivity,
+    EngineUsage,
+    activity_without_queue,
+)
 from sardinetrack.admission.waiting import WaitingRequest, WaitQueue, tokens_of
 from sardinetrack.topology.cold import ColdPeriod
 
-PREFILL_AHEAD_SECONDS: Final = 0.15
-"""Prefill work that an engine gets ahead.
-
-Enough that it never runs out of work for a round trip (3 ms) and a delayed
-iteration of this process's event loop; short enough that a granted request
-gets its first token within the users' shortest objective (0.5 s).
-"""
-MIN_BACKLOG_SECONDS: Final = 0.015
-"""Prefill backlog below which the next prompt is granted whatever its size.
-
-A grant, the request and a delayed iteration of an event loop take some 5 ms
-together.
-"""
-MAX_WAIT_FLOOR_SECONDS: Final = 0.2
-"""Maximum wait of a request that would be late even at an idle engine.
-
-During that time the engine prefills what it got ahead, and one more request.
-"""
 _MIN_RETRY_SECONDS: Final = 0.25
 
 
@@ -59,7 +46,7 @@
         self.estimator = PrefillEstimator()
         self.usage = EngineUsage()
         self.cold_start = ColdStartLimiter()
-        self._fraction = float(1)
+        self._ahead = PrefillAhead()
         self._running = RunningRequests(slots, memory_tokens)
         self._queue = WaitQueue()
         self._order = ServiceOrder(self._queue)
@@ -78,7 +65,7 @@
             max(1, int(slots * share)),
             int(memory_tokens * share),
         )
-        self._fraction = share
+        self._ahead.fraction = share
 
     def set_cold_period(
         self, now: float, cold_period: ColdPeriod
@@ -173,34 +160,12 @@
         )
         self._order.join(now, request.workspace)
         wait_seconds = self._wait_seconds(now, request)
-        max_wait_seconds = self._max_wait_seconds(request)
+        max_wait_seconds = self._ahead.max_wait_seconds(request, self.estimator)
         if wait_seconds > max_wait_seconds:
             return (self._refusal(request, wait_seconds, float(0)),)
         self._queue.put(WaitingRequest(request, now, now + max_wait_seconds))
         return self._grant_next(now)
 
-    def _max_wait_seconds(self, request: AdmissionRequest) -> float:
-        """Return how long a request can wait here and still be in time.
-
-        The time it needs after its grant depends on its length: a short prompt
-        can wait where a long one has to begin. A request that would be late
-        even at an idle engine may still wait a little; otherwise the longest
-        prompts would be refused whenever the engine prefills anything.
-        """
-        if request.is_past_objective:
-            return request.max_wait_seconds
-        prefill_seconds = (
-            MIN_BACKLOG_SECONDS + request.prefill_tokens / self.rate_tokens
-        )
-        needs_seconds = max(self._ahead_seconds, prefill_seconds)
-        spare_seconds = (
-            request.first_event_due_seconds
-            - needs_seconds
-            - self.estimator.lag_seconds
-        )
-        floor_seconds = MAX_WAIT_FLOOR_SECONDS
-        return min(request.max_wait_seconds, max(spare_seconds, floor_seconds))
-
     def release(
         self,
         now: float,
@@ -301,7 +266,7 @@
     def _activity(self, now: float) -> EngineActivity:
         prefills = self.estimator.backlog_seconds(now) > 0
         if not self._queue.workspaces:
-            return self._activity_without_queue(prefills=prefills)
+            return activity_without_queue(self.running, prefills=prefills)
         if prefills:
             return EngineActivity.FULL
         if not self.slots_left:
@@ -310,13 +275,6 @@
             return EngineActivity.COLD_START_LIMITED
         return EngineActivity.MEMORY_EXHAUSTED
 
-    def _activity_without_queue(self, *, prefills: bool) -> EngineActivity:
-        if not self._running:
-            return EngineActivity.IDLE
-        return (
-            EngineActivity.PREFILLING if prefills else EngineActivity.DECODING
-        )
-
     def _fits(self, now: float, request: AdmissionRequest) -> bool:
         if self.cold_start.free_at_seconds(now) > now:
             return False
@@ -326,11 +284,7 @@
             return False
         if not self._running.has_memory(request):
             return False
-        backlog_seconds = self.estimator.backlog_seconds(now)
-        if backlog_seconds <= MIN_BACKLOG_SECONDS:
-            return True
-        prefill_seconds = request.prefill_tokens / self.rate_tokens
-        return backlog_seconds + prefill_seconds <= self._ahead_seconds
+        return self._excess_seconds(now, request) <= 0
 
     def _grant(
         self, now: float, request: AdmissionRequest
@@ -357,19 +311,7 @@
         )
 
     def _excess_seconds(self, now: float, request: AdmissionRequest) -> float:
-        """Return the backlog above that at which a request may be granted.
-
-        A long prompt may be granted only when hardly any backlog is left.
-        """
-        prefill_seconds = request.prefill_tokens / self.rate_tokens
-        allowed_seconds = max(
-            MIN_BACKLOG_SECONDS, self._ahead_seconds - prefill_seconds
-        )
-        return self.estimator.backlog_seconds(now) - allowed_seconds
-
-    @property
-    def _ahead_seconds(self) -> float:
-        return PREFILL_AHEAD_SECONDS * self._fraction
+        return self._ahead.excess_seconds(now, request, self.estimator)
 
     def _refusal(
         self,
--- a/src/sardinetrack/admission/usage.py
+++ b/src/sardinetrack/admission/usage.py
@@ -27,6 +27,16 @@
     the KV cache."""
 
 
+def activity_without_queue(running: int, *, prefills: bool) -> EngineActivity:
+    """Return what an engine does while no request waits for it.
+
+    :param running: number of requests at the engine.
+    """
+    if not running:
+        return EngineActivity.IDLE
+    return EngineActivity.PREFILLING if prefills else EngineActivity.DECODING
+
+
 def _no_time() -> defaultdict[EngineActivity, float]:
     return defaultdict(float)
 
