A request that has come to fit since the last decision is granted at once

Cause: the timer for the next decision was set from a later reading of the clock than the decision. A request that came to fit in between had no timer and waited for the next first event.

Change: next_deadline_seconds returns the present moment when the next request fits.

Measured: the new scenario fails without the change (due at 0.4 s in place of 0.2 s).

--- a/src/sardinetrack/admission/prefill.py
+++ b/src/sardinetrack/admission/prefill.py
@@ -241,7 +241,8 @@
 
         A request away from its home server has a far shorter maximum wait than
         those before it in its queue; and no first event marks the moment at
-        which the engine has prefilled enough for the next request.
+        which the engine has prefilled enough for the next request. One that
+        has come to fit since the last decision is due now.
         """
         dues = [one.until_seconds for one in self._queue]
         if not dues:
@@ -249,8 +250,9 @@
         first = self._queue.first(self._order.next_workspace(now))
         excess_seconds = self._excess_seconds(now, first)
         cold_seconds = self.cold_start.wait_seconds(now, 0)
-        if max(excess_seconds, cold_seconds) > 0:
-            dues.append(now + max(excess_seconds, cold_seconds))
+        due_seconds = max(excess_seconds, cold_seconds)
+        if due_seconds > 0 or self._fits(now, first):
+            dues.append(now + max(0, due_seconds))
         return min(dues)
 
     def _grant_next(self, now: float) -> Sequence[AdmissionDecision]:
--- a/tests/admission/reading.feature
+++ b/tests/admission/reading.feature
@@ -256,3 +256,12 @@
     And workspace agency sends a request of 3000 prompt tokens
     And the engine has prefilled one prompt
     Then pilot is granted 1 permit
+
+  Scenario: A request that fits by the time at which the timer is set is not forgotten
+    The clock moves on between a decision and the next timer. Without a timer
+    the request would wait for the next first event, or until it is refused.
+
+    Given an engine of 64 slots
+    When workspace agency sends 2 requests of 5000 prompt tokens
+    And the clock moves on by 0.2 seconds
+    Then a decision is due now
--- a/tests/admission/steps/reading_steps.py
+++ b/tests/admission/steps/reading_steps.py
@@ -333,3 +333,15 @@
     engine = context.engine
     last = list(engine.requests)[-1]
     assert engine.granted[1] == last, engine.granted
+
+
+@when('the clock moves on by {seconds:g} seconds')
+def move_clock(context, seconds):
+    context.engine.now += seconds
+
+
+@then('a decision is due now')
+def is_due(context):
+    engine = context.engine
+    due = engine.admission.next_deadline_seconds(engine.now)
+    assert due == engine.now, due
