Prompts are spaced so that streams don't pause for too long

Cause: an event of 6 tokens takes 33 ms at a slow engine that only decodes and 348 ms while each step also prefills a chunk; the objective is 300 ms.

Change: admission/spacing.py grants prompts in runs that one event can contain, with decode-only steps in between. PrefillAdmission gets observe_engine and step_pace; EngineActivity gets SPACED; waits and refusals include the spacing. While the limit binds, the rate seen in reports caps the one that follows from first events. The estimator is reset in place on a restart, so that the other parts can keep a reference to it.

--- a/src/sardinetrack/admission/pace.py
+++ b/src/sardinetrack/admission/pace.py
@@ -49,7 +49,13 @@
     """
 
     def __init__(self) -> None:
+        self.reset()
+
+    def reset(self) -> None:
+        """Forget everything: the engine has restarted."""
         self.lag_seconds = float(0)
+        self.max_rate_tokens = math.inf
+        """Limit of the rate, where it is known from elsewhere."""
         self._pending: dict[str, _PendingPrompt] = {}
         self._pending_tokens = 0
         self._free_at_seconds = -math.inf
@@ -60,7 +66,7 @@
     @property
     def rate_tokens(self) -> float:
         """Prompt tokens prefilled a second."""
-        rate = self._tokens / self._seconds
+        rate = min(self._tokens / self._seconds, self.max_rate_tokens)
         minimum = _MIN_RATE_FACTOR * INITIAL_RATE_TOKENS
         return min(max(rate, minimum), _MAX_RATE_FACTOR * INITIAL_RATE_TOKENS)
 
@@ -75,6 +81,22 @@
             return left_seconds
         return max(left_seconds, self._pending_tokens / self.rate_tokens)
 
+    def prefilled_at_seconds(self, now: float) -> float:
+        """Estimate when all that was granted is prefilled, or was."""
+        if self._is_stalled(now):
+            return now + self.backlog_seconds(now)
+        return self._free_at_seconds
+
+    @property
+    def is_pending(self) -> bool:
+        """Whether a granted prompt has had no first event yet."""
+        return bool(self._pending)
+
+    @property
+    def last_first_event_seconds(self) -> float:
+        """When the last first event came, on the monotonic clock."""
+        return self._last_first_event_seconds
+
     def first_event_seconds(self, now: float, tokens: int) -> float:
         """Estimate the time to a prompt's first event if granted now."""
         prefill_seconds = tokens / self.rate_tokens
--- a/src/sardinetrack/admission/prefill.py
+++ b/src/sardinetrack/admission/prefill.py
@@ -13,7 +13,8 @@
 
 from sardinetrack.admission.batch import BatchLimit
 from sardinetrack.admission.cold_start import ColdStartLimiter
-from sardinetrack.admission.order import ServiceOrder
+from sardinetrack.admission.engine_report import EngineReport
+from sardinetrack.admission.order import QueuedAhead, ServiceOrder
 from sardinetrack.admission.pace import PrefillEstimator
 from sardinetrack.admission.prefill_ahead import PrefillAhead
 from sardinetrack.admission.request import (
@@ -23,12 +24,15 @@
     Refused,
 )
 from sardinetrack.admission.running import RunningRequests
+from sardinetrack.admission.spacing import PrefillSpacing
 from sardinetrack.admission.usage import (
     EngineActivity,
     EngineUsage,
     activity_without_queue,
 )
+from sardinetrack.admission.wait_estimate import WaitEstimate
 from sardinetrack.admission.waiting import WaitingRequest, WaitQueue, tokens_of
+from sardinetrack.placement.step_pace import StepPace
 from sardinetrack.topology.cold import ColdPeriod
 
 _MIN_RETRY_SECONDS: Final = 0.25
@@ -46,8 +50,16 @@
         self.estimator = PrefillEstimator()
         self.usage = EngineUsage()
         self.cold_start = ColdStartLimiter()
-        self._ahead = PrefillAhead()
         self._running = RunningRequests(slots, memory_tokens)
+        self._ahead = PrefillAhead(self.estimator)
+        self._spacing = PrefillSpacing(self._running, self.estimator)
+        self._waits = WaitEstimate(
+            self.estimator,
+            self._running,
+            self._ahead,
+            self._spacing,
+            self.cold_start,
+        )
         self._queue = WaitQueue()
         self._order = ServiceOrder(self._queue)
 
@@ -74,6 +86,18 @@
         self.cold_start.update_cold_period(cold_period)
         return self._grant_next(now)
 
+    def observe_engine(
+        self, now: float, report: EngineReport
+    ) -> Sequence[AdmissionDecision]:
+        """Apply a report of the engine; grant what it shows to fit."""
+        was_binding = self._spacing.is_binding(now)
+        self._spacing.observe(now, report)
+        return self._grant_next(now) if was_binding else ()
+
+    def step_pace(self, now: float) -> StepPace:
+        """Return the pace of the engine's steps; all 0 while unknown."""
+        return self._spacing.stream_pace.pace(now)
+
     @property
     def running(self) -> int:
         """Number of requests at the engine."""
@@ -110,20 +134,8 @@
 
     def wait_seconds(self, now: float) -> float:
         """Estimate how long a request waits until its prefill begins."""
-        return self._wait_behind(now, self._queue.tokens, self.waiting)
-
-    def _wait_behind(
-        self,
-        now: float,
-        queued_tokens: int,
-        queued: int,
-    ) -> float:
-        backlog_seconds = self.estimator.backlog_seconds(now)
-        prefill_seconds = backlog_seconds + queued_tokens / self.rate_tokens
-        return max(
-            prefill_seconds,
-            self._running.slot_seconds(queued),
-            self.cold_start.wait_seconds(now, queued),
+        return self._waits.next_seconds(
+            now, QueuedAhead(self._queue.tokens, self.waiting)
         )
 
     def handle_restart(self, now: float) -> Sequence[AdmissionDecision]:
@@ -133,7 +145,8 @@
         requests that wait here were never sent; they go on waiting, for an
         idle engine. The service that workspaces received still counts.
         """
-        self.estimator = PrefillEstimator()
+        self.estimator.reset()
+        self._spacing.reset()
         self._running.clear()
         return self._grant_next(now)
 
@@ -159,8 +172,10 @@
             now, request.output_tokens, request.until_deadline_seconds
         )
         self._order.join(now, request.workspace)
-        wait_seconds = self._wait_seconds(now, request)
-        max_wait_seconds = self._ahead.max_wait_seconds(request, self.estimator)
+        wait_seconds = self._waits.request_seconds(
+            now, request, self._order.ahead_of(now, request)
+        )
+        max_wait_seconds = self._ahead.max_wait_seconds(request)
         if wait_seconds > max_wait_seconds:
             return (self._refusal(request, wait_seconds, float(0)),)
         self._queue.put(WaitingRequest(request, now, now + max_wait_seconds))
@@ -230,7 +245,9 @@
             queued_tokens -= one.request.prefill_tokens
             queued -= 1
             waited_seconds = now - one.queued_seconds
-            wait_seconds = self._wait_behind(now, queued_tokens, queued)
+            wait_seconds = self._waits.next_seconds(
+                now, QueuedAhead(queued_tokens, queued)
+            )
             late.append(
                 self._refusal(one.request, wait_seconds, waited_seconds)
             )
@@ -248,9 +265,11 @@
         if not dues:
             return None
         first = self._queue.first(self._order.next_workspace(now))
-        excess_seconds = self._excess_seconds(now, first)
-        cold_seconds = self.cold_start.wait_seconds(now, 0)
-        due_seconds = max(excess_seconds, cold_seconds)
+        due_seconds = max(
+            self._ahead.excess_seconds(now, first),
+            self.cold_start.wait_seconds(now, 0),
+            self._spacing.wait_seconds(now, first.prefill_tokens),
+        )
         if due_seconds > 0 or self._fits(now, first):
             dues.append(now + max(0, due_seconds))
         return min(dues)
@@ -269,6 +288,10 @@
         prefills = self.estimator.backlog_seconds(now) > 0
         if not self._queue.workspaces:
             return activity_without_queue(self.running, prefills=prefills)
+        if self._has_room(
+            now, self._queue.first(self._order.next_workspace(now))
+        ):
+            return EngineActivity.SPACED
         if prefills:
             return EngineActivity.FULL
         if not self.slots_left:
@@ -278,6 +301,11 @@
         return EngineActivity.MEMORY_EXHAUSTED
 
     def _fits(self, now: float, request: AdmissionRequest) -> bool:
+        if not self._has_room(now, request):
+            return False
+        return not self._spacing.wait_seconds(now, request.prefill_tokens)
+
+    def _has_room(self, now: float, request: AdmissionRequest) -> bool:
         if self.cold_start.free_at_seconds(now) > now:
             return False
         if not self._running:
@@ -286,7 +314,7 @@
             return False
         if not self._running.has_memory(request):
             return False
-        return self._excess_seconds(now, request) <= 0
+        return self._ahead.excess_seconds(now, request) <= 0
 
     def _grant(
         self, now: float, request: AdmissionRequest
@@ -295,26 +323,13 @@
             now, request.prefill_tokens
         )
         self.cold_start.granted(now)
+        self._spacing.granted(now, request.prefill_tokens)
         self.estimator.granted(now, request.permit_id, request.prefill_tokens)
         self._running.add(now, request, expected_seconds)
         self.usage.record_grant(request.prefill_tokens)
         self._order.granted(now, request)
         return Granted(request.permit_id)
 
-    def _wait_seconds(self, now: float, request: AdmissionRequest) -> float:
-        """Estimate how long a request that arrives now waits for its grant."""
-        ahead = self._order.ahead_of(now, request)
-        queued_seconds = ahead.tokens / self.rate_tokens
-        excess_seconds = max(0, self._excess_seconds(now, request))
-        return max(
-            excess_seconds + queued_seconds,
-            self._running.slot_seconds(ahead.requests),
-            self.cold_start.wait_seconds(now, ahead.requests),
-        )
-
-    def _excess_seconds(self, now: float, request: AdmissionRequest) -> float:
-        return self._ahead.excess_seconds(now, request, self.estimator)
-
     def _refusal(
         self,
         request: AdmissionRequest,
--- a/src/sardinetrack/admission/prefill_ahead.py
+++ b/src/sardinetrack/admission/prefill_ahead.py
@@ -30,8 +30,9 @@
 class PrefillAhead:
     """Limits the backlog of an engine."""
 
-    def __init__(self) -> None:
+    def __init__(self, estimator: PrefillEstimator) -> None:
         """Limit the backlog of an engine that is granted as a whole."""
+        self._estimator = estimator
         self.fraction = float(1)
         """Fraction of the engine that is granted here."""
 
@@ -39,22 +40,19 @@
     def _seconds(self) -> float:
         return PREFILL_AHEAD_SECONDS * self.fraction
 
-    def excess_seconds(
-        self, now: float, request: AdmissionRequest, estimator: PrefillEstimator
-    ) -> float:
+    def excess_seconds(self, now: float, request: AdmissionRequest) -> float:
         """Return the backlog above that at which a request may be granted.
 
         A long prompt may be granted only when hardly any backlog is left.
         """
-        prefill_seconds = request.prefill_tokens / estimator.rate_tokens
+        rate_tokens = self._estimator.rate_tokens
+        prefill_seconds = request.prefill_tokens / rate_tokens
         allowed_seconds = max(
             MIN_BACKLOG_SECONDS, self._seconds - prefill_seconds
         )
-        return estimator.backlog_seconds(now) - allowed_seconds
+        return self._estimator.backlog_seconds(now) - allowed_seconds
 
-    def max_wait_seconds(
-        self, request: AdmissionRequest, estimator: PrefillEstimator
-    ) -> float:
+    def max_wait_seconds(self, request: AdmissionRequest) -> float:
         """Return how long a request can wait here and still be in time.
 
         The time it needs after its grant depends on its length: a short prompt
@@ -65,13 +63,14 @@
         if request.is_past_objective:
             return request.max_wait_seconds
         prefill_seconds = (
-            MIN_BACKLOG_SECONDS + request.prefill_tokens / estimator.rate_tokens
+            MIN_BACKLOG_SECONDS
+            + request.prefill_tokens / self._estimator.rate_tokens
         )
         needs_seconds = max(self._seconds, prefill_seconds)
         spare_seconds = (
             request.first_event_due_seconds
             - needs_seconds
-            - estimator.lag_seconds
+            - self._estimator.lag_seconds
         )
         floor_seconds = MAX_WAIT_FLOOR_SECONDS
         return min(request.max_wait_seconds, max(spare_seconds, floor_seconds))
--- a/src/sardinetrack/admission/running.py
+++ b/src/sardinetrack/admission/running.py
@@ -79,6 +79,21 @@
         """Mean time a request occupies its slot; 0 until one has ended."""
         return self._occupancy.seconds
 
+    @property
+    def pause_objective_seconds(self) -> float:
+        """Smallest pause objective of the streams; infinite without any.
+
+        A request is a stream from its first event on.
+        """
+        return min(
+            (
+                one.request.event_gap_seconds
+                for one in self._running.values()
+                if one.first_event_seconds is not None
+            ),
+            default=math.inf,
+        )
+
     def slot_seconds(self, before: int) -> float:
         """Estimate how long a request waits for a slot.
 
--- a/src/sardinetrack/admission/usage.py
+++ b/src/sardinetrack/admission/usage.py
@@ -18,6 +18,8 @@
     """It prefills a prompt, and no request waits."""
     FULL = 'full'
     """It prefills a prompt, and requests wait."""
+    SPACED = 'spaced'
+    """Requests wait only so that no stream pauses for too long."""
     SLOTS_EXHAUSTED = 'held_slots'
     """It prefills nothing though requests wait: no slot is free."""
     COLD_START_LIMITED = 'held_cold'
