--- a/src/sardinetrack/admission/usage.py
+++ b/src/sardinetrack/admission/usage.py
@@ -18,6 +18,8 @@
     """It prefills a prompt, and no request waits."""
     FULL = 'full'
     """It prefills a prompt, and requests wait."""
+    SPACED = 'spaced'
+    """Requests wait only so that no stream pauses for too long."""
     SLOTS_EXHAUSTED = 'held_slots'
     """It prefills nothing though requests wait: no slot is free."""
     COLD_START_LIMITED = 'held_cold'
@@ -27,6 +29,16 @@
     the KV cache."""
 
 
+def activity_without_queue(running: int, *, prefills: bool) -> EngineActivity:
+    """Return what an engine does while no request waits for it.
+
+    :param running: number of requests at the engine.
+    """
+    if not running:
+        return EngineActivity.IDLE
+    return EngineActivity.PREFILLING if prefills else EngineActivity.DECODING
+
+
 def _no_time() -> defaultdict[EngineActivity, float]:
     return defaultdict(float)
 
