--- a/src/sardinetrack/admission/pause_limit.py
+++ b/src/sardinetrack/admission/pause_limit.py
@@ -30,8 +30,11 @@
 
     def allows(self, tokens: float) -> bool:
         """Whether so many tokens may be prefilled without a break."""
-        pause = self.pace.longest_pause_seconds(tokens, self.rate_tokens)
-        return pause <= self.limit_seconds
+        return self.pause_seconds(tokens) <= self.limit_seconds
+
+    def pause_seconds(self, tokens: float) -> float:
+        """Predict the pause from so many tokens without a break."""
+        return self.pace.longest_pause_seconds(tokens, self.rate_tokens)
 
     @property
     def run_tokens(self) -> float:
--- a/src/sardinetrack/admission/prefill.py
+++ b/src/sardinetrack/admission/prefill.py
@@ -98,6 +98,10 @@
         """Return the pace of the engine's steps; all 0 while unknown."""
         return self._spacing.stream_pace.pace(now)
 
+    def recent_pause_seconds(self, now: float) -> float:
+        """Return the longest pause that prefill caused lately."""
+        return self._spacing.recent_pause.seconds(now)
+
     @property
     def running(self) -> int:
         """Number of requests at the engine."""
--- a/src/sardinetrack/admission/spacing.py
+++ b/src/sardinetrack/admission/spacing.py
@@ -15,6 +15,7 @@
 from sardinetrack.admission.pace import PrefillEstimator
 from sardinetrack.admission.pause_limit import MAX_PAUSE_FRACTION, PauseLimit
 from sardinetrack.admission.prefill_rate import PrefillRate
+from sardinetrack.admission.recent_pause import RecentPause
 from sardinetrack.admission.running import RunningRequests
 from sardinetrack.admission.stream_pace import StreamPace
 
@@ -42,6 +43,7 @@
         self.stream_pace = StreamPace()
         self._running = running
         self._run_tokens = 0
+        self.recent_pause = RecentPause()
         self._rate = PrefillRate()
         self._granted_seconds = -math.inf
         self._decodes_since_seconds = math.inf
@@ -61,6 +63,7 @@
         """Forget the engine's pace: it has restarted."""
         self.stream_pace.reset()
         self._run_tokens = 0
+        self.recent_pause = RecentPause()
         self._rate = PrefillRate()
         self._granted_seconds = -math.inf
         self._decodes_since_seconds = math.inf
@@ -105,6 +108,7 @@
         if self._run_over_seconds(now, limit.break_seconds(tokens)) <= now:
             self._run_tokens = 0
         self._run_tokens += tokens
+        self.recent_pause.record(now, limit.pause_seconds(self._run_tokens))
         self._rate.granted(tokens)
         self._granted_seconds = now
         self._decodes_since_seconds = math.inf
