--- a/src/sardinetrack/admission/prefill.py
+++ b/src/sardinetrack/admission/prefill.py
@@ -90,16 +90,20 @@
         self, now: float, report: EngineReport
     ) -> Sequence[AdmissionDecision]:
         """Apply a report of the engine; grant what it shows to fit."""
-        was_binding = self._spacing.is_binding(now)
+        was_binding = self.is_spacing(now)
         self._spacing.observe(now, report)
         return self._grant_next(now) if was_binding else ()
 
+    def is_spacing(self, now: float) -> bool:
+        """Whether prompts may have to wait for the spacing."""
+        return self._spacing.is_binding(now)
+
     def step_pace(self, now: float) -> StepPace:
         """Return the pace of the engine's steps; all 0 while unknown."""
         return self._spacing.stream_pace.pace(now)
 
     def recent_pause_seconds(self, now: float) -> float:
-        """Return the longest pause that prefill caused lately."""
+        """Return the longest pause that its prefill caused lately."""
         return self._spacing.recent_pause.seconds(now)
 
     @property
--- a/src/sardinetrack/placement/load.py
+++ b/src/sardinetrack/placement/load.py
@@ -34,6 +34,8 @@
     """Of the engine's steps, by the side's last report."""
     streams: int = 0
     """Requests that run at the engine, by the side's last report."""
+    recent_pause_seconds: float = 0
+    """Longest pause that prefill there caused lately, by the last report."""
 
     def wait_seconds(self) -> float:
         """Estimate how long a request that is sent now waits."""
@@ -45,6 +47,7 @@
         self.reported_running = 0
         self.pace = StepPace()
         self.streams = 0
+        self.recent_pause_seconds = 0
 
     def update(
         self,
--- a/src/sardinetrack/turns/driver.py
+++ b/src/sardinetrack/turns/driver.py
@@ -6,6 +6,7 @@
 from abc import ABC, abstractmethod
 from collections.abc import Sequence
 
+from sardinetrack.admission.engine_report import EngineReport
 from sardinetrack.admission.prefill import PrefillAdmission
 from sardinetrack.admission.request import (
     AdmissionDecision,
@@ -45,6 +46,16 @@
         """Release all permits, after a restart of the server."""
         self._deliver_all(self.admission.handle_restart(loop_now()))
 
+    def observe_engine(self, report: EngineReport) -> None:
+        """Apply the engine's own report.
+
+        A report of another start resets the pace of the steps alone. Permits
+        are released and the cold period is set when an entry reports the
+        start; releasing them here too would grant the waiting requests to an
+        engine that may be cold, without a limit.
+        """
+        self._deliver_all(self.admission.observe_engine(loop_now(), report))
+
     def set_cold_period(self, cold: ColdPeriod) -> None:
         """Set how long the server's cold start lasts."""
         self._deliver_all(self.admission.set_cold_period(loop_now(), cold))
--- a/src/sardinetrack/turns/messages.py
+++ b/src/sardinetrack/turns/messages.py
@@ -134,6 +134,8 @@
     prefill_step_seconds: float = 0
     streams: int = 0
     """Requests that run at the engine."""
+    recent_pause_seconds: float = 0
+    """Longest pause that its prefill caused lately; see ``RecentPause``."""
 
 
 class StrikesReported(
--- a/src/sardinetrack/turns/side.py
+++ b/src/sardinetrack/turns/side.py
@@ -15,29 +15,32 @@
     Granted,
 )
 from sardinetrack.logs.events import Event, EventLog
-from sardinetrack.placement.prefix_index import MAX_RETENTION_SECONDS
 from sardinetrack.routing.strikes import StrikeRegistry
 from sardinetrack.turns.clock import loop_now
 from sardinetrack.turns.driver import AdmissionDriver
+from sardinetrack.turns.engine_monitor import (
+    EngineListener,
+    EngineMonitor,
+    EngineSource,
+)
 from sardinetrack.turns.engine_start import EngineStarts, StartUpdate
 from sardinetrack.turns.entry_connection import EntryConnection
+from sardinetrack.turns.load_report import (
+    REPORT_INTERVAL_SECONDS,
+    LoadReporter,
+)
 from sardinetrack.turns.messages import (
     Hello,
     PermitGranted,
     PermitRefused,
     PermitRequest,
     ServerStarted,
-    SideReport,
     StrikesReported,
 )
 from sardinetrack.turns.refused import RefusedRequests
 from sardinetrack.turns.usage_log import UsageLog
 from sardinetrack.views.watcher import Watcher
 
-REPORT_INTERVAL_SECONDS: Final = 0.15
-"""Interval of a side's load reports; an entry adds what it sent since."""
-IDLE_REPORT_INTERVAL_SECONDS: Final = 0.45
-"""Interval of the reports while nothing changes, as a heartbeat."""
 COUNT_ENTRIES_SECONDS: Final = 2.0
 """After its start a side reports no number of entries for so long.
 
@@ -48,7 +51,7 @@
 _DIGITS: Final = 3
 
 
-class SideServer(AdmissionDriver):
+class SideServer(AdmissionDriver, EngineListener):
     """Owns the admission to one engine, and the entries' connections."""
 
     def __init__(
@@ -56,11 +59,13 @@
         address: tuple[str, int],
         watcher: Watcher,
         log: EventLog,
+        engine: EngineSource | None = None,
     ) -> None:
         """Start without entries; listens once it is entered.
 
         :param address: where entries connect.
         :param watcher: watches the store for entries that subscribe.
+        :param engine: polled for its reports; ``None`` to poll nothing.
         """
         super().__init__()
         self.port = address[1]
@@ -70,15 +75,14 @@
         self._entries: set[EntryConnection] = set()
         self._owners: dict[str, EntryConnection] = {}
         self.engine_starts = EngineStarts()
-        self._reported: tuple[float, int, int] | None = None
-        self._reported_seconds = float(0)
         self._started_seconds = math.inf
         self.usage = UsageLog(log)
         self.decisions: Counter[str] = Counter()
         self._requests: dict[str, PermitRequest] = {}
         self._refused = RefusedRequests()
-        self._new_prefixes: set[str] = set()
+        self._load = LoadReporter(self.admission, self.engine_starts)
         self._strikes = StrikeRegistry()
+        self.monitor = EngineMonitor(engine, self, log) if engine else None
         self._stack = AsyncExitStack()
 
     async def __aenter__(self) -> Self:
@@ -95,6 +99,8 @@
         self._stack.enter_context(self.watcher)
         self._report_task = loop.create_task(self._report_load())
         self._stack.callback(self._report_task.cancel)
+        if self.monitor is not None:
+            await self._stack.enter_async_context(self.monitor)
         return self
 
     async def __aexit__(
@@ -108,6 +114,16 @@
             entry.abort()
         await self._stack.aclose()
 
+    @property
+    def has_running_requests(self) -> bool:
+        """Whether requests with a permit run at the engine."""
+        return self.admission.running > 0
+
+    @property
+    def is_spacing(self) -> bool:
+        """Whether prompts may have to wait for the spacing."""
+        return self.admission.is_spacing(loop_now())
+
     @property
     def entries(self) -> int:
         """Number of connected entries."""
@@ -194,7 +210,7 @@
                 _DIGITS,
             ),
         )
-        self._new_prefixes.clear()
+        self._load.new_prefixes.clear()
         for entry in self._entries - {sender}:
             entry.send(message)
         self.reset()
@@ -278,7 +294,7 @@
         if isinstance(decision, Granted):
             self.engine_starts.record_permit(loop_now())
             if message.shared_prefix:
-                self._new_prefixes.add(message.shared_prefix)
+                self._load.new_prefixes.add(message.shared_prefix)
             owner.send(PermitGranted(decision.permit_id))
             return
         self._owners.pop(decision.permit_id, None)
@@ -312,32 +328,9 @@
     async def _report_load(self) -> None:
         while True:
             await asyncio.sleep(REPORT_INTERVAL_SECONDS)
-            self.usage.log_if_due(loop_now(), self.admission)
-            wait_seconds = round(self.admission.wait_seconds(loop_now()), 2)
-            slots_left = self.admission.slots_left
-            load = (wait_seconds, slots_left, self.reported_entries)
-            recent = (
-                loop_now() - self._reported_seconds
-                < IDLE_REPORT_INTERVAL_SECONDS
-            )
-            prefixes = tuple(self._new_prefixes)
-            if load == self._reported and recent and not prefixes:
-                continue
-            self._new_prefixes.clear()
-            self._reported = load
-            self._reported_seconds = loop_now()
-            message = SideReport(
-                wait_seconds,
-                round(self.admission.rate_tokens),
-                slots_left,
-                self.reported_entries,
-                prefixes,
-                self.engine_starts.start_hash,
-                round(self._retention_seconds(), 1),
-            )
-            for entry in self._entries:
-                entry.send(message)
-
-    def _retention_seconds(self) -> float:
-        seconds = self.admission.prefix_retention_seconds(loop_now())
-        return min(MAX_RETENTION_SECONDS, seconds)
+            now = loop_now()
+            self.usage.log_if_due(now, self.admission)
+            report = self._load.next_report(now, self.reported_entries)
+            if report is not None:
+                for entry in self._entries:
+                    entry.send(report)
--- a/src/sardinetrack/turns/side_link.py
+++ b/src/sardinetrack/turns/side_link.py
@@ -184,6 +184,7 @@
         )
         self._state.load.pace = decode_pace(message)
         self._state.load.streams = message.streams
+        self._state.load.recent_pause_seconds = message.recent_pause_seconds
         prefix_index = self._state.prefix_index
         prefix_index.record(now, self._ip, message.prefixes)
         prefix_index.set_retention(self._ip, message.retention_seconds)
