Settings have the address of the engine on a side's own machine

Cause: a side is to poll the reports of its engine (docs/design/streams.md, part B). The platform writes the engine's address as `app` into the side's settings file.

Change: InstanceSettings.engine; None where `app` is missing or empty. Anything that is not an IPv4 address and a port from 1 to 65535 is a settings error that names `app`.

Ruled out: the check of the other addresses of the file, which accepts host names and any number as port. It is left as it is, since entries start by it.

--- a/src/sardinetrack/platform/servers.py
+++ b/src/sardinetrack/platform/servers.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import re
-from ipaddress import IPv4Address
 from typing import Annotated, Final, Literal
 
 import msgspec
 
+from sardinetrack.platform.addresses import parse_endpoint
 from sardinetrack.platform.errors import TranslationError
 from sardinetrack.topology.servers import BackendServer
 
@@ -16,8 +16,6 @@
 """More than the connections to one address; no server has as many slots."""
 _INSTANCE_ID: Final = re.compile('[!-~]{1,200}')
 """The id is sent in a header; one with a line break would add headers."""
-_PORT: Final = re.compile('[0-9]{1,5}')
-_MAX_PORT: Final = 65_535
 _MILLISECONDS: Final = 1000.0
 
 
@@ -54,7 +52,7 @@
         raise TranslationError(f'server {instance!r}: invalid instance id')
     try:
         decoded = msgspec.json.decode(spec, type=_Server)
-        ip, port = _parse_endpoint(decoded.address)
+        ip, port = parse_endpoint(decoded.address)
     except (msgspec.DecodeError, ValueError) as error:
         raise TranslationError(f'server {instance!r}: {error}') from error
     return BackendServer(
@@ -71,11 +69,3 @@
         revision=revision,
         cold_seconds=decoded.warmup_left_ms / _MILLISECONDS,
     )
-
-
-def _parse_endpoint(address: str) -> tuple[str, int]:
-    ip, _, port = address.rpartition(':')
-    number = int(port) if _PORT.fullmatch(port) else 0
-    if not 0 < number <= _MAX_PORT:
-        raise ValueError(f'{address!r} is not IP:PORT')
-    return str(IPv4Address(ip)), number
--- a/src/sardinetrack/platform/settings.py
+++ b/src/sardinetrack/platform/settings.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from sardinetrack.platform.addresses import parse_endpoint
 from sardinetrack.platform.errors import SettingsFileError
 from sardinetrack.relay.settings import InstanceSettings, SocketAddress
 
@@ -54,6 +55,8 @@
     internal_port_range: tuple[int, int]
     platform: _Store
     machine_class: str = ''
+    # Address of the model engine on this machine; empty if there is none.
+    app: str = ''
     listen_addresses: _ListenAddresses = msgspec.field(
         default_factory=_ListenAddresses
     )
@@ -105,9 +108,19 @@
         retry_window_seconds=bounds.retry_window_s,
         retry_slack=bounds.retry_slack,
         evacuates=bounds.evacuate_ms is not None,
+        engine=_engine_address(decoded.app),
     )
 
 
+def _engine_address(text: str) -> SocketAddress | None:
+    if not text:
+        return None
+    try:
+        return parse_endpoint(text)
+    except ValueError as error:
+        raise ValueError(f'app: {error}') from error
+
+
 def _optional_address(text: str) -> SocketAddress | None:
     return _parse_address(text) if text else None
 
--- a/src/sardinetrack/relay/settings.py
+++ b/src/sardinetrack/relay/settings.py
@@ -36,6 +36,9 @@
     evacuates: bool = False
     """Whether the operator evacuates failure domains by objects in the store;
     if not, they are not watched."""
+    engine: SocketAddress | None = None
+    """Where the model engine of a side reports its state; ``None`` if it has
+    none on its machine. An entry doesn't use it."""
 
     def changed_from(self, earlier: InstanceSettings) -> list[str]:
         """Return the names of the fields that differ from earlier settings."""
--- a/tests/platform/steps/settings_steps.py
+++ b/tests/platform/steps/settings_steps.py
@@ -83,6 +83,16 @@
     assert (settings.grace_seconds, settings.revoke_seconds) == (8, 5)
 
 
+@then('the instance has no engine')
+def no_engine(context):
+    assert _read_settings(context).engine is None
+
+
+@then('the instance has the engine {ip}:{port:d}')
+def has_engine(context, ip, port):
+    assert _read_settings(context).engine == (ip, port)
+
+
 @then('they are refused, and the message names {named}')
 def settings_refused(context, named):
     try:
--- a/tests/platform/translation.feature
+++ b/tests/platform/translation.feature
@@ -45,6 +45,17 @@
       | address = "10.200.1.7:8781"   | address = "nowhere"     | nowhere     |
       | nodeName = "edge-galata-1"    | other = 1               | nodeName    |
       | nodeName = "edge-galata-1"    | nodeName = [            | Invalid     |
+      | bootstrap = true              | app = 9000              | app         |
+      | bootstrap = true              | app = "9000"            | app: '9000' |
+      | bootstrap = true              | app = "localhost:9000"  | app:        |
+      | bootstrap = true              | app = "127.0.0.1:0"     | app:        |
+      | bootstrap = true              | app = "127.0.0.1:70000" | app:        |
+
+  Scenario: The address of the engine on the side's own machine
+    Given the platform's example settings
+    Then the instance has no engine
+    When their bootstrap = true becomes app = "127.0.0.1:9000"
+    Then the instance has the engine 127.0.0.1:9000
 
   Scenario: Changed settings take effect without a restart
     Given a fleet with active version 7
