Decode the report of an engine

Change: platform/engine_report.py, strict like the decoder of server objects. `queued`, `active` and `runs` with four elements per run have no defaults; `born` may be missing. Integers are bounded, because JSON integers may be too large for a float, and deep nesting in a field that is not read is an unreadable report: msgspec raises RecursionError for it, not a decoding error.

Ruled out: to require the fields that are not read (`kvUsed`, `next` and others). A report without one of them is still right in all that is used.

--- /dev/null
+++ b/src/sardinetrack/platform/engine_report.py
@@ -0,0 +1,60 @@
+"""Decodes what a model engine reports of itself."""
+
+from __future__ import annotations
+
+from typing import Annotated, Final
+
+import msgspec
+
+from sardinetrack.admission.engine_report import EngineReport, EngineRun
+from sardinetrack.platform.errors import TranslationError
+
+REPORT_PATH: Final = '/v1/report'
+_MAX_COUNT: Final = 1_000_000_000_000_000
+"""Far above any count or time; larger integers can overflow a float."""
+_Count = Annotated[int, msgspec.Meta(ge=0, le=_MAX_COUNT)]
+
+
+class _Run(msgspec.Struct, array_like=True):
+    request_id: str
+    tokens: _Count
+    events: _Count
+    priority: int
+
+
+class _Report(msgspec.Struct, rename='camel'):
+    """The fields that are read; other fields may be missing.
+
+    They get no default: without ``queued`` an engine that prefills would count
+    as one that only decodes, and its steps as slow.
+    """
+
+    queued: _Count
+    active: _Count
+    runs: list[_Run]
+    born: _Count | msgspec.UnsetType = msgspec.UNSET
+
+
+_DECODE: Final = msgspec.json.Decoder(_Report).decode
+
+
+def decode_report(body: bytes) -> EngineReport:
+    """Decode the report of an engine.
+
+    :raises TranslationError: a field is missing or of another type.
+    """
+    try:
+        decoded = _DECODE(body)
+    except (ValueError, RecursionError) as error:
+        raise TranslationError(f'report of an engine: {error}') from error
+    return EngineReport(
+        started_milliseconds=None
+        if decoded.born is msgspec.UNSET
+        else decoded.born,
+        queued=decoded.queued,
+        active=decoded.active,
+        runs=tuple(
+            EngineRun(run.request_id, run.tokens, run.events)
+            for run in decoded.runs
+        ),
+    )
