--- a/src/sardinetrack/admission/prefill.py
+++ b/src/sardinetrack/admission/prefill.py
@@ -24,6 +24,7 @@
 from sardinetrack.admission.running import RunningRequests
 from sardinetrack.admission.usage import EngineActivity, EngineUsage
 from sardinetrack.admission.waiting import WaitingRequest, WaitQueue, tokens_of
+from sardinetrack.placement.step_pace import StepPace
 from sardinetrack.topology.cold import ColdPeriod
 
 PREFILL_AHEAD_SECONDS: Final = 0.15
@@ -150,6 +151,11 @@
         self._running.clear()
         return self._grant_next(now)
 
+    @property
+    def step_pace(self) -> StepPace:
+        """The pace of the engine's steps; not estimated yet."""
+        return StepPace()
+
     def update_served_tokens(
         self,
         now: float,
--- a/src/sardinetrack/emulator/simulation.py
+++ b/src/sardinetrack/emulator/simulation.py
@@ -29,7 +29,7 @@
     MAX_PERMIT_REQUESTS,
     RECOMPUTE_WAIT_SECONDS,
 )
-from sardinetrack.turns.side import REPORT_INTERVAL_SECONDS
+from sardinetrack.turns.load_report import REPORT_INTERVAL_SECONDS
 
 MIN_IDLE_SECONDS: Final = 0.2
 """An engine that had no work for longer counts as idle."""
--- a/src/sardinetrack/turns/side.py
+++ b/src/sardinetrack/turns/side.py
@@ -15,29 +15,27 @@
     Granted,
 )
 from sardinetrack.logs.events import Event, EventLog
-from sardinetrack.placement.prefix_index import MAX_RETENTION_SECONDS
 from sardinetrack.routing.strikes import StrikeRegistry
 from sardinetrack.turns.clock import loop_now
 from sardinetrack.turns.driver import AdmissionDriver
 from sardinetrack.turns.engine_start import EngineStarts, StartUpdate
 from sardinetrack.turns.entry_connection import EntryConnection
+from sardinetrack.turns.load_report import (
+    REPORT_INTERVAL_SECONDS,
+    LoadReporter,
+)
 from sardinetrack.turns.messages import (
     Hello,
     PermitGranted,
     PermitRefused,
     PermitRequest,
     ServerStarted,
-    SideReport,
     StrikesReported,
 )
 from sardinetrack.turns.refused import RefusedRequests
 from sardinetrack.turns.usage_log import UsageLog
 from sardinetrack.views.watcher import Watcher
 
-REPORT_INTERVAL_SECONDS: Final = 0.15
-"""Interval of a side's load reports; an entry adds what it sent since."""
-IDLE_REPORT_INTERVAL_SECONDS: Final = 0.45
-"""Interval of the reports while nothing changes, as a heartbeat."""
 COUNT_ENTRIES_SECONDS: Final = 2.0
 """After its start a side reports no number of entries for so long.
 
@@ -70,14 +68,12 @@
         self._entries: set[EntryConnection] = set()
         self._owners: dict[str, EntryConnection] = {}
         self.engine_starts = EngineStarts()
-        self._reported: tuple[float, int, int] | None = None
-        self._reported_seconds = float(0)
         self._started_seconds = math.inf
         self.usage = UsageLog(log)
         self.decisions: Counter[str] = Counter()
         self._requests: dict[str, PermitRequest] = {}
         self._refused = RefusedRequests()
-        self._new_prefixes: set[str] = set()
+        self._load = LoadReporter(self.admission, self.engine_starts)
         self._strikes = StrikeRegistry()
         self._stack = AsyncExitStack()
 
@@ -194,7 +190,7 @@
                 _DIGITS,
             ),
         )
-        self._new_prefixes.clear()
+        self._load.new_prefixes.clear()
         for entry in self._entries - {sender}:
             entry.send(message)
         self.reset()
@@ -278,7 +274,7 @@
         if isinstance(decision, Granted):
             self.engine_starts.record_permit(loop_now())
             if message.shared_prefix:
-                self._new_prefixes.add(message.shared_prefix)
+                self._load.new_prefixes.add(message.shared_prefix)
             owner.send(PermitGranted(decision.permit_id))
             return
         self._owners.pop(decision.permit_id, None)
@@ -312,32 +308,9 @@
     async def _report_load(self) -> None:
         while True:
             await asyncio.sleep(REPORT_INTERVAL_SECONDS)
-            self.usage.log_if_due(loop_now(), self.admission)
-            wait_seconds = round(self.admission.wait_seconds(loop_now()), 2)
-            slots_left = self.admission.slots_left
-            load = (wait_seconds, slots_left, self.reported_entries)
-            recent = (
-                loop_now() - self._reported_seconds
-                < IDLE_REPORT_INTERVAL_SECONDS
-            )
-            prefixes = tuple(self._new_prefixes)
-            if load == self._reported and recent and not prefixes:
-                continue
-            self._new_prefixes.clear()
-            self._reported = load
-            self._reported_seconds = loop_now()
-            message = SideReport(
-                wait_seconds,
-                round(self.admission.rate_tokens),
-                slots_left,
-                self.reported_entries,
-                prefixes,
-                self.engine_starts.start_hash,
-                round(self._retention_seconds(), 1),
-            )
-            for entry in self._entries:
-                entry.send(message)
-
-    def _retention_seconds(self) -> float:
-        seconds = self.admission.prefix_retention_seconds(loop_now())
-        return min(MAX_RETENTION_SECONDS, seconds)
+            now = loop_now()
+            self.usage.log_if_due(now, self.admission)
+            report = self._load.next_report(now, self.reported_entries)
+            if report is not None:
+                for entry in self._entries:
+                    entry.send(report)
--- a/tests/turns/steps/side_steps.py
+++ b/tests/turns/steps/side_steps.py
@@ -15,6 +15,7 @@
 from sardinetrack.topology.cold import ColdEstimate
 from sardinetrack.topology.freshness import boot_clock
 from sardinetrack.topology.starts import ServerStart
+from sardinetrack.turns.load_report import REPORT_INTERVAL_SECONDS
 from sardinetrack.turns.messages import (
     Hello,
     PermitGranted,
@@ -23,7 +24,7 @@
     StrikesReported,
 )
 from sardinetrack.turns.refused import RefusedRequests
-from sardinetrack.turns.side import REPORT_INTERVAL_SECONDS, SideServer
+from sardinetrack.turns.side import SideServer
 from sardinetrack.turns.side_link import (
     RestartListener,
     SideConnection,
