A side polls its engine's own reports

Cause: the pace of an engine's steps, by which prompts are spaced, can be estimated from successive reports of the engine (docs/design/streams.md, B).

Change: EngineMonitor, owned by the side, polls over one kept connection (parser httptools) every 0.05 s while requests run and every 0.5 s while none do, with 0.3 s for a poll and a backoff from 0.1 to 1 s after one without a report. Each report goes to the admission; the decoder, the path and the address come from the composition root. Polls are counted by outcome. engine_silent is written at the first failed poll and at most once in 2 s, engine_heard when reports return. A report of another start of the engine resets the pace before it is applied.

Ruled out: to release permits when a report shows a restart. The cold period is known only from an entry's message, which releases them; before it the waiting requests would all go to an engine that may be cold.

--- a/src/sardinetrack/admission/engine_report.py
+++ b/src/sardinetrack/admission/engine_report.py
@@ -28,6 +28,11 @@
     """Running requests, those that are being prefilled included."""
     runs: tuple[EngineRun, ...]
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request runs or waits at the engine."""
+        return not self.queued and not self.active
+
     @property
     def is_prefilling(self) -> bool:
         """Whether a prompt is being prefilled or waits for it."""
--- a/src/sardinetrack/admission/prefill.py
+++ b/src/sardinetrack/admission/prefill.py
@@ -13,6 +13,7 @@
 
 from sardinetrack.admission.batch import BatchLimit
 from sardinetrack.admission.cold_start import ColdStartLimiter
+from sardinetrack.admission.engine_report import EngineReport
 from sardinetrack.admission.order import ServiceOrder
 from sardinetrack.admission.pace import PrefillEstimator
 from sardinetrack.admission.request import (
@@ -156,6 +157,15 @@
         """The pace of the engine's steps; not estimated yet."""
         return StepPace()
 
+    def reset_step_pace(self) -> None:
+        """Forget the pace of the engine's steps: the engine has restarted."""
+
+    def observe_engine(
+        self, now: float, report: EngineReport
+    ) -> Sequence[AdmissionDecision]:
+        """Apply a report of the engine; return the grants that now fit."""
+        return ()
+
     def update_served_tokens(
         self,
         now: float,
--- a/src/sardinetrack/compose/node.py
+++ b/src/sardinetrack/compose/node.py
@@ -16,6 +16,7 @@
 from sardinetrack import __version__
 from sardinetrack.compose.store_view import entry_view, side_watcher
 from sardinetrack.logs.events import Event, EventLog
+from sardinetrack.platform.engine_report import REPORT_PATH, decode_report
 from sardinetrack.platform.errors import SettingsFileError
 from sardinetrack.platform.protocol_adapter import (
     READY_PATH,
@@ -27,6 +28,7 @@
 from sardinetrack.relay.entry_state import EntryState
 from sardinetrack.relay.settings import InstanceSettings
 from sardinetrack.relay.status_pages import StatusPageConnection, readiness_page
+from sardinetrack.turns.engine_monitor import EngineSource
 from sardinetrack.turns.side import SideServer
 
 _FLUSH_INTERVAL_SECONDS: Final = 0.2
@@ -124,7 +126,10 @@
     store = PlatformStore(settings.store)
     watcher = side_watcher(settings, store, log)
     address = (settings.ip, settings.turns_port)
-    async with SideServer(address, watcher, log) as side:
+    engine = settings.engine and EngineSource(
+        settings.engine, REPORT_PATH, decode_report
+    )
+    async with SideServer(address, watcher, log, engine) as side:
         await _serve_metrics(
             settings,
             lambda metrics: metrics.side_metrics(side, store.counters),
--- a/src/sardinetrack/logs/events.py
+++ b/src/sardinetrack/logs/events.py
@@ -59,6 +59,8 @@
     REQUEST_ENDED = 'request_ended'
     REFUSED = 'refused'
     ENGINE_USED = 'engine_used'
+    ENGINE_SILENT = 'engine_silent'
+    ENGINE_HEARD = 'engine_heard'
     ENTRY_CONNECTED = 'entry_connected'
     ENTRY_LOST = 'entry_lost'
     LINES_DROPPED = 'lines_dropped'
--- a/src/sardinetrack/relay/metrics.py
+++ b/src/sardinetrack/relay/metrics.py
@@ -178,6 +178,28 @@
         side.usage.seconds,
     )
     yield _counter('turns', 'Verdicts on asked turns', side.decisions)
+    yield from _engine_metrics(side)
+
+
+def _engine_metrics(side: SideServer) -> Iterable[Metric]:
+    """Return the metrics of what a side's engine reports."""
+    streams, pace = side.admission.running, side.admission.step_pace
+    yield _gauge(
+        'streams', 'Requests that run', streams if pace.is_known else 0
+    )
+    yield _gauge('event_tokens', 'Tokens of an event', pace.event_tokens)
+    yield _gauge(
+        'decode_step_seconds',
+        'Step of the engine that only decodes',
+        pace.decode_step_seconds,
+    )
+    yield _gauge(
+        'prefill_step_seconds',
+        'Step of the engine that also prefills',
+        pace.prefill_step_seconds,
+    )
+    polls = side.monitor.polls if side.monitor else {}
+    yield _counter('engine_polls', 'Polls by how they ended', polls)
 
 
 def _store_metrics(store: StoreCounters) -> Iterable[Metric]:
--- a/src/sardinetrack/turns/driver.py
+++ b/src/sardinetrack/turns/driver.py
@@ -6,6 +6,7 @@
 from abc import ABC, abstractmethod
 from collections.abc import Sequence
 
+from sardinetrack.admission.engine_report import EngineReport
 from sardinetrack.admission.prefill import PrefillAdmission
 from sardinetrack.admission.request import (
     AdmissionDecision,
@@ -26,6 +27,7 @@
         """Start with one slot, until the engine's size is known."""
         self.admission = PrefillAdmission(slots=1, memory_tokens=1)
         self._timer: asyncio.TimerHandle | None = None
+        self._engine_started: int | None = None
 
     @abstractmethod
     def deliver(self, decision: AdmissionDecision) -> None:
@@ -45,6 +47,22 @@
         """Release all permits, after a restart of the server."""
         self._deliver_all(self.admission.handle_restart(loop_now()))
 
+    def observe_engine(self, report: EngineReport) -> None:
+        """Apply the engine's own report.
+
+        If it is of another start than the last one, only the pace of the steps
+        is reset. Permits are released and the cold period is set when an entry
+        reports the start; releasing them here too would grant the waiting
+        requests to an engine that may be cold, without a limit, and would
+        count permits of the new start as lost when that report arrives.
+        """
+        started = report.started_milliseconds
+        if started is not None:
+            if self._engine_started not in {None, started}:
+                self.admission.reset_step_pace()
+            self._engine_started = started
+        self._deliver_all(self.admission.observe_engine(loop_now(), report))
+
     def set_cold_period(self, cold: ColdPeriod) -> None:
         """Set how long the server's cold start lasts."""
         self._deliver_all(self.admission.set_cold_period(loop_now(), cold))
--- a/src/sardinetrack/turns/side.py
+++ b/src/sardinetrack/turns/side.py
@@ -18,6 +18,11 @@
 from sardinetrack.routing.strikes import StrikeRegistry
 from sardinetrack.turns.clock import loop_now
 from sardinetrack.turns.driver import AdmissionDriver
+from sardinetrack.turns.engine_monitor import (
+    EngineListener,
+    EngineMonitor,
+    EngineSource,
+)
 from sardinetrack.turns.engine_start import EngineStarts, StartUpdate
 from sardinetrack.turns.entry_connection import EntryConnection
 from sardinetrack.turns.load_report import (
@@ -46,7 +51,7 @@
 _DIGITS: Final = 3
 
 
-class SideServer(AdmissionDriver):
+class SideServer(AdmissionDriver, EngineListener):
     """Owns the admission to one engine, and the entries' connections."""
 
     def __init__(
@@ -54,11 +59,13 @@
         address: tuple[str, int],
         watcher: Watcher,
         log: EventLog,
+        engine: EngineSource | None = None,
     ) -> None:
         """Start without entries; listens once it is entered.
 
         :param address: where entries connect.
         :param watcher: watches the store for entries that subscribe.
+        :param engine: polled for its reports; ``None`` to poll nothing.
         """
         super().__init__()
         self.port = address[1]
@@ -75,6 +82,7 @@
         self._refused = RefusedRequests()
         self._load = LoadReporter(self.admission, self.engine_starts)
         self._strikes = StrikeRegistry()
+        self.monitor = EngineMonitor(engine, self, log) if engine else None
         self._stack = AsyncExitStack()
 
     async def __aenter__(self) -> Self:
@@ -91,6 +99,8 @@
         self._stack.enter_context(self.watcher)
         self._report_task = loop.create_task(self._report_load())
         self._stack.callback(self._report_task.cancel)
+        if self.monitor is not None:
+            await self._stack.enter_async_context(self.monitor)
         return self
 
     async def __aexit__(
@@ -104,6 +114,11 @@
             entry.abort()
         await self._stack.aclose()
 
+    @property
+    def has_running_requests(self) -> bool:
+        """Whether requests with a permit run at the engine."""
+        return self.admission.running > 0
+
     @property
     def entries(self) -> int:
         """Number of connected entries."""
