A prompt's cost at an engine counts the streams that it makes late

Cause: placement weighed waits and prefixes only, so long prompts went to slow engines as often as to fast ones, and a slow engine that prefills one makes all its streams late.

Change: rank_by_prefix gets the pause objective of the route. Without an objective, a known pace or running streams the order is as before.

Ruled out: excluding engines where streams would be late, since a long prompt would be refused beside engines that can start it. Adding the harm in a second pass over the candidates, which looks up each load again.

--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -1,8 +1,10 @@
 """Measure the choice of a server: ``python -m benchmarks.placement``.
 
 Prints the microseconds to rank the servers of a pool, at the sizes of the
-users' deployments (9 and 24 engines) and of the planned pools (420), and to
-build one candidate as it is and as a frozen data class would be.
+users' deployments (9 and 24 engines) and of the planned pools (420): for a
+route without a pause objective, with one while no pace is known, and with one
+at engines whose pace is known. Then those to build one candidate as it is and
+as a frozen data class would be.
 """
 
 from __future__ import annotations
@@ -17,12 +19,16 @@
 from sardinetrack.placement.choice import Candidate, rank_by_prefix
 from sardinetrack.placement.load import EstimatedLoad
 from sardinetrack.placement.prompt import Prompt, PromptBlock
+from sardinetrack.placement.step_pace import StepPace
 from sardinetrack.topology.servers import BackendServer
 
 _SIZES = (9, 24, 420)
 _NUMBER = 300
 _REPEATS = 5
 _MICROSECONDS = 1e6
+_GAP_SECONDS = 0.3
+_PACE = StepPace(6, 0.0055, 0.058)
+_STREAMS = 12
 _PORT = 80
 _PROMPT = Prompt(
     (PromptBlock('a', 512), PromptBlock('b', 4870), PromptBlock('c', 6610)),
@@ -51,18 +57,38 @@
     return BackendServer(f'i-{number}', 'm', ip, _PORT, 'a', 64, leaving=False)
 
 
-def _prepare_ranking(size: int) -> Callable[[], object]:
+def _prepare_ranking(
+    size: int,
+    gap_seconds: float = 0,
+    pace: StepPace | None = None,
+) -> Callable[[], object]:
     servers = [_server(number) for number in range(size)]
     loads = {one.instance: EstimatedLoad() for one in servers}
+    if pace is not None:
+        for load in loads.values():
+            load.pace = pace
+            load.streams = _STREAMS
     caching_servers = (servers[0].ip,)
-    return lambda: rank_by_prefix(_PROMPT, servers, loads, caching_servers)
+    return lambda: rank_by_prefix(
+        _PROMPT, servers, loads, caching_servers, gap_seconds
+    )
+
+
+def _write_order(label: str, size: int, action: Callable[[], object]) -> None:
+    took = _microseconds(action)
+    sys.stdout.write(f'order of {size} servers{label}: {took:.1f} us\n')
 
 
 def main() -> int:
     """Print the table."""
     for size in _SIZES:
-        took = _microseconds(_prepare_ranking(size))
-        sys.stdout.write(f'order of {size} servers: {took:.1f} us\n')
+        _write_order('', size, _prepare_ranking(size))
+        _write_order(', objective', size, _prepare_ranking(size, _GAP_SECONDS))
+        _write_order(
+            ', objective and pace',
+            size,
+            _prepare_ranking(size, _GAP_SECONDS, _PACE),
+        )
     server = _server(1)
     for kind in (Candidate, _Frozen):
         took = _microseconds(partial(kind, server, 0, 0, 0, 0))
--- a/src/sardinetrack/placement/choice.py
+++ b/src/sardinetrack/placement/choice.py
@@ -18,6 +18,7 @@
 from operator import attrgetter
 from typing import Final
 
+from sardinetrack.placement.harm import harm_seconds
 from sardinetrack.placement.load import EstimatedLoad
 from sardinetrack.placement.prefix_index import MIN_SHARED_PREFIX_TOKENS
 from sardinetrack.placement.prompt import Prompt
@@ -87,6 +88,7 @@
     servers: Sequence[BackendServer],
     loads: Mapping[str, EstimatedLoad],
     cached_at: Collection[str] = (),
+    event_gap_seconds: float = 0,
 ) -> list[Candidate]:
     """Order the servers of a model pool, the best first.
 
@@ -99,6 +101,8 @@
         Those that are not among the servers are ignored: with the only one
         behind an open breaker, the request would otherwise have no home server
         and be refused everywhere beside idle servers.
+    :param event_gap_seconds: the pause objective of the route; 0 if none is
+        set.
     """
     by_name = {server.instance: server for server in servers}
     key = shared_prefix(prompt)
@@ -111,6 +115,7 @@
             loads.get(name) or _UNKNOWN,
             work.at(rank, cached=by_name[name].ip in cached_at),
             rank if key else 0,
+            event_gap_seconds,
         )
         for rank, name in enumerate(order)
     ]
@@ -264,6 +269,7 @@
     load: EstimatedLoad,
     work: _PrefillWork,
     rank: int,
+    event_gap_seconds: float,
 ) -> Candidate:
     rate_tokens = load.rate_tokens
     wait_seconds = load.reported_wait_seconds + load.added_tokens / rate_tokens
@@ -272,6 +278,10 @@
         + RECOMPUTE_WEIGHT * work.recomputed_tokens / rate_tokens
         + RANK_SECONDS * min(rank, _MAX_RANKS)
     )
+    if event_gap_seconds and load.streams:
+        cost_seconds += harm_seconds(
+            load, work.prefill_tokens, event_gap_seconds
+        )
     return Candidate(
         server,
         wait_seconds,
--- a/src/sardinetrack/relay/server_choice.py
+++ b/src/sardinetrack/relay/server_choice.py
@@ -148,6 +148,7 @@
                 state.prefix_index.servers_with(
                     self._loop.time(), self._shared_prefix
                 ),
+                plan.route.event_gap_seconds,
             )
         else:
             candidates = rank_by_load(
