Engines that prefill faster are the home servers of more prefixes

Cause: rendezvous hashing gave each engine as many home servers' prefixes, whatever its speed; where 16 of 22 engines prefill at half the rate, 73 % of the long shared prefixes are prefilled at that half.

Change: weighted rendezvous hashing by the prefill rates in the loads, in steps of a factor of 1.25 below the fastest. Engines within a factor of 1.5 of the fastest have equal weights; where all are, the order is that of the hashes, as before. Homes go by a rate that follows the reported one to within a factor of 1.25, since homes would otherwise move with each report. Orders are cached by prefix, names and weights.

Ruled out: rounding without memory, since rates close to the edge of a step move homes back and forth; an absolute grid of rates, which separates engines that differ by less than 1.5; a mean over many reports, which takes 5 to 15 s after a restart; equal weights only where all engines are within 1.5, since one engine that slows down would then change the weights of the others.

--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -2,22 +2,23 @@
 
 Prints the microseconds to rank the servers of a pool, at the sizes of the
 users' deployments (9 and 24 engines) and of the planned pools (420): for a
-route without a pause objective, with one while no pace is known, and with one
-at engines whose pace is known. Then those to build one candidate as it is and
-as a frozen data class would be.
+route without a pause objective, with one while no pace is known, with one at
+engines whose pace is known, and at engines of different rates. Then those to
+build one candidate as it is and as a frozen data class would be.
 """
 
 from __future__ import annotations
 
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from functools import partial
+from itertools import cycle
 from statistics import median
 from timeit import repeat
 
 from sardinetrack.placement.choice import Candidate, rank_by_prefix
-from sardinetrack.placement.load import EstimatedLoad
+from sardinetrack.placement.load import FIRST_RATE, EstimatedLoad
 from sardinetrack.placement.prompt import Prompt, PromptBlock
 from sardinetrack.placement.step_pace import StepPace
 from sardinetrack.topology.servers import BackendServer
@@ -29,6 +30,7 @@
 _GAP_SECONDS = 0.3
 _PACE = StepPace(6, 0.0055, 0.058)
 _STREAMS = 12
+_RATES = (90_000, 45_000, 40_000)
 _PORT = 80
 _PROMPT = Prompt(
     (PromptBlock('a', 512), PromptBlock('b', 4870), PromptBlock('c', 6610)),
@@ -61,9 +63,13 @@
     size: int,
     gap_seconds: float = 0,
     pace: StepPace | None = None,
+    rates: Sequence[float] = (FIRST_RATE,),
 ) -> Callable[[], object]:
     servers = [_server(number) for number in range(size)]
-    loads = {one.instance: EstimatedLoad() for one in servers}
+    loads = {
+        one.instance: EstimatedLoad(rate_tokens=rate)
+        for one, rate in zip(servers, cycle(rates), strict=False)
+    }
     if pace is not None:
         for load in loads.values():
             load.pace = pace
@@ -89,6 +95,7 @@
             size,
             _prepare_ranking(size, _GAP_SECONDS, _PACE),
         )
+        _write_order(', rates', size, _prepare_ranking(size, rates=_RATES))
     server = _server(1)
     for kind in (Candidate, _Frozen):
         took = _microseconds(partial(kind, server, 0, 0, 0, 0))
--- a/src/sardinetrack/placement/choice.py
+++ b/src/sardinetrack/placement/choice.py
@@ -106,7 +106,7 @@
     """
     by_name = {server.instance: server for server in servers}
     key = shared_prefix(prompt)
-    order = rendezvous_order(key, by_name) if key else list(by_name)
+    order = _home_order(key, by_name, loads) if key else list(by_name)
     is_cached = any(server.ip in cached_at for server in servers)
     work = _prefill_work(prompt, uncached=not is_cached)
     candidates = [
@@ -216,6 +216,15 @@
     ]
 
 
+def _home_order(
+    key: str,
+    names: Collection[str],
+    loads: Mapping[str, EstimatedLoad],
+) -> list[str]:
+    rates = [(loads.get(name) or _UNKNOWN).home_rate_tokens for name in names]
+    return rendezvous_order(key, names, rates)
+
+
 def _own_tokens(prompt: Prompt) -> int:
     if not prompt.blocks:
         return prompt.tokens
