Plain servers that say that they are slow get fewer requests

Cause: work at a plain server takes up to 2.5 times as long for a part of each 0.6 s, and rank_by_load went on sending it as many requests at a time.

Change: the fourth figure of X-Sardinetrack-Server-Load becomes ResponseHead.slowness, 1 if it is missing or invalid. The entry keeps that of the last response to a request of its own with the time of receipt; rank_by_load counts the requests at the server and the new one times the figure for 0.3 s, which then falls to 1 within 0.3 s. The time is handed in. Without a figure over 100 the order is as before.

Ruled out: multiplying the cost alone, which is 0 at an idle server whether it is slow or not; figures below 100, since a server that reports 1 by mistake would get nearly all requests; recording it at the end of an attempt, when the figure of a long response is old; recording it from a late response to another request.

--- a/src/sardinetrack/placement/choice.py
+++ b/src/sardinetrack/placement/choice.py
@@ -128,15 +128,22 @@
     loads: Mapping[str, EstimatedLoad],
     failure_domain: str,
     entries: int,
+    now: float,
 ) -> list[Candidate]:
     """Order the servers of a pool without models, the least loaded first.
 
+    One that is slow now counts as if it ran more requests. The request itself
+    is among them, or an idle slow server would cost as little as a fast one.
+
     :param entries: how many entries share the servers.
+    :param now: by the clock of the loads' reports.
     """
     candidates: list[Candidate] = []
     for server in servers:
         load = loads.get(server.instance) or EstimatedLoad()
-        running = max(load.running * entries, load.reported_running)
+        running: float = max(load.running * entries, load.reported_running)
+        if load.reported_slowness > 1:
+            running = (running + 1) * load.slowness(now) - 1
         is_remote = server.failure_domain != failure_domain
         cost = (
             running / max(1, server.slots) + is_remote * REMOTE_DOMAIN_SECONDS
--- a/src/sardinetrack/placement/load.py
+++ b/src/sardinetrack/placement/load.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -20,6 +21,14 @@
 0.6 s varied from 0.81 to 1.11 of its median in a simulation. If homes followed
 it, they would move with each load report.
 """
+SLOWNESS_VALID_SECONDS: Final = 0.3
+"""How long a server's figure of its slowness counts in full.
+
+It changes many times a second. A server that is sent nothing any more reports
+none, so that an old figure must not keep requests away from it.
+"""
+SLOWNESS_FADE_SECONDS: Final = 0.3
+"""Time after that in which the figure loses its weight."""
 
 
 @dataclass(slots=True)
@@ -41,6 +50,10 @@
     """Of the engine's steps, by the side's last report."""
     streams: int = 0
     """Requests that run at the engine, by the side's last report."""
+    reported_slowness: float = 1
+    """Factor by which work takes longer, by the server's last response."""
+    slowness_reported_seconds: float = -math.inf
+    """When that response arrived, by the caller's clock."""
     home_rate_tokens: float = field(init=False)
     """The rate by which home servers are chosen; ignores small changes."""
 
@@ -57,9 +70,26 @@
         self.update(0, FIRST_RATE)
         self.home_rate_tokens = FIRST_RATE
         self.reported_running = 0
+        self.reported_slowness = 1
         self.pace = StepPace()
         self.streams = 0
 
+    def report_slowness(self, now: float, slowness: float) -> None:
+        """Apply what a response of the server says of its slowness."""
+        self.reported_slowness = slowness
+        self.slowness_reported_seconds = now
+
+    def slowness(self, now: float) -> float:
+        """Return the factor by which work is expected to take longer.
+
+        A figure below 1 counts as 1: a server that reports one by mistake would
+        get nearly all requests.
+        """
+        age_seconds = now - self.slowness_reported_seconds
+        faded = (age_seconds - SLOWNESS_VALID_SECONDS) / SLOWNESS_FADE_SECONDS
+        weight = min(1, max(0, 1 - faded))
+        return 1 + max(0, self.reported_slowness - 1) * weight
+
     def update(
         self,
         wait_seconds: float,
--- a/src/sardinetrack/platform/protocol_adapter.py
+++ b/src/sardinetrack/platform/protocol_adapter.py
@@ -20,6 +20,8 @@
 READY_PATH: Final = b'/v1/readyz'
 _MILLISECONDS: Final = 1000.0
 _ENCODING: Final = 'latin-1'
+_SLOWNESS_INDEX: Final = 3
+_PERCENT: Final = 100.0
 _REQUEST_ID: Final = b'x-sardinetrack-request-id'
 _SERVER_STAMP: Final = b'x-sardinetrack-server-stamp'
 _SERVER_LOAD: Final = b'x-sardinetrack-server-load'
@@ -144,6 +146,7 @@
             misdirected=misdirected,
             leaving=fields.get(_SERVER_LEAVING) == b'1' and not misdirected,
             rest_seconds=_parse_rest(status, fields.get(b'retry-after')),
+            slowness=_parse_slowness(fields.get(_SERVER_LOAD, b'')),
         )
 
     def contains_response(self, body: bytes) -> bool:
@@ -234,6 +237,18 @@
     return (counts[0] or 0) + (counts[1] or 0)
 
 
+def _parse_slowness(content: bytes) -> float:
+    """Convert the fourth number, a percentage; 1 if there is no valid one."""
+    figures = content.split(b',')
+    if len(figures) <= _SLOWNESS_INDEX:
+        return 1
+    try:
+        percent = float(figures[_SLOWNESS_INDEX])
+    except ValueError:
+        return 1
+    return percent / _PERCENT if 0 < percent < math.inf else 1
+
+
 def _parse_rest(status: int, content: bytes | None) -> float | None:
     """Return the seconds of a refusal; a date depends on two clocks."""
     if status not in _TURNED_AWAY or content is None:
--- a/src/sardinetrack/relay/api.py
+++ b/src/sardinetrack/relay/api.py
@@ -59,6 +59,8 @@
     """The addressed server says that it leaves."""
     rest_seconds: float | None = None
     """How long the server, which turns the request away, wants no more."""
+    slowness: float = 1
+    """Factor by which work takes longer at the server now than usually."""
 
 
 @dataclass(slots=True)
--- a/src/sardinetrack/relay/server_choice.py
+++ b/src/sardinetrack/relay/server_choice.py
@@ -160,6 +160,7 @@
                 state.server_states.loads,
                 state.settings.failure_domain,
                 state.entries,
+                self._loop.time(),
             )
         trace = self._trace
         untried = excluding(candidates, {*trace.servers, *trace.unreachable})
--- a/src/sardinetrack/relay/server_notices.py
+++ b/src/sardinetrack/relay/server_notices.py
@@ -11,6 +11,7 @@
 from sardinetrack.relay.permit import Permit
 from sardinetrack.relay.target import Target
 from sardinetrack.topology.freshness import boot_clock
+from sardinetrack.turns.clock import loop_now
 
 _MAX_LOGGED_ID_LENGTH: Final = 64
 
@@ -37,11 +38,19 @@
         self._request_id = request_id
 
     def head_received(self, response: ResponseHead) -> None:
-        """Apply a request for rest and the announcement of a leaving."""
+        """Apply a request for rest, a leaving and the server's slowness.
+
+        The slowness only of a response to this request: a late one to another
+        request says how slow the server was then.
+        """
         if response.rest_seconds is not None:
             self._apply_rest(response.rest_seconds, response.status)
         if response.leaving:
             self._apply_leaving()
+        is_own = response.request_id == self._request_id
+        if is_own and not response.misdirected:
+            load = self._target.load
+            load.report_slowness(loop_now(), response.slowness)
 
     def response_discarded(self, response: ResponseHead, cause: str) -> None:
         """Log and count a response that may be to another request."""
--- a/tests/placement/steps/choice_steps.py
+++ b/tests/placement/steps/choice_steps.py
@@ -153,7 +153,7 @@
 
 @then('a request goes to an idle one in the own failure domain')
 def near_and_idle(context):
-    found = rank_by_load(context.servers, context.loads, 'galata', 5)
+    found = rank_by_load(context.servers, context.loads, 'galata', 5, 0)
     assert found[0].server.instance == 'i-2'
 
 
--- a/tests/platform/steps/translation_steps.py
+++ b/tests/platform/steps/translation_steps.py
@@ -301,6 +301,11 @@
     assert context.response.rest_seconds == seconds, context.response
 
 
+@then('the server is slow by a factor of {factor:g}')
+def is_slow(context, factor):
+    assert context.response.slowness == factor, context.response
+
+
 @then('the server {leaves}, and its caller gets no such header')
 def says_leaving(context, leaves):
     assert context.response.leaving is (leaves == 'leaves'), context.response
--- a/tests/platform/translation.feature
+++ b/tests/platform/translation.feature
@@ -100,6 +100,27 @@
       | 200    | 0       | does not leave |
       | 421    | 1       | does not leave |
 
+  Scenario Outline: The slowness of a server is the fourth figure of its load
+    Servers of an earlier version send three. A figure that can't be used must
+    not end the request, nor weigh in its cost.
+
+    Given a response with status 200 and X-Sardinetrack-Server-Load <content>
+    Then the server is slow by a factor of <factor>
+
+    Examples:
+      | content       | factor |
+      | 3,0,16,250    | 2.5    |
+      | 3,0,16, 100   | 1      |
+      | 3,0,16,80     | 0.8    |
+      | 3,0,16,250,7  | 2.5    |
+      | 3,0,16        | 1      |
+      | 3,0,16,       | 1      |
+      | 3,0,16,slow   | 1      |
+      | 3,0,16,0      | 1      |
+      | 3,0,16,-250   | 1      |
+      | 3,0,16,nan    | 1      |
+      | 3,0,16,1e999  | 1      |
+
   Scenario: A response without that header
     Given a response with status 200
     Then the server does not leave, and its caller gets no such header
--- a/tests/relay/steps/late_response_steps.py
+++ b/tests/relay/steps/late_response_steps.py
@@ -169,5 +169,6 @@
 def no_load(context):
     state = context.world.entry_state
     for server in state.servers.in_pool('plain'):
-        running = state.server_states.load(server).reported_running
-        assert running == 0, running
+        load = state.server_states.load(server)
+        assert load.reported_running == 0, load
+        assert load.reported_slowness == 1, load
--- a/tests/support/relay_servers.py
+++ b/tests/support/relay_servers.py
@@ -44,6 +44,8 @@
     """Seconds of rest that its next refusals ask for."""
     rests_until: float = 0
     """By the clock of the event loop."""
+    load: str = ''
+    """What its responses say of its load."""
     leaving: bool = False
     leaving_act: str = 'answer'
     """What it does when it first says that it leaves (act ``leave``)."""
@@ -265,16 +267,21 @@
         request_id = fields['x-sardinetrack-request-id']
         return (
             f'HTTP/1.1 {status}\r\n{STAMP}\r\n{self._leaving_line()}'
-            f'X-Sardinetrack-Request-Id: {request_id}\r\n'
+            f'X-Sardinetrack-Request-Id: {request_id}\r\n{self._load_line()}'
         )
 
     def _refusal(self, status, *lines):
         head = (f'HTTP/1.1 {status}', *lines, 'Content-Length: 0')
-        return '\r\n'.join((*head, f'{self._leaving_line()}\r\n')).encode()
+        notices = f'{self._leaving_line()}{self._load_line()}'
+        return '\r\n'.join((*head, f'{notices}\r\n')).encode()
 
     def _leaving_line(self):
         return 'Server-Leaving: 1\r\n' if self.notices.leaving else ''
 
+    def _load_line(self):
+        load = self.notices.load
+        return f'X-Sardinetrack-Server-Load: {load}\r\n' if load else ''
+
     def _retry_after(self):
         seconds = self.notices.rests.popleft()
         until = asyncio.get_running_loop().time() + seconds
