--- a/src/sardinetrack/placement/choice.py
+++ b/src/sardinetrack/placement/choice.py
@@ -18,6 +18,7 @@
 from operator import attrgetter
 from typing import Final
 
+from sardinetrack.placement.harm import harm_seconds
 from sardinetrack.placement.load import EstimatedLoad
 from sardinetrack.placement.prefix_index import MIN_SHARED_PREFIX_TOKENS
 from sardinetrack.placement.prompt import Prompt
@@ -87,6 +88,7 @@
     servers: Sequence[BackendServer],
     loads: Mapping[str, EstimatedLoad],
     cached_at: Collection[str] = (),
+    event_gap_seconds: float = 0,
 ) -> list[Candidate]:
     """Order the servers of a model pool, the best first.
 
@@ -99,10 +101,12 @@
         Those that are not among the servers are ignored: with the only one
         behind an open breaker, the request would otherwise have no home server
         and be refused everywhere beside idle servers.
+    :param event_gap_seconds: the pause objective of the route; 0 if none is
+        set.
     """
     by_name = {server.instance: server for server in servers}
     key = shared_prefix(prompt)
-    order = rendezvous_order(key, by_name) if key else list(by_name)
+    order = _home_order(key, by_name, loads) if key else list(by_name)
     is_cached = any(server.ip in cached_at for server in servers)
     work = _prefill_work(prompt, uncached=not is_cached)
     candidates = [
@@ -111,6 +115,7 @@
             loads.get(name) or _UNKNOWN,
             work.at(rank, cached=by_name[name].ip in cached_at),
             rank if key else 0,
+            event_gap_seconds,
         )
         for rank, name in enumerate(order)
     ]
@@ -123,15 +128,22 @@
     loads: Mapping[str, EstimatedLoad],
     failure_domain: str,
     entries: int,
+    now: float,
 ) -> list[Candidate]:
     """Order the servers of a pool without models, the least loaded first.
 
+    One that is slow now counts as if it ran more requests. The request itself
+    is among them, or an idle slow server would cost as little as a fast one.
+
     :param entries: how many entries share the servers.
+    :param now: by the clock of the loads' reports.
     """
     candidates: list[Candidate] = []
     for server in servers:
         load = loads.get(server.instance) or EstimatedLoad()
-        running = max(load.running * entries, load.reported_running)
+        running: float = max(load.running * entries, load.reported_running)
+        if load.reported_slowness > 1:
+            running = (running + 1) * load.slowness(now) - 1
         is_remote = server.failure_domain != failure_domain
         cost = (
             running / max(1, server.slots) + is_remote * REMOTE_DOMAIN_SECONDS
@@ -211,6 +223,15 @@
     ]
 
 
+def _home_order(
+    key: str,
+    names: Collection[str],
+    loads: Mapping[str, EstimatedLoad],
+) -> list[str]:
+    rates = [(loads.get(name) or _UNKNOWN).home_rate_tokens for name in names]
+    return rendezvous_order(key, names, rates)
+
+
 def _own_tokens(prompt: Prompt) -> int:
     if not prompt.blocks:
         return prompt.tokens
@@ -264,6 +285,7 @@
     load: EstimatedLoad,
     work: _PrefillWork,
     rank: int,
+    event_gap_seconds: float,
 ) -> Candidate:
     rate_tokens = load.rate_tokens
     wait_seconds = load.reported_wait_seconds + load.added_tokens / rate_tokens
@@ -272,6 +294,10 @@
         + RECOMPUTE_WEIGHT * work.recomputed_tokens / rate_tokens
         + RANK_SECONDS * min(rank, _MAX_RANKS)
     )
+    if event_gap_seconds and load.streams:
+        cost_seconds += harm_seconds(
+            load, work.prefill_tokens, event_gap_seconds
+        )
     return Candidate(
         server,
         wait_seconds,
--- a/src/sardinetrack/relay/server_choice.py
+++ b/src/sardinetrack/relay/server_choice.py
@@ -148,6 +148,7 @@
                 state.prefix_index.servers_with(
                     self._loop.time(), self._shared_prefix
                 ),
+                plan.route.event_gap_seconds,
             )
         else:
             candidates = rank_by_load(
@@ -159,6 +160,7 @@
                 state.server_states.loads,
                 state.settings.failure_domain,
                 state.entries,
+                self._loop.time(),
             )
         trace = self._trace
         untried = excluding(candidates, {*trace.servers, *trace.unreachable})
