A stream begins where prompts caused no long pause lately

Load: long prompts one after the other at some engines, with short requests that have the same wait everywhere.

Cause: placement weighed the streams that a prompt makes late, but not that a new stream will meet the next long prompt at an engine that gets most of them.

Change: an engine whose prefill caused a pause over the objective lately costs a new stream up to 0.5 s, less for one of few events. Long prompts then find few streams there, so some engines mostly prefill, as many as the load needs.

--- a/src/sardinetrack/placement/choice.py
+++ b/src/sardinetrack/placement/choice.py
@@ -18,7 +18,7 @@
 from operator import attrgetter
 from typing import Final
 
-from sardinetrack.placement.harm import harm_seconds
+from sardinetrack.placement.harm import harm_seconds, risk_seconds
 from sardinetrack.placement.load import EstimatedLoad
 from sardinetrack.placement.prefix_index import MIN_SHARED_PREFIX_TOKENS
 from sardinetrack.placement.prompt import Prompt
@@ -115,6 +115,7 @@
             loads.get(name) or _UNKNOWN,
             work.at(rank, cached=by_name[name].ip in cached_at),
             rank if key else 0,
+            prompt.output_tokens,
             event_gap_seconds,
         )
         for rank, name in enumerate(order)
@@ -285,6 +286,7 @@
     load: EstimatedLoad,
     work: _PrefillWork,
     rank: int,
+    output_tokens: int,
     event_gap_seconds: float,
 ) -> Candidate:
     rate_tokens = load.rate_tokens
@@ -298,6 +300,8 @@
         cost_seconds += harm_seconds(
             load, work.prefill_tokens, event_gap_seconds
         )
+    if event_gap_seconds and load.recent_pause_seconds:
+        cost_seconds += risk_seconds(load, output_tokens, event_gap_seconds)
     return Candidate(
         server,
         wait_seconds,
--- a/src/sardinetrack/placement/harm.py
+++ b/src/sardinetrack/placement/harm.py
@@ -1,4 +1,4 @@
-"""The cost of the running streams that a prompt would make late."""
+"""The cost of streams that are late because of long prompts beside them."""
 
 from __future__ import annotations
 
@@ -12,6 +12,14 @@
 A full engine of 30 streams costs more than any wait within an objective to the
 first event.
 """
+RISK_SECONDS: Final = 0.5
+"""Cost of beginning a long stream where prompts lately caused long pauses.
+
+More than the usual difference in waiting between two engines, so that engines
+that prefill long prompts get few streams, and long prompts go where few run.
+"""
+LONG_STREAM_EVENTS: Final = 20
+"""Events of a stream that runs long enough to meet the next long prompt."""
 MAX_PAUSE_FRACTION: Final = 0.9
 """Fraction of a pause objective from which a predicted pause counts as late."""
 
@@ -40,3 +48,22 @@
     if pause_seconds <= max_pause_seconds:
         return 0
     return LATE_STREAM_SECONDS * load.streams
+
+
+def risk_seconds(
+    load: EstimatedLoad,
+    output_tokens: int,
+    event_gap_seconds: float,
+) -> float:
+    """Return the cost of the pauses that a new stream may meet at an engine.
+
+    :param output_tokens: length of its response.
+    :param event_gap_seconds: the pause objective.
+    :return: 0 where no prompt caused a long pause lately.
+    """
+    max_pause_seconds = MAX_PAUSE_FRACTION * event_gap_seconds
+    if load.recent_pause_seconds <= max_pause_seconds:
+        return 0
+    excess = min(1, load.recent_pause_seconds / max_pause_seconds - 1)
+    events = output_tokens / max(1, load.pace.event_tokens)
+    return RISK_SECONDS * excess * min(1, events / LONG_STREAM_EVENTS)
--- a/tests/placement/harm.feature
+++ b/tests/placement/harm.feature
@@ -47,3 +47,13 @@
       | any known pace      |
       | the pause objective |
       | running streams     |
+
+  Scenario: A stream begins where no prompt caused long pauses lately
+    An engine that prefills one long prompt after the other makes each stream
+    late that begins there, however short its queue is.
+
+    When every fast engine has caused a pause of 0.5 seconds lately
+    And every slow engine has 0.1 seconds of prefill left
+    Then a prompt of 950 tokens with 300 tokens to generate goes to a slow engine
+    And a prompt of 950 tokens with 12 tokens to generate goes to a fast engine
+    And without a pause objective it goes to a fast engine
--- a/tests/placement/steps/harm_steps.py
+++ b/tests/placement/steps/harm_steps.py
@@ -162,3 +162,33 @@
 def same_as_before(context):
     for found, expected in context.pairs:
         assert found == expected, (found, expected)
+
+
+@when('every fast engine has caused a pause of {seconds:g} seconds lately')
+def cause_pauses(context, seconds):
+    for name in context.fast:
+        context.loads[name].recent_pause_seconds = seconds
+
+
+@when('every slow engine has {seconds:g} seconds of prefill left')
+def load_slow(context, seconds):
+    for name in context.slow:
+        context.loads[name].reported_wait_seconds = seconds
+
+
+@then(
+    'a prompt of {tokens:d} tokens with {output:d} tokens to generate '
+    'goes to a {kind} engine',
+)
+def goes_to_kind(context, tokens, output, kind):
+    context.prompt = Prompt((), tokens, output)
+    assert _is_fast(context, _rank(context)) is (kind == 'fast')
+
+
+@then('without a pause objective it goes to a fast engine')
+def goes_to_fast_without(context):
+    assert _is_fast(context, _rank(context, 0))
+
+
+def _is_fast(context, ranked):
+    return ranked[0].server.instance in context.fast
