The adapter encodes the calls that move a run between engines

Change: kv-move, kv-handle and Kv-From in platform/kv_transfer.py; moves and handleTtlS of a service's engine in Pool. The calls name the expected instance, as requests do, so that another server at the address refuses them. A handle that could not stand in a header counts as none. The check for the platform's names outside the adapter has three more of them. Measured: nothing; no call is sent yet.

--- a/src/sardinetrack/platform/catalogue.py
+++ b/src/sardinetrack/platform/catalogue.py
@@ -65,6 +65,10 @@
 class _Engine(_CamelCase):
     slots: int
     kv_capacity: int
+    # Whether a stream can continue at another engine from a copy of its KV
+    # cache, and how long a copy is kept after its last use.
+    moves: bool = False
+    handle_ttl_s: float = 5
 
 
 class _Service(_CamelCase):
@@ -171,6 +175,8 @@
         pool,
         slots=decoded.engine.slots,
         memory_tokens=decoded.engine.kv_capacity,
+        moves=decoded.engine.moves,
+        copy_retention_seconds=decoded.engine.handle_ttl_s,
     )
 
 
--- a/src/sardinetrack/platform/protocol_adapter.py
+++ b/src/sardinetrack/platform/protocol_adapter.py
@@ -9,13 +9,17 @@
 
 from sardinetrack.errors.api import ErrorKind, RequestError
 from sardinetrack.placement.prompt import Prompt, PromptBlock
+from sardinetrack.platform import kv_transfer
 from sardinetrack.relay.api import (
     AttemptContext,
     CallerRequest,
     Headers,
+    KvMoveReply,
+    KvSource,
     ProtocolAdapter,
     ResponseHead,
 )
+from sardinetrack.topology.servers import BackendServer
 
 READY_PATH: Final = b'/v1/readyz'
 _MILLISECONDS: Final = 1000.0
@@ -53,7 +57,7 @@
         b'x-sardinetrack-expect-instance',
         b'x-sardinetrack-expect-version',
         b'x-sardinetrack-deadline-ms',
-        b'kv-from',
+        kv_transfer.KV_FROM,
         b'kv-fetch',
         b'wait-ms',
         b'last-event-id',
@@ -121,11 +125,34 @@
             lines.append(b'x-sardinetrack-tenant: %b\r\n' % workspace)
         if sending.last_event_id is not None:
             lines.append(b'last-event-id: %d\r\n' % sending.last_event_id)
+        if sending.kv_source is not None:
+            lines.append(kv_transfer.encode_kv_source(sending.kv_source))
         if call.body or call.method not in {b'GET', b'HEAD', b'DELETE'}:
             lines.append(b'content-length: %d\r\n' % len(call.body))
         lines.extend((b'\r\n', call.body))
         return b''.join(lines)
 
+    def encode_kv_move(
+        self,
+        request_id: str,
+        source: BackendServer,
+        destination: BackendServer,
+        *,
+        last: bool,
+    ) -> bytes:
+        """Encode a call that copies the KV cache of a running request."""
+        return kv_transfer.encode_kv_move(
+            request_id, source, destination, last=last
+        )
+
+    def parse_kv_move(self, status: int, body: bytes) -> KvMoveReply:
+        """Parse the response to such a call."""
+        return kv_transfer.parse_kv_move(status, body)
+
+    def encode_kv_release(self, copy: KvSource) -> bytes:
+        """Encode a call that frees a copy."""
+        return kv_transfer.encode_kv_release(copy)
+
     def parse_response_head(
         self, status: int, headers: Headers
     ) -> ResponseHead:
--- a/src/sardinetrack/relay/api.py
+++ b/src/sardinetrack/relay/api.py
@@ -5,6 +5,7 @@
 from abc import ABC, abstractmethod
 from collections.abc import Sequence
 from dataclasses import dataclass, field
+from enum import Enum, auto
 
 from sardinetrack.placement.prompt import Prompt
 from sardinetrack.topology.servers import BackendServer
@@ -61,6 +62,38 @@
     """How long the server, which turns the request away, wants no more."""
 
 
+class KvMoveResult(Enum):
+    """The result of a call that copies the KV cache of a running request."""
+
+    COPIED = auto()
+    NO_RUN = auto()
+    """The engine runs no such request."""
+    NO_ROOM = auto()
+    """Not copied; if the run was to stop, it has, and kept its memory."""
+    FAILED = auto()
+    """Not copied; whether the run has stopped is unknown."""
+
+
+@dataclass(frozen=True, slots=True)
+class KvMoveReply:
+    """What an engine responds to a call that copies a KV cache."""
+
+    result: KvMoveResult
+    handle: str | None = None
+    """Names the copy, or the memory that the engine has kept."""
+    cause: str = ''
+    """For the log."""
+
+
+@dataclass(frozen=True, slots=True)
+class KvSource:
+    """A copy of the KV cache of a request, from which it can continue."""
+
+    server: BackendServer
+    """The engine that gave the handle."""
+    handle: str
+
+
 @dataclass(slots=True)
 class AttemptContext:
     """What one attempt adds to the request."""
@@ -69,6 +102,8 @@
     max_wait_seconds: float
     workspace: str | None
     last_event_id: int | None = field(default=None)
+    kv_source: KvSource | None = None
+    """The request continues from this copy, as the same run."""
 
 
 class ProtocolAdapter(ABC):
@@ -93,6 +128,28 @@
     ) -> bytes:
         """Serialise the request for a server."""
 
+    @abstractmethod
+    def encode_kv_move(
+        self,
+        request_id: str,
+        source: BackendServer,
+        destination: BackendServer,
+        *,
+        last: bool,
+    ) -> bytes:
+        """Serialise a call that copies the KV cache of a running request.
+
+        :param last: the run stops first, and its stream closes.
+        """
+
+    @abstractmethod
+    def parse_kv_move(self, status: int, body: bytes) -> KvMoveReply:
+        """Parse the response to such a call."""
+
+    @abstractmethod
+    def encode_kv_release(self, copy: KvSource) -> bytes:
+        """Serialise a call that frees a copy at both engines."""
+
     @abstractmethod
     def parse_response_head(
         self, status: int, headers: Headers
--- a/src/sardinetrack/topology/configuration.py
+++ b/src/sardinetrack/topology/configuration.py
@@ -70,6 +70,10 @@
     """Requests a second that a cold server handles; 0 for no limit."""
     cold_seconds: float = 0
     """How long a server is cold after its start."""
+    moves: bool = False
+    """Whether streams are moved off an engine that leaves."""
+    copy_retention_seconds: float = 5
+    """How long engines keep the copy of a moved KV cache after its last use."""
 
     @property
     def runs_models(self) -> bool:
--- a/tests/platform/steps/translation_steps.py
+++ b/tests/platform/steps/translation_steps.py
@@ -18,7 +18,7 @@
 from sardinetrack.platform.errors import TranslationError
 from sardinetrack.platform.protocol_adapter import PlatformProtocolAdapter
 from sardinetrack.platform.settings import read_settings
-from sardinetrack.relay.api import AttemptContext
+from sardinetrack.relay.api import AttemptContext, KvSource
 from sardinetrack.relay.entry_state import EntryState
 from sardinetrack.relay.feed_listeners import ConfigurationListener
 from sardinetrack.store.api import StoredObject
@@ -32,7 +32,7 @@
     r'x-sardinetrack-|/v1/(readyz|report|objects|hold|kv-)|SARDINETRACK_BOOT|'
     'kvCapacity|pathPrefix|weightedServices|streamResume|sessionAffinity|'
     'maxAttempts|apiKeys|healthPath|warmupLeftMs|internalPortRange|'
-    'listenAddresses|nodeName|server-leaving',
+    'listenAddresses|nodeName|server-leaving|kv-from|kvHandle|handleTtlS',
     re.IGNORECASE,
 )
 _ALLOWED_PACKAGES = ('platform', 'standin')
@@ -74,7 +74,13 @@
                 'name': 'models',
                 'healthPath': '/healthz',
                 'maxConnections': 370,
-                'engine': {'slots': 64, 'kvCapacity': 582039, 'models': []},
+                'engine': {
+                    'slots': 64,
+                    'kvCapacity': 582039,
+                    'models': [],
+                    'moves': True,
+                    'handleTtlS': 4,
+                },
             },
             {'name': 'plain', 'maxConnections': 110, 'unknown': 1},
         ],
@@ -122,7 +128,10 @@
     assert route.repeatable
     assert decoded.pools['models'].runs_models
     assert decoded.pools['models'].memory_tokens == 582039
+    assert decoded.pools['models'].moves
+    assert decoded.pools['models'].copy_retention_seconds == 4
     assert not decoded.pools['plain'].runs_models
+    assert not decoded.pools['plain'].moves
     assert decoded.workspaces['k2'].name == 'hule'
     assert decoded.limits.idle_timeout_seconds == 15
 
@@ -227,15 +236,7 @@
     'the server receives the remaining wait, its name and the workspace',
 )
 def server_receives(context):
-    server = BackendServer(
-        'i-1',
-        'models',
-        '10.0.0.1',
-        80,
-        'galata',
-        8,
-        leaving=False,
-    )
+    server = _engine()
     attempt = AttemptContext(server, 9.5, 'hule', 14)
     context.sent_bytes = context.adapter.encode_request(context.call, attempt)
     for line in (
@@ -250,6 +251,54 @@
         assert context.sent_bytes.split(b'\r\n').count(line) == 1, line
 
 
+def _engine(name='i-1', ip='10.0.0.1'):
+    return BackendServer(name, 'models', ip, 80, 'galata', 8, leaving=False)
+
+
+@then('a run that continues from a copy names its source')
+def names_source(context):
+    copy = KvSource(_engine(), 'h.7')
+    attempt = AttemptContext(_engine('i-2'), 9.5, 'hule', 14, copy)
+    sent = context.adapter.encode_request(context.call, attempt)
+    lines = sent.split(b'\r\n')
+    assert lines.count(b'kv-from: 10.0.0.1:80/h.7') == 1, lines
+    assert lines.count(b'last-event-id: 14') == 1, lines
+
+
+@given("the calls that move an engine's run to another engine")
+def move_calls(context):
+    context.adapter = PlatformProtocolAdapter()
+    ends = (_engine(), _engine('i-2', '10.0.0.2'))
+    context.calls = [
+        context.adapter.encode_kv_move('r1', *ends, last=last)
+        for last in (False, True)
+    ]
+    copy = KvSource(ends[0], 'h.7')
+    context.calls.append(context.adapter.encode_kv_release(copy))
+
+
+@then('they name the run, the address of the destination and the copy')
+def calls_named(context):
+    first, last, release = (
+        call.partition(b'\r\n\r\n') for call in context.calls
+    )
+    assert first[0].startswith(b'POST /v1/kv-move HTTP/1.1\r\n'), first
+    assert b'host: 10.0.0.1:80' in first[0].split(b'\r\n'), first
+    assert json.loads(first[2]) == {'id': 'r1', 'to': '10.0.0.2:80'}, first
+    assert b'content-length: %d' % len(first[2]) in first[0], first
+    content = {'id': 'r1', 'to': '10.0.0.2:80', 'last': True}
+    assert json.loads(last[2]) == content, last
+    assert release[0].startswith(b'DELETE /v1/kv-handle/h.7 HTTP/1.1'), release
+    assert not release[2], release
+
+
+@then('a response with {status:d} and {body} means {result:w} with {handle}')
+def move_result(context, status, body, result, handle):
+    reply = context.adapter.parse_kv_move(status, body.encode())
+    assert reply.result.name.lower() == result, reply
+    assert (reply.handle or 'no handle') == handle, reply
+
+
 @then('neither the key nor a hop-by-hop header is forwarded')
 def not_forwarded(context):
     assert b'secret-key' not in context.sent_bytes
--- a/tests/platform/translation.feature
+++ b/tests/platform/translation.feature
@@ -66,6 +66,31 @@
     Then these responses prove that nothing has run: 421, 503 with the header
     And these do not: 500, 503, 504
 
+  Scenario: A run that continues from a copy
+    Given a request as a client of the platform sends it
+    Then a run that continues from a copy names its source
+
+  Scenario Outline: Calls that move a run
+    Guards against a handle that is no handle: sent in a header, it could add
+    other headers to a request.
+
+    Given the calls that move an engine's run to another engine
+    Then they name the run, the address of the destination and the copy
+    And a response with <status> and <body> means <result> with <handle>
+
+    Examples:
+      | status | body                          | result  | handle    |
+      | 200    | {"kvHandle":"h.7","created":4} | copied | h.7       |
+      | 200    | {"created":4}                 | failed  | no handle |
+      | 200    | {"kvHandle":"a\\r\\nb: c"}    | failed  | no handle |
+      | 200    | {"kvHandle":7}                | failed  | no handle |
+      | 200    | nothing                       | failed  | no handle |
+      | 404    | {}                            | no_run  | no handle |
+      | 409    | {}                            | failed  | no handle |
+      | 421    | {}                            | failed  | no handle |
+      | 503    | {"kvHandle":"h.7"}            | no_room | h.7       |
+      | 503    | {}                            | failed  | no handle |
+
   Scenario Outline: The rest that a server asks for
     Given a response with status <status> and Retry-After <content>
     Then the server asks for <rest> of rest
