Streams move off an engine that leaves

Cause: a leaving engine cuts its streams after 3 s, and a stream of a route that may run once is then lost. Permits, copies and the slot for a move are held as contexts. Ruled out: idle connections for the calls, whose responses bear no request id; a task or timer for each stream; the plain order of servers at equal waits.

--- a/src/sardinetrack/relay/entry.py
+++ b/src/sardinetrack/relay/entry.py
@@ -310,7 +310,7 @@
             self._update_memory()
             count += 1
             for exchange in self._exchanges:
-                exchange.abandon_if_silent(self.now())
+                exchange.check(self.now())
             self._state.expire_servers()
             self._state.log.flush()
             if not count % _SWEEPS_A_SECOND:
--- a/src/sardinetrack/relay/entry_state.py
+++ b/src/sardinetrack/relay/entry_state.py
@@ -234,6 +234,13 @@
             self.apply_server_changes()
         return news
 
+    def is_leaving(self, server: BackendServer) -> bool:
+        """Whether this start of a server is known to leave."""
+        listed = self.servers.instances.get(server.instance)
+        if listed is None or not listed.leaving:
+            return False
+        return not listed.start.supersedes(server.start)
+
     def is_superseded(self, server: BackendServer) -> bool:
         """Whether a later start of the server is known."""
         listed = self.servers.instances.get(server.instance)
--- a/src/sardinetrack/relay/exchange.py
+++ b/src/sardinetrack/relay/exchange.py
@@ -13,12 +13,14 @@
 from sardinetrack.relay.entry_state import EntryState
 from sardinetrack.relay.error_response import error_response
 from sardinetrack.relay.events import EventSplitter
+from sardinetrack.relay.movable_stream import MovableStream
+from sardinetrack.relay.move_tools import MoveTools
 from sardinetrack.relay.request_plan import Plan, make_plan
 from sardinetrack.relay.sender import Sender
 from sardinetrack.relay.server_choice import Placer
 from sardinetrack.relay.server_states import ServerUnavailableError
 from sardinetrack.relay.silence import max_silence_seconds
-from sardinetrack.relay.trace import Trace
+from sardinetrack.relay.trace import Placement, Trace
 from sardinetrack.turns.clock import loop_now
 
 
@@ -42,6 +44,7 @@
         self.progress = Progress(EventSplitter(call.last_event_id))
         self._placer = Placer(state, call, self.trace)
         self._sender = Sender(state, adapter, call, caller, self.trace)
+        self._movable: MovableStream | None = None
 
     @property
     def attempt(self) -> ServerAttempt | None:
@@ -59,6 +62,12 @@
         server = self._sender.server
         return server is not None and self._state.is_superseded(server)
 
+    def check(self, now: float) -> None:
+        """Check the server of the request; called several times a second."""
+        self.abandon_if_silent(now)
+        if self._movable is not None:
+            self._movable.check(now)
+
     def abandon_if_silent(self, now: float) -> None:
         """Abandon an attempt on a silent server if the request may be repeated.
 
@@ -159,17 +168,39 @@
 
     async def _serve(self, plan: Plan) -> None:
         while not self.delivered:
-            placement = await self._placer.place(plan)
+            placement = await self._place(plan)
             try:
-                attempt = await self._sender.send(
-                    plan, placement, self.progress
-                )
+                attempt = await self._send(plan, placement)
             except (NotConnectedError, ServerUnavailableError):
                 continue
             finally:
                 placement.permit.release(complete=self.delivered)
             self._handle_outcome(plan, attempt)
 
+    async def _place(self, plan: Plan) -> Placement:
+        placement = await self._placer.place(plan)
+        return placement.held() if plan.has_movable_streams else placement
+
+    async def _send(self, plan: Plan, placement: Placement) -> ServerAttempt:
+        """Send to one server, or on from there while its engine leaves."""
+        if not plan.has_movable_streams:
+            return await self._sender.send(plan, placement, self.progress)
+        tools = MoveTools(
+            self._state,
+            self._adapter,
+            self._call,
+            plan,
+            self._placer,
+            self._flow,
+        )
+        movable = MovableStream(tools, self._sender, self.progress)
+        self._movable = movable
+        try:
+            async with movable:
+                return await movable.send(placement)
+        finally:
+            self._movable = None
+
     def _handle_outcome(self, plan: Plan, attempt: ServerAttempt) -> None:
         """Deliver a buffered response unless the request is to be retried.
 
--- a/src/sardinetrack/relay/metrics.py
+++ b/src/sardinetrack/relay/metrics.py
@@ -56,6 +56,11 @@
         'Responses that may be to another request, by the reason',
         meters.discarded,
     )
+    yield _counter(
+        'stream_moves',
+        'Moves of streams off leaving engines, by how they ended',
+        state.server_states.moves.outcomes,
+    )
     yield _counter(
         'workspace_requests',
         'Requests by workspace',
--- /dev/null
+++ b/src/sardinetrack/relay/movable_stream.py
@@ -0,0 +1,129 @@
+"""Sends a request whose stream moves while its engine leaves."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import AsyncExitStack
+from functools import partial
+from types import TracebackType
+from typing import Any, Self
+
+from sardinetrack.relay.attempt import Progress, ServerAttempt
+from sardinetrack.relay.connection_pool import NotConnectedError
+from sardinetrack.relay.move_steps import RunningMove
+from sardinetrack.relay.move_tools import MoveTools
+from sardinetrack.relay.send_mode import SendMode, await_end
+from sardinetrack.relay.sender import Sender
+from sardinetrack.relay.server_states import ServerUnavailableError
+from sardinetrack.relay.stream_move import MoveSchedule
+from sardinetrack.relay.trace import Placement
+
+
+class MovableStream:
+    """One run of a request, on one engine after the other.
+
+    As a context it holds what its moves hold, and the permits at the engines
+    that the stream has moved to.
+    """
+
+    def __init__(
+        self, tools: MoveTools, sender: Sender, progress: Progress
+    ) -> None:
+        """Prepare to send.
+
+        :param progress: of the request.
+        """
+        self._tools = tools
+        self._sender = sender
+        self._progress = progress
+        self._loop = asyncio.get_running_loop()
+        self._stack = AsyncExitStack()
+        self._schedule = MoveSchedule()
+        self._attempt: ServerAttempt | None = None
+        self._move: RunningMove | None = None
+        self._due: asyncio.Future[None] = self._loop.create_future()
+
+    async def __aenter__(self) -> Self:
+        """Hold nothing yet."""
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Release what is held."""
+        await self._stack.__aexit__(kind, error, trace)
+
+    def check(self, now: float) -> None:
+        """Start the move if it is due; called several times a second."""
+        attempt, server = self._attempt, self._sender.server
+        if attempt is None or server is None or self._due.done():
+            return
+        due = self._schedule.is_due(
+            now,
+            leaving=self._tools.state.is_leaving(server),
+            has_events=attempt.first_event_received
+            and attempt.last_event is not None,
+        )
+        if due:
+            self._due.set_result(None)
+
+    async def send(self, placement: Placement) -> ServerAttempt:
+        """Send, and send on as often as the engine leaves.
+
+        :return: the last attempt that may have run; as :meth:`Sender.send`.
+        """
+        follow = partial(self._follow, placement)
+        attempt = await self._sender.send(
+            self._tools.plan, placement, self._progress, SendMode(follow)
+        )
+        while self._move is not None and self._move.machine.sends:
+            attempt = await self._send_on(self._move, attempt)
+        return attempt
+
+    async def _send_on(
+        self, move: RunningMove, stopped: ServerAttempt
+    ) -> ServerAttempt:
+        """Send the request on from where its run has stopped.
+
+        An attempt that proves to have run nothing is not returned: the run
+        itself did happen, so the request may not be repeated for that.
+        """
+        placement = move.placement
+        is_return = placement is not move.destination
+        # The engine still leaves, but one move is tried of each attempt.
+        follow = await_end if is_return else partial(self._follow, placement)
+        mode = SendMode(follow, move.kv_source, is_return)
+        if not is_return:
+            self._stack.callback(self._release, placement)
+        try:
+            attempt = await self._sender.send(
+                self._tools.plan, placement, self._progress, mode
+            )
+        except (NotConnectedError, ServerUnavailableError) as error:
+            await move.sent(None, str(error) or 'not available')
+            return stopped
+        not_run = await move.sent(attempt.done.result(), attempt.reason)
+        return stopped if not_run else attempt
+
+    def _release(self, placement: Placement) -> None:
+        complete = self._sender.caller_has_all
+        placement.permit.release(complete=complete)
+
+    async def _follow(
+        self, placement: Placement, attempt: ServerAttempt
+    ) -> bool:
+        """Wait for the end of an attempt, or move its stream."""
+        self._attempt = attempt
+        self._schedule = MoveSchedule()
+        self._due = self._loop.create_future()
+        awaited: set[asyncio.Future[Any]] = {attempt.done, self._due}
+        await asyncio.wait(awaited, return_when=asyncio.FIRST_COMPLETED)
+        if attempt.done.done():
+            return False
+        move = RunningMove(self._tools, placement, attempt)
+        await self._stack.enter_async_context(move)
+        self._move = move
+        return await move.stop_source()
--- a/src/sardinetrack/relay/permit.py
+++ b/src/sardinetrack/relay/permit.py
@@ -4,7 +4,8 @@
 
 import math
 from abc import ABC, abstractmethod
-from typing import ClassVar, Final
+from collections.abc import Callable
+from typing import Final
 
 from sardinetrack.admission.request import AdmissionRequest, Granted
 from sardinetrack.placement.choice import Candidate
@@ -27,7 +28,7 @@
 class Permit(ABC):
     """Permit to send one request to one server."""
 
-    granted_by: ClassVar[str]
+    granted_by: str
     """Who granted it, for the log."""
 
     @abstractmethod
@@ -114,6 +115,38 @@
         )
 
 
+class HeldPermit(Permit):
+    """Releases another permit once, and reports the first event.
+
+    The permit of a stream that is moved ends before the request does.
+    """
+
+    def __init__(
+        self, permit: Permit, first_event: Callable[[], None] | None = None
+    ) -> None:
+        """Hold a permit.
+
+        :param first_event: called at each first event of an attempt.
+        """
+        self.granted_by = permit.granted_by
+        self._permit: Permit | None = permit
+        self._first_event = first_event
+
+    def first_event_received(self) -> None:
+        """Report it."""
+        if self._permit is not None:
+            self._permit.first_event_received()
+        if self._first_event is not None:
+            self._first_event()
+
+    def release(self, *, complete: bool) -> None:
+        """Release the permit unless that was done before."""
+        permit = self._permit
+        self._permit = None
+        if permit is not None:
+            permit.release(complete=complete)
+
+
 class PermitRefusedError(Exception):
     """The server grants no permit in time."""
 
--- a/src/sardinetrack/relay/request_plan.py
+++ b/src/sardinetrack/relay/request_plan.py
@@ -14,6 +14,7 @@
     Configuration,
     Pool,
     Route,
+    RouteKind,
     Workspace,
 )
 
@@ -37,6 +38,11 @@
         """The workspace that is charged."""
         return self.workspace.name if self.workspace else ''
 
+    @property
+    def has_movable_streams(self) -> bool:
+        """Whether its stream moves to another engine if its own leaves."""
+        return self.pool.moves and self.route.kind is RouteKind.STREAMING
+
     @property
     def priority(self) -> int:
         """Rank, 0 first; a priority of the workspace overrides the route's."""
--- a/src/sardinetrack/relay/sender.py
+++ b/src/sardinetrack/relay/sender.py
@@ -18,11 +18,13 @@
 from sardinetrack.relay.connection_pool import IDLE_SECONDS, NotConnectedError
 from sardinetrack.relay.entry_state import EntryState
 from sardinetrack.relay.request_plan import Plan, check_still_allowed
+from sardinetrack.relay.send_mode import SendMode
 from sardinetrack.relay.server_connection import (
     BreakReason,
     ServerConnection,
 )
 from sardinetrack.relay.server_notices import ServerNotices
+from sardinetrack.relay.server_states import ServerUnavailableError
 from sardinetrack.relay.target import Target
 from sardinetrack.relay.trace import Placement, Trace
 from sardinetrack.topology.configuration import RouteKind
@@ -37,6 +39,7 @@
 _MIN_TIMEOUT_SECONDS: Final = 0.02
 _DIGITS: Final = 3
 _HEAD: Final = b'HEAD'
+_ONE_SERVER: Final = SendMode()
 _CONNECTION_ENDS: Final = frozenset((BreakReason.CLOSED, BreakReason.RESET))
 
 
@@ -60,14 +63,21 @@
         self._trace = trace
         self._loop = asyncio.get_running_loop()
 
+    @property
+    def caller_has_all(self) -> bool:
+        """Whether the caller has the complete response."""
+        return self._caller.response.complete
+
     async def send(
         self,
         plan: Plan,
         placement: Placement,
         progress: Progress,
+        mode: SendMode = _ONE_SERVER,
     ) -> ServerAttempt:
         """Send, and wait for the end of the response.
 
+        :param mode: what differs for a stream that may move.
         :return: the attempt, whose outcome is known.
         :raises NotConnectedError: nothing was sent.
         :raises ServerUnavailableError: nothing was sent.
@@ -76,7 +86,7 @@
         """
         server = placement.candidate.server
         # Before a connection is taken, which would be closed unused.
-        self._state.check_available(server)
+        self._check_available(server, mode)
         self.server = server
         target = Target.of(self._state, server)
         try:
@@ -84,7 +94,9 @@
                 attempt = self._prepare(
                     plan, placement, progress, target, connection
                 )
-                await self._exchange(plan, placement, connection, attempt)
+                stopped = await self._exchange(
+                    plan, placement, connection, attempt, mode
+                )
                 _prepare_reuse(connection, attempt)
         except NotConnectedError as error:
             self._record_unreachable(target, error)
@@ -92,7 +104,14 @@
         except BaseException:
             target.record_inconclusive()
             raise
+        if stopped:
+            # It ended the stream as it was asked to; that is no failure.
+            target.record_success()
+            return attempt
         self._record_outcome(target, attempt)
+        if mode.kv_source is not None:
+            # The run was moved here, so the request as a whole has run.
+            self._trace.proved_not_run = False
         self._update_suspects(plan, server, attempt)
         return attempt
 
@@ -142,15 +161,17 @@
         placement: Placement,
         connection: ServerConnection,
         attempt: ServerAttempt,
-    ) -> None:
+        mode: SendMode,
+    ) -> bool:
+        """Send, and follow the attempt; see :attr:`SendMode.follow`."""
         candidate = placement.candidate
         server = candidate.server
-        self._recheck(plan, server)
+        self._recheck(plan, server, mode)
         request = self._adapter.encode_request(
             self._call,
-            self._sending(plan, server, attempt),
+            self._sending(plan, server, attempt, mode),
         )
-        self._log_sent(plan, placement)
+        self._log_sent(plan, placement, mode)
         self.attempt = attempt
         load = self._state.server_states.load(server)
         load.added_tokens += candidate.prefill_tokens
@@ -161,9 +182,21 @@
                 request_id=self._call.request_id,
                 bodiless=self._call.method == _HEAD,
             )
-            await attempt.done
+            return await mode.follow(attempt)
+
+    def _check_available(self, server: BackendServer, mode: SendMode) -> None:
+        """Check that a server still gets requests, or goes on with its own.
 
-    def _recheck(self, plan: Plan, server: BackendServer) -> None:
+        :raises ServerUnavailableError: it does not.
+        """
+        if not mode.is_return:
+            self._state.check_available(server)
+        elif self._state.is_superseded(server):
+            raise ServerUnavailableError
+
+    def _recheck(
+        self, plan: Plan, server: BackendServer, mode: SendMode
+    ) -> None:
         """Check again what may have changed while the request waited.
 
         Otherwise a revoked key, or a draining or resting server, would get
@@ -176,13 +209,14 @@
         if self._caller.disconnected:
             raise asyncio.CancelledError
         check_still_allowed(self._state, plan, self._call)
-        self._state.check_available(server)
+        self._check_available(server, mode)
 
     def _sending(
         self,
         plan: Plan,
         server: BackendServer,
         attempt: ServerAttempt,
+        mode: SendMode,
     ) -> AttemptContext:
         left_seconds = plan.deadline_seconds - self._loop.time()
         return AttemptContext(
@@ -190,14 +224,18 @@
             max(_MIN_TIMEOUT_SECONDS, left_seconds),
             plan.workspace.name if plan.workspace else None,
             attempt.last_event,
+            mode.kv_source,
         )
 
-    def _log_sent(self, plan: Plan, placement: Placement) -> None:
+    def _log_sent(
+        self, plan: Plan, placement: Placement, mode: SendMode
+    ) -> None:
         state, trace = self._state, self._trace
         candidate = placement.candidate
         if not trace.sent:
             state.budget(plan.pool.name).deposit()
         trace.servers.append(candidate.server.instance)
+        trace.moves += mode.kv_source is not None
         trace.proved_not_run = False
         state.log.write(
             Event.REQUEST_SENT,
--- a/src/sardinetrack/relay/server_choice.py
+++ b/src/sardinetrack/relay/server_choice.py
@@ -9,6 +9,7 @@
 import asyncio
 import math
 from collections.abc import Sequence
+from dataclasses import replace
 from functools import partial
 from typing import Final
 
@@ -37,6 +38,7 @@
 )
 from sardinetrack.relay.request_plan import Plan
 from sardinetrack.relay.trace import Placement, Trace
+from sardinetrack.topology.servers import BackendServer
 
 MAX_WAIT_FRACTION: Final = 0.8
 """Fraction of the objective to the first event that a request may wait at most.
@@ -50,6 +52,9 @@
 Away from its home server a request uses only free capacity, for which no
 request waits that has its home server there.
 """
+MOVE_WAIT_SECONDS: Final = 0.2
+"""Wait for the permit of a stream that moves off an engine; that engine serves
+for 3 s at most, and the stream also has to be copied in that time."""
 MAX_PERMIT_REQUESTS: Final = 8
 """Servers from which a permit is requested before a request is refused.
 
@@ -105,6 +110,30 @@
         finally:
             self._record_wait(self._loop.time() - began_seconds)
 
+    async def place_continued(
+        self, plan: Plan, server: BackendServer
+    ) -> Placement:
+        """Get a permit for a stream that continues from a copy.
+
+        It prefills nothing, and its workspace was charged when it began.
+
+        :raises PermitRefusedError: there is none in time.
+        """
+        candidate = Candidate(server, float(0), float(0), 0)
+        admission_request = replace(
+            self._admission_request(plan, candidate, MOVE_WAIT_SECONDS),
+            kv_cache_tokens=self._call.prompt.tokens
+            + self._output_tokens(plan),
+            output_tokens=0,
+            shared_prefix='',
+            first_event_due_seconds=plan.route.first_event_objective_seconds,
+            since_refusal_seconds=0,
+        )
+        permit = await acquire_permit(
+            self._state, plan.pool, candidate, admission_request
+        )
+        return Placement(candidate, permit)
+
     def no_server_error(self, plan: Plan) -> RequestError:
         """Return the error for a request that no server can run."""
         rest_seconds = self._state.rest_seconds(plan.pool.name)
--- a/src/sardinetrack/relay/server_states.py
+++ b/src/sardinetrack/relay/server_states.py
@@ -7,6 +7,7 @@
 from sardinetrack.placement.load import EstimatedLoad
 from sardinetrack.relay.cold_start import ColdStartTracker
 from sardinetrack.relay.lengths import OutputLengths
+from sardinetrack.relay.move_limit import MoveLimit
 from sardinetrack.relay.server_rest import ServerRests
 from sardinetrack.relay.side_links import SideLinks
 from sardinetrack.routing.breaker import Breaker
@@ -30,6 +31,7 @@
         self.cold_starts = ColdStartTracker(sides)
         self.lengths = OutputLengths()
         self.rests = ServerRests()
+        self.moves = MoveLimit()
         self.loads: dict[str, EstimatedLoad] = {}
         self._breakers: dict[str, Breaker] = {}
         self._local_admissions: dict[str, LocalAdmission] = {}
--- a/src/sardinetrack/relay/trace.py
+++ b/src/sardinetrack/relay/trace.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from typing import Self
 
 from sardinetrack.placement.choice import Candidate
-from sardinetrack.relay.permit import Permit
+from sardinetrack.relay.permit import HeldPermit, Permit
 
 
 @dataclass(slots=True)
@@ -14,6 +16,8 @@
 
     servers: list[str] = field(default_factory=list)
     """Instances that the request was sent to, in order."""
+    moves: int = 0
+    """Those of the sends that continued a run from a copy of its KV cache."""
     unreachable: set[str] = field(default_factory=set)
     """Instances that accepted no connection: nothing was sent there."""
     permit_requests: int = 0
@@ -29,8 +33,8 @@
 
     @property
     def sent(self) -> int:
-        """The number of attempts that were sent."""
-        return len(self.servers)
+        """The number of attempts that were sent; a moved run is one attempt."""
+        return len(self.servers) - self.moves
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,3 +43,10 @@
 
     candidate: Candidate
     permit: Permit
+
+    def held(self, first_event: Callable[[], None] | None = None) -> Self:
+        """Return it with a permit that may be released more than once.
+
+        :param first_event: called at each first event of an attempt.
+        """
+        return replace(self, permit=HeldPermit(self.permit, first_event))
--- a/tests/support/relay_servers.py
+++ b/tests/support/relay_servers.py
@@ -110,19 +110,23 @@
                 fields = _fields(head)
                 length = int(fields.get('content-length', 0))
                 body = await reader.readexactly(length)
-                self.requests.append((head, fields, body))
-                self.asked.set()
-                if body == self.deadly:
-                    self.acts = deque(['crash'])
-                writer.write(self._late.pop(writer, b''))
-                act = self.acts.popleft() if self.acts else 'answer'
-                if head.startswith(b'HEAD') and act == 'answer':
-                    act = 'bare'
-                await getattr(self, f'_{act}')(fields, reader, writer)
+                await self._perform((head, fields, body), reader, writer)
                 await writer.drain()
         self.writers.discard(writer)
         writer.close()
 
+    async def _perform(self, request, reader, writer):
+        head, fields, body = request
+        self.requests.append(request)
+        self.asked.set()
+        if body == self.deadly:
+            self.acts = deque(['crash'])
+        writer.write(self._late.pop(writer, b''))
+        act = self.acts.popleft() if self.acts else 'answer'
+        if head.startswith(b'HEAD') and act == 'answer':
+            act = 'bare'
+        await getattr(self, f'_{act}')(fields, reader, writer)
+
     async def _answer(self, fields, reader, writer):
         if 'x-sardinetrack-token-count' in fields:
             await self._stream(fields, writer, EVENTS)
--- a/tests/support/relay_world.py
+++ b/tests/support/relay_world.py
@@ -131,6 +131,7 @@
         os.set_blocking(self._log_read, False)
         self.log = EventLog(pipe[1], 'entry-1')
         self._number = 0
+        self.server_type = ScriptedServer
 
     def run(self, coroutine):
         return self.loop.run_until_complete(coroutine)
@@ -252,7 +253,7 @@
         await asyncio.gather(*rest, return_exceptions=True)
 
     async def _open_server(self, pool):
-        server = ScriptedServer(f'i-{len(self.servers)}')
+        server = self.server_type(f'i-{len(self.servers)}')
         server.pool = pool
         await server.open()
         self.servers.append(server)
