--- a/src/sardinetrack/relay/attempt.py
+++ b/src/sardinetrack/relay/attempt.py
@@ -7,11 +7,12 @@
 from dataclasses import dataclass
 from enum import Enum, auto
 from http import HTTPStatus
-from typing import Final
+from typing import Final, Self
 
 from sardinetrack.relay.api import CallerRequest, ProtocolAdapter, ResponseHead
 from sardinetrack.relay.caller_response import CallerResponse
 from sardinetrack.relay.events import EventSplitter
+from sardinetrack.relay.flow_control import FlowControl
 from sardinetrack.relay.pauses import StreamPauses
 from sardinetrack.relay.server_connection import (
     BreakReason,
@@ -45,6 +46,11 @@
     first_event_seconds: float | None = None
     """When the first event arrived, on the clock of the event loop."""
 
+    @classmethod
+    def of(cls, call: CallerRequest, flow: FlowControl) -> Self:
+        """Begin after the events that the caller already has."""
+        return cls(EventSplitter(call.last_event_id), StreamPauses(flow))
+
 
 class AttemptObserver(ABC):
     """Learns from a response before it is complete."""
--- a/src/sardinetrack/relay/metrics.py
+++ b/src/sardinetrack/relay/metrics.py
@@ -63,16 +63,27 @@
     )
     yield _histogram('request', 'Arrival to end', meters.took)
     yield _histogram('turn_wait', 'Wait for a turn', meters.waited)
+    yield from _stream_metrics(state)
+    yield from _view_metrics(state, store)
+    yield from _server_metrics(state)
+    yield _total('log_lines_dropped', 'Dropped lines', state.log.dropped)
+
+
+def _stream_metrics(state: EntryState) -> Iterable[Metric]:
+    """Return the metrics of an entry's streams."""
+    streams = state.meters.streams
     yield _histogram(
-        'first_event', 'Arrival to first event', meters.streams.first_event
+        'first_event', 'Arrival to first event', streams.first_event
     )
     yield _counter(
-        'late_streams', 'Streams by why they were late', meters.streams.late
+        'late_streams', 'Streams by why they were late', streams.late
+    )
+    yield _pause_ratios(streams.pause_ratios)
+    yield _counter(
+        'stream_moves',
+        'Moves of streams to other engines, by how they ended',
+        state.server_states.moves.outcomes,
     )
-    yield _pause_ratios(meters.streams.pause_ratios)
-    yield from _view_metrics(state, store)
-    yield from _server_metrics(state)
-    yield _total('log_lines_dropped', 'Dropped lines', state.log.dropped)
 
 
 def _view_metrics(state: EntryState, store: StoreCounters) -> Iterable[Metric]:
