A run is not stopped if its stream could not continue

Cause: a key that was removed, or a destination that left, during the first copy was noticed only after the run had stopped: the stream was truncated, or went back to its source after a pause. Besides, a destination that did not respond held one of the entry's four slots until the deadline. Change: key, route and destination are also checked before the call that stops the run; the stream then stays where it is. The slot ends when the source has stopped, since nothing is copied any more. Ruled out: only the check right before the send, which stays as well.

--- a/src/sardinetrack/relay/move_steps.py
+++ b/src/sardinetrack/relay/move_steps.py
@@ -16,6 +16,8 @@
 from sardinetrack.relay.kv_calls import HeldCopies, KvCalls
 from sardinetrack.relay.move_tools import MoveTools
 from sardinetrack.relay.permit import PermitRefusedError
+from sardinetrack.relay.request_plan import check_still_allowed
+from sardinetrack.relay.server_states import ServerUnavailableError
 from sardinetrack.relay.stream_end import (
     StreamEndedError,
     UntilStreamEnds,
@@ -137,6 +139,9 @@
             machine.apply(await self._perform(machine.step))
         self._last_event = self._attempt.last_event
         if machine.sends:
+            # Nothing is copied any more. A destination that doesn't respond
+            # would hold the slot until the deadline.
+            self._slot.close()
             if machine.step is MoveStep.SEND_BACK:
                 self._release_destination()
             return True
@@ -224,6 +229,15 @@
         return await self._call(last=False)
 
     async def _stop(self) -> MoveEvent:
+        """Stop the run, unless it is known that it could not continue."""
+        assert self.destination is not None  # noqa: S101
+        tools = self._tools
+        try:
+            check_still_allowed(tools.state, tools.plan, tools.call)
+            tools.state.check_available(self.destination.candidate.server)
+        except (RequestError, ServerUnavailableError) as error:
+            self._cause = str(error) or 'not available'
+            return MoveEvent.NOT_ALLOWED
         return await self._call(last=True)
 
     async def _call(self, *, last: bool) -> MoveEvent:
--- a/src/sardinetrack/relay/stream_move.py
+++ b/src/sardinetrack/relay/stream_move.py
@@ -72,6 +72,8 @@
     """The copy failed, and the source gave a handle for its own memory."""
     NO_COPY = auto()
     """The call failed, or there was no response to it."""
+    NOT_ALLOWED = auto()
+    """The request could not be sent on now, so the run is not stopped."""
     STREAM_COMPLETE = auto()
     STREAM_BROKEN = auto()
     """The stream ended without its end."""
@@ -149,6 +151,7 @@
         },
         MoveStep.STOP: {
             MoveEvent.COPIED: MoveStep.DRAIN,
+            MoveEvent.NOT_ALLOWED: MoveOutcome.NOT_COPIED,
             MoveEvent.NO_RUN: MoveOutcome.ENDED,
             MoveEvent.NO_ROOM: MoveStep.DRAIN_BACK,
             MoveEvent.NO_COPY: MoveStep.WATCH,
--- a/tests/relay/steps/stream_move_steps.py
+++ b/tests/relay/steps/stream_move_steps.py
@@ -27,6 +27,7 @@
 _SHORTER = (
     (f'{_RELAY}.stream_move.MIN_RUN_SECONDS', 0.1),
     (f'{_RELAY}.move_steps.PLACE_AGAIN_SECONDS', 0.2),
+    (f'{_RELAY}.move_steps.STREAM_END_SECONDS', 0.25),
     (f'{_RELAY}.kv_calls.COPY_SECONDS', 0.2),
 )
 
@@ -95,9 +96,14 @@
     context.acts = (act, back)
 
 
+@when('{change} once the first copy is asked for')
+def change_early(context, change):
+    context.changes = ((_copying, change),)
+
+
 @when('{change} once the run has stopped')
 def change_late(context, change):
-    context.changes = (change,)
+    context.changes = ((_stopped, change),)
 
 
 async def _begin(context, route):
@@ -118,6 +124,14 @@
     return any(call.get('last', False) == last for call in context.source.calls)
 
 
+async def _all_ended(context):
+    await until(lambda: not context.world.entry._exchanges)  # noqa: SLF001
+
+
+async def _copying(context):
+    await until(lambda: _is_asked(context, last=False))
+
+
 async def _stopped(context):
     await until(lambda: _is_asked(context, last=True))
     await asyncio.sleep(0.05)
@@ -128,8 +142,8 @@
     async def play():
         call = await _begin(context, route)
         context.world.list_servers({context.source.instance})
-        for change in context.changes:
-            await _stopped(context)
+        for wait, change in context.changes:
+            await wait(context)
             await _CHANGES[change](context)
         return await call
 
@@ -189,7 +203,7 @@
 )
 _POINTS = MappingProxyType(
     {
-        'the first copy is asked for': lambda one: _is_asked(one, last=False),
+        'the copy begins': lambda one: _is_asked(one, last=False),
         'the last copy is asked for': lambda one: _is_asked(one, last=True),
         'the destination is asked': lambda one: one.others[0].requests,
         'the destination streams': lambda one: one.others[0].made,
@@ -213,7 +227,7 @@
         call.cancel()
         with suppress(asyncio.CancelledError):
             await call
-        await asyncio.sleep(0.1)
+        await _all_ended(context)
 
     context.world.run(play())
 
@@ -432,7 +446,7 @@
     state = context.world.entry_state
     if hasattr(context, 'early'):
         context.world.run(context.early)
-    context.world.run(asyncio.sleep(0.02))
+    context.world.run(_all_ended(context))
     states = state.server_states
     assert states.moves.slots._value == MAX_MOVES  # noqa: SLF001
     for local in states._local_admissions.values():  # noqa: SLF001
--- a/tests/relay/stream_moves.feature
+++ b/tests/relay/stream_moves.feature
@@ -67,6 +67,22 @@
       | once-stream | ok   | ok   | answer_once | answer | truncated | moved    | 0     |
       | stream      | ok   | ok   | answer_once | answer | complete  | moved    | 0     |
 
+  Scenario Outline: The destination or the right to use it is gone before the stop
+    Guards against a run that is stopped though it can't continue elsewhere.
+
+    Given a relay in front of 2 engines whose streams move
+    When <change> once the first copy is asked for
+    And a caller requests a once-stream whose engine is listed as leaving
+    Then the caller's stream is complete
+    And the move ends as not_copied, with 1 copies freed
+    And the destination got 0 requests
+    And nothing of the move is held any more
+
+    Examples:
+      | change                 |
+      | the destination leaves |
+      | the caller's key ends  |
+
   Scenario Outline: The destination or the right to use it is gone before the send
     Guards against a request that is sent to an engine that rests or leaves, or
     for a caller that is not allowed any more.
@@ -99,7 +115,7 @@
 
     Examples:
       | cause    | point                        | copy   | stop           | act    | outcome   | freed |
-      | leaving  | the first copy is asked for  | silent | ok             | answer | cancelled | 0     |
+      | leaving  | the copy begins              | silent | ok             | answer | cancelled | 0     |
       | leaving  | the last copy is asked for   | ok     | stopped_silent | answer | cancelled | 1     |
       | leaving  | the destination is asked     | ok     | ok             | hang   | cancelled | 1     |
       | leaving  | the destination streams      | ok     | ok             | answer | moved     | 0     |
