A stream moves off an engine whose prompts make it pause for too long

Load: long prompts and long responses at the same engines. Placement puts long prompts where few streams run, but the responses to these prompts stay there and meet the next long prompt.

Change: once it has begun, a stream whose engine caused pauses over the objective lately moves to an engine that did not, with the steps of the moves off leaving engines, at most once for this reason and only if it has 20 events or more to come. The line of a move says its reason.

--- a/src/sardinetrack/admission/pause_limit.py
+++ b/src/sardinetrack/admission/pause_limit.py
@@ -3,14 +3,9 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import Final
 
 from sardinetrack.placement.step_pace import StepPace
 
-MAX_PAUSE_FRACTION: Final = 0.9
-"""Fraction of the pause objective that prefill may use; the event's way to the
-caller takes the rest."""
-
 
 @dataclass(frozen=True, slots=True)
 class PauseLimit:
--- a/src/sardinetrack/admission/spacing.py
+++ b/src/sardinetrack/admission/spacing.py
@@ -13,11 +13,12 @@
 from sardinetrack.admission.engine_report import EngineReport
 from sardinetrack.admission.order import QueuedAhead
 from sardinetrack.admission.pace import PrefillEstimator
-from sardinetrack.admission.pause_limit import MAX_PAUSE_FRACTION, PauseLimit
+from sardinetrack.admission.pause_limit import PauseLimit
 from sardinetrack.admission.prefill_rate import PrefillRate
 from sardinetrack.admission.recent_pause import RecentPause
 from sardinetrack.admission.running import RunningRequests
 from sardinetrack.admission.stream_pace import StreamPace
+from sardinetrack.placement.step_pace import MAX_PAUSE_FRACTION
 
 MAX_TRANSIT_SECONDS: Final = 0.02
 """From a grant until its prompt shows in the engine's report; usually 5 ms."""
--- a/src/sardinetrack/placement/harm.py
+++ b/src/sardinetrack/placement/harm.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from sardinetrack.placement.load import EstimatedLoad
+from sardinetrack.placement.step_pace import MAX_PAUSE_FRACTION
 
 LATE_STREAM_SECONDS: Final = 0.1
 """Cost of one stream that is late, in seconds of waiting.
@@ -20,8 +21,6 @@
 """
 LONG_STREAM_EVENTS: Final = 20
 """Events of a stream that runs long enough to meet the next long prompt."""
-MAX_PAUSE_FRACTION: Final = 0.9
-"""Fraction of a pause objective from which a predicted pause counts as late."""
 
 
 def harm_seconds(
@@ -50,6 +49,21 @@
     return LATE_STREAM_SECONDS * load.streams
 
 
+def has_long_pauses(load: EstimatedLoad, event_gap_seconds: float) -> bool:
+    """Whether prompts lately caused pauses over the objective at an engine.
+
+    :param event_gap_seconds: the pause objective; 0 if none is set.
+    """
+    if not event_gap_seconds:
+        return False
+    return load.recent_pause_seconds > MAX_PAUSE_FRACTION * event_gap_seconds
+
+
+def is_long_stream(load: EstimatedLoad, output_tokens: int) -> bool:
+    """Whether a stream runs long enough to meet the next long prompt."""
+    return output_tokens >= LONG_STREAM_EVENTS * load.pace.event_tokens
+
+
 def risk_seconds(
     load: EstimatedLoad,
     output_tokens: int,
@@ -61,9 +75,9 @@
     :param event_gap_seconds: the pause objective.
     :return: 0 where no prompt caused a long pause lately.
     """
-    max_pause_seconds = MAX_PAUSE_FRACTION * event_gap_seconds
-    if load.recent_pause_seconds <= max_pause_seconds:
+    if not has_long_pauses(load, event_gap_seconds):
         return 0
+    max_pause_seconds = MAX_PAUSE_FRACTION * event_gap_seconds
     excess = min(1, load.recent_pause_seconds / max_pause_seconds - 1)
     events = output_tokens / max(1, load.pace.event_tokens)
     return RISK_SECONDS * excess * min(1, events / LONG_STREAM_EVENTS)
--- a/src/sardinetrack/placement/step_pace.py
+++ b/src/sardinetrack/placement/step_pace.py
@@ -4,6 +4,11 @@
 
 import math
 from dataclasses import dataclass
+from typing import Final
+
+MAX_PAUSE_FRACTION: Final = 0.9
+"""Fraction of a pause objective that a predicted pause may take; the way of the
+event to the caller takes the rest."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/sardinetrack/relay/movable_stream.py
+++ b/src/sardinetrack/relay/movable_stream.py
@@ -1,4 +1,4 @@
-"""Sends a request whose stream moves while its engine leaves."""
+"""Sends a request whose stream may move to another engine."""
 
 from __future__ import annotations
 
@@ -10,6 +10,7 @@
 
 from sardinetrack.relay.attempt import Progress, ServerAttempt
 from sardinetrack.relay.connection_pool import NotConnectedError
+from sardinetrack.relay.move_reason import MoveReason, meets_long_pauses
 from sardinetrack.relay.move_steps import RunningMove
 from sardinetrack.relay.move_tools import MoveTools
 from sardinetrack.relay.send_mode import SendMode, await_end
@@ -17,6 +18,7 @@
 from sardinetrack.relay.server_states import ServerUnavailableError
 from sardinetrack.relay.stream_move import MoveSchedule
 from sardinetrack.relay.trace import Placement
+from sardinetrack.topology.servers import BackendServer
 
 
 class MovableStream:
@@ -41,7 +43,9 @@
         self._schedule = MoveSchedule()
         self._attempt: ServerAttempt | None = None
         self._move: RunningMove | None = None
-        self._due: asyncio.Future[None] = self._loop.create_future()
+        self._due: asyncio.Future[MoveReason] = self._loop.create_future()
+        self._has_left_pauses = False
+        """At most one move for this reason: copies take time on the links."""
 
     async def __aenter__(self) -> Self:
         """Hold nothing yet."""
@@ -61,14 +65,29 @@
         attempt, server = self._attempt, self._sender.server
         if attempt is None or server is None or self._due.done():
             return
-        due = self._schedule.is_due(
-            now,
-            leaving=self._tools.state.is_leaving(server),
-            has_events=attempt.first_event_received
-            and attempt.last_event is not None,
-        )
-        if due:
-            self._due.set_result(None)
+        if not attempt.first_event_received or attempt.last_event is None:
+            return
+        reason = self._reason(now, server)
+        if reason is not None:
+            self._due.set_result(reason)
+
+    def _reason(self, now: float, server: BackendServer) -> MoveReason | None:
+        leaving = self._tools.state.is_leaving(server)
+        if self._schedule.is_due(now, leaving=leaving, has_events=True):
+            return MoveReason.LEAVING
+        if leaving or self._has_left_pauses:
+            return None
+        return MoveReason.PAUSES if self._pauses(server) else None
+
+    def _pauses(self, server: BackendServer) -> bool:
+        """Whether it pauses for too long here, and would not elsewhere."""
+        state, plan = self._tools.state, self._tools.plan
+        loads, gap = state.server_states.loads, plan.route.event_gap_seconds
+        tokens = self._tools.call.prompt.output_tokens
+        if not meets_long_pauses(loads.get(server.instance), tokens, gap):
+            return False
+        now = self._loop.time()
+        return bool(self._tools.destinations(now, MoveReason.PAUSES))
 
     async def send(self, placement: Placement) -> ServerAttempt:
         """Send, and send on as often as the engine leaves.
@@ -123,7 +142,9 @@
         await asyncio.wait(awaited, return_when=asyncio.FIRST_COMPLETED)
         if attempt.done.done():
             return False
-        move = RunningMove(self._tools, placement, attempt)
+        reason = self._due.result()
+        self._has_left_pauses |= reason is MoveReason.PAUSES
+        move = RunningMove(self._tools, placement, attempt, reason)
         await self._stack.enter_async_context(move)
         self._move = move
         return await move.stop_source()
--- a/src/sardinetrack/relay/move_steps.py
+++ b/src/sardinetrack/relay/move_steps.py
@@ -1,4 +1,4 @@
-"""Performs the steps of moving one stream off an engine that leaves."""
+"""Performs the steps of moving one stream to another engine."""
 
 from __future__ import annotations
 
@@ -14,6 +14,7 @@
 from sardinetrack.relay.api import KvMoveResult, KvSource
 from sardinetrack.relay.attempt import SendOutcome, ServerAttempt
 from sardinetrack.relay.kv_calls import HeldCopies, KvCalls
+from sardinetrack.relay.move_reason import MoveReason
 from sardinetrack.relay.move_tools import MoveTools
 from sardinetrack.relay.permit import PermitRefusedError
 from sardinetrack.relay.request_plan import check_still_allowed
@@ -66,7 +67,11 @@
     """
 
     def __init__(
-        self, tools: MoveTools, source: Placement, attempt: ServerAttempt
+        self,
+        tools: MoveTools,
+        source: Placement,
+        attempt: ServerAttempt,
+        reason: MoveReason,
     ) -> None:
         """Prepare a move.
 
@@ -78,6 +83,7 @@
         self._tools = tools
         self._source = source
         self._attempt = attempt
+        self._reason = reason
         self._calls = KvCalls(tools.state.connections, tools.adapter)
         self._copies = HeldCopies(self._calls)
         self._slot = ExitStack()
@@ -203,7 +209,7 @@
         self._slot.callback(slots.release)
         server = choose_destination(
             self._source.candidate.server,
-            state.usable_servers(self._loop.time(), tools.plan.pool.name),
+            tools.destinations(self._loop.time(), self._reason),
             state.server_states.loads,
             tools.call.request_id,
         )
@@ -316,6 +322,7 @@
             'request': self._tools.call.request_id,
             'from': self._source.candidate.server.instance,
             'to': destination and destination.candidate.server.instance,
+            'reason': self._reason.value,
             'outcome': outcome.value,
             'cause': self._cause,
             'seconds': round(self._loop.time() - self._began_seconds, _DIGITS),
--- a/src/sardinetrack/relay/move_tools.py
+++ b/src/sardinetrack/relay/move_tools.py
@@ -7,8 +7,13 @@
 from sardinetrack.relay.api import CallerRequest, ProtocolAdapter
 from sardinetrack.relay.entry_state import EntryState
 from sardinetrack.relay.flow_control import FlowControl
+from sardinetrack.relay.move_reason import (
+    MoveReason,
+    engines_without_long_pauses,
+)
 from sardinetrack.relay.request_plan import Plan
 from sardinetrack.relay.server_choice import Placer
+from sardinetrack.topology.servers import BackendServer
 
 
 @dataclass(frozen=True, slots=True)
@@ -21,3 +26,19 @@
     plan: Plan
     placer: Placer
     flow: FlowControl
+
+    def destinations(
+        self, now: float, reason: MoveReason
+    ) -> list[BackendServer]:
+        """List the engines to which the stream may move, the source included.
+
+        :param now: on the clock of the event loop.
+        """
+        usable = self.state.usable_servers(now, self.plan.pool.name)
+        if reason is MoveReason.LEAVING:
+            return usable
+        return engines_without_long_pauses(
+            usable,
+            self.state.server_states.loads,
+            self.plan.route.event_gap_seconds,
+        )
--- a/src/sardinetrack/relay/stream_move.py
+++ b/src/sardinetrack/relay/stream_move.py
@@ -1,4 +1,4 @@
-"""Decisions about moving a stream off an engine that leaves.
+"""Decisions about moving a stream to another engine.
 
 When a stream is moved, to which server, in which steps, and what follows when a
 step fails. No I/O and no clock: the caller performs the steps and reports what
--- a/tests/relay/steps/stream_move_steps.py
+++ b/tests/relay/steps/stream_move_steps.py
@@ -16,6 +16,7 @@
 from tests.support.relay_world import RelayWorld, close_world, configuration
 
 from sardinetrack.placement.load import EstimatedLoad
+from sardinetrack.placement.step_pace import StepPace
 from sardinetrack.relay.metrics import entry_metrics, render_metrics
 from sardinetrack.relay.move_limit import MAX_MOVES
 from sardinetrack.relay.stream_move import MoveSchedule, choose_destination
@@ -150,6 +151,28 @@
     context.reply = context.world.run(play())
 
 
+@when('a caller requests a {route:S} whose engine causes long pauses')
+@when(
+    'a caller requests a {route:S} whose engine causes long pauses, and {why}'
+)
+def request_at_pauses(context, route, why=''):
+    loads = context.world.entry_state.server_states.loads
+
+    async def play():
+        call = await _begin(context, route)
+        for server in context.world.servers:
+            paused = server is context.source or 'too' in why
+            loads[server.instance] = EstimatedLoad(
+                recent_pause_seconds=0.5 if paused else 0,
+                pace=StepPace(1000 if 'short' in why else 0, 0.01, 0.1),
+            )
+        if 'known' in why:
+            loads.clear()
+        return await call
+
+    context.reply = context.world.run(play())
+
+
 @when(
     'a caller requests a {route:S} whose engine says in the response it leaves'
 )
--- a/tests/relay/stream_moves.feature
+++ b/tests/relay/stream_moves.feature
@@ -21,6 +21,21 @@
       | once-stream | is listed as leaving            |
       | once-stream | says in the response it leaves  |
       | stream      | is listed as leaving            |
+      | once-stream | causes long pauses              |
+
+  Scenario Outline: A stream stays where <why>
+    Guards against copies that help no caller.
+
+    Given a relay in front of 2 engines whose streams move
+    When a caller requests a once-stream whose engine causes long pauses, and <why>
+    Then the caller's stream is complete
+    And no engine was asked for a copy, and no move is reported
+
+    Examples:
+      | why                          |
+      | the other one does too       |
+      | its response is short        |
+      | the load of no one is known  |
 
   Scenario Outline: A step of a move fails
     Guards against a stream that is lost, run twice or truncated without need.
