--- a/tests/relay/stream_moves.feature
+++ b/tests/relay/stream_moves.feature
@@ -1,7 +1,8 @@
-Feature: Streams move off an engine that leaves
+Feature: Streams move to another engine
 
-  A leaving engine serves for 3 s and cuts what still runs. Where the pool's
-  engines can copy the KV cache of a run, its stream goes on elsewhere.
+  A leaving engine serves for 3 s and cuts what still runs, and long prompts at
+  an engine make its streams pause. Where the pool's engines can copy the KV
+  cache of a run, its stream goes on elsewhere.
 
   Scenario Outline: The caller gets every event once, and no engine runs it twice
     Guards against a piece that is lost or repeated when the stream changes its
