A stream that continues from a copy waits behind no prompt

Cause: the permit for a stream that continues was queued like one for a prompt. It prefills nothing, so nothing is ahead of it, and the engine admits it first.

Change: it is granted at once where a slot and room in the KV cache are free, else refused at once. Its workspace was charged where it began.

Before: the new scenario fails (queued behind the prompts). After: it passes.

--- a/src/sardinetrack/admission/prefill.py
+++ b/src/sardinetrack/admission/prefill.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Sequence
-from typing import Final
 
 from sardinetrack.admission.batch import BatchLimit
 from sardinetrack.admission.cold_start import ColdStartLimiter
@@ -28,15 +27,14 @@
 from sardinetrack.admission.usage import (
     EngineActivity,
     EngineUsage,
+    activity_with_queue,
     activity_without_queue,
 )
 from sardinetrack.admission.wait_estimate import WaitEstimate
-from sardinetrack.admission.waiting import WaitingRequest, WaitQueue, tokens_of
+from sardinetrack.admission.waiting import WaitingRequest, WaitQueue
 from sardinetrack.placement.step_pace import StepPace
 from sardinetrack.topology.cold import ColdPeriod
 
-_MIN_RETRY_SECONDS: Final = 0.25
-
 
 class PrefillAdmission:
     """Decides which request goes to the engine next; reads no clock."""
@@ -123,7 +121,7 @@
 
     @property
     def held_seconds(self) -> float:
-        """Mean time a request occupies its slot; 0 until one has ended."""
+        """Mean time of a request in its slot; 0 until one has ended."""
         return self._running.held_seconds
 
     @property
@@ -174,6 +172,8 @@
         self, now: float, request: AdmissionRequest
     ) -> Sequence[AdmissionDecision]:
         """Grant, refuse or queue a request for a permit."""
+        if request.is_continuation:
+            return (self._decide_continuation(now, request),)
         served = ((request.workspace, request.served_tokens),)
         self._order.update_served(now, request.entry, served)
         self.batch.requested(
@@ -189,6 +189,18 @@
         self._queue.put(WaitingRequest(request, now, now + max_wait_seconds))
         return self._grant_next(now)
 
+    def _decide_continuation(
+        self, now: float, request: AdmissionRequest
+    ) -> AdmissionDecision:
+        """Grant or refuse a stream that continues here, without a queue.
+
+        It prefills nothing and was charged where it began; behind others it
+        would pause.
+        """
+        if self._has_slot(now, request):
+            return self._grant(now, request)
+        return self._refusal(request, self.wait_seconds(now), float(0))
+
     def release(
         self,
         now: float,
@@ -245,21 +257,12 @@
         now: float,
         expired: Sequence[WaitingRequest],
     ) -> Sequence[AdmissionDecision]:
-        """Refuse one by one; a refused request no longer counts as ahead."""
-        late: list[AdmissionDecision] = []
-        queued_tokens = self._queue.tokens + tokens_of(expired)
-        queued = self.waiting + len(expired)
-        for one in expired:
-            queued_tokens -= one.request.prefill_tokens
-            queued -= 1
-            waited_seconds = now - one.queued_seconds
-            wait_seconds = self._waits.next_seconds(
-                now, QueuedAhead(queued_tokens, queued)
-            )
-            late.append(
-                self._refusal(one.request, wait_seconds, waited_seconds)
+        return [
+            self._refusal(one.request, wait_seconds, now - one.queued_seconds)
+            for one, wait_seconds in self._waits.of_expired(
+                now, self._queue, expired
             )
-        return late
+        ]
 
     def next_deadline_seconds(self, now: float) -> float | None:
         """Return when ``tick`` is due, on the monotonic clock.
@@ -296,17 +299,14 @@
         prefills = self.estimator.backlog_seconds(now) > 0
         if not self._queue.workspaces:
             return activity_without_queue(self.running, prefills=prefills)
-        if self._has_room(
-            now, self._queue.first(self._order.next_workspace(now))
-        ):
+        first = self._queue.first(self._order.next_workspace(now))
+        if self._has_room(now, first):
             return EngineActivity.SPACED
-        if prefills:
-            return EngineActivity.FULL
-        if not self.slots_left:
-            return EngineActivity.SLOTS_EXHAUSTED
-        if self.cold_start.is_limited(now):
-            return EngineActivity.COLD_START_LIMITED
-        return EngineActivity.MEMORY_EXHAUSTED
+        return activity_with_queue(
+            self.slots_left,
+            prefills=prefills,
+            cold=self.cold_start.is_limited(now),
+        )
 
     def _fits(self, now: float, request: AdmissionRequest) -> bool:
         if not self._has_room(now, request):
@@ -314,15 +314,16 @@
         return not self._spacing.wait_seconds(now, request.prefill_tokens)
 
     def _has_room(self, now: float, request: AdmissionRequest) -> bool:
+        if not self._has_slot(now, request):
+            return False
+        return not self.running or self._ahead.excess_seconds(now, request) <= 0
+
+    def _has_slot(self, now: float, request: AdmissionRequest) -> bool:
         if self.cold_start.free_at_seconds(now) > now:
             return False
         if not self._running:
             return True
-        if not self.slots_left:
-            return False
-        if not self._running.has_memory(request):
-            return False
-        return self._ahead.excess_seconds(now, request) <= 0
+        return self.slots_left > 0 and self._running.has_memory(request)
 
     def _grant(
         self, now: float, request: AdmissionRequest
@@ -345,9 +346,6 @@
         waited_seconds: float,
     ) -> Refused:
         self.usage.record_refusal(waited_seconds)
-        return Refused(
-            request.permit_id,
-            max(_MIN_RETRY_SECONDS, wait_seconds),
-            waited_seconds,
-            int(wait_seconds * self.rate_tokens),
+        return Refused.for_wait(
+            request.permit_id, wait_seconds, waited_seconds, self.rate_tokens
         )
--- a/src/sardinetrack/admission/request.py
+++ b/src/sardinetrack/admission/request.py
@@ -4,10 +4,11 @@
 
 import math
 from dataclasses import dataclass
-from typing import Final
+from typing import Final, Self
 
 _OUTPUT_WEIGHT: Final = 2.0
 """The platform's documentation counts generated tokens twice."""
+_MIN_RETRY_SECONDS: Final = 0.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,6 +51,11 @@
         """
         return self.first_event_due_seconds <= 0
 
+    @property
+    def is_continuation(self) -> bool:
+        """Whether its stream continues here from a copy of its KV cache."""
+        return not self.prefill_tokens and not self.output_tokens
+
     @property
     def cost(self) -> float:
         """Service that it receives, in tokens."""
@@ -73,5 +79,24 @@
     ahead_tokens: int
     """Prompt tokens to prefill before it."""
 
+    @classmethod
+    def for_wait(
+        cls,
+        permit_id: str,
+        wait_seconds: float,
+        waited_seconds: float,
+        rate_tokens: float,
+    ) -> Self:
+        """Refuse a request that would wait for so long.
+
+        :param rate_tokens: prompt tokens that the engine prefills a second.
+        """
+        return cls(
+            permit_id,
+            max(_MIN_RETRY_SECONDS, wait_seconds),
+            waited_seconds,
+            int(wait_seconds * rate_tokens),
+        )
+
 
 AdmissionDecision = Granted | Refused
--- a/src/sardinetrack/admission/usage.py
+++ b/src/sardinetrack/admission/usage.py
@@ -29,6 +29,19 @@
     the KV cache."""
 
 
+def activity_with_queue(
+    slots_left: int, *, prefills: bool, cold: bool
+) -> EngineActivity:
+    """Return what an engine does while the next request has no room there."""
+    if prefills:
+        return EngineActivity.FULL
+    if not slots_left:
+        return EngineActivity.SLOTS_EXHAUSTED
+    if cold:
+        return EngineActivity.COLD_START_LIMITED
+    return EngineActivity.MEMORY_EXHAUSTED
+
+
 def activity_without_queue(running: int, *, prefills: bool) -> EngineActivity:
     """Return what an engine does while no request waits for it.
 
--- a/src/sardinetrack/admission/wait_estimate.py
+++ b/src/sardinetrack/admission/wait_estimate.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator, Sequence
+
 from sardinetrack.admission.cold_start import ColdStartLimiter
 from sardinetrack.admission.order import QueuedAhead
 from sardinetrack.admission.pace import PrefillEstimator
@@ -9,6 +11,11 @@
 from sardinetrack.admission.request import AdmissionRequest
 from sardinetrack.admission.running import RunningRequests
 from sardinetrack.admission.spacing import PrefillSpacing
+from sardinetrack.admission.waiting import (
+    WaitingRequest,
+    WaitQueue,
+    tokens_of,
+)
 
 
 class WaitEstimate:
@@ -37,6 +44,25 @@
         )
         return self._longest(now, begins_seconds, queued)
 
+    def of_expired(
+        self,
+        now: float,
+        queue: WaitQueue,
+        expired: Sequence[WaitingRequest],
+    ) -> Iterator[tuple[WaitingRequest, float]]:
+        """Estimate how long each of some requests would have waited further.
+
+        They are refused one by one; a refused one no longer counts as ahead.
+
+        :param queue: without them.
+        """
+        tokens = queue.tokens + tokens_of(expired)
+        queued = len(queue) + len(expired)
+        for one in expired:
+            tokens -= one.request.prefill_tokens
+            queued -= 1
+            yield one, self.next_seconds(now, QueuedAhead(tokens, queued))
+
     def request_seconds(
         self, now: float, request: AdmissionRequest, queued: QueuedAhead
     ) -> float:
--- a/tests/admission/reading.feature
+++ b/tests/admission/reading.feature
@@ -265,3 +265,15 @@
     When workspace agency sends 2 requests of 5000 prompt tokens
     And the clock moves on by 0.2 seconds
     Then a decision is due now
+
+  Scenario: A stream that continues from a copy waits behind no prompt
+    It prefills nothing. Queued behind prompts it would pause for longer than
+    its route allows, or be refused where it could run.
+
+    Given an engine of 4 slots
+    When workspace agency sends 3 requests of 20000 prompt tokens
+    And a stream of pilot continues here
+    Then pilot is granted 1 permit
+    When 4 streams of pilot continue here
+    Then pilot is granted 3 permits
+    And the last stream of pilot was refused immediately
--- a/tests/admission/steps/reading_steps.py
+++ b/tests/admission/steps/reading_steps.py
@@ -345,3 +345,20 @@
     engine = context.engine
     due = engine.admission.next_deadline_seconds(engine.now)
     assert due == engine.now, due
+
+
+@when('a stream of {workspace} continues here')
+def continue_stream(context, workspace):
+    continue_streams(context, 1, workspace)
+
+
+@when('{count:d} streams of {workspace} continue here')
+def continue_streams(context, count, workspace):
+    for _ in range(count):
+        context.engine.request(workspace, 0, output_tokens=0)
+
+
+@then('the last stream of pilot was refused immediately')
+def refused_immediately(context):
+    last = list(context.engine.requests)[-1]
+    assert last in context.engine.refused
