One collector of a response serves the store and the calls to engines

kv_calls.py had a second one of the same shape. It lies in the relay, beside the connections that it is for; what is longer than a call allows is dropped as before. tests/relay, platform and store pass.

--- a/src/sardinetrack/admission/prefill.py
+++ b/src/sardinetrack/admission/prefill.py
@@ -253,9 +253,7 @@
         return (*late, *self._grant_next(now))
 
     def _refusals(
-        self,
-        now: float,
-        expired: Sequence[WaitingRequest],
+        self, now: float, expired: Sequence[WaitingRequest]
     ) -> Sequence[AdmissionDecision]:
         return [
             self._refusal(one.request, wait_seconds, now - one.queued_seconds)
--- a/src/sardinetrack/platform/store.py
+++ b/src/sardinetrack/platform/store.py
@@ -11,8 +11,8 @@
 
 import msgspec
 
-from sardinetrack.platform.response_collector import ResponseCollector
 from sardinetrack.relay.connection_pool import ConnectionPool, NotConnectedError
+from sardinetrack.relay.response_collector import ResponseCollector
 from sardinetrack.store.api import (
     CallRejectedError,
     ConflictError,
--- a/src/sardinetrack/relay/kv_calls.py
+++ b/src/sardinetrack/relay/kv_calls.py
@@ -16,7 +16,7 @@
     ConnectionPool,
     NotConnectedError,
 )
-from sardinetrack.relay.server_connection import BreakReason, ResponseSink
+from sardinetrack.relay.response_collector import ResponseCollector
 from sardinetrack.topology.servers import BackendServer
 
 COPY_SECONDS: Final = 1.0
@@ -66,10 +66,11 @@
         except (NotConnectedError, TimeoutError) as error:
             cause = str(error) or 'no response in time'
             return KvMoveReply(KvMoveResult.FAILED, cause=cause)
-        if reply.interrupted_by is not None:
-            cause = reply.interrupted_by.value
+        interrupted_by = reply.done.result()
+        if interrupted_by is not None:
+            cause = interrupted_by.value
             return KvMoveReply(KvMoveResult.FAILED, cause=cause)
-        return self._adapter.parse_kv_move(reply.status, bytes(reply.body))
+        return self._adapter.parse_kv_move(reply.status, reply.body)
 
     async def release(self, copy: KvSource) -> bool:
         """Free a copy at both engines.
@@ -81,12 +82,12 @@
             reply = await self._send(copy.server.address, call, RELEASE_SECONDS)
         except (NotConnectedError, TimeoutError):
             return False
-        return reply.interrupted_by is None
+        return reply.done.result() is None
 
     async def _send(
         self, address: Address, call: bytes, seconds: float
-    ) -> _Reply:
-        reply = _Reply()
+    ) -> ResponseCollector:
+        reply = ResponseCollector(_MAX_BODY_BYTES)
         async with (
             asyncio.timeout(seconds),
             self._connections.lease(
@@ -94,7 +95,7 @@
             ) as connection,
         ):
             connection.send(call, reply)
-            await reply.done.wait()
+            await reply.done
         return reply
 
 
@@ -135,40 +136,5 @@
                 self._copies.remove(copy)
 
 
-class _Reply(ResponseSink):
-    """Collects one response."""
-
-    def __init__(self) -> None:
-        self.done = asyncio.Event()
-        self.status = 0
-        self.body = bytearray()
-        self.interrupted_by: BreakReason | None = None
-
-    def head_received(
-        self,
-        status: int,
-        headers: list[tuple[bytes, bytes]],
-        *,
-        skippable: bool,
-    ) -> bool:
-        """Store the status."""
-        self.status = status
-        return False
-
-    def body_received(self, piece: bytes) -> None:
-        """Store what a response to such a call may contain."""
-        if len(self.body) <= _MAX_BODY_BYTES:
-            self.body += piece
-
-    def completed(self) -> None:
-        """End the wait."""
-        self.done.set()
-
-    def interrupted(self, reason: BreakReason) -> None:
-        """End the wait; the response stays incomplete."""
-        self.interrupted_by = reason
-        self.done.set()
-
-
 def _keep_none() -> float:
     return 0
