The soak covers engine reports and streams that move

Cause: the soak's engines answered neither reports nor the calls that move a stream, so both parts ran under no overlapping faults.

Change: the engines answer GET /v1/report, POST /v1/kv-move, Kv-From and DELETE /v1/kv-handle. A fifth of the reports is late or cut, a fifth of the copies fails (busy, full, late, response lost) and a fifth of the continuations is refused, drawn from the seed. Sides name their engine (app), the service says moves, streams take 2.4 s, and servers that drain serve for 3 s; half of them also announce it. At the end the engine with most streams leaves without other faults. New checks: no copy is left, and no two engines work on one stream for longer than 0.4 s. A continuation resumes after the last event that the source made, so a request that is sent too early lacks an event.

Ruled out: a copy that no entry can know of (its response was late or lost) counts as left; it expires by design. Copies made under faults may expire too, 5 s after the run.

--- a/benchmarks/soak/__main__.py
+++ b/benchmarks/soak/__main__.py
@@ -18,6 +18,8 @@
 """Time after the last fault for restarts, circuit breakers and caches of both
 ends to settle."""
 _MIN_SERVED_FRACTION = 0.9
+_RELEASE_SECONDS = 0.5
+"""Time to free the copies after the callers have gone; entries wait 0.3 s."""
 
 
 async def soak(seed: int, seconds: float) -> list[str]:
@@ -26,7 +28,7 @@
     :return: the violated guarantees, one text each.
     """
     net = free_net(seed + os.getpid())
-    async with World(net, entries=3, models=3, plain=2) as world:
+    async with World(net, seed) as world:
         await asyncio.sleep(START_SECONDS)
         log = ResponseLog()
         faults = Faults(world, seed)
@@ -36,16 +38,22 @@
         ]
         await faults.run(seconds)
         await asyncio.sleep(SETTLE_SECONDS)
+        # Nothing else disturbs the moves whose copies are checked below.
+        busiest = max(world.engines, key=lambda one: len(one.running()))
+        world.list_server(busiest, 'draining')
         served = await _served_fraction(log)
         for task in callers:
             task.cancel()
         await asyncio.gather(*callers, return_exceptions=True)
+        await asyncio.sleep(_RELEASE_SECONDS)
         log.check(world.runs)
+        log.violations.extend(world.moves.violations())
         log.violations.extend(await world.uncounted_streams())
         log.violations.extend(world.runs_after_revocation())
         responses = dict(log.responses.most_common())
         sys.stdout.write(
             f'seed {seed}: {len(faults.done)} faults, told {responses},'
+            f' moves {dict(world.moves.counts)},'
             f' slowest {log.slowest_seconds:.1f} s\n',
         )
         if served < _MIN_SERVED_FRACTION:
--- a/benchmarks/soak/callers.py
+++ b/benchmarks/soak/callers.py
@@ -19,6 +19,7 @@
 KEYS = ('key-0', 'key-0', 'key-1', 'key-2', 'key-3')
 _MAX_WAIT_SECONDS = 8.0
 _MAX_WAIT_MILLISECONDS = 8000
+_Connection = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 
 
 @dataclass(slots=True)
@@ -56,10 +57,7 @@
         self._log = log
         self._rng = Random(seed)
         self._names = (f'q{seed}-{number}' for number in count())
-        self._connection: (
-            tuple[asyncio.StreamReader, asyncio.StreamWriter] | None
-        )
-        self._connection = None
+        self._connection: _Connection | None = None
 
     async def run(self) -> None:
         """Send requests until cancelled."""
@@ -79,19 +77,12 @@
             self._close()
             self._log.responses['no answer'] += 1
             return
-        took_seconds = loop.time() - began
-        slowest = max(self._log.slowest_seconds, took_seconds)
+        slowest = max(self._log.slowest_seconds, loop.time() - began)
         self._log.slowest_seconds = slowest
         self._check(name, route, status, body, complete=complete)
 
     def _check(
-        self,
-        name: str,
-        route: str,
-        status: int,
-        body: bytes,
-        *,
-        complete: bool,
+        self, name: str, route: str, status: int, body: bytes, *, complete: bool
     ) -> None:
         log = self._log
         end = 'whole' if complete else 'cut'
@@ -116,19 +107,15 @@
         status = int(head.split(' ')[1])
         length = re.search(r'content-length: (\d+)', head)
         if length:
-            body, complete = (
-                await reader.readexactly(int(length.group(1))),
-                True,
-            )
+            complete = True
+            body = await reader.readexactly(int(length.group(1)))
         else:
             body, complete = await _chunks(reader)
         if not complete or 'connection: close' in head:
             self._close()
         return status, body, complete
 
-    async def _connected(
-        self,
-    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    async def _connected(self) -> _Connection:
         if self._connection is None or not self._rng.randrange(10):
             self._close()
             entry = self._rng.choice(self._world.entries)
@@ -156,7 +143,7 @@
             key = self._rng.choice(KEYS)
             lines.extend(
                 (
-                    'X-Sardinetrack-Token-Count: 900,60',
+                    'X-Sardinetrack-Token-Count: 900,300',
                     f'X-Sardinetrack-Prefix-Hash: p{prefix}:600,{name}:300',
                     f'Authorization: Bearer {key}',
                 ),
--- a/benchmarks/soak/engine.py
+++ b/benchmarks/soak/engine.py
@@ -3,12 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import Counter
+from dataclasses import dataclass, field
+from itertools import combinations
+from random import Random
 
+from tests.support.moving_servers import MovingServer
 from tests.support.relay_servers import ScriptedServer
 
-EVENTS = 12
+EVENTS = 60
+"""Some streams outlast the 1 s after which they move off a leaving engine."""
 EVENT_SECONDS = 0.04
+_MAX_OVERLAP_SECONDS = 0.4
+_RETENTION_SECONDS = 5.0
+_FAULT_FRACTION = 0.2
 
 
 class SoakServer(ScriptedServer):
@@ -55,10 +64,9 @@
             writer.write(b'HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n')
             return
         rest_seconds = self.rest_until_seconds - _now()
-        if rest_seconds > 0:
-            self._turn_away(fields, writer, rest_seconds)
+        if rest_seconds > 0 or not self._admits(fields):
+            self._turn_away(fields, writer, max(0, rest_seconds))
             return
-        self.runs[fields['x-sardinetrack-request-id']] += 1
         workspace = fields.get('x-sardinetrack-tenant', '')
         self.run_starts.append((_now(), workspace))
         if self.fails:
@@ -71,8 +79,11 @@
             if self.responds_twice:
                 self._late[writer] = response
             return
-        await self._stream(fields, writer, EVENTS)
-        writer.write(b'0\r\n\r\n')
+        await self._stream_run(fields, reader, writer)
+
+    def _admits(self, fields):
+        self.runs[fields['x-sardinetrack-request-id']] += 1
+        return True
 
     def _turn_away(self, fields, writer, rest_seconds):
         request_id = fields['x-sardinetrack-request-id']
@@ -96,5 +107,155 @@
         return name.encode()
 
 
+@dataclass(eq=False, slots=True)
+class Run:
+    """The work of an engine on a stream, and the copy of its KV cache."""
+
+    request_id: str
+    name: str
+    engine: str
+    made: int
+    began_seconds: float
+    ended_seconds: float = math.inf
+    holders: frozenset[str] = frozenset()
+    """Addresses of the engines that hold the copy, if there is one."""
+
+
+@dataclass
+class Moves:
+    """The runs of all engines; the index of a run is the handle of its copy."""
+
+    runs: list[Run] = field(default_factory=list)
+    counts: Counter[str] = field(default_factory=Counter)
+    """Injected failures, continued streams and freed copies."""
+
+    def violations(self) -> list[str]:
+        """Describe the copies that are left and the runs that overlap."""
+        now = _now()
+        found = [
+            f'a copy is left of {run}'
+            for run in self.runs
+            if run.holders and now < run.ended_seconds + _RETENTION_SECONDS
+        ]
+        for one, other in combinations(self.runs, 2):
+            if one.name == other.name and one.engine != other.engine:
+                end = min(one.ended_seconds, other.ended_seconds, now)
+                if end - other.began_seconds > _MAX_OVERLAP_SECONDS:
+                    found.append(f'two engines work at once: {one}, {other}')
+        return found
+
+
+class SoakEngine(SoakServer, MovingServer):
+    """Fails some reports, copies and continuations, drawn from a seed."""
+
+    def __init__(
+        self, address: str, runs: Counter[str], moves: Moves, seed: int
+    ) -> None:
+        """Build an engine that is not started."""
+        ip, port = address.split(':')
+        super().__init__(ip, 'models', runs)
+        self.port = int(port)
+        self._address = address
+        self._moves = moves
+        self._rng = Random(f'{seed} {ip}')  # noqa: S311
+
+    async def _perform(self, request, reader, writer):
+        if request[0].startswith(b'GET /v1/report '):
+            await self._report(writer)
+            return
+        await super()._perform(request, reader, writer)
+        while self.freed:
+            self._moves.runs[int(self.freed.pop())].holders = frozenset()
+            self._moves.counts['freed'] += 1
+
+    def _draw(self, *faults):
+        failing = self._rng.random() < _FAULT_FRACTION
+        fault = self._rng.choice(faults) if failing else 'none'
+        self._moves.counts[fault] += 1
+        return fault
+
+    def running(self) -> list[Run]:
+        """Return the runs that have not ended."""
+        runs = (one for one in self._moves.runs if one.engine == self.instance)
+        return [one for one in runs if one.ended_seconds > _now()]
+
+    async def _report(self, writer):
+        fault = self._draw('late report', 'cut report')
+        if fault == 'late report':
+            await asyncio.sleep(0.4)  # Sides wait for 0.3 s.
+        if fault == 'cut report':
+            writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{')
+            writer.close()
+            return
+        running = self.running()
+        runs = [
+            (one.request_id, 900 + 5 * one.made, one.made, 0)
+            for one in running
+            if one.made
+        ]
+        report = {'queued': 0, 'active': len(running), 'runs': runs}
+        self._reply(writer, '200 OK', report)
+
+    async def _copy(self, call, writer):
+        await asyncio.sleep(EVENT_SECONDS)
+        fault = self._draw('busy', 'full', 'late', 'lost')
+        runs = [one for one in self.running() if one.request_id == call['id']]
+        if not runs or fault == 'busy':
+            self._reply(writer, '409 Conflict' if runs else '404 Not Found', {})
+            return
+        if 'last' in call:
+            runs[0].ended_seconds = _now()
+        elif fault == 'full':
+            self._reply(writer, '503 Full', {})
+            return
+        await self._hold(runs[0], call['to'], fault, writer)
+
+    async def _hold(self, run, destination, fault, writer):
+        # If nobody learns the handle in time, the copy may expire.
+        run.holders = frozenset()
+        if fault in {'late', 'lost'}:
+            await asyncio.sleep(1.2 if fault == 'late' else 0)
+            writer.transport.abort()
+            return
+        kept = self._address if fault == 'full' else destination
+        run.holders = frozenset((self._address, kept))
+        status = '503 Full' if fault == 'full' else '200 OK'
+        handle = str(self._moves.runs.index(run))
+        self._reply(writer, status, {'kvHandle': handle})
+
+    def _admits(self, fields):
+        if 'kv-from' not in fields:
+            return super()._admits(fields)
+        run = self._moves.runs[int(fields['kv-from'].rpartition('/')[2])]
+        if self._address not in run.holders or self._draw('refused') != 'none':
+            return False
+        run.holders = frozenset()
+        self._moves.counts['continued'] += 1
+        # A request that is sent too early lacks an event.
+        fields['last-event-id'] = run.made
+        return True
+
+    async def _stream_run(self, fields, reader, writer):
+        request_id = fields['x-sardinetrack-request-id']
+        made = int(fields.get('last-event-id', 0))
+        name = self._mark(fields).decode()
+        run = Run(request_id, name, self.instance, made, _now())
+        self._moves.runs.append(run)
+        head = self._head(fields, '200 OK')
+        writer.write(f'{head}Transfer-Encoding: chunked\r\n\r\n'.encode())
+        try:
+            while run.made < EVENTS:
+                event = await self._event(fields, run.made + 1)
+                if run.ended_seconds <= _now() or reader.at_eof():
+                    writer.close()
+                    return
+                run.made += 1
+                writer.write(b'%x\r\n%b\r\n' % (len(event), event))
+                await writer.drain()
+        finally:
+            run.ended_seconds = min(run.ended_seconds, _now())
+        writer.write(b'0\r\n\r\n')
+
+
 def _now():
     return asyncio.get_running_loop().time()
--- a/benchmarks/soak/faults.py
+++ b/benchmarks/soak/faults.py
@@ -15,6 +15,10 @@
 and time to check that it did."""
 
 
+_LEAVING_SECONDS = 3.0
+"""How long leaving servers serve."""
+
+
 class Faults:
     """Injects faults one after the other, without waiting for their ends."""
 
@@ -33,6 +37,7 @@
             self._stop,
             self._crash_server,
             self._replace_server,
+            self._replace_server,
             self._respond_twice,
             self._fail_requests,
             self._ask_for_rest,
@@ -78,10 +83,13 @@
             await self._crash(server, self._rng.uniform(0.1, 2))
 
     async def _replace_server(self) -> None:
-        server = self._rng.choice(self._world.servers)
+        # Engines more often: their streams move.
+        server = self._rng.choice(self._world.servers + self._world.engines)
         async with server.restart_lock:
+            server.notices.leaving = self._rng.choice((True, False))
             self._world.list_server(server, 'draining')
-            await asyncio.sleep(2.5)
+            await asyncio.sleep(_LEAVING_SECONDS)
+            server.notices.leaving = False
             await self._crash(server, 0)
 
     async def _crash(self, server: SoakServer, down_seconds: float) -> None:
--- a/benchmarks/soak/world.py
+++ b/benchmarks/soak/world.py
@@ -17,7 +17,7 @@
 
 from tests.support.object_store import ObjectStore
 
-from benchmarks.soak.engine import SoakServer
+from benchmarks.soak.engine import Moves, SoakEngine, SoakServer
 from sardinetrack.platform.settings import METRICS_PORT
 from sardinetrack.standin.tcp_proxy import TcpProxy, open_proxy
 
@@ -32,6 +32,7 @@
 _READY_PORT = 18780
 _TURNS_PORT = 18700
 _LAST_PORT = 18715
+_ENGINE_PORT = 18790
 
 
 def free_net(first: int) -> int:
@@ -98,20 +99,12 @@
 class World:
     """Entries, sides, servers and the store of one run."""
 
-    def __init__(
-        self,
-        net: int,
-        entries: int,
-        models: int,
-        plain: int,
-    ) -> None:
+    def __init__(self, net: int, seed: int) -> None:
         """Assign the addresses.
 
         :param net: second octet of the loopback addresses; runs with
             different ones don't interfere.
-        :param entries: number of entries.
-        :param models: number of model servers, each with a side.
-        :param plain: number of plain servers.
+        :param seed: seed of the failures of the engines.
         """
         self._net = net
         self._store_ip = f'127.{net}.0.1'
@@ -126,11 +119,17 @@
         self.folder = tempfile.TemporaryDirectory()
         self.version = 1
         self.keys = {f'key-{number}': f'w{number}' for number in range(4)}
-        self.entries = self._processes('entry', f'127.{net}.1', entries)
-        self.sides = self._processes('side', f'127.{net}.2', models)
+        self.entries = self._processes('entry', f'127.{net}.1')
+        self.sides = self._processes('side', f'127.{net}.2')
+        self.moves = Moves()
+        self.engines = [
+            SoakEngine(f'{side.ip}:{_ENGINE_PORT}', self.runs, self.moves, seed)
+            for side in self.sides
+        ]
         self.servers = [
-            *self._servers('models', f'127.{net}.2', models),
-            *self._servers('plain', f'127.{net}.3', plain),
+            *self.engines,
+            SoakServer(f'127.{net}.3.1', 'plain', self.runs),
+            SoakServer(f'127.{net}.3.2', 'plain', self.runs),
         ]
         self._tasks: list[asyncio.Task[None]] = []
         self._stack = AsyncExitStack()
@@ -144,16 +143,12 @@
             self.list_server(server)
         for process in (*self.entries, *self.sides):
             await self._open_proxy(process)
-            task = asyncio.create_task(process.keep_running())
-            self._tasks.append(task)
+            self._tasks.append(asyncio.create_task(process.keep_running()))
         return self
 
     async def _open_proxy(self, process: Process) -> None:
         proxy = open_proxy(
-            self._store_ip,
-            _STORE_PORT,
-            ip=process.store_ip,
-            port=_STORE_PORT,
+            self._store_ip, _STORE_PORT, ip=process.store_ip, port=_STORE_PORT
         )
         self.store_proxies.append(await self._stack.enter_async_context(proxy))
 
@@ -199,6 +194,7 @@
     def configure(self) -> None:
         """Write a new version of the configuration to the store."""
         self.version += 1
+        engine = {'slots': 16, 'kvCapacity': 200_000, 'moves': True}
         tenants = [
             {'name': name, 'apiKeys': [key]} for key, name in self.keys.items()
         ]
@@ -214,10 +210,7 @@
                     _route('report', 'non_idempotent', 'plain'),
                 ],
                 'services': [
-                    {
-                        'name': 'models',
-                        'engine': {'slots': 16, 'kvCapacity': 200_000},
-                    },
+                    {'name': 'models', 'engine': engine},
                     {'name': 'plain'},
                 ],
                 'tenants': tenants,
@@ -241,7 +234,7 @@
             },
         )
 
-    def _processes(self, role: str, net: str, count: int) -> list[Process]:
+    def _processes(self, role: str, net: str) -> list[Process]:
         third = 4 if role == 'entry' else 5
         return [
             Process(
@@ -250,13 +243,7 @@
                 f'127.{self._net}.{third}.{number}',
                 self.folder.name,
             )
-            for number in range(1, count + 1)
-        ]
-
-    def _servers(self, pool: str, net: str, count: int) -> list[SoakServer]:
-        return [
-            SoakServer(f'{net}.{number}', pool, self.runs)
-            for number in range(1, count + 1)
+            for number in range(1, 4)
         ]
 
 
@@ -273,11 +260,7 @@
 
 
 def _route(
-    name: str,
-    kind: str,
-    pool: str,
-    *,
-    resumes: bool = False,
+    name: str, kind: str, pool: str, *, resumes: bool = False
 ) -> dict[str, object]:
     return {
         'name': name,
@@ -303,6 +286,7 @@
         f'nodeName = "{role}-{ip}"',
         f'ip = "{ip}"',
         'zone = "a"',
+        *(() if role == 'entry' else (f'app = "{ip}:{_ENGINE_PORT}"',)),
         f'internalPortRange = [{_TURNS_PORT}, {_LAST_PORT}]',
         '[listenAddresses]',
         *(listens if role == 'entry' else ()),
