Lines and metrics show software versions, and what continues a stream

- server_listed and request_sent have the version of the server's software; request_sent also the event after which the stream continues and the request that its caller says began it. stream_moved has both versions.
- sardinetrack_streams_continued_total counts retries within a response, moves and take-ups.

No decision reads any of it yet. BackendServer keeps the version, which was decoded and dropped.

--- a/src/sardinetrack/platform/protocol_adapter.py
+++ b/src/sardinetrack/platform/protocol_adapter.py
@@ -105,6 +105,7 @@
             api_key=_bearer_token(fields.get(b'authorization', b'')),
             prompt=_parse_prompt(fields),
             last_event_id=_parse_integer(fields.get(b'last-event-id')),
+            resumes=fields.get(b'resumes', b'').decode(_ENCODING) or None,
         )
 
     def encode_request(
--- a/src/sardinetrack/platform/servers.py
+++ b/src/sardinetrack/platform/servers.py
@@ -68,4 +68,5 @@
         else decoded.born,
         revision=revision,
         cold_seconds=decoded.warmup_left_ms / _MILLISECONDS,
+        version=decoded.version,
     )
--- a/src/sardinetrack/relay/api.py
+++ b/src/sardinetrack/relay/api.py
@@ -34,6 +34,9 @@
     prompt: Prompt
     last_event_id: int | None = None
     """The caller already has the events up to this number."""
+    resumes: str | None = None
+    """The request that brought the first event of the stream that this one
+    continues, by its id; ``None`` if it continues none."""
     closes_connection: bool = False
     """The caller asked to close the connection after the response."""
 
--- a/src/sardinetrack/relay/feed_listeners.py
+++ b/src/sardinetrack/relay/feed_listeners.py
@@ -187,6 +187,7 @@
                 server=server.instance,
                 pool=server.pool,
                 address=f'{server.ip}:{server.port}',
+                version=listed.version,
                 leaving=listed.leaving,
                 revision=stored.version,
             )
--- a/src/sardinetrack/relay/meters.py
+++ b/src/sardinetrack/relay/meters.py
@@ -24,6 +24,17 @@
     PAUSE = 'pause'
 
 
+class Continuation(StrEnum):
+    """What continues a stream of which its caller has a part."""
+
+    RETRY = 'retry'
+    """Another attempt within the same response."""
+    MOVE = 'move'
+    """A copy of its KV cache, or the engine that has kept it."""
+    TAKE_UP = 'take_up'
+    """A new request of the caller."""
+
+
 class Histogram:
     """Counts amounts by bucket: seconds, unless other bounds are given."""
 
@@ -45,9 +56,20 @@
         self.first_event = Histogram()
         self.late = Counter(dict.fromkeys(LateCause, 0))
         """By cause; a stream that was late for both counts for both."""
+        self.continued = Counter(dict.fromkeys(Continuation, 0))
+        """Sends that continue a stream after an event, by what does."""
         self.pause_ratios: dict[str, Histogram] = {}
         """Longest pause of a stream to the objective, by route."""
 
+    def count_continued(self, *, first: bool, moves: bool) -> None:
+        """Count a send that continues a stream after an event.
+
+        :param first: the request has not been sent before.
+        :param moves: the run is moved.
+        """
+        way = Continuation.TAKE_UP if first else Continuation.RETRY
+        self.continued[Continuation.MOVE if moves else way] += 1
+
     def add_pause(self, route: str, ratio: float) -> None:
         """Count the longest pause of a stream that has ended.
 
--- a/src/sardinetrack/relay/metrics.py
+++ b/src/sardinetrack/relay/metrics.py
@@ -79,6 +79,11 @@
         'late_streams', 'Streams by why they were late', streams.late
     )
     yield _pause_ratios(streams.pause_ratios)
+    yield _counter(
+        'streams_continued',
+        'Sends that continue a stream after an event, by what does',
+        streams.continued,
+    )
     yield _counter(
         'stream_moves',
         'Moves of streams to other engines, by how they ended',
--- a/src/sardinetrack/relay/move_steps.py
+++ b/src/sardinetrack/relay/move_steps.py
@@ -322,6 +322,8 @@
             'request': self._tools.call.request_id,
             'from': self._source.candidate.server.instance,
             'to': destination and destination.candidate.server.instance,
+            'from_version': self._source.candidate.server.version,
+            'to_version': destination and destination.candidate.server.version,
             'reason': self._reason.value,
             'outcome': outcome.value,
             'cause': self._cause,
--- a/src/sardinetrack/relay/sender.py
+++ b/src/sardinetrack/relay/sender.py
@@ -176,7 +176,7 @@
             self._call,
             self._sending(plan, server, attempt, mode),
         )
-        self._log_sent(plan, placement, mode)
+        self._log_sent(plan, placement, attempt, mode)
         self.attempt = attempt
         load = self._state.server_states.load(server)
         load.added_tokens += candidate.prefill_tokens
@@ -233,10 +233,18 @@
         )
 
     def _log_sent(
-        self, plan: Plan, placement: Placement, mode: SendMode
+        self,
+        plan: Plan,
+        placement: Placement,
+        attempt: ServerAttempt,
+        mode: SendMode,
     ) -> None:
         state, trace = self._state, self._trace
         candidate = placement.candidate
+        if attempt.last_event is not None:
+            state.meters.streams.count_continued(
+                first=not trace.sent, moves=mode.kv_source is not None
+            )
         if not trace.sent:
             state.budget(plan.pool.name).deposit()
         trace.servers.append(candidate.server.instance)
@@ -246,6 +254,9 @@
             Event.REQUEST_SENT,
             request=self._call.request_id,
             server=candidate.server.instance,
+            version=candidate.server.version,
+            after_event=attempt.last_event,
+            resumes=self._call.resumes,
             pool=plan.pool.name,
             workspace=plan.workspace_name,
             send=trace.sent,
--- a/src/sardinetrack/topology/servers.py
+++ b/src/sardinetrack/topology/servers.py
@@ -43,6 +43,8 @@
     """Of the store when the record was written; 0 if unknown."""
     cold_seconds: float = 0
     """How long it was still cold when the record was written."""
+    version: str = ''
+    """Of its software; empty if unknown."""
 
     @property
     def address(self) -> tuple[str, int]:
--- a/tests/support/relay_servers.py
+++ b/tests/support/relay_servers.py
@@ -62,6 +62,9 @@
     An act is the name of a method without its underscore.
     """
 
+    ip = '127.0.0.1'
+    version = ''
+
     def __init__(self, instance):
         self.instance = instance
         self.acts = deque()
@@ -80,10 +83,10 @@
         # Sent on the same connection before the response to its next request.
         self._late = {}
 
-    async def open(self, ip='127.0.0.1'):
+    async def open(self, ip=None):
         self._server = await asyncio.start_server(
             self._serve,
-            ip,
+            ip or self.ip,
             self.port,
         )
         self.port = self._server.sockets[0].getsockname()[1]
--- a/tests/support/relay_world.py
+++ b/tests/support/relay_world.py
@@ -162,25 +162,30 @@
         self.list_servers()
 
     def list_servers(self, leaving=(), started=None, revision=0):
-        self.entry_state.servers.replace(
-            boot_clock(),
-            [
-                BackendServer(
-                    server.instance,
-                    server.pool,
-                    _IP,
-                    server.port,
-                    server.failure_domain,
-                    8,
-                    server.instance in leaving,
-                    started,
-                    revision,
-                    server.cold_seconds,
-                )
-                for server in self.servers
-            ],
-        )
-        self.entry_state.apply_server_changes()
+        listed = [
+            BackendServer(
+                server.instance,
+                server.pool,
+                server.ip,
+                server.port,
+                server.failure_domain,
+                8,
+                server.instance in leaving,
+                started,
+                revision,
+                server.cold_seconds,
+                server.version,
+            )
+            for server in self.servers
+        ]
+        for state in self.entry_states:
+            state.servers.replace(boot_clock(), listed)
+            state.apply_server_changes()
+
+    @property
+    def entry_states(self):
+        """The states of all entries that run."""
+        return [self.entry_state]
 
     async def call(
         self,
--- /dev/null
+++ b/tests/support/version_world.py
@@ -0,0 +1,202 @@
+"""Entries, and sides of engines whose software versions differ, on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+from contextlib import AsyncExitStack, suppress
+from dataclasses import replace
+from itertools import count
+
+from sardinetrack.platform.protocol_adapter import PlatformProtocolAdapter
+from sardinetrack.relay.entry import Entry
+from sardinetrack.relay.entry_state import EntryState
+from sardinetrack.topology.freshness import boot_clock
+from sardinetrack.turns.side import SideServer
+from sardinetrack.views.watcher import FeedFactory, Watcher
+from tests.support.example_settings import node_settings
+from tests.support.held_requests import until
+from tests.support.moving_servers import MovingServer
+from tests.support.relay_world import KEY, RelayWorld, configuration
+
+_NETS = count(1)
+
+
+class _NoFeeds(FeedFactory):
+    """No store is watched here."""
+
+    def create_feeds(self, mirrors):
+        return []
+
+
+class VersionedEngine(MovingServer):
+    """Writes its software version into each event."""
+
+    async def _perform(self, request, reader, writer):
+        expected = request[1].get('x-sardinetrack-expect-instance')
+        if expected not in {None, self.instance}:
+            await self._misdirect(request[1], reader, writer)
+            return
+        await super()._perform(request, reader, writer)
+
+    async def _event(self, fields, number):
+        return b'id: %d\ndata: %b\n\n' % (number, self.version.encode())
+
+    async def crash(self):
+        """End, and cut everything."""
+        await self._crash(None, None, None)
+
+
+class CallerStream:
+    """What one caller has of one stream, over all its requests."""
+
+    def __init__(self, number):
+        self.first_request = f'q{number}'
+        self.prefix = f'a{number}:400,b{number}:20'
+        self.raw = b''
+        self.statuses = []
+        self.complete = False
+
+    @property
+    def versions(self):
+        return set(re.findall(rb'data: (\w+)', self.raw))
+
+    @property
+    def numbers(self):
+        return [int(one) for one in re.findall(rb'id: (\d+)', self.raw)]
+
+    def request(self, number):
+        """Return the request that begins the stream, or continues it."""
+        lines = [
+            'POST /stream/s HTTP/1.1',
+            'Host: h.example',
+            'Content-Length: 0',
+            'Connection: close',
+            'X-Sardinetrack-Token-Count: 420,40',
+            f'X-Sardinetrack-Prefix-Hash: {self.prefix}',
+            f'Authorization: Bearer {KEY}',
+        ]
+        request_id = f'{self.first_request}.{number}'
+        if self.numbers:
+            lines.append(f'Resumes: {self.first_request}')
+            lines.append(f'Last-Event-Id: {self.numbers[-1]}')
+        else:
+            self.first_request = request_id
+        lines.append(f'X-Sardinetrack-Request-Id: {request_id}')
+        return '\r\n'.join((*lines, '', '')).encode()
+
+
+class VersionWorld(RelayWorld):
+    """Several entries, connected to a side beside each engine."""
+
+    def __init__(self):
+        super().__init__()
+        self.server_type = VersionedEngine
+        self.entries = []
+        self.sides = {}
+        """By the instance of the engine."""
+        self._stack = AsyncExitStack()
+        self._net = f'127.7.{next(_NETS)}'
+        VersionedEngine.copies.clear()
+
+    @property
+    def entry_states(self):
+        return [state for _, state in self.entries]
+
+    async def open_fleet(self, versions, entries=2):
+        """Start an engine and a side for each version, and the entries."""
+        turns_port = 0
+        for number, version in enumerate(versions):
+            engine = self.server_type(f'i-{number}')
+            engine.pool = 'models'
+            engine.version = version
+            engine.ip = f'{self._net}.{number + 1}'
+            await engine.open()
+            self.servers.append(engine)
+            side = await self._open_side(engine, turns_port)
+            turns_port = side.port
+        for number in range(entries):
+            await self._open_entry(number, turns_port)
+        self.list_servers()
+        await self.wait_linked()
+
+    async def wait_linked(self):
+        """Wait until each entry is connected to the sides that run."""
+        await until(
+            lambda: all(
+                len(state.sides.live) == len(self.sides)
+                for state in self.entry_states
+            )
+        )
+
+    async def kill_entry(self, number):
+        """End an entry with all its connections at once."""
+        entry, _ = self.entries.pop(number)
+        for connection in list(entry._connections):  # noqa: SLF001
+            connection.close()
+        await entry.__aexit__(None, None, None)
+
+    async def kill_side(self, engine):
+        """End the side of an engine."""
+        await self.sides.pop(engine.instance).__aexit__(None, None, None)
+
+    def begin(self, number):
+        """Request a stream at an entry; return what its caller has of it."""
+        stream = CallerStream(number)
+        return stream, asyncio.ensure_future(self.read(stream, 0))
+
+    async def read(self, stream, entry=0, max_events=10_000):
+        """Request a stream, or take it up, and read what comes of it."""
+        port = self.entries[entry][0].port
+        reader, writer = await asyncio.open_connection('127.0.0.1', port)
+        writer.write(stream.request(len(stream.statuses)))
+        stream.statuses.append(0)
+        answer = b''
+        before = stream.raw
+        with suppress(ConnectionError):
+            while piece := await reader.read(65_536):
+                answer += piece
+                head, _, body = answer.partition(b'\r\n\r\n')
+                stream.statuses[-1] = int(head.split()[1]) if body else 0
+                # An event that is cut off was not received.
+                whole = body.rpartition(b'\n\n')
+                stream.raw = before + whole[0] + whole[1]
+                stream.complete = answer.endswith(b'0\r\n\r\n')
+                if len(stream.numbers) >= max_events:
+                    break
+        writer.close()
+        return answer
+
+    async def close(self):
+        for entry, _ in self.entries:
+            await entry.__aexit__(None, None, None)
+        for side in self.sides.values():
+            await side.__aexit__(None, None, None)
+        for server in self.servers:
+            await server.close()
+        await self._stack.aclose()
+        rest = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in rest:
+            task.cancel()
+        await asyncio.gather(*rest, return_exceptions=True)
+
+    async def _open_side(self, engine, port):
+        watcher = Watcher(_NoFeeds(), (), self.log)
+        side = SideServer((engine.ip, port), watcher, self.log)
+        self.sides[engine.instance] = await side.__aenter__()
+        return side
+
+    async def _open_entry(self, number, turns_port):
+        settings = node_settings(
+            instance=f'entry-{number}', turns_port=turns_port
+        )
+        state = EntryState(settings, self.log)
+        held = configuration(timeout_seconds=6.0)
+        models = replace(held.pools['models'], slots=200, moves=True)
+        models = replace(models, memory_tokens=2_000_000)
+        state.configuration = replace(
+            held, pools={**held.pools, 'models': models}
+        )
+        state.freshness.confirm(boot_clock())
+        entry = Entry(state, PlatformProtocolAdapter(), None)
+        self.entries.append((await entry.__aenter__(), state))
