Failing test: streams that continue at another software version

Two entries, three engines (two of v1, one of v2) and a side beside each, in one process; 20 streams are interrupted at an engine of v1 in four ways.

An engine leaves in three of the ways because requests with one shared prefix go to one home server, which hides the fault as long as that server is well.

--- a/tests/relay/software_versions.feature
+++ b/tests/relay/software_versions.feature
@@ -3,6 +3,19 @@
   Engines of several software versions serve one pool. What two versions
   generate does not fit together, and no engine checks who continues a stream.
 
+  Scenario: No way of continuing a stream mixes two software versions
+    Guards against complete responses that consist of two versions' events.
+
+    When 20 streams at engines of v1, v1 and v2 are interrupted in these ways:
+      | way                                                       |
+      | an engine crashes                                         |
+      | an engine leaves                                          |
+      | an engine leaves, callers continue at another entry       |
+      | an entry is killed, and an engine leaves                  |
+    Then no stream has events of two versions
+    And no stream lacks an event or has one twice
+    And every stream that an engine of its version can continue is complete
+
   Scenario: The lines of a stream show versions, and what continues it
     Guards against an incident that can't be traced: without the versions and
     the continued request, no line tells a right continuation from a wrong one.
