Streams continue within a response only at the version that began them

What callers saw: complete responses with events of two software versions, after an engine had crashed or left in mid-stream.

Cause: the servers of a pool counted as interchangeable wherever a request is placed again: a retry within a response, the destination of a move, a return. The version in a server's record was never part of a decision.

The first event binds a stream to the pool and the version of its server (StreamOrigin); the list of servers that may be chosen is limited to those, for retries and for moves. A server that restarts with other software between the choice and the send gets nothing. If no server of the version is left, the response is cut at once, with the new kind not_run_version and the version as its reason. Pools of one version choose as before.

Ruled out: a filter at the moment of the send alone. A move would then copy a KV cache to an engine that may not use it, and stop the run before that shows.

--- a/src/sardinetrack/errors/api.py
+++ b/src/sardinetrack/errors/api.py
@@ -27,6 +27,7 @@
     QUEUE_FULL = 'queue_full'
     NOT_RUN_DEADLINE = 'not_run_deadline'
     NOT_RUN_NO_SERVER = 'not_run_no_server'
+    NOT_RUN_VERSION = 'not_run_version'
     NOT_RUN_DRAINING = 'not_run_draining'
     NOT_RUN_PLATFORM_DOWN = 'not_run_platform_down'
     NOT_RUN_LOST = 'not_run_lost'
--- a/src/sardinetrack/errors/table.py
+++ b/src/sardinetrack/errors/table.py
@@ -155,6 +155,13 @@
             not_run=True,
             retry_after_seconds=2,
         ),
+        ErrorKind.NOT_RUN_VERSION: ErrorResponse(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            _OVERLOADED,
+            'No backend server can continue the stream; not run.',
+            not_run=True,
+            retry_after_seconds=2,
+        ),
         ErrorKind.NOT_RUN_DRAINING: ErrorResponse(
             HTTPStatus.SERVICE_UNAVAILABLE,
             _OVERLOADED,
--- a/src/sardinetrack/relay/entry_state.py
+++ b/src/sardinetrack/relay/entry_state.py
@@ -172,18 +172,23 @@
         budget.resize(burst)
         return budget
 
-    def usable_servers(self, now: float, pool: str) -> list[BackendServer]:
+    def usable_servers(
+        self, now: float, pool: str, version: str | None = None
+    ) -> list[BackendServer]:
         """List the servers of a pool that may be sent a request.
 
         Servers that rest are left out. If fewer than half of the breakers of
         the others are closed, all of these are used. The fault then lies not
         with single servers, and the few whose breakers happen to be closed
         would get the requests of all.
+
+        :param version: of the software that began the stream; ``None`` for a
+            request that continues none.
         """
         resting = self.server_states.rests.in_force(boot_clock())
         servers = [
             server
-            for server in self.servers.in_pool(pool)
+            for server in self.servers.in_pool(pool, version)
             if server.instance not in resting
         ]
         allowed = [
@@ -197,11 +202,15 @@
     def check_available(self, server: BackendServer) -> None:
         """Check that a server that was chosen before still gets requests.
 
-        :raises ServerUnavailableError: it drains, is evacuated or rests.
+        :raises ServerUnavailableError: it drains, is evacuated, rests or has
+            restarted with other software.
         """
         rests = self.server_states.rests
         left_seconds = rests.left_seconds(boot_clock(), server.instance)
-        if left_seconds > 0 or self.servers.get(server.instance) is None:
+        working = self.servers.get(server.instance)
+        if left_seconds > 0 or working is None:
+            raise ServerUnavailableError
+        if working.version != server.version:
             raise ServerUnavailableError
 
     def rest_seconds(self, pool: str) -> float:
--- a/src/sardinetrack/relay/exchange.py
+++ b/src/sardinetrack/relay/exchange.py
@@ -197,6 +197,7 @@
             self._call,
             plan,
             self._placer,
+            self.trace,
             self._flow,
         )
         movable = MovableStream(tools, self._sender, self.progress)
--- a/src/sardinetrack/relay/move_tools.py
+++ b/src/sardinetrack/relay/move_tools.py
@@ -13,6 +13,7 @@
 )
 from sardinetrack.relay.request_plan import Plan
 from sardinetrack.relay.server_choice import Placer
+from sardinetrack.relay.trace import Trace
 from sardinetrack.topology.servers import BackendServer
 
 
@@ -25,6 +26,7 @@
     call: CallerRequest
     plan: Plan
     placer: Placer
+    trace: Trace
     flow: FlowControl
 
     def destinations(
@@ -34,7 +36,9 @@
 
         :param now: on the clock of the event loop.
         """
-        usable = self.state.usable_servers(now, self.plan.pool.name)
+        usable = self.state.usable_servers(
+            now, self.plan.pool.name, self.trace.version
+        )
         if reason is MoveReason.LEAVING:
             return usable
         return engines_without_long_pauses(
--- a/src/sardinetrack/relay/sender.py
+++ b/src/sardinetrack/relay/sender.py
@@ -156,6 +156,7 @@
                 self._state,
                 target,
                 placement.permit,
+                self._trace,
                 self._call.request_id,
             ),
         )
--- a/src/sardinetrack/relay/server_choice.py
+++ b/src/sardinetrack/relay/server_choice.py
@@ -81,7 +81,10 @@
     """Chooses among the servers that this request has not been sent to."""
 
     def __init__(
-        self, state: EntryState, call: CallerRequest, trace: Trace
+        self,
+        state: EntryState,
+        call: CallerRequest,
+        trace: Trace,
     ) -> None:
         self._state = state
         self._call = call
@@ -136,6 +139,14 @@
 
     def no_server_error(self, plan: Plan) -> RequestError:
         """Return the error for a request that no server can run."""
+        version = self._trace.version
+        pool, servers = plan.pool.name, self._state.servers
+        if version is not None and not servers.in_pool(pool, version):
+            return RequestError(
+                ErrorKind.NOT_RUN_VERSION,
+                f'no server has software version {version}, which began the'
+                ' stream',
+            )
         rest_seconds = self._state.rest_seconds(plan.pool.name)
         if rest_seconds > 0:
             return RequestError(
@@ -143,8 +154,7 @@
                 'all servers have asked for rest',
                 retry_after_seconds=_round_up(rest_seconds),
             )
-        servers = self._state.servers
-        if servers.only_evacuated(plan.pool.name):
+        if servers.only_evacuated(pool):
             return RequestError(
                 ErrorKind.NOT_RUN_NO_SERVER,
                 'all servers are evacuated',
@@ -168,7 +178,9 @@
 
     def _candidates(self, plan: Plan) -> list[Candidate]:
         state = self._state
-        servers = state.usable_servers(self._loop.time(), plan.pool.name)
+        servers = state.usable_servers(
+            self._loop.time(), plan.pool.name, self._trace.version
+        )
         if plan.pool.runs_models:
             candidates = rank_by_prefix(
                 self._call.prompt,
--- a/src/sardinetrack/relay/server_notices.py
+++ b/src/sardinetrack/relay/server_notices.py
@@ -10,7 +10,9 @@
 from sardinetrack.relay.entry_state import EntryState
 from sardinetrack.relay.permit import Permit
 from sardinetrack.relay.target import Target
+from sardinetrack.relay.trace import Trace
 from sardinetrack.topology.freshness import boot_clock
+from sardinetrack.topology.stream_origin import StreamOrigin
 from sardinetrack.turns.clock import loop_now
 
 _MAX_LOGGED_ID_LENGTH: Final = 64
@@ -24,17 +26,20 @@
         state: EntryState,
         target: Target,
         permit: Permit,
+        trace: Trace,
         request_id: str,
     ) -> None:
         """Create the observer of one attempt.
 
         :param target: the server.
         :param permit: of the attempt.
+        :param trace: of the request.
         :param request_id: of the request that was sent.
         """
         self._state = state
         self._target = target
         self._permit = permit
+        self._trace = trace
         self._request_id = request_id
 
     def head_received(self, response: ResponseHead) -> None:
@@ -66,6 +71,8 @@
 
     def first_event_received(self) -> None:
         """Record the first event, which already shows that it works."""
+        if self._trace.origin is None:
+            self._trace.origin = StreamOrigin.of(self._target.server)
         self._permit.first_event_received()
         self._target.record_success()
 
--- a/src/sardinetrack/relay/trace.py
+++ b/src/sardinetrack/relay/trace.py
@@ -8,6 +8,7 @@
 
 from sardinetrack.placement.choice import Candidate
 from sardinetrack.relay.permit import HeldPermit, Permit
+from sardinetrack.topology.stream_origin import StreamOrigin
 
 
 @dataclass(slots=True)
@@ -24,6 +25,8 @@
     """Permits that were requested; the last one's number is one less."""
     waited_seconds: float = 0
     """For permits, at all servers together."""
+    origin: StreamOrigin | None = None
+    """What began the stream; ``None`` until its caller has an event."""
     proved_not_run: bool = True
     outcome: str = 'served'
     """The kind of error sent to the caller, if any."""
@@ -31,6 +34,11 @@
     """Of a response of the entry itself; 0 where a server's was delivered."""
     reason: str = ''
 
+    @property
+    def version(self) -> str | None:
+        """Software version that began the stream; ``None`` if none has."""
+        return None if self.origin is None else self.origin.version
+
     @property
     def sent(self) -> int:
         """The number of attempts that were sent; a moved run is one attempt."""
--- a/src/sardinetrack/topology/servers.py
+++ b/src/sardinetrack/topology/servers.py
@@ -209,9 +209,17 @@
             self._rebuild_pools()
         return expired
 
-    def in_pool(self, pool: str) -> tuple[BackendServer, ...]:
-        """Return the servers of a pool that get new work."""
-        return self._by_pool.get(pool, ())
+    def in_pool(
+        self, pool: str, version: str | None = None
+    ) -> tuple[BackendServer, ...]:
+        """Return the servers of a pool that get new work.
+
+        :param version: of their software; ``None`` for any.
+        """
+        servers = self._by_pool.get(pool, ())
+        if version is None:
+            return servers
+        return tuple(one for one in servers if one.version == version)
 
     def get(self, instance: str) -> BackendServer | None:
         """Return a server if it gets new work."""
