A stream that its caller takes up continues at the version that began it

What callers saw: complete responses of two software versions, put together from two requests: the second went to whatever engine was best for its prompt.

Cause: only the entry that began a stream knows what began it, and take-ups go to other entries, most of all when that entry is dead. Same class as the retries and moves: a choice among servers that are not interchangeable for this request.

- The side of an engine learns the pool and version of each stream that begins there (two fields of the message it gets anyway) and remembers them for a minute.
- An entry whose pool has had several versions within a minute asks all sides, once and in parallel; the first that knows decides.
Where only one version can have begun the stream nothing is asked.
- Entries tell a side in each failure domain about streams whose own side can't know or may be lost: permits that no side granted, streams that were taken up, streams that ended early.
- Which versions ran lately spreads through the sides, so an entry that has just started, or can't reach the store, does not take a mixed pool for a uniform one.
- An entry also links to the sides of leaving engines, which know their streams.
- Unknown origin in a mixed pool: refused at once as not_run_version.

Ruled out while building: an entry that started after an engine had announced that it leaves had no link to its side, and refused the streams of that engine (test: all entries are replaced, and an engine leaves).

--- a/src/sardinetrack/logs/events.py
+++ b/src/sardinetrack/logs/events.py
@@ -54,6 +54,7 @@
     CONNECTIONS_CLOSED = 'connections_closed'
     REQUEST_SENT = 'request_sent'
     REQUEST_RETRIED = 'request_retried'
+    STREAM_TAKEN_UP = 'stream_taken_up'
     STREAM_MOVED = 'stream_moved'
     RESPONSE_TRUNCATED = 'response_truncated'
     RESPONSE_DISCARDED = 'response_discarded'
--- a/src/sardinetrack/relay/api.py
+++ b/src/sardinetrack/relay/api.py
@@ -40,6 +40,18 @@
     closes_connection: bool = False
     """The caller asked to close the connection after the response."""
 
+    @property
+    def continues_stream(self) -> bool:
+        """Whether the caller already has a part of the stream."""
+        return self.last_event_id is not None
+
+    @property
+    def stream_id(self) -> str:
+        """The request that began the stream, if the caller says which."""
+        if self.continues_stream and self.resumes:
+            return self.resumes
+        return self.request_id
+
 
 @dataclass(frozen=True, slots=True)
 class ResponseHead:
--- a/src/sardinetrack/relay/crashes.py
+++ b/src/sardinetrack/relay/crashes.py
@@ -10,7 +10,7 @@
 from sardinetrack.messages.api import Strike
 from sardinetrack.relay.api import CallerRequest
 from sardinetrack.routing.strikes import StrikeRegistry
-from sardinetrack.turns.side_link import StrikeListener
+from sardinetrack.turns.side_state import StrikeListener
 
 SERVERS_TO_BLOCK: Final = 3
 """Different servers that crash while running a request before it is refused.
--- a/src/sardinetrack/relay/entry_state.py
+++ b/src/sardinetrack/relay/entry_state.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
 from typing import Final
 
 from sardinetrack.errors.api import ErrorKind, RequestError
@@ -18,13 +17,14 @@
 )
 from sardinetrack.relay.settings import InstanceSettings
 from sardinetrack.relay.side_links import INITIAL_ENTRIES, SideLinks
+from sardinetrack.relay.stream_directory import StreamDirectory
 from sardinetrack.routing.retries import RetryBudget
 from sardinetrack.topology.configuration import Configuration, Pool
 from sardinetrack.topology.freshness import Freshness, boot_clock
 from sardinetrack.topology.servers import BackendServer, ServerList
 from sardinetrack.topology.starts import ServerStart
 from sardinetrack.turns.driver import LocalAdmission
-from sardinetrack.turns.side_link import RestartListener, SideLink
+from sardinetrack.turns.side_state import RestartListener
 
 _BUDGET_RATIO_FRACTION: Final = 0.8
 _BUDGET_SLACK_FRACTION: Final = 0.6
@@ -68,6 +68,9 @@
             log,
         )
         self.server_states = ServerStates(self.sides)
+        self._streams = StreamDirectory(
+            self.sides, self.freshness, self.meters.streams, log
+        )
         self._budgets: dict[str, RetryBudget] = {}
         self._known: dict[str, BackendServer] = {}
 
@@ -82,6 +85,11 @@
         self._budgets.clear()
         return changed
 
+    @property
+    def streams(self) -> StreamDirectory:
+        """Which software began the streams of this and other entries."""
+        return self._streams
+
     @property
     def entries(self) -> int:
         """The number of entries in the fleet, as the sides report it."""
@@ -151,10 +159,6 @@
         share_factor = min(_MAX_SHARE_FACTOR, self.entries / 2)
         return share_factor * pool.max_connections / self.entries
 
-    def side(self, server: BackendServer) -> SideLink | None:
-        """Return the link to a server's side if it is live."""
-        return self.sides.find(server.ip)
-
     def budget(self, pool: str) -> RetryBudget:
         """Return the retry budget of a pool.
 
@@ -266,6 +270,7 @@
             cold = self.server_states.cold_starts.estimate(server, pool)
             load = self.sides.load(server, pool, cold)
             self.server_states.loads[server.instance] = load
+        self._follow_leaving()
         self.sides.keep({one.ip for one in listed.values()})
         for removed in set(self._known) - set(listed):
             # The next server at its address starts with an empty cache.
@@ -276,6 +281,7 @@
                 self.sides.server_unreachable(removed, 'no longer listed')
             self.log.write(Event.SERVER_GONE, server=removed)
         self.server_states.keep(listed)
+        self._streams.servers_listed(list(listed.values()))
         self._known = dict(listed)
 
     def expire_servers(self) -> None:
@@ -292,6 +298,18 @@
         """Close the links to the sides."""
         self.sides.close()
 
+    def _follow_leaving(self) -> None:
+        """Open links to the sides of engines that leave.
+
+        They know the streams of their engines, also for an entry that has
+        started only after the engine announced that it leaves.
+        """
+        pools = self.configuration.pools if self.configuration else {}
+        for server in self.servers.instances.values():
+            pool = pools.get(server.pool)
+            if server.leaving and pool is not None and pool.runs_models:
+                self.sides.follow(server, pool)
+
     def _restarted(self, former: BackendServer, server: BackendServer) -> None:
         """Drop all state of a server's former start.
 
@@ -313,11 +331,12 @@
         )
         self.sides.server_unreachable(server.instance, 'has restarted')
 
-    def _model_servers(self) -> Iterator[tuple[BackendServer, Pool]]:
-        if self.configuration is None:
-            return
-        for server in self.servers.instances.values():
-            pool = self.configuration.pools.get(server.pool)
-            works = self.servers.get(server.instance) is not None
-            if pool is not None and pool.runs_models and works:
-                yield server, pool
+    def _model_servers(self) -> list[tuple[BackendServer, Pool]]:
+        pools = self.configuration.pools if self.configuration else {}
+        return [
+            (server, pool)
+            for server in self.servers.instances.values()
+            if (pool := pools.get(server.pool)) is not None
+            and pool.runs_models
+            and self.servers.get(server.instance) is not None
+        ]
--- a/src/sardinetrack/relay/exchange.py
+++ b/src/sardinetrack/relay/exchange.py
@@ -15,7 +15,11 @@
 from sardinetrack.relay.movable_stream import MovableStream
 from sardinetrack.relay.move_tools import MoveTools
 from sardinetrack.relay.request_end import record_end
-from sardinetrack.relay.request_plan import Plan, make_plan
+from sardinetrack.relay.request_plan import (
+    Plan,
+    make_plan,
+    plan_continuation,
+)
 from sardinetrack.relay.sender import Sender
 from sardinetrack.relay.server_choice import Placer
 from sardinetrack.relay.server_states import ServerUnavailableError
@@ -146,6 +150,7 @@
         self._check_crashes(self.plan)
         try:
             async with asyncio.timeout_at(self.plan.deadline_seconds):
+                self.plan = await self._bind_to_origin(self.plan)
                 await self._serve(self.plan)
         except TimeoutError as error:
             kind = ErrorKind.TIMED_OUT
@@ -153,6 +158,17 @@
                 kind = ErrorKind.NOT_RUN_DEADLINE
             raise RequestError(kind) from error
 
+    async def _bind_to_origin(self, plan: Plan) -> Plan:
+        """Limit a continued stream to the software that began it.
+
+        :raises RequestError: nothing of the kind is known to run.
+        """
+        origin = await self._state.streams.find(self._call, plan.pool)
+        if origin is None:
+            return plan
+        self.trace.origin = origin
+        return plan_continuation(self._state, plan, origin)
+
     def _check_crashes(self, plan: Plan) -> None:
         """Refuse a request that has crashed too many servers.
 
--- a/src/sardinetrack/relay/meters.py
+++ b/src/sardinetrack/relay/meters.py
@@ -58,6 +58,8 @@
         """By cause; a stream that was late for both counts for both."""
         self.continued = Counter(dict.fromkeys(Continuation, 0))
         """Sends that continue a stream after an event, by what does."""
+        self.origins: Counter[str] = Counter()
+        """Streams that callers continue, by how their origin was found."""
         self.pause_ratios: dict[str, Histogram] = {}
         """Longest pause of a stream to the objective, by route."""
 
--- a/src/sardinetrack/relay/metrics.py
+++ b/src/sardinetrack/relay/metrics.py
@@ -84,6 +84,11 @@
         'Sends that continue a stream after an event, by what does',
         streams.continued,
     )
+    yield _counter(
+        'stream_origins',
+        'Streams that callers continue, by how their version was found',
+        streams.origins,
+    )
     yield _counter(
         'stream_moves',
         'Moves of streams to other engines, by how they ended',
--- a/src/sardinetrack/relay/permit.py
+++ b/src/sardinetrack/relay/permit.py
@@ -12,6 +12,7 @@
 from sardinetrack.placement.load import EstimatedLoad
 from sardinetrack.relay.entry_state import EntryState
 from sardinetrack.topology.configuration import Pool
+from sardinetrack.topology.stream_origin import StreamOrigin
 from sardinetrack.turns.clock import loop_now
 from sardinetrack.turns.driver import LocalAdmission
 from sardinetrack.turns.messages import (
@@ -32,8 +33,12 @@
     """Who granted it, for the log."""
 
     @abstractmethod
-    def first_event_received(self) -> None:
-        """Report that the first event arrived."""
+    def first_event_received(self, origin: StreamOrigin) -> bool:
+        """Report that the first event arrived.
+
+        :param origin: what began the stream.
+        :return: whether the server's side remembers the origin.
+        """
 
     @abstractmethod
     def release(self, *, complete: bool) -> None:
@@ -59,8 +64,9 @@
         self._load = load
         load.running += 1
 
-    def first_event_received(self) -> None:
+    def first_event_received(self, origin: StreamOrigin) -> bool:
         """Do nothing: no admission depends on it."""
+        return False
 
     def release(self, *, complete: bool) -> None:
         """Stop counting the request."""
@@ -81,9 +87,9 @@
         self._connection = connection
         self._permit_id = permit_id
 
-    def first_event_received(self) -> None:
+    def first_event_received(self, origin: StreamOrigin) -> bool:
         """Report it to the side."""
-        self._connection.begun(self._permit_id)
+        return self._connection.begun(self._permit_id, origin)
 
     def release(self, *, complete: bool) -> None:
         """Release the permit at the side."""
@@ -104,9 +110,10 @@
         self._local_admission = local_admission
         self._permit_id = permit_id
 
-    def first_event_received(self) -> None:
+    def first_event_received(self, origin: StreamOrigin) -> bool:
         """Inform the local admission."""
         self._local_admission.prefill_finished(self._permit_id)
+        return False
 
     def release(self, *, complete: bool) -> None:
         """Release it at the local admission."""
@@ -132,12 +139,13 @@
         self._permit: Permit | None = permit
         self._first_event = first_event
 
-    def first_event_received(self) -> None:
+    def first_event_received(self, origin: StreamOrigin) -> bool:
         """Report it."""
-        if self._permit is not None:
-            self._permit.first_event_received()
+        permit = self._permit
+        remembered = permit is not None and permit.first_event_received(origin)
         if self._first_event is not None:
             self._first_event()
+        return remembered
 
     def release(self, *, complete: bool) -> None:
         """Release the permit unless that was done before."""
@@ -180,7 +188,7 @@
 
     :raises PermitRefusedError: there is none in time.
     """
-    link = state.side(candidate.server)
+    link = state.sides.find(candidate.server.ip)
     if link is not None and link.connection is not None:
         permit = await _request_from_side(
             state, link.connection, admission_request
--- a/src/sardinetrack/relay/request_end.py
+++ b/src/sardinetrack/relay/request_end.py
@@ -11,7 +11,7 @@
 from sardinetrack.relay.meters import LateCause
 from sardinetrack.relay.pauses import Pause, StreamPauses
 from sardinetrack.relay.request_plan import Plan
-from sardinetrack.relay.trace import Trace
+from sardinetrack.relay.trace import SERVED, Trace
 from sardinetrack.topology.configuration import Route
 from sardinetrack.turns.clock import loop_now
 
@@ -32,6 +32,7 @@
     state.meters.ended(trace.outcome, workspace, took_seconds)
     if first_seconds is not None and plan is not None:
         _record_stream(state, call, plan.route, progress.pauses, first_seconds)
+        _record_origin(state, call, plan.route, trace)
     state.log.write(
         Event.REQUEST_ENDED,
         request=call.request_id,
@@ -46,6 +47,15 @@
     )
 
 
+def _record_origin(
+    state: EntryState, call: CallerRequest, route: Route, trace: Trace
+) -> None:
+    """Publish what began a stream that its caller may continue elsewhere."""
+    ended_early = trace.outcome != SERVED
+    if ended_early and route.resumable and trace.origin is not None:
+        state.streams.ended_early(call, trace.origin)
+
+
 def _record_stream(
     state: EntryState,
     call: CallerRequest,
--- a/src/sardinetrack/relay/request_plan.py
+++ b/src/sardinetrack/relay/request_plan.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Final
 
 import xxhash
@@ -17,6 +17,7 @@
     RouteKind,
     Workspace,
 )
+from sardinetrack.topology.stream_origin import StreamOrigin
 
 _WEIGHT_POINTS: Final = 1_000_000
 
@@ -75,6 +76,24 @@
     )
 
 
+def plan_continuation(
+    state: EntryState, plan: Plan, origin: StreamOrigin
+) -> Plan:
+    """Return the plan of a request that continues a stream.
+
+    :raises RequestError: the pool that began the stream is not on the route.
+    """
+    on_route = {weighted.pool for weighted in plan.route.pools}
+    pool = state.active_configuration().pools.get(origin.pool)
+    if pool is None or pool.name not in on_route:
+        raise RequestError(
+            ErrorKind.NOT_RUN_VERSION,
+            f'the route no longer leads to {origin.pool}, which began the'
+            ' stream',
+        )
+    return replace(plan, pool=pool)
+
+
 def check_still_allowed(
     state: EntryState, plan: Plan, call: CallerRequest
 ) -> None:
@@ -120,10 +139,10 @@
 def _pool(
     configuration: Configuration, route: Route, call: CallerRequest
 ) -> Pool:
-    """Choose a pool by weight, the same one for the same request."""
+    """Choose a pool by weight, the same one for the same stream."""
     total = sum(weighted.weight for weighted in route.pools)
     point = (
-        xxhash.xxh3_64_intdigest(call.request_id.encode())
+        xxhash.xxh3_64_intdigest(call.stream_id.encode())
         % _WEIGHT_POINTS
         / _WEIGHT_POINTS
         * total
--- a/src/sardinetrack/relay/sender.py
+++ b/src/sardinetrack/relay/sender.py
@@ -157,7 +157,7 @@
                 target,
                 placement.permit,
                 self._trace,
-                self._call.request_id,
+                self._call,
             ),
         )
 
--- a/src/sardinetrack/relay/server_notices.py
+++ b/src/sardinetrack/relay/server_notices.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 from sardinetrack.logs.events import Event
-from sardinetrack.relay.api import ResponseHead
+from sardinetrack.relay.api import CallerRequest, ResponseHead
 from sardinetrack.relay.attempt import AttemptObserver
 from sardinetrack.relay.entry_state import EntryState
 from sardinetrack.relay.permit import Permit
@@ -27,20 +27,20 @@
         target: Target,
         permit: Permit,
         trace: Trace,
-        request_id: str,
+        call: CallerRequest,
     ) -> None:
         """Create the observer of one attempt.
 
         :param target: the server.
         :param permit: of the attempt.
         :param trace: of the request.
-        :param request_id: of the request that was sent.
+        :param call: that was sent.
         """
         self._state = state
         self._target = target
         self._permit = permit
         self._trace = trace
-        self._request_id = request_id
+        self._call = call
 
     def head_received(self, response: ResponseHead) -> None:
         """Apply a request for rest, a leaving and the server's slowness.
@@ -52,7 +52,7 @@
             self._apply_rest(response.rest_seconds, response.status)
         if response.leaving:
             self._apply_leaving()
-        is_own = response.request_id == self._request_id
+        is_own = response.request_id == self._call.request_id
         if is_own and not response.misdirected:
             load = self._target.load
             load.report_slowness(loop_now(), response.slowness)
@@ -62,7 +62,7 @@
         self._state.meters.discarded[cause] += 1
         self._state.log.write(
             Event.RESPONSE_DISCARDED,
-            request=self._request_id,
+            request=self._call.request_id,
             server=self._target.server.instance,
             cause=cause,
             other=response.request_id[:_MAX_LOGGED_ID_LENGTH],
@@ -71,9 +71,10 @@
 
     def first_event_received(self) -> None:
         """Record the first event, which already shows that it works."""
-        if self._trace.origin is None:
-            self._trace.origin = StreamOrigin.of(self._target.server)
-        self._permit.first_event_received()
+        origin = self._trace.origin or StreamOrigin.of(self._target.server)
+        self._trace.origin = origin
+        side_knows = self._permit.first_event_received(origin)
+        self._state.streams.began(self._call, origin, side_knows=side_knows)
         self._target.record_success()
 
     def _apply_rest(self, seconds: float, status: int) -> None:
@@ -86,7 +87,7 @@
             Event.SERVER_REST,
             server=instance,
             seconds=seconds,
-            request=self._request_id,
+            request=self._call.request_id,
             status=status,
         )
 
@@ -98,6 +99,6 @@
         self._state.log.write(
             Event.SERVER_LEAVING,
             server=server.instance,
-            request=self._request_id,
+            request=self._call.request_id,
             source='response',
         )
--- a/src/sardinetrack/relay/side_links.py
+++ b/src/sardinetrack/relay/side_links.py
@@ -15,10 +15,12 @@
 from sardinetrack.relay.settings import InstanceSettings
 from sardinetrack.topology.cold import ColdEstimate
 from sardinetrack.topology.configuration import Pool
+from sardinetrack.topology.pool_versions import PoolVersions
 from sardinetrack.topology.servers import BackendServer
 from sardinetrack.turns.clock import loop_now
 from sardinetrack.turns.messages import Hello, StrikesReported
-from sardinetrack.turns.side_link import RestartListener, SideLink, SideState
+from sardinetrack.turns.side_link import SideConnection, SideLink
+from sardinetrack.turns.side_state import RestartListener, SideState
 from sardinetrack.views.api import NullViewReceiver, ViewReceiver
 
 INITIAL_ENTRIES: Final = 6
@@ -59,6 +61,8 @@
             server.
         """
         self.views: ViewReceiver = NullViewReceiver()
+        self.versions = PoolVersions()
+        """Software versions that served the pools lately."""
         self._settings = settings
         self._prefix_index = prefix_index
         self._crashes = crashes
@@ -73,6 +77,15 @@
         """List the links to reachable sides."""
         return [link for link in self._links.values() if link.live]
 
+    @property
+    def with_origins(self) -> list[SideConnection]:
+        """List the connections to sides that know origins of streams."""
+        return [
+            link.connection
+            for link in self.live
+            if link.connection is not None and link.connection.keeps_origins
+        ]
+
     @property
     def reported_entries(self) -> int | None:
         """The number of entries by the sides; ``None`` if none knows it."""
@@ -105,6 +118,11 @@
         link.update_start(server.start, cold)
         return link.load
 
+    def follow(self, server: BackendServer, pool: Pool) -> None:
+        """Open a link to the side of a server that gets no new requests."""
+        if server.ip not in self._links:
+            self._open(server, pool)
+
     def keep(self, ips: Collection[str]) -> None:
         """Set the addresses of all listed engines."""
         self._listed = frozenset(ips)
@@ -154,13 +172,19 @@
         link = SideLink(
             (server.ip, self._settings.turns_port),
             (pool.name, server.failure_domain),
-            Hello(self._settings.instance, pool.slots, pool.memory_tokens),
+            Hello(
+                self._settings.instance,
+                pool.slots,
+                pool.memory_tokens,
+                asks_origins=True,
+            ),
             SideState(
                 EstimatedLoad(),
                 self._prefix_index,
                 self.views,
                 self._crashes,
                 self._restarts,
+                self.versions,
             ),
             self._log,
         )
--- /dev/null
+++ b/src/sardinetrack/relay/stream_directory.py
@@ -0,0 +1,161 @@
+"""Finds the software that began a stream which a caller continues."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import suppress
+from enum import StrEnum
+from typing import Final
+
+from sardinetrack.errors.api import ErrorKind, RequestError
+from sardinetrack.logs.events import Event, EventLog
+from sardinetrack.relay.api import CallerRequest
+from sardinetrack.relay.meters import StreamMeters
+from sardinetrack.relay.side_links import SideLinks, broadcast_sides
+from sardinetrack.topology.configuration import Pool
+from sardinetrack.topology.freshness import Freshness
+from sardinetrack.topology.servers import BackendServer
+from sardinetrack.topology.stream_origin import StreamOrigin, StreamOrigins
+from sardinetrack.turns.clock import loop_now
+from sardinetrack.turns.messages import StreamBegan, VersionsListed
+from sardinetrack.turns.origin_lookup import OriginLookup
+
+LOOKUP_SECONDS: Final = 0.25
+"""Longest wait for the sides; a live one responds within milliseconds."""
+
+
+class OriginSource(StrEnum):
+    """How the origin of a stream was found; the label of its metric."""
+
+    ENTRY = 'entry'
+    """This entry sent its first event."""
+    SIDE = 'side'
+    ONLY_VERSION = 'only_version'
+    """All servers that may have begun it had one version."""
+    UNKNOWN = 'unknown'
+    """The request is refused."""
+
+
+class StreamDirectory:
+    """Remembers the streams of this entry, and asks the sides about others.
+
+    The entry that began a stream may be dead when its caller continues the
+    stream at another one. The side of the engine that began it knows, from the
+    messages about permits. If that can't be expected, the entry tells several
+    sides: where the side granted no permit, and where a stream has ended
+    before its last event, perhaps because its engine's machine is lost.
+    """
+
+    def __init__(
+        self,
+        sides: SideLinks,
+        freshness: Freshness,
+        meters: StreamMeters,
+        log: EventLog,
+    ) -> None:
+        """Start without streams.
+
+        :param freshness: of the list of servers.
+        """
+        self._sides = sides
+        self._versions = sides.versions
+        self._freshness = freshness
+        self._meters = meters
+        self._log = log
+        self._origins = StreamOrigins()
+
+    def servers_listed(self, servers: list[BackendServer]) -> None:
+        """Handle a change of the list of servers."""
+        now = loop_now()
+        origins = {StreamOrigin.of(server) for server in servers}
+        if self._versions.update(now, origins) and self._versions.differ(now):
+            ages = self._versions.ages(now)
+            for link in broadcast_sides(self._sides.live):
+                link.send_message(VersionsListed(ages))
+
+    def began(
+        self, call: CallerRequest, origin: StreamOrigin, *, side_knows: bool
+    ) -> None:
+        """Record the first event of an attempt.
+
+        :param side_knows: the side of the server was told.
+        """
+        self._origins.record(loop_now(), call.stream_id, origin)
+        if not side_knows or call.continues_stream:
+            self._publish(call, origin)
+
+    def ended_early(self, call: CallerRequest, origin: StreamOrigin) -> None:
+        """Record that a stream ended before its caller had all of it."""
+        self._publish(call, origin)
+
+    async def find(
+        self, call: CallerRequest, pool: Pool
+    ) -> StreamOrigin | None:
+        """Return what began the stream that a request continues.
+
+        :param pool: where the request is sent if nothing is known.
+        :return: ``None`` if it continues none, or no server can have begun it.
+        :raises RequestError: it can't be found out.
+        """
+        if not call.continues_stream:
+            return None
+        source, origin = await self._look_up(call, pool)
+        self._meters.origins[source] += 1
+        self._log.write(
+            Event.STREAM_TAKEN_UP,
+            request=call.request_id,
+            resumes=call.resumes,
+            after_event=call.last_event_id,
+            source=source,
+            pool=origin and origin.pool,
+            version=origin and origin.version,
+        )
+        if source is OriginSource.UNKNOWN:
+            raise RequestError(
+                ErrorKind.NOT_RUN_VERSION,
+                'which software version began the stream is unknown',
+            )
+        return origin
+
+    async def _look_up(
+        self, call: CallerRequest, pool: Pool
+    ) -> tuple[OriginSource, StreamOrigin | None]:
+        origin = self._origins.find(loop_now(), call.stream_id)
+        if origin is not None:
+            return OriginSource.ENTRY, origin
+        versions = self._versions.of_pool(loop_now(), pool.name)
+        if len(versions) > 1:
+            origin = await self._ask_sides(call.stream_id)
+            source = OriginSource.SIDE if origin else OriginSource.UNKNOWN
+            return source, origin
+        if not self._knows_all_versions():
+            return OriginSource.UNKNOWN, None
+        only = [StreamOrigin(pool.name, version) for version in versions]
+        return OriginSource.ONLY_VERSION, next(iter(only), None)
+
+    async def _ask_sides(self, request_id: str) -> StreamOrigin | None:
+        asked = self._sides.with_origins
+        lookup = OriginLookup(len(asked))
+        for connection in asked:
+            connection.find_origin(request_id, lookup)
+        with suppress(TimeoutError):
+            async with asyncio.timeout(LOOKUP_SECONDS):
+                return await lookup.result
+        return None
+
+    def _knows_all_versions(self) -> bool:
+        """Whether another version would be known here.
+
+        Entries that see a new version tell all others through the sides, so
+        one that can't reach the store still knows. Without either, servers of
+        other versions may run, or may just have ended.
+        """
+        return bool(self._sides.with_origins) or self._freshness.is_fresh()
+
+    def _publish(self, call: CallerRequest, origin: StreamOrigin) -> None:
+        """Tell a side in each failure domain, if the pool has versions."""
+        if len(self._versions.of_pool(loop_now(), origin.pool)) < 2:
+            return
+        message = StreamBegan(call.stream_id, origin.pool, origin.version)
+        for link in broadcast_sides(self._sides.live):
+            link.send_message(message)
--- a/src/sardinetrack/relay/trace.py
+++ b/src/sardinetrack/relay/trace.py
@@ -4,12 +4,15 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
-from typing import Self
+from typing import Final, Self
 
 from sardinetrack.placement.choice import Candidate
 from sardinetrack.relay.permit import HeldPermit, Permit
 from sardinetrack.topology.stream_origin import StreamOrigin
 
+SERVED: Final = 'served'
+"""Outcome of a request whose caller has the whole response."""
+
 
 @dataclass(slots=True)
 class Trace:
@@ -28,7 +31,7 @@
     origin: StreamOrigin | None = None
     """What began the stream; ``None`` until its caller has an event."""
     proved_not_run: bool = True
-    outcome: str = 'served'
+    outcome: str = SERVED
     """The kind of error sent to the caller, if any."""
     status: int = 0
     """Of a response of the entry itself; 0 where a server's was delivered."""
--- a/src/sardinetrack/turns/entry_connection.py
+++ b/src/sardinetrack/turns/entry_connection.py
@@ -9,10 +9,13 @@
     DECODE_FROM_ENTRY,
     Begun,
     Ended,
+    FindOrigin,
     Hello,
     PermitRequest,
     ServerStarted,
+    StreamBegan,
     StrikesReported,
+    VersionsListed,
 )
 from sardinetrack.views.api import ViewSubscriber
 from sardinetrack.views.messages import (
@@ -37,6 +40,8 @@
         """
         super().__init__()
         self.entry = ''
+        self.asks_origins = False
+        """Whether it understands the messages about streams' origins."""
         self.permit_ids: set[str] = set()
         """Of the entry's requests that wait or run."""
         self._side = side
@@ -57,6 +62,7 @@
                 self.permit_ids.add(message.permit_id)
                 self._side.handle_request(self, message)
             case Begun():
+                self._side.streams.begun(message)
                 self._side.prefill_finished(message.permit_id)
             case Ended():
                 self.permit_ids.discard(message.permit_id)
@@ -65,11 +71,27 @@
                 )
             case Hello():
                 self.entry = message.entry
+                self.asks_origins = message.asks_origins
                 self._side.handle_hello(self, message)
             case StrikesReported():
                 self._side.handle_strikes(self, message)
             case ServerStarted():
                 self._side.handle_start(self, message)
+            case _:
+                self._handle_origin_message(message)
+
+    def _handle_origin_message(
+        self, message: StreamBegan | FindOrigin | VersionsListed | FromFollower
+    ) -> None:
+        streams = self._side.streams
+        match message:
+            case StreamBegan():
+                streams.published(message)
+            case FindOrigin():
+                streams.find(self, message)
+            case VersionsListed():
+                others = self._side.entry_connections - {self}
+                streams.versions_listed(message, others)
             case _:
                 self._handle_view_message(message)
 
--- a/src/sardinetrack/turns/messages.py
+++ b/src/sardinetrack/turns/messages.py
@@ -10,6 +10,7 @@
 from sardinetrack.messages.api import Strike
 from sardinetrack.placement.step_pace import StepPace
 from sardinetrack.topology.cold import ColdEstimate
+from sardinetrack.topology.pool_versions import VersionAge
 from sardinetrack.topology.starts import ServerStart
 from sardinetrack.views.messages import FromFollower, FromWatcher
 
@@ -26,6 +27,9 @@
     entry: str
     slots: int
     memory_tokens: int
+    asks_origins: bool = False
+    """Whether the entry understands the messages about streams' origins;
+    false for an entry of the previous version during a rolling upgrade."""
 
 
 class PermitRequest(msgspec.Struct, tag='ask', array_like=True, frozen=True):
@@ -60,11 +64,20 @@
         """How long its caller waits; infinite if unknown."""
         return self.until_deadline_seconds or math.inf
 
+    @property
+    def gap_objective_seconds(self) -> float:
+        """Objective for the longest pause; infinite if there is none."""
+        return self.event_gap_seconds or math.inf
+
 
 class Begun(msgspec.Struct, tag='begun', array_like=True, frozen=True):
     """The first event of a request's response has arrived."""
 
     permit_id: str
+    pool: str = ''
+    """Of the server; empty from an entry of the previous version."""
+    version: str = ''
+    """Of the server's software."""
 
 
 class Ended(msgspec.Struct, tag='ended', array_like=True, frozen=True):
@@ -146,6 +159,42 @@
     strikes: tuple[Strike, ...]
 
 
+class StreamBegan(msgspec.Struct, tag='origin', array_like=True, frozen=True):
+    """What began a stream, in case that nobody else can tell."""
+
+    request_id: str
+    """Of the request that brought its first event."""
+    pool: str
+    version: str
+
+
+class FindOrigin(msgspec.Struct, tag='find', array_like=True, frozen=True):
+    """Question of an entry about what began a stream."""
+
+    request_id: str
+
+
+class OriginFound(msgspec.Struct, tag='found', array_like=True, frozen=True):
+    """Response to such a question."""
+
+    request_id: str
+    pool: str
+    """Empty if the side doesn't know the stream."""
+    version: str
+
+
+class VersionsListed(
+    msgspec.Struct, tag='versions', array_like=True, frozen=True
+):
+    """Software versions that served the pools lately.
+
+    A side sends them to each entry that connects, which shows the entry that
+    it may ask for origins.
+    """
+
+    ages: tuple[VersionAge, ...]
+
+
 FromEntry = (
     Hello
     | PermitRequest
@@ -153,6 +202,9 @@
     | Ended
     | StrikesReported
     | ServerStarted
+    | StreamBegan
+    | FindOrigin
+    | VersionsListed
     | FromFollower
 )
 FromSide = (
@@ -161,6 +213,8 @@
     | SideReport
     | StrikesReported
     | ServerStarted
+    | OriginFound
+    | VersionsListed
     | FromWatcher
 )
 
--- a/src/sardinetrack/turns/side.py
+++ b/src/sardinetrack/turns/side.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import math
 from collections import Counter
 from contextlib import AsyncExitStack
 from types import TracebackType
@@ -38,6 +37,7 @@
     StrikesReported,
 )
 from sardinetrack.turns.refused import RefusedRequests
+from sardinetrack.turns.stream_records import StreamRecords
 from sardinetrack.turns.usage_log import UsageLog
 from sardinetrack.views.watcher import Watcher
 
@@ -72,16 +72,17 @@
         self.watcher = watcher
         self._address = address
         self._log = log
-        self._entries: set[EntryConnection] = set()
+        self.entry_connections: set[EntryConnection] = set()
         self._owners: dict[str, EntryConnection] = {}
         self.engine_starts = EngineStarts()
-        self._started_seconds = math.inf
+        self._started_seconds = float('inf')
         self.usage = UsageLog(log)
         self.decisions: Counter[str] = Counter()
         self._requests: dict[str, PermitRequest] = {}
         self._refused = RefusedRequests()
         self._load = LoadReporter(self.admission, self.engine_starts)
         self._strikes = StrikeRegistry()
+        self.streams = StreamRecords()
         self.monitor = EngineMonitor(engine, self, log) if engine else None
         self._stack = AsyncExitStack()
 
@@ -110,7 +111,7 @@
         trace: TracebackType | None,
     ) -> None:
         """Stop listening and disconnect the entries."""
-        for entry in list(self._entries):
+        for entry in list(self.entry_connections):
             entry.abort()
         await self._stack.aclose()
 
@@ -127,7 +128,7 @@
     @property
     def entries(self) -> int:
         """Number of connected entries."""
-        return len(self._entries)
+        return len(self.entry_connections)
 
     @property
     def reported_entries(self) -> int:
@@ -137,7 +138,7 @@
 
     def add_entry(self, entry: EntryConnection) -> None:
         """Add a connection."""
-        self._entries.add(entry)
+        self.entry_connections.add(entry)
 
     def handle_hello(self, entry: EntryConnection, hello: Hello) -> None:
         """Set the engine's size, and send the entry all active strikes."""
@@ -145,6 +146,7 @@
         strikes = self._strikes.active(loop_now())
         if strikes:
             entry.send(StrikesReported(tuple(strikes)))
+        self.streams.connected(entry)
         self._log.write(
             Event.ENTRY_CONNECTED,
             entry=hello.entry,
@@ -165,7 +167,7 @@
         """
         for strike in message.strikes:
             self._strikes.add(loop_now(), strike)
-        for entry in self._entries - {sender}:
+        for entry in self.entry_connections - {sender}:
             entry.send(message)
 
     def handle_start(
@@ -211,7 +213,7 @@
             ),
         )
         self._load.new_prefixes.clear()
-        for entry in self._entries - {sender}:
+        for entry in self.entry_connections - {sender}:
             entry.send(message)
         self.reset()
 
@@ -221,7 +223,7 @@
         Its requests may still run at the engine, but their ends will never
         be reported.
         """
-        self._entries.discard(entry)
+        self.entry_connections.discard(entry)
         self.watcher.leave(entry)
         self._log.write(
             Event.ENTRY_LOST,
@@ -257,7 +259,7 @@
             message.shared_prefix,
             message.first_event_due_seconds - more_seconds,
             message.left_seconds,
-            event_gap_seconds=message.event_gap_seconds or math.inf,
+            event_gap_seconds=message.gap_objective_seconds,
         )
         self.request(request)
 
@@ -332,5 +334,5 @@
             self.usage.log_if_due(now, self.admission)
             report = self._load.next_report(now, self.reported_entries)
             if report is not None:
-                for entry in self._entries:
+                for entry in self.entry_connections:
                     entry.send(report)
--- a/src/sardinetrack/turns/side_link.py
+++ b/src/sardinetrack/turns/side_link.py
@@ -3,20 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-from abc import ABC, abstractmethod
-from collections.abc import Iterable
 from contextlib import suppress
-from dataclasses import dataclass
 from typing import Final
 
 from sardinetrack.fairness.service_updates import ServiceUpdates
 from sardinetrack.logs.events import Event, EventLog
-from sardinetrack.messages.api import Strike
-from sardinetrack.placement.load import EstimatedLoad
-from sardinetrack.placement.prefix_index import PrefixCacheIndex
 from sardinetrack.topology.cold import ColdEstimate
-from sardinetrack.topology.freshness import boot_clock
-from sardinetrack.topology.starts import UNKNOWN_START_HASH, ServerStart
+from sardinetrack.topology.starts import ServerStart
+from sardinetrack.topology.stream_origin import StreamOrigin
 from sardinetrack.turns.clock import loop_now
 from sardinetrack.turns.line_protocol import LineProtocol
 from sardinetrack.turns.messages import (
@@ -24,18 +18,22 @@
     MAX_SIDE_LINE_BYTES,
     Begun,
     Ended,
+    FindOrigin,
     Hello,
+    OriginFound,
     PermitGranted,
     PermitRefused,
     PermitRequest,
     ServerStarted,
     SideReport,
+    StreamBegan,
     StrikesReported,
-    decode_pace,
+    VersionsListed,
     decode_start,
-    encode_start,
 )
-from sardinetrack.views.api import Neighbour, ViewReceiver
+from sardinetrack.turns.origin_lookup import OriginLookup, PendingLookups
+from sardinetrack.turns.side_state import SideState
+from sardinetrack.views.api import Neighbour
 from sardinetrack.views.messages import FromFollower
 
 SIDE_TIMEOUT_SECONDS: Final = 1.4
@@ -54,51 +52,6 @@
 """``None``: the side disconnected or timed out before it responded."""
 
 
-class StrikeListener(ABC):
-    """Receives strikes that other entries have recorded."""
-
-    @abstractmethod
-    def add_strikes(self, now: float, strikes: Iterable[Strike]) -> None:
-        """Add requests that were running when their servers crashed."""
-
-
-class RestartListener(ABC):
-    """Receives a side's report that its server has restarted."""
-
-    @abstractmethod
-    def started(self, start: ServerStart) -> None:
-        """Apply the start that the side reports."""
-
-
-@dataclass(slots=True)
-class SideState:
-    """State of one server that the messages of its side update."""
-
-    load: EstimatedLoad
-    prefix_index: PrefixCacheIndex
-    view_receiver: ViewReceiver
-    strike_listener: StrikeListener
-    restart_listener: RestartListener
-    start: ServerStart | None = None
-    """The server's start by the instance list; ``None`` until it is listed."""
-    cold: ColdEstimate = ColdEstimate()
-    """How long that cold start lasts."""
-
-    def start_message(self, start: ServerStart) -> ServerStarted:
-        """Encode the listed start of the server for its side."""
-        return encode_start(start, boot_clock(), self.cold)
-
-    def is_current_start(self, start_hash: int) -> bool:
-        """Whether a load report is about the listed start.
-
-        One that was in transit while the server restarted reports load and
-        cached prefixes of the former start.
-        """
-        if self.start is None or start_hash == UNKNOWN_START_HASH:
-            return True
-        return self.start.start_hash == start_hash
-
-
 class SideConnection(LineProtocol):
     """The connection to a side, and the permit requests pending on it."""
 
@@ -122,6 +75,9 @@
         self._ip = ip
         self._state = state
         self._pending: dict[str, asyncio.Future[PermitResponse]] = {}
+        self._lookups = PendingLookups()
+        self.keeps_origins = False
+        """Whether the side can be asked for the origins of streams."""
 
     @property
     def live(self) -> bool:
@@ -153,6 +109,7 @@
             if not waiting.done():
                 waiting.set_result(None)
         self._pending.clear()
+        self._lookups.give_up()
         self._state.view_receiver.lost(self._ip)
 
     def handle_line(self, line: bytes) -> None:
@@ -166,6 +123,10 @@
                 self._resolve(message)
             case ServerStarted():
                 self._state.restart_listener.started(decode_start(message))
+            case OriginFound():
+                self._resolve_lookup(message)
+            case VersionsListed():
+                self._merge_versions(message)
             case StrikesReported():
                 self._state.strike_listener.add_strikes(
                     loop_now(), message.strikes
@@ -174,20 +135,31 @@
                 self._state.view_receiver.take(self._ip, message)
 
     def _apply_report(self, message: SideReport) -> None:
-        now = self.received_seconds
         self.entries = message.entries
-        if not self._state.is_current_start(message.start_hash):
-            return
-        self._state.load.update(
-            message.wait_seconds,
-            message.rate_tokens,
-        )
-        self._state.load.pace = decode_pace(message)
-        self._state.load.streams = message.streams
-        self._state.load.recent_pause_seconds = message.recent_pause_seconds
-        prefix_index = self._state.prefix_index
-        prefix_index.record(now, self._ip, message.prefixes)
-        prefix_index.set_retention(self._ip, message.retention_seconds)
+        self._state.apply_report(self.received_seconds, self._ip, message)
+
+    def _resolve_lookup(self, message: OriginFound) -> None:
+        origin = None
+        if message.pool:
+            origin = StreamOrigin(message.pool, message.version)
+        self._lookups.resolve(message.request_id, origin)
+
+    def _merge_versions(self, message: VersionsListed) -> None:
+        """Apply a side's versions, and tell it those that it lacks.
+
+        A side that has restarted knows none.
+        """
+        now, versions = self.received_seconds, self._state.versions
+        self.keeps_origins = True
+        versions.merge(now, message.ages)
+        known = versions.ages(now)
+        if versions.differ(now) and len(known) > len(message.ages):
+            self.send(VersionsListed(known))
+
+    def find_origin(self, request_id: str, lookup: OriginLookup) -> None:
+        """Ask the side what began a stream."""
+        self._lookups.add(request_id, lookup)
+        self.send(FindOrigin(request_id))
 
     def _resolve(self, message: PermitGranted | PermitRefused) -> None:
         waiting = self._pending.pop(message.permit_id, None)
@@ -220,9 +192,14 @@
             self.send(Ended(ask.permit_id))
         return response
 
-    def begun(self, permit_id: str) -> None:
-        """Report that the first event of the response has arrived."""
-        self.send(Begun(permit_id))
+    def begun(self, permit_id: str, origin: StreamOrigin) -> bool:
+        """Report that the first event of the response has arrived.
+
+        :param origin: what began the stream.
+        :return: whether the side remembers the origin.
+        """
+        self.send(Begun(permit_id, origin.pool, origin.version))
+        return self.keeps_origins and self.live
 
     def ended(self, permit_id: str, *, is_complete: bool = False) -> None:
         """Release the permit.
@@ -272,7 +249,11 @@
 
     def send_message(
         self,
-        message: FromFollower | StrikesReported | ServerStarted,
+        message: FromFollower
+        | StrikesReported
+        | ServerStarted
+        | StreamBegan
+        | VersionsListed,
     ) -> None:
         """Send the side a message if it is connected."""
         if self.connection is not None:
--- a/tests/relay/software_versions.feature
+++ b/tests/relay/software_versions.feature
@@ -12,10 +12,36 @@
       | an engine leaves                                          |
       | an engine leaves, callers continue at another entry       |
       | an entry is killed, and an engine leaves                  |
+      | an engine and its side are lost                           |
+      | all entries are replaced, and an engine leaves            |
+      | a side is lost, then an entry is killed                   |
     Then no stream has events of two versions
     And no stream lacks an event or has one twice
     And every stream that an engine of its version can continue is complete
 
+  Scenario Outline: A stream whose version can't be had is refused at once
+    Guards against callers that wait for a version which is gone, or that get
+    the wrong one because nobody remembers who began their stream.
+
+    When 10 streams at engines of v1, v1 and v2 are interrupted in these ways:
+      | way   |
+      | <way> |
+    Then no stream has events of two versions
+    And the streams of v1 are refused at once, because <reason>
+
+    Examples:
+      | way                               | reason                                          |
+      | all engines of v1 leave           | no server has software version v1               |
+      | all sides and an entry are killed | which software version began the stream is unknown |
+
+  Scenario: Where all servers have one version, nobody has to know the stream
+    Guards against refusals in a fleet that is not being updated.
+
+    When 10 streams at engines of v1, v1 and v1 are interrupted in these ways:
+      | way                               |
+      | all sides and an entry are killed |
+    Then the streams of v1 are complete
+
   Scenario: The lines of a stream show versions, and what continues it
     Guards against an incident that can't be traced: without the versions and
     the continued request, no line tells a right continuation from a wrong one.
--- a/tests/relay/steps/software_version_steps.py
+++ b/tests/relay/steps/software_version_steps.py
@@ -13,9 +13,10 @@
 from tests.support.version_world import CallerStream, VersionWorld
 
 _READ_EVENTS = 8
+_ALL = EVENTS + 1
 
 
-async def _begin(world, streams, max_events=EVENTS):
+async def _begin(world, streams, max_events=_ALL):
     """Request the streams, and wait until each has some events."""
     reads = [
         asyncio.ensure_future(world.read(one, max_events=max_events))
@@ -25,10 +26,27 @@
     return reads
 
 
+async def _take_up(world, streams, entry=1):
+    """Continue the streams that their callers lack a part of."""
+    incomplete = [one for one in streams if not one.complete]
+    await asyncio.gather(*(world.read(one, entry) for one in incomplete))
+
+
 async def _engine_crashes(world, streams):
     reads = await _begin(world, streams)
     await world.servers[0].crash()
     await asyncio.gather(*reads)
+    # The budget for retries within responses is too small for all.
+    await _take_up(world, streams)
+
+
+async def _instance_is_lost(world, streams):
+    """The side that knows the streams of the engine is lost with it."""
+    reads = await _begin(world, streams)
+    await world.kill_side(world.servers[0])
+    await world.servers[0].crash()
+    await asyncio.gather(*reads)
+    await _take_up(world, streams)
 
 
 async def _engine_leaves(world, streams):
@@ -48,7 +66,40 @@
     await world.kill_entry(0)
     await asyncio.gather(*reads)
     world.list_servers({'i-0'})
-    await asyncio.gather(*(world.read(one) for one in streams))
+    await _take_up(world, streams, 0)
+
+
+async def _all_entries_are_replaced(world, streams):
+    reads = await _begin(world, streams)
+    await world.kill_entry(1)
+    await world.kill_entry(0)
+    await asyncio.gather(*reads)
+    await world.open_entry()
+    world.list_servers({'i-0'})
+    await world.wait_linked()
+    await _take_up(world, streams, 0)
+
+
+async def _side_is_back_without_records(world, streams):
+    """Its entries granted themselves the permits, so no side was told."""
+    await world.kill_side(world.servers[0])
+    await _entry_is_killed(world, streams)
+
+
+async def _version_ends(world, streams):
+    """The streams of the version that is left behind are refused."""
+    await asyncio.gather(*await _begin(world, streams, _READ_EVENTS))
+    world.list_servers({'i-0', 'i-1'})
+    await _take_up(world, streams)
+
+
+async def _nobody_knows(world, streams):
+    reads = await _begin(world, streams)
+    for engine in world.servers:
+        await world.kill_side(engine)
+    await world.kill_entry(0)
+    await asyncio.gather(*reads)
+    await _take_up(world, streams, 0)
 
 
 _WAYS = MappingProxyType(
@@ -59,6 +110,15 @@
             _continue_elsewhere
         ),
         'an entry is killed, and an engine leaves': _entry_is_killed,
+        'an engine and its side are lost': _instance_is_lost,
+        'all entries are replaced, and an engine leaves': (
+            _all_entries_are_replaced
+        ),
+        'a side is lost, then an entry is killed': (
+            _side_is_back_without_records
+        ),
+        'all engines of v1 leave': _version_ends,
+        'all sides and an entry are killed': _nobody_knows,
     }
 )
 
@@ -127,6 +187,38 @@
     assert not broken, broken
 
 
+@then('the streams of {version} are refused at once, because {reason}')
+def refused(context, version, reason):
+    lines = {
+        line['request']: line
+        for line in context.world.lines()
+        if line['event'] == 'request_ended'
+    }
+    streams = [
+        stream
+        for _, stream in _all_streams(context)
+        if version.encode() in stream.versions
+    ]
+    assert streams
+    for stream in streams:
+        assert stream.statuses[-1] == 503, stream.statuses
+        line = lines[stream.last_request]
+        assert line['reason'].startswith('not_run_version'), line
+        assert reason in line['reason'], line
+        assert line['took_seconds'] < 0.3, line
+
+
+@then('the streams of {version} are complete')
+def complete_of(context, version):
+    streams = [
+        stream
+        for _, stream in _all_streams(context)
+        if stream.versions == {version.encode()}
+    ]
+    assert streams
+    assert all(stream.complete for stream in streams)
+
+
 @then('the lines show that {version} continues the stream after its last event')
 def traced(context, version):
     stream = _all_streams(context)[0][1]
--- a/tests/support/version_world.py
+++ b/tests/support/version_world.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import re
-from contextlib import AsyncExitStack, suppress
+from contextlib import suppress
 from dataclasses import replace
 from itertools import count
 
@@ -52,6 +52,7 @@
 
     def __init__(self, number):
         self.first_request = f'q{number}'
+        self.last_request = ''
         self.prefix = f'a{number}:400,b{number}:20'
         self.raw = b''
         self.statuses = []
@@ -77,6 +78,7 @@
             f'Authorization: Bearer {KEY}',
         ]
         request_id = f'{self.first_request}.{number}'
+        self.last_request = request_id
         if self.numbers:
             lines.append(f'Resumes: {self.first_request}')
             lines.append(f'Last-Event-Id: {self.numbers[-1]}')
@@ -95,7 +97,7 @@
         self.entries = []
         self.sides = {}
         """By the instance of the engine."""
-        self._stack = AsyncExitStack()
+        self._turns_port = 0
         self._net = f'127.7.{next(_NETS)}'
         VersionedEngine.copies.clear()
 
@@ -105,7 +107,6 @@
 
     async def open_fleet(self, versions, entries=2):
         """Start an engine and a side for each version, and the entries."""
-        turns_port = 0
         for number, version in enumerate(versions):
             engine = self.server_type(f'i-{number}')
             engine.pool = 'models'
@@ -113,10 +114,10 @@
             engine.ip = f'{self._net}.{number + 1}'
             await engine.open()
             self.servers.append(engine)
-            side = await self._open_side(engine, turns_port)
-            turns_port = side.port
-        for number in range(entries):
-            await self._open_entry(number, turns_port)
+            side = await self._open_side(engine)
+            self._turns_port = side.port
+        for _ in range(entries):
+            await self.open_entry()
         self.list_servers()
         await self.wait_linked()
 
@@ -174,21 +175,22 @@
             await side.__aexit__(None, None, None)
         for server in self.servers:
             await server.close()
-        await self._stack.aclose()
         rest = asyncio.all_tasks() - {asyncio.current_task()}
         for task in rest:
             task.cancel()
         await asyncio.gather(*rest, return_exceptions=True)
 
-    async def _open_side(self, engine, port):
+    async def _open_side(self, engine):
         watcher = Watcher(_NoFeeds(), (), self.log)
-        side = SideServer((engine.ip, port), watcher, self.log)
+        address = (engine.ip, self._turns_port)
+        side = SideServer(address, watcher, self.log)
         self.sides[engine.instance] = await side.__aenter__()
         return side
 
-    async def _open_entry(self, number, turns_port):
+    async def open_entry(self):
+        """Start an entry that knows nothing yet."""
         settings = node_settings(
-            instance=f'entry-{number}', turns_port=turns_port
+            instance=f'entry-{len(self.entries)}', turns_port=self._turns_port
         )
         state = EntryState(settings, self.log)
         held = configuration(timeout_seconds=6.0)
--- a/tests/turns/steps/side_steps.py
+++ b/tests/turns/steps/side_steps.py
@@ -14,6 +14,7 @@
 from sardinetrack.relay.crashes import STRIKE_TTL_SECONDS, CrashWatch
 from sardinetrack.topology.cold import ColdEstimate
 from sardinetrack.topology.freshness import boot_clock
+from sardinetrack.topology.pool_versions import PoolVersions
 from sardinetrack.topology.starts import ServerStart
 from sardinetrack.turns.load_report import REPORT_INTERVAL_SECONDS
 from sardinetrack.turns.messages import (
@@ -25,11 +26,8 @@
 )
 from sardinetrack.turns.refused import RefusedRequests
 from sardinetrack.turns.side import SideServer
-from sardinetrack.turns.side_link import (
-    RestartListener,
-    SideConnection,
-    SideState,
-)
+from sardinetrack.turns.side_link import SideConnection
+from sardinetrack.turns.side_state import RestartListener, SideState
 from sardinetrack.views.api import NullViewReceiver
 from sardinetrack.views.watcher import FeedFactory, Watcher
 
@@ -67,6 +65,7 @@
             NullViewReceiver(),
             self.crashes,
             self.received,
+            PoolVersions(),
         )
         self.connection = SideConnection(
             Hello(name, slots, 100_000),
@@ -558,7 +557,7 @@
         side.request = handled.append
         try:
             side.handle_request(
-                next(iter(side._entries)),  # noqa: SLF001
+                next(iter(side.entry_connections)),  # noqa: SLF001
                 message,
             )
         finally:
