A start of a server with other software is not taken for the one before

What callers would see: the same mixed responses, where engines restart under their ids.

- Before a stream continues at a server that may restart under its id (its record has the time of its start), the entry asks the server for its report, on a new connection, and sends the request on that connection only if the start is the listed one.
One process is at the end of a connection, so no gap is left.
- The side confirms the beginning of a stream once its engine has reported its start in a poll after the first event; only then is the origin remembered and published.
Until then a restart with another version makes the origin doubtful: the stream is neither taken from its engine nor continued elsewhere.
- The report of a restart between sides and entries carries the version; the entry used to keep that of the former start.

Servers whose ids are new at each start cost nothing of this: there the id in the request is the check (421).

--- a/src/sardinetrack/platform/protocol_adapter.py
+++ b/src/sardinetrack/platform/protocol_adapter.py
@@ -10,6 +10,8 @@
 from sardinetrack.errors.api import ErrorKind, RequestError
 from sardinetrack.placement.prompt import Prompt, PromptBlock
 from sardinetrack.platform import kv_transfer
+from sardinetrack.platform.engine_report import REPORT_PATH, decode_report
+from sardinetrack.platform.errors import TranslationError
 from sardinetrack.relay.api import (
     AttemptContext,
     CallerRequest,
@@ -156,6 +158,23 @@
         """Encode a call that frees a copy."""
         return kv_transfer.encode_kv_release(copy)
 
+    def encode_report_call(self, server: BackendServer) -> bytes:
+        """Encode a call for a server's report."""
+        return b'GET %b HTTP/1.1\r\nhost: %b:%d\r\n\r\n' % (
+            REPORT_PATH.encode(),
+            server.ip.encode(),
+            server.port,
+        )
+
+    def parse_started(self, status: int, body: bytes) -> int | None:
+        """Parse the server's start from its report."""
+        if status != HTTPStatus.OK:
+            return None
+        try:
+            return decode_report(body).started_milliseconds
+        except TranslationError:
+            return None
+
     def parse_response_head(
         self, status: int, headers: Headers
     ) -> ResponseHead:
--- a/src/sardinetrack/relay/api.py
+++ b/src/sardinetrack/relay/api.py
@@ -167,6 +167,17 @@
     def encode_kv_release(self, copy: KvSource) -> bytes:
         """Serialise a call that frees a copy at both engines."""
 
+    @abstractmethod
+    def encode_report_call(self, server: BackendServer) -> bytes:
+        """Serialise a call that a server responds to with its own report."""
+
+    @abstractmethod
+    def parse_started(self, status: int, body: bytes) -> int | None:
+        """Parse the start of a server in Unix milliseconds from its report.
+
+        :return: ``None`` if it can't be read.
+        """
+
     @abstractmethod
     def parse_response_head(
         self, status: int, headers: Headers
--- a/src/sardinetrack/relay/entry_state.py
+++ b/src/sardinetrack/relay/entry_state.py
@@ -203,12 +203,20 @@
         few = len(allowed) < MIN_ALLOWED_FRACTION * len(servers)
         return servers if few else allowed
 
-    def check_available(self, server: BackendServer) -> None:
+    def check_available(
+        self, server: BackendServer, *, is_return: bool = False
+    ) -> None:
         """Check that a server that was chosen before still gets requests.
 
+        :param is_return: it goes on with a run of its own, which is allowed
+            also while it leaves.
         :raises ServerUnavailableError: it drains, is evacuated, rests or has
             restarted with other software.
         """
+        if is_return:
+            if self.is_superseded(server):
+                raise ServerUnavailableError
+            return
         rests = self.server_states.rests
         left_seconds = rests.left_seconds(boot_clock(), server.instance)
         working = self.servers.get(server.instance)
--- a/src/sardinetrack/relay/exchange.py
+++ b/src/sardinetrack/relay/exchange.py
@@ -86,8 +86,11 @@
             plan.route, started=attempt.first_event_received
         )
         silent = self._silent_seconds(now, attempt) > allowed
-        superseded = plan.route.repeatable and self.server_restarted
-        if silent or superseded:
+        # One that may have begun at the new start would be taken from it.
+        superseded = self.server_restarted and not (
+            self.trace.origin_is_doubtful(self._state.servers)
+        )
+        if silent or (plan.route.repeatable and superseded):
             attempt.abandon()
 
     def _silent_seconds(self, now: float, attempt: ServerAttempt) -> float:
--- a/src/sardinetrack/relay/move_tools.py
+++ b/src/sardinetrack/relay/move_tools.py
@@ -36,6 +36,8 @@
 
         :param now: on the clock of the event loop.
         """
+        if self.trace.origin_is_doubtful(self.state.servers):
+            return []
         usable = self.state.usable_servers(
             now, self.plan.pool.name, self.trace.version
         )
--- a/src/sardinetrack/relay/permit.py
+++ b/src/sardinetrack/relay/permit.py
@@ -12,7 +12,7 @@
 from sardinetrack.placement.load import EstimatedLoad
 from sardinetrack.relay.entry_state import EntryState
 from sardinetrack.topology.configuration import Pool
-from sardinetrack.topology.stream_origin import StreamOrigin
+from sardinetrack.topology.servers import BackendServer
 from sardinetrack.turns.clock import loop_now
 from sardinetrack.turns.driver import LocalAdmission
 from sardinetrack.turns.messages import (
@@ -21,6 +21,7 @@
     PermitRequest,
 )
 from sardinetrack.turns.side_link import SideConnection
+from sardinetrack.turns.side_state import OriginListener
 
 _RESPONSE_SECONDS: Final = 0.25
 """Longest wait for a side's response beyond what the request may wait."""
@@ -33,11 +34,13 @@
     """Who granted it, for the log."""
 
     @abstractmethod
-    def first_event_received(self, origin: StreamOrigin) -> bool:
+    def first_event_received(
+        self, server: BackendServer, listener: OriginListener
+    ) -> None:
         """Report that the first event arrived.
 
-        :param origin: what began the stream.
-        :return: whether the server's side remembers the origin.
+        :param server: that sent it.
+        :param listener: told if the start of the server is certain.
         """
 
     @abstractmethod
@@ -64,9 +67,11 @@
         self._load = load
         load.running += 1
 
-    def first_event_received(self, origin: StreamOrigin) -> bool:
-        """Do nothing: no admission depends on it."""
-        return False
+    def first_event_received(
+        self, server: BackendServer, listener: OriginListener
+    ) -> None:
+        """Confirm the start if its id has only one."""
+        _confirm_only_start(server, listener)
 
     def release(self, *, complete: bool) -> None:
         """Stop counting the request."""
@@ -87,9 +92,11 @@
         self._connection = connection
         self._permit_id = permit_id
 
-    def first_event_received(self, origin: StreamOrigin) -> bool:
+    def first_event_received(
+        self, server: BackendServer, listener: OriginListener
+    ) -> None:
         """Report it to the side."""
-        return self._connection.begun(self._permit_id, origin)
+        self._connection.begun(self._permit_id, server, listener)
 
     def release(self, *, complete: bool) -> None:
         """Release the permit at the side."""
@@ -110,10 +117,12 @@
         self._local_admission = local_admission
         self._permit_id = permit_id
 
-    def first_event_received(self, origin: StreamOrigin) -> bool:
+    def first_event_received(
+        self, server: BackendServer, listener: OriginListener
+    ) -> None:
         """Inform the local admission."""
         self._local_admission.prefill_finished(self._permit_id)
-        return False
+        _confirm_only_start(server, listener)
 
     def release(self, *, complete: bool) -> None:
         """Release it at the local admission."""
@@ -139,13 +148,14 @@
         self._permit: Permit | None = permit
         self._first_event = first_event
 
-    def first_event_received(self, origin: StreamOrigin) -> bool:
+    def first_event_received(
+        self, server: BackendServer, listener: OriginListener
+    ) -> None:
         """Report it."""
-        permit = self._permit
-        remembered = permit is not None and permit.first_event_received(origin)
+        if self._permit is not None:
+            self._permit.first_event_received(server, listener)
         if self._first_event is not None:
             self._first_event()
-        return remembered
 
     def release(self, *, complete: bool) -> None:
         """Release the permit unless that was done before."""
@@ -249,3 +259,11 @@
 def _finite(seconds: float) -> float:
     """Encode an infinite objective as 0; JSON has no infinity."""
     return seconds if math.isfinite(seconds) else 0
+
+
+def _confirm_only_start(
+    server: BackendServer, listener: OriginListener
+) -> None:
+    """Confirm the start of a server that can't restart under its id."""
+    if server.started_milliseconds is None:
+        listener.confirmed(side_knows=False)
--- a/src/sardinetrack/relay/request_end.py
+++ b/src/sardinetrack/relay/request_end.py
@@ -52,8 +52,9 @@
 ) -> None:
     """Publish what began a stream that its caller may continue elsewhere."""
     ended_early = trace.outcome != SERVED
-    if ended_early and route.resumable and trace.origin is not None:
-        state.streams.ended_early(call, trace.origin)
+    origin = trace.origin if trace.origin_is_certain else None
+    if ended_early and route.resumable and origin is not None:
+        state.streams.ended_early(call, origin)
 
 
 def _record_stream(
--- a/src/sardinetrack/relay/request_plan.py
+++ b/src/sardinetrack/relay/request_plan.py
@@ -39,10 +39,15 @@
         """The workspace that is charged."""
         return self.workspace.name if self.workspace else ''
 
+    @property
+    def is_streaming(self) -> bool:
+        """Whether the response is a stream of events."""
+        return self.route.kind is RouteKind.STREAMING
+
     @property
     def has_movable_streams(self) -> bool:
         """Whether its stream moves to another engine if its own leaves."""
-        return self.pool.moves and self.route.kind is RouteKind.STREAMING
+        return self.pool.moves and self.is_streaming
 
     @property
     def priority(self) -> int:
--- a/src/sardinetrack/relay/sender.py
+++ b/src/sardinetrack/relay/sender.py
@@ -17,17 +17,14 @@
 from sardinetrack.relay.caller_connection import CallerConnection
 from sardinetrack.relay.connection_pool import IDLE_SECONDS, NotConnectedError
 from sardinetrack.relay.entry_state import EntryState
+from sardinetrack.relay.outcome_recorder import OutcomeRecorder
 from sardinetrack.relay.request_plan import Plan, check_still_allowed
 from sardinetrack.relay.send_mode import SendMode
-from sardinetrack.relay.server_connection import (
-    BreakReason,
-    ServerConnection,
-)
+from sardinetrack.relay.server_connection import ServerConnection
 from sardinetrack.relay.server_notices import ServerNotices
-from sardinetrack.relay.server_states import ServerUnavailableError
+from sardinetrack.relay.start_check import check_start
 from sardinetrack.relay.target import Target
 from sardinetrack.relay.trace import Placement, Trace
-from sardinetrack.topology.configuration import RouteKind
 from sardinetrack.topology.servers import BackendServer
 
 RUN_ONCE_IDLE_SECONDS: Final = 1.0
@@ -40,7 +37,6 @@
 _DIGITS: Final = 3
 _HEAD: Final = b'HEAD'
 _ONE_SERVER: Final = SendMode()
-_CONNECTION_ENDS: Final = frozenset((BreakReason.CLOSED, BreakReason.RESET))
 
 
 class Sender:
@@ -61,6 +57,7 @@
         self._call = call
         self._caller = caller
         self._trace = trace
+        self._outcomes = OutcomeRecorder(state, call, trace)
         self._loop = asyncio.get_running_loop()
 
     @property
@@ -86,11 +83,15 @@
         """
         server = placement.candidate.server
         # Before a connection is taken, which would be closed unused.
-        self._check_available(server, mode)
+        self._state.check_available(server, is_return=mode.is_return)
         self.server = server
         target = Target.of(self._state, server)
         try:
-            async with self._connection(plan, server) as connection:
+            async with self._connection(plan, server, progress) as connection:
+                if _must_check_start(server, progress):
+                    await check_start(
+                        connection, self._adapter, target, self._outcomes
+                    )
                 attempt = self._prepare(
                     plan, placement, progress, target, connection
                 )
@@ -99,7 +100,7 @@
                 )
                 _prepare_reuse(connection, attempt)
         except NotConnectedError as error:
-            self._record_unreachable(target, error)
+            self._outcomes.record_unreachable(target, error)
             raise
         except BaseException:
             target.record_inconclusive()
@@ -108,20 +109,23 @@
             # It ended the stream as it was asked to; that is no failure.
             target.record_success()
             return attempt
-        self._record_outcome(target, attempt)
+        self._outcomes.record(target, attempt)
         if mode.kv_source is not None:
             # The run was moved here, so the request as a whole has run.
             self._trace.proved_not_run = False
-        self._update_suspects(plan, server, attempt)
+        self._outcomes.update_suspects(plan, server, attempt)
         return attempt
 
     def _connection(
         self,
         plan: Plan,
         server: BackendServer,
+        progress: Progress,
     ) -> AbstractAsyncContextManager[ServerConnection]:
         max_idle_seconds = IDLE_SECONDS
-        if not plan.route.repeatable:
+        if _must_check_start(server, progress):
+            max_idle_seconds = 0
+        elif not plan.route.repeatable:
             max_idle_seconds = RUN_ONCE_IDLE_SECONDS
         return self._state.connections.lease(
             server.address,
@@ -144,13 +148,12 @@
             target.server.instance,
             placement.candidate.prefill_tokens,
         )
-        streams = plan.route.kind is RouteKind.STREAMING
         return ServerAttempt(
             self._call,
             self._caller.response,
             self._adapter,
             progress,
-            streams=streams and self._call.method != _HEAD,
+            streams=plan.is_streaming and self._call.method != _HEAD,
             connection=connection,
             observer=ServerNotices(
                 self._state,
@@ -190,16 +193,6 @@
             )
             return await mode.follow(attempt)
 
-    def _check_available(self, server: BackendServer, mode: SendMode) -> None:
-        """Check that a server still gets requests, or goes on with its own.
-
-        :raises ServerUnavailableError: it does not.
-        """
-        if not mode.is_return:
-            self._state.check_available(server)
-        elif self._state.is_superseded(server):
-            raise ServerUnavailableError
-
     def _recheck(
         self, plan: Plan, server: BackendServer, mode: SendMode
     ) -> None:
@@ -215,7 +208,7 @@
         if self._caller.disconnected:
             raise asyncio.CancelledError
         check_still_allowed(self._state, plan, self._call)
-        self._check_available(server, mode)
+        self._state.check_available(server, is_return=mode.is_return)
 
     def _sending(
         self,
@@ -272,68 +265,11 @@
             again_tokens=candidate.recomputed_tokens,
         )
 
-    def _record_outcome(self, target: Target, attempt: ServerAttempt) -> None:
-        outcome = attempt.done.result()
-        works = outcome is SendOutcome.ANSWERED and not attempt.failed
-        if works or outcome in {SendOutcome.DELIVERED, SendOutcome.NOT_RUN}:
-            target.record_success()
-        else:
-            target.record_failure(self._loop.time())
-        if outcome is SendOutcome.NOT_RUN:
-            self._trace.proved_not_run = True
-        if attempt.response is not None and attempt.response.misdirected:
-            self._mark_misaddressed(target)
-        elif attempt.response is not None:
-            target.load.reported_running = max(0, attempt.response.running)
 
-    def _mark_misaddressed(self, target: Target) -> None:
-        server = target.server
-        self._state.mark_misaddressed(server)
-        self._state.log.write(
-            Event.SERVER_SUSPECT,
-            request=self._call.request_id,
-            server=server.instance,
-            cause='another server responds at this address',
-            breaker=target.breaker.state.value,
-        )
-
-    def _update_suspects(
-        self,
-        plan: Plan,
-        server: BackendServer,
-        attempt: ServerAttempt,
-    ) -> None:
-        """Record whether the request may have crashed the server."""
-        crashes, call = self._state.crashes, self._call
-        if attempt.done.result() is SendOutcome.DELIVERED:
-            crashes.served(call, plan.workspace_name)
-        elif attempt.reason in _CONNECTION_ENDS:
-            strikes = crashes.connection_ended(
-                self._loop.time(),
-                server.instance,
-                call,
-                plan.workspace_name,
-            )
-            if strikes:
-                self._state.sides.report_strikes(strikes)
-
-    def _record_unreachable(
-        self,
-        target: Target,
-        error: NotConnectedError,
-    ) -> None:
-        detail, server = str(error), target.server
-        self._trace.unreachable.add(server.instance)
-        if isinstance(error.__cause__, ConnectionRefusedError):
-            self._state.sides.server_unreachable(server.instance, detail)
-        target.record_failure(self._loop.time())
-        self._state.log.write(
-            Event.SERVER_SUSPECT,
-            request=self._call.request_id,
-            server=server.instance,
-            cause=detail or 'no connection in time',
-            breaker=target.breaker.state.value,
-        )
+def _must_check_start(server: BackendServer, progress: Progress) -> bool:
+    """Whether a stream continues at a server that may restart under its id."""
+    continues = progress.splitter.last_event is not None
+    return continues and server.started_milliseconds is not None
 
 
 def _prepare_reuse(
--- a/src/sardinetrack/relay/server_choice.py
+++ b/src/sardinetrack/relay/server_choice.py
@@ -178,6 +178,12 @@
 
     def _candidates(self, plan: Plan) -> list[Candidate]:
         state = self._state
+        if self._trace.origin_is_doubtful(state.servers):
+            raise RequestError(
+                ErrorKind.NOT_RUN_VERSION,
+                'the server that began the stream has restarted with other'
+                ' software',
+            )
         servers = state.usable_servers(
             self._loop.time(), plan.pool.name, self._trace.version
         )
--- a/src/sardinetrack/relay/server_notices.py
+++ b/src/sardinetrack/relay/server_notices.py
@@ -9,6 +9,7 @@
 from sardinetrack.relay.attempt import AttemptObserver
 from sardinetrack.relay.entry_state import EntryState
 from sardinetrack.relay.permit import Permit
+from sardinetrack.relay.stream_directory import StreamBeginning
 from sardinetrack.relay.target import Target
 from sardinetrack.relay.trace import Trace
 from sardinetrack.topology.freshness import boot_clock
@@ -71,10 +72,15 @@
 
     def first_event_received(self) -> None:
         """Record the first event, which already shows that it works."""
-        origin = self._trace.origin or StreamOrigin.of(self._target.server)
-        self._trace.origin = origin
-        side_knows = self._permit.first_event_received(origin)
-        self._state.streams.began(self._call, origin, side_knows=side_knows)
+        server, trace = self._target.server, self._trace
+        origin = trace.origin or StreamOrigin.of(server)
+        beginning = StreamBeginning(
+            self._state.streams, self._call, server, origin
+        )
+        if trace.origin is None:
+            trace.origin = origin
+            trace.beginning = beginning
+        self._permit.first_event_received(server, beginning)
         self._target.record_success()
 
     def _apply_rest(self, seconds: float, status: int) -> None:
--- a/src/sardinetrack/relay/stream_directory.py
+++ b/src/sardinetrack/relay/stream_directory.py
@@ -13,12 +13,12 @@
 from sardinetrack.relay.meters import StreamMeters
 from sardinetrack.relay.side_links import SideLinks, broadcast_sides
 from sardinetrack.topology.configuration import Pool
-from sardinetrack.topology.freshness import Freshness
-from sardinetrack.topology.servers import BackendServer
+from sardinetrack.topology.freshness import Freshness, boot_clock
+from sardinetrack.topology.servers import BackendServer, ServerList
 from sardinetrack.topology.stream_origin import StreamOrigin, StreamOrigins
-from sardinetrack.turns.clock import loop_now
-from sardinetrack.turns.messages import StreamBegan, VersionsListed
 from sardinetrack.turns.origin_lookup import OriginLookup
+from sardinetrack.turns.origin_messages import StreamBegan, VersionsListed
+from sardinetrack.turns.side_state import OriginListener
 
 LOOKUP_SECONDS: Final = 0.25
 """Longest wait for the sides; a live one responds within milliseconds."""
@@ -36,6 +36,45 @@
     """The request is refused."""
 
 
+class StreamBeginning(OriginListener):
+    """The first event of a stream, and whether its origin is certain."""
+
+    def __init__(
+        self,
+        directory: StreamDirectory,
+        call: CallerRequest,
+        server: BackendServer,
+        origin: StreamOrigin,
+    ) -> None:
+        """Wait for the confirmation.
+
+        :param server: that sent the event.
+        :param origin: what began the stream, maybe another server.
+        """
+        self.is_certain = False
+        self._directory = directory
+        self._call = call
+        self._server = server
+        self._origin = origin
+
+    def confirmed(self, *, side_knows: bool) -> None:
+        """Record the origin of the stream."""
+        self.is_certain = True
+        self._directory.began(self._call, self._origin, side_knows=side_knows)
+
+    def is_doubtful(self, servers: ServerList) -> bool:
+        """Whether a start with other software may have begun the stream.
+
+        It restarted under its id, and the event may have come from the new
+        start before this entry knew of it.
+        """
+        listed = servers.instances.get(self._server.instance)
+        if self.is_certain or listed is None:
+            return False
+        changed = listed.version != self._server.version
+        return changed and listed.start.supersedes(self._server.start)
+
+
 class StreamDirectory:
     """Remembers the streams of this entry, and asks the sides about others.
 
@@ -66,7 +105,7 @@
 
     def servers_listed(self, servers: list[BackendServer]) -> None:
         """Handle a change of the list of servers."""
-        now = loop_now()
+        now = boot_clock()
         origins = {StreamOrigin.of(server) for server in servers}
         if self._versions.update(now, origins) and self._versions.differ(now):
             ages = self._versions.ages(now)
@@ -76,11 +115,11 @@
     def began(
         self, call: CallerRequest, origin: StreamOrigin, *, side_knows: bool
     ) -> None:
-        """Record the first event of an attempt.
+        """Record the first event of an attempt, once its origin is certain.
 
         :param side_knows: the side of the server was told.
         """
-        self._origins.record(loop_now(), call.stream_id, origin)
+        self._origins.record(boot_clock(), call.stream_id, origin)
         if not side_knows or call.continues_stream:
             self._publish(call, origin)
 
@@ -120,10 +159,10 @@
     async def _look_up(
         self, call: CallerRequest, pool: Pool
     ) -> tuple[OriginSource, StreamOrigin | None]:
-        origin = self._origins.find(loop_now(), call.stream_id)
+        origin = self._origins.find(boot_clock(), call.stream_id)
         if origin is not None:
             return OriginSource.ENTRY, origin
-        versions = self._versions.of_pool(loop_now(), pool.name)
+        versions = self._versions.of_pool(boot_clock(), pool.name)
         if len(versions) > 1:
             origin = await self._ask_sides(call.stream_id)
             source = OriginSource.SIDE if origin else OriginSource.UNKNOWN
@@ -154,7 +193,7 @@
 
     def _publish(self, call: CallerRequest, origin: StreamOrigin) -> None:
         """Tell a side in each failure domain, if the pool has versions."""
-        if len(self._versions.of_pool(loop_now(), origin.pool)) < 2:
+        if len(self._versions.of_pool(boot_clock(), origin.pool)) < 2:
             return
         message = StreamBegan(call.stream_id, origin.pool, origin.version)
         for link in broadcast_sides(self._sides.live):
--- a/src/sardinetrack/relay/trace.py
+++ b/src/sardinetrack/relay/trace.py
@@ -8,6 +8,8 @@
 
 from sardinetrack.placement.choice import Candidate
 from sardinetrack.relay.permit import HeldPermit, Permit
+from sardinetrack.relay.stream_directory import StreamBeginning
+from sardinetrack.topology.servers import ServerList
 from sardinetrack.topology.stream_origin import StreamOrigin
 
 SERVED: Final = 'served'
@@ -30,6 +32,8 @@
     """For permits, at all servers together."""
     origin: StreamOrigin | None = None
     """What began the stream; ``None`` until its caller has an event."""
+    beginning: StreamBeginning | None = None
+    """Its first event; ``None`` also if another request brought it."""
     proved_not_run: bool = True
     outcome: str = SERVED
     """The kind of error sent to the caller, if any."""
@@ -42,6 +46,16 @@
         """Software version that began the stream; ``None`` if none has."""
         return None if self.origin is None else self.origin.version
 
+    @property
+    def origin_is_certain(self) -> bool:
+        """Whether no other software can have begun the stream."""
+        return self.beginning is None or self.beginning.is_certain
+
+    def origin_is_doubtful(self, servers: ServerList) -> bool:
+        """Whether other software may have begun the stream."""
+        beginning = self.beginning
+        return beginning is not None and beginning.is_doubtful(servers)
+
     @property
     def sent(self) -> int:
         """The number of attempts that were sent; a moved run is one attempt."""
--- a/src/sardinetrack/topology/pool_versions.py
+++ b/src/sardinetrack/topology/pool_versions.py
@@ -14,7 +14,7 @@
     """When each version was listed last, here or by another process.
 
     A version counts for a minute after its last server has gone: streams that
-    it began may still be continued. Times are on the clock of the caller.
+    it began may still be continued. Times are on the boot clock.
     """
 
     def __init__(self) -> None:
--- a/src/sardinetrack/topology/servers.py
+++ b/src/sardinetrack/topology/servers.py
@@ -58,6 +58,7 @@
             self.instance,
             self.started_milliseconds,
             self.revision,
+            self.version,
         )
 
 
@@ -110,6 +111,10 @@
 
     def put(self, server: BackendServer) -> None:
         """Add or update a server."""
+        known = self._listed.get(server.instance)
+        if known is not None and server.start.supersedes(known.start):
+            # It is what has responded in place of the former start.
+            self._misaddressed.pop(server.instance, None)
         self._listed[server.instance] = self._newest(server)
         self._missing.pop(server.instance, None)
         self._rebuild_pools()
@@ -126,6 +131,7 @@
             known,
             started_milliseconds=start.started_milliseconds,
             revision=start.revision,
+            version=start.version,
         )
         self._rebuild_pools()
         return True
--- a/src/sardinetrack/topology/starts.py
+++ b/src/sardinetrack/topology/starts.py
@@ -25,6 +25,8 @@
     revision: int
     """Of the store when the start was written there; it orders reports. 0 if
     unknown."""
+    version: str = ''
+    """Of the software; it changes with a start only. Empty if unknown."""
 
     @property
     def start_hash(self) -> int:
--- a/src/sardinetrack/topology/stream_origin.py
+++ b/src/sardinetrack/topology/stream_origin.py
@@ -36,7 +36,7 @@
 class StreamOrigins:
     """Origins of recent streams, by the request that brought the first event.
 
-    Times are on the monotonic clock of the caller.
+    Times are on the boot clock.
     """
 
     def __init__(self) -> None:
@@ -60,13 +60,6 @@
         began, origin = self._streams.get(request_id, (-STREAM_SECONDS, None))
         return origin if now - began < STREAM_SECONDS else None
 
-    def forget_since(self, since: float) -> None:
-        """Forget the streams that began later than a time."""
-        for request_id in reversed(list(self._streams)):
-            if self._streams[request_id][0] <= since:
-                return
-            self._streams.pop(request_id)
-
     def _drop_oldest(self, now: float) -> None:
         """Drop the oldest stream if it is too old or one too many.
 
--- a/src/sardinetrack/turns/driver.py
+++ b/src/sardinetrack/turns/driver.py
@@ -55,6 +55,11 @@
         engine that may be cold, without a limit.
         """
         self._deliver_all(self.admission.observe_engine(loop_now(), report))
+        self.start_reported(report.started_milliseconds)
+
+    @abstractmethod
+    def start_reported(self, started_milliseconds: int | None) -> None:
+        """Handle which start of the engine has sent a report."""
 
     def set_cold_period(self, cold: ColdPeriod) -> None:
         """Set how long the server's cold start lasts."""
@@ -114,6 +119,9 @@
         finally:
             self._pending.pop(ask.permit_id, None)
 
+    def start_reported(self, started_milliseconds: int | None) -> None:
+        """Do nothing: an entry polls no engine."""
+
     def deliver(self, decision: AdmissionDecision) -> None:
         """Resolve the future of a request; release a permit without one."""
         waiting = self._pending.get(decision.permit_id)
--- a/src/sardinetrack/turns/engine_monitor.py
+++ b/src/sardinetrack/turns/engine_monitor.py
@@ -59,6 +59,10 @@
     def is_spacing(self) -> bool:
         """Whether prompts may have to wait for the spacing."""
 
+    @abstractmethod
+    def engine_polled(self) -> None:
+        """Handle that a report is about to be requested."""
+
     @abstractmethod
     def observe_engine(self, report: EngineReport) -> None:
         """Apply a report."""
@@ -116,6 +120,7 @@
     async def _poll_once(self) -> float:
         """Poll, and return the time until the next poll."""
         failed_polls = self._silence.failed_polls
+        self._listener.engine_polled()
         try:
             report = await self._poll()
         except PollError as error:
--- a/src/sardinetrack/turns/engine_start.py
+++ b/src/sardinetrack/turns/engine_start.py
@@ -48,6 +48,15 @@
             UNKNOWN_START_HASH if self.start is None else self.start.start_hash
         )
 
+    def hash_of(self, started_milliseconds: int | None) -> int:
+        """Hash a start that the engine itself reports."""
+        if self.start is None:
+            return UNKNOWN_START_HASH
+        reported = replace(
+            self.start, started_milliseconds=started_milliseconds
+        )
+        return reported.start_hash
+
     @property
     def cold(self) -> ColdPeriod:
         """How long the engine's cold start lasts."""
--- a/src/sardinetrack/turns/entry_connection.py
+++ b/src/sardinetrack/turns/entry_connection.py
@@ -9,12 +9,15 @@
     DECODE_FROM_ENTRY,
     Begun,
     Ended,
-    FindOrigin,
     Hello,
     PermitRequest,
     ServerStarted,
-    StreamBegan,
     StrikesReported,
+)
+from sardinetrack.turns.origin_messages import (
+    FindOrigin,
+    OriginsFromEntry,
+    StreamBegan,
     VersionsListed,
 )
 from sardinetrack.views.api import ViewSubscriber
@@ -62,7 +65,7 @@
                 self.permit_ids.add(message.permit_id)
                 self._side.handle_request(self, message)
             case Begun():
-                self._side.streams.begun(message)
+                self._side.streams.begun(self, message)
                 self._side.prefill_finished(message.permit_id)
             case Ended():
                 self.permit_ids.discard(message.permit_id)
@@ -81,7 +84,7 @@
                 self._handle_origin_message(message)
 
     def _handle_origin_message(
-        self, message: StreamBegan | FindOrigin | VersionsListed | FromFollower
+        self, message: OriginsFromEntry | FromFollower
     ) -> None:
         streams = self._side.streams
         match message:
--- a/src/sardinetrack/turns/messages.py
+++ b/src/sardinetrack/turns/messages.py
@@ -10,8 +10,11 @@
 from sardinetrack.messages.api import Strike
 from sardinetrack.placement.step_pace import StepPace
 from sardinetrack.topology.cold import ColdEstimate
-from sardinetrack.topology.pool_versions import VersionAge
-from sardinetrack.topology.starts import ServerStart
+from sardinetrack.topology.starts import UNKNOWN_START_HASH, ServerStart
+from sardinetrack.turns.origin_messages import (
+    OriginsFromEntry,
+    OriginsFromSide,
+)
 from sardinetrack.views.messages import FromFollower, FromWatcher
 
 MAX_LINE_BYTES: Final = 65_536
@@ -78,6 +81,9 @@
     """Of the server; empty from an entry of the previous version."""
     version: str = ''
     """Of the server's software."""
+    start_hash: int = UNKNOWN_START_HASH
+    """Of the start that the entry takes the server for, where a server may
+    restart under its id; see ``ServerStart``."""
 
 
 class Ended(msgspec.Struct, tag='ended', array_like=True, frozen=True):
@@ -102,6 +108,8 @@
     """The same, as assumed from what has happened to the server."""
     cold_per_second: float = 0
     """Requests a second that it handles while cold; 0 for no limit."""
+    version: str = ''
+    """Of its software; empty from a process of the previous version."""
 
 
 class PermitGranted(
@@ -159,42 +167,6 @@
     strikes: tuple[Strike, ...]
 
 
-class StreamBegan(msgspec.Struct, tag='origin', array_like=True, frozen=True):
-    """What began a stream, in case that nobody else can tell."""
-
-    request_id: str
-    """Of the request that brought its first event."""
-    pool: str
-    version: str
-
-
-class FindOrigin(msgspec.Struct, tag='find', array_like=True, frozen=True):
-    """Question of an entry about what began a stream."""
-
-    request_id: str
-
-
-class OriginFound(msgspec.Struct, tag='found', array_like=True, frozen=True):
-    """Response to such a question."""
-
-    request_id: str
-    pool: str
-    """Empty if the side doesn't know the stream."""
-    version: str
-
-
-class VersionsListed(
-    msgspec.Struct, tag='versions', array_like=True, frozen=True
-):
-    """Software versions that served the pools lately.
-
-    A side sends them to each entry that connects, which shows the entry that
-    it may ask for origins.
-    """
-
-    ages: tuple[VersionAge, ...]
-
-
 FromEntry = (
     Hello
     | PermitRequest
@@ -202,9 +174,7 @@
     | Ended
     | StrikesReported
     | ServerStarted
-    | StreamBegan
-    | FindOrigin
-    | VersionsListed
+    | OriginsFromEntry
     | FromFollower
 )
 FromSide = (
@@ -213,8 +183,7 @@
     | SideReport
     | StrikesReported
     | ServerStarted
-    | OriginFound
-    | VersionsListed
+    | OriginsFromSide
     | FromWatcher
 )
 
@@ -234,6 +203,7 @@
         message.instance,
         message.started_milliseconds,
         message.revision,
+        message.version,
     )
 
 
@@ -253,6 +223,7 @@
         max(0, cold.reported_until_seconds - now),
         max(0, cold.assumed_until_seconds - now),
         cold.per_second,
+        start.version,
     )
 
 
--- a/src/sardinetrack/turns/side.py
+++ b/src/sardinetrack/turns/side.py
@@ -82,7 +82,7 @@
         self._refused = RefusedRequests()
         self._load = LoadReporter(self.admission, self.engine_starts)
         self._strikes = StrikeRegistry()
-        self.streams = StreamRecords()
+        self.streams = StreamRecords(confirms=engine is not None)
         self.monitor = EngineMonitor(engine, self, log) if engine else None
         self._stack = AsyncExitStack()
 
@@ -268,6 +268,15 @@
             return 0
         return self._refused.waited_seconds(now, message.fingerprint)
 
+    def engine_polled(self) -> None:
+        """Note which streams have begun before a poll."""
+        self.streams.engine_polled()
+
+    def start_reported(self, started_milliseconds: int | None) -> None:
+        """Confirm the streams that the start has begun."""
+        start_hash = self.engine_starts.hash_of(started_milliseconds)
+        self.streams.engine_reported(start_hash)
+
     def handle_end(self, permit_id: str, *, is_complete: bool = False) -> None:
         """Release a permit, or remove a request that still waits for one.
 
--- a/src/sardinetrack/turns/side_link.py
+++ b/src/sardinetrack/turns/side_link.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterable
 from contextlib import suppress
 from typing import Final
 
 from sardinetrack.fairness.service_updates import ServiceUpdates
 from sardinetrack.logs.events import Event, EventLog
 from sardinetrack.topology.cold import ColdEstimate
+from sardinetrack.topology.freshness import boot_clock
+from sardinetrack.topology.servers import BackendServer
 from sardinetrack.topology.starts import ServerStart
 from sardinetrack.topology.stream_origin import StreamOrigin
 from sardinetrack.turns.clock import loop_now
@@ -18,23 +21,27 @@
     MAX_SIDE_LINE_BYTES,
     Begun,
     Ended,
-    FindOrigin,
     Hello,
-    OriginFound,
     PermitGranted,
     PermitRefused,
     PermitRequest,
     ServerStarted,
     SideReport,
-    StreamBegan,
     StrikesReported,
-    VersionsListed,
     decode_start,
 )
 from sardinetrack.turns.origin_lookup import OriginLookup, PendingLookups
-from sardinetrack.turns.side_state import SideState
+from sardinetrack.turns.origin_messages import (
+    FindOrigin,
+    OriginFound,
+    OriginsConfirmed,
+    OriginsFromEntry,
+    OriginsFromSide,
+    VersionsListed,
+)
+from sardinetrack.turns.side_state import OriginListener, SideState
 from sardinetrack.views.api import Neighbour
-from sardinetrack.views.messages import FromFollower
+from sardinetrack.views.messages import FromFollower, FromWatcher
 
 SIDE_TIMEOUT_SECONDS: Final = 1.4
 """A side that misses three load reports counts as disconnected."""
@@ -75,6 +82,7 @@
         self._ip = ip
         self._state = state
         self._pending: dict[str, asyncio.Future[PermitResponse]] = {}
+        self._unconfirmed: dict[str, OriginListener] = {}
         self._lookups = PendingLookups()
         self.keeps_origins = False
         """Whether the side can be asked for the origins of streams."""
@@ -123,14 +131,23 @@
                 self._resolve(message)
             case ServerStarted():
                 self._state.restart_listener.started(decode_start(message))
-            case OriginFound():
-                self._resolve_lookup(message)
-            case VersionsListed():
-                self._merge_versions(message)
             case StrikesReported():
                 self._state.strike_listener.add_strikes(
                     loop_now(), message.strikes
                 )
+            case _:
+                self._handle_other_message(message)
+
+    def _handle_other_message(
+        self, message: OriginsFromSide | FromWatcher
+    ) -> None:
+        match message:
+            case OriginFound():
+                self._resolve_lookup(message)
+            case OriginsConfirmed():
+                self._confirm(message.permit_ids)
+            case VersionsListed():
+                self._merge_versions(message)
             case _:
                 self._state.view_receiver.take(self._ip, message)
 
@@ -144,12 +161,18 @@
             origin = StreamOrigin(message.pool, message.version)
         self._lookups.resolve(message.request_id, origin)
 
+    def _confirm(self, permit_ids: Iterable[str]) -> None:
+        for permit_id in permit_ids:
+            listener = self._unconfirmed.pop(permit_id, None)
+            if listener is not None:
+                listener.confirmed(side_knows=True)
+
     def _merge_versions(self, message: VersionsListed) -> None:
         """Apply a side's versions, and tell it those that it lacks.
 
         A side that has restarted knows none.
         """
-        now, versions = self.received_seconds, self._state.versions
+        now, versions = boot_clock(), self._state.versions
         self.keeps_origins = True
         versions.merge(now, message.ages)
         known = versions.ages(now)
@@ -192,14 +215,21 @@
             self.send(Ended(ask.permit_id))
         return response
 
-    def begun(self, permit_id: str, origin: StreamOrigin) -> bool:
+    def begun(
+        self, permit_id: str, server: BackendServer, listener: OriginListener
+    ) -> None:
         """Report that the first event of the response has arrived.
 
-        :param origin: what began the stream.
-        :return: whether the side remembers the origin.
+        :param server: that sent it.
+        :param listener: told once the start of the server is certain.
         """
-        self.send(Begun(permit_id, origin.pool, origin.version))
-        return self.keeps_origins and self.live
+        if server.started_milliseconds is None:
+            self.send(Begun(permit_id, server.pool, server.version))
+            listener.confirmed(side_knows=self.keeps_origins and self.live)
+            return
+        start_hash = server.start.start_hash
+        self.send(Begun(permit_id, server.pool, server.version, start_hash))
+        self._unconfirmed[permit_id] = listener
 
     def ended(self, permit_id: str, *, is_complete: bool = False) -> None:
         """Release the permit.
@@ -207,6 +237,7 @@
         :param is_complete: whether the caller has received the complete
             response.
         """
+        self._unconfirmed.pop(permit_id, None)
         self.send(Ended(permit_id, is_complete))
 
 
@@ -252,8 +283,7 @@
         message: FromFollower
         | StrikesReported
         | ServerStarted
-        | StreamBegan
-        | VersionsListed,
+        | OriginsFromEntry,
     ) -> None:
         """Send the side a message if it is connected."""
         if self.connection is not None:
--- a/src/sardinetrack/turns/side_state.py
+++ b/src/sardinetrack/turns/side_state.py
@@ -38,6 +38,17 @@
         """Apply the start that the side reports."""
 
 
+class OriginListener(ABC):
+    """Learns that the software which began a stream is certain."""
+
+    @abstractmethod
+    def confirmed(self, *, side_knows: bool) -> None:
+        """Handle that the server is the start for which it was taken.
+
+        :param side_knows: the side of the server remembers the stream.
+        """
+
+
 @dataclass(slots=True)
 class SideState:
     """State of one server that the messages of its side update."""
--- a/tests/relay/software_versions.feature
+++ b/tests/relay/software_versions.feature
@@ -34,6 +34,18 @@
       | all engines of v1 leave           | no server has software version v1               |
       | all sides and an entry are killed | which software version began the stream is unknown |
 
+  Scenario: An engine that restarts under its id with other software
+    Guards against a start that is taken for the one before it: no engine
+    refuses a request for its id, and records show a restart only later.
+
+    When 20 streams at engines of v1, v1 and v2, which may restart under their ids, are interrupted in these ways:
+      | way                                                          |
+      | an engine restarts as v2 unnoticed, and another crashes      |
+      | an engine restarts as v2, and is listed after streams began  |
+      | an engine restarts as v2 unnoticed, then it and an entry end |
+    Then no stream has events of two versions
+    And no stream lacks an event or has one twice
+
   Scenario: Where all servers have one version, nobody has to know the stream
     Guards against refusals in a fleet that is not being updated.
 
--- a/tests/relay/steps/software_version_steps.py
+++ b/tests/relay/steps/software_version_steps.py
@@ -13,7 +13,9 @@
 from tests.support.version_world import CallerStream, VersionWorld
 
 _READ_EVENTS = 8
+_AT_ONCE_SECONDS = 0.3
 _ALL = EVENTS + 1
+_STARTED = 1_790_000_000_000
 
 
 async def _begin(world, streams, max_events=_ALL):
@@ -102,6 +104,32 @@
     await _take_up(world, streams, 0)
 
 
+async def _restarts_unnoticed(world, streams):
+    """The only other engine of v1 by the list has another version by then."""
+    reads = await _begin(world, streams)
+    await world.servers[1].restart('v2')
+    await world.servers[0].crash()
+    await asyncio.gather(*reads)
+    await _take_up(world, streams)
+
+
+async def _restarts_before(world, streams):
+    """The entries learn of the restart while streams of both starts run."""
+    await world.servers[0].restart('v2')
+    reads = await _begin(world, streams)
+    world.list_servers()
+    await asyncio.gather(*reads)
+
+
+async def _restarts_before_kill(world, streams):
+    await world.servers[0].restart('v2')
+    reads = await _begin(world, streams)
+    await world.kill_entry(0)
+    await asyncio.gather(*reads)
+    await world.servers[0].crash()
+    await _take_up(world, streams, 0)
+
+
 _WAYS = MappingProxyType(
     {
         'an engine crashes': _engine_crashes,
@@ -119,17 +147,26 @@
         ),
         'all engines of v1 leave': _version_ends,
         'all sides and an entry are killed': _nobody_knows,
+        'an engine restarts as v2 unnoticed, and another crashes': (
+            _restarts_unnoticed
+        ),
+        'an engine restarts as v2, and is listed after streams began': (
+            _restarts_before
+        ),
+        'an engine restarts as v2 unnoticed, then it and an entry end': (
+            _restarts_before_kill
+        ),
     }
 )
 
 
-def _play(context, way, versions, count):
+def _play(context, way, versions, count, started=None):
     world = VersionWorld()
     context.add_cleanup(close_world, world)
     streams = [CallerStream(number) for number in range(count)]
 
     async def play():
-        await world.open_fleet(versions)
+        await world.open_fleet(versions, started=started)
         await _WAYS[way](world, streams)
 
     with mock.patch('sardinetrack.relay.stream_move.MIN_RUN_SECONDS', 0.1):
@@ -138,15 +175,23 @@
     return streams
 
 
+@when(
+    '{count:d} streams at engines of {versions}, which may restart under'
+    ' their ids, are interrupted in these ways:'
+)
+def interrupt_restartable(context, count, versions):
+    interrupt(context, count, versions, started=_STARTED)
+
+
 @when(
     '{count:d} streams at engines of {versions} are interrupted in these ways:'
 )
 @when('{count:d} stream at engines of {versions} is interrupted in this way:')
-def interrupt(context, count, versions):
+def interrupt(context, count, versions, started=None):
     names = versions.replace(' and ', ', ').split(', ')
     context.versions = names
     context.streams = {
-        row['way']: _play(context, row['way'], names, count)
+        row['way']: _play(context, row['way'], names, count, started)
         for row in context.table
     }
 
@@ -205,7 +250,7 @@
         line = lines[stream.last_request]
         assert line['reason'].startswith('not_run_version'), line
         assert reason in line['reason'], line
-        assert line['took_seconds'] < 0.3, line
+        assert line['took_seconds'] < _AT_ONCE_SECONDS, line
 
 
 @then('the streams of {version} are complete')
--- a/tests/support/relay_servers.py
+++ b/tests/support/relay_servers.py
@@ -64,6 +64,7 @@
 
     ip = '127.0.0.1'
     version = ''
+    started = None
 
     def __init__(self, instance):
         self.instance = instance
--- a/tests/support/relay_world.py
+++ b/tests/support/relay_world.py
@@ -171,7 +171,7 @@
                 server.failure_domain,
                 8,
                 server.instance in leaving,
-                started,
+                server.started if started is None else started,
                 revision,
                 server.cold_seconds,
                 server.version,
--- a/tests/support/version_world.py
+++ b/tests/support/version_world.py
@@ -8,10 +8,12 @@
 from dataclasses import replace
 from itertools import count
 
+from sardinetrack.platform.engine_report import REPORT_PATH, decode_report
 from sardinetrack.platform.protocol_adapter import PlatformProtocolAdapter
 from sardinetrack.relay.entry import Entry
 from sardinetrack.relay.entry_state import EntryState
 from sardinetrack.topology.freshness import boot_clock
+from sardinetrack.turns.engine_monitor import EngineSource
 from sardinetrack.turns.side import SideServer
 from sardinetrack.views.watcher import FeedFactory, Watcher
 from tests.support.example_settings import node_settings
@@ -33,6 +35,10 @@
     """Writes its software version into each event."""
 
     async def _perform(self, request, reader, writer):
+        if request[0].startswith(b'GET /v1/report '):
+            report = {'queued': 0, 'active': 0, 'runs': []}
+            self._reply(writer, '200 OK', {**report, 'born': self.started})
+            return
         expected = request[1].get('x-sardinetrack-expect-instance')
         if expected not in {None, self.instance}:
             await self._misdirect(request[1], reader, writer)
@@ -46,6 +52,13 @@
         """End, and cut everything."""
         await self._crash(None, None, None)
 
+    async def restart(self, version):
+        """Crash, and start again under the same id with other software."""
+        await self.crash()
+        self.version = version
+        self.started += 1
+        await self.open()
+
 
 class CallerStream:
     """What one caller has of one stream, over all its requests."""
@@ -105,12 +118,16 @@
     def entry_states(self):
         return [state for _, state in self.entries]
 
-    async def open_fleet(self, versions, entries=2):
-        """Start an engine and a side for each version, and the entries."""
+    async def open_fleet(self, versions, entries=2, started=None):
+        """Start an engine and a side for each version, and the entries.
+
+        :param started: of the engines; none where each start has its own id.
+        """
         for number, version in enumerate(versions):
             engine = self.server_type(f'i-{number}')
             engine.pool = 'models'
             engine.version = version
+            engine.started = started
             engine.ip = f'{self._net}.{number + 1}'
             await engine.open()
             self.servers.append(engine)
@@ -183,7 +200,10 @@
     async def _open_side(self, engine):
         watcher = Watcher(_NoFeeds(), (), self.log)
         address = (engine.ip, self._turns_port)
-        side = SideServer(address, watcher, self.log)
+        source = EngineSource(
+            (engine.ip, engine.port), REPORT_PATH, decode_report
+        )
+        side = SideServer(address, watcher, self.log, source)
         self.sides[engine.instance] = await side.__aenter__()
         return side
 
