--- a/src/sardinetrack/relay/side_links.py
+++ b/src/sardinetrack/relay/side_links.py
@@ -19,7 +19,7 @@
 from sardinetrack.topology.servers import BackendServer
 from sardinetrack.turns.clock import loop_now
 from sardinetrack.turns.messages import Hello, StrikesReported
-from sardinetrack.turns.side_link import SideConnection, SideLink
+from sardinetrack.turns.side_link import SideLink
 from sardinetrack.turns.side_state import RestartListener, SideState
 from sardinetrack.views.api import NullViewReceiver, ViewReceiver
 
@@ -77,14 +77,17 @@
         """List the links to reachable sides."""
         return [link for link in self._links.values() if link.live]
 
-    @property
-    def with_origins(self) -> list[SideConnection]:
-        """List the connections to sides that know origins of streams."""
-        return [
-            link.connection
+    def knowing_origins(self, pool: str) -> list[SideLink]:
+        """List the links to sides that know what began the streams of a pool.
+
+        Those of its own engines, or all sides for a pool that has none.
+        """
+        able = [
+            link
             for link in self.live
             if link.connection is not None and link.connection.keeps_origins
         ]
+        return [link for link in able if link.pool == pool] or able
 
     @property
     def reported_entries(self) -> int | None:
--- a/src/sardinetrack/relay/stream_directory.py
+++ b/src/sardinetrack/relay/stream_directory.py
@@ -164,37 +164,41 @@
             return OriginSource.ENTRY, origin
         versions = self._versions.of_pool(boot_clock(), pool.name)
         if len(versions) > 1:
-            origin = await self._ask_sides(call.stream_id)
+            origin = await self._ask_sides(call.stream_id, pool)
             source = OriginSource.SIDE if origin else OriginSource.UNKNOWN
             return source, origin
-        if not self._knows_all_versions():
+        if not self._knows_all_versions(pool):
             return OriginSource.UNKNOWN, None
         only = [StreamOrigin(pool.name, version) for version in versions]
         return OriginSource.ONLY_VERSION, next(iter(only), None)
 
-    async def _ask_sides(self, request_id: str) -> StreamOrigin | None:
-        asked = self._sides.with_origins
+    async def _ask_sides(
+        self, request_id: str, pool: Pool
+    ) -> StreamOrigin | None:
+        asked = self._sides.knowing_origins(pool.name)
         lookup = OriginLookup(len(asked))
-        for connection in asked:
-            connection.find_origin(request_id, lookup)
+        for link in asked:
+            link.find_origin(request_id, lookup)
         with suppress(TimeoutError):
             async with asyncio.timeout(LOOKUP_SECONDS):
                 return await lookup.result
         return None
 
-    def _knows_all_versions(self) -> bool:
+    def _knows_all_versions(self, pool: Pool) -> bool:
         """Whether another version would be known here.
 
         Entries that see a new version tell all others through the sides, so
         one that can't reach the store still knows. Without either, servers of
         other versions may run, or may just have ended.
         """
-        return bool(self._sides.with_origins) or self._freshness.is_fresh()
+        sides = self._sides.knowing_origins(pool.name)
+        return bool(sides) or self._freshness.is_fresh()
 
     def _publish(self, call: CallerRequest, origin: StreamOrigin) -> None:
         """Tell a side in each failure domain, if the pool has versions."""
         if len(self._versions.of_pool(boot_clock(), origin.pool)) < 2:
             return
         message = StreamBegan(call.stream_id, origin.pool, origin.version)
-        for link in broadcast_sides(self._sides.live):
+        sides = self._sides.knowing_origins(origin.pool)
+        for link in broadcast_sides(sides):
             link.send_message(message)
--- a/src/sardinetrack/turns/side_link.py
+++ b/src/sardinetrack/turns/side_link.py
@@ -289,6 +289,13 @@
         if self.connection is not None:
             self.connection.send(message)
 
+    def find_origin(self, request_id: str, lookup: OriginLookup) -> None:
+        """Ask the side what began a stream."""
+        if self.connection is None:
+            lookup.answered(None)
+        else:
+            self.connection.find_origin(request_id, lookup)
+
     def update_start(self, start: ServerStart, cold: ColdEstimate) -> None:
         """Apply the start that the instance list shows for the server."""
         state = self._state
