The soak covers engines of two versions, and callers that continue streams

Engines start with a version drawn anew; with odd seeds all starts of an engine have one id, and its record shows a new start up to a second late. Callers continue broken streams at any entry, up to four requests. Each event has the version.

--- a/benchmarks/soak/callers.py
+++ b/benchmarks/soak/callers.py
@@ -18,6 +18,8 @@
 _NOT_RUN = frozenset((408, 421, 429, 503))
 KEYS = ('key-0', 'key-0', 'key-1', 'key-2', 'key-3')
 _MAX_WAIT_SECONDS = 8.0
+_MAX_REQUESTS = 4
+"""For one stream, the one that begins it included."""
 _MAX_WAIT_MILLISECONDS = 8000
 _Connection = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 
@@ -80,6 +82,46 @@
         slowest = max(self._log.slowest_seconds, loop.time() - began)
         self._log.slowest_seconds = slowest
         self._check(name, route, status, body, complete=complete)
+        if route == 'stream' and status == 200 and not complete:
+            await self._take_up(name, body)
+
+    async def _take_up(self, name: str, body: bytes) -> None:
+        """Continue a stream at any entry, as often as it breaks."""
+        for number in range(1, _MAX_REQUESTS):
+            body = body[: body.rfind(b'\n\n') + 2]
+            if not body:
+                return
+            self._close()
+            outcome, more = await self._continue(name, number, body)
+            self._log.responses[f'continued: {outcome}'] += 1
+            body += more
+            self._check_stream(name, body, complete=outcome == 'whole')
+            if outcome == 'whole':
+                return
+
+    async def _continue(
+        self, name: str, number: int, body: bytes
+    ) -> tuple[str, bytes]:
+        """Send one request that continues a stream.
+
+        :return: how it ended, and the events that it brought.
+        """
+        last_event = _numbers(body)[-1]
+        headers = (
+            f'Resumes: {name}',
+            f'Last-Event-Id: {last_event}',
+        )
+        try:
+            async with asyncio.timeout(_MAX_WAIT_SECONDS):
+                status, more, complete = await self._send(
+                    name, 'stream', f'{name}.{number}', headers
+                )
+        except (OSError, EOFError, TimeoutError):
+            self._close()
+            return 'no answer', b''
+        if status != 200:
+            return str(status), b''
+        return ('whole' if complete else 'cut'), more
 
     def _check(
         self, name: str, route: str, status: int, body: bytes, *, complete: bool
@@ -95,14 +137,28 @@
         if marks - {name.encode()}:
             log.violations.append(f'{name} read the answer of {marks}')
         if route in {'stream', 'once'}:
-            numbers = [int(one) for one in re.findall(rb'id: (\d+)', body)]
-            last = EVENTS if complete else len(numbers)
-            if numbers != list(range(1, last + 1)):
-                log.violations.append(f'{name} read events {numbers}')
-
-    async def _send(self, name: str, route: str) -> tuple[int, bytes, bool]:
+            self._check_stream(name, body, complete=complete)
+
+    def _check_stream(self, name: str, body: bytes, *, complete: bool) -> None:
+        """Check what a caller has of a stream, over all its requests."""
+        violations = self._log.violations
+        numbers = _numbers(body)
+        last = EVENTS if complete else len(numbers)
+        if numbers != list(range(1, last + 1)):
+            violations.append(f'{name} read events {numbers}')
+        versions = set(re.findall(rb' (v\d)\n\n', body))
+        if len(versions) > 1:
+            violations.append(f'{name} read events of {versions}')
+
+    async def _send(
+        self,
+        name: str,
+        route: str,
+        request_id: str = '',
+        headers: tuple[str, ...] = (),
+    ) -> tuple[int, bytes, bool]:
         reader, writer = await self._connected()
-        writer.write(self._request(name, route))
+        writer.write(self._request(name, route, request_id or name, headers))
         head = (await reader.readuntil(b'\r\n\r\n')).decode().lower()
         status = int(head.split(' ')[1])
         length = re.search(r'content-length: (\d+)', head)
@@ -127,15 +183,22 @@
             self._connection[1].close()
         self._connection = None
 
-    def _request(self, name: str, route: str) -> bytes:
+    def _request(
+        self,
+        name: str,
+        route: str,
+        request_id: str,
+        headers: tuple[str, ...],
+    ) -> bytes:
         method = 'GET' if route == 'fetch' else 'POST'
         lines = [
             f'{method} /{route}/{name} HTTP/1.1',
             'Host: h.example',
-            f'X-Sardinetrack-Request-Id: {name}',
+            f'X-Sardinetrack-Request-Id: {request_id}',
             f'X-Mark: {name}',
             f'X-Sardinetrack-Deadline-Ms: {_MAX_WAIT_MILLISECONDS}',
             'Content-Length: 0',
+            *headers,
         ]
         if route in {'stream', 'once'}:
             prefix = self._rng.randrange(20)
@@ -161,3 +224,8 @@
                 return body, True
             body += piece[:-2]
     return body, False
+
+
+def _numbers(body: bytes) -> list[int]:
+    """Return the numbers of the events that a caller has."""
+    return [int(one) for one in re.findall(rb'id: (\d+)', body)]
--- a/benchmarks/soak/engine.py
+++ b/benchmarks/soak/engine.py
@@ -18,6 +18,8 @@
 _MAX_OVERLAP_SECONDS = 0.4
 _RETENTION_SECONDS = 5.0
 _FAULT_FRACTION = 0.2
+VERSIONS = ('v1', 'v2')
+_FIRST_START = 1_790_000_000_000
 
 
 class SoakServer(ScriptedServer):
@@ -49,7 +51,8 @@
     async def start(self) -> None:
         """Start, or start again, under a new id."""
         self.starts += 1
-        self.instance = f'i-{self.ip}-{self.starts}'
+        if self.started is None:
+            self.instance = f'i-{self.ip}-{self.starts}'
         await self.open(self.ip)
 
     async def crash(self) -> None:
@@ -95,10 +98,11 @@
 
     async def _event(self, fields, number):
         await asyncio.sleep(EVENT_SECONDS)
-        return b'id: %d\ndata: %b %d\n\n' % (
+        return b'id: %d\ndata: %b %d %b\n\n' % (
             number,
             self._mark(fields),
             number,
+            self.version.encode(),
         )
 
     def _mark(self, fields):
@@ -158,6 +162,17 @@
         self._address = address
         self._moves = moves
         self._rng = Random(f'{seed} {ip}')  # noqa: S311
+        if seed % 2:
+            # All its starts have one id.
+            self.instance = f'i-{ip}'
+            self.started = _FIRST_START
+
+    async def start(self) -> None:
+        """Start, perhaps with other software."""
+        self.version = self._rng.choice(VERSIONS)
+        if self.started is not None:
+            self.started += 1
+        await super().start()
 
     async def _perform(self, request, reader, writer):
         if request[0].startswith(b'GET /v1/report '):
@@ -194,6 +209,8 @@
             if one.made
         ]
         report = {'queued': 0, 'active': len(running), 'runs': runs}
+        if self.started is not None:
+            report['born'] = self.started
         self._reply(writer, '200 OK', report)
 
     async def _copy(self, call, writer):
--- a/benchmarks/soak/faults.py
+++ b/benchmarks/soak/faults.py
@@ -95,8 +95,12 @@
     async def _crash(self, server: SoakServer, down_seconds: float) -> None:
         await server.crash()
         await asyncio.sleep(down_seconds)
-        self._world.store.drop('servers', server.instance)
+        if server.started is None:
+            self._world.store.drop('servers', server.instance)
         await server.start()
+        if server.started is not None:
+            # It serves before its record shows the new start.
+            await asyncio.sleep(self._rng.uniform(0, 1))
         self._world.list_server(server)
 
     async def _respond_twice(self) -> None:
--- a/benchmarks/soak/world.py
+++ b/benchmarks/soak/world.py
@@ -219,20 +219,19 @@
 
     def list_server(self, server: SoakServer, state: str = 'ready') -> None:
         """Write a server's object to the store, as servers do themselves."""
-        self.store.put(
-            'servers',
-            server.instance,
-            {
-                'service': server.pool,
-                'address': f'{server.ip}:{server.port}',
-                'zone': 'a',
-                'version': 'v1',
-                'slots': 16,
-                'state': state,
-                'warmupLeftMs': 0,
-                'sequence': 1,
-            },
-        )
+        record = {
+            'service': server.pool,
+            'address': f'{server.ip}:{server.port}',
+            'zone': 'a',
+            'version': server.version,
+            'slots': 16,
+            'state': state,
+            'warmupLeftMs': 0,
+            'sequence': 1,
+        }
+        if server.started is not None:
+            record['born'] = server.started
+        self.store.put('servers', server.instance, record)
 
     def _processes(self, role: str, net: str) -> list[Process]:
         third = 4 if role == 'entry' else 5
