The product's own interface refuses a completion that continues a stream

But Last-Event-Id went through to whichever engine of the pool was chosen: an engine that honours it would continue what another version began. It gets bad_request now, which says so.

Test: caller_interface.feature, a completion that continues a stream (passed through before: the side received a run request).

--- a/src/sardinetrack/entry/reader.py
+++ b/src/sardinetrack/entry/reader.py
@@ -26,6 +26,7 @@
 
 COMPLETIONS_PATH: Final = '/v1/chat/completions'
 KEY_HEADER: Final = 'idempotency-key'
+_LAST_EVENT_HEADER: Final = 'last-event-id'
 _MAX_KEY_LENGTH: Final = 255
 
 
@@ -75,6 +76,7 @@
 
         :raises RequestError: the request is invalid or exceeds a limit.
         """
+        _check_begins(exchange)
         key = _idempotency_key(exchange)
         body = await self._body(
             exchange,
@@ -189,6 +191,21 @@
         )
 
 
+def _check_begins(exchange: HttpExchange) -> None:
+    """Reject a request that continues a stream.
+
+    Any engine of the pool would get it, also one whose software version does
+    not continue what another version has begun.
+
+    :raises RequestError: it names the last event that its caller has.
+    """
+    if exchange.header(_LAST_EVENT_HEADER) is not None:
+        raise RequestError(
+            ErrorKind.BAD_REQUEST,
+            f'{_LAST_EVENT_HEADER}: a completion can not be continued',
+        )
+
+
 def _declared_bytes(exchange: HttpExchange) -> int | None:
     """Return the body's declared size, ``None`` for a chunked body."""
     if exchange.header('transfer-encoding') is not None:
--- a/tests/entry/caller_interface.feature
+++ b/tests/entry/caller_interface.feature
@@ -31,6 +31,7 @@
       | max_tokens of zero                      | 400    | bad_request        |
       | an empty idempotency key                | 400    | bad_request        |
       | an idempotency key that is too long     | 400    | bad_request        |
+      | a completion that continues a stream    | 400    | bad_request        |
       | a body that declares too large a size   | 413    | body_too_large     |
       | a chunked body that is too large        | 413    | body_too_large     |
       | a body too large for the pool           | 413    | body_too_large     |
--- a/tests/entry/steps/caller_interface_steps.py
+++ b/tests/entry/steps/caller_interface_steps.py
@@ -39,8 +39,9 @@
     return lambda link: link.send(text.encode('latin-1'))
 
 
-def _complete(content: Any) -> Any:
-    return _call('POST', COMPLETIONS, json.dumps(content).encode())
+def _complete(content: Any, **named: Any) -> Any:
+    body = json.dumps(content).encode()
+    return _call('POST', COMPLETIONS, body, **named)
 
 
 MESSAGES = ({'role': 'user', 'content': 'x'},)
@@ -68,6 +69,10 @@
             '/services/chart-api/x',
             headers=(('idempotency-key', ''),),
         ),
+        'a completion that continues a stream': _complete(
+            {'model': MODEL, 'messages': MESSAGES},
+            headers=(('last-event-id', '7'),),
+        ),
         'an idempotency key that is too long': _call(
             'POST',
             '/services/chart-api/x',
