--- a/tests/support/relay_servers.py
+++ b/tests/support/relay_servers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import socket
 import time
 from collections import defaultdict, deque
@@ -125,6 +126,9 @@
 
     async def _perform(self, request, reader, writer):
         head, fields, body = request
+        if head.startswith(b'GET /v1/report '):
+            self._report_start(writer)
+            return
         self.requests.append(request)
         self.asked.set()
         if body == self.deadly:
@@ -135,6 +139,15 @@
             act = 'bare'
         await getattr(self, f'_{act}')(fields, reader, writer)
 
+    def _report_start(self, writer):
+        """Respond to a call that runs nothing."""
+        report = {'queued': 0, 'active': 0, 'runs': []}
+        if self.started is not None:
+            report['born'] = self.started
+        body = json.dumps(report).encode()
+        head = f'HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n'
+        writer.write(head.encode() + body)
+
     async def _answer(self, fields, reader, writer):
         if 'x-sardinetrack-token-count' in fields:
             await self._stream(fields, writer, EVENTS)
--- a/tests/support/relay_world.py
+++ b/tests/support/relay_world.py
@@ -162,6 +162,13 @@
         self.list_servers()
 
     def list_servers(self, leaving=(), started=None, revision=0):
+        """Write the list of servers.
+
+        :param started: what all servers report as their start from now on.
+        """
+        if started is not None:
+            for one in self.servers:
+                one.started = started
         listed = [
             BackendServer(
                 server.instance,
@@ -171,7 +178,7 @@
                 server.failure_domain,
                 8,
                 server.instance in leaving,
-                server.started if started is None else started,
+                server.started,
                 revision,
                 server.cold_seconds,
                 server.version,
--- a/tests/support/version_world.py
+++ b/tests/support/version_world.py
@@ -35,10 +35,6 @@
     """Writes its software version into each event."""
 
     async def _perform(self, request, reader, writer):
-        if request[0].startswith(b'GET /v1/report '):
-            report = {'queued': 0, 'active': 0, 'runs': []}
-            self._reply(writer, '200 OK', {**report, 'born': self.started})
-            return
         expected = request[1].get('x-sardinetrack-expect-instance')
         if expected not in {None, self.instance}:
             await self._misdirect(request[1], reader, writer)
