A continued stream waits for a server of its version as long as its caller

What callers saw: during an update take-ups were refused (not_run_deadline) beside new streams that went to engines of other versions.

Cause: the wait for a permit is limited by the objective of the first event, which a stream that is taken up has missed anyway. Where only some servers can continue it, it waits up to 0.8 of the 2 s that callers wait at least for the next event.

Only in pools that have had several versions within a minute.

--- a/src/sardinetrack/relay/server_choice.py
+++ b/src/sardinetrack/relay/server_choice.py
@@ -46,6 +46,9 @@
 The side decides how long it really can, since it knows how long the prefill
 takes; the rest of the objective is for the first event and its transfer.
 """
+CALLER_PATIENCE_SECONDS: Final = 2.0
+"""How long callers wait at least for the next event of a stream that they have
+begun to read. Source: the users' pages."""
 RECOMPUTE_WAIT_SECONDS: Final = 0.02
 """Wait of a request at a server that has to prefill a shared prefix again.
 
@@ -226,9 +229,7 @@
 
         :param candidates: the order of servers, the best one first.
         """
-        max_wait_seconds = (
-            MAX_WAIT_FRACTION * plan.route.first_event_objective_seconds
-        )
+        max_wait_seconds = MAX_WAIT_FRACTION * self._objective_seconds(plan)
         deadline_seconds = self._loop.time() + max_wait_seconds
         refusals: list[PermitRefusedError] = []
         rank = partial(self._candidates, plan)
@@ -336,7 +337,19 @@
         first_arrival_seconds = (
             self._call.arrived_seconds - self._since_refusal_seconds
         )
-        return first_arrival_seconds + plan.route.first_event_objective_seconds
+        return first_arrival_seconds + self._objective_seconds(plan)
+
+    def _objective_seconds(self, plan: Plan) -> float:
+        """Return the objective from the arrival to the first event.
+
+        Where only some servers can continue a stream, it waits for them as long
+        as its caller does: elsewhere it can't go, and it is late already.
+        """
+        objective_seconds = plan.route.first_event_objective_seconds
+        continues = self._trace.origin is not None
+        if continues and self._state.streams.has_versions(plan.pool.name):
+            return max(objective_seconds, CALLER_PATIENCE_SECONDS)
+        return objective_seconds
 
     def _refusal_error(
         self, refusals: Sequence[PermitRefusedError]
--- a/src/sardinetrack/relay/stream_directory.py
+++ b/src/sardinetrack/relay/stream_directory.py
@@ -112,6 +112,10 @@
             for link in broadcast_sides(self._sides.live):
                 link.send_message(VersionsListed(ages))
 
+    def has_versions(self, pool: str) -> bool:
+        """Whether servers of several versions may have begun its streams."""
+        return len(self._versions.of_pool(boot_clock(), pool)) > 1
+
     def began(
         self, call: CallerRequest, origin: StreamOrigin, *, side_knows: bool
     ) -> None:
@@ -196,7 +200,7 @@
 
     def _publish(self, call: CallerRequest, origin: StreamOrigin) -> None:
         """Tell a side in each failure domain, if the pool has versions."""
-        if len(self._versions.of_pool(boot_clock(), origin.pool)) < 2:
+        if not self.has_versions(origin.pool):
             return
         message = StreamBegan(call.stream_id, origin.pool, origin.version)
         sides = self._sides.knowing_origins(origin.pool)
--- a/tests/relay/software_versions.feature
+++ b/tests/relay/software_versions.feature
@@ -46,6 +46,14 @@
     Then no stream has events of two versions
     And no stream lacks an event or has one twice
 
+  Scenario: A stream waits for a server of its version as long as its caller
+    Guards against streams that are refused during an update because the few
+    engines of their version are busy for longer than a first event may take.
+
+    When the caller of a stream of v1 continues it, and the only engine of v1 is busy for 1.2 seconds
+    Then no stream has events of two versions
+    And every stream that an engine of its version can continue is complete
+
   Scenario: Where all servers have one version, nobody has to know the stream
     Guards against refusals in a fleet that is not being updated.
 
--- a/tests/relay/steps/software_version_steps.py
+++ b/tests/relay/steps/software_version_steps.py
@@ -3,28 +3,34 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 from types import MappingProxyType
 from unittest import mock
 
 from behave import then, when
 from tests.support.held_requests import until
-from tests.support.moving_servers import EVENTS
+from tests.support.moving_servers import EVENTS, MovingServer
 from tests.support.relay_world import close_world
 from tests.support.version_world import CallerStream, VersionWorld
 
 _READ_EVENTS = 8
 _AT_ONCE_SECONDS = 0.3
 _ALL = EVENTS + 1
+_MAX_TRIES = 20
 _STARTED = 1_790_000_000_000
 
 
+def _has_begun(stream):
+    return len(stream.numbers) > 2
+
+
 async def _begin(world, streams, max_events=_ALL):
     """Request the streams, and wait until each has some events."""
     reads = [
         asyncio.ensure_future(world.read(one, max_events=max_events))
         for one in streams
     ]
-    await until(lambda: all(len(one.numbers) > 2 for one in streams))
+    await until(lambda: all(map(_has_begun, streams)))
     return reads
 
 
@@ -196,6 +202,45 @@
     }
 
 
+@when(
+    'the caller of a stream of v1 continues it, and the only engine of v1 is'
+    ' busy for {seconds:g} seconds'
+)
+def wait_for_slot(context, seconds):
+    context.world = VersionWorld()
+    context.add_cleanup(close_world, context.world)
+    event_seconds = f'{MovingServer.__module__}.EVENT_SECONDS'
+    with mock.patch(event_seconds, seconds / EVENTS):
+        streams = context.world.run(_play_busy(context.world))
+    context.streams = {'busy': streams}
+
+
+async def _play_busy(world):
+    await world.open_fleet(['v1', 'v2'], slots=1)
+    # The caller of the first leaves it; the second takes the only slot then.
+    streams = []
+    for max_events in (_READ_EVENTS, _ALL):
+        stream = await _begin_at_v1(world, max_events)
+        streams.append(stream)
+    await world.read(streams[0], 1)
+    await until(lambda: streams[1].complete)
+    return streams
+
+
+async def _begin_at_v1(world, max_events):
+    """Begin a stream at v1; others, by their prefix, begin elsewhere."""
+    for number in range(_MAX_TRIES):
+        stream = CallerStream(number)
+        read = asyncio.ensure_future(world.read(stream, 0, max_events))
+        await until(partial(_has_begun, stream))
+        if stream.versions == {b'v1'}:
+            if max_events < EVENTS:
+                await read
+            return stream
+        read.cancel()
+    raise AssertionError('no stream begins at v1')
+
+
 def _all_streams(context):
     return [
         (way, stream)
--- a/tests/support/version_world.py
+++ b/tests/support/version_world.py
@@ -107,6 +107,7 @@
         self.sides = {}
         """By the instance of the engine."""
         self._turns_port = 0
+        self._slots = 0
         self._net = f'127.7.{next(_NETS)}'
         VersionedEngine.copies.clear()
 
@@ -114,11 +115,13 @@
     def entry_states(self):
         return [state for _, state in self.entries]
 
-    async def open_fleet(self, versions, entries=2, started=None):
+    async def open_fleet(self, versions, entries=2, started=None, slots=200):
         """Start an engine and a side for each version, and the entries.
 
+        :param slots: of each engine.
         :param started: of the engines; none where each start has its own id.
         """
+        self._slots = slots
         for number, version in enumerate(versions):
             engine = self.server_type(f'i-{number}')
             engine.pool = 'models'
@@ -210,7 +213,7 @@
         )
         state = EntryState(settings, self.log)
         held = configuration(timeout_seconds=6.0)
-        models = replace(held.pools['models'], slots=200, moves=True)
+        models = replace(held.pools['models'], slots=self._slots, moves=True)
         models = replace(models, memory_tokens=2_000_000)
         state.configuration = replace(
             held, pools={**held.pools, 'models': models}
