A side of the previous release is not sent versions it can't read

An entry would have sent the message about software versions to every live side; one of the previous release closes the connection on an unknown message, and a rolling upgrade would have lost its links again and again. Only sides that have shown that they read it get it. The list of unconfirmed streams is bounded without copying it.

--- a/src/sardinetrack/relay/side_links.py
+++ b/src/sardinetrack/relay/side_links.py
@@ -77,17 +77,22 @@
         """List the links to reachable sides."""
         return [link for link in self._links.values() if link.live]
 
-    def knowing_origins(self, pool: str) -> list[SideLink]:
-        """List the links to sides that know what began the streams of a pool.
-
-        Those of its own engines, or all sides for a pool that has none.
-        """
-        able = [
+    @property
+    def keeping_origins(self) -> list[SideLink]:
+        """List the links to sides that remember what began streams."""
+        return [
             link
             for link in self.live
             if link.connection is not None and link.connection.keeps_origins
         ]
-        return [link for link in able if link.pool == pool] or able
+
+    def knowing_origins(self, pool: str) -> list[SideLink]:
+        """List those that know what began the streams of a pool.
+
+        They are the sides of its own engines, or all for a pool without any.
+        """
+        keeping = self.keeping_origins
+        return [link for link in keeping if link.pool == pool] or keeping
 
     @property
     def reported_entries(self) -> int | None:
--- a/src/sardinetrack/relay/stream_directory.py
+++ b/src/sardinetrack/relay/stream_directory.py
@@ -109,7 +109,7 @@
         origins = {StreamOrigin.of(server) for server in servers}
         if self._versions.update(now, origins) and self._versions.differ(now):
             ages = self._versions.ages(now)
-            for link in broadcast_sides(self._sides.live):
+            for link in broadcast_sides(self._sides.keeping_origins):
                 link.send_message(VersionsListed(ages))
 
     def has_versions(self, pool: str) -> bool:
--- a/src/sardinetrack/turns/stream_records.py
+++ b/src/sardinetrack/turns/stream_records.py
@@ -73,12 +73,10 @@
         beginning = _Beginning(entry, message)
         if message.start_hash == UNKNOWN_START_HASH:
             self._record_begun(message)
-        elif self._confirms:
-            self._unconfirmed.append(beginning)
-            self._polled -= len(self._unconfirmed) > MAX_STREAMS
-            self._unconfirmed = self._unconfirmed[-MAX_STREAMS:]
-        else:
+        elif not self._confirms:
             self._confirm([beginning])
+        elif len(self._unconfirmed) < MAX_STREAMS:
+            self._unconfirmed.append(beginning)
 
     def engine_polled(self) -> None:
         """Note which streams have begun before a poll of the engine."""
