--- a/tests/platform/steps/store_steps.py
+++ b/tests/platform/steps/store_steps.py
@@ -5,6 +5,7 @@
 import asyncio
 
 from behave import given, then, when
+from tests.support.loop_tasks import cancel_other_tasks
 from tests.support.object_store import ObjectStore
 
 from sardinetrack.platform.store import PlatformStore
@@ -38,10 +39,7 @@
 def _close(context):
     async def close():
         await context.store.close()
-        rest = asyncio.all_tasks() - {asyncio.current_task()}
-        for task in rest:
-            task.cancel()
-        await asyncio.gather(*rest, return_exceptions=True)
+        await cancel_other_tasks()
 
     _run(context, close())
     context.loop.close()
--- a/tests/relay/steps/software_version_steps.py
+++ b/tests/relay/steps/software_version_steps.py
@@ -195,7 +195,6 @@
 @when('{count:d} stream at engines of {versions} is interrupted in this way:')
 def interrupt(context, count, versions, started=None):
     names = versions.replace(' and ', ', ').split(', ')
-    context.versions = names
     context.streams = {
         row['way']: _play(context, row['way'], names, count, started)
         for row in context.table
--- a/tests/support/relay_world.py
+++ b/tests/support/relay_world.py
@@ -24,6 +24,7 @@
 from sardinetrack.topology.freshness import boot_clock
 from sardinetrack.topology.servers import BackendServer
 from tests.support.example_settings import node_settings
+from tests.support.loop_tasks import cancel_other_tasks
 from tests.support.relay_servers import ScriptedServer
 
 KEY = 'pilot-key'
@@ -259,10 +260,7 @@
         await self.entry.__aexit__(None, None, None)
         for server in self.servers:
             await server.close()
-        rest = asyncio.all_tasks() - {asyncio.current_task()}
-        for task in rest:
-            task.cancel()
-        await asyncio.gather(*rest, return_exceptions=True)
+        await cancel_other_tasks()
 
     async def _open_server(self, pool):
         server = self.server_type(f'i-{len(self.servers)}')
--- a/tests/support/version_world.py
+++ b/tests/support/version_world.py
@@ -15,22 +15,16 @@
 from sardinetrack.topology.freshness import boot_clock
 from sardinetrack.turns.engine_monitor import EngineSource
 from sardinetrack.turns.side import SideServer
-from sardinetrack.views.watcher import FeedFactory, Watcher
 from tests.support.example_settings import node_settings
 from tests.support.held_requests import until
+from tests.support.loop_tasks import cancel_other_tasks
 from tests.support.moving_servers import MovingServer
+from tests.support.no_feeds import idle_watcher
 from tests.support.relay_world import KEY, RelayWorld, configuration
 
 _NETS = count(1)
 
 
-class _NoFeeds(FeedFactory):
-    """No store is watched here."""
-
-    def create_feeds(self, mirrors):
-        return []
-
-
 class VersionedEngine(MovingServer):
     """Writes its software version into each event."""
 
@@ -157,11 +151,6 @@
         """End the side of an engine."""
         await self.sides.pop(engine.instance).__aexit__(None, None, None)
 
-    def begin(self, number):
-        """Request a stream at an entry; return what its caller has of it."""
-        stream = CallerStream(number)
-        return stream, asyncio.ensure_future(self.read(stream, 0))
-
     async def read(self, stream, entry=0, max_events=10_000):
         """Request a stream, or take it up, and read what comes of it."""
         port = self.entries[entry][0].port
@@ -182,7 +171,6 @@
                 if len(stream.numbers) >= max_events:
                     break
         writer.close()
-        return answer
 
     async def close(self):
         for entry, _ in self.entries:
@@ -191,13 +179,10 @@
             await side.__aexit__(None, None, None)
         for server in self.servers:
             await server.close()
-        rest = asyncio.all_tasks() - {asyncio.current_task()}
-        for task in rest:
-            task.cancel()
-        await asyncio.gather(*rest, return_exceptions=True)
+        await cancel_other_tasks()
 
     async def _open_side(self, engine):
-        watcher = Watcher(_NoFeeds(), (), self.log)
+        watcher = idle_watcher(self.log)
         address = (engine.ip, self._turns_port)
         source = EngineSource(
             (engine.ip, engine.port), REPORT_PATH, decode_report
@@ -213,8 +198,12 @@
         )
         state = EntryState(settings, self.log)
         held = configuration(timeout_seconds=6.0)
-        models = replace(held.pools['models'], slots=self._slots, moves=True)
-        models = replace(models, memory_tokens=2_000_000)
+        models = replace(
+            held.pools['models'],
+            slots=self._slots,
+            memory_tokens=2_000_000,
+            moves=True,
+        )
         state.configuration = replace(
             held, pools={**held.pools, 'models': models}
         )
--- a/tests/turns/steps/engine_monitor_steps.py
+++ b/tests/turns/steps/engine_monitor_steps.py
@@ -9,6 +9,7 @@
 
 from behave import given, then, when
 from tests.support.fake_engine import FakeEngine
+from tests.support.no_feeds import idle_watcher
 
 from sardinetrack.admission.prefill import PrefillAdmission
 from sardinetrack.admission.request import AdmissionRequest
@@ -20,17 +21,11 @@
 from sardinetrack.turns.engine_monitor import EngineSource
 from sardinetrack.turns.messages import DECODE_FROM_SIDE
 from sardinetrack.turns.side import SideServer
-from sardinetrack.views.watcher import FeedFactory, Watcher
 
 _IP = '127.0.0.1'
 _PAST_ANY_BACKOFF_SECONDS = 1.5
 
 
-class _NoFeeds(FeedFactory):
-    def create_feeds(self, mirrors):
-        return []
-
-
 @given('a side that polls its engine')
 def open_polling(context):
     context.engine = FakeEngine()
@@ -62,7 +57,7 @@
     source = EngineSource(
         (_IP, context.engine.port), REPORT_PATH, decode_report
     )
-    watcher = Watcher(_NoFeeds(), (), context.log)
+    watcher = idle_watcher(context.log)
     context.side = SideServer(
         (_IP, 0), watcher, context.log, source if polls else None
     )
--- a/tests/turns/steps/side_steps.py
+++ b/tests/turns/steps/side_steps.py
@@ -6,6 +6,8 @@
 import os
 
 from behave import given, then, when
+from tests.support.loop_tasks import cancel_other_tasks
+from tests.support.no_feeds import idle_watcher
 
 from sardinetrack.logs.events import EventLog
 from sardinetrack.messages.api import Strike
@@ -29,18 +31,10 @@
 from sardinetrack.turns.side_link import SideConnection
 from sardinetrack.turns.side_state import RestartListener, SideState
 from sardinetrack.views.api import NullViewReceiver
-from sardinetrack.views.watcher import FeedFactory, Watcher
 
 _IP = '127.0.0.1'
 
 
-class NoFeeds(FeedFactory):
-    """No store is watched here."""
-
-    def create_feeds(self, mirrors):
-        return []
-
-
 class _ReceivedStarts(RestartListener):
     """The starts that an entry received from its side."""
 
@@ -107,7 +101,7 @@
     pipe = os.pipe()
     os.set_blocking(pipe[0], False)
     context.log = EventLog(pipe[1], 'side-1')
-    watcher = Watcher(NoFeeds(), (), context.log)
+    watcher = idle_watcher(context.log)
     context.side = SideServer((_IP, 0), watcher, context.log)
     _run(context, _open(context, slots, count))
 
@@ -128,10 +122,7 @@
 def _close(context):
     async def close():
         await context.side.__aexit__(None, None, None)
-        rest = asyncio.all_tasks() - {asyncio.current_task()}
-        for task in rest:
-            task.cancel()
-        await asyncio.gather(*rest, return_exceptions=True)
+        await cancel_other_tasks()
 
     _run(context, close())
     context.loop.close()
--- a/tests/views/steps/view_steps.py
+++ b/tests/views/steps/view_steps.py
@@ -6,6 +6,7 @@
 import os
 
 from behave import given, then, when
+from tests.support.loop_tasks import cancel_other_tasks
 from tests.support.view_world import CONFIG, SERVERS, Taker, ViewWorld
 from tests.support.virtual_time import VirtualTimeLoop
 
@@ -29,10 +30,7 @@
 
 def _close(context):
     async def close():
-        rest = asyncio.all_tasks() - {asyncio.current_task()}
-        for task in rest:
-            task.cancel()
-        await asyncio.gather(*rest, return_exceptions=True)
+        await cancel_other_tasks()
 
     context.loop.run_until_complete(close())
     context.loop.close()
