Lines and metrics show what crashes of servers have in common

server_crashed lists up to 16 attempts without an event, each with the parts of its prompt that others may have; request_sent has these parts too. A response without a length that ends with its connection counts as interrupted as well. Metric: sardinetrack_runs_at_crashes_total{by}. No decision changes.

--- a/src/sardinetrack/placement/prompt.py
+++ b/src/sardinetrack/placement/prompt.py
@@ -27,3 +27,8 @@
     """Maximum length of the response."""
     is_estimated: bool = False
     """Whether the caller has sent an estimate."""
+
+    @property
+    def shared_blocks(self) -> tuple[PromptBlock, ...]:
+        """The blocks that prompts of other requests may have in common."""
+        return self.blocks[:-1]
--- a/src/sardinetrack/relay/attempt.py
+++ b/src/sardinetrack/relay/attempt.py
@@ -21,6 +21,10 @@
 )
 
 _MAX_BUFFERED_BYTES: Final = 16_777_216
+_CUT_STREAM: Final = 'stream ended inside an event'
+_SERVER_ENDS: Final = frozenset(
+    (BreakReason.CLOSED.value, BreakReason.RESET.value, _CUT_STREAM)
+)
 
 
 class SendOutcome(Enum):
@@ -219,6 +223,15 @@
             and response.status >= HTTPStatus.INTERNAL_SERVER_ERROR
         )
 
+    @property
+    def interrupted_by_server(self) -> bool:
+        """Whether the server's end of the connection came too early.
+
+        So it does in a crash too, also where a response without a length ends
+        with its connection.
+        """
+        return self.reason in _SERVER_ENDS
+
     @property
     def _status(self) -> str:
         status = 0 if self.response is None else self.response.status
@@ -229,7 +242,7 @@
             self._progress.splitter.ends_inside_event
             or not self._caller_response.started
         ):
-            self._finish(SendOutcome.UNKNOWN, 'stream ended inside an event')
+            self._finish(SendOutcome.UNKNOWN, _CUT_STREAM)
             return
         self._caller_response.finish()
         self._finish(SendOutcome.DELIVERED, '')
--- a/src/sardinetrack/relay/crashes.py
+++ b/src/sardinetrack/relay/crashes.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
 from typing import Final
 
 import xxhash
@@ -26,6 +28,7 @@
 
 A crashed server is detected by the next connection or by the instance list.
 """
+_NO_EVENT: Final = 'without_event'
 _MAX_SUSPECTS: Final = 512
 """Per server, which runs 64 requests at a time and gets new ones when idle."""
 
@@ -39,6 +42,29 @@
     return digest.hexdigest()
 
 
+@dataclass(frozen=True, slots=True)
+class InterruptedRun:
+    """An attempt whose connection ended before its response was complete."""
+
+    request_id: str
+    has_events: bool
+    """Whether this server had begun to respond."""
+    shared_parts: tuple[str, ...]
+    """Blocks of the prompt that others may have in common."""
+
+
+_TimedRun = tuple[float, InterruptedRun]
+
+
+@dataclass(frozen=True, slots=True)
+class ServerCrash:
+    """What is known of a crash when it is confirmed."""
+
+    strikes: tuple[Strike, ...]
+    """Against the requests that ran there until just before."""
+    runs: tuple[InterruptedRun, ...]
+
+
 class CrashWatch(StrikeListener):
     """Suspects the requests that ran on a server when it crashed.
 
@@ -50,6 +76,9 @@
     def __init__(self) -> None:
         self.strike_registry = StrikeRegistry(SERVERS_TO_BLOCK)
         self._suspects: dict[str, dict[str, float]] = {}
+        self.interrupted = Counter(dict.fromkeys(('had_events', _NO_EVENT), 0))
+        """Runs that confirmed crashes have interrupted."""
+        self._runs: dict[str, list[_TimedRun]] = {}
 
     def refused_seconds(
         self, now: float, call: CallerRequest, workspace: str
@@ -85,22 +114,36 @@
             suspects.pop(next(iter(suspects)))
         return ()
 
-    def confirm_crash(self, now: float, server: str) -> Sequence[Strike]:
-        """Record that a server is unreachable.
-
-        :return: the strikes against the requests that ran there until just now.
-        """
+    def run_interrupted(
+        self, now: float, server: str, run: InterruptedRun
+    ) -> None:
+        """Record an attempt that a crash may have interrupted."""
+        runs = self._runs.setdefault(server, [])
+        runs.append((now, run))
+        if len(runs) > _MAX_SUSPECTS:
+            runs.pop(0)
+
+    def confirm_crash(self, now: float, server: str) -> ServerCrash:
+        """Record that a server is unreachable."""
         strikes = tuple(
             Strike(name, server, STRIKE_TTL_SECONDS)
             for name, ended_seconds in self._suspects.pop(server, {}).items()
             if now - ended_seconds <= CRASH_CONFIRM_SECONDS
         )
         self.add_strikes(now, strikes)
-        return strikes
+        runs = tuple(
+            run
+            for ended_seconds, run in self._runs.pop(server, ())
+            if now - ended_seconds <= CRASH_CONFIRM_SECONDS
+        )
+        for run in runs:
+            self.interrupted['had_events' if run.has_events else _NO_EVENT] += 1
+        return ServerCrash(strikes, runs)
 
     def forget(self, server: str) -> None:
         """Forget what ran on a server that has shut down in good order."""
         self._suspects.pop(server, None)
+        self._runs.pop(server, None)
 
     def add_strikes(self, now: float, strikes: Iterable[Strike]) -> None:
         """Add strikes, from this entry or other ones."""
--- a/src/sardinetrack/relay/metrics.py
+++ b/src/sardinetrack/relay/metrics.py
@@ -111,6 +111,11 @@
         len(state.servers.instances),
     )
     meters = state.meters
+    yield _counter(
+        'runs_at_crashes',
+        'Attempts that crashes of servers have interrupted',
+        state.crashes.interrupted,
+    )
     yield _total(
         'refused_entries',
         'Listed entries that name no server',
--- a/src/sardinetrack/relay/outcome_recorder.py
+++ b/src/sardinetrack/relay/outcome_recorder.py
@@ -8,6 +8,7 @@
 from sardinetrack.relay.api import CallerRequest
 from sardinetrack.relay.attempt import SendOutcome, ServerAttempt
 from sardinetrack.relay.connection_pool import NotConnectedError
+from sardinetrack.relay.crashes import InterruptedRun
 from sardinetrack.relay.entry_state import EntryState
 from sardinetrack.relay.request_plan import Plan
 from sardinetrack.relay.server_connection import BreakReason
@@ -62,6 +63,16 @@
     ) -> None:
         """Record whether the request may have crashed the server."""
         crashes, call = self._state.crashes, self._call
+        if attempt.interrupted_by_server:
+            crashes.run_interrupted(
+                loop_now(),
+                server.instance,
+                InterruptedRun(
+                    call.request_id,
+                    attempt.first_event_received,
+                    tuple(one.block_id for one in call.prompt.shared_blocks),
+                ),
+            )
         if attempt.done.result() is SendOutcome.DELIVERED:
             crashes.served(call, plan.workspace_name)
         elif attempt.reason in _CONNECTION_ENDS:
--- a/src/sardinetrack/relay/sender.py
+++ b/src/sardinetrack/relay/sender.py
@@ -261,6 +261,9 @@
             config_age_seconds=round(state.freshness.age_seconds(), _DIGITS),
             waited_seconds=round(trace.waited_seconds, _DIGITS),
             server_wait_seconds=round(candidate.wait_seconds, _DIGITS),
+            shared_parts=[
+                block.block_id for block in self._call.prompt.shared_blocks
+            ],
             new_tokens=candidate.prefill_tokens,
             again_tokens=candidate.recomputed_tokens,
         )
--- a/src/sardinetrack/relay/side_links.py
+++ b/src/sardinetrack/relay/side_links.py
@@ -25,6 +25,8 @@
 
 INITIAL_ENTRIES: Final = 6
 """Assumed number of entries until a side has reported how many it sees."""
+MAX_LOGGED_RUNS: Final = 16
+"""Requests that a line about a crash names."""
 _BROADCAST_KEY: Final = '*'
 
 
@@ -151,15 +153,23 @@
 
         :param cause: how the crash was detected.
         """
-        strikes = self._crashes.confirm_crash(loop_now(), instance)
-        if strikes:
-            self._log.write(
-                Event.SERVER_CRASHED,
-                server=instance,
-                cause=cause,
-                suspects=len(strikes),
-            )
-            self.report_strikes(strikes)
+        crash = self._crashes.confirm_crash(loop_now(), instance)
+        if not crash.strikes and not crash.runs:
+            return
+        silent = [run for run in crash.runs if not run.has_events]
+        self._log.write(
+            Event.SERVER_CRASHED,
+            server=instance,
+            cause=cause,
+            suspects=len(crash.strikes),
+            had_events=len(crash.runs) - len(silent),
+            without_event={
+                run.request_id: run.shared_parts
+                for run in silent[:MAX_LOGGED_RUNS]
+            },
+        )
+        if crash.strikes:
+            self.report_strikes(crash.strikes)
 
     def report_strikes(self, strikes: Sequence[Strike]) -> None:
         """Send strikes to all entries, through one side per failure domain."""
--- a/tests/relay/crashes.feature
+++ b/tests/relay/crashes.feature
@@ -41,6 +41,15 @@
     And i-1 is unreachable 5.0 seconds later
     Then the request has 0 strikes
 
+  Scenario: The line about a crash tells what may have caused it
+    Guards against an incident that can't be traced: without the parts of the
+    prompts that no response had begun to, nothing shows what crashes share.
+
+    Given a relay in front of 2 model servers
+    When a stream crashes its server before its first event
+    And a caller requests another stream
+    Then the line about the crash has the shared parts of that prompt
+
   Scenario: Strikes are sent through several failure domains
     Guards against a request that crashes more than three servers: the one side
     that passed the strikes on had stalled, and no other entry received them.
--- a/tests/relay/steps/crash_steps.py
+++ b/tests/relay/steps/crash_steps.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from behave import given, then, when
+from tests.support.relay_servers import SharedActs
 
 from sardinetrack.placement.prompt import Prompt
 from sardinetrack.relay.api import CallerRequest
@@ -125,3 +126,27 @@
     lost = context.links[0].failure_domain
     left = [link for link in context.links if link.failure_domain != lost]
     assert len(broadcast_sides(left)) == count, broadcast_sides(left)
+
+
+@when('a stream crashes its server before its first event')
+def crash_on_stream(context):
+    world = context.world
+    acts = SharedActs('crash')
+    for server in world.servers:
+        server.acts = acts
+    context.reply = world.run(world.call('stream'))
+
+
+@when('a caller requests another stream')
+def another_stream(context):
+    context.world.run(context.world.call('stream'))
+
+
+@then('the line about the crash has the shared parts of that prompt')
+def crash_line(context):
+    lines = context.world.lines()
+    crashes = [one for one in lines if one['event'] == 'server_crashed']
+    parts = [list(one['without_event'].values()) for one in crashes]
+    assert parts == [[['a1', 'b2']]], crashes
+    sent = [one for one in lines if one['event'] == 'request_sent']
+    assert all(one['shared_parts'] == ['a1', 'b2'] for one in sent), sent
