--- a/tests/support/version_world.py
+++ b/tests/support/version_world.py
@@ -57,6 +57,7 @@
         self.first_request = f'q{number}'
         self.last_request = ''
         self.prefix = f'a{number}:400,b{number}:20'
+        self.target = '/stream/s'
         self.raw = b''
         self.statuses = []
         self.complete = False
@@ -72,7 +73,7 @@
     def request(self, number):
         """Return the request that begins the stream, or continues it."""
         lines = [
-            'POST /stream/s HTTP/1.1',
+            f'POST {self.target} HTTP/1.1',
             'Host: h.example',
             'Content-Length: 0',
             'Connection: close',
