Parts of prompts that crash engines are suspected, tried alone and blocked

Cause: crashes were counted by the whole request, so requests that are no two alike never reached a count. Class: evidence that is kept by an identity which the cause does not have. Besides, a retry within the response carried the request to a second engine before anybody knew that the first had crashed.

Change: at a confirmed crash each entry records the parts of the prompts that had no event, without those that engines lately responded to if there is another part. Reports of crashes in a row and of the last response go to all entries through the sides, which remember them for entries that start or were cut off. After one crash a part is suspected: requests with it run one at a time, at the one engine that rendezvous hashing names, and any first event clears it. After three in a row, each by a request that was sent after the crash before, it is blocked for a minute, then four times longer after each further crash. A part that engines responded to within ten minutes needs three and five. Before a request without an event is retried, its server is connected to, so that a crash is known first.

Ruled out: blame by the number of crashes alone (a loss of power in a domain is several at once); by callers or first parts (sound requests share them); trials without a limit (one engine each for every entry).

Engines that crash by themselves, one each 0.8 s or five at once, cause no refusal, with half of the second parts new.

--- a/src/sardinetrack/admission/request.py
+++ b/src/sardinetrack/admission/request.py
@@ -42,6 +42,8 @@
     """Time since the request was first refused, as far as the entry knows."""
     event_gap_seconds: float = math.inf
     """Objective for the longest pause between two events of its stream."""
+    is_trial: bool = False
+    """Whether a part of its prompt is suspected of crashing engines."""
 
     @property
     def is_past_objective(self) -> bool:
--- a/src/sardinetrack/errors/api.py
+++ b/src/sardinetrack/errors/api.py
@@ -32,6 +32,7 @@
     NOT_RUN_PLATFORM_DOWN = 'not_run_platform_down'
     NOT_RUN_LOST = 'not_run_lost'
     NOT_RUN_CRASHES = 'not_run_crashes'
+    NOT_RUN_PROMPT_PART = 'not_run_prompt_part'
     CRASHES_SERVERS = 'crashes_servers'
     TIMED_OUT = 'timed_out'
     OUTCOME_UNKNOWN = 'outcome_unknown'
--- a/src/sardinetrack/errors/table.py
+++ b/src/sardinetrack/errors/table.py
@@ -190,6 +190,13 @@
             not_run=True,
             retry_after_seconds=60,
         ),
+        ErrorKind.NOT_RUN_PROMPT_PART: ErrorResponse(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            _SERVER_ERROR,
+            'Servers crashed on a part of this prompt; not run for now.',
+            not_run=True,
+            retry_after_seconds=60,
+        ),
         ErrorKind.CRASHES_SERVERS: ErrorResponse(
             HTTPStatus.UNPROCESSABLE_ENTITY,
             _INVALID_REQUEST,
--- a/src/sardinetrack/logs/events.py
+++ b/src/sardinetrack/logs/events.py
@@ -48,6 +48,7 @@
     SERVER_LEAVING = 'server_leaving'
     SERVER_REST = 'server_rest'
     SERVER_CRASHED = 'server_crashed'
+    PART_STATUS = 'part_status'
     EVACUATION = 'evacuation'
     OVERLOAD = 'overload'
     MEMORY_SHORT = 'memory_short'
--- a/src/sardinetrack/relay/connection_pool.py
+++ b/src/sardinetrack/relay/connection_pool.py
@@ -7,6 +7,7 @@
 from collections import deque
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
+from functools import partial
 from typing import Final
 
 from sardinetrack.http.sockets import has_unread_data
@@ -34,6 +35,7 @@
         self.opened = 0
         self._idle: dict[Address, deque[ServerConnection]] = {}
         self._open: dict[Address, int] = {}
+        self._checks: dict[Address, asyncio.Task[None]] = {}
 
     def connections(self, address: Address) -> int:
         """Count the connections to a server, idle ones too."""
@@ -88,6 +90,29 @@
         self._open[address] = self._open.get(address, 0) + 1
         return connection
 
+    async def check(self, address: Address) -> None:
+        """Open a connection to a server, one for all that ask meanwhile.
+
+        :raises NotConnectedError: the server accepts no connection.
+        """
+        task = self._checks.get(address)
+        if task is None:
+            task = asyncio.create_task(self._open_and_close(address))
+            self._checks[address] = task
+            task.add_done_callback(partial(self._end_check, address))
+        # A caller that leaves must not end the check of the others.
+        await asyncio.shield(task)
+
+    def _end_check(self, address: Address, task: asyncio.Task[None]) -> None:
+        self._checks.pop(address)
+        if not task.cancelled():
+            # All that asked may have left.
+            task.exception()
+
+    async def _open_and_close(self, address: Address) -> None:
+        connection = await self._connect(address)
+        self.release(address, connection, max_kept=0)
+
     def release(
         self,
         address: Address,
--- a/src/sardinetrack/relay/crashes.py
+++ b/src/sardinetrack/relay/crashes.py
@@ -9,8 +9,10 @@
 
 import xxhash
 
+from sardinetrack.logs.events import EventLog
 from sardinetrack.messages.api import Strike
 from sardinetrack.relay.api import CallerRequest
+from sardinetrack.relay.part_quarantine import PartQuarantine, SentPrompt
 from sardinetrack.routing.strikes import StrikeRegistry
 from sardinetrack.turns.side_state import StrikeListener
 
@@ -28,6 +30,7 @@
 
 A crashed server is detected by the next connection or by the instance list.
 """
+_HAD_EVENTS: Final = 'had_events'
 _NO_EVENT: Final = 'without_event'
 _MAX_SUSPECTS: Final = 512
 """Per server, which runs 64 requests at a time and gets new ones when idle."""
@@ -50,7 +53,8 @@
     has_events: bool
     """Whether this server had begun to respond."""
     shared_parts: tuple[str, ...]
-    """Blocks of the prompt that others may have in common."""
+    """Blocks of the prompt that others may have in common, for the log."""
+    prompt: SentPrompt
 
 
 _TimedRun = tuple[float, InterruptedRun]
@@ -73,10 +77,11 @@
     unreachable or be removed from the instance list.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, log: EventLog) -> None:
+        self.quarantine = PartQuarantine(log)
         self.strike_registry = StrikeRegistry(SERVERS_TO_BLOCK)
         self._suspects: dict[str, dict[str, float]] = {}
-        self.interrupted = Counter(dict.fromkeys(('had_events', _NO_EVENT), 0))
+        self.interrupted = Counter(dict.fromkeys((_HAD_EVENTS, _NO_EVENT), 0))
         """Runs that confirmed crashes have interrupted."""
         self._runs: dict[str, list[_TimedRun]] = {}
 
@@ -136,8 +141,10 @@
             for ended_seconds, run in self._runs.pop(server, ())
             if now - ended_seconds <= CRASH_CONFIRM_SECONDS
         )
-        for run in runs:
-            self.interrupted['had_events' if run.has_events else _NO_EVENT] += 1
+        silent = [one for one in runs if not one.has_events]
+        self.interrupted[_NO_EVENT] += len(silent)
+        self.interrupted[_HAD_EVENTS] += len(runs) - len(silent)
+        self.quarantine.crashed(now, [one.prompt for one in silent])
         return ServerCrash(strikes, runs)
 
     def forget(self, server: str) -> None:
--- a/src/sardinetrack/relay/entry_state.py
+++ b/src/sardinetrack/relay/entry_state.py
@@ -59,7 +59,7 @@
         self.service = DecayingService[str]()
         self.prefix_index = PrefixCacheIndex()
         self.meters = Meters()
-        self.crashes = CrashWatch()
+        self.crashes = CrashWatch(log)
         self.sides = SideLinks(
             settings,
             self.prefix_index,
--- a/src/sardinetrack/relay/exchange.py
+++ b/src/sardinetrack/relay/exchange.py
@@ -17,6 +17,7 @@
 from sardinetrack.relay.request_end import record_end
 from sardinetrack.relay.request_plan import (
     Plan,
+    check_quarantine,
     make_plan,
     plan_continuation,
 )
@@ -175,21 +176,26 @@
     def _check_crashes(self, plan: Plan) -> None:
         """Refuse a request that has crashed too many servers.
 
-        :raises RequestError: the request is blocked.
+        :raises RequestError: the request, or a part of its prompt, is blocked.
         """
-        seconds = self._refused_seconds(plan)
+        check_quarantine(self._state, plan, self._call, is_trial=True)
+        seconds = self._state.crashes.refused_seconds(
+            loop_now(),
+            self._call,
+            plan.workspace_name,
+        )
         if seconds > 0:
             raise RequestError(
                 ErrorKind.NOT_RUN_CRASHES,
                 retry_after_seconds=seconds,
             )
 
-    def _refused_seconds(self, plan: Plan) -> float:
-        return self._state.crashes.refused_seconds(
-            loop_now(),
-            self._call,
-            plan.workspace_name,
-        )
+    def _is_blocked(self, plan: Plan) -> bool:
+        try:
+            self._check_crashes(plan)
+        except RequestError:
+            return True
+        return False
 
     async def _serve(self, plan: Plan) -> None:
         while not self.delivered:
@@ -262,7 +268,7 @@
             return False
         if self.trace.sent >= plan.route.max_servers:
             return False
-        if self._refused_seconds(plan) > 0:
+        if self._is_blocked(plan):
             return False
         if self._state.rest_seconds(plan.pool.name) > 0:
             return False
--- a/src/sardinetrack/relay/metrics.py
+++ b/src/sardinetrack/relay/metrics.py
@@ -116,6 +116,11 @@
         'Attempts that crashes of servers have interrupted',
         state.crashes.interrupted,
     )
+    yield _gauge(
+        'suspected_parts',
+        'Parts of prompts with crashes since the last response to them',
+        state.crashes.quarantine.registry.suspected,
+    )
     yield _total(
         'refused_entries',
         'Listed entries that name no server',
--- a/src/sardinetrack/relay/outcome_recorder.py
+++ b/src/sardinetrack/relay/outcome_recorder.py
@@ -10,6 +10,7 @@
 from sardinetrack.relay.connection_pool import NotConnectedError
 from sardinetrack.relay.crashes import InterruptedRun
 from sardinetrack.relay.entry_state import EntryState
+from sardinetrack.relay.part_quarantine import SentPrompt
 from sardinetrack.relay.request_plan import Plan
 from sardinetrack.relay.server_connection import BreakReason
 from sardinetrack.relay.target import Target
@@ -29,6 +30,12 @@
         self._state = state
         self._call = call
         self._trace = trace
+        self._prompt = SentPrompt((), ())
+
+    def note_sent(self, server: BackendServer) -> None:
+        """Note what is known of the prompt as it is sent to a server."""
+        quarantine = self._state.crashes.quarantine
+        self._prompt = quarantine.sent(server.pool, self._call.prompt)
 
     def record(self, target: Target, attempt: ServerAttempt) -> None:
         """Record how an attempt has ended."""
@@ -63,7 +70,8 @@
     ) -> None:
         """Record whether the request may have crashed the server."""
         crashes, call = self._state.crashes, self._call
-        if attempt.interrupted_by_server:
+        leaving = self._state.is_leaving(server)
+        if attempt.interrupted_by_server and not leaving:
             crashes.run_interrupted(
                 loop_now(),
                 server.instance,
@@ -71,10 +79,12 @@
                     call.request_id,
                     attempt.first_event_received,
                     tuple(one.block_id for one in call.prompt.shared_blocks),
+                    self._prompt,
                 ),
             )
         if attempt.done.result() is SendOutcome.DELIVERED:
             crashes.served(call, plan.workspace_name)
+            crashes.quarantine.answered(loop_now(), server.pool, call.prompt)
         elif attempt.reason in _CONNECTION_ENDS:
             strikes = crashes.connection_ended(
                 loop_now(),
--- a/src/sardinetrack/relay/permit.py
+++ b/src/sardinetrack/relay/permit.py
@@ -185,6 +185,10 @@
         self.since_refusal_seconds = since_refusal_seconds
 
 
+class TrialRunsError(Exception):
+    """Another request with a suspected part runs; it is not known how long."""
+
+
 async def acquire_permit(
     state: EntryState,
     pool: Pool,
@@ -197,6 +201,7 @@
     grants its own fraction of the server, whose engine keeps running.
 
     :raises PermitRefusedError: there is none in time.
+    :raises TrialRunsError: it is a trial, and another one runs there.
     """
     link = state.sides.find(candidate.server.ip)
     if link is not None and link.connection is not None:
@@ -213,9 +218,14 @@
             cold_seconds, 'cold, and its side is unreachable'
         )
     local_admission = state.local_admission(candidate.server, pool)
+    permit_id = admission_request.permit_id
+    if admission_request.is_trial and not local_admission.trials.begin(
+        permit_id
+    ):
+        raise TrialRunsError
     decision = await local_admission.request_permit(admission_request)
     if isinstance(decision, Granted):
-        return LocalPermit(local_admission, admission_request.permit_id)
+        return LocalPermit(local_admission, permit_id)
     raise PermitRefusedError(
         decision.retry_after_seconds, 'local admission is full'
     )
@@ -242,12 +252,15 @@
         round(admission_request.until_deadline_seconds, 3),
         round(admission_request.since_refusal_seconds, 3),
         _finite(admission_request.event_gap_seconds),
+        admission_request.is_trial,
     )
     timeout_seconds = admission_request.max_wait_seconds + _RESPONSE_SECONDS
     response = await connection.request_permit(message, timeout_seconds)
     if isinstance(response, PermitGranted):
         return SidePermit(connection, admission_request.permit_id)
     if isinstance(response, PermitRefused):
+        if response.trial_runs:
+            raise TrialRunsError
         raise PermitRefusedError(
             response.retry_after_seconds,
             f'side: {response.ahead_tokens} tokens ahead',
--- a/src/sardinetrack/relay/request_plan.py
+++ b/src/sardinetrack/relay/request_plan.py
@@ -10,6 +10,7 @@
 from sardinetrack.errors.api import ErrorKind, RequestError
 from sardinetrack.relay.api import CallerRequest
 from sardinetrack.relay.entry_state import EntryState
+from sardinetrack.relay.server_states import ServerUnavailableError
 from sardinetrack.topology.configuration import (
     Configuration,
     Pool,
@@ -18,8 +19,12 @@
     Workspace,
 )
 from sardinetrack.topology.stream_origin import StreamOrigin
+from sardinetrack.turns.clock import loop_now
 
 _WEIGHT_POINTS: Final = 1_000_000
+_RETRY_SPREAD: Final = 0.25
+"""Fraction of the time to come back by which those of several callers differ.
+"""
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,6 +104,35 @@
     return replace(plan, pool=pool)
 
 
+def check_quarantine(
+    state: EntryState,
+    plan: Plan,
+    call: CallerRequest,
+    *,
+    is_trial: bool,
+) -> None:
+    """Check the parts of the prompt against the latest crashes.
+
+    :param is_trial: its server was chosen for a suspected part.
+    :raises RequestError: a part is blocked; callers return at different times.
+    :raises ServerUnavailableError: a part is suspected, and it is no trial.
+    """
+    now, quarantine = loop_now(), state.crashes.quarantine
+    seconds = quarantine.blocked_seconds(now, plan.pool.name, call.prompt)
+    if seconds > 0:
+        point = (
+            xxhash.xxh3_64_intdigest(call.request_id.encode()) % _WEIGHT_POINTS
+        )
+        more = _RETRY_SPREAD * point / _WEIGHT_POINTS
+        raise RequestError(
+            ErrorKind.NOT_RUN_PROMPT_PART,
+            retry_after_seconds=(1 + more) * seconds,
+        )
+    suspected = quarantine.suspected_part(now, plan.pool.name, call.prompt)
+    if suspected and not is_trial:
+        raise ServerUnavailableError
+
+
 def check_still_allowed(
     state: EntryState, plan: Plan, call: CallerRequest
 ) -> None:
--- a/src/sardinetrack/relay/sender.py
+++ b/src/sardinetrack/relay/sender.py
@@ -18,7 +18,11 @@
 from sardinetrack.relay.connection_pool import IDLE_SECONDS, NotConnectedError
 from sardinetrack.relay.entry_state import EntryState
 from sardinetrack.relay.outcome_recorder import OutcomeRecorder
-from sardinetrack.relay.request_plan import Plan, check_still_allowed
+from sardinetrack.relay.request_plan import (
+    Plan,
+    check_quarantine,
+    check_still_allowed,
+)
 from sardinetrack.relay.send_mode import SendMode
 from sardinetrack.relay.server_connection import ServerConnection
 from sardinetrack.relay.server_notices import ServerNotices
@@ -114,8 +118,25 @@
             # The run was moved here, so the request as a whole has run.
             self._trace.proved_not_run = False
         self._outcomes.update_suspects(plan, server, attempt)
+        await self._confirm_crash(target, attempt)
         return attempt
 
+    async def _confirm_crash(
+        self, target: Target, attempt: ServerAttempt
+    ) -> None:
+        """Find out whether the server crashed on this prompt.
+
+        Until that is known it must not be sent to another one.
+        """
+        has_parts = bool(self._call.prompt.shared_blocks)
+        if attempt.first_event_received or not has_parts:
+            return
+        if attempt.interrupted_by_server:
+            try:
+                await self._state.connections.check(target.server.address)
+            except NotConnectedError as error:
+                self._outcomes.record_unreachable(target, error)
+
     def _connection(
         self,
         plan: Plan,
@@ -175,13 +196,14 @@
         """Send, and follow the attempt; see :attr:`SendMode.follow`."""
         candidate = placement.candidate
         server = candidate.server
-        self._recheck(plan, server, mode)
+        self._recheck(plan, placement, mode)
         request = self._adapter.encode_request(
             self._call,
             self._sending(plan, server, attempt, mode),
         )
         self._log_sent(plan, placement, attempt, mode)
         self.attempt = attempt
+        self._outcomes.note_sent(server)
         load = self._state.server_states.load(server)
         load.added_tokens += candidate.prefill_tokens
         with self._caller.flow.applied_to(connection):
@@ -194,7 +216,7 @@
             return await mode.follow(attempt)
 
     def _recheck(
-        self, plan: Plan, server: BackendServer, mode: SendMode
+        self, plan: Plan, placement: Placement, mode: SendMode
     ) -> None:
         """Check again what may have changed while the request waited.
 
@@ -208,7 +230,12 @@
         if self._caller.disconnected:
             raise asyncio.CancelledError
         check_still_allowed(self._state, plan, self._call)
-        self._state.check_available(server, is_return=mode.is_return)
+        check_quarantine(
+            self._state, plan, self._call, is_trial=placement.is_trial
+        )
+        self._state.check_available(
+            placement.candidate.server, is_return=mode.is_return
+        )
 
     def _sending(
         self,
--- a/src/sardinetrack/relay/server_choice.py
+++ b/src/sardinetrack/relay/server_choice.py
@@ -24,6 +24,7 @@
 )
 from sardinetrack.placement.prefix_index import MIN_SHARED_PREFIX_TOKENS
 from sardinetrack.placement.rendezvous import (
+    rendezvous_order,
     shared_prefix,
     shared_prefix_tokens,
 )
@@ -34,6 +35,7 @@
 from sardinetrack.relay.permit import (
     PermitRefusedError,
     PlainPermit,
+    TrialRunsError,
     acquire_permit,
 )
 from sardinetrack.relay.request_plan import Plan
@@ -78,6 +80,10 @@
 _MILLISECONDS: Final = 1000
 SERVER_UNREACHABLE_RETRY_SECONDS: Final = 0.3
 """When to retry after a server was unreachable or full."""
+TRIAL_POLL_SECONDS: Final = 0.05
+"""After which a request whose part is suspected asks again while another one
+runs, or after its server was unreachable: a prefill takes about as long, and by
+then the entries know of a crash."""
 
 
 class Placer:
@@ -105,6 +111,19 @@
 
         :raises RequestError: no server can run it in time.
         """
+        began_seconds = self._loop.time()
+        if self._trace.unreachable and self._suspected_part(plan):
+            await asyncio.sleep(TRIAL_POLL_SECONDS)
+        give_up_seconds = began_seconds + self._max_wait_seconds(plan)
+        while True:
+            try:
+                return await self._place_once(plan)
+            except TrialRunsError:
+                if self._loop.time() >= give_up_seconds:
+                    raise self._trial_error() from None
+            await asyncio.sleep(TRIAL_POLL_SECONDS)
+
+    async def _place_once(self, plan: Plan) -> Placement:
         candidates = self._candidates(plan)
         if not candidates or len(self._trace.unreachable) > MAX_UNREACHABLE:
             raise self.no_server_error(plan)
@@ -214,7 +233,28 @@
             )
         trace = self._trace
         untried = excluding(candidates, {*trace.servers, *trace.unreachable})
-        return untried or excluding(candidates, trace.unreachable)
+        untried = untried or excluding(candidates, trace.unreachable)
+        return self._limited_to_trial(plan, untried)
+
+    def _suspected_part(self, plan: Plan) -> str:
+        """Return a part of the prompt that may crash engines, or ''."""
+        quarantine = self._state.crashes.quarantine
+        return quarantine.suspected_part(
+            self._loop.time(), plan.pool.name, self._call.prompt
+        )
+
+    def _limited_to_trial(
+        self, plan: Plan, candidates: list[Candidate]
+    ) -> list[Candidate]:
+        """Keep the one engine that may run a request with a suspected part.
+
+        All entries choose the same one, whatever its load: it alone is at risk.
+        """
+        part = self._suspected_part(plan)
+        if not part or not candidates:
+            return candidates
+        by_name = {one.server.instance: one for one in candidates}
+        return [by_name[rendezvous_order(part, sorted(by_name))[0]]]
 
     async def _acquire_permit(
         self,
@@ -229,8 +269,7 @@
 
         :param candidates: the order of servers, the best one first.
         """
-        max_wait_seconds = MAX_WAIT_FRACTION * self._objective_seconds(plan)
-        deadline_seconds = self._loop.time() + max_wait_seconds
+        deadline_seconds = self._loop.time() + self._max_wait_seconds(plan)
         refusals: list[PermitRefusedError] = []
         rank = partial(self._candidates, plan)
         order = CandidateOrder(candidates, rank, self._loop.time)
@@ -269,7 +308,7 @@
             self._state, plan.pool, candidate, admission_request
         )
         self._record_permit(candidate, admission_request)
-        return Placement(candidate, permit)
+        return Placement(candidate, permit, admission_request.is_trial)
 
     def _record_permit(
         self, candidate: Candidate, admission_request: AdmissionRequest
@@ -294,6 +333,7 @@
         request_id = self._call.request_id
         number = self._trace.permit_requests
         self._trace.permit_requests += 1
+        is_trial = bool(self._suspected_part(plan))
         now = self._loop.time()
         return AdmissionRequest(
             permit_id=f'{request_id}.{number}',
@@ -304,7 +344,7 @@
             output_tokens=self._output_tokens(plan),
             max_wait_seconds=(
                 RECOMPUTE_WAIT_SECONDS
-                if candidate.recomputes_prefix
+                if candidate.recomputes_prefix and not is_trial
                 else wait_limit_seconds
             ),
             entry=state.settings.instance,
@@ -315,6 +355,7 @@
             fingerprint=self._request_fingerprint(plan),
             since_refusal_seconds=self._since_refusal_seconds,
             event_gap_seconds=plan.route.event_gap_seconds or math.inf,
+            is_trial=is_trial,
         )
 
     def _output_tokens(self, plan: Plan) -> int:
@@ -351,6 +392,16 @@
             return max(objective_seconds, CALLER_PATIENCE_SECONDS)
         return objective_seconds
 
+    def _max_wait_seconds(self, plan: Plan) -> float:
+        return MAX_WAIT_FRACTION * self._objective_seconds(plan)
+
+    def _trial_error(self) -> RequestError:
+        self._trace.reason = 'a part of the prompt is suspected'
+        return RequestError(
+            ErrorKind.NOT_RUN_DEADLINE,
+            retry_after_seconds=SERVER_UNREACHABLE_RETRY_SECONDS,
+        )
+
     def _refusal_error(
         self, refusals: Sequence[PermitRefusedError]
     ) -> RequestError:
--- a/src/sardinetrack/relay/server_notices.py
+++ b/src/sardinetrack/relay/server_notices.py
@@ -82,6 +82,9 @@
             trace.beginning = beginning
         self._permit.first_event_received(server, beginning)
         self._target.record_success()
+        self._state.crashes.quarantine.answered(
+            loop_now(), server.pool, self._call.prompt
+        )
 
     def _apply_rest(self, seconds: float, status: int) -> None:
         instance = self._target.server.instance
--- a/src/sardinetrack/relay/side_links.py
+++ b/src/sardinetrack/relay/side_links.py
@@ -18,9 +18,13 @@
 from sardinetrack.topology.pool_versions import PoolVersions
 from sardinetrack.topology.servers import BackendServer
 from sardinetrack.turns.clock import loop_now
-from sardinetrack.turns.messages import Hello, StrikesReported
+from sardinetrack.turns.messages import Hello, PartsReported, StrikesReported
 from sardinetrack.turns.side_link import SideLink
-from sardinetrack.turns.side_state import RestartListener, SideState
+from sardinetrack.turns.side_state import (
+    PartBroadcaster,
+    RestartListener,
+    SideState,
+)
 from sardinetrack.views.api import NullViewReceiver, ViewReceiver
 
 INITIAL_ENTRIES: Final = 6
@@ -46,7 +50,7 @@
     return list(chosen.values())
 
 
-class SideLinks:
+class SideLinks(PartBroadcaster):
     """Owns a connection to each side, by the address of its engine."""
 
     def __init__(
@@ -68,6 +72,7 @@
         self._settings = settings
         self._prefix_index = prefix_index
         self._crashes = crashes
+        crashes.quarantine.broadcaster = self
         self._restarts = restarts
         self._log = log
         self._listed: frozenset[str] = frozenset()
@@ -177,6 +182,16 @@
         for link in broadcast_sides(self.live):
             link.send_message(message)
 
+    def broadcast_parts(self, message: PartsReported) -> None:
+        """Send reports about parts of prompts to all entries."""
+        keeping = [
+            link
+            for link in self.live
+            if link.connection is not None and link.connection.keeps_parts
+        ]
+        for link in broadcast_sides(keeping):
+            link.send_message(message)
+
     def close(self) -> None:
         """Close all links."""
         for task in self._tasks.values():
@@ -195,12 +210,14 @@
                 pool.slots,
                 pool.memory_tokens,
                 asks_origins=True,
+                reports_parts=True,
             ),
             SideState(
                 EstimatedLoad(),
                 self._prefix_index,
                 self.views,
                 self._crashes,
+                self._crashes.quarantine,
                 self._restarts,
                 self.versions,
             ),
--- a/src/sardinetrack/relay/trace.py
+++ b/src/sardinetrack/relay/trace.py
@@ -68,6 +68,8 @@
 
     candidate: Candidate
     permit: Permit
+    is_trial: bool = False
+    """Whether a part of its prompt is suspected of crashing engines."""
 
     def held(self, first_event: Callable[[], None] | None = None) -> Self:
         """Return it with a permit that may be released more than once.
--- a/src/sardinetrack/turns/driver.py
+++ b/src/sardinetrack/turns/driver.py
@@ -13,6 +13,7 @@
     AdmissionRequest,
     Granted,
 )
+from sardinetrack.quarantine.trial import TrialGate
 from sardinetrack.topology.cold import ColdPeriod
 from sardinetrack.turns.clock import loop_now
 
@@ -26,6 +27,7 @@
     def __init__(self) -> None:
         """Start with one slot, until the engine's size is known."""
         self.admission = PrefillAdmission(slots=1, memory_tokens=1)
+        self.trials = TrialGate()
         self._timer: asyncio.TimerHandle | None = None
 
     @abstractmethod
@@ -38,12 +40,14 @@
 
     def prefill_finished(self, permit_id: str) -> None:
         """Record that the prefill of a request has finished."""
+        self.trials.end(permit_id)
         self._deliver_all(
             self.admission.prefill_finished(loop_now(), permit_id)
         )
 
     def reset(self) -> None:
         """Release all permits, after a restart of the server."""
+        self.trials.reset()
         self._deliver_all(self.admission.handle_restart(loop_now()))
 
     def observe_engine(self, report: EngineReport) -> None:
@@ -73,6 +77,7 @@
         :param is_complete: whether the caller has received the complete
             response.
         """
+        self.trials.end(permit_id)
         now = loop_now()
         self._deliver_all(
             self.admission.release(now, permit_id, is_complete=is_complete)
@@ -80,6 +85,8 @@
 
     def _deliver_all(self, decisions: Sequence[AdmissionDecision]) -> None:
         for decision in decisions:
+            if not isinstance(decision, Granted):
+                self.trials.end(decision.permit_id)
             self.deliver(decision)
         self._set_timer()
 
--- a/src/sardinetrack/turns/entry_connection.py
+++ b/src/sardinetrack/turns/entry_connection.py
@@ -10,6 +10,7 @@
     Begun,
     Ended,
     Hello,
+    PartsReported,
     PermitRequest,
     ServerStarted,
     StrikesReported,
@@ -45,6 +46,8 @@
         self.entry = ''
         self.asks_origins = False
         """Whether it understands the messages about streams' origins."""
+        self.reports_parts = False
+        """Whether it understands reports about the parts of prompts."""
         self.permit_ids: set[str] = set()
         """Of the entry's requests that wait or run."""
         self._side = side
@@ -75,25 +78,29 @@
             case Hello():
                 self.entry = message.entry
                 self.asks_origins = message.asks_origins
+                self.reports_parts = message.reports_parts
                 self._side.handle_hello(self, message)
             case StrikesReported():
-                self._side.handle_strikes(self, message)
+                others = self._side.entry_connections - {self}
+                self._side.crashes.struck(message, others)
             case ServerStarted():
                 self._side.handle_start(self, message)
             case _:
-                self._handle_origin_message(message)
+                self._handle_shared_message(message)
 
-    def _handle_origin_message(
-        self, message: OriginsFromEntry | FromFollower
+    def _handle_shared_message(
+        self, message: PartsReported | OriginsFromEntry | FromFollower
     ) -> None:
         streams = self._side.streams
+        others = self._side.entry_connections - {self}
         match message:
+            case PartsReported():
+                self._side.crashes.parts_reported(message, others)
             case StreamBegan():
                 streams.published(message)
             case FindOrigin():
                 streams.find(self, message)
             case VersionsListed():
-                others = self._side.entry_connections - {self}
                 streams.versions_listed(message, others)
             case _:
                 self._handle_view_message(message)
--- a/src/sardinetrack/turns/messages.py
+++ b/src/sardinetrack/turns/messages.py
@@ -9,6 +9,7 @@
 
 from sardinetrack.messages.api import Strike
 from sardinetrack.placement.step_pace import StepPace
+from sardinetrack.quarantine.api import PartReport
 from sardinetrack.topology.cold import ColdEstimate
 from sardinetrack.topology.starts import UNKNOWN_START_HASH, ServerStart
 from sardinetrack.turns.origin_messages import (
@@ -33,6 +34,8 @@
     asks_origins: bool = False
     """Whether the entry understands the messages about streams' origins;
     false for an entry of the previous version during a rolling upgrade."""
+    reports_parts: bool = False
+    """Whether it understands reports about the parts of prompts."""
 
 
 class PermitRequest(msgspec.Struct, tag='ask', array_like=True, frozen=True):
@@ -61,6 +64,8 @@
     event_gap_seconds: float = 0
     """Objective of its route for the longest pause between two events; 0 if
     there is none."""
+    is_trial: bool = False
+    """Whether a part of its prompt is suspected of crashing engines."""
 
     @property
     def left_seconds(self) -> float:
@@ -131,6 +136,8 @@
     ahead_tokens: int
     since_refusal_seconds: float = 0
     """Time since this side refused it first; 0 if it never did."""
+    trial_runs: bool = False
+    """Whether it is a trial, and may begin only after another one."""
 
 
 class SideReport(msgspec.Struct, tag='load', array_like=True, frozen=True):
@@ -167,12 +174,22 @@
     strikes: tuple[Strike, ...]
 
 
+class PartsReported(msgspec.Struct, tag='parts', array_like=True, frozen=True):
+    """What is known of parts of prompts that may crash engines."""
+
+    reports: tuple[PartReport, ...]
+    is_complete: bool = False
+    """Whether they are all that a side knows, which it sends to each entry that
+    connects."""
+
+
 FromEntry = (
     Hello
     | PermitRequest
     | Begun
     | Ended
     | StrikesReported
+    | PartsReported
     | ServerStarted
     | OriginsFromEntry
     | FromFollower
@@ -182,6 +199,7 @@
     | PermitRefused
     | SideReport
     | StrikesReported
+    | PartsReported
     | ServerStarted
     | OriginsFromSide
     | FromWatcher
--- a/src/sardinetrack/turns/side.py
+++ b/src/sardinetrack/turns/side.py
@@ -14,8 +14,8 @@
     Granted,
 )
 from sardinetrack.logs.events import Event, EventLog
-from sardinetrack.routing.strikes import StrikeRegistry
 from sardinetrack.turns.clock import loop_now
+from sardinetrack.turns.crash_records import CrashRecords
 from sardinetrack.turns.driver import AdmissionDriver
 from sardinetrack.turns.engine_monitor import (
     EngineListener,
@@ -34,7 +34,6 @@
     PermitRefused,
     PermitRequest,
     ServerStarted,
-    StrikesReported,
 )
 from sardinetrack.turns.refused import RefusedRequests
 from sardinetrack.turns.stream_records import StreamRecords
@@ -81,7 +80,7 @@
         self._requests: dict[str, PermitRequest] = {}
         self._refused = RefusedRequests()
         self._load = LoadReporter(self.admission, self.engine_starts)
-        self._strikes = StrikeRegistry()
+        self.crashes = CrashRecords()
         self.streams = StreamRecords(confirms=engine is not None)
         self.monitor = EngineMonitor(engine, self, log) if engine else None
         self._stack = AsyncExitStack()
@@ -141,11 +140,9 @@
         self.entry_connections.add(entry)
 
     def handle_hello(self, entry: EntryConnection, hello: Hello) -> None:
-        """Set the engine's size, and send the entry all active strikes."""
+        """Set the engine's size, and send the entry all records."""
         self.admission.resize(hello.slots, hello.memory_tokens)
-        strikes = self._strikes.active(loop_now())
-        if strikes:
-            entry.send(StrikesReported(tuple(strikes)))
+        self.crashes.connected(entry)
         self.streams.connected(entry)
         self._log.write(
             Event.ENTRY_CONNECTED,
@@ -154,22 +151,6 @@
             memory_tokens=hello.memory_tokens,
         )
 
-    def handle_strikes(
-        self,
-        sender: EntryConnection,
-        message: StrikesReported,
-    ) -> None:
-        """Forward strikes to all other entries.
-
-        Once every entry has a request's strikes, its caller can't have it
-        sent again through another one; an entry that restarts receives them
-        when it connects.
-        """
-        for strike in message.strikes:
-            self._strikes.add(loop_now(), strike)
-        for entry in self.entry_connections - {sender}:
-            entry.send(message)
-
     def handle_start(
         self,
         sender: EntryConnection,
@@ -237,6 +218,12 @@
         self, entry: EntryConnection, message: PermitRequest
     ) -> None:
         """Handle an entry's request for a permit."""
+        if message.is_trial and not self.trials.begin(message.permit_id):
+            entry.permit_ids.discard(message.permit_id)
+            entry.send(
+                PermitRefused(message.permit_id, 0, 0, 0, trial_runs=True)
+            )
+            return
         self._owners[message.permit_id] = entry
         now = loop_now()
         self._requests[message.permit_id] = message
--- a/src/sardinetrack/turns/side_link.py
+++ b/src/sardinetrack/turns/side_link.py
@@ -22,6 +22,7 @@
     Begun,
     Ended,
     Hello,
+    PartsReported,
     PermitGranted,
     PermitRefused,
     PermitRequest,
@@ -86,6 +87,8 @@
         self._lookups = PendingLookups()
         self.keeps_origins = False
         """Whether the side can be asked for the origins of streams."""
+        self.keeps_parts = False
+        """Whether it can be sent reports about the parts of prompts."""
 
     @property
     def live(self) -> bool:
@@ -139,9 +142,11 @@
                 self._handle_other_message(message)
 
     def _handle_other_message(
-        self, message: OriginsFromSide | FromWatcher
+        self, message: PartsReported | OriginsFromSide | FromWatcher
     ) -> None:
         match message:
+            case PartsReported():
+                self._apply_part_reports(message)
             case OriginFound():
                 self._resolve_lookup(message)
             case OriginsConfirmed():
@@ -179,6 +184,20 @@
         if versions.differ(now) and len(known) > len(message.ages):
             self.send(VersionsListed(known))
 
+    def _apply_part_reports(self, message: PartsReported) -> None:
+        """Apply a side's reports, and send it those that it lacks.
+
+        A side that has restarted has none.
+        """
+        listener = self._state.part_listener
+        self.keeps_parts = True
+        now = self.received_seconds
+        listener.parts_reported(now, message.reports)
+        if message.is_complete:
+            lacking = listener.reports_beyond(now, message.reports)
+            if lacking:
+                self.send(PartsReported(tuple(lacking)))
+
     def find_origin(self, request_id: str, lookup: OriginLookup) -> None:
         """Ask the side what began a stream."""
         self._lookups.add(request_id, lookup)
@@ -282,6 +301,7 @@
         self,
         message: FromFollower
         | StrikesReported
+        | PartsReported
         | ServerStarted
         | OriginsFromEntry,
     ) -> None:
--- a/src/sardinetrack/turns/side_state.py
+++ b/src/sardinetrack/turns/side_state.py
@@ -3,17 +3,19 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 
 from sardinetrack.messages.api import Strike
 from sardinetrack.placement.load import EstimatedLoad
 from sardinetrack.placement.prefix_index import PrefixCacheIndex
+from sardinetrack.quarantine.api import PartReport
 from sardinetrack.topology.cold import ColdEstimate
 from sardinetrack.topology.freshness import boot_clock
 from sardinetrack.topology.pool_versions import PoolVersions
 from sardinetrack.topology.starts import UNKNOWN_START_HASH, ServerStart
 from sardinetrack.turns.messages import (
+    PartsReported,
     ServerStarted,
     SideReport,
     decode_pace,
@@ -30,6 +32,30 @@
         """Add requests that were running when their servers crashed."""
 
 
+class PartListener(ABC):
+    """Receives what other processes know of parts of prompts."""
+
+    @abstractmethod
+    def parts_reported(
+        self, now: float, reports: Collection[PartReport]
+    ) -> None:
+        """Apply reports."""
+
+    @abstractmethod
+    def reports_beyond(
+        self, now: float, reports: Collection[PartReport]
+    ) -> Collection[PartReport]:
+        """Return what the sender of a complete list of reports lacks."""
+
+
+class PartBroadcaster(ABC):
+    """Sends what this process knows of parts of prompts to all entries."""
+
+    @abstractmethod
+    def broadcast_parts(self, message: PartsReported) -> None:
+        """Send reports."""
+
+
 class RestartListener(ABC):
     """Receives a side's report that its server has restarted."""
 
@@ -57,6 +83,7 @@
     prefix_index: PrefixCacheIndex
     view_receiver: ViewReceiver
     strike_listener: StrikeListener
+    part_listener: PartListener
     restart_listener: RestartListener
     versions: PoolVersions
     """Software versions that served the pools lately."""
--- a/tests/quarantine/deadly_prompts.feature
+++ b/tests/quarantine/deadly_prompts.feature
@@ -17,3 +17,14 @@
     Then at most 3 requests with one deadly part reach engines later than 3 s after its fifth crash
     And at most 5 engines crash by each deadly part
     And sound requests begin at least half as often as without them
+
+  Scenario: No crash that the prompts did not cause blocks a part
+    Guards against parts that are blocked because they were there when engines
+    crashed for another reason, or lost power all at once.
+
+    When engines crash in these ways, beside sound requests with many new parts:
+      | seconds | way                                  |
+      | 12      | one each 0.8 s, by themselves        |
+      | 12      | five at the same moment, each 4 s    |
+    Then no request is refused because of crashes
+    And sound requests begin at least half as often as without them
--- a/tests/quarantine/steps/deadly_prompt_steps.py
+++ b/tests/quarantine/steps/deadly_prompt_steps.py
@@ -28,6 +28,13 @@
         'one in 2 s, the second part kills': (('dead',), 2.0, _SECOND),
     }
 )
+_CRASHES = MappingProxyType(
+    {
+        'one each 0.8 s, by themselves': (0.8, 1),
+        'five at the same moment, each 4 s': (4.0, 5),
+    }
+)
+_NEW_FRACTION = 0.5
 
 
 async def _play(world, seconds, every_seconds, place):
@@ -50,6 +57,35 @@
         context.worlds[row['way']] = world
 
 
+async def _play_innocent(world, seconds, every_seconds, engines):
+    await world.open_deadly()
+    await world.send_sound(_CALM_SECONDS)
+    await asyncio.gather(
+        world.send_sound(seconds, _NEW_FRACTION),
+        world.crash_by_themselves(seconds, every_seconds, engines),
+    )
+
+
+@when('engines crash in these ways, beside sound requests with many new parts:')
+def crash_engines(context):
+    context.worlds = {}
+    for row in context.table:
+        world = DeadlyWorld(())
+        every_seconds, engines = _CRASHES[row['way']]
+        seconds = int(row['seconds'])
+        world.run(_play_innocent(world, seconds, every_seconds, engines))
+        close_world(world)
+        context.worlds[row['way']] = world
+
+
+@then('no request is refused because of crashes')
+def none_refused(context):
+    refused = {
+        way: world.refused_for_crashes for way, world in context.worlds.items()
+    }
+    assert not any(refused.values()), refused
+
+
 @then(
     'at most {most:d} requests with one deadly part reach engines later than'
     ' 3 s after its fifth crash'
--- a/tests/relay/steps/crash_steps.py
+++ b/tests/relay/steps/crash_steps.py
@@ -4,6 +4,7 @@
 
 from collections import Counter
 from dataclasses import dataclass
+from unittest import mock
 
 from behave import given, then, when
 from tests.support.relay_servers import SharedActs
@@ -80,7 +81,7 @@
 
 @given('a crash watch')
 def open_watch(context):
-    context.watch = CrashWatch()
+    context.watch = CrashWatch(mock.Mock())
 
 
 @when('the connection of a request to {server} ends')
--- a/tests/support/deadly_world.py
+++ b/tests/support/deadly_world.py
@@ -81,7 +81,7 @@
         self.crashes = {part: [] for part in deadly}
         self.arrivals = {part: [] for part in deadly}
         """When requests reached engines, by their deadly part."""
-        self.other_crashes = 0
+        self.other_crashes = []
         self.sound = []
         self._rng = Random(1)
         self._tasks = set()
@@ -106,17 +106,21 @@
     def crash(self, engine, part=None):
         """Crash an engine, by a part or by itself."""
         if part is None:
-            self.other_crashes += 1
+            self.other_crashes.append(self.loop.time())
         else:
             self.crashes[part].append(self.loop.time())
         self._start(engine.crash_and_return())
 
-    async def send_sound(self, seconds):
-        """Send sound requests that share keys and parts with deadly ones."""
+    async def send_sound(self, seconds, new_fraction=0):
+        """Send sound requests that share their caller and parts.
+
+        :param new_fraction: of them, whose second part was never seen before.
+        """
         for _ in range(int(seconds * _SOUND_A_SECOND)):
-            prefix = self._prefix(
-                self._rng.choice(_FIRST_PARTS), self._rng.choice(_SECOND_PARTS)
-            )
+            second = self._rng.choice(_SECOND_PARTS)
+            if self._rng.random() < new_fraction:
+                second = f'new-{next(_NUMBERS)}'
+            prefix = self._prefix(self._rng.choice(_FIRST_PARTS), second)
             call = SoundCall(self.loop.time(), self._stream(prefix))
             self.sound.append(call)
             self._start(self._request(call.stream))
@@ -137,13 +141,23 @@
                 self._start(self._request(self._stream(self._prefix(*parts))))
                 await asyncio.sleep(every_seconds / len(self.deadly))
 
-    async def crash_by_themselves(self, seconds, every_seconds):
-        """Crash one engine after the other, with no prompt to blame."""
+    async def crash_by_themselves(self, seconds, every_seconds, engines):
+        """Crash some engines at a time, with no prompt to blame."""
         for _ in range(int(seconds / every_seconds)):
             running = [one for one in self.servers if not one.down]
-            self.crash(self._rng.choice(running))
+            for engine in self._rng.sample(running, engines):
+                self.crash(engine)
             await asyncio.sleep(every_seconds)
 
+    @property
+    def refused_for_crashes(self):
+        """The number of requests that entries refused because of crashes."""
+        return sum(
+            state.meters.outcomes[kind]
+            for state in self.entry_states
+            for kind in ('not_run_prompt_part', 'not_run_crashes')
+        )
+
     def sent_after_contact(self, part):
         """Count the arrivals after which entries in touch had to stop."""
         crashes = self.crashes[part]
@@ -158,8 +172,9 @@
         :param after_seconds: after the crash from which on they count.
         :return: before the first crash, and from then on.
         """
-        first = min(at[0] for at in self.crashes.values())
-        last = max(at[:ALLOWED_CRASHES][-1] for at in self.crashes.values())
+        times = self.crashes.values() or (self.other_crashes,)
+        first = min(at[0] for at in times)
+        last = max(at[:ALLOWED_CRASHES][-1] for at in times)
         calm = [one for one in self.sound if one.sent_seconds < first]
         later = [
             one for one in self.sound if one.sent_seconds > last + after_seconds
--- a/tests/turns/steps/side_steps.py
+++ b/tests/turns/steps/side_steps.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+from unittest.mock import Mock
 
 from behave import given, then, when
 from tests.support.loop_tasks import cancel_other_tasks
@@ -51,13 +52,14 @@
     def __init__(self, name, slots):
         self.prefix_index = PrefixCacheIndex()
         self.load = EstimatedLoad()
-        self.crashes = CrashWatch()
+        self.crashes = CrashWatch(Mock())
         self.received = _ReceivedStarts()
         self.state = SideState(
             self.load,
             self.prefix_index,
             NullViewReceiver(),
             self.crashes,
+            self.crashes.quarantine,
             self.received,
             PoolVersions(),
         )
