Responses that end with their connection hide no crash

What callers saw: a request that crashes engines was sent on and on if these engines state no length: such a response seems to end with its connection, and only a connection that closes in the middle of one was counted as the sign of a crash.

--- a/src/sardinetrack/relay/outcome_recorder.py
+++ b/src/sardinetrack/relay/outcome_recorder.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from typing import Final
-
 from sardinetrack.logs.events import Event
 from sardinetrack.relay.api import CallerRequest
 from sardinetrack.relay.attempt import SendOutcome, ServerAttempt
@@ -12,14 +10,11 @@
 from sardinetrack.relay.entry_state import EntryState
 from sardinetrack.relay.part_quarantine import SentPrompt
 from sardinetrack.relay.request_plan import Plan
-from sardinetrack.relay.server_connection import BreakReason
 from sardinetrack.relay.target import Target
 from sardinetrack.relay.trace import Trace
 from sardinetrack.topology.servers import BackendServer
 from sardinetrack.turns.clock import loop_now
 
-_CONNECTION_ENDS: Final = frozenset((BreakReason.CLOSED, BreakReason.RESET))
-
 
 class OutcomeRecorder:
     """Updates the state of the servers that one request was sent to."""
@@ -85,7 +80,7 @@
         if attempt.done.result() is SendOutcome.DELIVERED:
             crashes.served(call, plan.workspace_name)
             crashes.quarantine.answered(loop_now(), server.pool, call.prompt)
-        elif attempt.reason in _CONNECTION_ENDS:
+        elif attempt.interrupted_by_server:
             strikes = crashes.connection_ended(
                 loop_now(),
                 server.instance,
--- a/tests/relay/crashes.feature
+++ b/tests/relay/crashes.feature
@@ -11,6 +11,16 @@
     Then 3 servers crashed
     And the last response is 503 and says when to retry
 
+  Scenario: Responses that end with their connection hide no crash
+    Guards against a request that crashes one engine after the other because its
+    responses state no length, so that they seem to end and not to break off.
+
+    Given a relay in front of 6 model servers
+    When a stream without shared parts crashes every server after its head
+    And a caller sends that stream 6 times
+    Then 3 servers crashed
+    And the last response is 503 and says when to retry
+
   Scenario: What ran beside it is served
     Given a relay in front of 6 plain servers
     When a report crashes every server that runs it
--- a/tests/relay/steps/crash_steps.py
+++ b/tests/relay/steps/crash_steps.py
@@ -151,3 +151,21 @@
     assert parts == [[['a1', 'b2']]], crashes
     sent = [one for one in lines if one['event'] == 'request_sent']
     assert all(one['shared_parts'] == ['a1', 'b2'] for one in sent), sent
+
+
+@when('a stream without shared parts crashes every server after its head')
+def crash_after_head(context):
+    for server in context.world.servers:
+        server.acts.append('begin_and_crash')
+
+
+@when('a caller sends that stream {count:d} times')
+def send_stream(context, count):
+    world = context.world
+    prompt = ('X-Sardinetrack-Prefix-Hash: c3:100',)
+
+    async def play():
+        for _ in range(count):
+            context.reply = await world.call('stream', prompt, target='same')
+
+    world.run(play())
--- a/tests/support/relay_servers.py
+++ b/tests/support/relay_servers.py
@@ -214,6 +214,15 @@
         for one in self.writers:
             one.transport.abort()
 
+    async def _begin_and_crash(self, fields, reader, writer):
+        """Send a head without a length, and end as if that were all."""
+        writer.write(f'{self._head(fields, "200 OK")}\r\n'.encode())
+        await writer.drain()
+        self.down = True
+        await self.close()
+        for one in self.writers:
+            one.close()
+
     async def _bare(self, fields, reader, writer):
         head = self._head(fields, '200 OK')
         writer.write(f'{head}Content-Length: 10\r\n\r\n'.encode())
--- a/tests/support/relay_world.py
+++ b/tests/support/relay_world.py
@@ -109,6 +109,14 @@
         return b'0\r\n\r\n' in self.body
 
 
+def _prefix_line(headers):
+    """Return the parts of the prompt, unless the test gives its own."""
+    name = 'X-Sardinetrack-Prefix-Hash: '
+    if any(line.startswith(name) for line in headers):
+        return ()
+    return (f'{name}a1:40,b2:40,c3:20',)
+
+
 def request_ids(raw):
     return re.findall(rb'request-id: (\w+)', raw)
 
@@ -242,7 +250,7 @@
             lines.extend(
                 (
                     'X-Sardinetrack-Token-Count: 100,20',
-                    'X-Sardinetrack-Prefix-Hash: a1:40,b2:40,c3:20',
+                    *_prefix_line(headers),
                     f'Authorization: Bearer {KEY}',
                 ),
             )
