A request that may have run is never told that it has not

Change: sends that no server has proved to be not run are counted; while there is one, a refusal becomes outcome_unknown (502), with the cause in the line. The test got 503 before. A response that has begun is truncated as before.

--- a/src/sardinetrack/relay/error_response.py
+++ b/src/sardinetrack/relay/error_response.py
@@ -4,12 +4,17 @@
 
 from functools import cache
 from http import HTTPStatus
+from typing import Final
 
 import msgspec
 
 from sardinetrack.errors.api import RequestError
 from sardinetrack.errors.table import error_response_for
 
+_NOT_RUN_STATUSES: Final = frozenset(
+    (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
+)
+
 
 @cache
 def status_line(status: int) -> bytes:
@@ -21,6 +26,11 @@
     return f'HTTP/1.1 {status} {phrase}\r\n'.encode()
 
 
+def promises_not_run(error: RequestError) -> bool:
+    """Whether a failure promises that the request has not run, and won't."""
+    return error_response_for(error.kind).status in _NOT_RUN_STATUSES
+
+
 def error_response(error: RequestError) -> tuple[int, bytes, bytes]:
     """Serialise the response to a failure.
 
--- a/src/sardinetrack/relay/exchange.py
+++ b/src/sardinetrack/relay/exchange.py
@@ -11,7 +11,10 @@
 from sardinetrack.relay.caller_connection import CallerConnection
 from sardinetrack.relay.connection_pool import NotConnectedError
 from sardinetrack.relay.entry_state import EntryState
-from sardinetrack.relay.error_response import error_response
+from sardinetrack.relay.error_response import (
+    error_response,
+    promises_not_run,
+)
 from sardinetrack.relay.movable_stream import MovableStream
 from sardinetrack.relay.move_tools import MoveTools
 from sardinetrack.relay.request_end import record_end
@@ -109,7 +112,17 @@
         try:
             await self._run_with_deadline()
         except RequestError as error:
-            self.refuse(error)
+            self._refuse_truthfully(error)
+
+    def _refuse_truthfully(self, error: RequestError) -> None:
+        """Refuse, but not as not run if an earlier attempt may have run."""
+        may_have_run = self.trace.may_have_run and not self._response.started
+        if may_have_run and promises_not_run(error):
+            cause = self.trace.reason or error.detail
+            kind = error.kind.value
+            self.trace.reason = f'{kind}: {cause}'
+            error = RequestError(ErrorKind.OUTCOME_UNKNOWN)
+        self.refuse(error)
 
     def record_end(self) -> None:
         """Count the request, which has ended, and log its last line."""
@@ -157,9 +170,9 @@
                 self.plan = await self._bind_to_origin(self.plan)
                 await self._serve(self.plan)
         except TimeoutError as error:
-            kind = ErrorKind.TIMED_OUT
-            if self.trace.proved_not_run:
-                kind = ErrorKind.NOT_RUN_DEADLINE
+            kind = ErrorKind.NOT_RUN_DEADLINE
+            if self.trace.may_have_run:
+                kind = ErrorKind.TIMED_OUT
             raise RequestError(kind) from error
 
     async def _bind_to_origin(self, plan: Plan) -> Plan:
--- a/src/sardinetrack/relay/outcome_recorder.py
+++ b/src/sardinetrack/relay/outcome_recorder.py
@@ -41,7 +41,7 @@
         else:
             target.record_failure(loop_now())
         if outcome is SendOutcome.NOT_RUN:
-            self._trace.proved_not_run = True
+            self._trace.unproved_sends -= 1
         if attempt.response is not None and attempt.response.misdirected:
             self.mark_misaddressed(
                 target, 'another server responds at this address'
--- a/src/sardinetrack/relay/sender.py
+++ b/src/sardinetrack/relay/sender.py
@@ -114,9 +114,6 @@
             target.record_success()
             return attempt
         self._outcomes.record(target, attempt)
-        if mode.kv_source is not None:
-            # The run was moved here, so the request as a whole has run.
-            self._trace.proved_not_run = False
         self._outcomes.update_suspects(plan, server, attempt)
         await self._confirm_crash(target, attempt)
         return attempt
@@ -270,7 +267,7 @@
             state.budget(plan.pool.name).deposit()
         trace.servers.append(candidate.server.instance)
         trace.moves += mode.kv_source is not None
-        trace.proved_not_run = False
+        trace.unproved_sends += 1
         state.log.write(
             Event.REQUEST_SENT,
             request=self._call.request_id,
--- a/src/sardinetrack/relay/trace.py
+++ b/src/sardinetrack/relay/trace.py
@@ -34,7 +34,8 @@
     """What began the stream; ``None`` until its caller has an event."""
     beginning: StreamBeginning | None = None
     """Its first event; ``None`` also if another request brought it."""
-    proved_not_run: bool = True
+    unproved_sends: int = 0
+    """Sends that no server has proved that it did not run."""
     outcome: str = SERVED
     """The kind of error sent to the caller, if any."""
     status: int = 0
@@ -56,6 +57,11 @@
         beginning = self.beginning
         return beginning is not None and beginning.is_doubtful(servers)
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a server may have run the request."""
+        return self.unproved_sends > 0
+
     @property
     def sent(self) -> int:
         """The number of attempts that were sent; a moved run is one attempt."""
--- a/tests/relay/responses.feature
+++ b/tests/relay/responses.feature
@@ -18,6 +18,15 @@
       | have_nothing | status 204 |
       | shed         | status 503 |
 
+  Scenario: A request that may have run is never told that it has not
+    A stream's server ends before its first event, and the next one turns the
+    request away. Guards against "not run" for what an engine may have run.
+
+    Given a relay in front of 2 model servers
+    When a stream is reset before its first event, and then gets shed
+    And a caller requests a resumable stream
+    Then the caller gets status 502
+
   Scenario: A stream is continued by a third server if the second does not
     The second server responds 404. Guards against a response that is given up
     while the route still allows an attempt.
--- a/tests/relay/steps/response_steps.py
+++ b/tests/relay/steps/response_steps.py
@@ -36,6 +36,13 @@
         server.acts = shared
 
 
+@when('a stream is reset before its first event, and then gets {act:w}')
+def reset_and_act(context, act):
+    shared = deque(('reset', act))
+    for server in context.world.servers:
+        server.acts = shared
+
+
 @then("the caller's response is truncated, and nothing follows its events")
 def nothing_follows(context):
     assert context.reply.status == 200
