A report from before a response does not revive crashes

A process that knew of a response and of one later crash took the higher count of an older report, and could have blocked the part too early. The class is the same as in links that reorder: an old count must not be added to what a newer response has cleared.

--- a/src/sardinetrack/quarantine/record.py
+++ b/src/sardinetrack/quarantine/record.py
@@ -92,7 +92,12 @@
         crashed_seconds = now - report.crashed_ago_seconds
         is_later = crashed_seconds > self.crashed_seconds
         is_new = is_later or report.crashes > self.crashes_in_a_row
-        if report.crashes and is_new:
+        # A report from before the last response would revive what it refutes.
+        if (
+            report.crashes
+            and is_new
+            and crashed_seconds > self.answered_seconds
+        ):
             self.add_crash(
                 max(crashed_seconds, self.crashed_seconds), report.crashes
             )
