The soak and a test replace processes while prompts crash engines

The soak lets a part crash each engine for some seconds, beside its other faults, and counts engines by part.

--- a/benchmarks/soak/__main__.py
+++ b/benchmarks/soak/__main__.py
@@ -54,6 +54,7 @@
         sys.stdout.write(
             f'seed {seed}: {len(faults.done)} faults, told {responses},'
             f' moves {dict(world.moves.counts)},'
+            f' deadly {dict(world.moves.deadly.crashes)},'
             f' slowest {log.slowest_seconds:.1f} s\n',
         )
         if served < _MIN_SERVED_FRACTION:
--- a/benchmarks/soak/callers.py
+++ b/benchmarks/soak/callers.py
@@ -201,13 +201,16 @@
             *headers,
         ]
         if route in {'stream', 'once'}:
-            prefix = self._rng.randrange(20)
+            number = self._rng.randrange(20)
+            first = f'p{number}'
+            if self._world.moves.deadly.part and not self._rng.randrange(5):
+                first = self._world.moves.deadly.part
             # Includes revoked keys: callers get no notice of a revocation.
             key = self._rng.choice(KEYS)
             lines.extend(
                 (
                     'X-Sardinetrack-Token-Count: 900,300',
-                    f'X-Sardinetrack-Prefix-Hash: p{prefix}:600,{name}:300',
+                    f'X-Sardinetrack-Prefix-Hash: {first}:600,{name}:300',
                     f'Authorization: Bearer {key}',
                 ),
             )
--- a/benchmarks/soak/engine.py
+++ b/benchmarks/soak/engine.py
@@ -18,6 +18,9 @@
 _MAX_OVERLAP_SECONDS = 0.4
 _RETENTION_SECONDS = 5.0
 _FAULT_FRACTION = 0.2
+_MAX_CRASHES = 8
+"""By one part: five, and three more requests afterwards. Source: the users'
+pages."""
 VERSIONS = ('v1', 'v2')
 _FIRST_START = 1_790_000_000_000
 
@@ -125,11 +128,31 @@
     """Addresses of the engines that hold the copy, if there is one."""
 
 
+@dataclass
+class DeadlyPrompts:
+    """The part of prompts that crashes engines at present."""
+
+    part: str = ''
+    crashes: Counter[str] = field(default_factory=Counter)
+    """By part."""
+    crashed: asyncio.Queue[SoakEngine] = field(default_factory=asyncio.Queue)
+    """Engines that have ended and are to be started again."""
+
+    def violations(self) -> list[str]:
+        """Describe the parts that have crashed too many engines."""
+        return [
+            f'{count} engines crashed on prompts with {part}'
+            for part, count in self.crashes.items()
+            if count > _MAX_CRASHES
+        ]
+
+
 @dataclass
 class Moves:
-    """The runs of all engines; the index of a run is the handle of its copy."""
+    """What all engines share; the index of a run is the handle of its copy."""
 
     runs: list[Run] = field(default_factory=list)
+    deadly: DeadlyPrompts = field(default_factory=DeadlyPrompts)
     counts: Counter[str] = field(default_factory=Counter)
     """Injected failures, continued streams and freed copies."""
 
@@ -146,14 +169,18 @@
                 end = min(one.ended_seconds, other.ended_seconds, now)
                 if end - other.began_seconds > _MAX_OVERLAP_SECONDS:
                     found.append(f'two engines work at once: {one}, {other}')
-        return found
+        return found + self.deadly.violations()
 
 
 class SoakEngine(SoakServer, MovingServer):
     """Fails some reports, copies and continuations, drawn from a seed."""
 
     def __init__(
-        self, address: str, runs: Counter[str], moves: Moves, seed: int
+        self,
+        address: str,
+        runs: Counter[str],
+        moves: Moves,
+        seed: int,
     ) -> None:
         """Build an engine that is not started."""
         ip, port = address.split(':')
@@ -161,6 +188,7 @@
         self.port = int(port)
         self._address = address
         self._moves = moves
+        self._deadly = moves.deadly
         self._rng = Random(f'{seed} {ip}')  # noqa: S311
         if seed % 2:
             # All its starts have one id.
@@ -252,7 +280,22 @@
         fields['last-event-id'] = run.made
         return True
 
+    async def _end_if_deadly(self, fields):
+        """End without an event if the prompt has the deadly part."""
+        part = fields['x-sardinetrack-prefix-hash'].partition(':')[0]
+        if part != self._deadly.part:
+            return False
+        await asyncio.sleep(EVENT_SECONDS)
+        if not self.restart_lock.locked():
+            self._deadly.crashes[part] += 1
+            await self.restart_lock.acquire()
+            await self.crash()
+            self._deadly.crashed.put_nowait(self)
+        return True
+
     async def _stream_run(self, fields, reader, writer):
+        if await self._end_if_deadly(fields):
+            return
         request_id = fields['x-sardinetrack-request-id']
         made = int(fields.get('last-event-id', 0))
         name = self._mark(fields).decode()
--- a/benchmarks/soak/faults.py
+++ b/benchmarks/soak/faults.py
@@ -6,7 +6,7 @@
 import signal
 from random import Random
 
-from benchmarks.soak.engine import SoakServer
+from benchmarks.soak.engine import SoakEngine, SoakServer
 from benchmarks.soak.world import REVOKE_SECONDS, Process, World
 from sardinetrack.standin.tcp_proxy import Direction
 
@@ -15,6 +15,8 @@
 and time to check that it did."""
 
 
+_DOWN_SECONDS = 0.5
+"""How long engines that a prompt has crashed are down at least."""
 _LEAVING_SECONDS = 3.0
 """How long leaving servers serve."""
 
@@ -36,6 +38,7 @@
             self._pause,
             self._stop,
             self._crash_server,
+            self._deadly_prompts,
             self._replace_server,
             self._replace_server,
             self._respond_twice,
@@ -82,6 +85,27 @@
         async with server.restart_lock:
             await self._crash(server, self._rng.uniform(0.1, 2))
 
+    async def _deadly_prompts(self) -> None:
+        """Let one part of prompts crash each engine, for some seconds."""
+        deadly = self._world.moves.deadly
+        if deadly.part:
+            return
+        deadly.part = f'deadly{len(self.done)}'
+        loop = asyncio.get_running_loop()
+        ends_seconds = loop.time() + self._rng.uniform(1, 5)
+        while loop.time() < ends_seconds:
+            await self._revive_engines(deadly.crashed)
+        deadly.part = ''
+        await self._revive_engines(deadly.crashed)
+
+    async def _revive_engines(self, crashed: asyncio.Queue[SoakEngine]) -> None:
+        """Start the engines again that a prompt has crashed."""
+        await asyncio.sleep(_DOWN_SECONDS)
+        while not crashed.empty():
+            engine = crashed.get_nowait()
+            await self._restart(engine, 0)
+            engine.restart_lock.release()
+
     async def _replace_server(self) -> None:
         # Engines more often: their streams move.
         server = self._rng.choice(self._world.servers + self._world.engines)
@@ -94,6 +118,9 @@
 
     async def _crash(self, server: SoakServer, down_seconds: float) -> None:
         await server.crash()
+        await self._restart(server, down_seconds)
+
+    async def _restart(self, server: SoakServer, down_seconds: float) -> None:
         await asyncio.sleep(down_seconds)
         if server.started is None:
             self._world.store.drop('servers', server.instance)
--- a/tests/quarantine/deadly_prompts.feature
+++ b/tests/quarantine/deadly_prompts.feature
@@ -14,6 +14,7 @@
       | 12      | 6 a second, the first part kills                 |
       | 12      | 6 a second, one of two parts kills               |
       | 16      | one in 2 s, the second part kills                |
+      | 12      | 6 a second, while sides and an entry are replaced |
     Then at most 3 requests with one deadly part reach engines later than 3 s after its fifth crash
     And at most 5 engines crash by each deadly part
     And sound requests begin at least half as often as without them
--- a/tests/quarantine/steps/deadly_prompt_steps.py
+++ b/tests/quarantine/steps/deadly_prompt_steps.py
@@ -26,6 +26,12 @@
             _SECOND,
         ),
         'one in 2 s, the second part kills': (('dead',), 2.0, _SECOND),
+        '6 a second, while sides and an entry are replaced': (
+            ('dead',),
+            1 / 6,
+            _SECOND,
+            True,
+        ),
     }
 )
 _CRASHES = MappingProxyType(
@@ -37,10 +43,11 @@
 _NEW_FRACTION = 0.5
 
 
-async def _play(world, seconds, every_seconds, place):
+async def _play(world, seconds, every_seconds, place, replaces=False):
     await world.open_deadly()
     await world.send_sound(_CALM_SECONDS)
     await asyncio.gather(
+        *([world.replace_processes()] if replaces else []),
         world.send_sound(seconds),
         world.send_deadly(seconds, every_seconds, place),
     )
@@ -50,9 +57,9 @@
 def send_deadly(context):
     context.worlds = {}
     for row in context.table:
-        parts, every_seconds, place = _WAYS[row['way']]
+        parts, *sending = _WAYS[row['way']]
         world = DeadlyWorld(parts)
-        world.run(_play(world, int(row['seconds']), every_seconds, place))
+        world.run(_play(world, int(row['seconds']), *sending))
         close_world(world)
         context.worlds[row['way']] = world
 
--- a/tests/support/deadly_world.py
+++ b/tests/support/deadly_world.py
@@ -22,6 +22,7 @@
 _CRASH_SECONDS = 0.1
 """Between the arrival of a deadly request and the crash."""
 _DOWN_SECONDS = 2.0
+_REPLACE_SECONDS = 3.0
 _SOUND_A_SECOND = 25
 _FIRST_PARTS = ('first-0', 'first-1')
 _SECOND_PARTS = tuple(f'second-{number}' for number in range(6))
@@ -126,6 +127,19 @@
             self._start(self._request(call.stream))
             await asyncio.sleep(1 / _SOUND_A_SECOND)
 
+    async def replace_processes(self):
+        """End all sides and an entry, and start them without any records."""
+        await asyncio.sleep(_REPLACE_SECONDS)
+        # Engines that have crashed have other ids than their sides knew.
+        for side in self.sides.values():
+            await side.__aexit__(None, None, None)
+        self.sides.clear()
+        for engine in self.servers:
+            await self._open_side(engine)
+        await self.kill_entry(0)
+        await self.open_entry()
+        self.list_servers()
+
     async def send_deadly(self, seconds, every_seconds, place):
         """Send requests with each deadly part, no two alike.
 
