A request whose part becomes suspected while it waits asks no other engine

The order of engines that it goes by may be older than the suspicion, so it could have been tried at another engine than the requests of other entries.

--- a/src/sardinetrack/quarantine/record.py
+++ b/src/sardinetrack/quarantine/record.py
@@ -93,11 +93,8 @@
         is_later = crashed_seconds > self.crashed_seconds
         is_new = is_later or report.crashes > self.crashes_in_a_row
         # A report from before the last response would revive what it refutes.
-        if (
-            report.crashes
-            and is_new
-            and crashed_seconds > self.answered_seconds
-        ):
+        is_refuted = crashed_seconds <= self.answered_seconds
+        if report.crashes and is_new and not is_refuted:
             self.add_crash(
                 max(crashed_seconds, self.crashed_seconds), report.crashes
             )
--- a/src/sardinetrack/relay/server_choice.py
+++ b/src/sardinetrack/relay/server_choice.py
@@ -295,6 +295,9 @@
                     self._since_refusal_seconds,
                     refusal.since_refusal_seconds,
                 )
+            if self._suspected_part(plan):
+                # The order may be older than the suspicion.
+                break
             candidate = order.best(deadline_seconds - self._loop.time())
         raise self._refusal_error(refusals)
 
