The parts of a prompt are hashed once a request, and looked up in one way

Cause: each of the checks before a permit, before a send, at the first event and at the end of a response hashed the same parts again, from pool and prompt, and some looked for the worst part twice.

Change: the plan of a request holds the keys of its parts. Exchange and sender share part_refusal, so a check is no longer run for its exception; the limits on crashes in a row are one pair for each kind of part; shared blocks, their ids and the runs without an event are derived in one place. shared_prefix_tokens uses the same blocks.

Ruled out: a cache of keys by pool and prompt; the plan is at hand everywhere. Before and after: tests/relay 249 passed, tests/quarantine 15 passed, no assertion touched.

--- a/src/sardinetrack/placement/prompt.py
+++ b/src/sardinetrack/placement/prompt.py
@@ -32,3 +32,8 @@
     def shared_blocks(self) -> tuple[PromptBlock, ...]:
         """The blocks that prompts of other requests may have in common."""
         return self.blocks[:-1]
+
+    @property
+    def shared_ids(self) -> tuple[str, ...]:
+        """The ids of these blocks, as callers name them."""
+        return tuple(block.block_id for block in self.shared_blocks)
--- a/src/sardinetrack/placement/rendezvous.py
+++ b/src/sardinetrack/placement/rendezvous.py
@@ -47,7 +47,7 @@
 
 def shared_prefix_tokens(prompt: Prompt) -> int:
     """Return the number of tokens in the shared prefix."""
-    return sum(part.tokens for part in prompt.blocks[:-1])
+    return sum(part.tokens for part in prompt.shared_blocks)
 
 
 def rendezvous_order(
--- a/src/sardinetrack/quarantine/api.py
+++ b/src/sardinetrack/quarantine/api.py
@@ -40,6 +40,6 @@
     pool runs other software.
     """
     return tuple(
-        xxhash.xxh3_64_hexdigest(f'{pool}\0{block.block_id}'.encode())
-        for block in prompt.shared_blocks
+        xxhash.xxh3_64_hexdigest(f'{pool}\0{block_id}'.encode())
+        for block_id in prompt.shared_ids
     )
--- a/src/sardinetrack/quarantine/record.py
+++ b/src/sardinetrack/quarantine/record.py
@@ -8,11 +8,17 @@
 
 from sardinetrack.quarantine.api import PartReport, PartStatus
 
-SUSPECT_CRASHES: Final = 1
-BLOCK_CRASHES: Final = 3
-"""Crashes in a row after which a part is suspected, and blocked."""
-ANSWERED_SUSPECT_CRASHES: Final = 3
-ANSWERED_BLOCK_CRASHES: Final = 5
+
+@dataclass(frozen=True, slots=True)
+class CrashLimits:
+    """Crashes in a row after which a part is suspected, and blocked."""
+
+    suspect: int
+    block: int
+
+
+LIMITS: Final = CrashLimits(suspect=1, block=3)
+ANSWERED_LIMITS: Final = CrashLimits(suspect=3, block=5)
 """The same for a part that engines have responded to lately.
 
 Prompts of many callers begin alike. In a fleet whose engines crash for another
@@ -50,21 +56,15 @@
 
     def status(self, now: float) -> PartStatus:
         """Return how requests with the part are treated."""
-        crashes, suspect_crashes = self.crashes_in_a_row, SUSPECT_CRASHES
-        if self.answered_lately(now):
-            suspect_crashes = ANSWERED_SUSPECT_CRASHES
         if self.blocked_seconds(now) > 0:
             return PartStatus.BLOCKED
-        if crashes >= suspect_crashes:
+        if self.crashes_in_a_row >= self._limits(now).suspect:
             return PartStatus.SUSPECT
         return PartStatus.FREE
 
     def blocked_seconds(self, now: float) -> float:
         """Return for how long requests with the part are refused."""
-        block_seconds = self._block_seconds(now)
-        if not block_seconds:
-            return 0
-        return max(0, self.crashed_seconds + block_seconds - now)
+        return max(0, self.crashed_seconds + self._block_seconds(now) - now)
 
     def add_crash(self, now: float, crashes: int) -> None:
         """Record a crash.
@@ -118,12 +118,12 @@
         kept_seconds = RETENTION_SECONDS + self._block_seconds(now)
         return now - self.crashed_seconds > kept_seconds
 
+    def _limits(self, now: float) -> CrashLimits:
+        return ANSWERED_LIMITS if self.answered_lately(now) else LIMITS
+
     def _block_seconds(self, now: float) -> float:
         """Return the length of the block that follows the last crash."""
-        block_crashes = BLOCK_CRASHES
-        if self.answered_lately(now):
-            block_crashes = ANSWERED_BLOCK_CRASHES
-        more_crashes = self.crashes_in_a_row - block_crashes
+        more_crashes = self.crashes_in_a_row - self._limits(now).block
         if more_crashes < 0:
             return 0
         factor: int = BLOCK_FACTOR ** min(more_crashes, _MAX_STEPS)
--- a/src/sardinetrack/quarantine/registry.py
+++ b/src/sardinetrack/quarantine/registry.py
@@ -48,8 +48,6 @@
         :return: an empty name if no part limits it.
         """
         found = (PartStatus.FREE, '')
-        if not self._records:
-            return found
         for part in parts:
             status = self.status(now, part)
             if _SEVERITY.index(status) > _SEVERITY.index(found[0]):
--- a/src/sardinetrack/relay/crashes.py
+++ b/src/sardinetrack/relay/crashes.py
@@ -68,6 +68,11 @@
     """Against the requests that ran there until just before."""
     runs: tuple[InterruptedRun, ...]
 
+    @property
+    def without_event(self) -> list[InterruptedRun]:
+        """The runs to which the server had not begun to respond."""
+        return [run for run in self.runs if not run.has_events]
+
 
 class CrashWatch(StrikeListener):
     """Suspects the requests that ran on a server when it crashed.
@@ -141,11 +146,12 @@
             for ended_seconds, run in self._runs.pop(server, ())
             if now - ended_seconds <= CRASH_CONFIRM_SECONDS
         )
-        silent = [one for one in runs if not one.has_events]
+        crash = ServerCrash(strikes, runs)
+        silent = crash.without_event
         self.interrupted[_NO_EVENT] += len(silent)
         self.interrupted[_HAD_EVENTS] += len(runs) - len(silent)
         self.quarantine.crashed(now, [one.prompt for one in silent])
-        return ServerCrash(strikes, runs)
+        return crash
 
     def forget(self, server: str) -> None:
         """Forget what ran on a server that has shut down in good order."""
--- a/src/sardinetrack/relay/exchange.py
+++ b/src/sardinetrack/relay/exchange.py
@@ -20,8 +20,8 @@
 from sardinetrack.relay.request_end import record_end
 from sardinetrack.relay.request_plan import (
     Plan,
-    check_quarantine,
     make_plan,
+    part_refusal,
     plan_continuation,
 )
 from sardinetrack.relay.sender import Sender
@@ -164,7 +164,9 @@
 
     async def _run_with_deadline(self) -> None:
         self.plan = make_plan(self._state, self._call)
-        self._check_crashes(self.plan)
+        refusal = self._crash_refusal(self.plan)
+        if refusal is not None:
+            raise refusal
         try:
             async with asyncio.timeout_at(self.plan.deadline_seconds):
                 self.plan = await self._bind_to_origin(self.plan)
@@ -184,31 +186,24 @@
         if origin is None:
             return plan
         self.trace.origin = origin
-        return plan_continuation(self._state, plan, origin)
+        return plan_continuation(self._state, plan, self._call, origin)
 
-    def _check_crashes(self, plan: Plan) -> None:
-        """Refuse a request that has crashed too many servers.
-
-        :raises RequestError: the request, or a part of its prompt, is blocked.
-        """
-        check_quarantine(self._state, plan, self._call, is_trial=True)
+    def _crash_refusal(self, plan: Plan) -> RequestError | None:
+        """Return why a request that crashes servers is refused, if it is."""
+        refusal = part_refusal(self._state, plan, self._call)
+        if refusal is not None:
+            return refusal
         seconds = self._state.crashes.refused_seconds(
             loop_now(),
             self._call,
             plan.workspace_name,
         )
         if seconds > 0:
-            raise RequestError(
+            return RequestError(
                 ErrorKind.NOT_RUN_CRASHES,
                 retry_after_seconds=seconds,
             )
-
-    def _is_blocked(self, plan: Plan) -> bool:
-        try:
-            self._check_crashes(plan)
-        except RequestError:
-            return True
-        return False
+        return None
 
     async def _serve(self, plan: Plan) -> None:
         while not self.delivered:
@@ -281,7 +276,7 @@
             return False
         if self.trace.sent >= plan.route.max_servers:
             return False
-        if self._is_blocked(plan):
+        if self._crash_refusal(plan) is not None:
             return False
         if self._state.rest_seconds(plan.pool.name) > 0:
             return False
--- a/src/sardinetrack/relay/outcome_recorder.py
+++ b/src/sardinetrack/relay/outcome_recorder.py
@@ -27,10 +27,9 @@
         self._trace = trace
         self._prompt = SentPrompt((), ())
 
-    def note_sent(self, server: BackendServer) -> None:
+    def note_sent(self, plan: Plan) -> None:
         """Note what is known of the prompt as it is sent to a server."""
-        quarantine = self._state.crashes.quarantine
-        self._prompt = quarantine.sent(server.pool, self._call.prompt)
+        self._prompt = self._state.crashes.quarantine.sent(plan.part_keys)
 
     def record(self, target: Target, attempt: ServerAttempt) -> None:
         """Record how an attempt has ended."""
@@ -73,13 +72,13 @@
                 InterruptedRun(
                     call.request_id,
                     attempt.first_event_received,
-                    tuple(one.block_id for one in call.prompt.shared_blocks),
+                    call.prompt.shared_ids,
                     self._prompt,
                 ),
             )
         if attempt.done.result() is SendOutcome.DELIVERED:
             crashes.served(call, plan.workspace_name)
-            crashes.quarantine.answered(loop_now(), server.pool, call.prompt)
+            crashes.quarantine.answered(loop_now(), plan.part_keys)
         elif attempt.interrupted_by_server:
             strikes = crashes.connection_ended(
                 loop_now(),
--- a/src/sardinetrack/relay/part_quarantine.py
+++ b/src/sardinetrack/relay/part_quarantine.py
@@ -2,18 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Sequence
 from dataclasses import dataclass
 from typing import Final
 
 from sardinetrack.logs.events import Event, EventLog
-from sardinetrack.placement.prompt import Prompt
 from sardinetrack.quarantine.answered import AnsweredParts
-from sardinetrack.quarantine.api import (
-    PartReport,
-    PartStatus,
-    part_keys,
-)
+from sardinetrack.quarantine.api import PartReport, PartStatus
 from sardinetrack.quarantine.registry import PartRegistry
 from sardinetrack.turns.messages import PartsReported
 from sardinetrack.turns.side_state import PartBroadcaster, PartListener
@@ -40,31 +35,29 @@
         self._answered = AnsweredParts()
         self._log = log
 
-    def suspected_part(self, now: float, pool: str, prompt: Prompt) -> str:
+    def suspected_part(self, now: float, parts: Sequence[str]) -> str:
         """Return a part that may crash engines, or ''; blocked ones count."""
-        return self._worst(now, pool, prompt)[1]
+        return self.registry.worst(now, parts)[1]
 
-    def blocked_seconds(self, now: float, pool: str, prompt: Prompt) -> float:
+    def blocked_seconds(self, now: float, parts: Sequence[str]) -> float:
         """Return for how long a request is refused; 0 if it is not."""
-        status, part = self._worst(now, pool, prompt)
+        status, part = self.registry.worst(now, parts)
         if status is not PartStatus.BLOCKED:
             return 0
         return self.registry.record(now, part).blocked_seconds(now)
 
-    def sent(self, pool: str, prompt: Prompt) -> SentPrompt:
+    def sent(self, parts: tuple[str, ...]) -> SentPrompt:
         """Note what is known as a request is sent.
 
         Of crashes at the same time, as in a loss of power, all but the first
         prove nothing: those requests were sent before it.
         """
-        parts = part_keys(pool, prompt)
         return SentPrompt(
             parts, tuple(map(self.registry.crashes_in_a_row, parts))
         )
 
-    def answered(self, now: float, pool: str, prompt: Prompt) -> None:
+    def answered(self, now: float, parts: Sequence[str]) -> None:
         """Record that an engine has begun to respond to a prompt."""
-        parts = part_keys(pool, prompt)
         self._answered.add(now, parts)
         cleared = [
             part for part in parts if self.registry.crashes_in_a_row(part)
@@ -102,14 +95,6 @@
         """Return what the sender of a complete list of reports lacks."""
         return self.registry.reports_beyond(now, reports)
 
-    def _worst(
-        self, now: float, pool: str, prompt: Prompt
-    ) -> tuple[PartStatus, str]:
-        """Return the part that limits a request most, and its status."""
-        if not self.registry:
-            return PartStatus.FREE, ''
-        return self.registry.worst(now, part_keys(pool, prompt))
-
     def _to_blame(self, now: float, prompt: SentPrompt) -> dict[str, int]:
         """Return the parts that may have crashed the engine.
 
--- a/src/sardinetrack/relay/request_plan.py
+++ b/src/sardinetrack/relay/request_plan.py
@@ -8,6 +8,7 @@
 import xxhash
 
 from sardinetrack.errors.api import ErrorKind, RequestError
+from sardinetrack.quarantine.api import part_keys
 from sardinetrack.relay.api import CallerRequest
 from sardinetrack.relay.entry_state import EntryState
 from sardinetrack.relay.server_states import ServerUnavailableError
@@ -38,6 +39,8 @@
     """``None`` on an anonymous route."""
     deadline_seconds: float
     """When the caller must have its complete response, on the loop's clock."""
+    part_keys: tuple[str, ...]
+    """Of the parts of its prompt that others may share, in this pool."""
 
     @property
     def workspace_name(self) -> str:
@@ -77,17 +80,19 @@
     allowed = route.timeout_seconds
     if caller_seconds is not None:
         allowed = min(allowed, caller_seconds)
+    pool = _pool(configuration, route, call)
     return Plan(
         version=configuration.version,
         route=route,
-        pool=_pool(configuration, route, call),
+        pool=pool,
         workspace=workspace,
         deadline_seconds=call.arrived_seconds + allowed,
+        part_keys=part_keys(pool.name, call.prompt),
     )
 
 
 def plan_continuation(
-    state: EntryState, plan: Plan, origin: StreamOrigin
+    state: EntryState, plan: Plan, call: CallerRequest, origin: StreamOrigin
 ) -> Plan:
     """Return the plan of a request that continues a stream.
 
@@ -101,10 +106,29 @@
             f'the route no longer leads to {origin.pool}, which began the'
             ' stream',
         )
-    return replace(plan, pool=pool)
+    return replace(plan, pool=pool, part_keys=part_keys(pool.name, call.prompt))
 
 
-def check_quarantine(
+def part_refusal(
+    state: EntryState, plan: Plan, call: CallerRequest
+) -> RequestError | None:
+    """Return the error for a request with a blocked part, if it has one.
+
+    Callers return at different times.
+    """
+    quarantine = state.crashes.quarantine
+    seconds = quarantine.blocked_seconds(loop_now(), plan.part_keys)
+    if not seconds:
+        return None
+    digest = xxhash.xxh3_64_intdigest(call.request_id.encode())
+    more = _RETRY_SPREAD * (digest % _WEIGHT_POINTS) / _WEIGHT_POINTS
+    return RequestError(
+        ErrorKind.NOT_RUN_PROMPT_PART,
+        retry_after_seconds=(1 + more) * seconds,
+    )
+
+
+def check_parts(
     state: EntryState,
     plan: Plan,
     call: CallerRequest,
@@ -114,22 +138,14 @@
     """Check the parts of the prompt against the latest crashes.
 
     :param is_trial: its server was chosen for a suspected part.
-    :raises RequestError: a part is blocked; callers return at different times.
+    :raises RequestError: a part is blocked.
     :raises ServerUnavailableError: a part is suspected, and it is no trial.
     """
-    now, quarantine = loop_now(), state.crashes.quarantine
-    seconds = quarantine.blocked_seconds(now, plan.pool.name, call.prompt)
-    if seconds > 0:
-        point = (
-            xxhash.xxh3_64_intdigest(call.request_id.encode()) % _WEIGHT_POINTS
-        )
-        more = _RETRY_SPREAD * point / _WEIGHT_POINTS
-        raise RequestError(
-            ErrorKind.NOT_RUN_PROMPT_PART,
-            retry_after_seconds=(1 + more) * seconds,
-        )
-    suspected = quarantine.suspected_part(now, plan.pool.name, call.prompt)
-    if suspected and not is_trial:
+    refusal = part_refusal(state, plan, call)
+    if refusal is not None:
+        raise refusal
+    quarantine = state.crashes.quarantine
+    if not is_trial and quarantine.suspected_part(loop_now(), plan.part_keys):
         raise ServerUnavailableError
 
 
--- a/src/sardinetrack/relay/sender.py
+++ b/src/sardinetrack/relay/sender.py
@@ -20,7 +20,7 @@
 from sardinetrack.relay.outcome_recorder import OutcomeRecorder
 from sardinetrack.relay.request_plan import (
     Plan,
-    check_quarantine,
+    check_parts,
     check_still_allowed,
 )
 from sardinetrack.relay.send_mode import SendMode
@@ -115,18 +115,17 @@
             return attempt
         self._outcomes.record(target, attempt)
         self._outcomes.update_suspects(plan, server, attempt)
-        await self._confirm_crash(target, attempt)
+        await self._confirm_crash(plan, target, attempt)
         return attempt
 
     async def _confirm_crash(
-        self, target: Target, attempt: ServerAttempt
+        self, plan: Plan, target: Target, attempt: ServerAttempt
     ) -> None:
         """Find out whether the server crashed on this prompt.
 
         Until that is known it must not be sent to another one.
         """
-        has_parts = bool(self._call.prompt.shared_blocks)
-        if attempt.first_event_received or not has_parts:
+        if attempt.first_event_received or not plan.part_keys:
             return
         if attempt.interrupted_by_server:
             try:
@@ -179,6 +178,7 @@
                 placement.permit,
                 self._trace,
                 self._call,
+                plan.part_keys,
             ),
         )
 
@@ -200,7 +200,7 @@
         )
         self._log_sent(plan, placement, attempt, mode)
         self.attempt = attempt
-        self._outcomes.note_sent(server)
+        self._outcomes.note_sent(plan)
         load = self._state.server_states.load(server)
         load.added_tokens += candidate.prefill_tokens
         with self._caller.flow.applied_to(connection):
@@ -227,9 +227,7 @@
         if self._caller.disconnected:
             raise asyncio.CancelledError
         check_still_allowed(self._state, plan, self._call)
-        check_quarantine(
-            self._state, plan, self._call, is_trial=placement.is_trial
-        )
+        check_parts(self._state, plan, self._call, is_trial=placement.is_trial)
         self._state.check_available(
             placement.candidate.server, is_return=mode.is_return
         )
@@ -285,9 +283,7 @@
             config_age_seconds=round(state.freshness.age_seconds(), _DIGITS),
             waited_seconds=round(trace.waited_seconds, _DIGITS),
             server_wait_seconds=round(candidate.wait_seconds, _DIGITS),
-            shared_parts=[
-                block.block_id for block in self._call.prompt.shared_blocks
-            ],
+            shared_parts=self._call.prompt.shared_ids,
             new_tokens=candidate.prefill_tokens,
             again_tokens=candidate.recomputed_tokens,
         )
--- a/src/sardinetrack/relay/server_choice.py
+++ b/src/sardinetrack/relay/server_choice.py
@@ -239,9 +239,7 @@
     def _suspected_part(self, plan: Plan) -> str:
         """Return a part of the prompt that may crash engines, or ''."""
         quarantine = self._state.crashes.quarantine
-        return quarantine.suspected_part(
-            self._loop.time(), plan.pool.name, self._call.prompt
-        )
+        return quarantine.suspected_part(self._loop.time(), plan.part_keys)
 
     def _limited_to_trial(
         self, plan: Plan, candidates: list[Candidate]
--- a/src/sardinetrack/relay/server_notices.py
+++ b/src/sardinetrack/relay/server_notices.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from typing import Final
 
 from sardinetrack.logs.events import Event
@@ -29,6 +30,7 @@
         permit: Permit,
         trace: Trace,
         call: CallerRequest,
+        part_keys: Sequence[str],
     ) -> None:
         """Create the observer of one attempt.
 
@@ -36,12 +38,14 @@
         :param permit: of the attempt.
         :param trace: of the request.
         :param call: that was sent.
+        :param part_keys: of its prompt.
         """
         self._state = state
         self._target = target
         self._permit = permit
         self._trace = trace
         self._call = call
+        self._part_keys = part_keys
 
     def head_received(self, response: ResponseHead) -> None:
         """Apply a request for rest, a leaving and the server's slowness.
@@ -82,9 +86,8 @@
             trace.beginning = beginning
         self._permit.first_event_received(server, beginning)
         self._target.record_success()
-        self._state.crashes.quarantine.answered(
-            loop_now(), server.pool, self._call.prompt
-        )
+        quarantine = self._state.crashes.quarantine
+        quarantine.answered(loop_now(), self._part_keys)
 
     def _apply_rest(self, seconds: float, status: int) -> None:
         instance = self._target.server.instance
--- a/src/sardinetrack/relay/side_links.py
+++ b/src/sardinetrack/relay/side_links.py
@@ -161,7 +161,7 @@
         crash = self._crashes.confirm_crash(loop_now(), instance)
         if not crash.strikes and not crash.runs:
             return
-        silent = [run for run in crash.runs if not run.has_events]
+        silent = crash.without_event
         self._log.write(
             Event.SERVER_CRASHED,
             server=instance,
