Terms of a request and the connection to a side have modules of their own

Placer chose servers and also derived what a request asks of each of them; side_link.py held a connection and what keeps it open.

Change: request_terms.py has the second part of Placer, side_connection.py the connection. The methods are moved as they were; only names that others call now lost their underscore.

Ruled out: a module for trials alone; three short methods that need the same terms.

--- a/benchmarks/soak/engine.py
+++ b/benchmarks/soak/engine.py
@@ -176,11 +176,7 @@
     """Fails some reports, copies and continuations, drawn from a seed."""
 
     def __init__(
-        self,
-        address: str,
-        runs: Counter[str],
-        moves: Moves,
-        seed: int,
+        self, address: str, runs: Counter[str], moves: Moves, seed: int
     ) -> None:
         """Build an engine that is not started."""
         ip, port = address.split(':')
--- a/src/sardinetrack/emulator/simulation.py
+++ b/src/sardinetrack/emulator/simulation.py
@@ -25,10 +25,8 @@
 from sardinetrack.placement.load import EstimatedLoad
 from sardinetrack.placement.prefix_index import PrefixCacheIndex
 from sardinetrack.placement.rendezvous import shared_prefix
-from sardinetrack.relay.server_choice import (
-    MAX_PERMIT_REQUESTS,
-    RECOMPUTE_WAIT_SECONDS,
-)
+from sardinetrack.relay.request_terms import RECOMPUTE_WAIT_SECONDS
+from sardinetrack.relay.server_choice import MAX_PERMIT_REQUESTS
 from sardinetrack.turns.load_report import REPORT_INTERVAL_SECONDS
 
 MIN_IDLE_SECONDS: Final = 0.2
--- a/src/sardinetrack/relay/permit.py
+++ b/src/sardinetrack/relay/permit.py
@@ -20,7 +20,7 @@
     PermitRefused,
     PermitRequest,
 )
-from sardinetrack.turns.side_link import SideConnection
+from sardinetrack.turns.side_connection import SideConnection
 from sardinetrack.turns.side_state import OriginListener
 
 _RESPONSE_SECONDS: Final = 0.25
--- a/src/sardinetrack/relay/server_choice.py
+++ b/src/sardinetrack/relay/server_choice.py
@@ -9,7 +9,6 @@
 import asyncio
 import math
 from collections.abc import Sequence
-from dataclasses import replace
 from functools import partial
 from typing import Final
 
@@ -22,15 +21,11 @@
     rank_by_prefix,
     worthwhile_wait_seconds,
 )
-from sardinetrack.placement.prefix_index import MIN_SHARED_PREFIX_TOKENS
 from sardinetrack.placement.rendezvous import (
     rendezvous_order,
-    shared_prefix,
-    shared_prefix_tokens,
 )
 from sardinetrack.relay.api import CallerRequest
 from sardinetrack.relay.candidate_order import CandidateOrder
-from sardinetrack.relay.crashes import fingerprint
 from sardinetrack.relay.entry_state import EntryState
 from sardinetrack.relay.permit import (
     PermitRefusedError,
@@ -39,27 +34,10 @@
     acquire_permit,
 )
 from sardinetrack.relay.request_plan import Plan
+from sardinetrack.relay.request_terms import RequestTerms
 from sardinetrack.relay.trace import Placement, Trace
 from sardinetrack.topology.servers import BackendServer
 
-MAX_WAIT_FRACTION: Final = 0.8
-"""Fraction of the objective to the first event that a request may wait at most.
-
-The side decides how long it really can, since it knows how long the prefill
-takes; the rest of the objective is for the first event and its transfer.
-"""
-CALLER_PATIENCE_SECONDS: Final = 2.0
-"""How long callers wait at least for the next event of a stream that they have
-begun to read. Source: the users' pages."""
-RECOMPUTE_WAIT_SECONDS: Final = 0.02
-"""Wait of a request at a server that has to prefill a shared prefix again.
-
-Away from its home server a request uses only free capacity, for which no
-request waits that has its home server there.
-"""
-MOVE_WAIT_SECONDS: Final = 0.2
-"""Wait for the permit of a stream that moves off an engine; that engine serves
-for 3 s at most, and the stream also has to be copied in that time."""
 MAX_PERMIT_REQUESTS: Final = 8
 """Servers from which a permit is requested before a request is refused.
 
@@ -74,9 +52,6 @@
 EVACUATED_RETRY_SECONDS: Final = 1.0
 """When to retry if the operator has evacuated all servers. The end is unknown,
 and a person takes longer than a server to return."""
-_FINGERPRINT_DIGITS: Final = 16
-"""64 bits: two of the requests that a side remembers collide once in 10^11
-times."""
 _MILLISECONDS: Final = 1000
 SERVER_UNREACHABLE_RETRY_SECONDS: Final = 0.3
 """When to retry after a server was unreachable or full."""
@@ -99,12 +74,7 @@
         self._call = call
         self._trace = trace
         self._loop = asyncio.get_running_loop()
-        self._shared_prefix = shared_prefix(call.prompt)
-        if shared_prefix_tokens(call.prompt) < MIN_SHARED_PREFIX_TOKENS:
-            self._shared_prefix = ''
-        self._fingerprint = ''
-        self._estimated_tokens: int | None = None
-        self._since_refusal_seconds = float(0)
+        self._terms = RequestTerms(state, call, trace)
 
     async def place(self, plan: Plan) -> Placement:
         """Wait until the request may be sent.
@@ -112,9 +82,9 @@
         :raises RequestError: no server can run it in time.
         """
         began_seconds = self._loop.time()
-        if self._trace.unreachable and self._suspected_part(plan):
+        if self._trace.unreachable and self._terms.suspected_part(plan):
             await asyncio.sleep(TRIAL_POLL_SECONDS)
-        give_up_seconds = began_seconds + self._max_wait_seconds(plan)
+        give_up_seconds = began_seconds + self._terms.max_wait_seconds(plan)
         while True:
             try:
                 return await self._place_once(plan)
@@ -145,15 +115,7 @@
         :raises PermitRefusedError: there is none in time.
         """
         candidate = Candidate(server, float(0), float(0), 0)
-        admission_request = replace(
-            self._admission_request(plan, candidate, MOVE_WAIT_SECONDS),
-            kv_cache_tokens=self._call.prompt.tokens
-            + self._output_tokens(plan),
-            output_tokens=0,
-            shared_prefix='',
-            first_event_due_seconds=plan.route.first_event_objective_seconds,
-            since_refusal_seconds=0,
-        )
+        admission_request = self._terms.of_continuation(plan, candidate)
         permit = await acquire_permit(
             self._state, plan.pool, candidate, admission_request
         )
@@ -215,7 +177,7 @@
                 servers,
                 state.server_states.loads,
                 state.prefix_index.servers_with(
-                    self._loop.time(), self._shared_prefix
+                    self._loop.time(), self._terms.shared_prefix
                 ),
                 plan.route.event_gap_seconds,
             )
@@ -236,11 +198,6 @@
         untried = untried or excluding(candidates, trace.unreachable)
         return self._limited_to_trial(plan, untried)
 
-    def _suspected_part(self, plan: Plan) -> str:
-        """Return a part of the prompt that may crash engines, or ''."""
-        quarantine = self._state.crashes.quarantine
-        return quarantine.suspected_part(self._loop.time(), plan.part_keys)
-
     def _limited_to_trial(
         self, plan: Plan, candidates: list[Candidate]
     ) -> list[Candidate]:
@@ -248,7 +205,7 @@
 
         All entries choose the same one, whatever its load: it alone is at risk.
         """
-        part = self._suspected_part(plan)
+        part = self._terms.suspected_part(plan)
         if not part or not candidates:
             return candidates
         by_name = {one.server.instance: one for one in candidates}
@@ -267,7 +224,9 @@
 
         :param candidates: the order of servers, the best one first.
         """
-        deadline_seconds = self._loop.time() + self._max_wait_seconds(plan)
+        deadline_seconds = self._loop.time() + self._terms.max_wait_seconds(
+            plan
+        )
         refusals: list[PermitRefusedError] = []
         rank = partial(self._candidates, plan)
         order = CandidateOrder(candidates, rank, self._loop.time)
@@ -278,9 +237,9 @@
             stay_seconds = worthwhile_wait_seconds(
                 candidate,
                 order.best(left_seconds),
-                self._first_event_due_seconds(plan) - self._loop.time(),
+                self._terms.first_event_due_seconds(plan) - self._loop.time(),
             )
-            admission_request = self._admission_request(
+            admission_request = self._terms.admission_request(
                 plan, candidate, min(left_seconds, stay_seconds)
             )
             try:
@@ -289,11 +248,8 @@
                 )
             except PermitRefusedError as refusal:
                 refusals.append(refusal)
-                self._since_refusal_seconds = max(
-                    self._since_refusal_seconds,
-                    refusal.since_refusal_seconds,
-                )
-            if self._suspected_part(plan):
+                self._terms.record_refusal(refusal.since_refusal_seconds)
+            if self._terms.suspected_part(plan):
                 # The order may be older than the suspicion.
                 break
             candidate = order.best(deadline_seconds - self._loop.time())
@@ -324,78 +280,6 @@
                 now, ip, (admission_request.shared_prefix,)
             )
 
-    def _admission_request(
-        self,
-        plan: Plan,
-        candidate: Candidate,
-        wait_limit_seconds: float,
-    ) -> AdmissionRequest:
-        state = self._state
-        request_id = self._call.request_id
-        number = self._trace.permit_requests
-        self._trace.permit_requests += 1
-        is_trial = bool(self._suspected_part(plan))
-        now = self._loop.time()
-        return AdmissionRequest(
-            permit_id=f'{request_id}.{number}',
-            workspace=plan.workspace_name,
-            prefill_tokens=candidate.prefill_tokens,
-            kv_cache_tokens=candidate.prefill_tokens
-            + self._output_tokens(plan),
-            output_tokens=self._output_tokens(plan),
-            max_wait_seconds=(
-                RECOMPUTE_WAIT_SECONDS
-                if candidate.recomputes_prefix and not is_trial
-                else wait_limit_seconds
-            ),
-            entry=state.settings.instance,
-            served_tokens=state.service.tokens(now, plan.workspace_name),
-            shared_prefix=self._shared_prefix,
-            first_event_due_seconds=self._first_event_due_seconds(plan) - now,
-            until_deadline_seconds=max(0, plan.deadline_seconds - now),
-            fingerprint=self._request_fingerprint(plan),
-            since_refusal_seconds=self._since_refusal_seconds,
-            event_gap_seconds=plan.route.event_gap_seconds or math.inf,
-            is_trial=is_trial,
-        )
-
-    def _output_tokens(self, plan: Plan) -> int:
-        if self._estimated_tokens is None:
-            lengths = self._state.server_states.lengths
-            self._estimated_tokens = lengths.tokens(
-                plan.route.name, self._call.prompt
-            )
-        return self._estimated_tokens
-
-    def _request_fingerprint(self, plan: Plan) -> str:
-        """Return a hash that stays the same when the caller sends it again."""
-        if not self._fingerprint:
-            digest = fingerprint(self._call, plan.workspace_name)
-            self._fingerprint = digest[:_FINGERPRINT_DIGITS]
-        return self._fingerprint
-
-    def _first_event_due_seconds(self, plan: Plan) -> float:
-        """Return when the first event is due, on the event loop's clock."""
-        first_arrival_seconds = (
-            self._call.arrived_seconds - self._since_refusal_seconds
-        )
-        return first_arrival_seconds + self._objective_seconds(plan)
-
-    def _objective_seconds(self, plan: Plan) -> float:
-        """Return the objective from the arrival to the first event.
-
-        Where only some servers can continue a stream, it waits for them as long
-        as its caller does: elsewhere it can't go, and it is late already.
-        """
-        objective_seconds = plan.route.first_event_objective_seconds
-        continues = self._trace.origin is not None
-        if continues and self._state.streams.has_versions(plan.pool.name):
-            return max(objective_seconds, CALLER_PATIENCE_SECONDS)
-        return objective_seconds
-
-    def _max_wait_seconds(self, plan: Plan) -> float:
-        return MAX_WAIT_FRACTION * self._objective_seconds(plan)
-
     def _trial_error(self) -> RequestError:
         self._trace.reason = 'a part of the prompt is suspected'
         return RequestError(
--- a/tests/turns/steps/side_steps.py
+++ b/tests/turns/steps/side_steps.py
@@ -29,7 +29,7 @@
 )
 from sardinetrack.turns.refused import RefusedRequests
 from sardinetrack.turns.side import SideServer
-from sardinetrack.turns.side_link import SideConnection
+from sardinetrack.turns.side_connection import SideConnection
 from sardinetrack.turns.side_state import RestartListener, SideState
 from sardinetrack.views.api import NullViewReceiver
 
