--- /dev/null
+++ b/review/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the platform, servers and callers, for review scripts."""
