Review: the stand-ins lie in the folder of case 1

Cause: each folder of review/ is taken for a case, and review/standins is none.

Done: moved to review/1/standins, which the scripts of cases 2 and 3 use too. The checks, bounds and disruptions of the cases are the same.

--- a/review/standins/fleet.py
+++ b/review/1/standins/fleet.py
@@ -17,7 +17,7 @@
 from http1 import read_chunks, read_head
 
 HERE = Path(__file__).resolve().parent
-ROOT = HERE.parent.parent
+ROOT = HERE.parents[2]
 ZONES = ('zone-a', 'zone-b', 'zone-c')
 TURNS_PORT, FRONT_PORT, READY_PORT, CONTROL_PORT = 7400, 8783, 8780, 8785
 SERVER_PORT, STORE_PORT, METRICS_PORT = 8782, 8781, 9464
--- a/review/2/play.py
+++ b/review/2/play.py
@@ -13,7 +13,7 @@
 from pathlib import Path
 
 CASE = Path(__file__).resolve().parent
-sys.path.insert(0, str(CASE.parent / 'standins'))
+sys.path.insert(0, str(CASE.parent / '1' / 'standins'))
 
 from fleet import (  # noqa: E402
     MODEL_SERVICE,
--- a/review/build.sh
+++ b/review/build.sh
@@ -1,5 +1,6 @@
 #!/bin/sh
-# Checks and compiles the stand-ins and scripts; they need Python 3.11 alone.
+# Compiles the scripts and their stand-ins (1/standins, which all three use);
+# they need Python 3.11 alone.
 set -e
 cd "$(dirname "$0")"
-python3 -m compileall -q standins 1 2 3
+python3 -m compileall -q 1 2 3
