A stream continues after the id of its last event, not after its text

Cause: the number of the last event was searched for as the letters "id:" anywhere in the bytes, the first ones forwards and the last ones backwards. The same look-up decided which events a caller already has, and named the event after a pause in the log. Beside it, "there is no number to continue after" was no state at all: a stream of events without ids was sent anew and appended.

Change: a field counts where it begins a line, the last one of an event, and only decimal digits are a number. The splitter knows whether a run can continue without repeating an event; retries within a response and moves ask it, and truncate otherwise. Comments are no events. Lines may end with CR LF. A server that begins anew has its repeated events dropped, also those without a number, before and after which others come.

Ruled out: the numbers that engines report of their runs (kv-move, report) are not read for the place to continue; the side's record of a stream's origin does not depend on bytes of events.

--- a/src/sardinetrack/relay/attempt.py
+++ b/src/sardinetrack/relay/attempt.py
@@ -112,6 +112,12 @@
         """The number of the last event that the caller has."""
         return self._progress.splitter.last_event
 
+    @property
+    def is_continuable(self) -> bool:
+        """Whether another run can go on without repeating an event."""
+        splitter = self._progress.splitter
+        return splitter.last_event is not None and splitter.is_continuable
+
     def head_received(
         self,
         status: int,
--- a/src/sardinetrack/relay/events.py
+++ b/src/sardinetrack/relay/events.py
@@ -1,11 +1,17 @@
-"""Split a stream of server-sent events at the ends of its events."""
+"""Splits a stream of server-sent events at the ends of its events."""
 
 from __future__ import annotations
 
+import re
 from typing import Final
 
-_END: Final = b'\n\n'
+_LF_END: Final = b'\n\n'
+_CRLF_END: Final = b'\n\r\n'
+_EVENT: Final = re.compile(rb'.*?\n(?:\r?\n)+', re.DOTALL)
 _ID: Final = b'id:'
+_ID_LINE: Final = b'\nid:'
+_DATA: Final = re.compile(rb'^data(?::|\r?$)', re.MULTILINE)
+_MAX_DIGITS: Final = 18
 
 
 class EventSplitter:
@@ -22,8 +28,14 @@
         :param after_event: the number of the last such event.
         """
         self.last_event = after_event
+        self.is_continuable = True
+        """Whether a run after the last number would repeat no event.
+
+        It would if the caller has got an event without a number since.
+        """
         self._rest = b''
         self._delivered_up_to = after_event
+        self._repeats = False
 
     @property
     def ends_inside_event(self) -> bool:
@@ -34,6 +46,7 @@
         """Prepare for a run that continues after the last complete event."""
         self._rest = b''
         self._delivered_up_to = self.last_event
+        self._repeats = False
 
     def feed(self, piece: bytes) -> bytes:
         """Add bytes of the stream.
@@ -41,47 +54,79 @@
         :return: the bytes of complete events, empty if there is none.
         """
         buffered = self._rest + piece if self._rest else piece
-        end = buffered.rfind(_END)
-        if end < 0:
-            self._rest = buffered
-            return b''
-        split_at = end + len(_END)
+        split_at = _last_end(buffered)
         self._rest = buffered[split_at:]
         complete = buffered[:split_at]
-        if self._delivered_up_to is None:
-            self._record_last(complete)
-            return complete
-        return self._drop_delivered(complete)
+        if complete and self._delivered_up_to is not None:
+            complete = self._drop_delivered(complete, self._delivered_up_to)
+        if complete:
+            self._record(complete)
+        return complete
 
-    def _drop_delivered(self, complete: bytes) -> bytes:
+    def _drop_delivered(self, complete: bytes, delivered_up_to: int) -> bytes:
         """Drop the events that the caller already has."""
         kept: list[bytes] = []
-        for event in complete.split(_END)[:-1]:
-            number = event_number(event)
-            if number is not None and number <= (self._delivered_up_to or 0):
-                continue
-            kept.append(event + _END)
-        if kept:
-            self._delivered_up_to = None
-            self._record_last(kept[-1])
+        for match in _EVENT.finditer(complete):
+            number = event_number(match.group())
+            if number is None:
+                # A server that begins anew repeats these as well.
+                kept.append(b'' if self._repeats else match.group())
+            elif number <= delivered_up_to:
+                self._repeats = number < delivered_up_to
+            else:
+                self._delivered_up_to = None
+                kept.append(complete[match.start() :])
+                break
         return b''.join(kept)
 
-    def _record_last(self, complete: bytes) -> None:
-        start = complete.rfind(_ID)
-        if start < 0:
-            return
-        number = event_number(complete[start:])
-        if number is not None:
-            self.last_event = number
+    def _record(self, complete: bytes) -> None:
+        """Record the last of the events that are forwarded."""
+        continuable = True
+        end = len(complete)
+        while end:
+            start = _last_end(complete, end - 1)
+            event = complete[start:end]
+            number = event_number(event)
+            if number is not None:
+                self.last_event = number
+                self.is_continuable = continuable
+                return
+            continuable = continuable and not _DATA.search(event)
+            end = start
+        self.is_continuable = self.is_continuable and continuable
 
 
 def event_number(event: bytes) -> int | None:
-    """Return the number of an event, or of the first of several."""
-    start = event.find(_ID)
-    if start < 0:
+    """Return the number in an event's last id field, if it is one."""
+    # A field begins a line; the same letters elsewhere are text.
+    start = event.rfind(_ID_LINE) + 1
+    if not event.startswith(_ID, start):
         return None
-    line, _, _ = event[start + len(_ID) :].partition(b'\n')
-    try:
-        return int(line)
-    except ValueError:
+    end = event.find(b'\n', start)
+    return parse_number(event[start + len(_ID) : end])
+
+
+def first_event_number(events: bytes) -> int | None:
+    """Return the number of the first of several complete events."""
+    first = _EVENT.match(events)
+    return event_number(first.group()) if first else None
+
+
+def parse_number(content: bytes) -> int | None:
+    """Parse the number of an event: decimal digits only."""
+    digits = content.strip()
+    if not digits.isdigit() or len(digits) > _MAX_DIGITS:
         return None
+    return int(digits)
+
+
+def _last_end(events: bytes, before: int | None = None) -> int:
+    """Return where the last complete event ends, 0 if there is none."""
+    line_feeds = events.rfind(_LF_END, 0, before)
+    carriage_returns = events.rfind(_CRLF_END, 0, before)
+    if line_feeds < 0 and carriage_returns < 0:
+        return 0
+    return max(
+        line_feeds + len(_LF_END),
+        carriage_returns + len(_CRLF_END),
+    )
--- a/src/sardinetrack/relay/exchange.py
+++ b/src/sardinetrack/relay/exchange.py
@@ -276,6 +276,8 @@
             return False
         if self.trace.sent >= plan.route.max_servers:
             return False
+        if not self.progress.splitter.is_continuable:
+            return False
         if self._crash_refusal(plan) is not None:
             return False
         if self._state.rest_seconds(plan.pool.name) > 0:
--- a/src/sardinetrack/relay/move_steps.py
+++ b/src/sardinetrack/relay/move_steps.py
@@ -276,7 +276,10 @@
         )
         if not ended:
             self._attempt.abandon()
-        return stream_end(self._attempt)
+        end = stream_end(self._attempt)
+        if end is MoveEvent.STREAM_BROKEN and not self._attempt.is_continuable:
+            return MoveEvent.UNNUMBERED
+        return end
 
     async def _watch(self) -> MoveEvent:
         """Find out whether a run continues whose stop was not confirmed.
--- a/src/sardinetrack/relay/pauses.py
+++ b/src/sardinetrack/relay/pauses.py
@@ -5,7 +5,7 @@
 import math
 from dataclasses import dataclass
 
-from sardinetrack.relay.events import event_number
+from sardinetrack.relay.events import first_event_number
 from sardinetrack.relay.flow_control import FlowControl
 
 
@@ -78,7 +78,7 @@
         self._longest_seconds = now - before_seconds
         self.longest = Pause(
             seconds=self._longest_seconds,
-            next_event=event_number(events),
+            next_event=first_event_number(events),
             server=self._server,
             prefill_tokens=self._prefill_tokens,
             resumed=self._attempt_seconds >= before_seconds,
--- a/src/sardinetrack/relay/stream_move.py
+++ b/src/sardinetrack/relay/stream_move.py
@@ -77,6 +77,8 @@
     STREAM_COMPLETE = auto()
     STREAM_BROKEN = auto()
     """The stream ended without its end."""
+    UNNUMBERED = auto()
+    """The same, and its last event has no number to continue after."""
     STREAM_CONTINUES = auto()
     STREAM_SILENT = auto()
     ACCEPTED = auto()
@@ -159,10 +161,12 @@
         MoveStep.DRAIN: {
             MoveEvent.STREAM_COMPLETE: MoveOutcome.ENDED,
             MoveEvent.STREAM_BROKEN: MoveStep.SEND,
+            MoveEvent.UNNUMBERED: MoveOutcome.BROKEN,
         },
         MoveStep.DRAIN_BACK: {
             MoveEvent.STREAM_COMPLETE: MoveOutcome.ENDED,
             MoveEvent.STREAM_BROKEN: MoveStep.SEND_BACK,
+            MoveEvent.UNNUMBERED: MoveOutcome.BROKEN,
         },
         MoveStep.WATCH: {
             **_STREAM_ENDS,
--- a/tests/relay/relay.feature
+++ b/tests/relay/relay.feature
@@ -10,6 +10,44 @@
     And a caller requests a resumable stream
     Then the caller receives all events once and the end
 
+  Scenario Outline: A stream continues after its last event: <case>
+    Guards against streams that continue where the text of an event says, not
+    its id: callers got complete responses with events missing or repeated.
+
+    Given a relay in front of 2 model servers
+    And their events have the form "<event>"
+    When the first server that gets a stream interrupts it
+    And a caller requests a resumable stream
+    Then the caller receives all events once and the end
+    And the second request continues after event 3
+
+    Examples:
+      | case                      | event                                            |
+      | text with an id           | id: {number}\ndata: token {number}\ndata: floe id: 40\n\n |
+      | text that ends like an id | id: {number}\ndata: token {number}\ndata: grid: 43 N\n\n |
+      | text before the id        | data: token {number}\ndata: id: 1\nid: {number}\n\n |
+      | a comment with an id      | : id: 1\nid:{number}\ndata: token {number}\n\n    |
+      | a field that ends in id   | grid: 40\nid: {number}\ndata: token {number}\n\n   |
+      | a version line            | x-versions: 7\nid: {number}\ndata: token {number}\n\n |
+      | a comment after the event | id: {number}\ndata: token {number}\n\n: id: 9\n\n  |
+      | CR LF                     | id: {number}\r\ndata: token {number}\r\n\r\n      |
+
+  Scenario Outline: A stream without a number to continue after is truncated: <case>
+    Guards against a second run whose events are appended to those of the first.
+
+    Given a relay in front of 2 model servers
+    And their events have the form "<event>"
+    When the first server that gets a stream interrupts it
+    And a caller requests a resumable stream
+    Then the caller's response is truncated
+    And the servers got 1 request
+
+    Examples:
+      | case                   | event                                          |
+      | no id                  | data: token {number}\n\n                       |
+      | an id that is no digit | id: a{number}\ndata: token {number}\n\n        |
+      | an event without an id | id: {number}\ndata: token {number}\n\ndata: x\n\n |
+
   Scenario: A stream that may not be resumed is truncated, never complete
     A caller reads a stream that may run once. Its server crashes half way. A
     second run could generate a different response, so the caller's connection
--- a/tests/relay/steps/relay_steps.py
+++ b/tests/relay/steps/relay_steps.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import re
 from contextlib import suppress
 from dataclasses import replace
 
@@ -148,6 +147,12 @@
     context.world.run(context.world.open(**sizes))
 
 
+@given('their events have the form "{event}"')
+def form_events(context, event):
+    for server in context.world.servers:
+        server.event_form = event.replace('\\n', '\n').replace('\\r', '\r')
+
+
 @when('the first server that gets a stream interrupts it')
 def interrupt_first(context):
     # The hash decides which server is the home server: the first that gets a
@@ -293,11 +298,33 @@
 
 @then('the caller receives all events once and the end')
 def receives_all(context):
-    numbers = re.findall(rb'data: token (\d+)\n\n', context.reply.body)
-    assert [int(number) for number in numbers] == list(range(1, EVENTS + 1))
+    form = context.world.servers[0].event_form
+    events = (form.format(number=one + 1) for one in range(EVENTS))
+    content = _unchunked(context.reply.body)
+    assert content == ''.join(events).encode(), content
     assert context.reply.complete
 
 
+def _unchunked(body):
+    """Return the content of a body in chunks."""
+    content = b''
+    while body:
+        size, _, body = body.partition(b'\r\n')
+        content += body[: int(size, 16)]
+        body = body[int(size, 16) + 2 :]
+    return content
+
+
+@then('the second request continues after event {number:d}')
+def continues_after(context, number):
+    sent = [
+        fields.get('last-event-id')
+        for server in context.world.servers
+        for _, fields, _ in server.requests
+    ]
+    assert sorted(sent, key=bool) == [None, str(number)], sent
+
+
 @then("the caller's response is truncated")
 def is_truncated(context):
     assert context.reply.status == 200
--- a/tests/relay/steps/stream_move_steps.py
+++ b/tests/relay/steps/stream_move_steps.py
@@ -83,6 +83,12 @@
     _open(context, count, moves=False)
 
 
+@given('their last event before a stop has no number')
+def number_no_late_event(context):
+    for server in context.world.servers:
+        server.late_form = 'data: token {number}\n\n'
+
+
 @when("the source's replies are {copy:w} and {stop:w}")
 def reply_so(context, copy, stop):
     for server in context.world.servers:
--- a/tests/relay/stream_moves.feature
+++ b/tests/relay/stream_moves.feature
@@ -24,6 +24,42 @@
       | stream      | is listed as leaving            |
       | once-stream | causes long pauses              |
 
+  Scenario Outline: A stream moves after its last event: <case>
+    Guards against moved streams that continue where the text of an event says,
+    not its id.
+
+    Given a relay in front of 2 engines whose streams move
+    And their events have the form "<event>"
+    When a caller requests a once-stream whose engine is listed as leaving
+    Then the caller's stream is complete
+    And the move ends as moved, with 0 copies freed
+    And the destination got the request with the copy and the last event
+
+    Examples:
+      | case              | event                                                       |
+      | text with an id   | id: {number}\ndata: token {number}\ndata: floe id: 12\n\n |
+      | text like an id   | id: {number}\ndata: token {number}\ndata: grid: 43 N\n\n  |
+      | CR LF             | id: {number}\r\ndata: token {number}\r\n\r\n            |
+
+  Scenario: A stream whose events have no number does not move
+    Guards against a destination that is not told where to continue.
+
+    Given a relay in front of 2 engines whose streams move
+    And their events have the form "data: token {number}\n\n"
+    When a caller requests a once-stream whose engine is listed as leaving
+    Then the caller's stream is complete
+    And no engine was asked for a copy, and no move is reported
+
+  Scenario: The last event of a stopped run has no number
+    Guards against a destination that repeats that event.
+
+    Given a relay in front of 2 engines whose streams move
+    And their last event before a stop has no number
+    When a caller requests a once-stream whose engine is listed as leaving
+    Then the caller's stream is truncated
+    And the move ends as broken, with 0 copies freed
+    And nothing of the move is held any more
+
   Scenario Outline: A stream stays where <why>
     Guards against copies that help no caller.
 
--- a/tests/support/moving_servers.py
+++ b/tests/support/moving_servers.py
@@ -36,6 +36,8 @@
         self.freed = []
         self.calls = []
         self.replies = {'copy': 'ok', 'stop': 'ok'}
+        self.late_form = ''
+        """Form of the event that follows the stop of a run; else as others."""
         self.copying = 0
         self.max_copying = 0
         self._runs = {}
@@ -145,6 +147,7 @@
             await asyncio.sleep(60)
         elif run.stopped:
             await asyncio.sleep(_LATE_SECONDS)
+            self.event_form = self.late_form or self.event_form
             await self._write_event(fields, writer, run.made)
             writer.close()
         elif last < EVENTS:
--- a/tests/support/relay_servers.py
+++ b/tests/support/relay_servers.py
@@ -66,6 +66,7 @@
     ip = '127.0.0.1'
     version = ''
     started = None
+    event_form = 'id: {number}\ndata: token {number}\n\n'
 
     def __init__(self, instance):
         self.instance = instance
@@ -287,7 +288,7 @@
             await writer.drain()
 
     async def _event(self, fields, number):
-        return b'id: %d\ndata: token %d\n\n' % (number, number)
+        return self.event_form.format(number=number).encode()
 
     def _whole(self, fields, writer, status, body):
         writer.write(self._response(fields, status, body))
