A Last-Event-Id that is no number is refused

A caller that continued a stream with an id like "12a" got the stream from its start: the header was dropped as unreadable, and the events that the caller already has came again. "1_0" was read as 10 and "-1" as a number.

Cause: the header was parsed with int() and its failure taken for "no header". Change: the number is parsed as that of an event; anything else gets 400.

Ruled out: an empty header still means that there is none, as before.

--- a/src/sardinetrack/platform/protocol_adapter.py
+++ b/src/sardinetrack/platform/protocol_adapter.py
@@ -21,6 +21,7 @@
     ProtocolAdapter,
     ResponseHead,
 )
+from sardinetrack.relay.events import parse_number
 from sardinetrack.topology.servers import BackendServer
 
 READY_PATH: Final = b'/v1/readyz'
@@ -106,7 +107,7 @@
             ),
             api_key=_bearer_token(fields.get(b'authorization', b'')),
             prompt=_parse_prompt(fields),
-            last_event_id=_parse_integer(fields.get(b'last-event-id')),
+            last_event_id=_parse_last_event(fields.get(b'last-event-id')),
             resumes=fields.get(b'resumes', b'').decode(_ENCODING) or None,
         )
 
@@ -246,6 +247,22 @@
         return None
 
 
+def _parse_last_event(content: bytes | None) -> int | None:
+    """Parse the number of the last event that a caller has.
+
+    :raises RequestError: it is no number. A run from the start would repeat
+        the events that the caller has.
+    """
+    if not content:
+        return None
+    number = parse_number(content)
+    if number is None:
+        raise RequestError(
+            ErrorKind.BAD_REQUEST, 'last-event-id must be a number'
+        )
+    return number
+
+
 def _parse_prompt(fields: dict[bytes, bytes]) -> Prompt:
     counts = fields.get(b'x-sardinetrack-token-count', b'').split(b',')
     if len(counts) != 2:
--- a/tests/platform/steps/translation_steps.py
+++ b/tests/platform/steps/translation_steps.py
@@ -13,6 +13,7 @@
 from tests.support.example_settings import SETTINGS
 
 from sardinetrack.compose.store_view import PlatformObjectDecoder
+from sardinetrack.errors.api import ErrorKind, RequestError
 from sardinetrack.logs.events import EventLog
 from sardinetrack.platform.catalogue import decode_configuration
 from sardinetrack.platform.errors import TranslationError
@@ -251,6 +252,17 @@
         assert context.sent_bytes.split(b'\r\n').count(line) == 1, line
 
 
+@then('a request whose last-event-id is {content} is refused')
+def last_event_refused(context, content):
+    headers = ((b'host', b'h'), (b'last-event-id', content.encode()))
+    try:
+        PlatformProtocolAdapter().parse_request(b'POST', b'/', headers, 0)
+    except RequestError as error:
+        assert error.kind is ErrorKind.BAD_REQUEST, error.kind
+    else:
+        raise AssertionError('accepted')
+
+
 def _engine(name='i-1', ip='10.0.0.1'):
     return BackendServer(name, 'models', ip, 80, 'galata', 8, leaving=False)
 
--- a/tests/platform/translation.feature
+++ b/tests/platform/translation.feature
@@ -73,6 +73,17 @@
     And the server receives the remaining wait, its name and the workspace
     And neither the key nor a hop-by-hop header is forwarded
 
+  Scenario Outline: The last event that a caller has is no number: <content>
+    Guards against a run from the start whose events the caller has already.
+
+    Then a request whose last-event-id is <content> is refused
+
+    Examples:
+      | content |
+      | 12a     |
+      | -1      |
+      | 1_0     |
+
   Scenario: Only some responses prove that the request has not run
     Then these responses prove that nothing has run: 421, 503 with the header
     And these do not: 500, 503, 504
