A line of text "[DONE]" does not end a stream of the product's interface

Callers of the completion interface got a stream that ended at a line of text equal to the end marker, and looked complete.

Cause: the reader of events looked at each data line alone. An event's data is all of its data lines; of several, one is only a part. A lone carriage return also counted as a line end, which no server of ours uses.

Change: the end marker is an event whose whole data is "[DONE]"; usage and the count of events go by events too, so an event of three lines costs one.

Ruled out: "usage" within text: JSON escapes the quotes. The new scenario fails before this change (the body ends at the marked event) and passes now.

--- a/src/sardinetrack/entry/sse.py
+++ b/src/sardinetrack/entry/sse.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Iterator
 from typing import Final
 
 _DONE: Final = b'[DONE]'
@@ -51,8 +50,10 @@
         return remainder
 
     def _scan(self, events: bytes) -> None:
-        for data in _data_lines(events):
-            self._scan_data(data)
+        for event in _EVENT_END.split(events):
+            data = _data(event)
+            if data:
+                self._scan_data(data)
 
     def _scan_data(self, data: bytes) -> None:
         if data == _DONE:
@@ -63,10 +64,12 @@
             self.usage_event = data
 
 
-def _data_lines(events: bytes) -> Iterator[bytes]:
-    for line in events.splitlines():
-        if line.startswith(_DATA):
-            yield line[len(_DATA) :].strip()
+def _data(event: bytes) -> bytes:
+    """Join the data lines of an event; one of several is only a part."""
+    lines = event.split(b'\n')
+    return b'\n'.join(
+        line[len(_DATA) :].strip() for line in lines if line.startswith(_DATA)
+    )
 
 
 def _until_done(events: bytes) -> bytes:
@@ -74,7 +77,7 @@
         return events
     start = 0
     for match in _EVENT_END.finditer(events):
-        if _DONE in _data_lines(events[start : match.end()]):
+        if _data(events[start : match.start()]) == _DONE:
             return events[: match.end()]
         start = match.end()
     return events
--- a/tests/entry/relay.feature
+++ b/tests/entry/relay.feature
@@ -26,6 +26,13 @@
       | at once       |
       | until a break |
 
+  Scenario: A stream whose text has the end marker on a line of its own
+    Guards against streams that are cut at a line of text and look complete.
+    Given "side-a" streams 3 events, the second with a line "[DONE]"
+    When a caller requests a streamed completion
+    Then the response has status 200 and is complete
+    And the response body is what "side-a" streamed
+
   Scenario: A non-streamed chat completion
     Given "side-a" returns a completion of 40 tokens
     When a caller requests a non-streamed completion
--- a/tests/entry/steps/relay_steps.py
+++ b/tests/entry/steps/relay_steps.py
@@ -67,6 +67,14 @@
     context.world.script(name, script)
 
 
+@given('"{name}" streams 3 events, the second with a line "[DONE]"')
+def stream_marker_line(context: Any, name: str) -> None:
+    marked = b'data: ice\ndata: [DONE]\ndata: more\n\n'
+    context.chunks = (event(0), marked, event(1), DONE)
+    script = Script(headers=EVENTS, chunks=context.chunks)
+    context.world.script(name, script)
+
+
 @given('"{name}" streams {count:d} events and breaks')
 def stream_broken(context: Any, name: str, count: int) -> None:
     chunks = tuple(map(event, range(count)))
@@ -251,6 +259,12 @@
     assert context.world.response.body == expected, context.world.response.body
 
 
+@then('the response body is what "{name}" streamed')
+def check_streamed(context: Any, name: str) -> None:
+    body = context.world.response.body
+    assert body == b''.join(context.chunks), body
+
+
 @then('the response body is the completion')
 def check_completion(context: Any) -> None:
     body = context.world.response.body
