An object that can't be decoded no longer hides all others of its kind

One object of another writer, with a note that was cut within an emoji (a lone surrogate), made every list and every change of kind "servers" unreadable at each entry and watching side.

Cause: the items of a response are decoded one by one, but the response around them first, as a whole. The decoder validates strings, numbers and nesting also where it skips them, so one bad item failed the response; the feed listed again for ever.

Change: a response that can't be decoded as a whole is split into its objects without decoding them, and without recursion (json_split). Each object is then decoded alone; of one that can't be, name, revision and content are taken out the same way, and whoever uses the content decides on it. Lists, watches, single objects and the object of a conflict go through the same reader. One error stands for all that a decoder raises.

Ruled out: invalid UTF-8 and integers of any size pass the outer decoder. A response whose quotes or brackets are not balanced can't be split and is still treated as lost.

--- a/src/sardinetrack/platform/store.py
+++ b/src/sardinetrack/platform/store.py
@@ -3,14 +3,16 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Sequence
-from dataclasses import replace
+from collections.abc import Callable
+from functools import partial
 from http import HTTPStatus
 from typing import Any, Final, TypeVar
 from urllib.parse import urlencode
 
 import msgspec
 
+from sardinetrack.messages.json_input import UnreadableError
+from sardinetrack.platform.store_messages import StoreReader
 from sardinetrack.relay.connection_pool import ConnectionPool, NotConnectedError
 from sardinetrack.relay.response_collector import ResponseCollector
 from sardinetrack.store.api import (
@@ -34,44 +36,7 @@
 _RETRY_AFTER_SECONDS: Final = 0.2
 _MILLISECONDS: Final = 1000
 _READ: Final = 'GET'
-_BodyT = TypeVar('_BodyT')
-
-
-class _Metadata(msgspec.Struct):
-    name: str
-    revision: int = 0
-
-
-class _Object(msgspec.Struct):
-    metadata: _Metadata
-    spec: msgspec.Raw = msgspec.Raw(b'null')
-
-
-class _NameOnly(msgspec.Struct):
-    name: str
-
-
-class _NamedObject(msgspec.Struct):
-    metadata: _NameOnly
-
-
-class _Page(msgspec.Struct, rename='camel'):
-    # Revision of the whole store, not of any object.
-    as_of: int
-    # Decoded one by one, since an object that can't be decoded must not affect
-    # the others.
-    items: list[msgspec.Raw] = []
-    truncated: bool = False
-
-
-class _Change(msgspec.Struct):
-    object: msgspec.Raw
-    removed: bool = False
-
-
-class _Changes(msgspec.Struct, rename='camel'):
-    as_of: int
-    events: list[_Change] = []
+_ContentT = TypeVar('_ContentT')
 
 
 class PlatformStore(ObjectApi):
@@ -85,14 +50,15 @@
         self._address = address
         self._pool = ConnectionPool()
         self.counters = StoreCounters()
+        self._reader = StoreReader(self.counters)
 
     async def get(self, key: str) -> StoredObject | None:
         """Read one object."""
         status, body = await self._call(_READ, key)
         if status == HTTPStatus.NOT_FOUND:
             return None
-        _raise_for_status(_READ, status)
-        return _to_stored_object(key.partition('/')[0], _decode(body, _Object))
+        self._check_status(_READ, key, status, body)
+        return self._read(_READ, partial(self._reader.object, _kind(key)), body)
 
     async def put(
         self,
@@ -115,14 +81,16 @@
             kind if is_new else key,
             body,
         )
-        _raise_for_status('PUT', status, response_body, kind)
-        return _to_stored_object(kind, _decode(response_body, _Object))
+        self._check_status('PUT', key, status, response_body)
+        return self._read(
+            'PUT', partial(self._reader.object, kind), response_body
+        )
 
     async def delete(self, key: str, *, expected_version: int) -> int:
         """Delete conditionally."""
         query = {'revision': expected_version}
         status, body = await self._call('DELETE', key, query=query)
-        _raise_for_status('DELETE', status, body, key.partition('/')[0])
+        self._check_status('DELETE', key, status, body)
         return expected_version
 
     async def list(self, prefix: str) -> Listing:
@@ -132,13 +100,13 @@
         query: dict[str, str | int] = {}
         while True:
             status, body = await self._call(_READ, kind, query=query)
-            _raise_for_status(_READ, status)
-            page = _decode(body, _Page)
-            decoded = self._decode_each(kind, page.as_of, page.items)
-            found.extend(decoded)
-            if not page.truncated or not decoded:
-                return Listing(page.as_of, tuple(found))
-            query = {'after': decoded[-1].key.partition('/')[2]}
+            self._check_status(_READ, kind, status, body)
+            page = self._read(_READ, partial(self._reader.page, kind), body)
+            listing = page.listing
+            found.extend(listing.objects)
+            if not page.truncated or not listing.objects:
+                return Listing(listing.revision, tuple(found))
+            query = {'after': listing.objects[-1].key.partition('/')[2]}
 
     async def watch(
         self,
@@ -158,37 +126,33 @@
             },
             timeout_seconds=wait_seconds + _WATCH_GRACE_SECONDS,
         )
-        _raise_for_status(_READ, status)
-        changes = _decode(body, _Changes)
-        found: list[StoredObject] = []
-        for change in changes.events:
-            decoded = self._decode_each(kind, changes.as_of, [change.object])
-            found.extend(
-                replace(one, deleted=change.removed) for one in decoded
-            )
-        return Listing(changes.as_of, tuple(found))
-
-    def _decode_each(
-        self,
-        kind: str,
-        as_of: int,
-        items: Sequence[msgspec.Raw],
-    ) -> Sequence[StoredObject]:
-        """Decode each object separately.
-
-        Any writer may put any bytes into the store. An undecodable object that
-        has a name is returned with an empty value, so that its earlier content
-        is not used any longer; one without a name can't be an object that this
-        client knows.
-        """
-        found: list[StoredObject] = []
-        for raw in items:
-            try:
-                found.append(_to_stored_object(kind, _decode(raw, _Object)))
-            except NoResponseError:
-                self.counters.unreadable += 1
-                found.extend(_empty_object(kind, as_of, raw))
-        return found
+        self._check_status(_READ, kind, status, body)
+        return self._read(_READ, partial(self._reader.changes, kind), body)
+
+    def _check_status(
+        self, method: str, key: str, status: int, body: bytes
+    ) -> None:
+        """Raise the error of a call that has failed."""
+        if status < HTTPStatus.MULTIPLE_CHOICES:
+            return
+        missing = status == HTTPStatus.NOT_FOUND and method != _READ
+        if missing:
+            raise ConflictError(None)
+        if status == HTTPStatus.CONFLICT:
+            read = partial(self._reader.object, _kind(key))
+            raise ConflictError(self._read(method, read, body))
+        raise _error_for_status(method, status)
+
+    def _read(
+        self, method: str, read: Callable[[bytes], _ContentT], body: bytes
+    ) -> _ContentT:
+        """Decode a response; an unreadable one is as good as none."""
+        try:
+            return read(body)
+        except UnreadableError as error:
+            raise _no_response_error(
+                method, f'unreadable response: {error}'
+            ) from error
 
     async def _call(
         self,
@@ -261,21 +225,8 @@
     return UncertainError(detail)
 
 
-def _raise_for_status(
-    method: str,
-    status: int,
-    body: bytes = b'',
-    kind: str = '',
-) -> None:
-    if status < HTTPStatus.MULTIPLE_CHOICES:
-        return
-    missing = status == HTTPStatus.NOT_FOUND and method != _READ
-    if missing or status == HTTPStatus.CONFLICT:
-        current = (
-            None if missing else _to_stored_object(kind, _decode(body, _Object))
-        )
-        raise ConflictError(current)
-    raise _error_for_status(method, status)
+def _kind(key: str) -> str:
+    return key.partition('/')[0]
 
 
 def _error_for_status(method: str, status: int) -> PlatformError:
@@ -290,33 +241,3 @@
     if status >= HTTPStatus.INTERNAL_SERVER_ERROR:
         return _no_response_error(method, text)
     return CallRejectedError(text)
-
-
-def _empty_object(
-    kind: str, as_of: int, raw: msgspec.Raw
-) -> list[StoredObject]:
-    try:
-        named = msgspec.json.decode(raw, type=_NamedObject)
-    except (msgspec.DecodeError, UnicodeDecodeError):
-        return []
-    name = named.metadata.name
-    return [StoredObject(f'{kind}/{name}', as_of, b'')]
-
-
-def _decode(body: bytes | msgspec.Raw, kind: type[_BodyT]) -> _BodyT:
-    try:
-        return msgspec.json.decode(body, type=kind)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise NoResponseError(f'unreadable response: {error}') from error
-
-
-def _to_stored_object(
-    kind: str, decoded: _Object, *, deleted: bool = False
-) -> StoredObject:
-    metadata = decoded.metadata
-    return StoredObject(
-        f'{kind}/{metadata.name}',
-        metadata.revision,
-        bytes(decoded.spec),
-        deleted,
-    )
--- a/tests/platform/steps/store_steps.py
+++ b/tests/platform/steps/store_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 
 from behave import given, then, when
 from tests.support.loop_tasks import cancel_other_tasks
@@ -73,6 +74,41 @@
     _run(context, _watch(context, 2, make_change))
 
 
+@when('another writer stores {text} as {name} while the client watches')
+def store_text(context, text, name):
+    depth = re.fullmatch(r'nested (\d+) deep', text)
+    raw = re.sub(
+        r'\\x(..)', lambda found: chr(int(found.group(1), 16)), text
+    ).encode('latin-1')
+    if depth:
+        count = int(depth.group(1))
+        raw = b'%b%b' % (b'[' * count, b']' * count)
+    context.raw = raw
+
+    def make_change():
+        context.store.put_text('servers', name, raw)
+
+    _run(context, _watch(context, 2, make_change))
+
+
+@when('{name} is removed while the client watches')
+def remove_server(context, name):
+    def make_change():
+        context.store.remove('servers', name)
+
+    _run(context, _watch(context, 2, make_change))
+
+
+@then('each of them has the content that was stored')
+def have_content(context):
+    listing = _run(context, context.client.list(_PREFIX))
+    contents = {one.key: one.value for one in listing.objects}
+    assert contents.pop('servers/i-4a') == context.raw
+    assert list(contents.values()) == [
+        b'{"slots": %d}' % number for number in range(7)
+    ]
+
+
 @when('the client watches for {seconds:g} seconds and nothing changes')
 def watch_unchanged(context, seconds):
     _run(context, _watch(context, seconds, int))
--- a/tests/platform/store.feature
+++ b/tests/platform/store.feature
@@ -14,6 +14,32 @@
     When the client watches for 0.2 seconds and nothing changes
     Then the watch returns 0 changes within 0.5 seconds
 
+  Scenario Outline: An object that can't be decoded costs only itself: <case>
+    Guards against one object of another writer that hides all others of its
+    kind, in the pages of a list as in the changes of a watch.
+
+    Given a store with 7 servers
+    When another writer stores <text> as i-4a while the client watches
+    Then the watch returns 1 change within 0.5 seconds
+    And the client lists 8 objects
+    And each of them has the content that was stored
+    When i-4a is removed while the client watches
+    Then the watch returns 1 change within 0.5 seconds
+
+    Examples:
+      | case                      | text                                     |
+      | half of a surrogate pair  | {"note": "hall B \ud83d"}                |
+      | the other half            | {"note": ["\ude9a hall B"]}              |
+      | half of a pair in a key   | {"\ud83d": {"slots": 7}}                 |
+      | brackets in such a text   | {"note": "}] \" \\", "x": "\ud83d [{"}     |
+      | 1200 nested lists         | nested 1200 deep                         |
+      | 100000 nested lists       | nested 100000 deep                       |
+      | a control character       | {"note": "a\x01"}                        |
+      | a number that is none     | {"slots": NaN}                           |
+      | an infinite number        | [-Infinity]                              |
+      | bytes that are not UTF-8  | {"note": "\xff"}                         |
+      | an empty list             | []                                       |
+
   Scenario: A watch whose history was discarded fails
     Given a store with 1 server
     When the history is discarded while the client watches
--- a/tests/support/object_store.py
+++ b/tests/support/object_store.py
@@ -27,6 +27,7 @@
         self.writes_lost = False
         self._objects = {}
         self._raw = {}
+        self._texts = {}
         self._events = []
         self._compacted_revision = 0
         self._changed = asyncio.Event()
@@ -47,6 +48,12 @@
         """Add texts of another writer to the listed objects of a kind."""
         self._raw[f'/v1/objects/{kind}'] = texts
 
+    def put_text(self, kind, name, text):
+        """Write an object whose content is any text, as another writer may."""
+        marker = f'text {len(self._texts)}'
+        self._texts[f'"{marker}"'.encode()] = text
+        self.put(kind, name, marker)
+
     def put(self, kind, name, spec, revision=None):
         """Write as the operator or a server does, unaffected by faults."""
         self.revision += 1
@@ -115,6 +122,8 @@
 
     def _with_raw(self, target, payload):
         """Add the texts of another writer to the first page of a kind."""
+        for marker, stored in self._texts.items():
+            payload = payload.replace(marker, stored)
         raw = b''.join(b'%b, ' % text for text in self._raw.get(target, ()))
         return payload.replace(b'"items": [', b'"items": [%b' % raw, 1)
 
