JSON that is nested too deeply is an unreadable text, nothing else

Cause: the decoder raises RecursionError for such a text and UnicodeDecodeError for invalid UTF-8, neither of which is its own error; each place caught another choice of the three.

Change: the places that decode what others write go through JsonDecoder, whose one error is a ValueError: objects of servers, the configuration, reports and handles of engines, usage in responses, load reports, leases, claims, calls to the product's own platform, lines between entries and sides. Links between the product's own daemons keep their own handling.

--- a/src/sardinetrack/entry/completions.py
+++ b/src/sardinetrack/entry/completions.py
@@ -9,6 +9,7 @@
 import xxhash
 
 from sardinetrack.errors.api import ErrorKind, RequestError
+from sardinetrack.messages.json_input import JsonDecoder, UnreadableError
 
 _BYTES_PER_TOKEN: Final = 4
 _PREFIX_BYTES: Final = 1024
@@ -59,8 +60,8 @@
 
 _FIELDS: Final = msgspec.json.Decoder(dict[str, msgspec.Raw])
 _DELIVERY_FIELDS: Final = frozenset(('stream', 'stream_options'))
-_REQUESTS: Final = msgspec.json.Decoder(ChatCompletion)
-_RESPONSES: Final = msgspec.json.Decoder(_ResponseUsage)
+_REQUESTS: Final = JsonDecoder[ChatCompletion](ChatCompletion)
+_RESPONSES: Final = JsonDecoder[_ResponseUsage](_ResponseUsage)
 
 
 def parse_completion(body: bytes) -> ChatCompletion:
@@ -72,13 +73,9 @@
     """
     try:
         return _REQUESTS.decode(body)
-    except msgspec.DecodeError as error:
+    except UnreadableError as error:
         detail = str(error)[:_DETAIL_LENGTH]
         raise RequestError(ErrorKind.BAD_REQUEST, detail) from error
-    except (UnicodeDecodeError, RecursionError) as error:
-        raise RequestError(
-            ErrorKind.BAD_REQUEST, 'the body is not valid JSON'
-        ) from error
 
 
 def canonical_request(body: bytes) -> bytes:
@@ -106,7 +103,7 @@
     """
     try:
         usage = _RESPONSES.decode(response).usage
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except UnreadableError:
         return None
     if usage is None:
         return None
--- a/src/sardinetrack/lease/record.py
+++ b/src/sardinetrack/lease/record.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from sardinetrack.messages.json_input import JsonDecoder, UnreadableError
+
 LEASE_PREFIX: Final = 'leases/'
 
 
@@ -23,6 +25,9 @@
     duration_seconds: float
 
 
+_RECORDS: Final = JsonDecoder[LeaseRecord](LeaseRecord)
+
+
 def lease_key(pool: str, backend_server: str) -> str:
     """Return the key of a backend server's lease object."""
     return f'{LEASE_PREFIX}{pool}/{backend_server}'
@@ -36,6 +41,6 @@
 def read_lease(text: bytes) -> LeaseRecord | None:
     """Decode a lease; ``None`` when the text is not a valid lease."""
     try:
-        return msgspec.json.decode(text, type=LeaseRecord)
-    except msgspec.DecodeError:
+        return _RECORDS.decode(text)
+    except UnreadableError:
         return None
--- a/src/sardinetrack/once/claims.py
+++ b/src/sardinetrack/once/claims.py
@@ -23,6 +23,7 @@
     ClaimStore,
     ClaimStoreUnavailableError,
 )
+from sardinetrack.messages.json_input import JsonDecoder, UnreadableError
 from sardinetrack.once.log import MAX_HEAD_BYTES, ShardLog
 from sardinetrack.once.operations import (
     ClaimOperation,
@@ -50,6 +51,7 @@
 _CLAIM_TIMEOUT_SECONDS: Final = 3.0
 _FLUSH_TIMEOUT_SECONDS: Final = 2.0
 _HEX_BASE: Final = 16
+_LAYOUTS: Final = JsonDecoder[Layout](Layout)
 
 
 @dataclass(frozen=True, slots=True)
@@ -195,8 +197,8 @@
         if stored is None:
             stored = await self._write_layout()
         try:
-            layout = msgspec.json.decode(stored.value, type=Layout)
-        except msgspec.DecodeError as error:
+            layout = _LAYOUTS.decode(stored.value)
+        except UnreadableError as error:
             raise UnavailableError(f'unreadable layout: {error}') from error
         _LOG.info('once: shards=%d', layout.shards)
         return layout
--- a/src/sardinetrack/once/log.py
+++ b/src/sardinetrack/once/log.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from sardinetrack.messages.json_input import JsonDecoder, UnreadableError
 from sardinetrack.once.head_update import (
     CachedHead,
     HeadUpdate,
@@ -32,6 +33,7 @@
 _CONTENTION_THRESHOLD: Final = 0.25
 _CONTENTION_DECAY: Final = 0.8
 _MAX_ATTEMPTS: Final = 64
+_HEADS: Final = JsonDecoder[ShardHead](ShardHead)
 
 
 class ShardLog:
@@ -232,6 +234,6 @@
     if stored is None or stored.deleted:
         return ShardHead()
     try:
-        return msgspec.json.decode(stored.value, type=ShardHead)
-    except msgspec.DecodeError as error:
+        return _HEADS.decode(stored.value)
+    except UnreadableError as error:
         raise UnavailableError(f'unreadable head: {error}') from error
--- a/src/sardinetrack/once/segments.py
+++ b/src/sardinetrack/once/segments.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from sardinetrack.messages.json_input import JsonDecoder, UnreadableError
 from sardinetrack.once.head_update import CLOCK_SKEW_SECONDS
 from sardinetrack.once.record import ClaimRecord, Segment, segment_key
 from sardinetrack.store.api import (
@@ -20,6 +21,7 @@
 
 _HASH_CHARACTERS: Final = 16
 _HEX_BASE: Final = 16
+_SEGMENTS: Final = JsonDecoder[tuple[ClaimRecord, ...]](tuple[ClaimRecord, ...])
 
 
 class _KeyIndex:
@@ -162,8 +164,8 @@
             f'segment {segment.number} is missing or replaced'
         )
     try:
-        return msgspec.json.decode(stored.value, type=tuple[ClaimRecord, ...])
-    except msgspec.DecodeError as error:
+        return _SEGMENTS.decode(stored.value)
+    except UnreadableError as error:
         raise UnavailableError(str(error)) from error
 
 
--- a/src/sardinetrack/platform/catalogue.py
+++ b/src/sardinetrack/platform/catalogue.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from sardinetrack.messages.json_input import JsonDecoder, UnreadableError
 from sardinetrack.platform.errors import TranslationError
 from sardinetrack.topology.configuration import (
     CallerLimits,
@@ -101,14 +102,17 @@
     tenants: list[_Tenant] = []
 
 
+_CONFIGURATIONS: Final = JsonDecoder[_Config](_Config, strict=False)
+
+
 def decode_configuration(spec: bytes) -> Configuration:
     """Decode the operator's configuration.
 
     :raises TranslationError: the object is not a valid configuration.
     """
     try:
-        decoded = msgspec.json.decode(spec, type=_Config, strict=False)
-    except msgspec.DecodeError as error:
+        decoded = _CONFIGURATIONS.decode(spec)
+    except UnreadableError as error:
         raise TranslationError(f'configuration: {error}') from error
     return Configuration(
         version=decoded.version,
--- a/src/sardinetrack/platform/engine_report.py
+++ b/src/sardinetrack/platform/engine_report.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from sardinetrack.admission.engine_report import EngineReport, EngineRun
+from sardinetrack.messages.json_input import JsonDecoder, UnreadableError
 from sardinetrack.platform.errors import TranslationError
 
 REPORT_PATH: Final = '/v1/report'
@@ -35,7 +36,7 @@
     born: _Count | msgspec.UnsetType = msgspec.UNSET
 
 
-_DECODE: Final = msgspec.json.Decoder(_Report).decode
+_REPORTS: Final = JsonDecoder[_Report](_Report)
 
 
 def decode_report(body: bytes) -> EngineReport:
@@ -44,8 +45,8 @@
     :raises TranslationError: a field is missing or of another type.
     """
     try:
-        decoded = _DECODE(body)
-    except (ValueError, RecursionError) as error:
+        decoded = _REPORTS.decode(body)
+    except UnreadableError as error:
         raise TranslationError(f'report of an engine: {error}') from error
     return EngineReport(
         started_milliseconds=None
--- a/src/sardinetrack/platform/kv_transfer.py
+++ b/src/sardinetrack/platform/kv_transfer.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from sardinetrack.messages.json_input import JsonDecoder, UnreadableError
 from sardinetrack.relay.api import KvMoveReply, KvMoveResult, KvSource
 from sardinetrack.topology.servers import BackendServer
 
@@ -31,6 +32,9 @@
     kv_handle: str | None = None
 
 
+_MOVED: Final = JsonDecoder[_Moved](_Moved)
+
+
 def encode_kv_move(
     request_id: str,
     source: BackendServer,
@@ -84,8 +88,8 @@
 
 def _parse_handle(body: bytes) -> str | None:
     try:
-        handle = msgspec.json.decode(body, type=_Moved).kv_handle
-    except msgspec.DecodeError:
+        handle = _MOVED.decode(body).kv_handle
+    except UnreadableError:
         return None
     if handle is None or not _HANDLE.fullmatch(handle):
         return None
--- a/src/sardinetrack/platform/servers.py
+++ b/src/sardinetrack/platform/servers.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from sardinetrack.messages.json_input import JsonDecoder
 from sardinetrack.platform.addresses import parse_endpoint
 from sardinetrack.platform.errors import TranslationError
 from sardinetrack.topology.servers import BackendServer
@@ -39,6 +40,9 @@
     born: Annotated[int, msgspec.Meta(ge=0)] | msgspec.UnsetType = msgspec.UNSET
 
 
+_SERVERS: Final = JsonDecoder[_Server](_Server)
+
+
 def decode_server(
     instance: str, spec: bytes, revision: int = 0
 ) -> BackendServer:
@@ -51,9 +55,9 @@
     if not _INSTANCE_ID.fullmatch(instance):
         raise TranslationError(f'server {instance!r}: invalid instance id')
     try:
-        decoded = msgspec.json.decode(spec, type=_Server)
+        decoded = _SERVERS.decode(spec)
         ip, port = parse_endpoint(decoded.address)
-    except (msgspec.DecodeError, ValueError) as error:
+    except ValueError as error:
         raise TranslationError(f'server {instance!r}: {error}') from error
     return BackendServer(
         instance=instance,
--- a/src/sardinetrack/side/backend.py
+++ b/src/sardinetrack/side/backend.py
@@ -9,7 +9,6 @@
 from typing import Final
 
 import anyio
-import msgspec
 
 from sardinetrack.http.client import (
     ConnectionBrokenError,
@@ -18,11 +17,13 @@
     RequestNotSentError,
     StreamedResponse,
 )
+from sardinetrack.messages.json_input import JsonDecoder, UnreadableError
 from sardinetrack.messages.run import RunRequest
 from sardinetrack.side.load_report import LoadReport
 from sardinetrack.side.response_observer import ResponseObserver
 
 _PROBE_SECONDS: Final = 1.0
+_REPORTS: Final = JsonDecoder[LoadReport](LoadReport)
 
 
 class UnreachableError(Exception):
@@ -124,6 +125,6 @@
 
 def _report(response: HttpResponse) -> LoadReport | None:
     try:
-        return msgspec.json.decode(response.body, type=LoadReport)
-    except msgspec.DecodeError:
+        return _REPORTS.decode(response.body)
+    except UnreadableError:
         return None
--- a/src/sardinetrack/side/model_server.py
+++ b/src/sardinetrack/side/model_server.py
@@ -17,6 +17,7 @@
     RequestNotSentError,
 )
 from sardinetrack.lease.model_loader import LoadResult, ModelServer
+from sardinetrack.messages.json_input import JsonDecoder, UnreadableError
 from sardinetrack.side.response_observer import ResponseObserver
 
 _LIST_MODELS_SECONDS: Final = 2.0
@@ -31,6 +32,9 @@
     data: tuple[_Model, ...]
 
 
+_LISTS: Final = JsonDecoder[_Models](_Models)
+
+
 class LoadContent(msgspec.Struct, frozen=True):
     """Content of a load command."""
 
@@ -77,8 +81,8 @@
         if response is None or response.status != HTTPStatus.OK:
             return None
         try:
-            listed = msgspec.json.decode(response.body, type=_Models)
-        except msgspec.DecodeError:
+            listed = _LISTS.decode(response.body)
+        except UnreadableError:
             return None
         return frozenset(model.id for model in listed.data)
 
--- a/src/sardinetrack/store/http.py
+++ b/src/sardinetrack/store/http.py
@@ -7,7 +7,6 @@
 from urllib.parse import quote, urlencode
 
 import anyio
-import msgspec
 
 from sardinetrack.http.client import (
     ConnectionBrokenError,
@@ -15,6 +14,7 @@
     HttpResponse,
     RequestNotSentError,
 )
+from sardinetrack.messages.json_input import JsonDecoder, UnreadableError
 from sardinetrack.store.api import (
     CallRejectedError,
     ConflictError,
@@ -42,6 +42,12 @@
 _RETRY_AFTER_SECONDS: Final = 1.0
 _READ: Final = 'GET'
 _BodyT = TypeVar('_BodyT')
+_OBJECTS: Final = JsonDecoder[ObjectBody](ObjectBody)
+_LISTINGS: Final = JsonDecoder[ListingBody](ListingBody)
+_CONFLICTS: Final = JsonDecoder[ConflictBody](ConflictBody)
+_INSTANCES: Final = JsonDecoder[tuple[ListedInstance, ...]](
+    tuple[ListedInstance, ...]
+)
 
 
 class HttpPlatform(Platform):
@@ -72,7 +78,7 @@
         response = await self._call(_READ, _object_path(key))
         if response.status == HTTPStatus.NOT_FOUND:
             return None
-        return object_from_body(_decode_body(_READ, response, ObjectBody))
+        return object_from_body(_decode_body(_READ, response, _OBJECTS))
 
     async def put(
         self,
@@ -89,7 +95,7 @@
             headers=_condition_headers(expected_version),
             body=value,
         )
-        return object_from_body(_decode_body(method, response, ObjectBody))
+        return object_from_body(_decode_body(method, response, _OBJECTS))
 
     async def delete(self, key: str, *, expected_version: int) -> int:
         """Delete conditionally."""
@@ -99,13 +105,13 @@
             _object_path(key),
             headers=_condition_headers(expected_version),
         )
-        return _decode_body(method, response, ObjectBody).version
+        return _decode_body(method, response, _OBJECTS).version
 
     async def list(self, prefix: str) -> Listing:
         """Read all objects under a prefix."""
         query = urlencode({'prefix': prefix})
         response = await self._call(_READ, f'/objects?{query}')
-        return listing_from_body(_decode_body(_READ, response, ListingBody))
+        return listing_from_body(_decode_body(_READ, response, _LISTINGS))
 
     async def watch(
         self,
@@ -127,12 +133,12 @@
             f'/watch?{query}',
             timeout_seconds=wait_seconds + _WATCH_GRACE_SECONDS,
         )
-        return listing_from_body(_decode_body(_READ, response, ListingBody))
+        return listing_from_body(_decode_body(_READ, response, _LISTINGS))
 
     async def instances(self) -> tuple[ListedInstance, ...]:
         """Read the lagging list of instances."""
         response = await self._call(_READ, '/instances')
-        return _decode_body(_READ, response, tuple[ListedInstance, ...])
+        return _decode_body(_READ, response, _INSTANCES)
 
     async def _call(
         self,
@@ -185,13 +191,13 @@
 
 
 def _decode_body(
-    method: str, response: HttpResponse, body_type: type[_BodyT]
+    method: str, response: HttpResponse, decoder: JsonDecoder[_BodyT]
 ) -> _BodyT:
     if response.status != HTTPStatus.OK:
         _raise_for(method, response)
     try:
-        return msgspec.json.decode(response.body, type=body_type)
-    except msgspec.DecodeError as error:
+        return decoder.decode(response.body)
+    except UnreadableError as error:
         raise _no_response_error(
             method, f'unreadable response: {error}'
         ) from error
@@ -219,8 +225,8 @@
 
 def _conflict_error(method: str, response: HttpResponse) -> PlatformError:
     try:
-        current = msgspec.json.decode(response.body, type=ConflictBody).current
-    except msgspec.DecodeError as error:
+        current = _CONFLICTS.decode(response.body).current
+    except UnreadableError as error:
         return _no_response_error(method, f'unreadable response: {error}')
     return ConflictError(object_from_body(current) if current else None)
 
--- a/src/sardinetrack/turns/line_protocol.py
+++ b/src/sardinetrack/turns/line_protocol.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from sardinetrack.messages.json_input import UnreadableError
 from sardinetrack.turns.messages import ENCODE, MAX_LINE_BYTES
 
 USER_TIMEOUT_MILLISECONDS: Final = 1500
@@ -30,7 +31,7 @@
     def handle_line(self, line: bytes) -> None:
         """Handle one line.
 
-        :raises msgspec.DecodeError: it is not a known message.
+        :raises UnreadableError: it is not a known message.
         """
 
     @abstractmethod
@@ -69,7 +70,7 @@
         try:
             for line in lines:
                 self.handle_line(line)
-        except msgspec.DecodeError:
+        except UnreadableError:
             self.abort()
         if len(self._rest) > self.max_line_bytes:
             self.abort()
--- a/src/sardinetrack/turns/messages.py
+++ b/src/sardinetrack/turns/messages.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from sardinetrack.messages.api import Strike
+from sardinetrack.messages.json_input import JsonDecoder
 from sardinetrack.placement.step_pace import StepPace
 from sardinetrack.quarantine.api import PartReport
 from sardinetrack.topology.cold import ColdEstimate
@@ -246,5 +247,5 @@
 
 
 ENCODE: Final = msgspec.json.Encoder().encode
-DECODE_FROM_ENTRY: Final = msgspec.json.Decoder(FromEntry).decode
-DECODE_FROM_SIDE: Final = msgspec.json.Decoder(FromSide).decode
+DECODE_FROM_ENTRY: Final = JsonDecoder[FromEntry](FromEntry).decode
+DECODE_FROM_SIDE: Final = JsonDecoder[FromSide](FromSide).decode
--- a/tests/platform/server_objects.feature
+++ b/tests/platform/server_objects.feature
@@ -46,6 +46,19 @@
     When the object of the first is not JSON
     Then only the second server is available
 
+  Scenario Outline: An object whose decoding fails in another way: <case>
+    Guards against faults of a text that end the feed of all servers.
+
+    Given a fleet that lists 2 valid servers
+    When the object of the first has <case> in a field beside
+    Then only the second server is available
+    And one log line names the object, and one refused object is counted
+
+    Examples:
+      | case                     |
+      | half of a surrogate pair |
+      | 1200 nested lists        |
+
   Scenario: An object that becomes valid again defines its server again
     Given a fleet that lists 2 valid servers
     When the object of the first has slots as "6"
--- a/tests/platform/steps/server_object_steps.py
+++ b/tests/platform/steps/server_object_steps.py
@@ -97,6 +97,16 @@
     _change(context, _FIRST_KEY, json.dumps(server_object))
 
 
+@when('the object of the first has {case} in a field beside')
+def add_field(context, case):
+    text = json.dumps(_valid_object(0)).removesuffix('}')
+    note = {
+        'half of a surrogate pair': r'"hall B \ud83d"',
+        '1200 nested lists': '[' * 1200 + ']' * 1200,
+    }[case]
+    _change(context, _FIRST_KEY, f'{text}, "note": {note}}}')
+
+
 @when('the object of the first is not JSON')
 def store_no_json(context):
     _change(context, _FIRST_KEY, b'\xff{"slots":')
--- a/tests/platform/steps/translation_steps.py
+++ b/tests/platform/steps/translation_steps.py
@@ -183,9 +183,30 @@
     context.follower.changed(StoredObject('config/main', version, spec))
 
 
-@when("a configuration arrives that can't be translated")
-def receive_invalid(context):
-    context.follower.changed(StoredObject('config/main', 9, b'{"version":9}'))
+_UNTRANSLATABLE = MappingProxyType(
+    {
+        'it has no routes': (b'{"version":9}', 'routes'),
+        'it holds half of a surrogate pair': (
+            b'{"version":9,"x":"\\ud83d"}',
+            'truncated',
+        ),
+        'it is nested 1200 deep': (
+            b'{"x":%b%b}' % (b'[' * 1200, b']' * 1200),
+            'recursion',
+        ),
+        'it is not UTF-8': (
+            b'{"version":9,"routes":[{"name":"\xff"}]}',
+            'UTF-8',
+        ),
+    }
+)
+
+
+@when("a configuration arrives that can't be translated, because {case}")
+def receive_invalid(context, case):
+    content, cause = _UNTRANSLATABLE[case]
+    context.cause = cause
+    context.follower.changed(StoredObject('config/main', 9, content))
 
 
 @when('version {version:d} arrives late')
@@ -208,7 +229,7 @@
     lines = os.read(context.log_read, 100_000).splitlines()
     last = json.loads(lines[-1])
     assert last['event'] == 'config_refused'
-    assert 'routes' in last['cause']
+    assert context.cause in last['cause'], last['cause']
 
 
 @given('a request as a client of the platform sends it')
--- a/tests/platform/translation.feature
+++ b/tests/platform/translation.feature
@@ -20,11 +20,18 @@
       | routes     | 7        | routes    |
       | route type | "sluggy" | type      |
 
-  Scenario: A configuration that can't be translated leaves the last one active
+  Scenario Outline: A configuration that can't be translated leaves the last one active: <case>
     Given a fleet with active version 7
-    When a configuration arrives that can't be translated
+    When a configuration arrives that can't be translated, because <case>
     Then version 7 is active and a log line explains why the other is not
 
+    Examples:
+      | case                              |
+      | it has no routes                  |
+      | it holds half of a surrogate pair |
+      | it is nested 1200 deep            |
+      | it is not UTF-8                   |
+
   Scenario: An older version is never activated again
     Given a fleet with active version 7
     When version 5 arrives late
