A feed of the store outlives a fault of its listener

Whatever error a listener raised, other than the store's own, ended the feed: a side served its last view to all entries from then on, and at an entry that reads the store itself all feeds ended together, also that of the configuration.

Cause: the feed handles the errors of the store only, and nobody watches its task but for a log line.

Change: any other error is logged as a fault, and everything is listed again half a second later. A view whose listener keeps failing is not confirmed, so keyed requests are refused in time as with a store that can't be reached.

Ruled out: to restart the feed by the task's owner. There are two, and both would need the same loop. Before: both new scenarios fail (the listener keeps a alone). After: they pass.

--- a/src/sardinetrack/topology/feed.py
+++ b/src/sardinetrack/topology/feed.py
@@ -35,6 +35,8 @@
 """
 INITIAL_BACKOFF_SECONDS: Final = 0.1
 _BACKOFF_FACTOR: Final = 2.0
+FAULT_BACKOFF_SECONDS: Final = 0.5
+"""Delay before everything is listed again after a fault of this process."""
 
 
 class FeedListener(ABC):
@@ -97,6 +99,12 @@
                 self._log.write(Event.HISTORY_LOST, what=self._prefix)
             except PlatformError as error:
                 await self._back_off(error)
+            except Exception as error:
+                # A feed that ended would leave its view as it is for ever.
+                self._log.write(
+                    Event.FAULT, what=self._prefix, cause=repr(error)
+                )
+                await asyncio.sleep(FAULT_BACKOFF_SECONDS)
 
     async def _follow(self) -> None:
         asked_seconds = self._access.clock()
--- a/tests/topology/feed.feature
+++ b/tests/topology/feed.feature
@@ -14,6 +14,21 @@
     When object b is written and the history dropped at the same time
     Then the listener has a and b
 
+  Scenario Outline: A fault of the listener does not end the feed: <fault>
+    Guards against a view that is never updated again, because an object was
+    handled with an unexpected error.
+
+    Given a feed on a store with object a
+    And a listener that fails once when <fault>
+    When object b is written
+    Then the listener has a and b
+    And the log has one fault
+
+    Examples:
+      | fault                |
+      | everything is listed |
+      | an object changes    |
+
   Scenario: An outage and its end are logged once each
     Given a feed on a store with object a
     When the store does not respond to 4 calls
--- a/tests/topology/steps/feed_steps.py
+++ b/tests/topology/steps/feed_steps.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+from unittest import mock
 
 from behave import given, then, when
 
@@ -26,13 +27,21 @@
         self.store = store
         self.names = set()
         self.confirmed_in_outage = 0
+        self.fails_when = ''
 
     def listed(self, listing):
+        self._fail('everything is listed')
         self.names = {stored.key for stored in listing.objects}
 
     def changed(self, stored):
+        self._fail('an object changes')
         self.names.add(stored.key)
 
+    def _fail(self, now):
+        if self.fails_when == now:
+            self.fails_when = ''
+            raise RecursionError(now)
+
     def confirmed(self, asked_seconds):
         self.confirmed_in_outage += self.store.failing_calls > 0
 
@@ -93,6 +102,14 @@
     context.listener = _Listener(context.store)
 
 
+@given('a listener that fails once when {fault}')
+def fail_once(context, fault):
+    context.listener.fails_when = fault
+    patch = mock.patch(f'{Feed.__module__}.FAULT_BACKOFF_SECONDS', 0.01)
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
 def _play(context, act, seconds):
     async def play():
         feed = Feed(
@@ -148,11 +165,20 @@
     assert context.listener.names == {f'{_PREFIX}{name}'}
 
 
-@then('the log has one loss and one return')
-def logged_once(context):
+def _logged(context):
     context.log.flush()
     lines = os.read(context.log_read, 100_000).splitlines()
-    events = [json.loads(line)['event'] for line in lines]
+    return [json.loads(line)['event'] for line in lines]
+
+
+@then('the log has one fault')
+def logged_fault(context):
+    assert _logged(context) == ['fault']
+
+
+@then('the log has one loss and one return')
+def logged_once(context):
+    events = _logged(context)
     assert events == ['store_lost', 'store_back'], events
 
 
