Without any key left, no request has a valid one

Cause: the configuration kept its workspaces only by key, and "no keys" was taken for "no workspaces, so requests need no key". Two states had one form.

Change: the table of keys is absent where the operator's configuration has no tenants, and empty where none of them has a key; an empty list of tenants is a list too. One method looks a key up, for the decision as for the counts of a workspace's requests. An empty key is no key, whatever the configuration holds.

--- a/src/sardinetrack/platform/catalogue.py
+++ b/src/sardinetrack/platform/catalogue.py
@@ -99,7 +99,8 @@
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
-    tenants: list[_Tenant] = []
+    # Where there are none, requests need no key; an empty list is a list.
+    tenants: list[_Tenant] | msgspec.UnsetType = msgspec.UNSET
 
 
 _CONFIGURATIONS: Final = JsonDecoder[_Config](_Config, strict=False)
@@ -118,15 +119,23 @@
         version=decoded.version,
         routes=_routes_by_host(decoded.routes),
         pools={service.name: _pool(service) for service in decoded.services},
-        workspaces={
-            key: Workspace(tenant.name, tenant.priority)
-            for tenant in decoded.tenants
-            for key in tenant.api_keys
-        },
+        workspaces=_workspaces_by_key(decoded.tenants),
         limits=_limits(decoded.limits),
     )
 
 
+def _workspaces_by_key(
+    tenants: list[_Tenant] | msgspec.UnsetType,
+) -> dict[str, Workspace] | None:
+    if tenants is msgspec.UNSET:
+        return None
+    return {
+        key: Workspace(tenant.name, tenant.priority)
+        for tenant in tenants
+        for key in tenant.api_keys
+    }
+
+
 def _routes_by_host(decoded: list[_Route]) -> dict[str, tuple[Route, ...]]:
     by_host: dict[str, list[Route]] = {}
     for route in decoded:
--- a/src/sardinetrack/relay/entry_state.py
+++ b/src/sardinetrack/relay/entry_state.py
@@ -106,10 +106,9 @@
 
     def workspace_name(self, api_key: str | None) -> str:
         """Return the workspace of a key; empty if there is none."""
-        configuration = self.configuration
-        if configuration is None or api_key is None:
+        if self.configuration is None:
             return ''
-        workspace = configuration.workspaces.get(api_key)
+        workspace = self.configuration.workspace(api_key)
         return '' if workspace is None else workspace.name
 
     def local_admission(
--- a/src/sardinetrack/relay/feed_listeners.py
+++ b/src/sardinetrack/relay/feed_listeners.py
@@ -82,7 +82,9 @@
             version=configuration.version,
             revision=stored.version,
             routes=sum(map(len, configuration.routes.values())),
-            keys=len(configuration.workspaces),
+            keys=None
+            if configuration.workspaces is None
+            else len(configuration.workspaces),
         )
 
     def confirmed(self, asked_seconds: float) -> None:
--- a/src/sardinetrack/relay/request_plan.py
+++ b/src/sardinetrack/relay/request_plan.py
@@ -177,7 +177,7 @@
     route: Route,
     call: CallerRequest,
 ) -> Workspace | None:
-    if route.anonymous or not configuration.workspaces:
+    if route.anonymous or configuration.workspaces is None:
         return None
     if not state.freshness.is_fresh():
         raise RequestError(
@@ -185,7 +185,7 @@
             'the configuration can not be confirmed',
             retry_after_seconds=1,
         )
-    workspace = configuration.workspaces.get(call.api_key or '')
+    workspace = configuration.workspace(call.api_key)
     if workspace is None:
         raise RequestError(ErrorKind.UNAUTHENTICATED)
     return workspace
--- a/src/sardinetrack/topology/configuration.py
+++ b/src/sardinetrack/topology/configuration.py
@@ -109,10 +109,17 @@
     routes: Mapping[str, tuple[Route, ...]]
     """By host; the longest prefix of a host first."""
     pools: Mapping[str, Pool]
-    workspaces: Mapping[str, Workspace]
-    """By API key."""
+    workspaces: Mapping[str, Workspace] | None
+    """By API key; ``None`` where requests need no key.
+
+    Without any key left it is empty, and no request has a valid one.
+    """
     limits: CallerLimits
 
+    def workspace(self, api_key: str | None) -> Workspace | None:
+        """Return the workspace of a key; ``None`` for one that is not valid."""
+        return (self.workspaces or {}).get(api_key) if api_key else None
+
     def route(self, host: str, path: str) -> Route | None:
         """Return the route whose prefix is the longest that matches."""
         for route in self.routes.get(host, ()):
--- a/tests/platform/steps/translation_steps.py
+++ b/tests/platform/steps/translation_steps.py
@@ -116,6 +116,20 @@
     target[field] = json.loads(content)
 
 
+@when('its tenants become {content}')
+def change_tenants(context, content):
+    context.document.pop('tenants')
+    if content != 'nothing':
+        context.document['tenants'] = json.loads(content)
+
+
+@then('requests {need} a key')
+def need_key(context, need):
+    decoded = decode_configuration(json.dumps(context.document).encode())
+    assert (decoded.workspaces is not None) is (need == 'need')
+    assert not decoded.workspaces
+
+
 @then('its routes, pools, workspaces and limits are translated')
 def is_translated(context):
     decoded = decode_configuration(json.dumps(context.document).encode())
--- a/tests/platform/translation.feature
+++ b/tests/platform/translation.feature
@@ -4,6 +4,20 @@
     Given the operator's example configuration
     Then its routes, pools, workspaces and limits are translated
 
+  Scenario Outline: Whether requests need a key, by the tenants
+    Guards against tenants without any key that are taken for no tenants.
+
+    Given the operator's example configuration
+    When its tenants become <tenants>
+    Then requests <need> a key
+
+    Examples:
+      | tenants                            | need       |
+      | [{"name": "hule", "apiKeys": []}]  | need       |
+      | [{"name": "hule"}]                 | need       |
+      | []                                 | need       |
+      | nothing                            | don't need |
+
   Scenario: The longest matching prefix of a host is chosen
     Given the operator's example configuration
     Then a path under two prefixes matches the longer one
--- a/tests/relay/relay.feature
+++ b/tests/relay/relay.feature
@@ -167,6 +167,26 @@
     Then the caller gets status 401
     And the servers got 0 requests
 
+  Scenario Outline: With <keys> in the configuration, a request with <key> gets <status>
+    Guards against a deployment that is open to everybody once its last key is
+    taken away.
+
+    Given a relay in front of 1 model server
+    When the configuration has <keys>
+    And a caller requests a stream with <key>
+    Then the caller gets status <status>
+
+    Examples:
+      | keys           | key          | status |
+      | no key left    | a former key | 401    |
+      | no key left    | no key       | 401    |
+      | no key left    | an empty key | 401    |
+      | an empty key   | an empty key | 401    |
+      | an empty key   | no key       | 401    |
+      | another key    | a former key | 401    |
+      | no workspaces  | no key       | 200    |
+      | no workspaces  | a former key | 200    |
+
   Scenario: With a view that can't be confirmed no keyed request runs
     The entry is disconnected from the store. A key may have been revoked in
     that time, so past the limit keyed requests are refused; anonymous ones are
--- a/tests/relay/steps/relay_steps.py
+++ b/tests/relay/steps/relay_steps.py
@@ -245,6 +245,28 @@
     context.world.entry_state.configuration = configuration(2, keys=('other',))
 
 
+@when('the configuration has {keys}')
+def configure_keys(context, keys):
+    held = {
+        'no key left': (),
+        'an empty key': ('',),
+        'another key': ('other',),
+        'no workspaces': None,
+    }[keys]
+    context.world.entry_state.configuration = configuration(2, keys=held)
+
+
+@when('a caller requests a stream with {key}')
+def request_with_key(context, key):
+    lines = {
+        'a former key': ('Authorization: Bearer pilot-key',),
+        'an empty key': ('Authorization: Bearer ',),
+        'no key': (),
+    }[key]
+    world = context.world
+    context.reply = world.run(world.call('stream', keys=lines))
+
+
 @when('the view is {seconds:g} seconds old')
 def grow_old(context, seconds):
     freshness = context.world.entry_state.freshness
--- a/tests/support/relay_world.py
+++ b/tests/support/relay_world.py
@@ -28,6 +28,7 @@
 from tests.support.relay_servers import ScriptedServer
 
 KEY = 'pilot-key'
+_KEY_LINES = (f'Authorization: Bearer {KEY}',)
 _IP = '127.0.0.1'
 
 
@@ -76,7 +77,9 @@
             'models': Pool('models', 100, 8, 100_000),
             'plain': Pool('plain', 100),
         },
-        workspaces={key: Workspace('pilots') for key in keys},
+        workspaces=keys
+        if keys is None
+        else {key: Workspace('pilots') for key in keys},
         limits=CallerLimits(),
     )
 
@@ -211,11 +214,17 @@
         timeout_seconds=5,
         target='',
         request_id=None,
+        keys=_KEY_LINES,
     ):
         reader, writer = await asyncio.open_connection(_IP, self.port)
         writer.write(
             self.request(
-                name, headers, body, target=target, request_id=request_id
+                name,
+                headers,
+                body,
+                target=target,
+                request_id=request_id,
+                keys=keys,
             ),
         )
         try:
@@ -233,6 +242,7 @@
         closes=True,
         target='',
         request_id=None,
+        keys=_KEY_LINES,
     ):
         self._number += 1
         spec = next(one for one in _ROUTES if one.name == name)
@@ -251,7 +261,7 @@
                 (
                     'X-Sardinetrack-Token-Count: 100,20',
                     *_prefix_line(headers),
-                    f'Authorization: Bearer {KEY}',
+                    *keys,
                 ),
             )
         return '\r\n'.join((*lines, '', '')).encode() + body
