Key, route and workspace are checked as they are in force at the send

A request that waited while the configuration changed could be sent without a key, or with a workspace that no longer holds its key: where keys were introduced, where an anonymous route began to need one, and where a key got another owner.

Cause: the check before a send asked the plan, not the configuration, whether a key is needed, and looked a key up without comparing whose it is.

Change: route and workspace are taken from the configuration in force; a workspace that differs from the one that is charged refuses the request as not run, to be repeated at once.

Ruled out: moves and continued streams go through the same check.

--- a/src/sardinetrack/relay/request_plan.py
+++ b/src/sardinetrack/relay/request_plan.py
@@ -154,21 +154,27 @@
 ) -> None:
     """Check key and route again just before a request is sent.
 
-    :raises RequestError: they were removed in the meantime.
+    Both as they are in force now: the route may need a key by now, and the key
+    may have another workspace, which would be charged.
+
+    :raises RequestError: they were removed or changed in the meantime.
     """
     configuration = state.active_configuration()
-    if plan.workspace is not None:
-        _workspace(state, configuration, plan.route, call)
-    if configuration.version == plan.version:
-        return
-    route = configuration.route(call.host, call.path)
+    route: Route | None = plan.route
+    if configuration.version != plan.version:
+        route = configuration.route(call.host, call.path)
     pools = () if route is None else route.pools
-    if all(weighted.pool != plan.pool.name for weighted in pools):
-        raise RequestError(
-            ErrorKind.NOT_RUN_LOST,
-            'the route has changed',
-            retry_after_seconds=0,
-        )
+    if route is None or all(one.pool != plan.pool.name for one in pools):
+        raise _changed_error('the route has changed')
+    workspace = _workspace(state, configuration, route, call)
+    if (workspace and workspace.name) != (
+        plan.workspace and plan.workspace.name
+    ):
+        raise _changed_error('the workspace has changed')
+
+
+def _changed_error(detail: str) -> RequestError:
+    return RequestError(ErrorKind.NOT_RUN_LOST, detail, retry_after_seconds=0)
 
 
 def _workspace(
--- a/tests/relay/relay.feature
+++ b/tests/relay/relay.feature
@@ -187,6 +187,24 @@
       | no workspaces  | no key       | 200    |
       | no workspaces  | a former key | 200    |
 
+  Scenario Outline: <change> while a request with <key> connects
+    Guards against requests that are sent as an older configuration allows, or
+    that are charged to a workspace which no longer holds their key.
+
+    Given a relay in front of 1 model server
+    When <change> while a caller requests a stream with <key>
+    Then the caller gets status <status>
+    And the servers got <count> requests
+
+    Examples:
+      | change                        | key          | status | count |
+      | keys are introduced           | no key       | 401    | 0     |
+      | an anonymous route takes keys | no key       | 401    | 0     |
+      | the key gets another owner    | a former key | 503    | 0     |
+      | the key is taken away         | a former key | 401    | 0     |
+      | all keys are taken away       | a former key | 401    | 0     |
+      | nothing of it changes         | a former key | 200    | 1     |
+
   Scenario: With a view that can't be confirmed no keyed request runs
     The entry is disconnected from the store. A key may have been revoked in
     that time, so past the limit keyed requests are refused; anonymous ones are
--- a/tests/relay/steps/relay_steps.py
+++ b/tests/relay/steps/relay_steps.py
@@ -5,6 +5,7 @@
 import asyncio
 from contextlib import suppress
 from dataclasses import replace
+from types import MappingProxyType
 
 from behave import given, then, when
 from tests.support.relay_servers import EVENTS, SharedActs
@@ -16,7 +17,7 @@
 )
 
 from sardinetrack.routing.breaker import FAILURE_THRESHOLD
-from sardinetrack.topology.configuration import Pool
+from sardinetrack.topology.configuration import Pool, Workspace
 from sardinetrack.topology.freshness import boot_clock
 
 _RESERVED = (
@@ -256,15 +257,55 @@
     context.world.entry_state.configuration = configuration(2, keys=held)
 
 
-@when('a caller requests a stream with {key}')
-def request_with_key(context, key):
-    lines = {
+_KEY_LINES = MappingProxyType(
+    {
         'a former key': ('Authorization: Bearer pilot-key',),
         'an empty key': ('Authorization: Bearer ',),
         'no key': (),
-    }[key]
+    }
+)
+
+
+@when('a caller requests a stream with {key}')
+def request_with_key(context, key):
     world = context.world
-    context.reply = world.run(world.call('stream', keys=lines))
+    context.reply = world.run(world.call('stream', keys=_KEY_LINES[key]))
+
+
+def _anonymous(configured):
+    routes = {
+        host: tuple(replace(one, anonymous=True) for one in of_host)
+        for host, of_host in configured.routes.items()
+    }
+    return replace(configured, routes=routes)
+
+
+def _owned_by_other(configured):
+    owners = dict.fromkeys(configured.workspaces, Workspace('other'))
+    return replace(configured, workspaces=owners)
+
+
+@when('{change} while a caller requests a stream with {key}')
+def change_while_connecting(context, change, key):
+    keyed = configuration(1)
+    before, after = {
+        'keys are introduced': (configuration(1, keys=None), keyed),
+        'an anonymous route takes keys': (_anonymous(keyed), keyed),
+        'the key gets another owner': (keyed, _owned_by_other(keyed)),
+        'the key is taken away': (keyed, configuration(1, keys=('other',))),
+        'all keys are taken away': (keyed, configuration(1, keys=())),
+        'nothing of it changes': (keyed, keyed),
+    }[change]
+    state = context.world.entry_state
+    state.configuration = before
+    acquire = state.connections.acquire
+
+    async def acquire_and_change(*address, **more):
+        state.configuration = replace(after, version=2)
+        return await acquire(*address, **more)
+
+    state.connections.acquire = acquire_and_change
+    request_with_key(context, key)
 
 
 @when('the view is {seconds:g} seconds old')
