Links, calls and headers between daemons decode in the same way

The remaining places of the product's own interface that decode what another process sent (frames and hellos of links, headers of run requests and results, status queries and pages, usage in a response) caught one or two of the decoder's three errors each.

Change: they go through JsonDecoder too and catch its one error. Ruled out: files that sardinetrack reads of its own machine; they are checked by other means and end a command, not a daemon.

No failure was shown here: the new row of links.feature, a frame that is nested too deeply, passes on this commit's parent as well, where the link ends too. It stays as a check.

--- a/src/sardinetrack/catalogue/status_client.py
+++ b/src/sardinetrack/catalogue/status_client.py
@@ -17,6 +17,7 @@
 )
 from sardinetrack.links.api import STATUS_PATH
 from sardinetrack.messages.api import ConfigDigest
+from sardinetrack.messages.json_input import JsonDecoder, UnreadableError
 from sardinetrack.store.api import InstanceState, Platform
 
 _QUERY_TIMEOUT_SECONDS: Final = 1.0
@@ -57,6 +58,10 @@
         )
 
 
+_ENTRY_PAGES: Final = JsonDecoder[_EntryStatusPage](_EntryStatusPage)
+_SIDE_PAGES: Final = JsonDecoder[_SideStatusPage](_SideStatusPage)
+
+
 class StatusClient:
     """Queries the peer endpoints of instances."""
 
@@ -95,10 +100,10 @@
 def _decode_status(status: int, body: bytes) -> ConfigStatus | None:
     if status != HTTPStatus.OK:
         return None
-    with suppress(msgspec.DecodeError):
-        return msgspec.json.decode(body, type=_EntryStatusPage).config_status()
-    with suppress(msgspec.DecodeError):
-        return msgspec.json.decode(body, type=_SideStatusPage).config_status()
+    with suppress(UnreadableError):
+        return _ENTRY_PAGES.decode(body).config_status()
+    with suppress(UnreadableError):
+        return _SIDE_PAGES.decode(body).config_status()
     return None
 
 
--- a/src/sardinetrack/entry/status_query.py
+++ b/src/sardinetrack/entry/status_query.py
@@ -11,6 +11,7 @@
 from sardinetrack.entry.side_directory import SideDirectory, SideEndpoint
 from sardinetrack.http.client import ConnectionBrokenError, RequestNotSentError
 from sardinetrack.logs.lines import ComponentLogger, LogComponent
+from sardinetrack.messages.json_input import JsonDecoder, UnreadableError
 from sardinetrack.messages.run import (
     ATTEMPT_PATH,
     AttemptStatus,
@@ -22,6 +23,7 @@
 _LOG: Final = ComponentLogger(LogComponent.ENTRY)
 _DELAYS_SECONDS: Final = (0, 0.2, 0.6)
 _QUERY_TIMEOUT_SECONDS: Final = 1.0
+_RESPONSES: Final = JsonDecoder[AttemptStatusResponse](AttemptStatusResponse)
 STATUS_TRUST_SECONDS: Final = 600.0
 """Less than a side keeps records: ``admission.attempts.KEEP_SECONDS``."""
 _OUTCOMES: Final = MappingProxyType(
@@ -83,7 +85,7 @@
             except (
                 RequestNotSentError,
                 ConnectionBrokenError,
-                msgspec.DecodeError,
+                UnreadableError,
             ) as error:
                 _LOG.info(
                     'attempt status query failed',
@@ -102,9 +104,7 @@
             headers=[self._sides.secret.header()],
             body=msgspec.json.encode(query),
         )
-        return msgspec.json.decode(
-            response.body, type=AttemptStatusResponse
-        ).fate
+        return _RESPONSES.decode(response.body).fate
 
 
 def _trusted(end: AttemptOutcome, began_seconds: float) -> AttemptOutcome:
--- a/src/sardinetrack/links/client.py
+++ b/src/sardinetrack/links/client.py
@@ -7,7 +7,6 @@
 from typing import Final
 
 import anyio
-import msgspec
 from websockets.asyncio.client import ClientConnection, connect
 from websockets.exceptions import ConnectionClosed, WebSocketException
 
@@ -22,6 +21,7 @@
     read_hello,
 )
 from sardinetrack.logs.lines import ComponentLogger, LogComponent
+from sardinetrack.messages.json_input import UnreadableError
 
 _LOG: Final = ComponentLogger(LogComponent.LINK)
 _INITIAL_BACKOFF_SECONDS: Final = 0.05
@@ -31,7 +31,7 @@
     OSError,
     TimeoutError,
     WebSocketException,
-    msgspec.DecodeError,
+    UnreadableError,
 )
 
 
--- a/src/sardinetrack/links/link.py
+++ b/src/sardinetrack/links/link.py
@@ -6,7 +6,6 @@
 from typing import Final
 
 import anyio
-import msgspec
 
 from sardinetrack.links.api import (
     Hello,
@@ -21,6 +20,7 @@
 from sardinetrack.logs.lines import ComponentLogger, LogComponent
 from sardinetrack.messages.api import LinkMessage
 from sardinetrack.messages.codec import decode, encode
+from sardinetrack.messages.json_input import UnreadableError
 
 _LOG: Final = ComponentLogger(LogComponent.LINK)
 _HEARTBEAT: Final = b''
@@ -90,7 +90,7 @@
                 batch = await self._receive_batch()
             except LinkLostError:
                 return
-            except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            except UnreadableError as error:
                 _LOG.warning(
                     'invalid frame, closing the link',
                     peer=self._peer.instance,
@@ -146,7 +146,7 @@
         frame = await self._connection.receive()
         self._received_at = anyio.current_time()
         if len(frame) > self._bounds.max_frame_bytes:
-            raise msgspec.DecodeError('the frame is too large')
+            raise UnreadableError('the frame is too large')
         return [decode(line) for line in frame.splitlines()]
 
     async def _send_posted(self) -> None:
--- a/src/sardinetrack/links/run_response.py
+++ b/src/sardinetrack/links/run_response.py
@@ -4,9 +4,8 @@
 
 from collections.abc import AsyncIterator
 
-import msgspec
-
 from sardinetrack.http.client import ConnectionBrokenError, StreamedResponse
+from sardinetrack.messages.json_input import UnreadableError
 from sardinetrack.messages.run import RESULT_HEADER, RunResult
 from sardinetrack.messages.run_codec import (
     SERVER_HEADERS_HEADER,
@@ -36,7 +35,7 @@
             self.headers = decode_server_headers(
                 response.header(SERVER_HEADERS_HEADER) or '[]',
             )
-        except msgspec.DecodeError as error:
+        except UnreadableError as error:
             raise ConnectionBrokenError(
                 f'the side sent no valid result: {error}'
             ) from error
--- a/src/sardinetrack/links/secret.py
+++ b/src/sardinetrack/links/secret.py
@@ -8,10 +8,12 @@
 import msgspec
 
 from sardinetrack.links.api import Hello
+from sardinetrack.messages.json_input import JsonDecoder
 
 AUTHORIZATION_HEADER: Final = 'authorization'
 HELLO_HEADER: Final = 'sardinetrack-peer'
 _SCHEME: Final = 'Bearer '
+_HELLOS: Final = JsonDecoder[Hello](Hello)
 
 
 class PeerSecret:
@@ -45,6 +47,6 @@
 def read_hello(header: str | None) -> Hello:
     """Decode the hello of the other end.
 
-    :raises msgspec.DecodeError: the header is missing or not valid.
+    :raises UnreadableError: the header is missing or not valid.
     """
-    return msgspec.json.decode(header or '', type=Hello)
+    return _HELLOS.decode(header or '')
--- a/src/sardinetrack/links/server.py
+++ b/src/sardinetrack/links/server.py
@@ -4,8 +4,6 @@
 
 from typing import Any, Final
 
-import msgspec
-
 from sardinetrack.http.asgi import Message, Receive, Scope, Send
 from sardinetrack.links.api import Hello, LinkEvents, LinkLimits
 from sardinetrack.links.frames import FrameSocket, LinkLostError
@@ -18,6 +16,7 @@
     read_hello,
 )
 from sardinetrack.logs.lines import ComponentLogger, LogComponent
+from sardinetrack.messages.json_input import UnreadableError
 
 _LOG: Final = ComponentLogger(LogComponent.LINK)
 _LATIN: Final = 'latin-1'
@@ -100,7 +99,7 @@
             return None
         try:
             return read_hello(_header(scope, HELLO_HEADER))
-        except msgspec.DecodeError as error:
+        except UnreadableError as error:
             _LOG.warning('link rejected: invalid hello', error=str(error))
             return None
 
--- a/src/sardinetrack/messages/codec.py
+++ b/src/sardinetrack/messages/codec.py
@@ -5,9 +5,10 @@
 import msgspec
 
 from sardinetrack.messages.api import LinkMessage
+from sardinetrack.messages.json_input import JsonDecoder
 
 _ENCODER = msgspec.json.Encoder()
-_DECODER: msgspec.json.Decoder[LinkMessage] = msgspec.json.Decoder(LinkMessage)
+_DECODER = JsonDecoder[LinkMessage](LinkMessage)
 
 
 def encode(message: LinkMessage) -> bytes:
@@ -24,6 +25,6 @@
 
     :param text: one frame of a control link.
     :return: the message.
-    :raises msgspec.DecodeError: the frame is not a valid message.
+    :raises UnreadableError: the frame is not a valid message.
     """
     return _DECODER.decode(text)
--- a/src/sardinetrack/messages/run_codec.py
+++ b/src/sardinetrack/messages/run_codec.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from sardinetrack.messages.json_input import JsonDecoder
 from sardinetrack.messages.run import RunRequest, RunResult
 
 ServerHeaders = tuple[tuple[str, str], ...]
@@ -21,6 +22,9 @@
 side and entry: a response to HEAD has the length of a body that is not sent.
 """
 _HEADER_ENCODING: Final = 'latin-1'
+_RUN_REQUESTS: Final = JsonDecoder[RunRequest](RunRequest)
+_RUN_RESULTS: Final = JsonDecoder[RunResult](RunResult)
+_SERVER_HEADERS: Final = JsonDecoder[ServerHeaders](ServerHeaders)
 
 
 def encode_run_request(run_request: RunRequest) -> str:
@@ -31,9 +35,9 @@
 def decode_run_request(text: str) -> RunRequest:
     """Decode the value of ``RUN_HEADER``.
 
-    :raises msgspec.DecodeError: it is not a valid run request.
+    :raises UnreadableError: it is not a valid run request.
     """
-    return msgspec.json.decode(text.encode(_HEADER_ENCODING), type=RunRequest)
+    return _RUN_REQUESTS.decode(text.encode(_HEADER_ENCODING))
 
 
 def encode_run_result(run_result: RunResult) -> str:
@@ -44,9 +48,9 @@
 def decode_run_result(text: str) -> RunResult:
     """Decode the value of ``RESULT_HEADER``.
 
-    :raises msgspec.DecodeError: it is not a valid result.
+    :raises UnreadableError: it is not a valid result.
     """
-    return msgspec.json.decode(text.encode(_HEADER_ENCODING), type=RunResult)
+    return _RUN_RESULTS.decode(text.encode(_HEADER_ENCODING))
 
 
 def encode_server_headers(headers: ServerHeaders) -> str:
@@ -57,8 +61,6 @@
 def decode_server_headers(text: str) -> ServerHeaders:
     """Decode the headers of a backend server.
 
-    :raises msgspec.DecodeError: they are not pairs of strings.
+    :raises UnreadableError: they are not pairs of strings.
     """
-    return msgspec.json.decode(
-        text.encode(_HEADER_ENCODING), type=ServerHeaders
-    )
+    return _SERVER_HEADERS.decode(text.encode(_HEADER_ENCODING))
--- a/src/sardinetrack/side/attempt_endpoint.py
+++ b/src/sardinetrack/side/attempt_endpoint.py
@@ -6,16 +6,16 @@
 from http import HTTPStatus
 from typing import Final
 
-import msgspec
-
 from sardinetrack.errors.api import ErrorKind, RequestError
 from sardinetrack.http.asgi import HttpExchange
+from sardinetrack.messages.json_input import JsonDecoder, UnreadableError
 from sardinetrack.messages.run import ATTEMPT_PATH, AttemptStatusRequest
 from sardinetrack.side.events import AttemptQueried, SideEvents
 from sardinetrack.side.owner_queries import query_owner
 
 _MAX_QUERY_BYTES: Final = 4096
 _QUERY_SECONDS: Final = 5.0
+_QUERIES: Final = JsonDecoder[AttemptStatusRequest](AttemptStatusRequest)
 
 
 class AttemptEndpoint:
@@ -36,8 +36,8 @@
 async def _read_query(exchange: HttpExchange) -> AttemptStatusRequest:
     body = await exchange.body(_MAX_QUERY_BYTES, _QUERY_SECONDS)
     try:
-        query = msgspec.json.decode(body, type=AttemptStatusRequest)
-    except msgspec.DecodeError as error:
+        query = _QUERIES.decode(body)
+    except UnreadableError as error:
         raise RequestError(ErrorKind.BAD_REQUEST, str(error)) from error
     if query.attempt_id != exchange.path.removeprefix(ATTEMPT_PATH):
         raise RequestError(ErrorKind.BAD_REQUEST, 'two attempt ids')
--- a/src/sardinetrack/side/costs.py
+++ b/src/sardinetrack/side/costs.py
@@ -98,5 +98,5 @@
     try:
         parsed, _ = json.JSONDecoder().raw_decode(rest.lstrip())
         return msgspec.convert(parsed, TokenUsage)
-    except (ValueError, msgspec.ValidationError):
+    except (ValueError, RecursionError):
         return None
--- a/src/sardinetrack/side/run_endpoint.py
+++ b/src/sardinetrack/side/run_endpoint.py
@@ -11,6 +11,7 @@
 from sardinetrack.errors.api import RequestError
 from sardinetrack.errors.table import error_response_for
 from sardinetrack.http.asgi import HttpExchange
+from sardinetrack.messages.json_input import UnreadableError
 from sardinetrack.messages.run import (
     RUN_HEADER,
     AttemptStatus,
@@ -42,7 +43,7 @@
         """Handle one run request."""
         try:
             run_request = _read_run_request(exchange)
-        except msgspec.DecodeError:
+        except UnreadableError:
             reason = DaemonRefusal.BAD_ORDER
             await self._refuse(exchange, None, reason, HTTPStatus.BAD_REQUEST)
             return
--- a/tests/links/links.feature
+++ b/tests/links/links.feature
@@ -73,3 +73,4 @@
       | an unknown tag       |
       | a wrong type         |
       | an oversized message |
+      | 1200 nested lists    |
