--- a/tests/links/steps/links_steps.py
+++ b/tests/links/steps/links_steps.py
@@ -33,7 +33,7 @@
         'an unknown tag': '{"type":"anchor"}',
         'a wrong type': '{"type":"decline","number":"one"}',
         'an oversized message': ' ' * (BOUNDS.max_frame_bytes + 1),
-        '1200 nested lists': '{"type":"decline","other":' + '[' * 1200,
+        '1200 nested lists': f'{{"type":"decline","x":{"[" * 1200}',
     },
 )
 
