A run request with an invalid path is refused as before

It fails each time, also alone: not load.

Cause: made the side's endpoint catch the error of the common decoder, but the endpoint's own check of the path still raised the library's. The side of the product's own interface answered 500 in place of "bad_order".

Change: the check raises the decoder's error. No other place raises an error of the library by itself (searched).

Before: the row errors; after: the 25 scenarios of runs.feature pass.

--- a/src/sardinetrack/side/run_endpoint.py
+++ b/src/sardinetrack/side/run_endpoint.py
@@ -5,8 +5,6 @@
 from http import HTTPStatus
 from typing import Final
 
-import msgspec
-
 from sardinetrack.catalogue.api import Pool
 from sardinetrack.errors.api import RequestError
 from sardinetrack.errors.table import error_response_for
@@ -100,5 +98,5 @@
 def _read_run_request(exchange: HttpExchange) -> RunRequest:
     run_request = decode_run_request(exchange.header(RUN_HEADER) or '')
     if not run_request.path.startswith('/'):
-        raise msgspec.ValidationError('the path must start with a slash')
+        raise UnreadableError('the path must start with a slash')
     return run_request
