--- /dev/null
+++ b/tests/relay/silent_servers.feature
@@ -0,0 +1,81 @@
+Feature: Servers that fall silent for a moment
+
+  A sound server may send nothing for a second or two and then go on. The routes
+  take 1.2 seconds for silence in a stream that has begun, and 3 before its first
+  event.
+
+  Scenario Outline: A stream that can't go on elsewhere outlasts a silence: <why>
+    Guards against a response that is truncated although its server goes on with
+    it, because the entry had left the server before it knew of another one.
+
+    Given a relay in front of 2 model servers
+    And a time-out of 10 seconds
+    And its server pauses for 1.9 seconds before event 4
+    When <why>
+    And a caller requests a resumable stream
+    Then the caller receives all events once and the end
+    And the servers got <requests> requests
+
+    Examples:
+      | why                                          | requests |
+      | a stream may be sent to one server           | 1        |
+      | the retry budget is used up                  | 1        |
+      | the other server has no free slot            | 1        |
+      | the other server rests                       | 1        |
+      | the other server accepts no connection       | 1        |
+      | the other server is sent it and turns it away| 2        |
+      | the other server is sent it and fails it     | 2        |
+      | the other server is sent it and disconnects  | 2        |
+      | the other server is sent it and is silent too| 2        |
+      | the other server has other software          | 1        |
+      | the events have no numbers                   | 1        |
+      | the route is removed in the silence          | 1        |
+      | the key is revoked in the silence            | 1        |
+      | the route leads elsewhere after the silence began | 1   |
+
+  Scenario: A stream outlasts the silence of one server after the other
+    Guards against a stream that has left a sound server for one that then falls
+    silent too, and is truncated because it may be sent to no third one.
+
+    Given a relay in front of 2 model servers
+    And a time-out of 10 seconds
+    When the servers pause for 1.9 seconds before event 4
+    And the servers pause for 1.9 seconds before event 5
+    And a caller requests a resumable stream
+    Then the caller receives all events once and the end
+
+  Scenario: The response to a request outlasts a silence before its first event
+    Guards against a failure that a caller is told of before its server responds.
+
+    Given a relay in front of 2 model servers
+    And a time-out of 10 seconds
+    And its server pauses for 3.7 seconds before event 1
+    When a stream may be sent to one server
+    And a caller requests a resumable stream
+    Then the caller receives all events once and the end
+    And the servers got 1 request
+
+  Scenario: A stream goes on elsewhere if its server stays silent
+    Guards against callers that wait for a server that is unreachable.
+
+    Given a relay in front of 2 model servers
+    And a time-out of 10 seconds
+    And its server pauses for 6 seconds before event 4
+    When a caller requests a resumable stream
+    Then the caller receives all events once and the end
+    And the servers got 2 requests
+    And the caller had it all within 2 seconds
+    And nothing is held for the stream any more
+
+  Scenario: A server that goes on first keeps its stream
+    The other server has got the request but has not accepted it. Guards against
+    two servers that write one response, and a permit that nobody releases.
+
+    Given a relay in front of 2 model servers
+    And a time-out of 10 seconds
+    And its server pauses for 1.6 seconds before event 4
+    When the other server is sent it and is silent too
+    And a caller requests a resumable stream
+    Then the caller receives all events once and the end
+    And the other server sees its connection close
+    And nothing is held for the stream any more
--- /dev/null
+++ b/tests/relay/steps/silence_steps.py
@@ -0,0 +1,161 @@
+"""Steps for servers that fall silent for a moment."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from types import MappingProxyType
+from unittest import mock
+
+from behave import given, then, when
+from tests.support.held_requests import assert_nothing_held, until
+from tests.support.relay_world import configuration
+
+from sardinetrack.relay import server_choice
+from sardinetrack.relay.permit import PermitRefusedError
+from sardinetrack.topology.configuration import WeightedPool
+from sardinetrack.topology.freshness import boot_clock
+
+_CHANGE_SECONDS = 0.4
+_REST_SECONDS = 5.0
+_UNNUMBERED = 'data: token {number}\n\n'
+
+
+def _set_routes(context, **changes):
+    state = context.world.entry_state
+    held = state.configuration
+    routes = {
+        host: tuple(replace(one, **changes) for one in of_host)
+        for host, of_host in held.routes.items()
+    }
+    version = held.version + 1
+    state.configuration = replace(held, version=version, routes=routes)
+
+
+@given('its server pauses for {seconds:g} seconds before event {number:d}')
+def pause_home(context, seconds, number):
+    """Let the home server of all streams of these tests pause."""
+    world = context.world
+    assert world.run(world.call('stream')).complete
+    context.home = next(one for one in world.servers if one.requests)
+    others = (one for one in world.servers if one is not context.home)
+    context.other = next(others)
+    context.home.requests.clear()
+    context.home.notices.stalls[number] = seconds
+
+
+@when('a stream may be sent to one server')
+def send_to_one(context):
+    _set_routes(context, max_servers=1)
+
+
+@when('the retry budget is used up')
+def use_up_budget(context):
+    budget = context.world.entry_state.budget('models')
+    while budget.try_withdraw():
+        """Withdraw them all."""
+
+
+@when('the other server has no free slot')
+def fill_other(context):
+    acquire = server_choice.acquire_permit
+
+    async def refuse(state, pool, candidate, request):
+        if candidate.server.instance == context.other.instance:
+            raise PermitRefusedError(1, 'no slot')
+        return await acquire(state, pool, candidate, request)
+
+    patch = mock.patch.object(server_choice, 'acquire_permit', refuse)
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
+@when('the other server rests')
+def rest(context):
+    rests = context.world.entry_state.server_states.rests
+    rests.begin(boot_clock(), context.other.instance, _REST_SECONDS)
+
+
+@when('the other server accepts no connection')
+def close_other(context):
+    context.world.run(context.other.close())
+
+
+_ACTS = MappingProxyType(
+    {
+        'turns it away': 'shed',
+        'fails it': 'fail',
+        'disconnects': 'reset',
+        'is silent too': 'hang',
+    }
+)
+
+
+@when('the other server is sent it and {act}')
+def act_other(context, act):
+    context.other.acts.append(_ACTS[act])
+
+
+@when('the other server has other software')
+def change_software(context):
+    context.home.version = 'v1'
+    context.other.version = 'v2'
+    context.world.list_servers()
+
+
+@when('the events have no numbers')
+def remove_numbers(context):
+    for server in context.world.servers:
+        server.event_form = _UNNUMBERED
+
+
+def _change_later(context, change):
+    context.world.loop.call_later(_CHANGE_SECONDS, change)
+
+
+@when('the route is removed in the silence')
+def remove_route(context):
+    state = context.world.entry_state
+
+    def change():
+        held = state.configuration
+        version = held.version + 1
+        state.configuration = replace(held, version=version, routes={})
+
+    _change_later(context, change)
+
+
+@when('the key is revoked in the silence')
+def revoke_key(context):
+    def change():
+        later = configuration(9, keys=('other',))
+        context.world.entry_state.configuration = later
+
+    _change_later(context, change)
+
+
+@when('the route leads elsewhere after the silence began')
+def move_route(context):
+    pools = (WeightedPool('plain', 1),)
+    _change_later(context, lambda: _set_routes(context, pools=pools))
+
+
+@then('the caller had it all within {seconds:d} seconds')
+def had_it_within(context, seconds):
+    ended = [
+        line['took_seconds']
+        for line in context.world.lines()
+        if line['event'] == 'request_ended'
+    ]
+    assert ended[-1] < seconds, ended
+
+
+@then('the other server sees its connection close')
+def sees_close(context):
+    context.world.run(until(context.other.gone.is_set))
+
+
+@then('nothing is held for the stream any more')
+def holds_nothing(context):
+    world = context.world
+    world.run(until(lambda: not world.entry._exchanges))  # noqa: SLF001
+    assert_nothing_held(world.entry_state)
--- a/tests/relay/steps/stream_move_steps.py
+++ b/tests/relay/steps/stream_move_steps.py
@@ -10,7 +10,7 @@
 from unittest import mock
 
 from behave import given, then, when
-from tests.support.held_requests import until
+from tests.support.held_requests import assert_nothing_held, until
 from tests.support.moving_servers import EVENTS, MovingServer
 from tests.support.relay_servers import SharedActs
 from tests.support.relay_world import RelayWorld, close_world, configuration
@@ -476,13 +476,9 @@
     if hasattr(context, 'early'):
         context.world.run(context.early)
     context.world.run(_all_ended(context))
-    states = state.server_states
-    assert states.moves.slots._value == MAX_MOVES  # noqa: SLF001
-    for local in states._local_admissions.values():  # noqa: SLF001
-        assert not local.admission.running, local.admission.running
-        assert not local.admission.waiting, local.admission.waiting
-    in_use = state.connections._open  # noqa: SLF001
-    assert not any(in_use.values()), in_use
+    moves = state.server_states.moves
+    assert moves.slots._value == MAX_MOVES  # noqa: SLF001
+    assert_nothing_held(state)
 
 
 @then('{count:d} copies were made at the same time at most')
--- a/tests/support/held_requests.py
+++ b/tests/support/held_requests.py
@@ -80,3 +80,12 @@
     server.notices.held_act = act
     server.notices.released.set()
     return await asyncio.gather(*calls)
+
+
+def assert_nothing_held(state):
+    """Check that no permit and no connection to a server is in use."""
+    for local in state.server_states._local_admissions.values():  # noqa: SLF001
+        assert not local.admission.running, local.admission.running
+        assert not local.admission.waiting, local.admission.waiting
+    in_use = state.connections._open  # noqa: SLF001
+    assert not any(in_use.values()), in_use
