A silent server is left only when another one has accepted the stream

What callers saw: responses that were truncated, or 502, although their server went on a moment later.

Cause: an entry ended an attempt after 1.2 s of silence (3 s before the first event), and only then asked whether the stream may go on elsewhere. Everything that forbade it then cut the response: attempts used up, the retry budget, rest, no permit, a server that refused, failed or fell silent too, other software, events without numbers, a route or key that had changed meanwhile. The class: something irrevocable is done on a guess before its replacement is certain.

Change: the second attempt is placed and sent while the first stays open, and takes over with the head of its successful response, unless the silent server has sent anything since. A retry that could not be sent returns to the budget. Line server_silent and metric silent_servers tell what came of each silence.

Why it works: until a server has accepted the stream, nothing of the first attempt is given up; a refusal of the second one ends only the second one.

Ruled out: a longer limit (only moves the fault, dead servers cost more); a check before the attempt is left (the permit and the second server can still refuse); to take over at the first event (two engines run the request for a prefill).

The step that looks for silent servers when a caller reads again calls Exchange.check, which holds the former abandon_if_silent.

--- a/src/sardinetrack/logs/events.py
+++ b/src/sardinetrack/logs/events.py
@@ -47,6 +47,7 @@
     SERVER_SUSPECT = 'server_suspect'
     SERVER_LEAVING = 'server_leaving'
     SERVER_REST = 'server_rest'
+    SERVER_SILENT = 'server_silent'
     SERVER_CRASHED = 'server_crashed'
     PART_STATUS = 'part_status'
     EVACUATION = 'evacuation'
--- a/src/sardinetrack/relay/attempt.py
+++ b/src/sardinetrack/relay/attempt.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum, auto
 from http import HTTPStatus
@@ -56,6 +57,28 @@
         return cls(EventSplitter(call.last_event_id), StreamPauses(flow))
 
 
+@dataclass(frozen=True, slots=True)
+class StreamStart:
+    """What precedes the forwarding of an attempt's stream."""
+
+    progress: Progress
+    server: str
+    """Its instance."""
+    prefill_tokens: int
+    claim: Callable[[], bool] | None = None
+    """Claims the response from another attempt, which may keep it."""
+
+    def begin(self) -> bool:
+        """Prepare for its events; return whether they may be forwarded."""
+        if self.claim is not None and not self.claim():
+            return False
+        progress = self.progress
+        progress.splitter.resume()
+        now = asyncio.get_running_loop().time()
+        progress.pauses.begin_attempt(now, self.server, self.prefill_tokens)
+        return True
+
+
 class AttemptObserver(ABC):
     """Learns from a response before it is complete."""
 
@@ -80,12 +103,16 @@
         call: CallerRequest,
         caller_response: CallerResponse,
         adapter: ProtocolAdapter,
-        progress: Progress,
+        start: StreamStart,
         *,
         streams: bool,
         connection: ServerConnection,
         observer: AttemptObserver,
     ) -> None:
+        """Create an attempt that is not sent.
+
+        :param streams: whether a successful response is a stream of events.
+        """
         loop = asyncio.get_running_loop()
         self.done: asyncio.Future[SendOutcome] = loop.create_future()
         self.response: ResponseHead | None = None
@@ -97,7 +124,8 @@
         self._call = call
         self._caller_response = caller_response
         self._adapter = adapter
-        self._progress = progress
+        self._start = start
+        self._progress = start.progress
         self._streams = streams
         self._connection = connection
         self._connection_unused = connection.unused
@@ -160,7 +188,10 @@
             self._finish(
                 SendOutcome.UNKNOWN, 'response without the server stamp'
             )
+            return
         self._forwards = self._streams and response.status == HTTPStatus.OK
+        if self._forwards and not self._start.begin():
+            self._finish(SendOutcome.UNKNOWN, 'not needed')
 
     def body_received(self, piece: bytes) -> None:
         """Forward complete events, or buffer the piece."""
--- a/src/sardinetrack/relay/exchange.py
+++ b/src/sardinetrack/relay/exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 
 from sardinetrack.errors.api import ErrorKind, RequestError
 from sardinetrack.logs.events import Event
@@ -15,8 +16,8 @@
     error_response,
     promises_not_run,
 )
-from sardinetrack.relay.movable_stream import MovableStream
 from sardinetrack.relay.move_tools import MoveTools
+from sardinetrack.relay.relief import Relief
 from sardinetrack.relay.request_end import record_end
 from sardinetrack.relay.request_plan import (
     Plan,
@@ -24,10 +25,9 @@
     part_refusal,
     plan_continuation,
 )
-from sardinetrack.relay.sender import Sender
+from sardinetrack.relay.run import Run
 from sardinetrack.relay.server_choice import Placer
 from sardinetrack.relay.server_states import ServerUnavailableError
-from sardinetrack.relay.silence import max_silence_seconds
 from sardinetrack.relay.trace import Placement, Trace
 from sardinetrack.turns.clock import loop_now
 
@@ -47,65 +47,32 @@
         self._state = state
         self._adapter = adapter
         self._call = call
+        self._caller = caller
         self._response = caller.response
         self._flow = caller.flow
         self.progress = Progress.of(call, caller.flow)
         self._placer = Placer(state, call, self.trace)
-        self._sender = Sender(state, adapter, call, caller, self.trace)
-        self._movable: MovableStream | None = None
-
-    @property
-    def attempt(self) -> ServerAttempt | None:
-        """The latest attempt."""
-        return self._sender.attempt
+        self._run: Run | None = None
+        self._newest_run: Run | None = None
 
     @property
     def delivered(self) -> bool:
         """Whether the caller has the complete response."""
         return self._response.complete
 
-    @property
-    def server_restarted(self) -> bool:
-        """Whether the server has restarted since the latest attempt."""
-        server = self._sender.server
-        return server is not None and self._state.is_superseded(server)
-
     def check(self, now: float) -> None:
         """Check the server of the request; called several times a second."""
-        self.abandon_if_silent(now)
-        if self._movable is not None:
-            self._movable.check(now)
-
-    def abandon_if_silent(self, now: float) -> None:
-        """Abandon an attempt on a silent server if the request may be repeated.
-
-        An unreachable server sends no reset; without this check its streams
-        would hang until their callers give up. A server that has restarted
-        knows nothing of the requests sent to its former start.
-        """
-        plan, attempt = self.plan, self.attempt
-        if plan is None or attempt is None or attempt.done.done():
+        run = self._watched_run()
+        if run is None or run.ended:
             return
-        allowed = max_silence_seconds(
-            plan.route, started=attempt.first_event_received
-        )
-        silent = self._silent_seconds(now, attempt) > allowed
-        # One that may have begun at the new start would be taken from it.
-        superseded = self.server_restarted and not (
-            self.trace.origin_is_doubtful(self._state.servers)
-        )
-        if silent or (plan.route.repeatable and superseded):
-            attempt.abandon()
-
-    def _silent_seconds(self, now: float, attempt: ServerAttempt) -> float:
-        """Return how long a server has sent nothing, though it was read.
-
-        While reading is paused for a slow caller, a working server looks
-        silent too.
-        """
-        if self._flow.paused:
-            return 0
-        return now - max(attempt.last_data_seconds, self._flow.resumed_seconds)
+        if run.relief is not None and run.relief.pending:
+            run.relief.check()
+            return
+        run.check_restart()
+        if run.is_relief_due(now):
+            self._relieve(run, now)
+        else:
+            run.check_move(now)
 
     async def run(self) -> None:
         """Serve the request."""
@@ -207,23 +174,15 @@
 
     async def _serve(self, plan: Plan) -> None:
         while not self.delivered:
-            placement = await self._place(plan)
+            placement = await self._placer.place(plan)
+            self._run = self._new_run(plan)
             try:
-                attempt = await self._send(plan, placement)
+                attempt = await self._follow(self._run, placement)
             except (NotConnectedError, ServerUnavailableError):
                 continue
-            finally:
-                placement.permit.release(complete=self.delivered)
             self._handle_outcome(plan, attempt)
 
-    async def _place(self, plan: Plan) -> Placement:
-        placement = await self._placer.place(plan)
-        return placement.held() if plan.has_movable_streams else placement
-
-    async def _send(self, plan: Plan, placement: Placement) -> ServerAttempt:
-        """Send to one server, or on from there while its engine leaves."""
-        if not plan.has_movable_streams:
-            return await self._sender.send(plan, placement, self.progress)
+    def _new_run(self, plan: Plan, takes_over: Relief | None = None) -> Run:
         tools = MoveTools(
             self._state,
             self._adapter,
@@ -233,13 +192,55 @@
             self.trace,
             self._flow,
         )
-        movable = MovableStream(tools, self._sender, self.progress)
-        self._movable = movable
+        self._newest_run = Run(tools, self._caller, self.progress, takes_over)
+        return self._newest_run
+
+    async def _follow(self, run: Run, placement: Placement) -> ServerAttempt:
+        """Send, and wait for the end, also if another attempt takes over.
+
+        :return: the attempt that ended last.
+        """
+        try:
+            attempt = await run.send(placement)
+            return await run.last_attempt(attempt)
+        finally:
+            await run.end_relief()
+
+    def _watched_run(self) -> Run | None:
+        """Return the run whose server is to be watched.
+
+        One that takes over is watched once the silent server's has ended.
+        """
+        run = self._run
+        if run is not None and run.relief is not None and run.ended:
+            self._run = self._newest_run
+        return self._run
+
+    def _relieve(self, run: Run, now: float) -> None:
+        """Look for a server that takes over from a silent one."""
+        plan = self.plan
+        assert plan is not None  # noqa: S101
+        allowed = self._may_retry(plan, SendOutcome.UNKNOWN)
+        run.relieve(now, partial(self._take_over, plan) if allowed else None)
+
+    async def _take_over(
+        self, plan: Plan, relief: Relief
+    ) -> ServerAttempt | None:
+        """Send to a server that the request has not been sent to.
+
+        :return: the attempt that ended last; ``None`` if none could be sent.
+        """
+        sends = self.trace.sent
+        placer = Placer(self._state, self._call, self.trace, only_untried=True)
         try:
-            async with movable:
-                return await movable.send(placement)
+            placement = await placer.place(plan)
+            return await self._follow(self._new_run(plan, relief), placement)
+        except (RequestError, NotConnectedError, ServerUnavailableError):
+            # The silent server is waited for; the line on it tells that.
+            return None
         finally:
-            self._movable = None
+            if self.trace.sent == sends:
+                self._state.budget(plan.pool.name).refund()
 
     def _handle_outcome(self, plan: Plan, attempt: ServerAttempt) -> None:
         """Deliver a buffered response unless the request is to be retried.
--- a/src/sardinetrack/relay/flow_control.py
+++ b/src/sardinetrack/relay/flow_control.py
@@ -1,4 +1,4 @@
-"""Flow control between a caller and the server that responds to it."""
+"""Flow control between a caller and the servers that respond to it."""
 
 from __future__ import annotations
 
@@ -11,26 +11,29 @@
 
 
 class FlowControl:
-    """Reads from a server no faster than the caller reads."""
+    """Reads from servers no faster than the caller reads.
+
+    There are two while a silent one is being relieved.
+    """
 
     def __init__(self) -> None:
         self.paused = False
         self.resumed_seconds = -math.inf
         """When it was last resumed, on the clock of the event loop."""
-        self._connection: ServerConnection | None = None
+        self._connections: set[ServerConnection] = set()
 
     def pause(self) -> None:
-        """Stop reading from the server."""
+        """Stop reading from the servers."""
         self.paused = True
-        if self._connection is not None:
-            self._connection.flow(reading=False)
+        for connection in self._connections:
+            connection.flow(reading=False)
 
     def resume(self) -> None:
-        """Continue to read from the server."""
+        """Continue to read from the servers."""
         self.paused = False
         self.resumed_seconds = loop_now()
-        if self._connection is not None:
-            self._connection.flow(reading=True)
+        for connection in self._connections:
+            connection.flow(reading=True)
 
     @contextmanager
     def applied_to(self, connection: ServerConnection) -> Iterator[None]:
@@ -39,10 +42,10 @@
         A caller that is slow at its start would otherwise fill the memory with
         all that this server sends.
         """
-        self._connection = connection
+        self._connections.add(connection)
         if self.paused:
             connection.flow(reading=False)
         try:
             yield
         finally:
-            self._connection = None
+            self._connections.discard(connection)
--- a/src/sardinetrack/relay/meters.py
+++ b/src/sardinetrack/relay/meters.py
@@ -7,6 +7,8 @@
 from enum import StrEnum
 from typing import Final
 
+from sardinetrack.relay.relief import ReliefOutcome
+
 BOUNDS_SECONDS: Final = (0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8)
 PAUSE_RATIO_BOUNDS: Final = (0.1, 0.25, 0.5, 0.75, 1.0, 1.5, 2.0, 4.0)
 """Of the longest pause of a stream to the objective of its route."""
@@ -58,6 +60,8 @@
         """By cause; a stream that was late for both counts for both."""
         self.continued = Counter(dict.fromkeys(Continuation, 0))
         """Sends that continue a stream after an event, by what does."""
+        self.silences = Counter(dict.fromkeys(ReliefOutcome, 0))
+        """Silences of servers in which another one was looked for."""
         self.origins: Counter[str] = Counter()
         """Streams that callers continue, by how their origin was found."""
         self.pause_ratios: dict[str, Histogram] = {}
--- a/src/sardinetrack/relay/metrics.py
+++ b/src/sardinetrack/relay/metrics.py
@@ -72,6 +72,11 @@
 def _stream_metrics(state: EntryState) -> Iterable[Metric]:
     """Return the metrics of an entry's streams."""
     streams = state.meters.streams
+    yield _counter(
+        'silent_servers',
+        'Silent servers of begun requests, by what became of the request',
+        streams.silences,
+    )
     yield _histogram(
         'first_event', 'Arrival to first event', streams.first_event
     )
--- a/src/sardinetrack/relay/movable_stream.py
+++ b/src/sardinetrack/relay/movable_stream.py
@@ -13,6 +13,7 @@
 from sardinetrack.relay.move_reason import MoveReason, meets_long_pauses
 from sardinetrack.relay.move_steps import RunningMove
 from sardinetrack.relay.move_tools import MoveTools
+from sardinetrack.relay.relief import Relief
 from sardinetrack.relay.send_mode import SendMode, await_end
 from sardinetrack.relay.sender import Sender
 from sardinetrack.relay.server_states import ServerUnavailableError
@@ -29,21 +30,29 @@
     """
 
     def __init__(
-        self, tools: MoveTools, sender: Sender, progress: Progress
+        self,
+        tools: MoveTools,
+        sender: Sender,
+        progress: Progress,
+        relief: Relief | None = None,
     ) -> None:
         """Prepare to send.
 
         :param progress: of the request.
+        :param relief: set if the first attempt takes over from a silent server.
         """
         self._tools = tools
         self._sender = sender
         self._progress = progress
+        self._relief = relief
         self._loop = asyncio.get_running_loop()
         self._stack = AsyncExitStack()
         self._schedule = MoveSchedule()
         self._attempt: ServerAttempt | None = None
         self._move: RunningMove | None = None
         self._due: asyncio.Future[MoveReason] = self._loop.create_future()
+        self._has_begun_move = False
+        """Whether the move that is due has begun."""
         self._has_left_pauses = False
         """At most one move for this reason: copies take time on the links."""
 
@@ -60,6 +69,16 @@
         """Release what is held."""
         await self._stack.__aexit__(kind, error, trace)
 
+    @property
+    def moving(self) -> bool:
+        """Whether the steps run in which the source's run may be stopped."""
+        if self._due.done() and not self._has_begun_move:
+            return True
+        move = self._move
+        if move is None or move.machine.outcome is not None:
+            return False
+        return not move.machine.sends
+
     def check(self, now: float) -> None:
         """Start the move if it is due; called several times a second."""
         attempt, server = self._attempt, self._sender.server
@@ -96,7 +115,10 @@
         """
         follow = partial(self._follow, placement)
         attempt = await self._sender.send(
-            self._tools.plan, placement, self._progress, SendMode(follow)
+            self._tools.plan,
+            placement,
+            self._progress,
+            SendMode(follow, relief=self._relief),
         )
         while self._move is not None and self._move.machine.sends:
             attempt = await self._send_on(self._move, attempt)
@@ -138,6 +160,7 @@
         self._attempt = attempt
         self._schedule = MoveSchedule()
         self._due = self._loop.create_future()
+        self._has_begun_move = False
         awaited: set[asyncio.Future[Any]] = {attempt.done, self._due}
         await asyncio.wait(awaited, return_when=asyncio.FIRST_COMPLETED)
         if attempt.done.done():
@@ -147,4 +170,5 @@
         move = RunningMove(self._tools, placement, attempt, reason)
         await self._stack.enter_async_context(move)
         self._move = move
+        self._has_begun_move = True
         return await move.stop_source()
--- a/src/sardinetrack/relay/send_mode.py
+++ b/src/sardinetrack/relay/send_mode.py
@@ -7,6 +7,7 @@
 
 from sardinetrack.relay.api import KvSource
 from sardinetrack.relay.attempt import ServerAttempt
+from sardinetrack.relay.relief import Relief
 
 
 async def await_end(attempt: ServerAttempt) -> bool:
@@ -27,3 +28,5 @@
     is_return: bool = False
     """The server, which leaves, has stopped the run itself and goes on with it;
     that is no new work."""
+    relief: Relief | None = None
+    """The attempt takes over from one whose server is silent."""
--- a/src/sardinetrack/relay/sender.py
+++ b/src/sardinetrack/relay/sender.py
@@ -13,7 +13,12 @@
     CallerRequest,
     ProtocolAdapter,
 )
-from sardinetrack.relay.attempt import Progress, SendOutcome, ServerAttempt
+from sardinetrack.relay.attempt import (
+    Progress,
+    SendOutcome,
+    ServerAttempt,
+    StreamStart,
+)
 from sardinetrack.relay.caller_connection import CallerConnection
 from sardinetrack.relay.connection_pool import IDLE_SECONDS, NotConnectedError
 from sardinetrack.relay.entry_state import EntryState
@@ -97,7 +102,11 @@
                         connection, self._adapter, target, self._outcomes
                     )
                 attempt = self._prepare(
-                    plan, placement, progress, target, connection
+                    plan,
+                    placement,
+                    target,
+                    connection,
+                    _stream_start(placement, progress, mode),
                 )
                 stopped = await self._exchange(
                     plan, placement, connection, attempt, mode
@@ -155,21 +164,15 @@
         self,
         plan: Plan,
         placement: Placement,
-        progress: Progress,
         target: Target,
         connection: ServerConnection,
+        start: StreamStart,
     ) -> ServerAttempt:
-        progress.splitter.resume()
-        progress.pauses.begin_attempt(
-            self._loop.time(),
-            target.server.instance,
-            placement.candidate.prefill_tokens,
-        )
         return ServerAttempt(
             self._call,
             self._caller.response,
             self._adapter,
-            progress,
+            start,
             streams=plan.is_streaming and self._call.method != _HEAD,
             connection=connection,
             observer=ServerNotices(
@@ -295,6 +298,18 @@
     return continues and server.started_milliseconds is not None
 
 
+def _stream_start(
+    placement: Placement, progress: Progress, mode: SendMode
+) -> StreamStart:
+    candidate, relief = placement.candidate, mode.relief
+    return StreamStart(
+        progress,
+        candidate.server.instance,
+        candidate.prefill_tokens,
+        None if relief is None else relief.accept,
+    )
+
+
 def _prepare_reuse(
     connection: ServerConnection, attempt: ServerAttempt
 ) -> None:
--- a/src/sardinetrack/relay/server_choice.py
+++ b/src/sardinetrack/relay/server_choice.py
@@ -62,14 +62,21 @@
 
 
 class Placer:
-    """Chooses among the servers that this request has not been sent to."""
+    """Chooses a server, of those that it has not been sent to if possible."""
 
     def __init__(
         self,
         state: EntryState,
         call: CallerRequest,
         trace: Trace,
+        *,
+        only_untried: bool = False,
     ) -> None:
+        """Create a placer for one request.
+
+        :param only_untried: never choose a server that it was sent to before.
+        """
+        self._only_untried = only_untried
         self._state = state
         self._call = call
         self._trace = trace
@@ -195,7 +202,8 @@
             )
         trace = self._trace
         untried = excluding(candidates, {*trace.servers, *trace.unreachable})
-        untried = untried or excluding(candidates, trace.unreachable)
+        if not untried and not self._only_untried:
+            untried = excluding(candidates, trace.unreachable)
         return self._limited_to_trial(plan, untried)
 
     def _limited_to_trial(
--- a/src/sardinetrack/routing/retries.py
+++ b/src/sardinetrack/routing/retries.py
@@ -40,3 +40,7 @@
             return False
         self._tokens -= 1
         return True
+
+    def refund(self) -> None:
+        """Return a retry that was withdrawn but not sent."""
+        self._tokens = min(self._burst, self._tokens + 1)
--- a/tests/relay/silent_servers.feature
+++ b/tests/relay/silent_servers.feature
@@ -15,23 +15,24 @@
     And a caller requests a resumable stream
     Then the caller receives all events once and the end
     And the servers got <requests> requests
+    And the line on the silent server says <outcome>
 
     Examples:
-      | why                                          | requests |
-      | a stream may be sent to one server           | 1        |
-      | the retry budget is used up                  | 1        |
-      | the other server has no free slot            | 1        |
-      | the other server rests                       | 1        |
-      | the other server accepts no connection       | 1        |
-      | the other server is sent it and turns it away| 2        |
-      | the other server is sent it and fails it     | 2        |
-      | the other server is sent it and disconnects  | 2        |
-      | the other server is sent it and is silent too| 2        |
-      | the other server has other software          | 1        |
-      | the events have no numbers                   | 1        |
-      | the route is removed in the silence          | 1        |
-      | the key is revoked in the silence            | 1        |
-      | the route leads elsewhere after the silence began | 1   |
+      | why                                               | requests | outcome     |
+      | a stream may be sent to one server                | 1        | not_allowed |
+      | the retry budget is used up                       | 1        | not_allowed |
+      | the other server has no free slot                 | 1        | not_placed  |
+      | the other server rests                            | 1        | not_placed  |
+      | the other server accepts no connection            | 1        | not_placed  |
+      | the other server is sent it and turns it away     | 2        | not_placed  |
+      | the other server is sent it and fails it          | 2        | not_placed  |
+      | the other server is sent it and disconnects       | 2        | not_placed  |
+      | the other server is sent it and is silent too     | 2        | went_on     |
+      | the other server has other software               | 1        | not_placed  |
+      | the events have no numbers                        | 1        | not_allowed |
+      | the route is removed in the silence               | 1        | not_placed  |
+      | the key is revoked in the silence                 | 1        | not_placed  |
+      | the route leads elsewhere after the silence began | 1        | not_placed  |
 
   Scenario: A stream outlasts the silence of one server after the other
     Guards against a stream that has left a sound server for one that then falls
@@ -39,8 +40,8 @@
 
     Given a relay in front of 2 model servers
     And a time-out of 10 seconds
-    When the servers pause for 1.9 seconds before event 4
-    And the servers pause for 1.9 seconds before event 5
+    When the servers pause for 1.5 seconds before event 4
+    And the servers pause for 1.5 seconds before event 5
     And a caller requests a resumable stream
     Then the caller receives all events once and the end
 
@@ -65,6 +66,7 @@
     Then the caller receives all events once and the end
     And the servers got 2 requests
     And the caller had it all within 2 seconds
+    And the line on the silent server says taken_over
     And nothing is held for the stream any more
 
   Scenario: A server that goes on first keeps its stream
@@ -79,3 +81,15 @@
     Then the caller receives all events once and the end
     And the other server sees its connection close
     And nothing is held for the stream any more
+
+  Scenario: A retry that can't be sent stays in the retry budget
+    Guards against retries that are used up for streams of sound servers, so that
+    streams of other servers lack them.
+
+    Given a relay in front of 2 model servers
+    And a time-out of 10 seconds
+    And its server pauses for 1.9 seconds before event 4
+    When the other server has no free slot
+    And a caller requests a resumable stream
+    Then the caller receives all events once and the end
+    And the retry budget is full
--- a/tests/relay/steps/silence_steps.py
+++ b/tests/relay/steps/silence_steps.py
@@ -141,14 +141,31 @@
 
 @then('the caller had it all within {seconds:d} seconds')
 def had_it_within(context, seconds):
+    context.lines = context.world.lines()
     ended = [
         line['took_seconds']
-        for line in context.world.lines()
+        for line in context.lines
         if line['event'] == 'request_ended'
     ]
     assert ended[-1] < seconds, ended
 
 
+@then('the line on the silent server says {outcome}')
+def says_outcome(context, outcome):
+    lines = getattr(context, 'lines', None) or context.world.lines()
+    silent = [line for line in lines if line['event'] == 'server_silent']
+    assert [line['outcome'] for line in silent] == [outcome], silent
+    assert silent[0]['server'] == context.home.instance, silent
+    counts = context.world.entry_state.meters.streams.silences
+    assert +counts == {outcome: 1}, counts
+
+
+@then('the retry budget is full')
+def budget_is_full(context):
+    budget = context.world.entry_state.budget('models')
+    assert budget._tokens == budget._burst, budget._tokens  # noqa: SLF001
+
+
 @then('the other server sees its connection close')
 def sees_close(context):
     context.world.run(until(context.other.gone.is_set))
--- a/tests/relay/steps/slow_caller_steps.py
+++ b/tests/relay/steps/slow_caller_steps.py
@@ -62,7 +62,7 @@
     def resume_and_look(connection):
         resume(connection)
         for exchange in entry._exchanges:  # noqa: SLF001
-            exchange.abandon_if_silent(entry.now())
+            exchange.check(entry.now())
 
     patch = mock.patch.object(
         CallerConnection, 'resume_writing', resume_and_look
