--- a/tests/support/version_world.py
+++ b/tests/support/version_world.py
@@ -20,7 +20,12 @@
 from tests.support.loop_tasks import cancel_other_tasks
 from tests.support.moving_servers import MovingServer
 from tests.support.no_feeds import idle_watcher
-from tests.support.relay_world import KEY, RelayWorld, configuration
+from tests.support.relay_world import (
+    KEY,
+    RelayWorld,
+    Reply,
+    configuration,
+)
 
 _NETS = count(1)
 
@@ -60,6 +65,8 @@
         self.target = '/stream/s'
         self.raw = b''
         self.statuses = []
+        self.retry_after = None
+        """Seconds, as the last response has them."""
         self.complete = False
 
     @property
@@ -165,6 +172,7 @@
                 answer += piece
                 head, _, body = answer.partition(b'\r\n\r\n')
                 stream.statuses[-1] = int(head.split()[1]) if body else 0
+                stream.retry_after = Reply(answer).retry_after
                 # An event that is cut off was not received.
                 whole = body.rpartition(b'\n\n')
                 stream.raw = before + whole[0] + whole[1]
--- a/tests/system/stalls.feature
+++ b/tests/system/stalls.feature
@@ -14,6 +14,23 @@
       | all sides stall |
       | entry-a stalls  |
 
+  Scenario Outline: requests of every kind outlast a short silence: <process>
+    Guards against requests that are lost or run twice before their first byte,
+    because what serves them sends nothing for a moment and then goes on.
+    Given a fleet with 2 engines and 1 service
+    When 24 callers send requests concurrently
+    And <process> for <seconds> s
+    Then each of them receives exactly its own words
+    And each request has run once
+
+    Examples:
+      | process                | seconds |
+      | every server stalls    | 1.2     |
+      | every server stalls    | 2.5     |
+      | all sides stall        | 1.2     |
+      | all sides stall        | 2.5     |
+      | entry-a stalls         | 2.5     |
+
   Scenario: a stream whose side does not come back ends within a limited time
     Given a fleet with 2 engines and 0 services
     When 4 long streams run through entry-a
--- a/tests/system/steps/stalls_steps.py
+++ b/tests/system/steps/stalls_steps.py
@@ -14,6 +14,11 @@
     _stall(context, _side_names(context), seconds)
 
 
+@when('every server stalls for {seconds:g} s')
+def when_servers_stall(context, seconds: float):
+    _stall(context, context.scene.stand_ins.names(), seconds)
+
+
 @when('{name:S} stalls for {seconds:g} s')
 def when_stalls(context, name: str, seconds: float):
     _stall(context, [name], seconds)
@@ -35,6 +40,12 @@
     assert took_seconds < seconds, took_seconds
 
 
+@then('each request has run once')
+def then_run_once(context):
+    counts = context.scene.stand_ins.all_started()
+    assert counts and set(counts.values()) == {1}, counts
+
+
 def _side_names(context) -> list[str]:
     return [f'side-{name}' for name in context.scene.stand_ins.names()]
 
