A connection to a server outlasts a path that is silent for 2 to 3 seconds

What callers saw: 502 "outcome_unknown", cause "reset", for a request that its server was working on and would have answered; nothing could be sent again, as the request may run once. Only where the network path to the server drops everything for 2 to 3 s; a stopped process acknowledges still.

Cause: a connection that waits for a response is probed after 1 and 2 s without data, and at 3 s the kernel compared the 3.0 s since it last received anything with TCP_USER_TIMEOUT (3.0 s) before it sent the third probe. TCP_KEEPCNT is ignored beside that option. So a path silent for just over 2 s lost both probes, and the connection ended at 3 s though the path was back.

Why it works: at 3 s the limit is not reached, the third probe is sent and answered.

Resumable streams have limits of their own.

Ruled out: bytes that are sent into the silence.

--- a/src/sardinetrack/relay/server_connection.py
+++ b/src/sardinetrack/relay/server_connection.py
@@ -19,12 +19,17 @@
 
 CONNECT_SECONDS: Final = 0.3
 """A server in the same region responds in 3 ms; a lost packet costs 0.2 s."""
-UNACKNOWLEDGED_SECONDS: Final = 3.0
-"""Sent bytes that stay unacknowledged for this long end the connection."""
+UNACKNOWLEDGED_SECONDS: Final = 3.5
+"""Sent bytes that stay unacknowledged for this long end the connection.
+
+It ends a silent connection too, as a probe becomes due: the kernel compares the
+time since it last received anything, and ignores the number of probes. Longer
+than the time to the last probe, so that this one is sent and may be answered.
+"""
 PROBE_SECONDS: Final = 1
 """Interval of the keep-alive probes on a silent connection; the minimum."""
-PROBES: Final = 2
-"""Unanswered probes that end the connection; one may be lost."""
+PROBES: Final = 3
+"""Unanswered probes that end the connection; a path may be silent for two."""
 MAX_REQUESTS: Final = 128
 """A connection is closed after as many requests with an id.
 
