Moves: a silent engine's stream is not cut while its stop is unconfirmed

What callers saw: a stream was truncated although its engine was sound. A leaving engine that fell silent as its stream was to move (1.4 s from the call that stops the run) and then went on had nobody left to send to.

Cause: after a stop without a reply, the step WATCH took 0.4 s without events for the end of the run, and the move abandoned the attempt.

Fix: the stream tells. The move ends as not stopped once events have come for 0.4 s; an engine that wakes may send what it had made before it reads the call, so one event proves nothing. After 2.4 s without any event the move ends as broken, as before, but the attempt stays: the engine may go on, and what becomes of a stream that stays silent is decided where it is for every other stream. The slot for moves is released before this wait, the destination's permit after it. With a caller that doesn't read, the wait ends after 0.8 of handleTtlS.

Evidence: the new scenario ("asleep": the engine is silent for 0.7 s from the stop, the limits of the test were 0.2 s and 0.25 s) failed before: the caller got events 1 to 12 of 40. It passes now, and so do the rows for an engine that never responds ("frozen": truncated at the deadline, the move reported as broken). A row for a resumable stream of such an engine is new; it passes before and after.

Ruled out: a longer fixed wait that ends in the same cut; it only moves the limit.

--- a/src/sardinetrack/relay/move_steps.py
+++ b/src/sardinetrack/relay/move_steps.py
@@ -41,9 +41,14 @@
 Two engines may work on one stream for no longer than this, in case a run that
 seems to have stopped still continues.
 """
+WATCH_SECONDS: Final = 0.4
+"""A run whose stop was not confirmed continues if events come for so long."""
+_POLL_SECONDS: Final = 0.05
+SILENCE_SECONDS: Final = 2.4
+"""A sound engine may send nothing for so long and go on."""
 _RETENTION_FRACTION: Final = 0.8
-"""Fraction of the time for which a copy is kept that a slow caller may use to
-read the rest of the source's stream."""
+"""Fraction of the time for which a copy is kept that the wait for the source's
+stream may take, with a slow caller for example."""
 _DIGITS: Final = 3
 _Perform = Callable[[], Awaitable[MoveEvent]]
 _COPY_EVENTS: Final[Mapping[KvMoveResult, MoveEvent]] = MappingProxyType(
@@ -151,9 +156,6 @@
             if machine.step is MoveStep.SEND_BACK:
                 self._release_destination()
             return True
-        if machine.outcome is MoveOutcome.BROKEN:
-            # Nothing happens if the stream has ended already.
-            self._attempt.abandon()
         await self._finish()
         await asyncio.wait({self._attempt.done})
         return False
@@ -284,15 +286,32 @@
     async def _watch(self) -> MoveEvent:
         """Find out whether a run continues whose stop was not confirmed.
 
-        A caller that doesn't read hides it; the check for silent servers, which
-        takes that into account, goes on.
+        An engine that was silent may send what it had made before it reads the
+        call, so the stream continues only if it does for a while. A caller that
+        doesn't read hides it.
         """
-        before = self._attempt.last_data_seconds
-        await asyncio.sleep(STREAM_END_SECONDS)
-        received = self._attempt.last_data_seconds > before
-        if received or self._tools.flow.paused:
-            return MoveEvent.STREAM_CONTINUES
-        return MoveEvent.STREAM_SILENT
+        self._slot.close()
+        attempt, loop = self._attempt, self._loop
+        retention_seconds = self._tools.plan.pool.copy_retention_seconds
+        due = loop.time() + _RETENTION_FRACTION * retention_seconds
+        continues_since = loop.time()
+        while loop.time() < due:
+            await asyncio.sleep(_POLL_SECONDS)
+            silent_seconds = self._silent_seconds()
+            if silent_seconds > SILENCE_SECONDS:
+                return MoveEvent.STREAM_SILENT
+            if attempt.last_data_seconds - continues_since >= WATCH_SECONDS:
+                break
+            if silent_seconds > WATCH_SECONDS or self._tools.flow.paused:
+                continues_since = loop.time()
+        return MoveEvent.STREAM_CONTINUES
+
+    def _silent_seconds(self) -> float:
+        flow = self._tools.flow
+        if flow.paused:
+            return 0
+        since = max(self._attempt.last_data_seconds, flow.resumed_seconds)
+        return self._loop.time() - since
 
     def _release_destination(self) -> None:
         if self.destination is not None:
--- a/src/sardinetrack/relay/stream_move.py
+++ b/src/sardinetrack/relay/stream_move.py
@@ -81,6 +81,7 @@
     """The same, and its last event has no number to continue after."""
     STREAM_CONTINUES = auto()
     STREAM_SILENT = auto()
+    """Nothing has come for longer than a sound engine is silent."""
     ACCEPTED = auto()
     """The server has sent the first event of the continued stream."""
     NOT_RUN = auto()
@@ -103,7 +104,7 @@
     ENDED = 'ended'
     """The run ended by itself."""
     BROKEN = 'broken'
-    """The stream broke before it could be sent on."""
+    """The stream broke, or stayed silent, before it could be sent on."""
     REJECTED = 'rejected'
     """No server continued the stream."""
     REVOKED = 'revoked'
--- a/tests/relay/steps/stream_move_steps.py
+++ b/tests/relay/steps/stream_move_steps.py
@@ -29,6 +29,8 @@
     (f'{_RELAY}.stream_move.MIN_RUN_SECONDS', 0.1),
     (f'{_RELAY}.move_steps.PLACE_AGAIN_SECONDS', 0.2),
     (f'{_RELAY}.move_steps.STREAM_END_SECONDS', 0.25),
+    (f'{_RELAY}.move_steps.WATCH_SECONDS', 0.2),
+    (f'{_RELAY}.move_steps.SILENCE_SECONDS', 0.9),
     (f'{_RELAY}.kv_calls.COPY_SECONDS', 0.2),
 )
 
@@ -95,6 +97,12 @@
         server.replies = {'copy': copy, 'stop': stop}
 
 
+@when("the source's replies are ok and {stop:w}, and {again:w} if asked again")
+def reply_again(context, stop, again):
+    for server in context.world.servers:
+        server.replies = {'copy': 'ok', 'stop': stop, 'again': again}
+
+
 @when(
     "the destination's act is {act:w},"
     " and the source's act after it is {back:w}"
--- a/tests/relay/stream_moves.feature
+++ b/tests/relay/stream_moves.feature
@@ -107,6 +107,7 @@
       | once-stream | ok   | frozen         | answer | answer | truncated | broken      | 0     |
       | once-stream | ok   | crash          | answer | answer | truncated | broken      | 0     |
       | stream      | ok   | crash          | answer | answer | complete  | broken      | 0     |
+      | stream      | ok   | frozen         | answer | answer | complete  | broken      | 0     |
 
     Examples: The request that continues
       | route       | copy | stop | act         | back   | response  | outcome  | freed |
@@ -119,6 +120,22 @@
       | once-stream | ok   | ok   | answer_once | answer | truncated | moved    | 0     |
       | stream      | ok   | ok   | answer_once | answer | complete  | moved    | 0     |
 
+  Scenario Outline: The reply to a stop is late or lost at a sound engine: <stop>, then <again>
+    Guards against a stream that is cut though its engine goes on, or has stopped
+    as it was asked to and kept the memory of the run.
+
+    Given a relay in front of 2 engines whose streams move
+    When the source's replies are ok and <stop>, and <again> if asked again
+    And a caller requests a once-stream whose engine is listed as leaving
+    Then the caller's stream is <response>
+    And the move ends as <outcome>, with <freed> copies freed
+    And no event of a once-stream was made twice
+    And nothing of the move is held any more
+
+    Examples: The engine falls silent and goes on
+      | stop   | again | response | outcome     | freed |
+      | asleep | ok    | complete | not_stopped | 1     |
+
   Scenario Outline: The destination or the right to use it is gone before the stop
     Guards against a run that is stopped though it can't continue elsewhere.
 
--- a/tests/support/moving_servers.py
+++ b/tests/support/moving_servers.py
@@ -11,6 +11,7 @@
 EVENTS = 40
 EVENT_SECONDS = 0.02
 _LATE_SECONDS = 0.1
+_SILENT_SECONDS = 0.7
 
 
 @dataclass
@@ -36,12 +37,16 @@
         self.freed = []
         self.calls = []
         self.replies = {'copy': 'ok', 'stop': 'ok'}
+        """To the first copy, to a stop, and to a second stop (``again``) if it
+        differs."""
         self.late_form = ''
         """Form of the event that follows the stop of a run; else as others."""
         self.copying = 0
         self.max_copying = 0
         self._runs = {}
         self._used = set()
+        self._awake = asyncio.Event()
+        self._awake.set()
 
     async def _perform(self, request, reader, writer):
         head, _, body = request
@@ -63,8 +68,16 @@
         self.max_copying = max(self.max_copying, self.copying)
         await asyncio.sleep(EVENT_SECONDS)
         self.copying -= 1
-        name = self.replies['stop' if call.get('last') else 'copy']
-        await getattr(self, f'_call_{name}')(call, writer)
+        await self._awake.wait()
+        await getattr(self, f'_call_{self._reply_name(call)}')(call, writer)
+
+    def _reply_name(self, call):
+        if not call.get('last'):
+            return self.replies['copy']
+        is_repeated = self.calls.count(call) > 1
+        return self.replies.get(
+            'again' if is_repeated else '', self.replies['stop']
+        )
 
     async def _call_ok(self, call, writer):
         run = self._runs[call['id']]
@@ -106,11 +119,44 @@
         self._runs[call['id']].stopped = None
         await asyncio.sleep(60)
 
+    async def _call_stopped_cut(self, call, writer):
+        self._stop(self._runs[call['id']])
+        writer.transport.abort()
+
+    async def _call_stopped_asleep(self, call, writer):
+        self._stop(self._runs[call['id']])
+        await asyncio.sleep(2 * _LATE_SECONDS)
+        await self._fall_silent()
+
+    async def _call_asleep(self, call, writer):
+        await self._fall_silent()
+
+    async def _call_late_stop(self, call, writer):
+        await self._fall_silent()
+        self._stop(self._runs[call['id']])
+
+    async def _call_later_stop(self, call, writer):
+        await self._fall_silent()
+        await asyncio.sleep(2 * EVENT_SECONDS)
+        self._stop(self._runs[call['id']])
+
+    async def _call_busy_once(self, call, writer):
+        self.replies['again'] = 'ok'
+        await self._call_busy(call, writer)
+
     async def _call_crash(self, call, writer):
         await self._crash(None, None, writer)
 
+    async def _fall_silent(self):
+        """Send nothing for a while, as an engine that the system suspends."""
+        self._awake.clear()
+        await asyncio.sleep(_SILENT_SECONDS)
+        self._awake.set()
+
     def _stop(self, run):
         """Stop a run; the last event that it made is sent a while later."""
+        if run.stopped:
+            return
         run.made += 1
         self.made.append(run.made)
         run.stopped = True
@@ -143,6 +189,7 @@
             self.made.append(run.made)
             await self._write_event(fields, writer, run.made)
             await asyncio.sleep(EVENT_SECONDS)
+            await self._awake.wait()
         if run.stopped is None:
             await asyncio.sleep(60)
         elif run.stopped:
