Moves: a stream whose stop was carried out without a reply goes on

What callers saw: a stream was truncated although its engine had kept all that is needed to go on. The engine stopped the run as it was asked to, closed the stream, and the reply to the call was lost, or came later than the entry waited, because the engine fell silent meanwhile.

Cause: without the reply the entry has no handle, and took the end of the stream for a crash.

Fix: when the stream of an unconfirmed stop ends without its end, the stop is sent again. The source keeps the memory of a run that it has stopped and copies only what is new, so its reply is the one that was lost: a copy goes on at the destination, a kept memory at the source. An engine that doesn't respond in time, or is still at the first call (409), is asked again for 2.4 s; a connection that is refused, or a 404, ends the move as broken at once, as before. The request is sent on only after a reply that confirms the stop, so two engines never work on it. An attempt that the entry itself has ended (another server took the stream over, the engine restarted) is not asked about.

An engine that answers 404, one that never responds, one that crashes and one whose last event has no number are still truncated and reported as broken.

Ruled out: sending with the handle of the first copy. It lacks what was made after it, and no reply has confirmed that the run stopped.

--- a/src/sardinetrack/platform/kv_transfer.py
+++ b/src/sardinetrack/platform/kv_transfer.py
@@ -22,6 +22,7 @@
     {
         HTTPStatus.OK: KvMoveResult.COPIED,
         HTTPStatus.NOT_FOUND: KvMoveResult.NO_RUN,
+        HTTPStatus.CONFLICT: KvMoveResult.PENDING,
         HTTPStatus.SERVICE_UNAVAILABLE: KvMoveResult.NO_ROOM,
     },
 )
--- a/src/sardinetrack/relay/api.py
+++ b/src/sardinetrack/relay/api.py
@@ -87,6 +87,8 @@
     """The engine runs no such request."""
     NO_ROOM = auto()
     """Not copied; if the run was to stop, it has, and kept its memory."""
+    PENDING = auto()
+    """No response in time, or the engine is still at an earlier call."""
     FAILED = auto()
     """Not copied; whether the run has stopped is unknown."""
 
--- a/src/sardinetrack/relay/kv_calls.py
+++ b/src/sardinetrack/relay/kv_calls.py
@@ -63,9 +63,11 @@
         )
         try:
             reply = await self._send(source.address, call, COPY_SECONDS)
-        except (NotConnectedError, TimeoutError) as error:
-            cause = str(error) or 'no response in time'
-            return KvMoveReply(KvMoveResult.FAILED, cause=cause)
+        except NotConnectedError as error:
+            return KvMoveReply(KvMoveResult.FAILED, cause=str(error))
+        except TimeoutError:
+            cause = 'no response in time'
+            return KvMoveReply(KvMoveResult.PENDING, cause=cause)
         interrupted_by = reply.done.result()
         if interrupted_by is not None:
             cause = interrupted_by.value
--- a/src/sardinetrack/relay/move_steps.py
+++ b/src/sardinetrack/relay/move_steps.py
@@ -11,7 +11,7 @@
 from sardinetrack.errors.api import RequestError
 from sardinetrack.logs.events import Event
 from sardinetrack.placement.choice import Candidate
-from sardinetrack.relay.api import KvMoveResult, KvSource
+from sardinetrack.relay.api import KvMoveReply, KvMoveResult, KvSource
 from sardinetrack.relay.attempt import SendOutcome, ServerAttempt
 from sardinetrack.relay.kv_calls import HeldCopies, KvCalls
 from sardinetrack.relay.move_reason import MoveReason
@@ -44,6 +44,7 @@
 WATCH_SECONDS: Final = 0.4
 """A run whose stop was not confirmed continues if events come for so long."""
 _POLL_SECONDS: Final = 0.05
+_ASK_AGAIN_SECONDS: Final = 0.1
 SILENCE_SECONDS: Final = 2.4
 """A sound engine may send nothing for so long and go on."""
 _RETENTION_FRACTION: Final = 0.8
@@ -56,11 +57,17 @@
         KvMoveResult.COPIED: MoveEvent.COPIED,
         KvMoveResult.NO_RUN: MoveEvent.NO_RUN,
         KvMoveResult.NO_ROOM: MoveEvent.NO_ROOM,
+        KvMoveResult.PENDING: MoveEvent.NO_COPY,
         KvMoveResult.FAILED: MoveEvent.NO_COPY,
     }
 )
 _STOPPING: Final = frozenset(
-    (MoveStep.STOP, MoveStep.DRAIN, MoveStep.DRAIN_BACK)
+    (
+        MoveStep.STOP,
+        MoveStep.DRAIN,
+        MoveStep.DRAIN_BACK,
+        MoveStep.STOP_AGAIN,
+    )
 )
 """Steps that the end of the stream doesn't interrupt: it is a part of them."""
 
@@ -106,6 +113,7 @@
             MoveStep.DRAIN: self._drain,
             MoveStep.DRAIN_BACK: self._drain,
             MoveStep.WATCH: self._watch,
+            MoveStep.STOP_AGAIN: self._stop_again,
         }
 
     async def __aenter__(self) -> Self:
@@ -248,7 +256,28 @@
             return MoveEvent.NOT_ALLOWED
         return await self._call(last=True)
 
+    async def _stop_again(self) -> MoveEvent:
+        """Ask for what a source has kept that closed the stream.
+
+        A stream that ended otherwise, because another server took it over for
+        example, is not sent on.
+        """
+        if not self._attempt.interrupted_by_server:
+            return MoveEvent.NO_RUN
+        if not self._attempt.is_continuable:
+            return MoveEvent.UNNUMBERED
+        due = self._loop.time() + SILENCE_SECONDS
+        reply = await self._ask(last=True)
+        while reply.result is KvMoveResult.PENDING and self._loop.time() < due:
+            await asyncio.sleep(_ASK_AGAIN_SECONDS)
+            reply = await self._ask(last=True)
+        return _COPY_EVENTS[reply.result]
+
     async def _call(self, *, last: bool) -> MoveEvent:
+        reply = await self._ask(last=last)
+        return _COPY_EVENTS[reply.result]
+
+    async def _ask(self, *, last: bool) -> KvMoveReply:
         assert self.destination is not None  # noqa: S101
         source = self._source.candidate.server
         reply = await self._calls.copy(
@@ -261,7 +290,7 @@
             self._copies.add(KvSource(source, reply.handle))
         if reply.result is not KvMoveResult.COPIED:
             self._cause = reply.cause
-        return _COPY_EVENTS[reply.result]
+        return reply
 
     async def _drain(self) -> MoveEvent:
         """Read the source's stream to its end.
--- a/src/sardinetrack/relay/stream_move.py
+++ b/src/sardinetrack/relay/stream_move.py
@@ -52,6 +52,8 @@
     """The same before SEND_BACK."""
     WATCH = auto()
     """Find out from the stream whether its run has stopped."""
+    STOP_AGAIN = auto()
+    """Ask again for the copy of a run that has stopped; the reply was lost."""
     SEND = auto()
     """Send the request to the destination, which holds the copy."""
     SEND_BACK = auto()
@@ -170,10 +172,18 @@
             MoveEvent.UNNUMBERED: MoveOutcome.BROKEN,
         },
         MoveStep.WATCH: {
-            **_STREAM_ENDS,
+            MoveEvent.STREAM_COMPLETE: MoveOutcome.ENDED,
+            MoveEvent.STREAM_BROKEN: MoveStep.STOP_AGAIN,
             MoveEvent.STREAM_CONTINUES: MoveOutcome.NOT_STOPPED,
             MoveEvent.STREAM_SILENT: MoveOutcome.BROKEN,
         },
+        MoveStep.STOP_AGAIN: {
+            MoveEvent.COPIED: MoveStep.SEND,
+            MoveEvent.NO_RUN: MoveOutcome.BROKEN,
+            MoveEvent.NO_ROOM: MoveStep.SEND_BACK,
+            MoveEvent.NO_COPY: MoveOutcome.BROKEN,
+            MoveEvent.UNNUMBERED: MoveOutcome.BROKEN,
+        },
         MoveStep.SEND: {
             MoveEvent.ACCEPTED: MoveOutcome.MOVED,
             MoveEvent.NOT_RUN: MoveStep.SEND_BACK,
--- a/tests/relay/stream_moves.feature
+++ b/tests/relay/stream_moves.feature
@@ -50,16 +50,22 @@
     Then the caller's stream is complete
     And no engine was asked for a copy, and no move is reported
 
-  Scenario: The last event of a stopped run has no number
+  Scenario Outline: The last event of a stopped run has no number
     Guards against a destination that repeats that event.
 
     Given a relay in front of 2 engines whose streams move
     And their last event before a stop has no number
-    When a caller requests a once-stream whose engine is listed as leaving
+    When the source's replies are ok and <stop>, and ok if asked again
+    And a caller requests a once-stream whose engine is listed as leaving
     Then the caller's stream is truncated
     And the move ends as broken, with 0 copies freed
     And nothing of the move is held any more
 
+    Examples:
+      | stop        |
+      | ok          |
+      | stopped_cut |
+
   Scenario Outline: A stream stays where <why>
     Guards against copies that help no caller.
 
@@ -136,6 +142,20 @@
       | stop   | again | response | outcome     | freed |
       | asleep | ok    | complete | not_stopped | 1     |
 
+    Examples: It stops the run when it goes on
+      | stop       | again     | response  | outcome  | freed |
+      | late_stop  | ok        | complete  | moved    | 0     |
+      | late_stop  | busy_once | complete  | moved    | 0     |
+      | late_stop  | kept      | complete  | returned | 0     |
+      | late_stop  | gone      | truncated | broken   | 0     |
+      | later_stop | ok        | complete  | moved    | 0     |
+
+    Examples: It stops the run, and its reply is lost
+      | stop           | again | response | outcome | freed |
+      | stopped_cut    | ok    | complete | moved   | 0     |
+      | stopped_silent | ok    | complete | moved   | 0     |
+      | stopped_asleep | ok    | complete | moved   | 0     |
+
   Scenario Outline: The destination or the right to use it is gone before the stop
     Guards against a run that is stopped though it can't continue elsewhere.
 
