Moves: a stream returns to its source though that is silent for a moment

What callers saw: a stream was truncated whose destination had refused it and whose source, sound and with the memory of the run, was silent for a moment.

Cause: the return was tried once, with 0.3 s for the connection and 0.3 s for the check which start of the engine responds. Without a response in that time the move ended as rejected.

A refused connection or another start still ends it at once: such an engine has lost the memory.

The row "crashes" shows that a crash is still reported as rejected.

Ruled out: a destination that is silent when it is sent to. It is waited for, or, if the check of its start gets no response, the stream returns to the source.

--- a/src/sardinetrack/relay/movable_stream.py
+++ b/src/sardinetrack/relay/movable_stream.py
@@ -6,12 +6,12 @@
 from contextlib import AsyncExitStack
 from functools import partial
 from types import TracebackType
-from typing import Any, Self
+from typing import Any, Final, Self
 
 from sardinetrack.relay.attempt import Progress, ServerAttempt
 from sardinetrack.relay.connection_pool import NotConnectedError
 from sardinetrack.relay.move_reason import MoveReason, meets_long_pauses
-from sardinetrack.relay.move_steps import RunningMove
+from sardinetrack.relay.move_steps import SILENCE_SECONDS, RunningMove
 from sardinetrack.relay.move_tools import MoveTools
 from sardinetrack.relay.relief import Relief
 from sardinetrack.relay.send_mode import SendMode, await_end
@@ -21,6 +21,9 @@
 from sardinetrack.relay.trace import Placement
 from sardinetrack.topology.servers import BackendServer
 
+_SEND_AGAIN_SECONDS: Final = 0.1
+"""Between two tries to send to a source that does not respond."""
+
 
 class MovableStream:
     """One run of a request, on one engine after the other.
@@ -140,15 +143,37 @@
         if not is_return:
             self._stack.callback(self._release, placement)
         try:
-            attempt = await self._sender.send(
-                self._tools.plan, placement, self._progress, mode
-            )
+            attempt = await self._send_in_time(placement, mode)
         except (NotConnectedError, ServerUnavailableError) as error:
             await move.sent(None, str(error) or 'not available')
             return stopped
         not_run = await move.sent(attempt.done.result(), attempt.reason)
         return stopped if not_run else attempt
 
+    async def _send_in_time(
+        self, placement: Placement, mode: SendMode
+    ) -> ServerAttempt:
+        """Send; a source that has kept the memory may be silent for a while.
+
+        :raises NotConnectedError: nothing was sent.
+        """
+        send = partial(
+            self._sender.send,
+            self._tools.plan,
+            placement,
+            self._progress,
+            mode,
+        )
+        due = self._loop.time() + SILENCE_SECONDS
+        while mode.is_return and self._loop.time() < due:
+            try:
+                return await send()
+            except NotConnectedError as error:
+                if isinstance(error.__cause__, ConnectionRefusedError):
+                    raise
+            await asyncio.sleep(_SEND_AGAIN_SECONDS)
+        return await send()
+
     def _release(self, placement: Placement) -> None:
         complete = self._sender.caller_has_all
         placement.permit.release(complete=complete)
--- a/tests/relay/steps/stream_move_steps.py
+++ b/tests/relay/steps/stream_move_steps.py
@@ -97,6 +97,13 @@
         server.replies = {'copy': copy, 'stop': stop}
 
 
+@given('the start of each engine is known')
+def know_starts(context):
+    for server in context.world.servers:
+        server.started = 1_700_000_000_000
+    context.world.list_servers()
+
+
 @when("the source's replies are ok and {stop:w}, and {again:w} if asked again")
 def reply_again(context, stop, again):
     for server in context.world.servers:
--- a/tests/relay/stream_moves.feature
+++ b/tests/relay/stream_moves.feature
@@ -126,6 +126,26 @@
       | once-stream | ok   | ok   | answer_once | answer | truncated | moved    | 0     |
       | stream      | ok   | ok   | answer_once | answer | complete  | moved    | 0     |
 
+  Scenario Outline: A stream returns to a source that <does>
+    Guards against a stream that is cut though its engine, which has kept the
+    memory of the run, only falls silent for a moment.
+
+    Given a relay in front of 2 engines whose streams move
+    And the start of each engine is known
+    When the source's replies are ok and <stop>
+    And the destination's act is shed_late, and the source's act after it is answer
+    And a caller requests a once-stream whose engine is listed as leaving
+    Then the caller's stream is <response>
+    And the move ends as <outcome>, with 0 copies freed
+    And no event of a once-stream was made twice
+    And nothing of the move is held any more
+
+    Examples:
+      | does         | stop      | response  | outcome  |
+      | responds     | ok        | complete  | returned |
+      | falls silent | ok_asleep | complete  | returned |
+      | crashes      | ok_crash  | truncated | rejected |
+
   Scenario Outline: The reply to a stop is late or lost at a sound engine: <stop>, then <again>
     Guards against a stream that is cut though its engine goes on, or has stopped
     as it was asked to and kept the memory of the run.
--- a/tests/support/moving_servers.py
+++ b/tests/support/moving_servers.py
@@ -50,6 +50,7 @@
 
     async def _perform(self, request, reader, writer):
         head, _, body = request
+        await self._awake.wait()
         if head.startswith(b'DELETE /v1/kv-handle/'):
             self.freed.append(head.split(b' ')[1].decode().rpartition('/')[2])
             self._reply(writer, '200 OK', {})
@@ -128,6 +129,18 @@
         await asyncio.sleep(2 * _LATE_SECONDS)
         await self._fall_silent()
 
+    async def _call_ok_asleep(self, call, writer):
+        await self._call_ok(call, writer)
+        await writer.drain()
+        await asyncio.sleep(1.5 * _LATE_SECONDS)
+        await self._fall_silent()
+
+    async def _call_ok_crash(self, call, writer):
+        await self._call_ok(call, writer)
+        await writer.drain()
+        await asyncio.sleep(1.5 * _LATE_SECONDS)
+        await self._crash(None, None, writer)
+
     async def _call_asleep(self, call, writer):
         await self._fall_silent()
 
@@ -175,6 +188,10 @@
                 return
         await self._run(fields, writer, made)
 
+    async def _shed_late(self, fields, reader, writer):
+        await asyncio.sleep(2 * _LATE_SECONDS)
+        await self._shed(fields, reader, writer)
+
     async def _answer_once(self, fields, reader, writer):
         await self._run(fields, writer, int(fields['last-event-id']), 1)
 
