A request that ends by an unexpected error gets an answer

Cause: the task of a request handled RequestError alone. Any other exception ended it, and its connection was truncated with nothing written.

Change: the entry logs the fault as before and answers. 503 "not run" only if nothing was sent; else 500, "the outcome is unknown". A begun response is truncated, a complete one stays.

Before: the 5 rows of the two outlines fail (empty answer); the other two scenarios hold what was right already. After: all pass. Ruled out: a cancellation from inside. Only the end of the caller's connection cancels a request's task, and no future that it awaits is cancelled by others (searched). The token counts are still accepted by the adapter.

--- a/src/sardinetrack/relay/entry.py
+++ b/src/sardinetrack/relay/entry.py
@@ -248,6 +248,10 @@
             exchange.trace.reason = 'caller disconnected'
             exchange.trace.outcome = 'caller_left'
             raise
+        except Exception as error:
+            # Its caller would find the connection closed without an answer.
+            self.failed(error)
+            exchange.refuse(_fault_response(exchange))
         finally:
             self._count_ended(workspace)
             self._request_finished(exchange)
@@ -325,3 +329,12 @@
                 )
             if now - connection.changed_seconds > allowed:
                 connection.close_idle()
+
+
+def _fault_response(exchange: Exchange) -> RequestError:
+    """Return the response to a request that ended by an unexpected error."""
+    if exchange.trace.may_have_run:
+        return RequestError(ErrorKind.INTERNAL)
+    return RequestError(
+        ErrorKind.NOT_RUN_LOST, 'the router failed before it sent the request'
+    )
--- /dev/null
+++ b/tests/relay/unexpected_errors.feature
@@ -0,0 +1,46 @@
+Feature: Requests that end by an unexpected error
+
+  Scenario Outline: A request that was read gets an answer: <case>
+    Guards against connections that are closed without an answer, and against
+    "not run" where the request may have run.
+
+    Given a relay in front of 1 plain server
+    When an unexpected error occurs <moment> of the next report
+    Then the caller gets status <status>, which says <promise>
+    And the servers got <count> requests
+    And the error is logged as a fault
+
+    Examples:
+      | case              | moment                  | status | promise       | count |
+      | nothing is sent   | before the send         | 503    | not run       | 0     |
+      | it may have run   | after the failed answer | 500    | may have run  | 1     |
+
+  Scenario: A complete response is followed by no other one
+    Guards against the error's answer being read as the one to the next request.
+
+    Given a relay in front of 1 plain server
+    When an unexpected error occurs after the delivery to the next caller
+    Then that caller gets the response, and one to its next request
+
+  Scenario: A response that has begun is truncated
+    Guards against a second status line within a stream, or an end of it that
+    looks complete.
+
+    Given a relay in front of 1 model server
+    When an unexpected error occurs after the server has interrupted a stream
+    Then the caller's response is truncated
+    And the caller got one status line
+
+  Scenario Outline: A request with token counts that can't be computed with gets an answer: <counts>
+    Guards against connections that are closed without an answer.
+
+    Given a relay in front of 1 model server
+    When a stream is requested whose prompt counts <counts>
+    Then the caller gets status 503 and when to retry
+    And the servers got 0 requests
+
+    Examples:
+      | counts                                 |
+      | 400 digits and 1                       |
+      | 1 and 400 digits                       |
+      | 1 and -5, of which -1 are estimated    |
