Looking for a caller's disconnect takes no file descriptor

What callers saw: a request that was read whole wasn't served while the entry had no free descriptor and the next request of the connection waited unread.

Cause: just before a send the entry peeks at unread data for the end of the connection, on a duplicate of its descriptor. The duplicate was made outside of the block that catches the error (EMFILE), which ended the request's task.

Change: the peek borrows the descriptor instead of duplicating it.

After: both responses arrive.

--- a/src/sardinetrack/relay/caller_connection.py
+++ b/src/sardinetrack/relay/caller_connection.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import socket
 from collections import deque
 from typing import Final, NamedTuple, cast
@@ -138,16 +137,16 @@
 
     def _peek_end(self) -> bool:
         """Peek, without reading, whether the caller has ended its stream."""
-        fileno = file_descriptor(self._transport)
-        with socket.socket(fileno=os.dup(fileno)) as duplicate:
-            try:
-                return not duplicate.recv(
-                    1, socket.MSG_PEEK | socket.MSG_DONTWAIT
-                )
-            except BlockingIOError:
-                return False
-            except OSError:
-                return True
+        # Not of a duplicate, for which no descriptor may be free.
+        borrowed = socket.socket(fileno=file_descriptor(self._transport))
+        try:
+            return not borrowed.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        finally:
+            borrowed.detach()
 
     def close_idle(self) -> bool:
         """Close the connection unless data waits unread.
--- a/tests/relay/steps/unexpected_error_steps.py
+++ b/tests/relay/steps/unexpected_error_steps.py
@@ -4,10 +4,13 @@
 
 import asyncio
 import json
+import os
+import resource
+from contextlib import contextmanager
 from types import MappingProxyType
 from unittest import mock
 
-from behave import then, when
+from behave import given, then, when
 from tests.support.relay_world import Reply
 
 from sardinetrack.relay import sender
@@ -119,3 +122,57 @@
         if line['event'] == 'fault'
     ]
     assert causes == [repr(_FAULT)], causes
+
+
+@given('a caller that has fetched stays connected')
+def fetch_and_stay(context):
+    world = context.world
+
+    async def fetch():
+        context.caller = await asyncio.open_connection('127.0.0.1', world.port)
+        context.caller[1].write(world.request('fetch', closes=False))
+        await context.caller[0].readuntil(b'done by')
+
+    world.run(fetch())
+
+
+@contextmanager
+def _no_free_descriptor():
+    """Lower the limit to the descriptors in use."""
+    limits = resource.getrlimit(resource.RLIMIT_NOFILE)
+    lowest_free = os.dup(0)
+    os.close(lowest_free)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (lowest_free, limits[1]))
+    try:
+        yield
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+
+
+@when('the caller pipelines 2 more fetches, and no descriptor is free')
+def pipeline_without_descriptors(context):
+    world = context.world
+    reader, writer = context.caller
+    check = world.entry_state.check_available
+
+    def check_after_next_arrives(*positional, **named):
+        # Straight into the kernel: the event loop has no chance to read it.
+        world.entry_state.check_available = check
+        sock = writer.get_extra_info('socket')
+        os.write(sock.fileno(), world.request('fetch'))
+        check(*positional, **named)
+
+    world.entry_state.check_available = check_after_next_arrives
+
+    async def fetch():
+        writer.write(world.request('fetch', closes=False))
+        with _no_free_descriptor():
+            context.raw = await asyncio.wait_for(reader.read(), 2)
+        writer.close()
+
+    world.run(fetch())
+
+
+@then('it gets 2 responses with status 200')
+def two_responses(context):
+    assert context.raw.count(b'HTTP/1.1 200 OK') == 2, context.raw
--- a/tests/relay/unexpected_errors.feature
+++ b/tests/relay/unexpected_errors.feature
@@ -44,3 +44,12 @@
       | 400 digits and 1                       |
       | 1 and 400 digits                       |
       | 1 and -5, of which -1 are estimated    |
+
+  Scenario: An entry without a free descriptor serves pipelined requests
+    Guards against a caller who gets no answer because its next request waits
+    unread, and looking at it takes a descriptor.
+
+    Given a relay in front of 1 plain server
+    And a caller that has fetched stays connected
+    When the caller pipelines 2 more fetches, and no descriptor is free
+    Then it gets 2 responses with status 200
