Requests that were read before an entry stops get their responses

What callers saw: after a SIGTERM, requests that were pipelined behind a running one, and read whole before the signal, ended with a closed connection and no answer.

Cause: a stopping entry announced the close with the next response of each connection, whatever had been read behind it, and dropped that.

Change: the close is announced with the response to the last request that was read by then. Requests that arrive after that announcement are not served, as before.

Before: the scenario fails, one response of three. After: three, in order, and only the last one closes. Unchanged: what follows a rejected request, a request with "Connection: close", or more than 16 pipelined ones is dropped behind an announced close, as the scenarios of responses.feature demand. None of it was passed on to a server: all wait for the response before theirs.

--- a/src/sardinetrack/relay/caller_connection.py
+++ b/src/sardinetrack/relay/caller_connection.py
@@ -56,6 +56,7 @@
         self._task: asyncio.Task[None] | None = None
         self._pipelined: deque[CallerRequest | _Rejection] = deque()
         self._closing = False
+        self._draining = False
         self._unreadable = False
         self._received_any = False
         self.response = CallerResponse(self._write, self._closes)
@@ -168,8 +169,11 @@
             self._transport.close()
 
     def close_after_response(self) -> None:
-        """Announce with the next response that the connection closes."""
-        self._closing = True
+        """Announce with the last response that the connection closes.
+
+        It is the one to the last request that was read by then.
+        """
+        self._draining = True
 
     def on_message_begin(self) -> None:
         """Start a request."""
@@ -254,8 +258,10 @@
 
     def _closes(self) -> bool:
         """Whether the connection closes after a response that starts now."""
-        closes = self._call is not None and self._call.closes_connection
-        return closes or self._closing
+        if self._call is not None and self._call.closes_connection:
+            return True
+        # Requests that were read before an entry stops get their responses.
+        return self._closing or (self._draining and not self._pipelined)
 
     def _queue(self, request: CallerRequest | _Rejection) -> None:
         if len(self._pipelined) >= _MAX_PIPELINED:
--- a/tests/relay/connections.feature
+++ b/tests/relay/connections.feature
@@ -43,3 +43,12 @@
     Then the caller gets status 200
     And 4 connections were opened to the servers
     And the entry keeps 4 connections to the servers
+
+  Scenario: Requests that were read before an entry stops get their responses
+    A caller pipelines. Guards against whole requests that were read behind the
+    one whose response announced the close, and were dropped unanswered.
+
+    Given a relay in front of 1 plain server
+    When the entry is stopped while the first of 3 pipelined requests runs
+    Then it gets 3 responses in order
+    And only the last of them closes the connection
--- a/tests/relay/steps/connection_steps.py
+++ b/tests/relay/steps/connection_steps.py
@@ -157,6 +157,38 @@
     context.raw = context.world.run(send_all())
 
 
+async def _stop_behind_held(world, count):
+    server = world.servers[0]
+    server.acts.append('held')
+    reader, writer = await asyncio.open_connection('127.0.0.1', world.port)
+    writer.write(
+        b''.join(world.request('fetch', closes=False) for _ in range(count))
+    )
+    await server.asked.wait()
+    drain = asyncio.ensure_future(world.entry.drain())
+    await asyncio.sleep(0.05)
+    server.notices.released.set()
+    raw = await asyncio.wait_for(reader.read(), 4)
+    writer.close()
+    await drain
+    return raw
+
+
+@when(
+    'the entry is stopped while the first of {count:d} pipelined requests runs'
+)
+def stop_while_pipelined(context, count):
+    world = context.world
+    context.raw = world.run(_stop_behind_held(world, count))
+
+
+@then('only the last of them closes the connection')
+def only_last_closes(context):
+    heads = context.raw.lower().split(b'http/1.1 ')[1:]
+    closes = [b'connection: close' in head for head in heads]
+    assert closes == [*(False for _ in heads[1:]), True], context.raw
+
+
 @when('the entry is stopped while a caller reads a stream')
 def stop_entry(context):
     async def stop():
