An entry stops only when its callers have their whole responses

What callers saw: a response to a slow reader ended early when its entry was stopped in order, though the server had sent all of it.

Cause: a stopping entry waited for its requests. A request ends once its response is written, and the end of a long one is still held by the process until its caller reads. That was lost with the process.

Change: as its last step the entry waits until nothing is unsent and no connection has a request in progress, within the same fraction of the grace period as before.

After: both pass; a caller that reads nothing delays the stop only until that fraction of the grace period.

--- a/src/sardinetrack/relay/caller_connection.py
+++ b/src/sardinetrack/relay/caller_connection.py
@@ -123,6 +123,12 @@
         """Whether the socket holds data that the loop has not read yet."""
         return has_unread_data(self._transport)
 
+    @property
+    def has_unsent(self) -> bool:
+        """Whether a part of its responses waits until the caller reads."""
+        transport = self._transport
+        return transport is not None and transport.get_write_buffer_size() > 0
+
     @property
     def disconnected(self) -> bool:
         """Whether the caller has closed, even if that is still unread.
--- a/src/sardinetrack/relay/entry.py
+++ b/src/sardinetrack/relay/entry.py
@@ -160,6 +160,7 @@
                 connection.close_idle()
         await self._wait_idle(deadline_seconds)
         await self._refuse_pending(deadline_seconds)
+        await self._wait_delivered(deadline_seconds)
 
     async def _refuse_pending(self, deadline_seconds: float) -> None:
         """Refuse the callers that connect or send a request at the very end.
@@ -189,6 +190,17 @@
                 requests_cut=len(self._exchanges),
             )
 
+    async def _wait_delivered(self, deadline_seconds: float) -> None:
+        """Wait until all requests that were read have their whole responses.
+
+        The end of a long response is held here while its caller reads slowly,
+        though the request has ended by then.
+        """
+        while any(one.busy or one.has_unsent for one in self._connections):
+            if self.now() >= deadline_seconds:
+                return
+            await asyncio.sleep(SWEEP_SECONDS)
+
     def now(self) -> float:
         """Return the time of the event loop's clock."""
         return self._loop.time()
--- a/tests/relay/relay.feature
+++ b/tests/relay/relay.feature
@@ -323,6 +323,19 @@
     When the entry is stopped in a stream, and its caller requests another one
     Then the caller receives both streams, and only the second closes the connection
 
+  Scenario: An entry stops only when its callers have their responses
+    A caller reads a long response slowly. Guards against a response that is
+    truncated by the end of the process, which still held the rest of it.
+
+    Given a relay in front of 1 plain server
+    When the entry is stopped while a caller has 3.2 seconds to read a long response
+    Then nothing of the response is left in the entry when it has stopped
+
+  Scenario: An entry whose caller does not read stops before it is killed
+    Given a relay in front of 1 plain server
+    When the entry is stopped while a caller has 9 seconds to read a long response
+    Then it has stopped within 3.8 seconds
+
   Scenario: A HEAD request gets an immediate response
     The response to a HEAD request states the length of a body that does not
     follow. Waiting for it would delay the caller until the time-out.
--- a/tests/relay/steps/connection_steps.py
+++ b/tests/relay/steps/connection_steps.py
@@ -10,6 +10,7 @@
 from concurrent.futures import ThreadPoolExecutor
 
 from behave import given, then, when
+from tests.support.held_requests import until
 from tests.support.relay_world import RelayWorld, Reply, close_world
 
 from sardinetrack.relay.capacity import BASE_BYTES, REQUEST_BYTES
@@ -221,6 +222,49 @@
     context.reply = context.world.run(stop())
 
 
+@when(
+    'the entry is stopped while a caller has {seconds:g} seconds'
+    ' to read a long response'
+)
+def stop_unread(context, seconds):
+    world = context.world
+    world.servers[0].acts.append('answer_at_length')
+
+    async def stop():
+        reader, writer = await asyncio.open_connection('127.0.0.1', world.port)
+        writer.transport.pause_reading()
+        writer.write(world.request('fetch'))
+        await until(lambda: _unsent(world))
+        world.loop.call_later(seconds, writer.transport.resume_reading)
+        reading = asyncio.ensure_future(reader.read())
+        began = world.loop.time()
+        await world.entry.drain()
+        context.took_seconds = world.loop.time() - began
+        context.unsent = _unsent(world)
+        reading.cancel()
+        writer.transport.abort()
+
+    world.run(stop())
+
+
+def _unsent(world):
+    return [
+        one
+        for one in world.entry._connections  # noqa: SLF001
+        if one._transport.get_write_buffer_size()  # noqa: SLF001
+    ]
+
+
+@then('nothing of the response is left in the entry when it has stopped')
+def all_sent(context):
+    assert not context.unsent
+
+
+@then('it has stopped within {seconds:g} seconds')
+def stopped_in_time(context, seconds):
+    assert context.took_seconds < seconds, context.took_seconds
+
+
 def _send_request(port, request):
     with socket.create_connection(('127.0.0.1', port), timeout=5) as link:
         try:
