A stream stays at its engine if the destination runs another trial

What callers saw: a stream off a leaving engine was truncated, with a line `fault`, though the engine went on with it.

Cause: a part of the prompt had become suspected since the stream began, so the permit at the destination counted as a trial. Another trial ran there, and that refusal (TrialRunsError) was handled where requests are placed, not where streams move. It ended the request's task.

Change: it is a refused permit like any other: tried again once, then the stream stays.

Before: the scenario fails (10 events, truncated). After: it passes. Ruled out: no other caller of acquire_permit lets the error through (searched).

--- a/src/sardinetrack/relay/move_steps.py
+++ b/src/sardinetrack/relay/move_steps.py
@@ -16,7 +16,7 @@
 from sardinetrack.relay.kv_calls import HeldCopies, KvCalls
 from sardinetrack.relay.move_reason import MoveReason
 from sardinetrack.relay.move_tools import MoveTools
-from sardinetrack.relay.permit import PermitRefusedError
+from sardinetrack.relay.permit import PermitRefusedError, TrialRunsError
 from sardinetrack.relay.request_plan import check_still_allowed
 from sardinetrack.relay.server_states import ServerUnavailableError
 from sardinetrack.relay.stream_end import (
@@ -227,8 +227,8 @@
             return self._not_permitted('no destination')
         try:
             placement = await tools.placer.place_continued(tools.plan, server)
-        except PermitRefusedError as refusal:
-            return self._not_permitted(str(refusal))
+        except (PermitRefusedError, TrialRunsError) as refusal:
+            return self._not_permitted(str(refusal) or 'another trial runs')
         self.destination = placement.held(self._accepted)
         return MoveEvent.PERMITTED
 
--- a/tests/relay/steps/stream_move_steps.py
+++ b/tests/relay/steps/stream_move_steps.py
@@ -293,6 +293,29 @@
     context.world.list_servers()
 
 
+@when(
+    'a caller requests a {route:S}, a part of its prompt is {status:w}'
+    ' and {trial} at the destination, and its engine is listed as leaving'
+)
+def leave_under_suspicion(context, route, status, trial):
+    async def play():
+        state = context.world.entry_state
+        call = await _begin(context, route)
+        exchange = next(iter(context.world.entry._exchanges))  # noqa: SLF001
+        part = exchange.plan.part_keys[0]
+        now = context.world.loop.time()
+        record = state.crashes.quarantine.registry.record(now, part)
+        record.add_crash(now, 3 if status == 'blocked' else 1)
+        destination = state.servers.get(context.others[0].instance)
+        local = state.local_admission(destination, exchange.plan.pool)
+        if trial == 'on trial':
+            assert local.trials.begin('another')
+        context.world.list_servers({context.source.instance})
+        return await call
+
+    context.reply = context.world.run(play())
+
+
 @when(
     'a caller requests a {route:S}, and another engine is ready'
     ' a moment after its own leaves'
--- a/tests/relay/stream_moves.feature
+++ b/tests/relay/stream_moves.feature
@@ -249,6 +249,16 @@
     And the move ends as no_destination, with 0 copies freed
     And nothing of the move is held any more
 
+  Scenario: The destination tries a part of the prompt that is suspected
+    Guards against a response that is truncated by an unexpected error, though
+    its engine goes on with it.
+
+    Given a relay in front of 2 engines whose streams move
+    When a caller requests a once-stream, a part of its prompt is suspected and on trial at the destination, and its engine is listed as leaving
+    Then the caller's stream is complete
+    And the move ends as no_destination, with 0 copies freed
+    And nothing of the move is held any more
+
   Scenario: A destination appears before the second try
     Given a relay in front of 2 engines whose streams move
     When a caller requests a once-stream, and another engine is ready a moment after its own leaves
