No stream is stopped for a move while a part of its prompt is in doubt

What callers saw: a stream off a leaving engine was truncated if a part of its prompt had become suspected or blocked since it began.

Cause: before the run is stopped for its move, only the right to the route and the destination were checked again. The send to the destination then also checks the parts and refuses, and so does the send back to the stream's own engine, so it went on nowhere.

Change: the parts are checked too before the run is stopped. It stays then.

Open: a part that comes into doubt between the stop and the send still ends the stream; the send back to the own engine need not check parts (sender.py).

--- a/src/sardinetrack/relay/move_steps.py
+++ b/src/sardinetrack/relay/move_steps.py
@@ -17,7 +17,10 @@
 from sardinetrack.relay.move_reason import MoveReason
 from sardinetrack.relay.move_tools import MoveTools
 from sardinetrack.relay.permit import PermitRefusedError, TrialRunsError
-from sardinetrack.relay.request_plan import check_still_allowed
+from sardinetrack.relay.request_plan import (
+    check_parts,
+    check_still_allowed,
+)
 from sardinetrack.relay.server_states import ServerUnavailableError
 from sardinetrack.relay.stream_end import (
     StreamEndedError,
@@ -250,6 +253,7 @@
         tools = self._tools
         try:
             check_still_allowed(tools.state, tools.plan, tools.call)
+            check_parts(tools.state, tools.plan, tools.call, is_trial=False)
             tools.state.check_available(self.destination.candidate.server)
         except (RequestError, ServerUnavailableError) as error:
             self._cause = str(error) or 'not available'
--- a/tests/relay/stream_moves.feature
+++ b/tests/relay/stream_moves.feature
@@ -334,3 +334,17 @@
     Given an engine that is known to leave at 5.0 s
     Then its stream moves at 6.0 s, not before, and not without an event
     And it also moves if the engine's record is removed
+
+  Scenario Outline: A stream moves whose prompt has a part that is <status> meanwhile
+    Guards against a stream that is stopped for its move, and then goes on
+    nowhere.
+
+    Given a relay in front of 2 engines whose streams move
+    When a caller requests a once-stream, a part of its prompt is <status> and not tried at the destination, and its engine is listed as leaving
+    Then the caller's stream is complete
+    And nothing of the move is held any more
+
+    Examples:
+      | status    |
+      | suspected |
+      | blocked   |
