No stream is sent on a connection that closed after the check of its start

What callers saw: a stream that had to go on at another server stalled for over a second and was truncated, though that server worked.

Cause: where servers restart under their id, the entry first asks for the server's start, on the same connection. If that response announces the close ("Connection: close" may come with any response), the connection is closed by the time the request is written. Nothing reports that to the request: it counted as sent, and was waited for as for a silent server.

Change: a connection that closes after the report counts as not connected: nothing was sent, and the stream goes on at another server.

--- a/src/sardinetrack/relay/start_check.py
+++ b/src/sardinetrack/relay/start_check.py
@@ -12,6 +12,7 @@
 from sardinetrack.relay.server_connection import ServerConnection
 from sardinetrack.relay.server_states import ServerUnavailableError
 from sardinetrack.relay.target import Target
+from sardinetrack.topology.servers import BackendServer
 
 REPORT_SECONDS: Final = 0.3
 """Longest wait for the report; an engine responds within milliseconds."""
@@ -33,9 +34,26 @@
     :param connection: newly opened.
     :param outcomes: told if another start responds.
     :raises ServerUnavailableError: another start responds.
-    :raises NotConnectedError: none responds.
+    :raises NotConnectedError: none responds, or the connection closes then.
     """
     server = target.server
+    reply = await _get_report(connection, adapter, server)
+    started = adapter.parse_started(reply.status, reply.body)
+    if started != server.started_milliseconds:
+        outcomes.mark_misaddressed(
+            target, 'another start responds at this address'
+        )
+        raise ServerUnavailableError
+    if not connection.reusable:
+        # A request would be written to nobody, and waited for as if it ran.
+        raise NotConnectedError('closed after the report')
+
+
+async def _get_report(
+    connection: ServerConnection,
+    adapter: ProtocolAdapter,
+    server: BackendServer,
+) -> ResponseCollector:
     reply = ResponseCollector(_MAX_REPORT_BYTES)
     connection.send(adapter.encode_report_call(server), reply)
     try:
@@ -45,9 +63,4 @@
         raise NotConnectedError('no report in time') from error
     if interrupted_by is not None:
         raise NotConnectedError(f'no report: {interrupted_by.value}')
-    started = adapter.parse_started(reply.status, reply.body)
-    if started != server.started_milliseconds:
-        outcomes.mark_misaddressed(
-            target, 'another start responds at this address'
-        )
-        raise ServerUnavailableError
+    return reply
--- a/tests/relay/restarts.feature
+++ b/tests/relay/restarts.feature
@@ -39,6 +39,18 @@
     And a caller requests a resumable stream, and its server restarts
     Then the caller receives all events once and the end within 1 second
 
+  Scenario: A stream goes on though a report of a start closes its connection
+    Guards against a request that is written to a connection which has closed
+    since, and is waited for until its server counts as silent.
+
+    Given a relay in front of 2 model servers
+    And every server is listed with start 900 and revision 20
+    When the first server that gets a stream interrupts it
+    And the next report of a start closes its connection
+    And a caller requests a resumable stream
+    Then the caller receives all events once and the end
+    And the servers got 2 requests
+
   Scenario: A request that may run once has no outcome after a restart
     It may have run before the server crashed. The caller must not be told that
     it has not, and it must not run again.
--- a/tests/relay/steps/restart_steps.py
+++ b/tests/relay/steps/restart_steps.py
@@ -5,6 +5,7 @@
 import asyncio
 
 from behave import given, then, when
+from tests.support.relay_servers import SharedActs
 
 from sardinetrack.placement.load import FIRST_RATE
 from sardinetrack.routing.breaker import FAILURE_THRESHOLD, BreakerState
@@ -104,6 +105,13 @@
     world.run(play())
 
 
+@when('the next report of a start closes its connection')
+def close_report(context):
+    shared = SharedActs('Connection: close\r\n')
+    for server in context.world.servers:
+        server.notices.report_fields = shared
+
+
 @when('a caller sends a report, and its server crashes and restarts')
 def report_restart(context):
     world = context.world
--- a/tests/support/relay_servers.py
+++ b/tests/support/relay_servers.py
@@ -50,6 +50,8 @@
     leaving: bool = False
     leaving_act: str = 'answer'
     """What it does when it first says that it leaves (act ``leave``)."""
+    report_fields: deque = field(default_factory=deque)
+    """More header lines of its next reports of a start."""
     held_act: str = 'answer'
     """What follows the act ``held`` once it is released."""
     released: asyncio.Event = field(default_factory=asyncio.Event)
@@ -146,7 +148,10 @@
         if self.started is not None:
             report['born'] = self.started
         body = json.dumps(report).encode()
-        head = f'HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n'
+        added = ''
+        if self.notices.report_fields:
+            added = self.notices.report_fields.popleft()
+        head = f'HTTP/1.1 200 OK\r\n{added}Content-Length: {len(body)}\r\n\r\n'
         writer.write(head.encode() + body)
 
     async def _answer(self, fields, reader, writer):
