The soak judges each request that ends without a complete response

Callers saw requests cut beside planned work and while a sound server was silent for a second or so. The soak could not see that: it counted a cut or missing response and accepted it, no server fell silent, and no entry was signalled beside a new version.

New in it: servers that fall silent for 0.5 to 2.2 s and go on where they were, one, several in turn or a pool at once, alone or beside a version that changes, leads elsewhere, removes and restores a route; SIGTERM of the entries in turn; SIGHUP. Every request that was sent and whose connection ended without a complete response needs an unplanned fault at its entry or at a server that it was sent to, while it lasted, its route's time-out, or the end of the grace period.

A silent engine doesn't work, so it no longer counts towards the overlap of two engines at one stream.

--- a/benchmarks/soak/__main__.py
+++ b/benchmarks/soak/__main__.py
@@ -6,13 +6,16 @@
 import os
 import sys
 from argparse import ArgumentParser
+from collections import Counter
 from contextlib import suppress
 
 from benchmarks.soak.callers import Caller, ResponseLog
 from benchmarks.soak.faults import Faults
-from benchmarks.soak.world import World, free_net
+from benchmarks.soak.losses import losses
+from benchmarks.soak.planned import PlannedWork
+from benchmarks.soak.world import DEFAULTS, Options, World, free_net
 
-CALLERS = 24
+_CALLERS_PER_ENTRY = 8
 START_SECONDS = 2.5
 SETTLE_SECONDS = 8.0
 """Time after the last fault for restarts, circuit breakers and caches of both
@@ -22,21 +25,25 @@
 """Time to free the copies after the callers have gone; entries wait 0.3 s."""
 
 
-async def soak(seed: int, seconds: float) -> list[str]:
+async def soak(
+    seed: int, seconds: float, options: Options = DEFAULTS
+) -> list[str]:
     """Run one seed.
 
     :return: the violated guarantees, one text each.
     """
     net = free_net(seed + os.getpid())
-    async with World(net, seed) as world:
+    async with World(net, seed, options) as world:
         await asyncio.sleep(START_SECONDS)
         log = ResponseLog()
-        faults = Faults(world, seed)
+        injectors = [PlannedWork(world, seed)]
+        if not options.planned_only:
+            injectors.append(Faults(world, seed))
         callers = [
             asyncio.create_task(Caller(world, log, number).run())
-            for number in range(CALLERS)
+            for number in range(_CALLERS_PER_ENTRY * options.entries)
         ]
-        await faults.run(seconds)
+        await asyncio.gather(*(one.run(seconds) for one in injectors))
         await asyncio.sleep(SETTLE_SECONDS)
         # Nothing else disturbs the moves whose copies are checked below.
         busiest = max(world.engines, key=lambda one: len(one.running()))
@@ -46,22 +53,40 @@
             task.cancel()
         await asyncio.gather(*callers, return_exceptions=True)
         await asyncio.sleep(_RELEASE_SECONDS)
-        log.check(world.runs)
-        log.violations.extend(world.moves.violations())
-        log.violations.extend(await world.uncounted_streams())
-        log.violations.extend(world.runs_after_revocation())
-        responses = dict(log.responses.most_common())
-        sys.stdout.write(
-            f'seed {seed}: {len(faults.done)} faults, told {responses},'
-            f' moves {dict(world.moves.counts)},'
-            f' deadly {dict(world.moves.deadly.crashes)},'
-            f' slowest {log.slowest_seconds:.1f} s\n',
-        )
+        excuses = await _check(log, world)
+        done = sum(len(one.done) for one in injectors)
+        _print_run(f'seed {seed}: {done} faults', log, world, excuses)
         if served < _MIN_SERVED_FRACTION:
             log.violations.append(f'only {served:.2f} served after all faults')
         return log.violations
 
 
+async def _check(log: ResponseLog, world: World) -> Counter[str]:
+    """Check what callers and servers have seen.
+
+    :return: number of requests without a complete response, by excuse.
+    """
+    excuses, lost = losses(log.cuts, world)
+    log.check(world.runs)
+    log.violations.extend(lost)
+    log.violations.extend(world.moves.violations())
+    log.violations.extend(await world.uncounted_streams())
+    log.violations.extend(world.runs_after_revocation())
+    return excuses
+
+
+def _print_run(
+    run: str, log: ResponseLog, world: World, excuses: Counter[str]
+) -> None:
+    sys.stdout.write(
+        f'{run}, told {dict(log.responses.most_common())},'
+        f' cut, by excuse {dict(excuses)},'
+        f' moves {dict(world.moves.counts)},'
+        f' deadly {dict(world.moves.deadly.crashes)},'
+        f' slowest {log.slowest_seconds:.1f} s\n',
+    )
+
+
 async def _served_fraction(log: ResponseLog) -> float:
     """Return the fraction served while no fault is active."""
     before = log.responses.copy()
@@ -75,10 +100,24 @@
     parser = ArgumentParser()
     parser.add_argument('--seeds', type=int, nargs='+', default=[1])
     parser.add_argument('--seconds', type=float, default=20)
-    options = parser.parse_args()
+    parser.add_argument(
+        '--planned-only',
+        action='store_true',
+        help='do only planned work, and silence servers',
+    )
+    parser.add_argument('--entries', type=int, default=DEFAULTS.entries)
+    parser.add_argument('--sides', type=int, default=DEFAULTS.sides)
+    parser.add_argument('--logs', default='', help='folder for the logs')
+    arguments = parser.parse_args()
+    options = Options(
+        arguments.entries,
+        arguments.sides,
+        arguments.planned_only,
+        arguments.logs,
+    )
     violations: list[str] = []
-    for seed in options.seeds:
-        found = asyncio.run(soak(seed, options.seconds))
+    for seed in arguments.seeds:
+        found = asyncio.run(soak(seed, arguments.seconds, options))
         violations.extend(f'seed {seed}: {text}' for text in found)
     for text in violations:
         sys.stdout.write(f'BROKEN {text}\n')
--- a/benchmarks/soak/callers.py
+++ b/benchmarks/soak/callers.py
@@ -11,9 +11,11 @@
 from random import Random
 
 from benchmarks.soak.engine import EVENTS
+from benchmarks.soak.losses import UNENDED, Cut
 from benchmarks.soak.world import World, address
 
 _ROUTES = ('stream', 'once', 'fetch', 'report')
+_KEYED_ROUTES = frozenset(('stream', 'once'))
 _AT_MOST_ONCE_ROUTES = frozenset(('once', 'report'))
 _NOT_RUN = frozenset((408, 421, 429, 503))
 KEYS = ('key-0', 'key-0', 'key-1', 'key-2', 'key-3')
@@ -32,6 +34,8 @@
     not_run: list[str] = field(default_factory=list)
     at_most_once: list[str] = field(default_factory=list)
     violations: list[str] = field(default_factory=list)
+    cuts: list[Cut] = field(default_factory=list)
+    """Requests that were sent and whose responses aren't complete."""
     slowest_seconds: float = 0
 
     def check(self, runs: Counter[str]) -> None:
@@ -57,6 +61,7 @@
         """
         self._world = world
         self._log = log
+        self._number = seed
         self._rng = Random(seed)
         self._names = (f'q{seed}-{number}' for number in count())
         self._connection: _Connection | None = None
@@ -72,11 +77,8 @@
         began = loop.time()
         if route in _AT_MOST_ONCE_ROUTES:
             self._log.at_most_once.append(name)
-        try:
-            async with asyncio.timeout(_MAX_WAIT_SECONDS):
-                status, body, complete = await self._send(name, route)
-        except (OSError, EOFError, TimeoutError):
-            self._close()
+        status, body, complete = await self._send(name, route)
+        if not status:
             self._log.responses['no answer'] += 1
             return
         slowest = max(self._log.slowest_seconds, loop.time() - began)
@@ -111,13 +113,10 @@
             f'Resumes: {name}',
             f'Last-Event-Id: {last_event}',
         )
-        try:
-            async with asyncio.timeout(_MAX_WAIT_SECONDS):
-                status, more, complete = await self._send(
-                    name, 'stream', f'{name}.{number}', headers
-                )
-        except (OSError, EOFError, TimeoutError):
-            self._close()
+        status, more, complete = await self._send(
+            name, 'stream', f'{name}.{number}', headers
+        )
+        if not status:
             return 'no answer', b''
         if status != 200:
             return str(status), b''
@@ -136,7 +135,7 @@
         marks = set(re.findall(rb'q\d+-\d+', body))
         if marks - {name.encode()}:
             log.violations.append(f'{name} read the answer of {marks}')
-        if route in {'stream', 'once'}:
+        if route in _KEYED_ROUTES:
             self._check_stream(name, body, complete=complete)
 
     def _check_stream(self, name: str, body: bytes, *, complete: bool) -> None:
@@ -156,10 +155,39 @@
         route: str,
         request_id: str = '',
         headers: tuple[str, ...] = (),
+    ) -> tuple[int, bytes, bool]:
+        """Send a request and read the response.
+
+        :return: status (0 if no whole head or no end came), body, and whether
+            that is complete.
+        """
+        request_id = request_id or name
+        request = self._request(name, route, request_id, headers)
+        cut = Cut(request_id, '', route in _KEYED_ROUTES, 'no response')
+        status, body, complete = 0, b'', False
+        try:
+            async with asyncio.timeout(_MAX_WAIT_SECONDS):
+                status, body, complete = await self._exchange(request, cut)
+        except TimeoutError:
+            cut.outcome = UNENDED
+        except (OSError, EOFError) as error:
+            cut.outcome = f'{cut.outcome}, {type(error).__name__}'
+        if not complete:
+            self._close()
+        if cut.entry and not complete:
+            cut.ended_seconds = asyncio.get_running_loop().time()
+            self._log.cuts.append(cut)
+        return status, body, complete
+
+    async def _exchange(
+        self, request: bytes, cut: Cut
     ) -> tuple[int, bytes, bool]:
         reader, writer = await self._connected()
-        writer.write(self._request(name, route, request_id or name, headers))
+        cut.entry = str(writer.get_extra_info('peername')[0])
+        cut.began_seconds = asyncio.get_running_loop().time()
+        writer.write(request)
         head = (await reader.readuntil(b'\r\n\r\n')).decode().lower()
+        cut.outcome = 'incomplete response'
         status = int(head.split(' ')[1])
         length = re.search(r'content-length: (\d+)', head)
         if length:
@@ -167,13 +195,16 @@
             body = await reader.readexactly(int(length.group(1)))
         else:
             body, complete = await _chunks(reader)
-        if not complete or 'connection: close' in head:
+        if 'connection: close' in head:
             self._close()
         return status, body, complete
 
     async def _connected(self) -> _Connection:
-        if self._connection is None or not self._rng.randrange(10):
+        # Half of the callers stay at their entry until it closes.
+        leaves = self._number % 2 and not self._rng.randrange(10)
+        if leaves or (self._connection and self._connection[0].at_eof()):
             self._close()
+        if self._connection is None:
             entry = self._rng.choice(self._world.entries)
             self._connection = await asyncio.open_connection(*address(entry))
         return self._connection
@@ -200,7 +231,7 @@
             'Content-Length: 0',
             *headers,
         ]
-        if route in {'stream', 'once'}:
+        if route in _KEYED_ROUTES:
             number = self._rng.randrange(20)
             first = f'p{number}'
             if self._world.moves.deadly.part and not self._rng.randrange(5):
--- a/benchmarks/soak/engine.py
+++ b/benchmarks/soak/engine.py
@@ -12,10 +12,13 @@
 from tests.support.moving_servers import MovingServer
 from tests.support.relay_servers import ScriptedServer
 
+from benchmarks.soak.losses import Period, ServerRecord
+
 EVENTS = 60
 """Some streams outlast the 1 s after which they move off a leaving engine."""
 EVENT_SECONDS = 0.04
 _MAX_OVERLAP_SECONDS = 0.4
+_STEP_SECONDS = 0.01
 _RETENTION_SECONDS = 5.0
 _FAULT_FRACTION = 0.2
 _MAX_CRASHES = 8
@@ -50,6 +53,7 @@
         """Runs requests and responds with a failure."""
         self.rest_until_seconds = float('-inf')
         """Turns requests away until then, on the clock of the event loop."""
+        self.record = ServerRecord()
 
     async def start(self) -> None:
         """Start, or start again, under a new id."""
@@ -60,10 +64,33 @@
 
     async def crash(self) -> None:
         """Stop immediately and abort all connections."""
+        self.record.crash_times.append(_now())
+        for silence in self.record.silences:
+            silence.ended_seconds = min(silence.ended_seconds, _now())
         await self.close()
         for writer in list(self.writers):
             writer.transport.abort()
 
+    def fall_silent(self, seconds: float) -> None:
+        """Do nothing for a time and go on, as a process that is suspended."""
+        self.record.silences.append(Period(_now(), _now() + seconds))
+
+    async def _sleep(self, seconds):
+        """Sleep, and longer while silent."""
+        crashes = len(self.record.crash_times)
+        await asyncio.sleep(seconds)
+        ends = [one.ended_seconds for one in self.record.silences]
+        silent_seconds = max(ends, default=0) - _now()
+        if silent_seconds > 0:
+            await self._sleep(silent_seconds)
+        if len(self.record.crash_times) > crashes:
+            raise ConnectionAbortedError
+
+    async def _perform(self, request, reader, writer):
+        self.record.sent.add(request[1].get('x-sardinetrack-request-id', ''))
+        await self._sleep(0)
+        await super()._perform(request, reader, writer)
+
     async def _answer(self, fields, reader, writer):
         expected = fields.get('x-sardinetrack-expect-instance')
         if expected != self.instance:
@@ -79,7 +106,7 @@
             self._whole(fields, writer, '500 Oops', b'broken')
             return
         if 'x-sardinetrack-token-count' not in fields:
-            await asyncio.sleep(EVENT_SECONDS)
+            await self._sleep(EVENT_SECONDS)
             response = self._response(fields, '200 OK', self._mark(fields))
             writer.write(response)
             if self.responds_twice:
@@ -100,7 +127,7 @@
         )
 
     async def _event(self, fields, number):
-        await asyncio.sleep(EVENT_SECONDS)
+        await self._sleep(EVENT_SECONDS)
         return b'id: %d\ndata: %b %d %b\n\n' % (
             number,
             self._mark(fields),
@@ -126,6 +153,21 @@
     ended_seconds: float = math.inf
     holders: frozenset[str] = frozenset()
     """Addresses of the engines that hold the copy, if there is one."""
+    record: ServerRecord = field(default_factory=ServerRecord, repr=False)
+
+    def overlap_seconds(self, other: Run, now: float) -> float:
+        """Return how long both have worked; a silent server doesn't."""
+        end = min(self.ended_seconds, other.ended_seconds, now)
+        steps = int((end - other.began_seconds) / _STEP_SECONDS)
+        times = (
+            other.began_seconds + _STEP_SECONDS * step for step in range(steps)
+        )
+        working = [
+            at
+            for at in times
+            if not (self.record.is_silent(at) or other.record.is_silent(at))
+        ]
+        return len(working) * _STEP_SECONDS
 
 
 @dataclass
@@ -166,8 +208,7 @@
         ]
         for one, other in combinations(self.runs, 2):
             if one.name == other.name and one.engine != other.engine:
-                end = min(one.ended_seconds, other.ended_seconds, now)
-                if end - other.began_seconds > _MAX_OVERLAP_SECONDS:
+                if one.overlap_seconds(other, now) > _MAX_OVERLAP_SECONDS:
                     found.append(f'two engines work at once: {one}, {other}')
         return found + self.deadly.violations()
 
@@ -186,6 +227,8 @@
         self._moves = moves
         self._deadly = moves.deadly
         self._rng = Random(f'{seed} {ip}')  # noqa: S311
+        self.sound = False
+        """Fails no report, copy or continuation."""
         if seed % 2:
             # All its starts have one id.
             self.instance = f'i-{ip}'
@@ -200,6 +243,7 @@
 
     async def _perform(self, request, reader, writer):
         if request[0].startswith(b'GET /v1/report '):
+            await self._sleep(0)
             await self._report(writer)
             return
         await super()._perform(request, reader, writer)
@@ -208,7 +252,7 @@
             self._moves.counts['freed'] += 1
 
     def _draw(self, *faults):
-        failing = self._rng.random() < _FAULT_FRACTION
+        failing = self._rng.random() < _FAULT_FRACTION and not self.sound
         fault = self._rng.choice(faults) if failing else 'none'
         self._moves.counts[fault] += 1
         return fault
@@ -221,7 +265,7 @@
     async def _report(self, writer):
         fault = self._draw('late report', 'cut report')
         if fault == 'late report':
-            await asyncio.sleep(0.4)  # Sides wait for 0.3 s.
+            await self._sleep(0.4)  # Sides wait for 0.3 s.
         if fault == 'cut report':
             writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{')
             writer.close()
@@ -238,7 +282,7 @@
         self._reply(writer, '200 OK', report)
 
     async def _copy(self, call, writer):
-        await asyncio.sleep(EVENT_SECONDS)
+        await self._sleep(EVENT_SECONDS)
         fault = self._draw('busy', 'full', 'late', 'lost')
         runs = [one for one in self.running() if one.request_id == call['id']]
         if not runs or fault == 'busy':
@@ -255,7 +299,8 @@
         # If nobody learns the handle in time, the copy may expire.
         run.holders = frozenset()
         if fault in {'late', 'lost'}:
-            await asyncio.sleep(1.2 if fault == 'late' else 0)
+            self.record.broken.add(run.request_id)
+            await self._sleep(1.2 if fault == 'late' else 0)
             writer.transport.abort()
             return
         kept = self._address if fault == 'full' else destination
@@ -268,7 +313,10 @@
         if 'kv-from' not in fields:
             return super()._admits(fields)
         run = self._moves.runs[int(fields['kv-from'].rpartition('/')[2])]
-        if self._address not in run.holders or self._draw('refused') != 'none':
+        if self._address not in run.holders:
+            return False
+        if self._draw('refused') != 'none':
+            self.record.broken.add(fields['x-sardinetrack-request-id'])
             return False
         run.holders = frozenset()
         self._moves.counts['continued'] += 1
@@ -281,7 +329,7 @@
         part = fields['x-sardinetrack-prefix-hash'].partition(':')[0]
         if part != self._deadly.part:
             return False
-        await asyncio.sleep(EVENT_SECONDS)
+        await self._sleep(EVENT_SECONDS)
         if not self.restart_lock.locked():
             self._deadly.crashes[part] += 1
             await self.restart_lock.acquire()
@@ -296,6 +344,7 @@
         made = int(fields.get('last-event-id', 0))
         name = self._mark(fields).decode()
         run = Run(request_id, name, self.instance, made, _now())
+        run.record = self.record
         self._moves.runs.append(run)
         head = self._head(fields, '200 OK')
         writer.write(f'{head}Transfer-Encoding: chunked\r\n\r\n'.encode())
--- a/benchmarks/soak/faults.py
+++ b/benchmarks/soak/faults.py
@@ -4,11 +4,14 @@
 
 import asyncio
 import signal
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
 from random import Random
 
 from benchmarks.soak.engine import SoakEngine, SoakServer
+from benchmarks.soak.losses import Period
 from benchmarks.soak.world import REVOKE_SECONDS, Process, World
-from sardinetrack.standin.tcp_proxy import Direction
+from sardinetrack.standin.tcp_proxy import Direction, TcpProxy
 
 _REVOKED_SECONDS = 8.0
 """How long a key stays revoked: the time until a revocation must take effect,
@@ -24,7 +27,7 @@
 class Faults:
     """Injects faults one after the other, without waiting for their ends."""
 
-    def __init__(self, world: World, seed: int) -> None:
+    def __init__(self, world: World, seed: int | str) -> None:
         """Build an injector.
 
         :param seed: seed of everything drawn.
@@ -69,16 +72,19 @@
         return self._rng.choice([*self._world.entries, *self._world.sides])
 
     async def _kill(self) -> None:
-        self._choose_process().send(signal.SIGKILL)
+        process = self._choose_process()
+        with _lasting(process.disturbances.unplanned):
+            process.send(signal.SIGKILL)
 
     async def _stop(self) -> None:
         self._choose_process().send(signal.SIGTERM)
 
     async def _pause(self) -> None:
         process = self._choose_process()
-        process.send(signal.SIGSTOP)
-        await asyncio.sleep(self._rng.uniform(0.1, 3))
-        process.send(signal.SIGCONT)
+        with _lasting(process.disturbances.unplanned):
+            process.send(signal.SIGSTOP)
+            await asyncio.sleep(self._rng.uniform(0.1, 3))
+            process.send(signal.SIGCONT)
 
     async def _crash_server(self) -> None:
         server = self._rng.choice(self._world.servers)
@@ -149,13 +155,20 @@
 
     async def _store_unreachable(self) -> None:
         store = self._world.store
-        store.fault = self._rng.choice(('busy', 'many', 'silent'))
-        await asyncio.sleep(self._rng.uniform(0.2, 4))
-        store.fault = ''
+        with ExitStack() as stack:
+            for one in (*self._world.entries, *self._world.sides):
+                stack.enter_context(_lasting(one.disturbances.store))
+            store.fault = self._rng.choice(('busy', 'many', 'silent'))
+            await asyncio.sleep(self._rng.uniform(0.2, 4))
+            store.fault = ''
 
     async def _impair_store_proxy(self) -> None:
         """Impair the connection of one process to the store."""
-        proxy = self._rng.choice(self._world.store_proxies)
+        process = self._choose_process()
+        with _lasting(process.disturbances.store):
+            await self._impair(process.store_proxy)
+
+    async def _impair(self, proxy: TcpProxy) -> None:
         impairment = self._rng.choice(('freeze', 'cut', 'lose', 'delay'))
         seconds = self._rng.uniform(0.3, 6)
         match impairment:
@@ -194,3 +207,13 @@
             self._world.revoked.append(period)
             self._world.keys[key] = name
             self._world.configure()
+
+
+@contextmanager
+def _lasting(periods: list[Period]) -> Iterator[None]:
+    """Record a fault, which lasts for the block."""
+    loop = asyncio.get_running_loop()
+    period = Period(loop.time())
+    periods.append(period)
+    yield
+    period.ended_seconds = loop.time()
--- /dev/null
+++ b/benchmarks/soak/losses.py
@@ -0,0 +1,159 @@
+"""Requests that ended without a complete response, and what excuses it."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from benchmarks.soak.engine import SoakServer
+    from benchmarks.soak.world import Process, World
+
+GRACE_SECONDS = 6.0
+SHORTEST_TIMEOUT_SECONDS = 5.0
+"""Of all routes in all versions of the configuration."""
+UNENDED = 'no end'
+"""Outcome of a request whose caller has left it after its deadline."""
+_LOST = 'none'
+_CROSSING_SECONDS = 0.2
+"""A request may cross the end of its connection for so long, if no server has
+received it."""
+_LAST_GRACE_SECONDS = GRACE_SECONDS / 6
+_PROMPT_SECONDS = 3.0
+"""After an entry is signalled to stop: the requests that it has to refuse are
+sent later."""
+
+
+@dataclass(slots=True)
+class Cut:
+    """A request whose connection ended before its response was complete."""
+
+    request_id: str
+    entry: str
+    keyed: bool
+    outcome: str
+    began_seconds: float = 0
+    """When its last byte was sent, on the clock of the event loop."""
+    ended_seconds: float = 0
+
+    def overlaps(self, began_seconds: float, ended_seconds: float) -> bool:
+        """Tell whether the request was there in a part of a period."""
+        began_before = self.began_seconds <= ended_seconds
+        return began_before and began_seconds <= self.ended_seconds
+
+
+@dataclass(slots=True)
+class Period:
+    """A time on the clock of the event loop; without an end so far."""
+
+    began_seconds: float
+    ended_seconds: float = float('inf')
+
+
+@dataclass(slots=True)
+class Disturbances:
+    """What was done to one process."""
+
+    unplanned: list[Period] = field(default_factory=list)
+    """Kills and freezes."""
+    store: list[Period] = field(default_factory=list)
+    """Times in which its store is disturbed, or its path there."""
+    stops: list[float] = field(default_factory=list)
+    """Times of signals to stop."""
+
+    def excuse(self, cut: Cut) -> bool:
+        """Tell whether an unplanned fault hit the process meanwhile."""
+        periods = list(self.unplanned)
+        if cut.keyed:
+            periods.extend(self.store)
+        return any(
+            cut.overlaps(one.began_seconds, one.ended_seconds)
+            for one in periods
+        )
+
+    def grace_ends(self, cut: Cut) -> bool:
+        """Tell whether a stopping entry had no time left for the request."""
+        for stop in self.stops:
+            late = stop + GRACE_SECONDS - _LAST_GRACE_SECONDS
+            prompt = cut.began_seconds <= stop + _PROMPT_SECONDS
+            if prompt and late <= cut.ended_seconds <= stop + GRACE_SECONDS + 1:
+                return True
+        return False
+
+
+@dataclass(slots=True)
+class ServerRecord:
+    """What happened at one server, in all its starts."""
+
+    sent: set[str] = field(default_factory=set)
+    """Ids of the requests that were sent to it."""
+    crash_times: list[float] = field(default_factory=list)
+    broken: set[str] = field(default_factory=set)
+    """Ids of the requests whose copy or continuation it has failed."""
+    silences: list[Period] = field(default_factory=list)
+
+    def is_silent(self, seconds: float) -> bool:
+        """Tell whether it was silent at a time."""
+        return any(
+            one.began_seconds <= seconds < one.ended_seconds
+            for one in self.silences
+        )
+
+
+def losses(cuts: Iterable[Cut], world: World) -> tuple[Counter[str], list[str]]:
+    """Judge requests without a complete response.
+
+    Planned work and the silence of a server excuse nothing.
+
+    :return: number of requests by excuse, and those that have none.
+    """
+    processes = {one.ip: one for one in (*world.entries, *world.sides)}
+    excuses: Counter[str] = Counter()
+    lost: list[str] = []
+    for cut in cuts:
+        servers = [
+            one for one in world.servers if cut.request_id in one.record.sent
+        ]
+        excuse = _excuse(cut, servers, processes)
+        excuses[excuse] += 1
+        if excuse == _LOST:
+            ips = ' '.join(one.ip for one in servers)
+            lost.append(f'lost, at servers ({ips}): {cut}')
+    return excuses, lost
+
+
+def _excuse(
+    cut: Cut, servers: list[SoakServer], processes: dict[str, Process]
+) -> str:
+    if _is_disturbed(cut, servers, processes):
+        return 'fault'
+    seconds = cut.ended_seconds - cut.began_seconds
+    if cut.outcome != UNENDED and seconds >= SHORTEST_TIMEOUT_SECONDS:
+        return 'time-out'
+    if not servers and seconds <= _CROSSING_SECONDS:
+        return 'not read'
+    if servers and processes[cut.entry].disturbances.grace_ends(cut):
+        return 'grace'
+    return _LOST
+
+
+def _is_disturbed(
+    cut: Cut, servers: list[SoakServer], processes: dict[str, Process]
+) -> bool:
+    """Tell whether an unplanned fault hit its entry or one of its servers.
+
+    The side of a server has the same IP address.
+    """
+    ips = {cut.entry, *(one.ip for one in servers)} & processes.keys()
+    if any(processes[ip].disturbances.excuse(cut) for ip in ips):
+        return True
+    if any(cut.request_id in one.record.broken for one in servers):
+        return True
+    return any(
+        cut.overlaps(at, at)
+        for server in servers
+        for at in server.record.crash_times
+    )
--- a/benchmarks/soak/world.py
+++ b/benchmarks/soak/world.py
@@ -11,6 +11,7 @@
 import tempfile
 from collections import Counter
 from contextlib import AsyncExitStack, closing, suppress
+from dataclasses import dataclass
 from http.client import HTTPConnection
 from pathlib import Path
 from typing import Self
@@ -18,14 +19,20 @@
 from tests.support.object_store import ObjectStore
 
 from benchmarks.soak.engine import Moves, SoakEngine, SoakServer
+from benchmarks.soak.losses import (
+    GRACE_SECONDS,
+    SHORTEST_TIMEOUT_SECONDS,
+    Disturbances,
+)
 from sardinetrack.platform.settings import METRICS_PORT
 from sardinetrack.standin.tcp_proxy import TcpProxy, open_proxy
 
 ROOT = Path(__file__).parents[2]
 START = ROOT / 'deploy' / 'start.py'
-GRACE_SECONDS = 6.0
 REVOKE_SECONDS = 5.0
 _REVOKE_MILLISECONDS = 5000
+EMPTY_POOL = 'spare'
+"""A service without servers."""
 _STORE_PORT = 18781
 _NETS = 250
 _CALLERS_PORT = 18783
@@ -54,7 +61,14 @@
 class Process:
     """One program, restarted whenever it ends."""
 
-    def __init__(self, role: str, ip: str, store_ip: str, folder: str) -> None:
+    def __init__(
+        self,
+        role: str,
+        ip: str,
+        store_ip: str,
+        folder: str,
+        logs: str = '',
+    ) -> None:
         """Write the program's settings.
 
         :param store_ip: IP address of its own proxy to the store, into which
@@ -64,9 +78,11 @@
         self.ip = ip
         self.store_ip = store_ip
         self.running: asyncio.subprocess.Process | None = None
-        self.stopped_seconds = float('-inf')
+        self.disturbances = Disturbances()
+        self.store_proxy: TcpProxy
         self._settings = Path(folder) / f'{role}-{ip}.toml'
-        self._log = Path(folder) / f'{role}-{ip}.log'
+        Path(logs or folder).mkdir(parents=True, exist_ok=True)
+        self._log = Path(logs or folder) / f'{role}-{ip}.log'
         self._settings.write_text(_settings(role, ip, store_ip))
 
     async def start(self) -> None:
@@ -93,13 +109,34 @@
         """Send a signal to this process and to no other."""
         with suppress(ProcessLookupError):
             if self.running is not None and self.running.returncode is None:
+                if number == signal.SIGTERM:
+                    now = asyncio.get_running_loop().time()
+                    self.disturbances.stops.append(now)
                 self.running.send_signal(number)
 
 
+@dataclass(frozen=True)
+class Options:
+    """How a run differs from others of its seed."""
+
+    entries: int = 3
+    sides: int = 3
+    """Number of processes; each side has an engine."""
+    planned_only: bool = False
+    """Only planned work is done, and servers fall silent."""
+    logs: str = ''
+    """Folder where the logs of the processes are left, if any."""
+
+
+DEFAULTS = Options()
+
+
 class World:
     """Entries, sides, servers and the store of one run."""
 
-    def __init__(self, net: int, seed: int) -> None:
+    def __init__(
+        self, net: int, seed: int, options: Options = DEFAULTS
+    ) -> None:
         """Assign the addresses.
 
         :param net: second octet of the loopback addresses; runs with
@@ -107,15 +144,16 @@
         :param seed: seed of the failures of the engines.
         """
         self._net = net
+        self._options = options
         self._store_ip = f'127.{net}.0.1'
-        self.store_proxies: list[TcpProxy] = []
-        """The proxies to the store, one for each process."""
         self.revoked: list[tuple[float, float, str]] = []
         """Start and end of the times in which a workspace's requests must not
         begin to run."""
         self.runs: Counter[str] = Counter()
         self.store = ObjectStore()
         self.store.port = _STORE_PORT
+        self.changed_routes: dict[str, dict[str, object] | None] = {}
+        """New values of some fields by route; none if it is removed."""
         self.folder = tempfile.TemporaryDirectory()
         self.version = 1
         self.keys = {f'key-{number}': f'w{number}' for number in range(4)}
@@ -126,6 +164,8 @@
             SoakEngine(f'{side.ip}:{_ENGINE_PORT}', self.runs, self.moves, seed)
             for side in self.sides
         ]
+        for engine in self.engines:
+            engine.sound = options.planned_only
         self.servers = [
             *self.engines,
             SoakServer(f'127.{net}.3.1', 'plain', self.runs),
@@ -150,7 +190,7 @@
         proxy = open_proxy(
             self._store_ip, _STORE_PORT, ip=process.store_ip, port=_STORE_PORT
         )
-        self.store_proxies.append(await self._stack.enter_async_context(proxy))
+        process.store_proxy = await self._stack.enter_async_context(proxy)
 
     async def __aexit__(self, *_: object) -> None:
         """Stop the processes and servers that were started here."""
@@ -203,20 +243,29 @@
             'main',
             {
                 'version': self.version,
-                'routes': [
-                    _route('stream', 'streaming', 'models', resumes=True),
-                    _route('once', 'streaming', 'models'),
-                    _route('fetch', 'idempotent', 'plain'),
-                    _route('report', 'non_idempotent', 'plain'),
-                ],
+                'routes': self._routes(),
                 'services': [
                     {'name': 'models', 'engine': engine},
                     {'name': 'plain'},
+                    {'name': EMPTY_POOL},
                 ],
                 'tenants': tenants,
             },
         )
 
+    def _routes(self) -> list[dict[str, object]]:
+        routes: list[dict[str, object]] = []
+        for route in (
+            _route('stream', 'streaming', 'models', resumes=True),
+            _route('once', 'streaming', 'models'),
+            _route('fetch', 'idempotent', 'plain'),
+            _route('report', 'non_idempotent', 'plain'),
+        ):
+            change = self.changed_routes.get(str(route['name']), {})
+            if change is not None:
+                routes.append(route | change)
+        return routes
+
     def list_server(self, server: SoakServer, state: str = 'ready') -> None:
         """Write a server's object to the store, as servers do themselves."""
         record = {
@@ -234,6 +283,8 @@
         self.store.put('servers', server.instance, record)
 
     def _processes(self, role: str, net: str) -> list[Process]:
+        options = self._options
+        count = options.entries if role == 'entry' else options.sides
         third = 4 if role == 'entry' else 5
         return [
             Process(
@@ -241,8 +292,9 @@
                 f'{net}.{number}',
                 f'127.{self._net}.{third}.{number}',
                 self.folder.name,
+                options.logs,
             )
-            for number in range(1, 4)
+            for number in range(1, count + 1)
         ]
 
 
@@ -266,7 +318,7 @@
         'host': 'h.example',
         'pathPrefix': f'/{name}/',
         'type': kind,
-        'timeoutMs': 5000,
+        'timeoutMs': int(SHORTEST_TIMEOUT_SECONDS * 1000),
         'service': pool,
         'maxAttempts': 2 if resumes or kind == 'idempotent' else 1,
         'anonymous': pool == 'plain',
