A stand-in of the soak serves no connection that its crash has missed

A connection that was accepted just before a crash was not aborted by it and was served while the stand-in was down, and with the software version of its next start: the soak then reported streams that mix two versions.

--- a/benchmarks/soak/engine.py
+++ b/benchmarks/soak/engine.py
@@ -91,6 +91,13 @@
         await self._sleep(0)
         await super()._perform(request, reader, writer)
 
+    async def _serve(self, reader, writer):
+        if not self._server.is_serving():
+            # Accepted just before the crash.
+            writer.transport.abort()
+            return
+        await super()._serve(reader, writer)
+
     async def _answer(self, fields, reader, writer):
         expected = fields.get('x-sardinetrack-expect-instance')
         if expected != self.instance:
