--- a/src/sardinetrack/relay/attempt.py
+++ b/src/sardinetrack/relay/attempt.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from abc import ABC, abstractmethod
-from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum, auto
 from http import HTTPStatus
@@ -57,20 +56,39 @@
         return cls(EventSplitter(call.last_event_id), StreamPauses(flow))
 
 
+class ResponseClaim(ABC):
+    """Claims the caller's response, which another attempt may still bring."""
+
+    accepted: bool
+    """Whether the caller gets the response of the attempt that claims."""
+
+    @abstractmethod
+    def announce(self, done: asyncio.Future[SendOutcome]) -> None:
+        """Handle the head of a stream, before its first bytes.
+
+        :param done: set at the end of the attempt that claims.
+        """
+
+    @abstractmethod
+    def accept(self, *, is_stream: bool) -> bool:
+        """Return whether the caller gets the response of this attempt."""
+
+
 @dataclass(frozen=True, slots=True)
 class StreamStart:
-    """What precedes the forwarding of an attempt's stream."""
+    """What precedes the response to one attempt."""
 
     progress: Progress
     server: str
     """Its instance."""
     prefill_tokens: int
-    claim: Callable[[], bool] | None = None
-    """Claims the response from another attempt, which may keep it."""
+    claim: ResponseClaim | None = None
+    """Of an attempt that takes over from another one."""
 
-    def begin(self) -> bool:
-        """Prepare for its events; return whether they may be forwarded."""
-        if self.claim is not None and not self.claim():
+    def begin(self, *, is_stream: bool) -> bool:
+        """Prepare for the response; return whether the caller may get it."""
+        claim = self.claim
+        if claim is not None and not claim.accept(is_stream=is_stream):
             return False
         progress = self.progress
         progress.splitter.resume()
@@ -133,6 +151,7 @@
         self._pieces: list[bytes] = []
         self._size = 0
         self._forwards = False
+        self._begun = False
         self._loop = loop
 
     @property
@@ -190,8 +209,19 @@
             )
             return
         self._forwards = self._streams and response.status == HTTPStatus.OK
-        if self._forwards and not self._start.begin():
-            self._finish(SendOutcome.UNKNOWN, 'not needed')
+        claim = self._start.claim
+        if self._forwards and claim is not None:
+            claim.announce(self.done)
+        else:
+            self._begin()
+
+    def _begin(self) -> bool:
+        """Prepare for the response once; end if the caller may not get it."""
+        if not self._begun:
+            self._begun = self._start.begin(is_stream=self._forwards)
+        if not self._begun:
+            self._finish(SendOutcome.UNKNOWN, self._status)
+        return self._begun
 
     def body_received(self, piece: bytes) -> None:
         """Forward complete events, or buffer the piece."""
@@ -200,6 +230,8 @@
         if not self._forwards:
             self._buffer(piece)
             return
+        if not self._begun and not self._begin():
+            return
         now = self._loop.time()
         self.last_data_seconds = now
         events = self._progress.splitter.feed(piece)
@@ -275,6 +307,11 @@
         return f'status {status}'
 
     def _finish_stream(self) -> None:
+        claim = self._start.claim
+        if claim is not None and not claim.accepted:
+            # It has sent no event, and the other attempt may bring some.
+            self._finish(SendOutcome.UNKNOWN, _CUT_STREAM)
+            return
         if (
             self._progress.splitter.ends_inside_event
             or not self._caller_response.started
--- a/src/sardinetrack/relay/exchange.py
+++ b/src/sardinetrack/relay/exchange.py
@@ -65,10 +65,10 @@
         run = self._watched_run()
         if run is None or run.ended:
             return
+        run.check_restart()
         if run.relief is not None and run.relief.pending:
-            run.relief.check()
+            run.relief.check(now)
             return
-        run.check_restart()
         if run.is_relief_due(now):
             self._relieve(run, now)
         else:
@@ -212,7 +212,7 @@
         One that takes over is watched once the silent server's has ended.
         """
         run = self._run
-        if run is not None and run.relief is not None and run.ended:
+        if run is not None and run.relief is not None and run.finished:
             self._run = self._newest_run
         return self._run
 
@@ -226,22 +226,39 @@
     async def _take_over(
         self, plan: Plan, relief: Relief
     ) -> ServerAttempt | None:
-        """Send to a server that the request has not been sent to.
+        """Send to servers that the request has not been sent to, in turn.
 
-        :return: the attempt that ended last; ``None`` if none could be sent.
+        :return: the attempt that ended last, if one took over.
         """
-        sends = self.trace.sent
         placer = Placer(self._state, self._call, self.trace, only_untried=True)
+        sends = self.trace.sent
         try:
-            placement = await placer.place(plan)
-            return await self._follow(self._new_run(plan, relief), placement)
-        except (RequestError, NotConnectedError, ServerUnavailableError):
+            while True:
+                attempt = await self._send_relief(plan, placer, relief)
+                outcome = attempt.done.result()
+                if relief.accepted or not self._may_retry(plan, outcome):
+                    return attempt
+                sends = self.trace.sent
+        except RequestError:
             # The silent server is waited for; the line on it tells that.
             return None
         finally:
             if self.trace.sent == sends:
                 self._state.budget(plan.pool.name).refund()
 
+    async def _send_relief(
+        self, plan: Plan, placer: Placer, relief: Relief
+    ) -> ServerAttempt:
+        """Send to the next server that can be reached.
+
+        :raises RequestError: there is none, or it may not be sent.
+        """
+        placement = await placer.place(plan)
+        try:
+            return await self._follow(self._new_run(plan, relief), placement)
+        except (NotConnectedError, ServerUnavailableError):
+            return await self._send_relief(plan, placer, relief)
+
     def _handle_outcome(self, plan: Plan, attempt: ServerAttempt) -> None:
         """Deliver a buffered response unless the request is to be retried.
 
--- a/src/sardinetrack/relay/run.py
+++ b/src/sardinetrack/relay/run.py
@@ -37,6 +37,8 @@
         """
         self.relief: Relief | None = None
         """The latest attempt to relieve the server of this run."""
+        self.finished = False
+        """Whether nothing is sent any more."""
         self._tools = tools
         self._caller = caller
         self._progress = progress
@@ -72,6 +74,7 @@
         try:
             return await (self._move if held else self._stay)(placement)
         finally:
+            self.finished = True
             placement.permit.release(complete=self._sender.caller_has_all)
 
     def relieve(self, now: float, send: SendRelief | None) -> None:
@@ -87,7 +90,9 @@
         if send is None:
             report(ReliefOutcome.NOT_ALLOWED)
         else:
-            self.relief = Relief(attempt, send, report)
+            route = self._tools.plan.route
+            max_seconds = max_silence_seconds(route, started=False)
+            self.relief = Relief(attempt, send, report, max_seconds)
 
     async def last_attempt(self, attempt: ServerAttempt) -> ServerAttempt:
         """Return the attempt that ended last, of those that took over.
--- a/src/sardinetrack/relay/sender.py
+++ b/src/sardinetrack/relay/sender.py
@@ -301,12 +301,12 @@
 def _stream_start(
     placement: Placement, progress: Progress, mode: SendMode
 ) -> StreamStart:
-    candidate, relief = placement.candidate, mode.relief
+    candidate = placement.candidate
     return StreamStart(
         progress,
         candidate.server.instance,
         candidate.prefill_tokens,
-        None if relief is None else relief.accept,
+        mode.relief,
     )
 
 
--- a/tests/relay/silent_servers.feature
+++ b/tests/relay/silent_servers.feature
@@ -93,3 +93,87 @@
     And a caller requests a resumable stream
     Then the caller receives all events once and the end
     And the retry budget is full
+
+  Scenario: A failure of another server doesn't replace a response still to come
+    Guards against a response that is given up for that of a server that has not
+    accepted the request.
+
+    Given a relay in front of 2 model servers
+    And a time-out of 10 seconds
+    And its server pauses for 3.7 seconds before event 1
+    When the other server is sent it and finds nothing
+    And a caller requests a resumable stream
+    Then the caller receives all events once and the end
+
+  Scenario: A request whose server stays silent ends at its deadline
+    Another server has failed it. Guards against a permit, a connection to a
+    server or to the caller that outlasts the request.
+
+    Given a relay in front of 2 model servers
+    And a time-out of 4 seconds
+    And its server pauses for 60 seconds before event 1
+    When the other server is sent it and finds nothing
+    And a caller requests a resumable stream until its connection ends
+    Then the caller gets status 504
+    And nothing is held for the stream any more
+
+  Scenario: A stream goes on at a third server if two are silent
+    Guards against a stream that waits for its deadline beside a free server.
+
+    Given a relay in front of 3 model servers
+    And a time-out of 10 seconds
+    And a stream may be sent to 3 servers
+    And its server pauses for 60 seconds before event 4
+    When the next server that is sent it is silent too
+    And a caller requests a resumable stream
+    Then the caller receives all events once and the end
+    And the servers got 3 requests
+
+  Scenario Outline: A stream goes on at a third server if the next one <act>
+    Guards against a pause for a server that is known not to run the stream, beside
+    a free one.
+
+    Given a relay in front of 3 model servers
+    And a time-out of 10 seconds
+    And a stream may be sent to 3 servers
+    And its server pauses for 60 seconds before event 4
+    When the next server that is sent it <act>
+    And a caller requests a resumable stream
+    Then the caller receives all events once and the end
+    And the caller had it all within 2 seconds
+
+    Examples:
+      | act           |
+      | turns it away |
+      | fails it      |
+      | disconnects   |
+
+  Scenario: A caller leaves while another server is asked to take over
+    Guards against exceptions in callbacks, which no line reports.
+
+    Given a relay in front of 2 model servers
+    And a time-out of 10 seconds
+    And its server pauses for 60 seconds before event 4
+    When the other server is sent it and is silent too
+    And a caller leaves while the other server has the stream too
+    Then nothing is held for the stream any more
+    And no exception is left over
+
+  Scenario: The server of a stream that moves after a silence is watched
+    Guards against a stream whose server is no longer watched for silence, leaving
+    or restarts since the entry watches an attempt that has ended.
+
+    Given a relay in front of 3 engines whose streams move
+    When a stream moves that another server has turned away in a silence
+    Then the server that it moved to is watched
+
+  Scenario: A server that accepts a stream and ends doesn't end its response
+    Guards against a response that is truncated although its silent server goes on,
+    because another one had sent the head of a response and nothing else.
+
+    Given a relay in front of 2 model servers
+    And a time-out of 10 seconds
+    And its server pauses for 1.9 seconds before event 4
+    When the other server is sent it and accepts it and ends
+    And a caller requests a resumable stream
+    Then the caller receives all events once and the end
--- a/tests/relay/steps/silence_steps.py
+++ b/tests/relay/steps/silence_steps.py
@@ -2,21 +2,26 @@
 
 from __future__ import annotations
 
+import asyncio
+from contextlib import suppress
 from dataclasses import replace
 from types import MappingProxyType
 from unittest import mock
 
 from behave import given, then, when
 from tests.support.held_requests import assert_nothing_held, until
+from tests.support.relay_servers import ScriptedServer, SharedActs
 from tests.support.relay_world import configuration
 
 from sardinetrack.relay import server_choice
+from sardinetrack.relay.movable_stream import MovableStream
 from sardinetrack.relay.permit import PermitRefusedError
 from sardinetrack.topology.configuration import WeightedPool
 from sardinetrack.topology.freshness import boot_clock
 
 _CHANGE_SECONDS = 0.4
 _REST_SECONDS = 5.0
+_PAUSED_EVENT = 10
 _UNNUMBERED = 'data: token {number}\n\n'
 
 
@@ -86,6 +91,8 @@
         'fails it': 'fail',
         'disconnects': 'reset',
         'is silent too': 'hang',
+        'finds nothing': 'find_nothing',
+        'accepts it and ends': 'begin_and_crash',
     }
 )
 
@@ -95,6 +102,99 @@
     context.other.acts.append(_ACTS[act])
 
 
+def _confirm(freshness):
+    freshness.confirm(boot_clock())
+
+
+@when('the next server that is sent it {act}')
+def act_next(context, act):
+    shared = SharedActs(_ACTS[act])
+    for server in context.world.servers:
+        if server is not context.home:
+            server.acts = shared
+    freshness = context.world.entry_state.freshness
+    for seconds in range(1, 6):
+        context.world.loop.call_later(seconds, _confirm, freshness)
+
+
+@given('a stream may be sent to {count:d} servers')
+def send_to_several(context, count):
+    _set_routes(context, max_servers=count)
+
+
+@when('a caller requests a resumable stream until its connection ends')
+def request_to_end(context):
+    """Fail if the connection outlasts the deadline by more than a moment."""
+    world = context.world
+    context.reply = world.run(world.call('stream', timeout_seconds=4.2))
+
+
+@when('a caller leaves while the other server has the stream too')
+def leave_in_relief(context):
+    errors = []
+    context.loop_errors = errors
+    context.world.loop.set_exception_handler(
+        lambda _, details: errors.append(details)
+    )
+
+    async def play():
+        with suppress(TimeoutError):
+            await context.world.call('stream', timeout_seconds=1.6)
+
+    context.world.run(play())
+    assert context.other.requests
+
+
+async def _play_move(context):
+    world, events = context.world, ScriptedServer._event  # noqa: SLF001
+    call = asyncio.ensure_future(world.call('stream'))
+    await until(lambda: any(one.made for one in world.servers))
+    source = next(one for one in world.servers if one.made)
+    others = [one for one in world.servers if one is not source]
+    for other in others:
+        other.acts.append('shed')
+
+    async def pause(fields, number):
+        await asyncio.sleep(1.5 if number == _PAUSED_EVENT else 0)
+        return await events(source, fields, number)
+
+    source._event = pause  # noqa: SLF001
+    await until(lambda: any(one.requests for one in others))
+    await until(lambda: _PAUSED_EVENT + 1 in source.made)
+    for other in others:
+        other.acts.clear()
+    exchange = next(iter(world.entry._exchanges))  # noqa: SLF001
+    world.list_servers({source.instance})
+    await until(lambda: any(one.made for one in others))
+    exchange.check(world.entry.now())
+    context.watches_ended = exchange._run.attempt.done.done()  # noqa: SLF001
+    await call
+
+
+@when('a stream moves that another server has turned away in a silence')
+def move_after_relief(context):
+    """Look at the stream also between the two runs, as a sweep may."""
+    world, send_on = context.world, MovableStream._send_on  # noqa: SLF001
+
+    async def check_and_send_on(stream, move, stopped):
+        for exchange in world.entry._exchanges:  # noqa: SLF001
+            exchange.check(world.entry.now())
+        return await send_on(stream, move, stopped)
+
+    with mock.patch.object(MovableStream, '_send_on', check_and_send_on):
+        world.run(_play_move(context))
+
+
+@then('the server that it moved to is watched')
+def is_watched(context):
+    assert not context.watches_ended, 'an attempt that has ended is watched'
+
+
+@then('no exception is left over')
+def none_left(context):
+    assert not context.loop_errors, context.loop_errors
+
+
 @when('the other server has other software')
 def change_software(context):
     context.home.version = 'v1'
