--- a/tests/relay/steps/stream_move_steps.py
+++ b/tests/relay/steps/stream_move_steps.py
@@ -303,7 +303,7 @@
         call = await _begin(context, route)
         exchange = next(iter(context.world.entry._exchanges))  # noqa: SLF001
         # The first event clears its parts.
-        await until(lambda: exchange.attempt.first_event_received)
+        await until(lambda: exchange.progress.first_event_seconds)
         part = exchange.plan.part_keys[0]
         now = context.world.loop.time()
         record = state.crashes.quarantine.registry.record(now, part)
