An entry bounds the memory of the bodies that its callers send

Cause: what an entry accepts was bounded by counts times an assumed size (CONNECTION_BYTES, REQUEST_BYTES). Nothing bounded the bytes themselves: each connection collected its whole body, the head and body were joined to a copy, and the transport copied what the server had not read.

Change: HeldBytes counts what bodies need beyond the assumed sizes, by workspace; at most half of the memory beyond the base. A request whose announced length does not fit is refused at its head (503, Retry-After, "not run"), one in chunks as soon as it no longer fits; the rest of its body is read and dropped, so that the close resets nothing. While much is held, workspaces share it evenly. The limits on requests and connections shrink by what is held. A large body is written to the server as fast as the server reads it. Pieces are joined as they arrive. Requests that are refused after their head get a log line and their request id; new are the counter bodies_refused and the gauge held_body_bytes.

Ruled out: pausing the reading instead. With each body half read none could end, and a refused caller can go to another entry at once. A lower limit on connections would refuse callers with usual bodies.

--- a/src/sardinetrack/platform/protocol_adapter.py
+++ b/src/sardinetrack/platform/protocol_adapter.py
@@ -114,7 +114,7 @@
     def encode_request(
         self, call: CallerRequest, sending: AttemptContext
     ) -> bytes:
-        """Encode the request as the backend server receives it."""
+        """Encode the head as the backend server receives it."""
         max_wait_milliseconds = max(
             1, int(sending.max_wait_seconds * _MILLISECONDS)
         )
@@ -135,7 +135,7 @@
             lines.append(kv_transfer.encode_kv_source(sending.kv_source))
         if call.body or call.method not in {b'GET', b'HEAD', b'DELETE'}:
             lines.append(b'content-length: %d\r\n' % len(call.body))
-        lines.extend((b'\r\n', call.body))
+        lines.append(b'\r\n')
         return b''.join(lines)
 
     def encode_kv_move(
--- a/src/sardinetrack/relay/api.py
+++ b/src/sardinetrack/relay/api.py
@@ -8,6 +8,7 @@
 from enum import Enum, auto
 
 from sardinetrack.placement.prompt import Prompt
+from sardinetrack.relay.held_bytes import BodyHold
 from sardinetrack.topology.servers import BackendServer
 
 Headers = Sequence[tuple[bytes, bytes]]
@@ -25,7 +26,7 @@
     path: str
     forwarded: bytes
     """The header lines to forward to the server, each with its line end."""
-    body: bytes
+    body: bytes | bytearray
     arrived_seconds: float
     """On the clock of the event loop."""
     max_wait_seconds: float | None
@@ -39,6 +40,8 @@
     continues, by its id; ``None`` if it continues none."""
     closes_connection: bool = False
     """The caller asked to close the connection after the response."""
+    body_hold: BodyHold | None = None
+    """Of the memory of its body; released when the request has ended."""
 
     @property
     def continues_stream(self) -> bool:
@@ -145,7 +148,7 @@
     def encode_request(
         self, call: CallerRequest, sending: AttemptContext
     ) -> bytes:
-        """Serialise the request for a server."""
+        """Serialise the head of the request for a server; its body follows."""
 
     @abstractmethod
     def encode_kv_move(
--- a/src/sardinetrack/relay/caller_connection.py
+++ b/src/sardinetrack/relay/caller_connection.py
@@ -11,15 +11,18 @@
 
 from sardinetrack.errors.api import ErrorKind, RequestError
 from sardinetrack.http.sockets import file_descriptor, has_unread_data
-from sardinetrack.relay.api import CallerRequest, ProtocolAdapter
+from sardinetrack.relay.api import CallerRequest, Headers, ProtocolAdapter
 from sardinetrack.relay.caller_response import CallerResponse
 from sardinetrack.relay.connection_owner import ConnectionOwner
 from sardinetrack.relay.error_response import error_response
 from sardinetrack.relay.flow_control import FlowControl
+from sardinetrack.relay.request_body import RequestBody
 
 _CONTINUE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
 _EXPECTS_CONTINUE: Final = (b'expect', b'100-continue')
 _HEAD: Final = b'HEAD'
+_LENGTH: Final = b'content-length'
+_NO_MEMORY: Final = 'This instance has no memory for the body now; not run.'
 _MAX_PIPELINED: Final = 16
 """Pipelined requests that may wait for earlier responses on one connection."""
 
@@ -27,6 +30,8 @@
 class _Rejection(NamedTuple):
     error: RequestError
     bodiless: bool = False
+    call: CallerRequest | None = None
+    """The head of the request, if it can be parsed."""
 
 
 class CallerConnection(asyncio.Protocol):
@@ -49,9 +54,9 @@
         self._target = b''
         self._head: CallerRequest | None = None
         self._call: CallerRequest | None = None
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body: RequestBody | None = None
         self._rejection: RequestError | None = None
+        self._rejected_early = False
         self._awaits_continue = False
         self._task: asyncio.Task[None] | None = None
         self._pipelined: deque[CallerRequest | _Rejection] = deque()
@@ -107,6 +112,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request in progress: its caller has disconnected."""
         self._owner.closed(self)
+        self._release_unserved()
         if self._task is not None:
             self._task.cancel()
 
@@ -187,9 +193,7 @@
         self._received_any = True
         self.changed_seconds = self._owner.now()
         self._headers = []
-        self._body = []
         self._head_bytes = 0
-        self._body_bytes = 0
         self._target = b''
         self._head = None
         self._rejection = None
@@ -225,35 +229,47 @@
         except RequestError as error:
             self._rejection = self._rejection or error
             return
+        self._body = RequestBody(
+            self._owner.hold_body(self._head), self._owner.limits.body_bytes
+        )
+        if not self._body.announce(_announced_bytes(self._headers)):
+            self._refuse_body()
+            return
         self._awaits_continue = _EXPECTS_CONTINUE in self._headers
         self._write_continue()
 
     def on_body(self, body: bytes) -> None:
         """Collect the body."""
         self._awaits_continue = False
-        self._body_bytes += len(body)
-        if self._body_bytes > self._owner.limits.body_bytes:
+        if self._body is None or self._rejection is not None:
+            return
+        if not self._body.append(body):
+            self._refuse_body()
+        elif self._body.is_too_large:
             self._reject(ErrorKind.BODY_TOO_LARGE)
-        else:
-            self._body.append(body)
 
     def on_message_complete(self) -> None:
         """Queue the complete request."""
         self.reading = False
         self._awaits_continue = False
-        call = self._head
+        if self._rejected_early:
+            # All of the request is read, so the close resets nothing.
+            self.close()
+            return
+        call, body = self._head, self._body
         # Otherwise a thousand idle connections would keep the last prompt of
         # each.
         self._head = None
         self._headers = []
-        if call is None or self._rejection is not None:
+        self._body = None
+        if call is None or body is None or self._rejection is not None:
             error = self._rejection or RequestError(ErrorKind.BAD_REQUEST)
             bodiless = self._parser.get_method() == _HEAD
-            self._queue(_Rejection(error, bodiless))
+            self._queue(_Rejection(error, bodiless, call))
             return
-        call.body = b''.join(self._body)
+        call.body = body.take()
+        call.body_hold = body.hold
         call.closes_connection = not self._parser.should_keep_alive()
-        self._body = []
         self._queue(call)
 
     def truncate(self) -> None:
@@ -271,6 +287,7 @@
 
     def _queue(self, request: CallerRequest | _Rejection) -> None:
         if len(self._pipelined) >= _MAX_PIPELINED:
+            _release(request)
             # The response in progress is not to be broken off; the next one
             # announces the close, and what follows it is not served.
             self._closing = True
@@ -297,6 +314,30 @@
     def _reject(self, kind: ErrorKind) -> None:
         self._rejection = self._rejection or RequestError(kind)
 
+    def _refuse_body(self) -> None:
+        """Refuse a request that the entry has no memory for.
+
+        Its caller need not send the rest first. That is read nevertheless: a
+        connection that closes with unread data is reset, which may discard the
+        response.
+        """
+        error = RequestError(ErrorKind.INSTANCE_BUSY, _NO_MEMORY)
+        self._rejection = error
+        if self.busy or self._pipelined:
+            # The responses to earlier requests come first.
+            return
+        self._rejected_early = True
+        bodiless = self._parser.get_method() == _HEAD
+        self._write_final(_Rejection(error, bodiless, self._head))
+
+    def _release_unserved(self) -> None:
+        """Release the memory of requests that nobody waits for any more."""
+        if self._body is not None:
+            self._body.drop()
+        for request in self._pipelined:
+            _release(request)
+        self._pipelined.clear()
+
     def _begin_response(self, *, bodiless: bool) -> None:
         self.response = CallerResponse(
             self._write, self._closes, bodiless=bodiless
@@ -305,14 +346,22 @@
     def _write_rejection(self, rejection: _Rejection) -> None:
         # The rejected request may not have been read to its end; the rest of
         # it would be parsed as the next request.
+        self._write_final(rejection)
+        self.close()
+
+    def _write_final(self, rejection: _Rejection) -> None:
+        """Write a response that announces the close."""
         self._closing = True
-        status, headers, body = error_response(rejection.error)
         self._begin_response(bodiless=rejection.bodiless)
+        if rejection.call is not None:
+            self._owner.refuse(rejection.call, self, rejection.error)
+            return
+        status, headers, body = error_response(rejection.error)
         self.response.send(status, headers, body)
-        self.close()
 
     def _request_done(self, task: asyncio.Task[None]) -> None:
         self._task = None
+        _release(self._call)
         self.changed_seconds = self._owner.now()
         if task.cancelled():
             self.truncate()
@@ -346,3 +395,17 @@
         if transport is None or transport.is_closing():
             return
         transport.write(data)
+
+
+def _announced_bytes(headers: Headers) -> int:
+    """Return the length of the body that follows; 0 if none is announced."""
+    for name, content in headers:
+        if name == _LENGTH:
+            return int(content) if content.isdigit() else 0
+    return 0
+
+
+def _release(request: CallerRequest | _Rejection | None) -> None:
+    """Release the memory of a request that has ended."""
+    if isinstance(request, CallerRequest) and request.body_hold is not None:
+        request.body_hold.release()
--- a/src/sardinetrack/relay/capacity.py
+++ b/src/sardinetrack/relay/capacity.py
@@ -28,6 +28,9 @@
 """
 RECOVERED_LATE_SECONDS: Final = 0.05
 _SMOOTHING_FACTOR: Final = 0.5
+HELD_FRACTION: Final = 0.5
+"""Fraction of the memory beyond the base that large bodies may use; the rest
+is for connections and for requests of the usual size."""
 CROWDED_FRACTION: Final = 0.5
 """Fraction of the maximum requests from which they are shared between
 workspaces."""
@@ -64,12 +67,16 @@
         self,
         settings: InstanceSettings,
         used_bytes: Callable[[], int] = resident_bytes,
+        held_bytes: Callable[[], int] = int,
     ) -> None:
         """Calculate the limits.
 
         :param used_bytes: returns how much memory the process uses.
+        :param held_bytes: returns how much of it large bodies need, beyond
+            what the limits allow for.
         """
         self._used_bytes = used_bytes
+        self._held_bytes = held_bytes
         available_bytes = max(
             CONNECTION_BYTES, settings.memory_bytes - BASE_BYTES
         )
@@ -78,12 +85,14 @@
             by_descriptors, available_bytes // CONNECTION_BYTES
         )
         self.max_requests = max(1, available_bytes // REQUEST_BYTES)
+        self._available_bytes = available_bytes
         self.overloaded = False
         self.late_seconds = float(0)
         self.memory_short = False
         self._memory_bytes = settings.memory_bytes
         self._requests_when_short = self.max_requests
         self._connections_when_short = self.max_connections
+        self._held_when_short = 0
 
     def update_lateness(self, seconds: float) -> bool:
         """Update the average lateness of the event loop.
@@ -116,21 +125,46 @@
             self.memory_short = short
             self._requests_when_short = max(1, requests)
             self._connections_when_short = max(1, connections)
+            self._held_when_short = self._held_bytes()
         return changed
 
     @property
     def connections(self) -> int:
         """The number of callers' connections that may be open now."""
+        maximum = min(
+            self.max_connections, self._unheld_bytes // CONNECTION_BYTES
+        )
         if self.memory_short:
-            return min(self.max_connections, self._connections_when_short)
-        return self.max_connections
+            return min(maximum, self._connections_when_short)
+        return maximum
 
     @property
     def requests(self) -> int:
         """The number of requests that may be in progress now."""
+        maximum = max(1, self._unheld_bytes // REQUEST_BYTES)
+        if self.memory_short:
+            return min(maximum, self._requests_when_short)
+        return maximum
+
+    @property
+    def _unheld_bytes(self) -> int:
+        return self._available_bytes - self._held_bytes()
+
+    def max_held_bytes(self, requests: int, connections: int) -> int:
+        """Return how many bytes of large bodies may be held now.
+
+        :param requests: in progress.
+        :param connections: open ones of callers.
+        """
+        used_bytes = connections * CONNECTION_BYTES
+        used_bytes += requests * (REQUEST_BYTES - CONNECTION_BYTES)
+        maximum = min(
+            int(HELD_FRACTION * self._available_bytes),
+            self._available_bytes - used_bytes,
+        )
         if self.memory_short:
-            return min(self.max_requests, self._requests_when_short)
-        return self.max_requests
+            return min(maximum, self._held_when_short)
+        return maximum
 
     def accepts(self, counts: RequestCounts) -> bool:
         """Whether a workspace may have another request in progress here.
--- a/src/sardinetrack/relay/connection_owner.py
+++ b/src/sardinetrack/relay/connection_owner.py
@@ -5,7 +5,9 @@
 from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING
 
+from sardinetrack.errors.api import RequestError
 from sardinetrack.relay.api import CallerRequest
+from sardinetrack.relay.held_bytes import BodyHold
 from sardinetrack.topology.configuration import CallerLimits
 
 if TYPE_CHECKING:
@@ -29,6 +31,22 @@
     def closed(self, connection: CallerConnection) -> None:
         """Remove a closed connection."""
 
+    @abstractmethod
+    def hold_body(self, call: CallerRequest) -> BodyHold:
+        """Return a hold of no bytes for the body of a request.
+
+        :param call: its head.
+        """
+
+    @abstractmethod
+    def refuse(
+        self,
+        call: CallerRequest,
+        caller: CallerConnection,
+        error: RequestError,
+    ) -> None:
+        """Respond with an error to a request that is not served."""
+
     @abstractmethod
     async def serve(
         self, call: CallerRequest, caller: CallerConnection
--- a/src/sardinetrack/relay/entry.py
+++ b/src/sardinetrack/relay/entry.py
@@ -6,7 +6,6 @@
 import math
 from collections import Counter
 from contextlib import AsyncExitStack
-from operator import attrgetter
 from types import TracebackType
 from typing import Final, Self
 
@@ -19,6 +18,7 @@
 from sardinetrack.relay.connection_owner import ConnectionOwner
 from sardinetrack.relay.entry_state import EntryState
 from sardinetrack.relay.exchange import Exchange
+from sardinetrack.relay.held_bytes import BodyHold, HeldBytes
 from sardinetrack.relay.listener import Listener
 from sardinetrack.topology.configuration import CallerLimits
 from sardinetrack.views.source import ViewSource
@@ -63,7 +63,10 @@
         self._listener: Listener
         self._stack = AsyncExitStack()
         self._was_ready = False
-        self.capacity = Capacity(state.settings)
+        self.held = HeldBytes(self._max_held_bytes)
+        self.capacity = Capacity(
+            state.settings, held_bytes=lambda: self.held.total_bytes
+        )
         self._all_finished = asyncio.Event()
         self._draining_since = math.inf
 
@@ -223,7 +226,7 @@
         balancer's health check.
         """
         idle = [one for one in self._connections if one.idle]
-        idle.sort(key=attrgetter('changed_seconds'))
+        idle.sort(key=lambda one: one.changed_seconds)
         longest = idle[: max(1, len(idle) // _EVICT_DIVISOR)]
         closed = [one for one in longest if one.close_idle()]
         if not closed:
@@ -241,6 +244,28 @@
         """Remove a closed connection."""
         self._connections.discard(connection)
 
+    def hold_body(self, call: CallerRequest) -> BodyHold:
+        """Return a hold for the body of a request of its workspace."""
+        return self.held.open(self._state.workspace_name(call.api_key))
+
+    def refuse(
+        self,
+        call: CallerRequest,
+        caller: CallerConnection,
+        error: RequestError,
+    ) -> None:
+        """Respond with an error to a request that is not served."""
+        if error.kind is ErrorKind.INSTANCE_BUSY:
+            self._state.meters.bodies.refused += 1
+        exchange = Exchange(self._state, self._adapter, call, caller)
+        exchange.refuse(error)
+        exchange.record_end()
+
+    def _max_held_bytes(self) -> int:
+        return self.capacity.max_held_bytes(
+            len(self._exchanges), len(self._connections)
+        )
+
     async def serve(
         self, call: CallerRequest, caller: CallerConnection
     ) -> None:
@@ -298,6 +323,7 @@
             await asyncio.sleep(SWEEP_SECONDS)
             self._update_lateness(self.now() - due_seconds)
             self._update_memory()
+            self._state.meters.bodies.held_bytes = self.held.total_bytes
             count += 1
             for exchange in self._exchanges:
                 exchange.check(self.now())
--- /dev/null
+++ b/src/sardinetrack/relay/held_bytes.py
@@ -0,0 +1,119 @@
+"""The bytes of large bodies that an entry holds, bounded for all together.
+
+The limits on requests and connections assume bodies of a usual size. What a
+body has beyond that is held here, so that callers who all send the largest body
+allowed can't make the entry exceed its memory.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+from typing import Final
+
+READING_INCLUDED_BYTES: Final = 16_384
+"""Bytes of a body being read that the limit on connections allows for."""
+RUNNING_INCLUDED_BYTES: Final = 49_152
+"""The same for a request in progress, by the limit on requests."""
+_OVERALLOCATION_DIVISOR: Final = 8
+"""A growing buffer has up to an eighth more than what it holds."""
+CROWDED_FRACTION: Final = 0.5
+"""Fraction of the limit from which it is shared between workspaces."""
+SHARED_FRACTION: Final = 0.9
+"""Fraction that is shared then; the rest is for workspaces that hold nothing.
+"""
+
+
+class HeldBytes:
+    """Counts the held bytes of each workspace; no I/O."""
+
+    def __init__(self, limit_bytes: Callable[[], int]) -> None:
+        """Start with nothing held.
+
+        :param limit_bytes: returns how many may be held now.
+        """
+        self._limit_bytes = limit_bytes
+        self._held: Counter[str] = Counter()
+        self.total_bytes = 0
+
+    def open(self, workspace: str) -> BodyHold:
+        """Return a hold of no bytes for one body.
+
+        :param workspace: by which the bytes are shared.
+        """
+        return BodyHold(self, workspace)
+
+    def try_add(self, workspace: str, size_bytes: int) -> bool:
+        """Hold more bytes if a workspace may.
+
+        While much is held, each workspace gets an equal share. Otherwise the
+        bodies of one workspace would leave no room for those of others.
+
+        :return: whether they are held.
+        """
+        limit = self._limit_bytes()
+        total = self.total_bytes + size_bytes
+        of_workspace = self._held[workspace] + size_bytes
+        sharing = len(self._held.keys() | {workspace})
+        crowded = total > CROWDED_FRACTION * limit
+        if total > limit or (
+            crowded and of_workspace * sharing > SHARED_FRACTION * limit
+        ):
+            self._discard_empty(workspace)
+            return False
+        self._held[workspace] = of_workspace
+        self.total_bytes = total
+        return True
+
+    def remove(self, workspace: str, size_bytes: int) -> None:
+        """Hold fewer bytes."""
+        self.total_bytes -= size_bytes
+        self._held[workspace] -= size_bytes
+        self._discard_empty(workspace)
+
+    def _discard_empty(self, workspace: str) -> None:
+        if not self._held[workspace]:
+            self._held.pop(workspace)
+
+
+class BodyHold:
+    """The bytes that are held for one body."""
+
+    def __init__(self, account: HeldBytes, workspace: str) -> None:
+        """Start without any."""
+        self._account = account
+        self._workspace = workspace
+        self._held_bytes = 0
+
+    def grow(self, body_bytes: int) -> bool:
+        """Hold what a body of this size needs while it is being read.
+
+        :param body_bytes: size of the body so far, or as announced.
+        :return: whether there is room for it.
+        """
+        more = _needed(body_bytes, READING_INCLUDED_BYTES) - self._held_bytes
+        if more <= 0:
+            return True
+        if not self._account.try_add(self._workspace, more):
+            return False
+        self._held_bytes += more
+        return True
+
+    def complete(self, body_bytes: int) -> None:
+        """Hold what a complete body needs until its request has ended."""
+        needed = _needed(body_bytes, RUNNING_INCLUDED_BYTES)
+        self._shrink(min(needed, self._held_bytes))
+
+    def release(self) -> None:
+        """Hold nothing any more; may be called again."""
+        self._shrink(0)
+
+    def _shrink(self, size_bytes: int) -> None:
+        if size_bytes < self._held_bytes:
+            self._account.remove(self._workspace, self._held_bytes - size_bytes)
+            self._held_bytes = size_bytes
+
+
+def _needed(body_bytes: int, included_bytes: int) -> int:
+    needed = body_bytes + body_bytes // _OVERALLOCATION_DIVISOR
+    return max(0, needed - included_bytes)
--- a/src/sardinetrack/relay/meters.py
+++ b/src/sardinetrack/relay/meters.py
@@ -89,10 +89,35 @@
         self.pause_ratios[route].add(ratio)
 
 
-class Meters:
+class BodyMeters:
+    """Counts the large bodies of requests."""
+
+    def __init__(self) -> None:
+        self.refused = 0
+        """Requests for whose bodies there was no memory."""
+        self.held_bytes = 0
+        """What large bodies need now, beyond what the limits allow for."""
+
+
+class ServerMeters:
+    """Counts what the servers have done."""
+
+    def __init__(self) -> None:
+        self.refused_entries = 0
+        """Listed records that could not be read; each change counts."""
+        self.restarts = 0
+        """Servers that restarted under the same id."""
+        self.rests = 0
+        """Rests that servers asked for, as far as lines report them."""
+        self.announced_leavings = 0
+        """Servers that said in a response that they leave."""
+
+
+class Meters(ServerMeters):
     """Counts what one entry has done since it started."""
 
     def __init__(self) -> None:
+        super().__init__()
         self.outcomes: Counter[str] = Counter()
         """By kind of error; ``served`` where a server's response was
         delivered."""
@@ -103,17 +128,10 @@
         self.discarded: Counter[str] = Counter()
         """Responses that may not be the one to the request, by the reason."""
         self.workspaces: Counter[str] = Counter()
-        self.refused_entries = 0
-        """Listed records that could not be read; each change counts."""
-        self.restarts = 0
-        """Servers that restarted under the same id."""
-        self.rests = 0
-        """Rests that servers asked for, as far as lines report them."""
-        self.announced_leavings = 0
-        """Servers that said in a response that they leave."""
         self.took = Histogram()
         self.waited = Histogram()
         self.streams = StreamMeters()
+        self.bodies = BodyMeters()
 
     def ended(self, outcome: str, workspace: str, took_seconds: float) -> None:
         """Count the end of a request.
--- a/src/sardinetrack/relay/metrics.py
+++ b/src/sardinetrack/relay/metrics.py
@@ -63,6 +63,16 @@
     )
     yield _histogram('request', 'Arrival to end', meters.took)
     yield _histogram('turn_wait', 'Wait for a turn', meters.waited)
+    yield _total(
+        'bodies_refused',
+        'Requests for whose bodies there was no memory',
+        meters.bodies.refused,
+    )
+    yield _gauge(
+        'held_body_bytes',
+        'Memory of large bodies, beyond that of usual requests',
+        meters.bodies.held_bytes,
+    )
     yield from _stream_metrics(state)
     yield from _view_metrics(state, store)
     yield from _server_metrics(state)
--- /dev/null
+++ b/src/sardinetrack/relay/request_body.py
@@ -0,0 +1,66 @@
+"""Collects the body of one request."""
+
+from __future__ import annotations
+
+from sardinetrack.relay.held_bytes import BodyHold
+
+
+class RequestBody:
+    """Collects pieces while the entry has room for them."""
+
+    def __init__(self, hold: BodyHold, max_bytes: int) -> None:
+        """Start empty.
+
+        :param hold: of the memory that the body needs.
+        :param max_bytes: the longest body that is allowed.
+        """
+        self.hold = hold
+        self._max_bytes = max_bytes
+        self._size_bytes = 0
+        self._first = b''
+        self._joined = bytearray()
+
+    @property
+    def is_too_large(self) -> bool:
+        """Whether more has arrived than is allowed."""
+        return self._size_bytes > self._max_bytes
+
+    def announce(self, size_bytes: int) -> bool:
+        """Hold the memory for a body whose size is known before it arrives.
+
+        :return: whether there is room for it.
+        """
+        return self.hold.grow(min(size_bytes, self._max_bytes))
+
+    def append(self, piece: bytes) -> bool:
+        """Add a piece, unless more has arrived than is allowed.
+
+        :return: whether there is room for it.
+        """
+        self._size_bytes += len(piece)
+        if self.is_too_large:
+            self.drop()
+            return True
+        if not self.hold.grow(self._size_bytes):
+            self.drop()
+            return False
+        if self._first:
+            # Joined as they arrive: the pieces of a body that comes byte by
+            # byte need many times its size.
+            if not self._joined:
+                self._joined += self._first
+            self._joined += piece
+        else:
+            self._first = piece
+        return True
+
+    def take(self) -> bytes | bytearray:
+        """Return the complete body, which is held until its request ends."""
+        self.hold.complete(self._size_bytes)
+        return self._joined or self._first
+
+    def drop(self) -> None:
+        """Discard what has arrived, and hold nothing any more."""
+        self._first = b''
+        self._joined = bytearray()
+        self.hold.release()
--- a/src/sardinetrack/relay/sender.py
+++ b/src/sardinetrack/relay/sender.py
@@ -197,7 +197,7 @@
         candidate = placement.candidate
         server = candidate.server
         self._recheck(plan, placement, mode)
-        request = self._adapter.encode_request(
+        head = self._adapter.encode_request(
             self._call,
             self._sending(plan, server, attempt, mode),
         )
@@ -208,8 +208,9 @@
         load.added_tokens += candidate.prefill_tokens
         with self._caller.flow.applied_to(connection):
             connection.send(
-                request,
+                head,
                 attempt,
+                body=self._call.body,
                 request_id=self._call.request_id,
                 bodiless=self._call.method == _HEAD,
             )
--- a/src/sardinetrack/relay/server_connection.py
+++ b/src/sardinetrack/relay/server_connection.py
@@ -35,6 +35,8 @@
 
 So the record of their ids stays complete and below 2 KB.
 """
+JOINED_BYTES: Final = 65_536
+"""Head and body of a request are joined to one write up to this size."""
 MAX_SKIPPED: Final = 3
 """Responses to other requests that are skipped before the one to a request."""
 _MILLISECONDS: Final = 1000
@@ -105,6 +107,8 @@
         self._skipped = 0
         self._skipped_end = b''
         self._reason_phrase = b''
+        self._unsent = memoryview(b'')
+        self._write_paused = False
 
     @property
     def unused(self) -> bool:
@@ -135,11 +139,14 @@
         request: bytes,
         sink: ResponseSink,
         *,
+        body: bytes | bytearray = b'',
         request_id: str | None = None,
         bodiless: bool = False,
     ) -> None:
         """Send a request whose response goes to the sink.
 
+        :param body: follows the request; what the server has not read yet of a
+            large one is not copied.
         :param request_id: the id that the response will bear; ``None`` if the
             server knows no ids.
         :param bodiless: the response has no body, whatever length it states.
@@ -154,7 +161,12 @@
         self._complete = False
         self._status_seen = False
         assert self.transport is not None  # noqa: S101
+        if len(body) <= JOINED_BYTES:
+            self.transport.write(b''.join((request, body)))
+            return
         self.transport.write(request)
+        self._unsent = memoryview(body)
+        self._write_unsent()
 
     def flow(self, reading: bool) -> None:
         """Pause or resume reading, as fast as the caller reads.
@@ -169,9 +181,19 @@
         else:
             transport.pause_reading()
 
+    def pause_writing(self) -> None:
+        """Wait until the server reads."""
+        self._write_paused = True
+
+    def resume_writing(self) -> None:
+        """Continue to send the body of a request."""
+        self._write_paused = False
+        self._write_unsent()
+
     def abort(self) -> None:
         """Close it immediately; the server then cancels the request."""
         self._sink = None
+        self._unsent = memoryview(b'')
         if self.transport is not None:
             self.transport.abort()
 
@@ -211,6 +233,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Report the failure to the sink."""
+        self._unsent = memoryview(b'')
         self._fail(BreakReason.CLOSED if exc is None else BreakReason.RESET)
 
     def on_message_begin(self) -> None:
@@ -296,8 +319,20 @@
         self._framed = False
         self._status_seen = False
 
+    def _write_unsent(self) -> None:
+        """Write the rest of a body as far as the server reads it."""
+        while self._unsent and not self._write_paused:
+            piece = self._unsent[:JOINED_BYTES]
+            self._unsent = self._unsent[JOINED_BYTES:]
+            if self.transport is not None:
+                self.transport.write(piece)
+
     def _finish(self) -> None:
         self._parser = None
+        if self._unsent:
+            # It responds without having read the whole request.
+            self._unsent = memoryview(b'')
+            self._unusable = True
         if not self._keep_alive or self._unusable:
             self._close()
         if self._sink is not None:
