--- a/src/sardinetrack/turns/line_protocol.py
+++ b/src/sardinetrack/turns/line_protocol.py
@@ -25,7 +25,8 @@
     def __init__(self) -> None:
         """Start without a transport."""
         self.transport: asyncio.Transport | None = None
-        self._rest = b''
+        self._pieces: list[bytes] = []
+        self._rest_bytes = 0
 
     @abstractmethod
     def handle_line(self, line: bytes) -> None:
@@ -65,15 +66,26 @@
 
     def data_received(self, data: bytes) -> None:
         """Split the data into lines and handle each."""
-        lines = (self._rest + data).split(b'\n')
-        self._rest = lines.pop()
+        lines = data.split(b'\n')
+        rest = lines.pop()
+        if lines and self._pieces:
+            # A long line is joined once, not with each piece of it.
+            lines[0] = b''.join((*self._pieces, lines[0]))
+            self._pieces = []
+            self._rest_bytes = 0
+        self._handle_lines(lines)
+        if rest:
+            self._pieces.append(rest)
+            self._rest_bytes += len(rest)
+        if self._rest_bytes > self.max_line_bytes:
+            self.abort()
+
+    def _handle_lines(self, lines: list[bytes]) -> None:
         try:
             for line in lines:
                 self.handle_line(line)
         except UnreadableError:
             self.abort()
-        if len(self._rest) > self.max_line_bytes:
-            self.abort()
 
     def abort(self) -> None:
         """Close the connection immediately, without flushing."""
