Heads, trailers and events without end cost their own request only

Cause: nothing bounded what a server sends beside a body. The headers of a response, and its trailers, were collected without a limit; the parser keeps one field until it is complete. An incomplete event was joined to each piece of it and searched again as a whole. Buffered pieces of one byte needed eight times their size. A caller's incomplete field was not bounded either.

Change: limits for the fields of a response (64 KB, counted as HTTP/2 does), for what arrives without a byte of a body (128 KB), and for one event (1 MB). The connection is closed, and the attempt ends as any other that may have run. Only the new part of an event is searched. Buffers join pieces as they arrive, and a response to a call of the entry's own is bounded. A caller's head or trailers beyond the limit on headers and 64 KB end its connection with 431.

--- a/src/sardinetrack/relay/attempt.py
+++ b/src/sardinetrack/relay/attempt.py
@@ -10,6 +10,7 @@
 from typing import Final, Self
 
 from sardinetrack.relay.api import CallerRequest, ProtocolAdapter, ResponseHead
+from sardinetrack.relay.byte_buffer import ByteBuffer
 from sardinetrack.relay.caller_response import CallerResponse
 from sardinetrack.relay.events import EventSplitter
 from sardinetrack.relay.flow_control import FlowControl
@@ -148,8 +149,7 @@
         self._connection = connection
         self._connection_unused = connection.unused
         self._observer = observer
-        self._pieces: list[bytes] = []
-        self._size = 0
+        self._buffer = ByteBuffer()
         self._forwards = False
         self._begun = False
         self._loop = loop
@@ -228,13 +228,16 @@
         if self.done.done():
             return
         if not self._forwards:
-            self._buffer(piece)
+            self._add_to_buffer(piece)
             return
         if not self._begun and not self._begin():
             return
         now = self._loop.time()
         self.last_data_seconds = now
-        events = self._progress.splitter.feed(piece)
+        splitter = self._progress.splitter
+        events = splitter.feed(piece)
+        if splitter.is_oversized:
+            self._finish(SendOutcome.UNKNOWN, 'event too large')
         if not events:
             return
         if not self.first_event_received:
@@ -325,7 +328,7 @@
         if self.response is None:
             self._finish(SendOutcome.UNKNOWN, 'no response head')
             return
-        self.body = b''.join(self._pieces)
+        self.body = bytes(self._buffer.content())
         if self._adapter.contains_response(self.body):
             self._finish(SendOutcome.UNKNOWN, 'response within a response')
             return
@@ -335,12 +338,11 @@
         self.deliver_buffered()
         self._finish(SendOutcome.DELIVERED, '')
 
-    def _buffer(self, piece: bytes) -> None:
-        self._size += len(piece)
-        if self._size > _MAX_BUFFERED_BYTES:
+    def _add_to_buffer(self, piece: bytes) -> None:
+        if len(self._buffer) + len(piece) > _MAX_BUFFERED_BYTES:
             self._finish(SendOutcome.UNKNOWN, 'response too large')
             return
-        self._pieces.append(piece)
+        self._buffer.append(piece)
 
     def _start_response(self) -> None:
         self.first_event_received = True
--- a/src/sardinetrack/relay/caller_connection.py
+++ b/src/sardinetrack/relay/caller_connection.py
@@ -22,6 +22,8 @@
 _EXPECTS_CONTINUE: Final = (b'expect', b'100-continue')
 _HEAD: Final = b'HEAD'
 _LENGTH: Final = b'content-length'
+MAX_TARGET_BYTES: Final = 65_536
+"""Allowed for the first line of a request, beside the limit on its headers."""
 _NO_MEMORY: Final = 'This instance has no memory for the body now; not run.'
 _MAX_PIPELINED: Final = 16
 """Pipelined requests that may wait for earlier responses on one connection."""
@@ -51,6 +53,7 @@
         self._parser = httptools.HttpRequestParser(self)
         self._headers: list[tuple[bytes, bytes]] = []
         self._head_bytes = 0
+        self._bodiless_bytes = 0
         self._target = b''
         self._head: CallerRequest | None = None
         self._call: CallerRequest | None = None
@@ -93,6 +96,7 @@
         """Parse; pipelined requests wait for the responses to earlier ones."""
         if self._unreadable:
             return
+        self._bodiless_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -104,6 +108,8 @@
             # one.
             self._unreadable = True
             self._queue(_Rejection(RequestError(ErrorKind.BAD_REQUEST)))
+        else:
+            self._check_head_size()
 
     def eof_received(self) -> bool:
         """Treat a half-closed connection as a disconnected caller."""
@@ -213,6 +219,7 @@
 
     def on_headers_complete(self) -> None:
         """Parse the head; the body is read even if the head is rejected."""
+        self._bodiless_bytes = 0
         if self._parser.should_upgrade():
             # The parser would skip the body.
             self._rejection = self._rejection or RequestError(
@@ -240,6 +247,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Collect the body."""
+        self._bodiless_bytes = 0
         self._awaits_continue = False
         if self._body is None or self._rejection is not None:
             return
@@ -272,6 +280,16 @@
         call.closes_connection = not self._parser.should_keep_alive()
         self._queue(call)
 
+    def _check_head_size(self) -> None:
+        """Reject a head, or trailers, without end.
+
+        The parser keeps an incomplete field, however long it is.
+        """
+        limit_bytes = self._owner.limits.header_bytes + MAX_TARGET_BYTES
+        if self.reading and self._bodiless_bytes > limit_bytes:
+            self._unreadable = True
+            self._queue(_Rejection(RequestError(ErrorKind.HEADERS_TOO_LARGE)))
+
     def truncate(self) -> None:
         """Close the connection so that the response can't look complete."""
         self._closing = True
--- a/src/sardinetrack/relay/events.py
+++ b/src/sardinetrack/relay/events.py
@@ -12,6 +12,9 @@
 _ID_LINE: Final = b'\nid:'
 _DATA: Final = re.compile(rb'^data(?::|\r?$)', re.MULTILINE)
 _MAX_DIGITS: Final = 18
+_MAX_EVENT_BYTES: Final = 1_048_576
+_END_OVERLAP_BYTES: Final = 2
+"""Bytes of the end of an event that may have arrived before the last one."""
 
 
 class EventSplitter:
@@ -33,7 +36,7 @@
 
         It would if the caller has got an event without a number since.
         """
-        self._rest = b''
+        self._rest = bytearray()
         self._delivered_up_to = after_event
         self._repeats = False
 
@@ -42,9 +45,14 @@
         """Whether the bytes so far end inside an event."""
         return bool(self._rest.strip())
 
+    @property
+    def is_oversized(self) -> bool:
+        """Whether the event that is incomplete is longer than any may be."""
+        return len(self._rest) > _MAX_EVENT_BYTES
+
     def resume(self) -> None:
         """Prepare for a run that continues after the last complete event."""
-        self._rest = b''
+        self._rest = bytearray()
         self._delivered_up_to = self.last_event
         self._repeats = False
 
@@ -53,16 +61,30 @@
 
         :return: the bytes of complete events, empty if there is none.
         """
-        buffered = self._rest + piece if self._rest else piece
-        split_at = _last_end(buffered)
-        self._rest = buffered[split_at:]
-        complete = buffered[:split_at]
+        # The rest is not searched again with each piece of a long event.
+        overlap = bytes(self._rest[-_END_OVERLAP_BYTES:])
+        split_at = _last_end(overlap + piece) - len(overlap)
+        if split_at <= -len(overlap):
+            self._rest += piece
+            return b''
+        complete = self._complete(piece, split_at)
         if complete and self._delivered_up_to is not None:
             complete = self._drop_delivered(complete, self._delivered_up_to)
         if complete:
             self._record(complete)
         return complete
 
+    def _complete(self, piece: bytes, split_at: int) -> bytes:
+        """Return what is complete, and keep the rest of a piece.
+
+        :param split_at: where the last complete event ends in the piece; it
+            may have ended before it.
+        """
+        buffered = b''.join((self._rest, piece)) if self._rest else piece
+        end = len(buffered) - len(piece) + split_at
+        self._rest = bytearray(buffered[end:])
+        return buffered[:end]
+
     def _drop_delivered(self, complete: bytes, delivered_up_to: int) -> bytes:
         """Drop the events that the caller already has."""
         kept: list[bytes] = []
--- a/src/sardinetrack/relay/request_body.py
+++ b/src/sardinetrack/relay/request_body.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from sardinetrack.relay.byte_buffer import ByteBuffer
 from sardinetrack.relay.held_bytes import BodyHold
 
 
@@ -17,8 +18,7 @@
         self.hold = hold
         self._max_bytes = max_bytes
         self._size_bytes = 0
-        self._first = b''
-        self._joined = bytearray()
+        self._buffer = ByteBuffer()
 
     @property
     def is_too_large(self) -> bool:
@@ -44,23 +44,15 @@
         if not self.hold.grow(self._size_bytes):
             self.drop()
             return False
-        if self._first:
-            # Joined as they arrive: the pieces of a body that comes byte by
-            # byte need many times its size.
-            if not self._joined:
-                self._joined += self._first
-            self._joined += piece
-        else:
-            self._first = piece
+        self._buffer.append(piece)
         return True
 
     def take(self) -> bytes | bytearray:
         """Return the complete body, which is held until its request ends."""
         self.hold.complete(self._size_bytes)
-        return self._joined or self._first
+        return self._buffer.content()
 
     def drop(self) -> None:
         """Discard what has arrived, and hold nothing any more."""
-        self._first = b''
-        self._joined = bytearray()
+        self._buffer.clear()
         self.hold.release()
--- a/src/sardinetrack/relay/response_collector.py
+++ b/src/sardinetrack/relay/response_collector.py
@@ -3,15 +3,19 @@
 from __future__ import annotations
 
 import asyncio
-import math
+from typing import Final
 
+from sardinetrack.relay.byte_buffer import ByteBuffer
 from sardinetrack.relay.server_connection import BreakReason, ResponseSink
 
 
+MAX_BODY_BYTES: Final = 16_777_216
+
+
 class ResponseCollector(ResponseSink):
     """Collects one response, whoever it is for: its caller knows no ids."""
 
-    def __init__(self, max_body_bytes: float = math.inf) -> None:
+    def __init__(self, max_body_bytes: int = MAX_BODY_BYTES) -> None:
         """Collect nothing yet.
 
         :param max_body_bytes: what is longer is dropped.
@@ -19,9 +23,14 @@
         loop = asyncio.get_running_loop()
         self.done: asyncio.Future[BreakReason | None] = loop.create_future()
         self.status = 0
-        self.body = b''
+        self._buffer = ByteBuffer()
         self._max_body_bytes = max_body_bytes
 
+    @property
+    def body(self) -> bytes:
+        """The body, or its beginning if it is longer than the limit."""
+        return bytes(self._buffer.content())
+
     def head_received(
         self,
         status: int,
@@ -35,8 +44,8 @@
 
     def body_received(self, piece: bytes) -> None:
         """Append to the body."""
-        if len(self.body) <= self._max_body_bytes:
-            self.body += piece
+        if len(self._buffer) <= self._max_body_bytes:
+            self._buffer.append(piece)
 
     def completed(self) -> None:
         """End with a complete response."""
--- a/src/sardinetrack/relay/server_connection.py
+++ b/src/sardinetrack/relay/server_connection.py
@@ -37,6 +37,14 @@
 """
 JOINED_BYTES: Final = 65_536
 """Head and body of a request are joined to one write up to this size."""
+MAX_FIELD_BYTES: Final = 65_536
+"""Limit for the header fields of a response, and for its trailer fields."""
+FIELD_OVERHEAD_BYTES: Final = 32
+"""Added to the size of each field, as HTTP/2 counts them."""
+MAX_BODILESS_BYTES: Final = 131_072
+"""Limit for what arrives without a byte of a body: the head of a response and
+those before it, a chunk's size and extensions, trailers. The parser keeps an
+incomplete field, however long it is."""
 MAX_SKIPPED: Final = 3
 """Responses to other requests that are skipped before the one to a request."""
 _MILLISECONDS: Final = 1000
@@ -52,6 +60,7 @@
     CLOSED = 'closed'
     RESET = 'reset'
     UNREADABLE = 'unreadable'
+    OVERSIZED = 'oversized'
 
 
 class ResponseSink(ABC):
@@ -107,6 +116,8 @@
         self._skipped = 0
         self._skipped_end = b''
         self._reason_phrase = b''
+        self._field_bytes = 0
+        self._bodiless_bytes = 0
         self._unsent = memoryview(b'')
         self._write_paused = False
 
@@ -160,6 +171,7 @@
         self._framed = False
         self._complete = False
         self._status_seen = False
+        self._bodiless_bytes = 0
         assert self.transport is not None  # noqa: S101
         if len(body) <= JOINED_BYTES:
             self.transport.write(b''.join((request, body)))
@@ -213,6 +225,7 @@
             # mistaken for the response to another caller's request.
             self.abort()
             return
+        self._bodiless_bytes += len(data)
         try:
             parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -222,6 +235,8 @@
             self._unusable = True
         if self._complete:
             self._finish()
+        elif self._bodiless_bytes > MAX_BODILESS_BYTES:
+            self._fail(BreakReason.OVERSIZED)
 
     def eof_received(self) -> bool:
         """Close; a response without a length ends here."""
@@ -239,6 +254,7 @@
     def on_message_begin(self) -> None:
         """Begin a response; after a complete one the connection is unusable."""
         self._reason_phrase = b''
+        self._field_bytes = 0
         if self._complete:
             self._unusable = True
 
@@ -248,9 +264,13 @@
         _reject_status_line(self._reason_phrase)
 
     def on_header(self, name: bytes, content: bytes) -> None:
-        """Check and collect a header."""
+        """Check and collect a header; a trailer is not needed."""
         _reject_status_line(content)
-        self._headers.append((name.lower(), content))
+        self._field_bytes += len(name) + len(content) + FIELD_OVERHEAD_BYTES
+        if self._field_bytes > MAX_FIELD_BYTES:
+            raise ValueError('too many header fields')
+        if not self._status_seen:
+            self._headers.append((name.lower(), content))
 
     def on_headers_complete(self) -> None:
         """Pass the head to the sink."""
@@ -264,6 +284,7 @@
             self._headers = []
             return
         self._status_seen = True
+        self._field_bytes = 0
         self._framed = status in _NO_BODY or any(
             name in {b'content-length', b'transfer-encoding'}
             for name, _ in self._headers
@@ -278,6 +299,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Pass a piece of the body to the sink."""
+        self._bodiless_bytes = 0
         if self._skipping:
             # A truncated response, or one to a HEAD request, would end within
             # the next one.
--- a/tests/support/relay_servers.py
+++ b/tests/support/relay_servers.py
@@ -47,6 +47,9 @@
     """By the clock of the event loop."""
     load: str = ''
     """What its responses say of its load."""
+    endless: tuple[bytes, bytes] = (b'', b'')
+    """Beginning of a response that has no end, and what it repeats then;
+    ``HEAD`` stands for a usual status line and headers."""
     leaving: bool = False
     leaving_act: str = 'answer'
     """What it does when it first says that it leaves (act ``leave``)."""
@@ -164,6 +167,13 @@
     async def _answer_at_length(self, fields, reader, writer):
         self._whole(fields, writer, '200 OK', bytes(8_000_000))
 
+    async def _send_without_end(self, fields, reader, writer):
+        begin, piece = self.notices.endless
+        writer.write(begin.replace(b'HEAD', self._head(fields, '200').encode()))
+        while True:
+            writer.write(piece)
+            await writer.drain()
+
     async def _fail(self, fields, reader, writer):
         self._whole(fields, writer, '500 Oops', b'broken')
 
