--- a/src/sardinetrack/relay/response_collector.py
+++ b/src/sardinetrack/relay/response_collector.py
@@ -8,7 +8,6 @@
 from sardinetrack.relay.byte_buffer import ByteBuffer
 from sardinetrack.relay.server_connection import BreakReason, ResponseSink
 
-
 MAX_BODY_BYTES: Final = 16_777_216
 
 
--- a/tests/turns/steps/side_line_steps.py
+++ b/tests/turns/steps/side_line_steps.py
@@ -18,7 +18,10 @@
     """Keeps the last line."""
 
     max_line_bytes = MAX_SIDE_LINE_BYTES
-    line = b''
+
+    def __init__(self):
+        super().__init__()
+        self.line = b''
 
     def handle_line(self, line):
         self.line = line
@@ -42,7 +45,8 @@
 @when('a line of {megabytes:d} MB arrives in pieces of {kilobytes:d} KB')
 def receive(context, megabytes, kilobytes):
     piece = b'a' * (kilobytes * _KILOBYTE)
-    pieces = [piece] * (megabytes * _MEGABYTE // len(piece))
+    count = megabytes * _MEGABYTE // len(piece)
+    pieces = [piece for _ in range(count)]
     context.protocol = _Lines()
 
     def feed():
