A refused body that turns out invalid gets no second response

Bodies were also refused at an entry with many idle connections, as each was counted as if it had a request; the measured size of an idle one is used now. A connection to a server that has responded without reading the request is aborted: nothing bounds how long its buffer would be flushed.

--- a/src/sardinetrack/relay/caller_connection.py
+++ b/src/sardinetrack/relay/caller_connection.py
@@ -304,6 +304,10 @@
         return self._closing or (self._draining and not self._pipelined)
 
     def _queue(self, request: CallerRequest | _Rejection) -> None:
+        if self._rejected_early:
+            # Its response is written; the rest of the request is invalid.
+            self.close()
+            return
         if len(self._pipelined) >= _MAX_PIPELINED:
             _release(request)
             # The response in progress is not to be broken off; the next one
--- a/src/sardinetrack/relay/capacity.py
+++ b/src/sardinetrack/relay/capacity.py
@@ -14,6 +14,9 @@
 CONNECTION_BYTES: Final = 64_000
 """Memory of a caller's connection: 55 KB on average over 1,846
 connections, half of which had a prompt of 12 KB in progress."""
+IDLE_CONNECTION_BYTES: Final = 25_600
+"""Memory of a connection without a request in progress, with the beginning of
+one that it may have read."""
 REQUEST_BYTES: Final = 160_000
 """Memory of a request in progress: its body, the copy being sent, and both
 connections."""
@@ -156,8 +159,8 @@
         :param requests: in progress.
         :param connections: open ones of callers.
         """
-        used_bytes = connections * CONNECTION_BYTES
-        used_bytes += requests * (REQUEST_BYTES - CONNECTION_BYTES)
+        used_bytes = requests * REQUEST_BYTES
+        used_bytes += max(0, connections - requests) * IDLE_CONNECTION_BYTES
         maximum = min(
             int(HELD_FRACTION * self._available_bytes),
             self._available_bytes - used_bytes,
--- a/src/sardinetrack/relay/server_connection.py
+++ b/src/sardinetrack/relay/server_connection.py
@@ -206,8 +206,7 @@
         """Close it immediately; the server then cancels the request."""
         self._sink = None
         self._unsent = memoryview(b'')
-        if self.transport is not None:
-            self.transport.abort()
+        self._abort_transport()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
@@ -352,17 +351,16 @@
     def _finish(self) -> None:
         self._parser = None
         if self._unsent:
-            # It responds without having read the whole request.
+            # It has responded without reading the request, and may never do so.
             self._unsent = memoryview(b'')
-            self._unusable = True
-        if not self._keep_alive or self._unusable:
+            self._abort_transport()
+        elif not self._keep_alive or self._unusable:
             self._close()
         if self._sink is not None:
             self._take_sink().completed()
 
     def _fail(self, reason: BreakReason) -> None:
-        if self.transport is not None:
-            self.transport.abort()
+        self._abort_transport()
         if self._sink is not None:
             self._take_sink().interrupted(reason)
 
@@ -372,6 +370,10 @@
         self._sink = None
         return sink
 
+    def _abort_transport(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
     def _close(self) -> None:
         if self.transport is not None:
             self.transport.close()
--- a/tests/relay/large_bodies.feature
+++ b/tests/relay/large_bodies.feature
@@ -26,6 +26,21 @@
     Then the caller gets status 503
     And the entry holds 0 MB at most
 
+  Scenario: A refused body that turns out invalid gets no second response
+    Guards against two responses to one request: its caller would read the
+    second one as that to its next request.
+
+    Given a relay in front of 1 plain server, for bodies in 2 MB
+    When a caller sends a body of 4 MB in chunks, the last one invalid
+    Then the caller gets status 503
+    And it has one status line
+
+  Scenario: An entry with many idle connections has room for a long prompt
+    Guards against counting idle connections as if each had a request.
+
+    Given an entry of 150 MB with 1600 connections, of which 100 have a request
+    Then it may hold 40 MB of large bodies at least
+
   Scenario: A caller that leaves in the middle of a body gives its memory back
     Given a relay in front of 1 plain server, for bodies in 20 MB
     When 12 callers send half of a body of 4 MB each
--- a/tests/relay/steps/large_body_steps.py
+++ b/tests/relay/steps/large_body_steps.py
@@ -6,9 +6,14 @@
 import socket
 
 from behave import given, step, then, when
+from tests.support.example_settings import node_settings
 from tests.support.relay_world import RelayWorld, Reply, close_world
 
-from sardinetrack.relay.capacity import BASE_BYTES, HELD_FRACTION
+from sardinetrack.relay.capacity import (
+    BASE_BYTES,
+    HELD_FRACTION,
+    Capacity,
+)
 from sardinetrack.relay.held_bytes import HeldBytes
 from sardinetrack.relay.response_collector import ResponseCollector
 from sardinetrack.relay.server_connection import ServerConnection
@@ -139,6 +144,32 @@
 
 @when('a caller sends a body of {megabytes:d} MB in chunks')
 def send_chunks(context, megabytes):
+    _send_chunks(context, megabytes, b'0\r\n\r\n')
+
+
+@when(
+    'a caller sends a body of {megabytes:d} MB in chunks, the last one invalid',
+)
+def send_invalid_chunk(context, megabytes):
+    _send_chunks(context, megabytes, b'no size\r\n\r\n')
+
+
+@given(
+    'an entry of {megabytes:d} MB with {connections:d} connections,'
+    ' of which {requests:d} have a request',
+)
+def open_capacity(context, megabytes, connections, requests):
+    settings = node_settings(memory_bytes=megabytes * _MEGABYTE)
+    capacity = Capacity(settings, int)
+    context.limit_bytes = capacity.max_held_bytes(requests, connections)
+
+
+@then('it may hold {megabytes:d} MB of large bodies at least')
+def may_hold(context, megabytes):
+    assert context.limit_bytes >= megabytes * _MEGABYTE, context.limit_bytes
+
+
+def _send_chunks(context, megabytes, end):
     world = context.world
 
     async def send():
@@ -149,7 +180,7 @@
         for _ in range(megabytes * _MEGABYTE // _PIECE):
             pair[1].write(chunk)
             await pair[1].drain()
-        pair[1].write(b'0\r\n\r\n')
+        pair[1].write(end)
         async with asyncio.timeout(5):
             return Reply(await pair[0].read())
 
