Sides log what they grant to each workspace, and what they believe of it

Cause: no line told a side's belief of a workspace's service, so that a wrong unit, a lift at the wrong time and a full home server looked alike; and lines of requests that ended well are left out under load, most at the busiest entry, so that sums over them compare workspaces wrongly.

Change: 'engine_used' names the service granted to up to 8 workspaces and up to 8 that wait with their service and lift; 'refused' names the workspace, its service, its lift and its waiting requests. A lift is kept apart from service received; their sum is what it was.

--- a/src/sardinetrack/admission/order.py
+++ b/src/sardinetrack/admission/order.py
@@ -32,6 +32,19 @@
     requests: int
 
 
+@dataclass(frozen=True, slots=True)
+class QueuedWorkspace:
+    """What a side believes of a workspace that waits there."""
+
+    workspace: str
+    service_tokens: float
+    """Service by which it is ordered, decayed."""
+    lifted_tokens: float
+    """The part of it that it has not received."""
+    waiting: int
+    """Its requests that wait."""
+
+
 class ServiceOrder:
     """Orders waiting workspaces by the service received at all servers.
 
@@ -80,6 +93,15 @@
             start = min(*waiting, JOIN_FRACTION * max(waiting))
             self._service.lift(now, workspace, start)
 
+    def queued(self, now: float, workspace: str) -> QueuedWorkspace:
+        """Return what is believed of a workspace."""
+        return QueuedWorkspace(
+            workspace,
+            self._service.tokens(now, workspace),
+            self._service.lifted_tokens(now, workspace),
+            len(self._queue.of(workspace)),
+        )
+
     def next_workspace(self, now: float) -> str:
         """Return the waiting workspace with the least service received."""
         return min(
--- a/src/sardinetrack/admission/prefill.py
+++ b/src/sardinetrack/admission/prefill.py
@@ -9,11 +9,16 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Sequence
+from operator import attrgetter
 
 from sardinetrack.admission.batch import BatchLimit
 from sardinetrack.admission.cold_start import ColdStartLimiter
 from sardinetrack.admission.engine_report import EngineReport
-from sardinetrack.admission.order import QueuedAhead, ServiceOrder
+from sardinetrack.admission.order import (
+    QueuedAhead,
+    QueuedWorkspace,
+    ServiceOrder,
+)
 from sardinetrack.admission.pace import PrefillEstimator
 from sardinetrack.admission.prefill_ahead import PrefillAhead
 from sardinetrack.admission.request import (
@@ -138,6 +143,17 @@
         """The limit on the responses that it decodes concurrently."""
         return self._running.batch
 
+    def queued_workspace(self, now: float, workspace: str) -> QueuedWorkspace:
+        """Return what is believed of the service of a workspace."""
+        return self._order.queued(now, workspace)
+
+    def queued_workspaces(self, now: float) -> list[QueuedWorkspace]:
+        """Return the waiting workspaces, the least served first."""
+        queued = [
+            self._order.queued(now, one) for one in self._queue.workspaces
+        ]
+        return sorted(queued, key=attrgetter('service_tokens'))
+
     def wait_seconds(self, now: float) -> float:
         """Estimate how long a request waits until its prefill begins."""
         return self._waits.next_seconds(
@@ -333,7 +349,9 @@
         self._spacing.granted(now, request.prefill_tokens)
         self.estimator.granted(now, request.permit_id, request.prefill_tokens)
         self._running.add(now, request, expected_seconds)
-        self.usage.record_grant(request.prefill_tokens)
+        self.usage.record_grant(
+            request.prefill_tokens, request.workspace, request.cost
+        )
         self._order.granted(now, request)
         return Granted(request.permit_id)
 
--- a/src/sardinetrack/admission/usage.py
+++ b/src/sardinetrack/admission/usage.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -66,6 +66,8 @@
     granted: int = 0
     granted_tokens: int = 0
     """Prompt tokens to prefill."""
+    granted_service: Counter[str] = field(default_factory=Counter)
+    """Service of the granted requests by workspace, in tokens."""
     refused_at_once: int = 0
     """Refused immediately on arrival."""
     refused_late: int = 0
@@ -85,13 +87,17 @@
         self._activity = activity
         self._since_seconds = now
 
-    def record_grant(self, tokens: int) -> None:
+    def record_grant(
+        self, tokens: int, workspace: str, service_tokens: float
+    ) -> None:
         """Count a granted permit.
 
         :param tokens: prompt tokens to prefill.
+        :param service_tokens: what its workspace receives by it.
         """
         self.granted += 1
         self.granted_tokens += tokens
+        self.granted_service[workspace] += int(service_tokens)
 
     def record_refusal(self, waited_seconds: float) -> None:
         """Count a refused request."""
--- a/src/sardinetrack/fairness/decaying_service.py
+++ b/src/sardinetrack/fairness/decaying_service.py
@@ -100,6 +100,7 @@
         self._by_entry = DecayingService[tuple[str, str]]()
         # All counts decay alike: the decayed sum is the sum of decayed counts.
         self._sums = DecayingService[str]()
+        self._lifts = DecayingService[str]()
 
     def update(
         self,
@@ -136,11 +137,17 @@
         """
         short_tokens = min_tokens - self.tokens(now, workspace)
         if short_tokens > 0:
-            self._sums.add(now, workspace, short_tokens)
+            self._lifts.add(now, workspace, short_tokens)
 
     def tokens(self, now: float, workspace: str) -> float:
-        """Return the decayed service of all entries."""
-        return self._sums.tokens(now, workspace)
+        """Return the decayed service of all entries, lifts included."""
+        return self._sums.tokens(now, workspace) + self.lifted_tokens(
+            now, workspace
+        )
+
+    def lifted_tokens(self, now: float, workspace: str) -> float:
+        """Return what is left of the lifts of a workspace."""
+        return self._lifts.tokens(now, workspace)
 
 
 def _decayed(now: float, served: _Served) -> float:
--- a/src/sardinetrack/turns/side.py
+++ b/src/sardinetrack/turns/side.py
@@ -311,10 +311,15 @@
                 round(returned_seconds, _DIGITS),
             ),
         )
+        queued = self.admission.queued_workspace(now, message.workspace)
         self._log.write(
             Event.REFUSED,
             request=decision.permit_id,
             entry=owner.entry,
+            workspace=message.workspace,
+            service_tokens=int(queued.service_tokens),
+            lifted_tokens=int(queued.lifted_tokens),
+            own_waiting=queued.waiting,
             waited_seconds=round(decision.waited_seconds, _DIGITS),
             returned_seconds=round(returned_seconds, _DIGITS),
             ahead_tokens=decision.ahead_tokens,
--- a/src/sardinetrack/turns/usage_log.py
+++ b/src/sardinetrack/turns/usage_log.py
@@ -12,6 +12,8 @@
 USAGE_SECONDS: Final = 2.0
 """Interval between two log lines of a side."""
 _DIGITS: Final = 3
+_MAX_WORKSPACES: Final = 8
+"""Waiting workspaces that one line names, the least served ones."""
 
 
 class UsageLog:
@@ -38,15 +40,17 @@
         for use, seconds in usage.seconds.items():
             self.seconds[use] += seconds
         if usage.granted or usage.refused_at_once:
-            self._write(span_seconds, usage, admission)
+            self._write(now, span_seconds, usage, admission)
 
     def _write(
         self,
+        now: float,
         span_seconds: float,
         usage: EngineUsage,
         admission: PrefillAdmission,
     ) -> None:
         begun = max(1, usage.begun)
+        queued = admission.queued_workspaces(now)
         self._log.write(
             Event.ENGINE_USED,
             span_seconds=round(span_seconds, _DIGITS),
@@ -66,4 +70,16 @@
             held_seconds=round(admission.held_seconds, _DIGITS),
             token_seconds=round(admission.batch.token_seconds, 4),
             slots_part=round(admission.batch.part, 2),
+            granted_service=dict(
+                usage.granted_service.most_common(_MAX_WORKSPACES)
+            ),
+            waiting_workspaces=[
+                (
+                    one.workspace,
+                    int(one.service_tokens),
+                    int(one.lifted_tokens),
+                    one.waiting,
+                )
+                for one in queued[:_MAX_WORKSPACES]
+            ],
         )
