--- a/src/sardinetrack/emulator/api.py
+++ b/src/sardinetrack/emulator/api.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from collections import Counter
+from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 from typing import ClassVar
 
@@ -48,6 +48,11 @@
     """Ratio of the busiest engine's busy time to the mean of all engines."""
     asked_by: Counter[str] = field(default_factory=Counter)
     in_time_by: Counter[str] = field(default_factory=Counter)
+    received_in: defaultdict[int, Counter[str]] = field(
+        default_factory=lambda: defaultdict(Counter),
+    )
+    """Service of each workspace by second, in tokens: whole prompts, and
+    responses counted twice, at the time of the first token."""
 
     @property
     def worst_workspace(self) -> float:
@@ -56,3 +61,11 @@
             (self.in_time_by[name] / asked)
             for name, asked in self.asked_by.items()
         )
+
+    def received(self, first_second: int, seconds: int) -> Counter[str]:
+        """Return what each workspace received in a window, in tokens."""
+        window = range(first_second, first_second + seconds)
+        return sum(
+            (self.received_in.get(one, Counter()) for one in window),
+            Counter(),
+        )
--- a/src/sardinetrack/emulator/engine.py
+++ b/src/sardinetrack/emulator/engine.py
@@ -47,10 +47,8 @@
             prefix that had to be computed for it.
         """
         prefix = shared_prefix(request.prompt)
-        recomputed = (
-            0 if prefix in self._cached else self._shape.shared_prefix_tokens
-        )
-        self._insert(prefix, self._shape.shared_prefix_tokens)
+        recomputed = 0 if prefix in self._cached else request.shared_tokens
+        self._insert(prefix, request.shared_tokens)
         self._insert(request.name, request.own_tokens)
         prefill_seconds = (
             request.own_tokens + recomputed
--- a/src/sardinetrack/emulator/load.py
+++ b/src/sardinetrack/emulator/load.py
@@ -48,6 +48,8 @@
     """The sender of each request is drawn from these."""
     rate_step: float = 1
     """Factor on the rate in the middle third of the time."""
+    entries: int = 1
+    """Entries through which the requests come, each with an equal share."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,12 +82,24 @@
     prompt: Prompt
     arrived_seconds: float
     is_retry: bool = False
+    entry: int = 0
+    """Number of the entry that it comes through."""
 
     @property
     def own_tokens(self) -> int:
         """Tokens of the prompt that no other request shares."""
         return self.prompt.blocks[-1].tokens
 
+    @property
+    def shared_tokens(self) -> int:
+        """Tokens of the prompt that other requests share."""
+        return self.prompt.tokens - self.own_tokens
+
+    @property
+    def service_tokens(self) -> int:
+        """The whole prompt, and the response counted twice."""
+        return self.prompt.tokens + 2 * self.prompt.output_tokens
+
 
 def draw_requests(
     shape: LoadProfile,
--- a/src/sardinetrack/emulator/simulation.py
+++ b/src/sardinetrack/emulator/simulation.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+from collections import defaultdict
 from collections.abc import Callable, Iterable
 from functools import partial
 from itertools import count
@@ -17,6 +18,7 @@
 from sardinetrack.emulator.engine import Engine
 from sardinetrack.emulator.load import LoadProfile, Request
 from sardinetrack.fairness.decaying_service import DecayingService
+from sardinetrack.fairness.service_updates import ServiceUpdates
 from sardinetrack.placement.choice import (
     Candidate,
     rank_by_prefix,
@@ -50,7 +52,7 @@
         self._policy = policy
         self._sequence_numbers = count()
         self._events: list[tuple[float, int, Action]] = []
-        self._service = DecayingService[str]()
+        self._entries = [EmulatedEntry(one) for one in range(shape.entries)]
         self._prefix_index = PrefixCacheIndex()
         self._pending: dict[str, _Attempt] = {}
         engines = [Engine(one, shape) for one in range(shape.engines)]
@@ -102,7 +104,7 @@
             return
         name = candidate.server.instance
         attempt.tried.append(name)
-        request = attempt.request
+        request, entry = attempt.request, self._entries[attempt.request.entry]
         remaining_wait = attempt.remaining_wait_seconds(self._shape, now)
         recomputes = (
             candidate.recomputes_prefix and self._policy.limits_recompute_wait
@@ -112,14 +114,18 @@
             request.workspace,
             candidate.prefill_tokens,
             request.own_tokens,
-            self._shape.output_tokens,
+            request.prompt.output_tokens,
             RECOMPUTE_WAIT_SECONDS if recomputes else remaining_wait,
-            served_tokens=self._service.tokens(now, request.workspace),
+            entry=entry.name,
+            served_tokens=entry.service.tokens(now, request.workspace),
         )
+        attempt.cost = ask.cost
         self._pending[ask.permit_id] = attempt
-        self._apply_decisions(
-            name, self._engines[name].admission.request_permit(now, ask), now
+        admission = self._engines[name].admission
+        admission.update_served_tokens(
+            now, entry.name, entry.updates[name].rows(now, entry.service)
         )
+        self._apply_decisions(name, admission.request_permit(now, ask), now)
         self._schedule(now + ask.max_wait_seconds, partial(self._tick, name))
 
     def _choose_server(self, attempt: _Attempt, now: float) -> Candidate | None:
@@ -163,10 +169,11 @@
     ) -> None:
         request, engine = attempt.request, self._engines[name]
         prefilled_at, recomputed = engine.prefill(now, request)
-        tokens = request.own_tokens + recomputed
         self.outcome.again_tokens += recomputed
-        self._service.add(now, request.workspace, tokens)
-        self._loads[name].added_tokens += tokens
+        self._entries[request.entry].service.add(
+            now, request.workspace, attempt.cost
+        )
+        self._loads[name].added_tokens += request.own_tokens + recomputed
         self._schedule(
             prefilled_at, partial(self._first_token, name, permit_id, request)
         )
@@ -179,6 +186,8 @@
         now: float,
     ) -> None:
         outcome = self.outcome
+        received = outcome.received_in[int(now)]
+        received[request.workspace] += request.service_tokens
         if now - request.arrived_seconds <= self._shape.objective_seconds:
             outcome.in_time += 1
             outcome.in_time_by[request.workspace] += 1
@@ -230,6 +239,19 @@
             engine.unreported_prefixes.clear()
 
 
+class EmulatedEntry:
+    """What one entry counts, and has reported to each side."""
+
+    def __init__(self, number: int) -> None:
+        """Build an entry that has had nothing served.
+
+        :param number: becomes its name.
+        """
+        self.name = f'entry-{number}'
+        self.service = DecayingService[str]()
+        self.updates = defaultdict[str, ServiceUpdates](ServiceUpdates)
+
+
 class _Attempt:
     """An attempt of a caller, with the servers that it has tried."""
 
@@ -237,6 +259,8 @@
         self.request = request
         self.tried: list[str] = []
         self.retry_after_seconds: float | None = None
+        self.cost = float(0)
+        """Service that it receives if the last server grants it."""
         self._started_seconds = started_seconds
 
     def remaining_wait_seconds(self, shape: LoadProfile, now: float) -> float:
