A workspace's service counts its cached prompt tokens too

Callers of a workspace whose prompts are new, long responses aside, got less than half of what one with cached prompts got, for as long as both asked for more than their share (FAIR).

Cause: AdmissionRequest.cost counted the tokens that an engine has to prefill. The promise, and the users' count, are whole prompts and twice the response: equal in one unit was 0.31 to 0.45 in the other. The class: a limit kept in another unit than the one that it is promised in.

Change: an entry tells the cached tokens of a request (a trailing field of the permit request, 0 from an older entry), and entries and sides count them. The estimate of what goes before a request adds up costs to find the requests and their prefill to find the time; it mixed both.

Weighed: a fraction for cached tokens. By reckoning, with 0.5 a workspace whose prompts are cached by two thirds still receives 1.5 times the whole prompts of one without any cached; not run.

--- a/src/sardinetrack/admission/order.py
+++ b/src/sardinetrack/admission/order.py
@@ -116,16 +116,26 @@
         of this workspace at the time of this request's permit.
         """
         own = self._queue.before(request)
-        own_tokens = tokens_of(own)
-        level = self._service.tokens(now, request.workspace) + own_tokens
-        others = float(0)
+        own_cost = sum(one.request.cost for one in own)
+        level = self._service.tokens(now, request.workspace) + own_cost
+        tokens: float = tokens_of(own)
         requests = len(own)
         for workspace in self._queue.workspaces:
-            if workspace == request.workspace:
-                continue
-            queue = self._queue.of(workspace)
-            behind = level - self._service.tokens(now, workspace)
-            if behind > 0:
-                others += min(tokens_of(queue), behind)
-                requests += len(queue)
-        return QueuedAhead(own_tokens + others, requests)
+            if workspace != request.workspace:
+                ahead = self._until(now, workspace, level)
+                tokens += ahead.tokens
+                requests += ahead.requests
+        return QueuedAhead(tokens, requests)
+
+    def _until(self, now: float, workspace: str, level: float) -> QueuedAhead:
+        """Return the requests that take a workspace's service to a level."""
+        service = self._service.tokens(now, workspace)
+        tokens = 0
+        requests = 0
+        for one in self._queue.of(workspace):
+            if service >= level:
+                break
+            service += one.request.cost
+            tokens += one.request.prefill_tokens
+            requests += 1
+        return QueuedAhead(tokens, requests)
--- a/src/sardinetrack/admission/request.py
+++ b/src/sardinetrack/admission/request.py
@@ -44,6 +44,8 @@
     """Objective for the longest pause between two events of its stream."""
     is_trial: bool = False
     """Whether a part of its prompt is suspected of crashing engines."""
+    cached_tokens: int = 0
+    """Prompt tokens that the engine caches and need not prefill."""
 
     @property
     def is_past_objective(self) -> bool:
@@ -60,8 +62,13 @@
 
     @property
     def cost(self) -> float:
-        """Service that it receives, in tokens."""
-        return self.prefill_tokens + _OUTPUT_WEIGHT * self.output_tokens
+        """Service that it receives, in tokens.
+
+        Cached tokens count in full: a workspace's share is promised in tokens,
+        and must not depend on what others have left in the caches.
+        """
+        prompt_tokens = self.prefill_tokens + self.cached_tokens
+        return prompt_tokens + _OUTPUT_WEIGHT * self.output_tokens
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/sardinetrack/emulator/simulation.py
+++ b/src/sardinetrack/emulator/simulation.py
@@ -118,6 +118,7 @@
             RECOMPUTE_WAIT_SECONDS if recomputes else remaining_wait,
             entry=entry.name,
             served_tokens=entry.service.tokens(now, request.workspace),
+            cached_tokens=request.prompt.tokens - candidate.prefill_tokens,
         )
         attempt.cost = ask.cost
         self._pending[ask.permit_id] = attempt
--- a/src/sardinetrack/fairness/decaying_service.py
+++ b/src/sardinetrack/fairness/decaying_service.py
@@ -39,7 +39,7 @@
     def add(self, now: float, name: Name, tokens: float) -> None:
         """Add service.
 
-        :param tokens: prefilled ones, and generated ones twice.
+        :param tokens: of prompts, cached ones too, and generated ones twice.
         """
         self.put(now, name, self.tokens(now, name) + tokens)
 
--- a/src/sardinetrack/relay/permit.py
+++ b/src/sardinetrack/relay/permit.py
@@ -253,6 +253,7 @@
         round(admission_request.since_refusal_seconds, 3),
         _finite(admission_request.event_gap_seconds),
         admission_request.is_trial,
+        admission_request.cached_tokens,
     )
     timeout_seconds = admission_request.max_wait_seconds + _RESPONSE_SECONDS
     response = await connection.request_permit(message, timeout_seconds)
--- a/src/sardinetrack/relay/request_terms.py
+++ b/src/sardinetrack/relay/request_terms.py
@@ -74,6 +74,7 @@
             kv_cache_tokens=self._call.prompt.tokens
             + self._output_tokens(plan),
             output_tokens=0,
+            cached_tokens=0,
             shared_prefix='',
             first_event_due_seconds=plan.route.first_event_objective_seconds,
             since_refusal_seconds=0,
@@ -122,6 +123,9 @@
             since_refusal_seconds=self._since_refusal_seconds,
             event_gap_seconds=plan.route.event_gap_seconds or math.inf,
             is_trial=is_trial,
+            cached_tokens=max(
+                0, self._call.prompt.tokens - candidate.prefill_tokens
+            ),
         )
 
     def _output_tokens(self, plan: Plan) -> int:
--- a/src/sardinetrack/turns/messages.py
+++ b/src/sardinetrack/turns/messages.py
@@ -67,6 +67,9 @@
     there is none."""
     is_trial: bool = False
     """Whether a part of its prompt is suspected of crashing engines."""
+    cached_tokens: int = 0
+    """Prompt tokens that the engine should cache; 0 from an entry of the
+    previous version."""
 
     @property
     def left_seconds(self) -> float:
--- a/src/sardinetrack/turns/side.py
+++ b/src/sardinetrack/turns/side.py
@@ -247,6 +247,7 @@
             message.first_event_due_seconds - more_seconds,
             message.left_seconds,
             event_gap_seconds=message.gap_objective_seconds,
+            cached_tokens=message.cached_tokens,
         )
         self.request(request)
 
