What a refused workspace did not receive stays owed to it

Cause: a workspace none of whose requests wait at a side counted as a newcomer there and was lifted to nine tenths of the most served one, at each return. A workspace that is refused immediately has none waiting, so what it was owed was forgotten. The class: state that is derived from a queue, read as if it told who competes.

Change: 'Shortage' records since when a workspace has been refused, without a break of a second. A side lifts no workspace that it refuses itself; one that an entry refuses (a field of the permit request) is lifted by at most what would be left of a lift at its first refusal.

--- a/src/sardinetrack/admission/order.py
+++ b/src/sardinetrack/admission/order.py
@@ -8,7 +8,8 @@
 
 from sardinetrack.admission.request import AdmissionRequest
 from sardinetrack.admission.waiting import WaitQueue, tokens_of
-from sardinetrack.fairness.decaying_service import FleetService
+from sardinetrack.fairness.decaying_service import FleetService, decay
+from sardinetrack.fairness.shortage import Shortage
 
 JOIN_FRACTION: Final = 0.9
 """A workspace that joins starts from this fraction of the largest service
@@ -56,6 +57,7 @@
         """Order the workspaces of a queue."""
         self._queue = queue
         self._service = FleetService()
+        self._shortage = Shortage()
 
     def update_served(
         self,
@@ -74,7 +76,7 @@
         """Count the service of a granted request."""
         self._service.add(now, request.entry, request.workspace, request.cost)
 
-    def join(self, now: float, workspace: str) -> None:
+    def join(self, now: float, workspace: str, short_seconds: float) -> None:
         """Let a workspace that starts to wait begin near those that wait.
 
         Service that another workspace received while no other requested any is
@@ -83,15 +85,31 @@
         idle engines before would starve for seconds. Newcomers of one moment
         start equal: were each a tenth below the last one, the eighth would
         start from less than half.
+
+        A workspace whose requests are refused here is no newcomer, though none
+        of them waits: what it did not receive meanwhile is owed to it. One that
+        is refused elsewhere starts from what would be left of its lift if it
+        had joined here at its first refusal.
+
+        :param short_seconds: how long an entry has refused its requests.
         """
-        if self._queue.of(workspace):
+        if self._queue.of(workspace) or self._is_refused(now, workspace):
             return
         waiting = [
             self._service.tokens(now, name) for name in self._queue.workspaces
         ]
         if waiting:
             start = min(*waiting, JOIN_FRACTION * max(waiting))
-            self._service.lift(now, workspace, start)
+            self._service.lift(
+                now, workspace, start, start * decay(short_seconds)
+            )
+
+    def record_refusal(self, now: float, workspace: str) -> None:
+        """Record that a request of a workspace was refused."""
+        self._shortage.record(now, workspace)
+
+    def _is_refused(self, now: float, workspace: str) -> bool:
+        return self._shortage.seconds(now, workspace) > 0
 
     def queued(self, now: float, workspace: str) -> QueuedWorkspace:
         """Return what is believed of a workspace."""
--- a/src/sardinetrack/admission/prefill.py
+++ b/src/sardinetrack/admission/prefill.py
@@ -195,12 +195,13 @@
         self.batch.requested(
             now, request.output_tokens, request.until_deadline_seconds
         )
-        self._order.join(now, request.workspace)
+        self._order.join(now, request.workspace, request.short_seconds)
         wait_seconds = self._waits.request_seconds(
             now, request, self._order.ahead_of(now, request)
         )
         max_wait_seconds = self._ahead.max_wait_seconds(request)
         if wait_seconds > max_wait_seconds:
+            self._order.record_refusal(now, request.workspace)
             return (self._refusal(request, wait_seconds, float(0)),)
         self._queue.put(WaitingRequest(request, now, now + max_wait_seconds))
         return self._grant_next(now)
@@ -271,6 +272,8 @@
     def _refusals(
         self, now: float, expired: Sequence[WaitingRequest]
     ) -> Sequence[AdmissionDecision]:
+        for late in expired:
+            self._order.record_refusal(now, late.request.workspace)
         return [
             self._refusal(one.request, wait_seconds, now - one.queued_seconds)
             for one, wait_seconds in self._waits.of_expired(
--- a/src/sardinetrack/admission/request.py
+++ b/src/sardinetrack/admission/request.py
@@ -46,6 +46,9 @@
     """Whether a part of its prompt is suspected of crashing engines."""
     cached_tokens: int = 0
     """Prompt tokens that the engine caches and need not prefill."""
+    short_seconds: float = 0
+    """How long its entry has refused requests of the workspace, without a
+    break; 0 if it has not."""
 
     @property
     def is_past_objective(self) -> bool:
--- a/src/sardinetrack/emulator/simulation.py
+++ b/src/sardinetrack/emulator/simulation.py
@@ -19,6 +19,7 @@
 from sardinetrack.emulator.load import LoadProfile, Request
 from sardinetrack.fairness.decaying_service import DecayingService
 from sardinetrack.fairness.service_updates import ServiceUpdates
+from sardinetrack.fairness.shortage import Shortage
 from sardinetrack.placement.choice import (
     Candidate,
     rank_by_prefix,
@@ -119,6 +120,7 @@
             entry=entry.name,
             served_tokens=entry.service.tokens(now, request.workspace),
             cached_tokens=request.prompt.tokens - candidate.prefill_tokens,
+            short_seconds=entry.shortage.seconds(now, request.workspace),
         )
         attempt.cost = ask.cost
         self._pending[ask.permit_id] = attempt
@@ -213,6 +215,8 @@
     def _refuse(self, attempt: _Attempt, now: float) -> None:
         """Refuse an attempt; its caller retries once, after the wait it got."""
         request, outcome = attempt.request, self.outcome
+        shortage = self._entries[request.entry].shortage
+        shortage.record(now, request.workspace)
         if request.is_retry:
             outcome.refused += 1
             return
@@ -250,6 +254,7 @@
         """
         self.name = f'entry-{number}'
         self.service = DecayingService[str]()
+        self.shortage = Shortage()
         self.updates = defaultdict[str, ServiceUpdates](ServiceUpdates)
 
 
--- a/src/sardinetrack/fairness/decaying_service.py
+++ b/src/sardinetrack/fairness/decaying_service.py
@@ -130,12 +130,24 @@
         self._by_entry.add(now, (entry, workspace), tokens)
         self._sums.add(now, workspace, tokens)
 
-    def lift(self, now: float, workspace: str, min_tokens: float) -> None:
+    def lift(
+        self,
+        now: float,
+        workspace: str,
+        min_tokens: float,
+        max_lift_tokens: float = math.inf,
+    ) -> None:
         """Raise the service of a workspace to a minimum.
 
         The added service decays like any other.
+
+        :param max_lift_tokens: added at most, earlier lifts included.
         """
-        short_tokens = min_tokens - self.tokens(now, workspace)
+        lifted_tokens = self.lifted_tokens(now, workspace)
+        short_tokens = min(
+            min_tokens - self.tokens(now, workspace),
+            max_lift_tokens - lifted_tokens,
+        )
         if short_tokens > 0:
             self._lifts.add(now, workspace, short_tokens)
 
@@ -150,7 +162,10 @@
         return self._lifts.tokens(now, workspace)
 
 
+def decay(seconds: float) -> float:
+    """Return the fraction of a count that is left after some time."""
+    return math.exp2(-seconds / HALF_LIFE_SECONDS)
+
+
 def _decayed(now: float, served: _Served) -> float:
-    return served.tokens * math.exp2(
-        (served.since_seconds - now) / HALF_LIFE_SECONDS,
-    )
+    return served.tokens * decay(now - served.since_seconds)
--- a/src/sardinetrack/relay/entry_state.py
+++ b/src/sardinetrack/relay/entry_state.py
@@ -6,6 +6,7 @@
 
 from sardinetrack.errors.api import ErrorKind, RequestError
 from sardinetrack.fairness.decaying_service import DecayingService
+from sardinetrack.fairness.shortage import Shortage
 from sardinetrack.logs.events import Event, EventLog
 from sardinetrack.placement.prefix_index import PrefixCacheIndex
 from sardinetrack.relay.connection_pool import ConnectionPool
@@ -57,6 +58,7 @@
         self.servers = ServerList()
         self.connections = ConnectionPool()
         self.service = DecayingService[str]()
+        self.shortage = Shortage()
         self.prefix_index = PrefixCacheIndex()
         self.meters = Meters()
         self.crashes = CrashWatch(log)
--- a/src/sardinetrack/relay/permit.py
+++ b/src/sardinetrack/relay/permit.py
@@ -254,6 +254,7 @@
         _finite(admission_request.event_gap_seconds),
         admission_request.is_trial,
         admission_request.cached_tokens,
+        round(admission_request.short_seconds, 1),
     )
     timeout_seconds = admission_request.max_wait_seconds + _RESPONSE_SECONDS
     response = await connection.request_permit(message, timeout_seconds)
--- a/src/sardinetrack/relay/request_terms.py
+++ b/src/sardinetrack/relay/request_terms.py
@@ -126,6 +126,7 @@
             cached_tokens=max(
                 0, self._call.prompt.tokens - candidate.prefill_tokens
             ),
+            short_seconds=state.shortage.seconds(now, plan.workspace_name),
         )
 
     def _output_tokens(self, plan: Plan) -> int:
--- a/src/sardinetrack/relay/server_choice.py
+++ b/src/sardinetrack/relay/server_choice.py
@@ -261,6 +261,7 @@
                 # The order may be older than the suspicion.
                 break
             candidate = order.best(deadline_seconds - self._loop.time())
+        self._state.shortage.record(self._loop.time(), plan.workspace_name)
         raise self._refusal_error(refusals)
 
     async def _request_permit(
--- a/src/sardinetrack/turns/messages.py
+++ b/src/sardinetrack/turns/messages.py
@@ -70,6 +70,8 @@
     cached_tokens: int = 0
     """Prompt tokens that the engine should cache; 0 from an entry of the
     previous version."""
+    short_seconds: float = 0
+    """How long the entry has refused requests of the workspace."""
 
     @property
     def left_seconds(self) -> float:
--- a/src/sardinetrack/turns/side.py
+++ b/src/sardinetrack/turns/side.py
@@ -248,6 +248,7 @@
             message.left_seconds,
             event_gap_seconds=message.gap_objective_seconds,
             cached_tokens=message.cached_tokens,
+            short_seconds=message.short_seconds,
         )
         self.request(request)
 
