A workspace that is owed service may queue at full servers

Cause: away from its home server a request waits 20 ms and asks only servers that report room. A report tells how long anybody would wait, not that the least served workspace would be next. So in a full fleet such a workspace had one engine, however much it was owed. The class: a load report read as the answer to a question that depends on who asks.

Change: a refusal tells the workspace's service as a fraction of the most served one that lately waited or was refused there. Below 0.8 the request asks two further servers at most, with its whole patience: one that caches the prefix, or the next one in the order of home servers, which all entries agree on; which of them depends on the request.

--- a/src/sardinetrack/admission/order.py
+++ b/src/sardinetrack/admission/order.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Final
@@ -9,7 +10,7 @@
 from sardinetrack.admission.request import AdmissionRequest
 from sardinetrack.admission.waiting import WaitQueue, tokens_of
 from sardinetrack.fairness.decaying_service import FleetService, decay
-from sardinetrack.fairness.shortage import Shortage
+from sardinetrack.fairness.shortage import BREAK_SECONDS, Shortage
 
 JOIN_FRACTION: Final = 0.9
 """A workspace that joins starts from this fraction of the largest service
@@ -58,6 +59,9 @@
         self._queue = queue
         self._service = FleetService()
         self._shortage = Shortage()
+        self._highest_tokens = float(0)
+        """Most service of a workspace that lately waited."""
+        self._highest_seconds = -math.inf
 
     def update_served(
         self,
@@ -104,9 +108,32 @@
                 now, workspace, start, start * decay(short_seconds)
             )
 
-    def record_refusal(self, now: float, workspace: str) -> None:
-        """Record that a request of a workspace was refused."""
+    def record_refusal(self, now: float, workspace: str) -> float:
+        """Record that a request of a workspace was refused.
+
+        :return: the workspace's service as a fraction of the most that any
+            workspace has received that lately waited or was refused here.
+        """
         self._shortage.record(now, workspace)
+        tokens = self._service.tokens(now, workspace)
+        self._update_highest(now, tokens)
+        return tokens / max(1, self._highest_tokens)
+
+    def _update_highest(self, now: float, refused_tokens: float) -> None:
+        """Update it by those that wait, and by one that is refused.
+
+        Where a workspace is owed so much that all others are refused
+        immediately, only its own requests wait.
+        """
+        highest = max(
+            (self._service.tokens(now, one) for one in self._queue.workspaces),
+            default=refused_tokens,
+        )
+        highest = max(highest, refused_tokens)
+        is_old = now - self._highest_seconds > BREAK_SECONDS
+        if is_old or highest >= self._highest_tokens:
+            self._highest_tokens = highest
+            self._highest_seconds = now
 
     def _is_refused(self, now: float, workspace: str) -> bool:
         return self._shortage.seconds(now, workspace) > 0
--- a/src/sardinetrack/admission/prefill.py
+++ b/src/sardinetrack/admission/prefill.py
@@ -201,8 +201,7 @@
         )
         max_wait_seconds = self._ahead.max_wait_seconds(request)
         if wait_seconds > max_wait_seconds:
-            self._order.record_refusal(now, request.workspace)
-            return (self._refusal(request, wait_seconds, float(0)),)
+            return (self._refusal(now, request, wait_seconds, float(0)),)
         self._queue.put(WaitingRequest(request, now, now + max_wait_seconds))
         return self._grant_next(now)
 
@@ -216,7 +215,7 @@
         """
         if self._has_slot(now, request):
             return self._grant(now, request)
-        return self._refusal(request, self.wait_seconds(now), float(0))
+        return self._refusal(now, request, self.wait_seconds(now), float(0))
 
     def release(
         self,
@@ -272,10 +271,10 @@
     def _refusals(
         self, now: float, expired: Sequence[WaitingRequest]
     ) -> Sequence[AdmissionDecision]:
-        for late in expired:
-            self._order.record_refusal(now, late.request.workspace)
         return [
-            self._refusal(one.request, wait_seconds, now - one.queued_seconds)
+            self._refusal(
+                now, one.request, wait_seconds, now - one.queued_seconds
+            )
             for one, wait_seconds in self._waits.of_expired(
                 now, self._queue, expired
             )
@@ -360,11 +359,16 @@
 
     def _refusal(
         self,
+        now: float,
         request: AdmissionRequest,
         wait_seconds: float,
         waited_seconds: float,
     ) -> Refused:
         self.usage.record_refusal(waited_seconds)
         return Refused.for_wait(
-            request.permit_id, wait_seconds, waited_seconds, self.rate_tokens
+            request.permit_id,
+            wait_seconds,
+            waited_seconds,
+            self.rate_tokens,
+            self._order.record_refusal(now, request.workspace),
         )
--- a/src/sardinetrack/admission/request.py
+++ b/src/sardinetrack/admission/request.py
@@ -9,6 +9,14 @@
 _OUTPUT_WEIGHT: Final = 2.0
 """The platform's documentation counts generated tokens twice."""
 _MIN_RETRY_SECONDS: Final = 0.25
+OWED_FRACTION: Final = 0.8
+"""Below this fraction of the most served workspace's service a workspace may
+queue at a further server, which computes its shared prefix once more.
+
+Its home servers are full of its own requests then, while others are served more
+elsewhere. With a higher fraction workspaces that are served alike would spread
+their prefixes over all servers.
+"""
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,6 +98,9 @@
     waited_seconds: float
     ahead_tokens: int
     """Prompt tokens to prefill before it."""
+    service_fraction: float = 1
+    """Service of its workspace as a fraction of the most that any workspace has
+    received that lately waited there."""
 
     @classmethod
     def for_wait(
@@ -98,6 +109,7 @@
         wait_seconds: float,
         waited_seconds: float,
         rate_tokens: float,
+        service_fraction: float = 1,
     ) -> Self:
         """Refuse a request that would wait for so long.
 
@@ -108,6 +120,7 @@
             max(_MIN_RETRY_SECONDS, wait_seconds),
             waited_seconds,
             int(wait_seconds * rate_tokens),
+            service_fraction,
         )
 
 
--- a/src/sardinetrack/emulator/simulation.py
+++ b/src/sardinetrack/emulator/simulation.py
@@ -10,6 +10,7 @@
 from typing import Final
 
 from sardinetrack.admission.request import (
+    OWED_FRACTION,
     AdmissionDecision,
     AdmissionRequest,
     Granted,
@@ -17,11 +18,12 @@
 from sardinetrack.emulator.api import Outcome, PlacementPolicy
 from sardinetrack.emulator.engine import Engine
 from sardinetrack.emulator.load import LoadProfile, Request
-from sardinetrack.fairness.decaying_service import DecayingService
+from sardinetrack.fairness.entry_service import EntryService
 from sardinetrack.fairness.service_updates import ServiceUpdates
-from sardinetrack.fairness.shortage import Shortage
 from sardinetrack.placement.choice import (
+    MAX_FURTHER_HOMES,
     Candidate,
+    further_home,
     rank_by_prefix,
     with_capacity,
 )
@@ -116,11 +118,13 @@
             candidate.prefill_tokens,
             request.own_tokens,
             request.prompt.output_tokens,
-            RECOMPUTE_WAIT_SECONDS if recomputes else remaining_wait,
+            RECOMPUTE_WAIT_SECONDS
+            if recomputes and not attempt.is_owed
+            else remaining_wait,
             entry=entry.name,
             served_tokens=entry.service.tokens(now, request.workspace),
             cached_tokens=request.prompt.tokens - candidate.prefill_tokens,
-            short_seconds=entry.shortage.seconds(now, request.workspace),
+            short_seconds=entry.service.short_seconds(now, request.workspace),
         )
         attempt.cost = ask.cost
         self._pending[ask.permit_id] = attempt
@@ -145,7 +149,11 @@
         ]
         if attempt.tried:
             remaining_wait = attempt.remaining_wait_seconds(self._shape, now)
-            candidates = list(with_capacity(candidates, remaining_wait))
+            free = next(with_capacity(candidates, remaining_wait), None)
+            if free is None and attempt.may_go_on:
+                attempt.further_homes += 1
+                return further_home(candidates, attempt.request.name)
+            return free
         return candidates[0] if candidates else None
 
     def _apply_decisions(
@@ -159,6 +167,7 @@
             if isinstance(decision, Granted):
                 self._granted(name, decision.permit_id, attempt, now)
                 continue
+            attempt.is_owed = decision.service_fraction < OWED_FRACTION
             if attempt.retry_after_seconds is None:
                 attempt.retry_after_seconds = decision.retry_after_seconds
             self._schedule(now, partial(self._request_permit, attempt))
@@ -215,8 +224,8 @@
     def _refuse(self, attempt: _Attempt, now: float) -> None:
         """Refuse an attempt; its caller retries once, after the wait it got."""
         request, outcome = attempt.request, self.outcome
-        shortage = self._entries[request.entry].shortage
-        shortage.record(now, request.workspace)
+        entry = self._entries[request.entry]
+        entry.service.refused(now, request.workspace)
         if request.is_retry:
             outcome.refused += 1
             return
@@ -253,8 +262,7 @@
         :param number: becomes its name.
         """
         self.name = f'entry-{number}'
-        self.service = DecayingService[str]()
-        self.shortage = Shortage()
+        self.service = EntryService()
         self.updates = defaultdict[str, ServiceUpdates](ServiceUpdates)
 
 
@@ -265,10 +273,17 @@
         self.request = request
         self.tried: list[str] = []
         self.retry_after_seconds: float | None = None
+        self.is_owed = False
+        self.further_homes = 0
         self.cost = float(0)
         """Service that it receives if the last server grants it."""
         self._started_seconds = started_seconds
 
+    @property
+    def may_go_on(self) -> bool:
+        """Whether it may try the next home server."""
+        return self.is_owed and self.further_homes < MAX_FURTHER_HOMES
+
     def remaining_wait_seconds(self, shape: LoadProfile, now: float) -> float:
         """Return how long it may still wait."""
         return max(0, shape.max_wait_seconds - (now - self._started_seconds))
--- a/src/sardinetrack/placement/choice.py
+++ b/src/sardinetrack/placement/choice.py
@@ -51,6 +51,10 @@
 The work may be done by the time such a request arrives there: a report is at
 most 0.15 s old where an engine is busy.
 """
+MAX_FURTHER_HOMES: Final = 2
+"""Full servers that a request of a workspace that is owed service asks after
+its home server; each refusal is a message, and a full fleet gets most of
+them."""
 MEAN_REPORT_AGE_SECONDS: Final = 0.08
 """Mean age of a report; it does not include what was granted since."""
 SWITCH_SERVER_SECONDS: Final = 0.1
@@ -76,6 +80,8 @@
     """Those of them that the home server would not have to prefill."""
     prefilled_seconds: float = 0
     """Until the prompt would be prefilled there."""
+    rank: int = 0
+    """Place in the order of home servers; 0 for the home server."""
 
     @property
     def recomputes_prefix(self) -> bool:
@@ -177,6 +183,30 @@
             yield one
 
 
+def further_home(
+    candidates: Iterable[Candidate], request_id: str
+) -> Candidate | None:
+    """Return a further server for a request, whatever the load there.
+
+    It is one that caches the shared prefix, or the next one in the order of
+    home servers, which all entries agree on: so a prefix gets one home server
+    more at a time. Which of them depends on the request, so that not all ask
+    the same one.
+    """
+    homes: dict[str, Candidate] = {}
+    next_home: Candidate | None = None
+    for one in candidates:
+        if not one.recomputes_prefix:
+            homes[one.server.instance] = one
+        elif next_home is None or one.rank < next_home.rank:
+            next_home = one
+    if next_home is not None:
+        homes[next_home.server.instance] = next_home
+    if not homes:
+        return None
+    return homes[rendezvous_order(request_id, homes)[0]]
+
+
 def worthwhile_wait_seconds(
     one: Candidate,
     other: Candidate | None,
@@ -309,4 +339,5 @@
         work.prefill_tokens,
         work.recomputed_tokens,
         wait_seconds + work.prefill_tokens / rate_tokens,
+        rank,
     )
--- a/src/sardinetrack/relay/candidate_order.py
+++ b/src/sardinetrack/relay/candidate_order.py
@@ -5,7 +5,13 @@
 from collections.abc import Callable, Sequence
 from typing import Final
 
-from sardinetrack.placement.choice import Candidate, excluding, with_capacity
+from sardinetrack.placement.choice import (
+    MAX_FURTHER_HOMES,
+    Candidate,
+    excluding,
+    further_home,
+    with_capacity,
+)
 
 STALE_SECONDS: Final = 0.1
 """Age from which the order of servers is computed again for the next try.
@@ -37,6 +43,7 @@
         self._clock = clock
         self._ranked_seconds = clock()
         self._tried: set[str] = set()
+        self._further_homes = 0
 
     @property
     def tried_count(self) -> int:
@@ -54,8 +61,19 @@
         :param max_wait_seconds: how long the request can wait at its home
             server.
         """
+        self._update()
+        return next(with_capacity(self._candidates, max_wait_seconds), None)
+
+    def further_home(self, request_id: str) -> Candidate | None:
+        """Return a further server that was not tried, whatever its load."""
+        if self._further_homes >= MAX_FURTHER_HOMES:
+            return None
+        self._further_homes += 1
+        self._update()
+        return further_home(self._candidates, request_id)
+
+    def _update(self) -> None:
         now = self._clock()
         if now - self._ranked_seconds > STALE_SECONDS:
             self._candidates = excluding(self._rank(), self._tried)
             self._ranked_seconds = now
-        return next(with_capacity(self._candidates, max_wait_seconds), None)
--- a/src/sardinetrack/relay/entry_state.py
+++ b/src/sardinetrack/relay/entry_state.py
@@ -5,8 +5,7 @@
 from typing import Final
 
 from sardinetrack.errors.api import ErrorKind, RequestError
-from sardinetrack.fairness.decaying_service import DecayingService
-from sardinetrack.fairness.shortage import Shortage
+from sardinetrack.fairness.entry_service import EntryService
 from sardinetrack.logs.events import Event, EventLog
 from sardinetrack.placement.prefix_index import PrefixCacheIndex
 from sardinetrack.relay.connection_pool import ConnectionPool
@@ -57,8 +56,7 @@
         self.freshness = Freshness(settings.revoke_seconds)
         self.servers = ServerList()
         self.connections = ConnectionPool()
-        self.service = DecayingService[str]()
-        self.shortage = Shortage()
+        self.service = EntryService()
         self.prefix_index = PrefixCacheIndex()
         self.meters = Meters()
         self.crashes = CrashWatch(log)
--- a/src/sardinetrack/relay/permit.py
+++ b/src/sardinetrack/relay/permit.py
@@ -173,16 +173,19 @@
         retry_after_seconds: float,
         reason: str,
         since_refusal_seconds: float = 0,
+        service_fraction: float = 1,
     ) -> None:
         """Describe the refusal.
 
         :param retry_after_seconds: when to retry.
         :param reason: for the log.
         :param since_refusal_seconds: how long ago it was refused before.
+        :param service_fraction: service of the workspace, see ``Refused``.
         """
         super().__init__(reason)
         self.retry_after_seconds = retry_after_seconds
         self.since_refusal_seconds = since_refusal_seconds
+        self.service_fraction = service_fraction
 
 
 class TrialRunsError(Exception):
@@ -267,6 +270,7 @@
             response.retry_after_seconds,
             f'side: {response.ahead_tokens} tokens ahead',
             response.since_refusal_seconds,
+            response.service_fraction,
         )
     return None
 
--- a/src/sardinetrack/relay/request_terms.py
+++ b/src/sardinetrack/relay/request_terms.py
@@ -7,7 +7,7 @@
 from dataclasses import replace
 from typing import Final
 
-from sardinetrack.admission.request import AdmissionRequest
+from sardinetrack.admission.request import OWED_FRACTION, AdmissionRequest
 from sardinetrack.placement.choice import Candidate
 from sardinetrack.placement.prefix_index import MIN_SHARED_PREFIX_TOKENS
 from sardinetrack.placement.rendezvous import (
@@ -64,6 +64,7 @@
         self._fingerprint = ''
         self._estimated_tokens: int | None = None
         self._since_refusal_seconds = float(0)
+        self._is_owed = False
 
     def of_continuation(
         self, plan: Plan, candidate: Candidate
@@ -80,8 +81,20 @@
             since_refusal_seconds=0,
         )
 
-    def record_refusal(self, since_refusal_seconds: float) -> None:
-        """Record how long ago a side refused the request first."""
+    @property
+    def is_owed(self) -> bool:
+        """Whether the workspace has received less than others that wait."""
+        return self._is_owed
+
+    def record_refusal(
+        self, since_refusal_seconds: float, service_fraction: float
+    ) -> None:
+        """Record a refusal.
+
+        :param since_refusal_seconds: how long ago the side refused it first.
+        :param service_fraction: see ``Refused``.
+        """
+        self._is_owed = service_fraction < OWED_FRACTION
         self._since_refusal_seconds = max(
             self._since_refusal_seconds, since_refusal_seconds
         )
@@ -111,7 +124,8 @@
             output_tokens=self._output_tokens(plan),
             max_wait_seconds=(
                 RECOMPUTE_WAIT_SECONDS
-                if candidate.recomputes_prefix and not is_trial
+                if candidate.recomputes_prefix
+                and not (is_trial or self._is_owed)
                 else wait_limit_seconds
             ),
             entry=state.settings.instance,
@@ -126,7 +140,7 @@
             cached_tokens=max(
                 0, self._call.prompt.tokens - candidate.prefill_tokens
             ),
-            short_seconds=state.shortage.seconds(now, plan.workspace_name),
+            short_seconds=state.service.short_seconds(now, plan.workspace_name),
         )
 
     def _output_tokens(self, plan: Plan) -> int:
--- a/src/sardinetrack/relay/server_choice.py
+++ b/src/sardinetrack/relay/server_choice.py
@@ -256,14 +256,28 @@
                 )
             except PermitRefusedError as refusal:
                 refusals.append(refusal)
-                self._terms.record_refusal(refusal.since_refusal_seconds)
+                self._terms.record_refusal(
+                    refusal.since_refusal_seconds, refusal.service_fraction
+                )
             if self._terms.suspected_part(plan):
                 # The order may be older than the suspicion.
                 break
-            candidate = order.best(deadline_seconds - self._loop.time())
-        self._state.shortage.record(self._loop.time(), plan.workspace_name)
+            candidate = self._next_candidate(order, deadline_seconds)
+        self._state.service.refused(self._loop.time(), plan.workspace_name)
         raise self._refusal_error(refusals)
 
+    def _next_candidate(
+        self, order: CandidateOrder, deadline_seconds: float
+    ) -> Candidate | None:
+        """Return the server to ask after a refusal.
+
+        A workspace that is owed service is next at a full server too.
+        """
+        candidate = order.best(deadline_seconds - self._loop.time())
+        if candidate is None and self._terms.is_owed:
+            return order.further_home(self._call.request_id)
+        return candidate
+
     async def _request_permit(
         self,
         plan: Plan,
--- a/src/sardinetrack/turns/messages.py
+++ b/src/sardinetrack/turns/messages.py
@@ -144,6 +144,9 @@
     """Time since this side refused it first; 0 if it never did."""
     trial_runs: bool = False
     """Whether it is a trial, and may begin only after another one."""
+    service_fraction: float = 1
+    """Service of its workspace as a fraction of the most that any workspace has
+    received that lately waited there; 1 from a side of the previous version."""
 
 
 class SideReport(msgspec.Struct, tag='load', array_like=True, frozen=True):
--- a/src/sardinetrack/turns/side.py
+++ b/src/sardinetrack/turns/side.py
@@ -311,6 +311,7 @@
                 round(decision.waited_seconds, _DIGITS),
                 decision.ahead_tokens,
                 round(returned_seconds, _DIGITS),
+                service_fraction=round(decision.service_fraction, _DIGITS),
             ),
         )
         queued = self.admission.queued_workspace(now, message.workspace)
--- a/tests/emulator/shares.feature
+++ b/tests/emulator/shares.feature
@@ -23,3 +23,15 @@
       | 6       | 100   | 6300   | 600  | 54     | less of its prompts is cached             |
       | 6       | 60    | 172    | 543  | 280    | its responses are long                    |
       | 22      | 1     | 6300   | 2890 | 54     | all its prompts have the same home server |
+
+  Scenario: A workspace with one home server joins one that had all engines
+    Guards against a workspace that gets a twentieth of another one, because its
+    home server is full and others are asked only while they report room.
+
+    Given 22 emulated engines
+    And a workspace with 100 shared parts of 6300 tokens, own parts of 2890 and responses of 54
+    And a workspace with 1 shared parts of 6300 tokens, own parts of 2890 and responses of 54
+    And it begins at second 2
+    When their loads are simulated with seed 1
+    Then in any six seconds from second 3 on, neither receives less than 0.5 of the other
+    And the small workspaces have at least 0.95 of their requests served in time
--- a/tests/emulator/steps/shares_steps.py
+++ b/tests/emulator/steps/shares_steps.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from behave import given, then, when
 
 from sardinetrack.emulator.load import LoadProfile
@@ -48,6 +50,12 @@
     )
 
 
+@given('it begins at second {second:d}')
+def given_begin(context, second):
+    load = context.loads.pop()
+    context.loads.append(replace(load, begins_seconds=second))
+
+
 @when('their loads are simulated with seed {seed:d}')
 def simulate(context, seed):
     context.small = [
