A server's object with numbers out of all bounds is set aside

Another writer's object with a start of 400 digits, a sequence beyond 64 bits or a warm-up of 1e300 ms was taken for a server: one that is cold for as long as the object stands, with a start that no engine's report can confirm (reports refuse numbers above 1e15).

Cause: the list's decoder had no upper limits but for slots; the engine's report had them. Both now use platform/counts.py.

Ruled out here (run): nothing ended and no feed stopped by these numbers, nesting of 100,000, a port of 99999 or 1e400 are set aside already; a start of 25 digits passes through the lines to sides.

Three of four new rows of tests/platform/server_objects.feature fail before and pass now (the sequence 1e30 is refused before too).

--- a/src/sardinetrack/platform/engine_report.py
+++ b/src/sardinetrack/platform/engine_report.py
@@ -2,24 +2,22 @@
 
 from __future__ import annotations
 
-from typing import Annotated, Final
+from typing import Final
 
 import msgspec
 
 from sardinetrack.admission.engine_report import EngineReport, EngineRun
 from sardinetrack.messages.json_input import JsonDecoder, UnreadableError
+from sardinetrack.platform.counts import Count
 from sardinetrack.platform.errors import TranslationError
 
 REPORT_PATH: Final = '/v1/report'
-_MAX_COUNT: Final = 1_000_000_000_000_000
-"""Far above any count or time; larger integers can overflow a float."""
-_Count = Annotated[int, msgspec.Meta(ge=0, le=_MAX_COUNT)]
 
 
 class _Run(msgspec.Struct, array_like=True):
     request_id: str
-    tokens: _Count
-    events: _Count
+    tokens: Count
+    events: Count
     priority: int
 
 
@@ -30,10 +28,10 @@
     as one that only decodes, and its steps as slow.
     """
 
-    queued: _Count
-    active: _Count
+    queued: Count
+    active: Count
     runs: list[_Run]
-    born: _Count | msgspec.UnsetType = msgspec.UNSET
+    born: Count | msgspec.UnsetType = msgspec.UNSET
 
 
 _REPORTS: Final = JsonDecoder[_Report](_Report)
--- a/src/sardinetrack/platform/servers.py
+++ b/src/sardinetrack/platform/servers.py
@@ -9,6 +9,11 @@
 
 from sardinetrack.messages.json_input import JsonDecoder
 from sardinetrack.platform.addresses import parse_endpoint
+from sardinetrack.platform.counts import (
+    Count,
+    Sequence,
+    WarmupMilliseconds,
+)
 from sardinetrack.platform.errors import TranslationError
 from sardinetrack.topology.servers import BackendServer
 
@@ -33,11 +38,11 @@
     version: str
     slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
     state: Literal['ready', 'draining']
-    warmup_left_ms: Annotated[float, msgspec.Meta(ge=0)]
-    sequence: Annotated[int, msgspec.Meta(ge=0)]
+    warmup_left_ms: WarmupMilliseconds
+    sequence: Sequence
     # Unix milliseconds of the server's start; not all platforms send it. A
     # value that is present but no number is an error, as in any other field.
-    born: Annotated[int, msgspec.Meta(ge=0)] | msgspec.UnsetType = msgspec.UNSET
+    born: Count | msgspec.UnsetType = msgspec.UNSET
 
 
 _SERVERS: Final = JsonDecoder[_Server](_Server)
--- a/tests/platform/server_objects.feature
+++ b/tests/platform/server_objects.feature
@@ -40,6 +40,10 @@
       | born         | "yesterday"        |
       | born         | null               |
       | born         | 1.5                |
+      | born         | 10000000000000000  |
+      | sequence     | 1e30               |
+      | sequence     | 18446744073709551616 |
+      | warmupLeftMs | 1e300              |
 
   Scenario: An object that can't be decoded at all
     Given a fleet that lists 2 valid servers
