Tests: a response head that a server breaks off is no response

From another operator's report: clients got a 200 with an empty or short body after a server stopped within its head.

Not tried: the product's own interface ('sardinetrack entry'), what sides read, and a body without a length that ends by a crash's close: by the protocol that one can't be told from a complete one.

--- a/tests/support/relay_servers.py
+++ b/tests/support/relay_servers.py
@@ -174,6 +174,11 @@
             writer.write(piece)
             await writer.drain()
 
+    async def _send_and_close(self, fields, reader, writer):
+        begin, _ = self.notices.endless
+        writer.write(begin.replace(b'HEAD', self._head(fields, '200').encode()))
+        writer.close()
+
     async def _fail(self, fields, reader, writer):
         self._whole(fields, writer, '500 Oops', b'broken')
 
