An entry that is out of step asks before it assumes a pool's only version

Other operators saw: during a release one entry was cut off or stood still for seconds while engines of a new version joined; streams that had begun there were taken up at that entry and went on at an engine of another version (ORDER). It could happen here too.

Cause: an entry that knew one version of a pool took it for the origin of any stream as long as a link to a side counted as live (1.4 s without a line) or its list as fresh (a fraction of revokeMs). An entry that has just woken, or whose paths are cut, has not read yet what sides told it meanwhile. The class: the liveness of a connection read as the freshness of what came over it.

Change: it asks one side of each failure domain what began the stream. A response proves that all lines before it have been read, by their order on the connection; then the only version known is the only one. A side that disconnects is no response. Without a response the stream is refused as not run; where no side is linked the confirmed list decides, as before.

Remains: without any side, a list confirmed before the version joined is trusted up to its bound.

--- a/src/sardinetrack/relay/stream_directory.py
+++ b/src/sardinetrack/relay/stream_directory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Collection
 from contextlib import suppress
 from enum import StrEnum
 from typing import Final
@@ -18,6 +19,7 @@
 from sardinetrack.topology.stream_origin import StreamOrigin, StreamOrigins
 from sardinetrack.turns.origin_lookup import OriginLookup
 from sardinetrack.turns.origin_messages import StreamBegan, VersionsListed
+from sardinetrack.turns.side_link import SideLink
 from sardinetrack.turns.side_state import OriginListener
 
 LOOKUP_SECONDS: Final = 0.25
@@ -166,37 +168,38 @@
         origin = self._origins.find(boot_clock(), call.stream_id)
         if origin is not None:
             return OriginSource.ENTRY, origin
-        versions = self._versions.of_pool(boot_clock(), pool.name)
-        if len(versions) > 1:
-            origin = await self._ask_sides(call.stream_id, pool)
-            source = OriginSource.SIDE if origin else OriginSource.UNKNOWN
-            return source, origin
-        if not self._knows_all_versions(pool):
-            return OriginSource.UNKNOWN, None
-        only = [StreamOrigin(pool.name, version) for version in versions]
-        return OriginSource.ONLY_VERSION, next(iter(only), None)
-
-    async def _ask_sides(
-        self, request_id: str, pool: Pool
-    ) -> StreamOrigin | None:
+        if not self.has_versions(pool.name):
+            asked = broadcast_sides(self._sides.knowing_origins(pool.name))
+            lookup = OriginLookup(len(asked))
+            origin = await _ask(asked, call.stream_id, lookup)
+            if origin is not None:
+                return OriginSource.SIDE, origin
+            if not self.has_versions(pool.name):
+                return self._only_version(pool, lookup)
         asked = self._sides.knowing_origins(pool.name)
-        lookup = OriginLookup(len(asked))
-        for link in asked:
-            link.find_origin(request_id, lookup)
-        with suppress(TimeoutError):
-            async with asyncio.timeout(LOOKUP_SECONDS):
-                return await lookup.result
-        return None
+        origin = await _ask(asked, call.stream_id, OriginLookup(len(asked)))
+        return OriginSource.SIDE if origin else OriginSource.UNKNOWN, origin
 
-    def _knows_all_versions(self, pool: Pool) -> bool:
-        """Whether another version would be known here.
+    def _only_version(
+        self, pool: Pool, lookup: OriginLookup
+    ) -> tuple[OriginSource, StreamOrigin | None]:
+        """Return the only version, if another one would be known here.
 
         Entries that see a new version tell all others through the sides, so
-        one that can't reach the store still knows. Without either, servers of
-        other versions may run, or may just have ended.
+        one that can't reach the store still knows. But an entry that was cut
+        off or stood still has not read it yet; it has once a side responds.
+        Without either, servers of other versions may run, or may just have
+        ended.
+
+        :param lookup: to the sides, after their time.
         """
-        sides = self._sides.knowing_origins(pool.name)
-        return bool(sides) or self._freshness.is_fresh()
+        without_sides = not self._sides.knowing_origins(pool.name)
+        is_fresh = without_sides and self._freshness.is_fresh()
+        if not lookup.has_responses and not is_fresh:
+            return OriginSource.UNKNOWN, None
+        versions = self._versions.of_pool(boot_clock(), pool.name)
+        only = [StreamOrigin(pool.name, version) for version in versions]
+        return OriginSource.ONLY_VERSION, next(iter(only), None)
 
     def _publish(self, call: CallerRequest, origin: StreamOrigin) -> None:
         """Tell a side in each failure domain, if the pool has versions."""
@@ -206,3 +209,15 @@
         sides = self._sides.knowing_origins(origin.pool)
         for link in broadcast_sides(sides):
             link.send_message(message)
+
+
+async def _ask(
+    sides: Collection[SideLink], stream_id: str, lookup: OriginLookup
+) -> StreamOrigin | None:
+    """Ask sides what began a stream; ``None`` if none of them knows in time."""
+    for link in sides:
+        link.find_origin(stream_id, lookup)
+    with suppress(TimeoutError):
+        async with asyncio.timeout(LOOKUP_SECONDS):
+            return await lookup.result
+    return None
--- a/src/sardinetrack/turns/origin_lookup.py
+++ b/src/sardinetrack/turns/origin_lookup.py
@@ -18,11 +18,22 @@
         """
         loop = asyncio.get_running_loop()
         self.result: asyncio.Future[StreamOrigin | None] = loop.create_future()
+        self.has_responses = False
+        """Whether a side has responded; all lines that it had sent before have
+        been read then."""
         self._missing = asked
         self._resolve_if_complete()
 
     def answered(self, origin: StreamOrigin | None) -> None:
         """Apply the response of one side; ``None`` if it doesn't know."""
+        self.has_responses = True
+        self._end_one(origin)
+
+    def lost(self) -> None:
+        """Expect no response of one side: it is disconnected."""
+        self._end_one(None)
+
+    def _end_one(self, origin: StreamOrigin | None) -> None:
         self._missing -= 1
         if origin is not None and not self.result.done():
             self.result.set_result(origin)
@@ -51,5 +62,7 @@
 
     def give_up(self) -> None:
         """Resolve all questions: the side is disconnected."""
-        for request_id in list(self._lookups):
-            self.resolve(request_id, None)
+        for lookups in self._lookups.values():
+            for lookup in lookups:
+                lookup.lost()
+        self._lookups.clear()
--- a/src/sardinetrack/turns/side_link.py
+++ b/src/sardinetrack/turns/side_link.py
@@ -86,7 +86,7 @@
     def find_origin(self, request_id: str, lookup: OriginLookup) -> None:
         """Ask the side what began a stream."""
         if self.connection is None:
-            lookup.answered(None)
+            lookup.lost()
         else:
             self.connection.find_origin(request_id, lookup)
 
