A large body without room is refused as such where its workspace holds none

Cause: the account of held bytes dropped a workspace's empty row when it refused a body, also where there was none: KeyError within the parser's callback, which counted as an invalid request.

Evidence: tests/relay/large_bodies.feature, 'refused where nothing is held yet', gets 400 before and 503 with Retry-After now.

--- a/src/sardinetrack/relay/held_bytes.py
+++ b/src/sardinetrack/relay/held_bytes.py
@@ -73,7 +73,7 @@
 
     def _discard_empty(self, workspace: str) -> None:
         if not self._held[workspace]:
-            self._held.pop(workspace)
+            self._held.pop(workspace, None)
 
 
 class BodyHold:
--- a/tests/relay/large_bodies.feature
+++ b/tests/relay/large_bodies.feature
@@ -26,6 +26,17 @@
     Then the caller gets status 503
     And the entry holds 0 MB at most
 
+  Scenario: A body that does not fit is refused where nothing is held yet
+    Guards against a large body that gets 400, as if it were invalid, because
+    its workspace holds no bytes when there is no room.
+
+    Given a relay in front of 1 plain server, for bodies in 2 MB
+    When 1 callers send half of a body of 4 MB each
+    Then all of them are refused at once with status 503 and when to retry
+    And the entry holds 0 MB at most
+    When another caller sends a report
+    Then the caller gets status 200
+
   Scenario: A refused body that turns out invalid gets no second response
     Guards against two responses to one request: its caller would read the
     second one as that to its next request.
--- a/tests/relay/steps/large_body_steps.py
+++ b/tests/relay/steps/large_body_steps.py
@@ -84,6 +84,17 @@
 def refused_at_once(context):
     refused = [Reply(one.early) for one in context.callers if one.early]
     assert 0 < len(refused) < len(context.callers), len(refused)
+    _check_refusals(refused)
+
+
+@then('all of them are refused at once with status 503 and when to retry')
+def all_refused_at_once(context):
+    refused = [Reply(one.early) for one in context.callers if one.early]
+    assert len(refused) == len(context.callers), len(refused)
+    _check_refusals(refused)
+
+
+def _check_refusals(refused):
     assert all(one.status == 503 for one in refused), refused
     assert all(one.retry_after is not None for one in refused), refused
 
