An unexpected error while a request's head is read is told as one

Now it is logged as a fault and answered with 503, not run; the connection closes as before, since the rest can't be parsed.

The class: an exception of one's own code caught with those of the library that called it. The server's side has the same parser: there any error of a callback ends the attempt, and no caller is blamed.

'nothing is read' of tests/relay/unexpected_errors.feature gets 400 before and passes now.

--- a/src/sardinetrack/relay/caller_connection.py
+++ b/src/sardinetrack/relay/caller_connection.py
@@ -102,6 +102,10 @@
         except httptools.HttpParserUpgrade:
             # The request is rejected; the parser reads nothing after its head.
             self._unreadable = True
+        except httptools.HttpParserCallbackError as error:
+            self._unreadable = True
+            self._owner.failed(error.__context__)
+            self._queue(_Rejection(RequestError(ErrorKind.NOT_RUN_LOST)))
         except httptools.HttpParserError:
             # It is unknown where this request ends, so nothing after it may be
             # parsed: that could be a request smuggled in the body of another
--- a/tests/relay/steps/unexpected_error_steps.py
+++ b/tests/relay/steps/unexpected_error_steps.py
@@ -39,6 +39,12 @@
     context.reply = context.world.run(context.world.call(name, headers))
 
 
+@when('an unexpected error occurs within the head of the next report')
+def fail_within_head(context):
+    _raise_in(context, context.world.entry, 'hold_body')
+    _send(context, 'report')
+
+
 @when('an unexpected error occurs before the send of the next report')
 def fail_before_send(context):
     _raise_in(context, sender, 'ServerNotices')
--- a/tests/relay/unexpected_errors.feature
+++ b/tests/relay/unexpected_errors.feature
@@ -12,6 +12,7 @@
 
     Examples:
       | case              | moment                  | status | promise       | count |
+      | nothing is read   | within the head         | 503    | not run       | 0     |
       | nothing is sent   | before the send         | 503    | not run       | 0     |
       | it may have run   | after the failed answer | 500    | may have run  | 1     |
 
