A process tells why it ends, and its memory

Of a process that ended by itself no line told whether an error of its own, a signal or its memory was the cause: `stopped` was written only after an orderly end, and a traceback went to standard error alone.

`stopped` now has `cause` and `resident_bytes` and is written for unexpected errors too; `sardinetrack_resident_memory_bytes` is a metric of both roles. A signal without a handler still leaves no line, which tells it from the rest.

--- a/src/sardinetrack/compose/node.py
+++ b/src/sardinetrack/compose/node.py
@@ -6,7 +6,15 @@
 import gc
 import signal
 import sys
-from collections.abc import Callable, Coroutine, Iterable, Mapping, Sequence
+from collections.abc import (
+    Callable,
+    Coroutine,
+    Iterable,
+    Iterator,
+    Mapping,
+    Sequence,
+)
+from contextlib import contextmanager
 from functools import partial
 from http import HTTPStatus
 from importlib import import_module
@@ -26,6 +34,7 @@
 from sardinetrack.platform.store import PlatformStore
 from sardinetrack.relay.entry import Entry
 from sardinetrack.relay.entry_state import EntryState
+from sardinetrack.relay.memory import resident_bytes
 from sardinetrack.relay.settings import InstanceSettings
 from sardinetrack.relay.status_pages import StatusPageConnection, readiness_page
 from sardinetrack.turns.engine_monitor import EngineSource
@@ -67,12 +76,27 @@
     # collection would block the event loop for tens of milliseconds.
     gc.freeze()
     gc.set_threshold(*_GC_THRESHOLDS)
-    asyncio.run(runner(settings, log))
-    log.write(Event.STOPPED)
-    log.flush()
+    with _logged_end(log):
+        asyncio.run(runner(settings, log))
     return 0
 
 
+@contextmanager
+def _logged_end(log: EventLog) -> Iterator[None]:
+    """Write why the process ends, also if an unexpected error ends it."""
+    cause = 'signal'
+    try:
+        yield
+    except BaseException as error:
+        cause = repr(error)
+        raise
+    finally:
+        log.write(
+            Event.STOPPED, cause=cause, resident_bytes=resident_bytes()
+        )
+        log.flush()
+
+
 def _log_fault(
     log: EventLog,
     _loop: asyncio.AbstractEventLoop,
--- a/src/sardinetrack/relay/metrics.py
+++ b/src/sardinetrack/relay/metrics.py
@@ -16,6 +16,7 @@
 from prometheus_client.registry import Collector
 
 from sardinetrack.relay.entry_state import EntryState
+from sardinetrack.relay.memory import resident_bytes
 from sardinetrack.relay.meters import Histogram
 from sardinetrack.store.api import StoreCounters
 from sardinetrack.topology.freshness import boot_clock
@@ -76,9 +77,16 @@
     yield from _stream_metrics(state)
     yield from _view_metrics(state, store)
     yield from _server_metrics(state)
+    yield _resident_memory()
     yield _total('log_lines_dropped', 'Dropped lines', state.log.dropped)
 
 
+def _resident_memory() -> Metric:
+    return _gauge(
+        'resident_memory_bytes', 'Memory of the process', resident_bytes()
+    )
+
+
 def _stream_metrics(state: EntryState) -> Iterable[Metric]:
     """Return the metrics of an entry's streams."""
     streams = state.meters.streams
@@ -229,6 +237,7 @@
     )
     yield _counter('turns', 'Verdicts on asked turns', side.decisions)
     yield from _engine_metrics(side)
+    yield _resident_memory()
 
 
 def _engine_metrics(side: SideServer) -> Iterable[Metric]:
