Signals are caught from a process's first statement to its last

Callers saw: processes ended by themselves at their start or, when stopped, with a signal instead of code 0.

Cause: the handlers of SIGHUP and SIGTERM existed only while the event loop ran. Before it (all imports, the settings) and after it was closed, the default action ended the process. The class: a process that depends on what is there only later, at a moment at which others may already act on it.

What comes before the loop is delivered when it runs; once it is closed the signals are ignored, since the interpreter restores default actions as it shuts down. Handlers of the loop itself can't be used: closing it restores the default too.

Not closed: the interpreter's own start, before the first statement.

--- a/src/sardinetrack/compose/node.py
+++ b/src/sardinetrack/compose/node.py
@@ -4,9 +4,9 @@
 
 import asyncio
 import gc
-import signal
 import sys
 from collections.abc import (
+    AsyncIterator,
     Callable,
     Coroutine,
     Iterable,
@@ -14,7 +14,8 @@
     Mapping,
     Sequence,
 )
-from contextlib import contextmanager
+from contextlib import asynccontextmanager, contextmanager
+from dataclasses import dataclass
 from functools import partial
 from http import HTTPStatus
 from importlib import import_module
@@ -32,11 +33,17 @@
 )
 from sardinetrack.platform.settings import read_settings, settings_path
 from sardinetrack.platform.store import PlatformStore
+from sardinetrack.process.caught_signals import CaughtSignals
+from sardinetrack.process.signal_delivery import delivered_signals
 from sardinetrack.relay.entry import Entry
 from sardinetrack.relay.entry_state import EntryState
 from sardinetrack.relay.memory import resident_bytes
-from sardinetrack.relay.settings import InstanceSettings
-from sardinetrack.relay.status_pages import StatusPageConnection, readiness_page
+from sardinetrack.relay.settings import InstanceSettings, SocketAddress
+from sardinetrack.relay.status_pages import (
+    Page,
+    StatusPageConnection,
+    readiness_page,
+)
 from sardinetrack.turns.engine_monitor import EngineSource
 from sardinetrack.turns.side import SideServer
 
@@ -47,25 +54,46 @@
 METRICS_PATH: Final = b'/metrics'
 
 
-def main(arguments: Sequence[str]) -> int:
+@dataclass(frozen=True, slots=True)
+class Process:
+    """What each role is run with."""
+
+    settings: InstanceSettings
+    log: EventLog
+    signals: CaughtSignals
+
+
+def main(arguments: Sequence[str], signals: CaughtSignals) -> int:
     """Run an entry or a side until a signal stops it.
 
     :param arguments: the role, ``entry`` or ``side``.
+    :param signals: caught since the start of the process.
     :return: the exit code.
     """
     role = arguments[0] if arguments else ''
     runner = _ROLES.get(role)
     if runner is None:
         known = ', '.join(_ROLES)
-        sys.stderr.write(f'sardinetrack: the role must be one of {known}\n')
-        return _BAD_USAGE
+        return _refuse_usage(f'the role must be one of {known}')
     try:
         settings = read_settings(settings_path())
     except SettingsFileError as error:
-        sys.stderr.write(f'sardinetrack: {error}\n')
-        return _BAD_USAGE
+        return _refuse_usage(str(error))
     log = EventLog(sys.stdout.fileno(), settings.instance)
-    log.write(
+    with _logged_end(log):
+        _run(role, runner, Process(settings, log, signals))
+    signals.ignore()
+    return 0
+
+
+def _refuse_usage(message: str) -> int:
+    sys.stderr.write(f'sardinetrack: {message}\n')
+    return _BAD_USAGE
+
+
+def _run(role: str, runner: _Runner, process: Process) -> None:
+    settings = process.settings
+    process.log.write(
         Event.STARTED,
         role=role,
         version=__version__,
@@ -76,9 +104,7 @@
     # collection would block the event loop for tens of milliseconds.
     gc.freeze()
     gc.set_threshold(*_GC_THRESHOLDS)
-    with _logged_end(log):
-        asyncio.run(runner(settings, log))
-    return 0
+    asyncio.run(runner(process))
 
 
 @contextmanager
@@ -91,9 +117,7 @@
         cause = repr(error)
         raise
     finally:
-        log.write(
-            Event.STOPPED, cause=cause, resident_bytes=resident_bytes()
-        )
+        log.write(Event.STOPPED, cause=cause, resident_bytes=resident_bytes())
         log.flush()
 
 
@@ -106,26 +130,17 @@
     log.write(Event.FAULT, cause=repr(cause))
 
 
-async def _run_entry(settings: InstanceSettings, log: EventLog) -> None:
-    stop = _stop_event(log)
+async def _run_entry(process: Process) -> None:
+    settings, log = process.settings, process.log
+    stop = asyncio.Event()
     state = EntryState(settings, log)
-    asyncio.get_running_loop().add_signal_handler(
-        signal.SIGHUP,
-        reload_settings,
-        state,
-        log,
-    )
     store = PlatformStore(settings.store)
-    view = entry_view(state, store)
-    entry = Entry(state, PlatformProtocolAdapter(), view)
-    assert settings.ready is not None  # noqa: S101
+    entry = Entry(state, PlatformProtocolAdapter(), entry_view(state, store))
     pages = {READY_PATH: lambda: readiness_page(ready=entry.ready)}
-    loop = asyncio.get_running_loop()
-    async with entry:
-        await loop.create_server(
-            lambda: StatusPageConnection(pages),
-            *settings.ready,
-        )
+    reload = partial(reload_settings, state, log)
+    async with _served(process, stop.set, reload), entry:
+        assert settings.ready is not None  # noqa: S101
+        await _serve_pages(pages, settings.ready)
         await _serve_metrics(
             settings,
             lambda metrics: metrics.entry_metrics(state, store.counters),
@@ -145,15 +160,19 @@
         log.write(Event.RELOADED, changed=changed)
 
 
-async def _run_side(settings: InstanceSettings, log: EventLog) -> None:
-    stop = _stop_event(log)
+async def _run_side(process: Process) -> None:
+    settings, log = process.settings, process.log
+    stop = asyncio.Event()
     store = PlatformStore(settings.store)
-    watcher = side_watcher(settings, store, log)
-    address = (settings.ip, settings.turns_port)
-    engine = settings.engine and EngineSource(
-        settings.engine, REPORT_PATH, decode_report
+    side = SideServer(
+        (settings.ip, settings.turns_port),
+        side_watcher(settings, store, log),
+        log,
+        settings.engine
+        and EngineSource(settings.engine, REPORT_PATH, decode_report),
     )
-    async with SideServer(address, watcher, log, engine) as side:
+    reload = partial(log.write, Event.RELOADED)
+    async with _served(process, stop.set, reload), side:
         await _serve_metrics(
             settings,
             lambda metrics: metrics.side_metrics(side, store.counters),
@@ -164,6 +183,22 @@
         log.write(Event.STOPPING)
 
 
+@asynccontextmanager
+async def _served(
+    process: Process,
+    on_stop: Callable[[], object],
+    on_reload: Callable[[], object],
+) -> AsyncIterator[None]:
+    """Handle signals and unexpected errors."""
+    # The event loop's default handler writes a traceback of ten lines for each
+    # error. At a thousand errors a second that takes longer than the work that
+    # failed.
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(partial(_log_fault, process.log))
+    with delivered_signals(process.signals, on_stop, on_reload):
+        yield
+
+
 def _metrics_page(
     collect: Callable[[ModuleType], Iterable[object]],
 ) -> tuple[int, bytes]:
@@ -171,6 +206,13 @@
     return HTTPStatus.OK, metrics.render_metrics(partial(collect, metrics))
 
 
+async def _serve_pages(
+    pages: dict[bytes, Page], address: SocketAddress
+) -> None:
+    loop = asyncio.get_running_loop()
+    await loop.create_server(lambda: StatusPageConnection(pages), *address)
+
+
 async def _serve_metrics(
     settings: InstanceSettings,
     collect: Callable[[ModuleType], Iterable[object]],
@@ -181,33 +223,13 @@
     at the start would take a tenth of the time in which a killed process is
     ready again.
     """
-    loop = asyncio.get_running_loop()
-    await loop.create_server(
-        lambda: StatusPageConnection(
-            {METRICS_PATH: partial(_metrics_page, collect)}
-        ),
-        settings.ip,
-        settings.metrics_port,
+    await _serve_pages(
+        {METRICS_PATH: partial(_metrics_page, collect)},
+        (settings.ip, settings.metrics_port),
     )
 
 
-def _stop_event(log: EventLog) -> asyncio.Event:
-    loop = asyncio.get_running_loop()
-    # The event loop's default handler writes a traceback of ten lines for each
-    # error. At a thousand errors a second that takes longer than the work that
-    # failed.
-    loop.set_exception_handler(partial(_log_fault, log))
-    stop = asyncio.Event()
-    loop.add_signal_handler(signal.SIGTERM, stop.set)
-    loop.add_signal_handler(signal.SIGINT, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, log.write, Event.RELOADED)
-    return stop
-
-
-_Runner = Callable[
-    [InstanceSettings, EventLog],
-    Coroutine[None, None, None],
-]
+_Runner = Callable[[Process], Coroutine[None, None, None]]
 _ROLES: Final[Mapping[str, _Runner]] = MappingProxyType(
     {'entry': _run_entry, 'side': _run_side},
 )
--- a/tests/compose/steps/start_steps.py
+++ b/tests/compose/steps/start_steps.py
@@ -138,8 +138,10 @@
 def successor_serves(context):
     assert context.process.wait_ended() == 0
     successor = context.successor
-    for port in ('callers', 'ready', 'metrics'):
-        wait_until(lambda name=port: successor.accepts(name), port)
+    wait_until(
+        lambda: all(map(successor.accepts, ('callers', 'ready', 'metrics'))),
+        'it listens on all ports',
+    )
     # Without a store it knows no configuration.
     assert successor.responds('callers') == 503
     assert successor.running
--- a/tests/support/node_process.py
+++ b/tests/support/node_process.py
@@ -14,6 +14,7 @@
 import time
 from http.client import HTTPConnection
 from pathlib import Path
+from types import MappingProxyType
 
 from sardinetrack.platform.settings import METRICS_PORT
 
@@ -21,12 +22,14 @@
 WAIT_SECONDS = 30.0
 """Only ends a wait in vain; a busy machine takes seconds to start a process."""
 _POLL_SECONDS = 0.02
-PORTS = {
-    'callers': 8783,
-    'ready': 8780,
-    'entries': 7400,
-    'metrics': METRICS_PORT,
-}
+PORTS = MappingProxyType(
+    {
+        'callers': 8783,
+        'ready': 8780,
+        'entries': 7400,
+        'metrics': METRICS_PORT,
+    }
+)
 _SETTINGS = """
 nodeName = "{role}-1"
 ip = "{ip}"
