A process waits for valid settings instead of ending

Callers saw: processes that ended with code 2 at their start.

Cause: the settings file was read once. In the middle of a write it is absent or torn, and that ended a process; on SIGHUP it left the old settings for good, since no second signal comes. The class is that of the signals: something that is there only a moment later.

A starting process reads the file again each 0.1 s, logs each cause once and can be stopped meanwhile; a running entry reads it again until it is valid, after 0.1 s first and each 2 s at most.

--- a/src/sardinetrack/compose/node.py
+++ b/src/sardinetrack/compose/node.py
@@ -23,6 +23,10 @@
 from typing import Final
 
 from sardinetrack import __version__
+from sardinetrack.compose.settings_file import (
+    SettingsReload,
+    wait_for_settings,
+)
 from sardinetrack.compose.store_view import entry_view, side_watcher
 from sardinetrack.logs.events import Event, EventLog
 from sardinetrack.platform.engine_report import REPORT_PATH, decode_report
@@ -31,7 +35,7 @@
     READY_PATH,
     PlatformProtocolAdapter,
 )
-from sardinetrack.platform.settings import read_settings, settings_path
+from sardinetrack.platform.settings import settings_path
 from sardinetrack.platform.store import PlatformStore
 from sardinetrack.process.caught_signals import CaughtSignals
 from sardinetrack.process.signal_delivery import delivered_signals
@@ -76,12 +80,15 @@
         known = ', '.join(_ROLES)
         return _refuse_usage(f'the role must be one of {known}')
     try:
-        settings = read_settings(settings_path())
+        path = settings_path()
     except SettingsFileError as error:
         return _refuse_usage(str(error))
-    log = EventLog(sys.stdout.fileno(), settings.instance)
+    log = EventLog(sys.stdout.fileno(), '')
     with _logged_end(log):
-        _run(role, runner, Process(settings, log, signals))
+        settings = wait_for_settings(path, log, signals)
+        if settings is not None:
+            log.instance = settings.instance
+            _run(role, runner, Process(settings, log, signals))
     signals.ignore()
     return 0
 
@@ -137,8 +144,8 @@
     store = PlatformStore(settings.store)
     entry = Entry(state, PlatformProtocolAdapter(), entry_view(state, store))
     pages = {READY_PATH: lambda: readiness_page(ready=entry.ready)}
-    reload = partial(reload_settings, state, log)
-    async with _served(process, stop.set, reload), entry:
+    reload = SettingsReload(state, log)
+    async with _served(process, stop.set, reload.start), entry:
         assert settings.ready is not None  # noqa: S101
         await _serve_pages(pages, settings.ready)
         await _serve_metrics(
@@ -150,16 +157,6 @@
         await entry.drain()
 
 
-def reload_settings(state: EntryState, log: EventLog) -> None:
-    """Reread the settings file; if it is invalid, keep the old settings."""
-    try:
-        changed = state.apply_settings(read_settings(settings_path()))
-    except SettingsFileError as error:
-        log.write(Event.CONFIG_REFUSED, what='settings', cause=str(error))
-    else:
-        log.write(Event.RELOADED, changed=changed)
-
-
 async def _run_side(process: Process) -> None:
     settings, log = process.settings, process.log
     stop = asyncio.Event()
--- a/src/sardinetrack/logs/events.py
+++ b/src/sardinetrack/logs/events.py
@@ -83,7 +83,7 @@
         """
         os.set_blocking(fileno, False)
         self._fileno = fileno
-        self._instance = instance
+        self.instance = instance
         self._encode = msgspec.json.Encoder().encode
         self._buffer: deque[bytes] = deque()
         self._partial = b''
@@ -99,7 +99,7 @@
         if len(self._buffer) >= MAX_LINES and not self._evict_for(fields):
             self.dropped += 1
             return
-        line = {'time': round(time.time(), 3), 'node': self._instance}
+        line = {'time': round(time.time(), 3), 'node': self.instance}
         line['event'] = event
         self._append({**line, **fields})
 
--- a/src/sardinetrack/relay/metrics.py
+++ b/src/sardinetrack/relay/metrics.py
@@ -77,16 +77,9 @@
     yield from _stream_metrics(state)
     yield from _view_metrics(state, store)
     yield from _server_metrics(state)
-    yield _resident_memory()
     yield _total('log_lines_dropped', 'Dropped lines', state.log.dropped)
 
 
-def _resident_memory() -> Metric:
-    return _gauge(
-        'resident_memory_bytes', 'Memory of the process', resident_bytes()
-    )
-
-
 def _stream_metrics(state: EntryState) -> Iterable[Metric]:
     """Return the metrics of an entry's streams."""
     streams = state.meters.streams
@@ -161,7 +154,7 @@
         'Connections opened to servers',
         state.connections.opened,
     )
-    yield from _store_metrics(store)
+    yield from _process_metrics(store)
     yield _gauge(
         'view_borrowed',
         '1 while a side watches the store for this entry',
@@ -229,7 +222,7 @@
         'Entries for which it watches the store',
         side.watcher.subscribers,
     )
-    yield from _store_metrics(store)
+    yield from _process_metrics(store)
     yield _counter(
         'engine_use_seconds',
         "The engine's time by its use",
@@ -237,7 +230,6 @@
     )
     yield _counter('turns', 'Verdicts on asked turns', side.decisions)
     yield from _engine_metrics(side)
-    yield _resident_memory()
 
 
 def _engine_metrics(side: SideServer) -> Iterable[Metric]:
@@ -267,6 +259,14 @@
     yield _counter('engine_polls', 'Polls by how they ended', polls)
 
 
+def _process_metrics(store: StoreCounters) -> Iterable[Metric]:
+    """Return what an entry and a side have in common."""
+    yield from _store_metrics(store)
+    yield _gauge(
+        'resident_memory_bytes', 'Memory of the process', resident_bytes()
+    )
+
+
 def _store_metrics(store: StoreCounters) -> Iterable[Metric]:
     yield _total('store_calls', 'Calls to the store', store.calls)
     yield _total(
--- a/tests/platform/steps/settings_steps.py
+++ b/tests/platform/steps/settings_steps.py
@@ -11,7 +11,7 @@
 from behave import given, then, when
 from tests.support.example_settings import SETTINGS
 
-from sardinetrack.compose.node import reload_settings
+from sardinetrack.compose.settings_file import reload_settings
 from sardinetrack.platform.errors import SettingsFileError
 from sardinetrack.platform.settings import read_settings
 from sardinetrack.topology.freshness import boot_clock
