A process waits for a port that is taken instead of ending

Callers saw: processes that ended with code 1 at their start.

Cause: each listener was opened once, and an error ended the process, also that of the metrics. A port may be held for a moment by a predecessor that drains or by an outgoing connection of any process, and an address may appear late.

Each listener is opened at once or, in the background, as soon as its port is available; the rest serves meanwhile, and the log says which port is waited for. An entry that doesn't listen for callers is not ready. It listens before it connects anywhere: an outgoing connection could get the port.

--- a/src/sardinetrack/compose/node.py
+++ b/src/sardinetrack/compose/node.py
@@ -38,6 +38,7 @@
 from sardinetrack.platform.settings import settings_path
 from sardinetrack.platform.store import PlatformStore
 from sardinetrack.process.caught_signals import CaughtSignals
+from sardinetrack.process.ports import OpenListener, Ports
 from sardinetrack.process.signal_delivery import delivered_signals
 from sardinetrack.relay.entry import Entry
 from sardinetrack.relay.entry_state import EntryState
@@ -145,12 +146,15 @@
     entry = Entry(state, PlatformProtocolAdapter(), entry_view(state, store))
     pages = {READY_PATH: lambda: readiness_page(ready=entry.ready)}
     reload = SettingsReload(state, log)
-    async with _served(process, stop.set, reload.start), entry:
+    async with _served(process, stop.set, reload.start) as ports, entry:
         assert settings.ready is not None  # noqa: S101
-        await _serve_pages(pages, settings.ready)
-        await _serve_metrics(
-            settings,
-            lambda metrics: metrics.entry_metrics(state, store.counters),
+        await ports.open('ready', _page_server(pages, settings.ready))
+        await ports.open(
+            'metrics',
+            _metrics_server(
+                settings,
+                lambda metrics: metrics.entry_metrics(state, store.counters),
+            ),
         )
         await stop.wait()
         log.write(Event.STOPPING)
@@ -169,10 +173,13 @@
         and EngineSource(settings.engine, REPORT_PATH, decode_report),
     )
     reload = partial(log.write, Event.RELOADED)
-    async with _served(process, stop.set, reload), side:
-        await _serve_metrics(
-            settings,
-            lambda metrics: metrics.side_metrics(side, store.counters),
+    async with _served(process, stop.set, reload) as ports, side:
+        await ports.open(
+            'metrics',
+            _metrics_server(
+                settings,
+                lambda metrics: metrics.side_metrics(side, store.counters),
+            ),
         )
         while not stop.is_set():
             log.flush()
@@ -185,15 +192,16 @@
     process: Process,
     on_stop: Callable[[], object],
     on_reload: Callable[[], object],
-) -> AsyncIterator[None]:
-    """Handle signals and unexpected errors."""
+) -> AsyncIterator[Ports]:
+    """Handle signals and unexpected errors; yield what opens the ports."""
     # The event loop's default handler writes a traceback of ten lines for each
     # error. At a thousand errors a second that takes longer than the work that
     # failed.
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(partial(_log_fault, process.log))
     with delivered_signals(process.signals, on_stop, on_reload):
-        yield
+        async with Ports(process.log) as ports:
+            yield ports
 
 
 def _metrics_page(
@@ -203,24 +211,28 @@
     return HTTPStatus.OK, metrics.render_metrics(partial(collect, metrics))
 
 
-async def _serve_pages(
+def _page_server(
     pages: dict[bytes, Page], address: SocketAddress
-) -> None:
-    loop = asyncio.get_running_loop()
-    await loop.create_server(lambda: StatusPageConnection(pages), *address)
+) -> OpenListener:
+    """Return what opens the listener of a few pages."""
+    return partial(
+        asyncio.get_running_loop().create_server,
+        lambda: StatusPageConnection(pages),
+        *address,
+    )
 
 
-async def _serve_metrics(
+def _metrics_server(
     settings: InstanceSettings,
     collect: Callable[[ModuleType], Iterable[object]],
-) -> None:
-    """Serve the metrics page.
+) -> OpenListener:
+    """Return what opens the listener of the metrics page.
 
     The metrics library is loaded on the first request for the page. Loading it
     at the start would take a tenth of the time in which a killed process is
     ready again.
     """
-    await _serve_pages(
+    return _page_server(
         {METRICS_PATH: partial(_metrics_page, collect)},
         (settings.ip, settings.metrics_port),
     )
--- a/src/sardinetrack/logs/events.py
+++ b/src/sardinetrack/logs/events.py
@@ -29,6 +29,8 @@
     STOPPING = 'stopping'
     STOPPED = 'stopped'
     RELOADED = 'reloaded'
+    PORT_UNAVAILABLE = 'port_unavailable'
+    PORT_OPENED = 'port_opened'
     READY = 'ready'
     CONFIGURED = 'configured'
     CONFIG_REFUSED = 'config_refused'
--- a/src/sardinetrack/relay/entry.py
+++ b/src/sardinetrack/relay/entry.py
@@ -52,7 +52,6 @@
             sets the view.
         """
         self.draining = False
-        self.port = 0
         self._state = state
         self._adapter = adapter
         self._view = view
@@ -60,7 +59,11 @@
         self._exchanges: set[Exchange] = set()
         self._in_progress: Counter[str] = Counter()
         self._loop = asyncio.get_running_loop()
-        self._listener: Listener
+        address = state.settings.callers
+        assert address is not None  # noqa: S101
+        self._listener = Listener(
+            lambda: CallerConnection(adapter, self), address, state.log
+        )
         self._stack = AsyncExitStack()
         self._was_ready = False
         self.held = HeldBytes(self._max_held_bytes)
@@ -76,6 +79,11 @@
         configuration = self._state.configuration
         return CallerLimits() if configuration is None else configuration.limits
 
+    @property
+    def port(self) -> int:
+        """The port that callers connect to; 0 while it is unavailable."""
+        return self._listener.port
+
     @property
     def connections(self) -> int:
         """The number of callers' connections."""
@@ -111,6 +119,7 @@
         known = state.configuration is not None
         fresh = state.freshness.is_fresh() and not self.capacity.overloaded
         ready = known and fresh and not self.draining
+        ready = ready and self._listener.is_open
         if ready != self._was_ready:
             self._was_ready = ready
             state.log.write(
@@ -124,17 +133,13 @@
         return ready
 
     async def __aenter__(self) -> Self:
-        """Follow the store and listen for callers."""
+        """Listen for callers, as soon as that is possible; follow the store.
+
+        Listening comes first: an outgoing connection could get the port.
+        """
+        await self._stack.enter_async_context(self._listener)
         if self._view is not None:
             self._add_task(self._loop.create_task(self._view.run()))
-        address = self._state.settings.callers
-        assert address is not None  # noqa: S101
-        self._listener = await Listener.open(
-            lambda: CallerConnection(self._adapter, self),
-            address,
-        )
-        self.port = self._listener.port
-        self._stack.callback(self._listener.close)
         self._stack.callback(self._state.close)
         self._add_task(self._loop.create_task(self._sweep()))
         return self
--- a/src/sardinetrack/turns/entry_connection.py
+++ b/src/sardinetrack/turns/entry_connection.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+import asyncio
+import math
+from types import TracebackType
+from typing import TYPE_CHECKING, Self
 
+from sardinetrack.logs.events import EventLog
+from sardinetrack.process.ports import Ports
 from sardinetrack.turns.line_protocol import LineProtocol
 from sardinetrack.turns.messages import (
     DECODE_FROM_ENTRY,
@@ -118,3 +123,48 @@
     def send_message(self, message: FromWatcher) -> None:
         """Send the entry an update of its view of the store."""
         self.send(message)
+
+
+class EntryListener:
+    """Accepts the entries' connections as soon as its port is available."""
+
+    def __init__(
+        self, side: SideServer, address: tuple[str, int], log: EventLog
+    ) -> None:
+        """Listen once entered as a context.
+
+        :param log: receives that the port is unavailable.
+        """
+        self.port = address[1]
+        self.opened_seconds = math.inf
+        """When it began to listen, on the clock of the event loop."""
+        self._side = side
+        self._address = address
+        self._ports = Ports(log)
+        self._server: asyncio.Server | None = None
+
+    async def __aenter__(self) -> Self:
+        """Listen, now or when the port is available."""
+        await self._ports.open('entries', self._open)
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Stop listening."""
+        self._ports.close()
+        if self._server is not None:
+            self._server.close()
+
+    async def _open(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: EntryConnection(self._side),
+            *self._address,
+            reuse_address=True,
+        )
+        self.port = self._server.sockets[0].getsockname()[1]
+        self.opened_seconds = loop.time()
--- a/src/sardinetrack/turns/side.py
+++ b/src/sardinetrack/turns/side.py
@@ -23,7 +23,7 @@
     EngineSource,
 )
 from sardinetrack.turns.engine_start import EngineStarts, StartUpdate
-from sardinetrack.turns.entry_connection import EntryConnection
+from sardinetrack.turns.entry_connection import EntryConnection, EntryListener
 from sardinetrack.turns.load_report import (
     REPORT_INTERVAL_SECONDS,
     LoadReporter,
@@ -67,14 +67,12 @@
         :param engine: polled for its reports; ``None`` to poll nothing.
         """
         super().__init__()
-        self.port = address[1]
         self.watcher = watcher
-        self._address = address
+        self._listener = EntryListener(self, address, log)
         self._log = log
         self.entry_connections: set[EntryConnection] = set()
         self._owners: dict[str, EntryConnection] = {}
         self.engine_starts = EngineStarts()
-        self._started_seconds = float('inf')
         self.usage = UsageLog(log)
         self.decisions: Counter[str] = Counter()
         self._requests: dict[str, PermitRequest] = {}
@@ -87,16 +85,9 @@
 
     async def __aenter__(self) -> Self:
         """Listen for entries and start to send load reports."""
-        loop = asyncio.get_running_loop()
-        server = await loop.create_server(
-            lambda: EntryConnection(self),
-            *self._address,
-            reuse_address=True,
-        )
-        self.port = server.sockets[0].getsockname()[1]
-        self._started_seconds = loop.time()
-        self._stack.callback(server.close)
+        await self._stack.enter_async_context(self._listener)
         self._stack.enter_context(self.watcher)
+        loop = asyncio.get_running_loop()
         self._report_task = loop.create_task(self._report_load())
         self._stack.callback(self._report_task.cancel)
         if self.monitor is not None:
@@ -114,6 +105,11 @@
             entry.abort()
         await self._stack.aclose()
 
+    @property
+    def port(self) -> int:
+        """The port that entries connect to."""
+        return self._listener.port
+
     @property
     def has_running_requests(self) -> bool:
         """Whether requests with a permit run at the engine."""
@@ -132,7 +128,7 @@
     @property
     def reported_entries(self) -> int:
         """Number of entries to report; 0 while not all may be connected."""
-        listened_seconds = loop_now() - self._started_seconds
+        listened_seconds = loop_now() - self._listener.opened_seconds
         return self.entries if listened_seconds > COUNT_ENTRIES_SECONDS else 0
 
     def add_entry(self, entry: EntryConnection) -> None:
