--- a/tests/support/node_process.py
+++ b/tests/support/node_process.py
@@ -40,7 +40,7 @@
 ready = "{ip}:8780"
 [limits]
 memoryMb = {memory_mb}
-maxFds = 4096
+maxFds = {max_descriptors}
 [bounds]
 graceS = 8
 failClosed = true
@@ -134,6 +134,7 @@
         ip=None,
         store='127.0.0.1:1',
         memory_mb=256,
+        max_descriptors=4096,
         **environment,
     ):
         """Write its settings; it is not started yet.
@@ -147,8 +148,13 @@
         self.log_path = self.folder / f'{role}.log'
         self._environment = environment
         self._memory_mb = memory_mb
-        self._store = store
+        self._max_descriptors = max_descriptors
+        self.store = store
         self._popen = None
+        self.write_settings()
+
+    def write_settings(self):
+        """Write its settings file."""
         self.settings_path.write_text(self.settings())
 
     def settings(self, revoke_ms=5000):
@@ -156,8 +162,9 @@
         return _SETTINGS.format(
             role=self.role,
             ip=self.ip,
-            store=self._store,
+            store=self.store,
             memory_mb=self._memory_mb,
+            max_descriptors=self._max_descriptors,
             revoke_ms=revoke_ms,
         )
 
@@ -223,6 +230,18 @@
         assert self.running, self.log_path.read_text()[-2000:]
         return self.lines(event)[-1]
 
+    @property
+    def peak_bytes(self):
+        """The largest resident size that it has had."""
+        status = Path(f'/proc/{self.pid}/status').read_text()
+        kilobytes = status.partition('VmHWM:')[2].split()[0]
+        return int(kilobytes) * 1024
+
+    @property
+    def descriptors(self):
+        """The number of its open descriptors."""
+        return len(os.listdir(f'/proc/{self.pid}/fd'))
+
     def responds(self, port_name, target='/'):
         """Return the status of a request, or 0 without a response."""
         address = (self.ip, PORTS[port_name])
