Heads are kept in the memory of their bytes, and held like bodies

Cause: the limit on a head counts the bytes of names and contents, while a pair of objects was kept for each line and an object for each part of a prompt, up to a hundred times the bytes. The account of large bodies was asked only for what follows a head. The class: a bound kept in another unit than what it bounds.

- Header fields are collected in one buffer; pairs exist only while it is read.
- What a head takes is held like a body: by no workspace while it is read, by its workspace from then on, with the copy that is sent.
Without room the request is refused at once (503, not run) and its rest is dropped.
- Of a prompt 64 parts are told apart; more count as the last one.
Nothing that is forwarded changes.
- Ids longer than 128 characters are hashed in logs and in messages between instances: a line to a side could exceed what the side reads, which closes the connection of all requests there.
- Reading moves from CallerConnection into RequestReader.
After a rejected request the rest of the piece is not served any more.

The check of what an idle connection keeps looks at the reader now, which has the field; it checks the same.

--- a/src/sardinetrack/platform/protocol_adapter.py
+++ b/src/sardinetrack/platform/protocol_adapter.py
@@ -7,6 +7,8 @@
 from http import HTTPStatus
 from typing import Final
 
+import xxhash
+
 from sardinetrack.errors.api import ErrorKind, RequestError
 from sardinetrack.placement.prompt import Prompt, PromptBlock
 from sardinetrack.platform import kv_transfer
@@ -71,6 +73,24 @@
         b'host',
     ),
 )
+_READ_FROM_REQUESTS: Final = frozenset(
+    (
+        _REQUEST_ID,
+        b'x-sardinetrack-deadline-ms',
+        b'x-sardinetrack-token-count',
+        b'x-sardinetrack-length-hint',
+        b'x-sardinetrack-prefix-hash',
+        b'authorization',
+        b'host',
+        b'last-event-id',
+        b'resumes',
+    ),
+)
+MAX_ID_LENGTH: Final = 128
+"""Longer ids are replaced by a hash in logs and in messages between instances,
+where they would take as much memory as a caller likes."""
+MAX_BLOCKS: Final = 64
+"""Blocks of a prompt that are told apart; the rest counts as its last one."""
 _DROPPED_FROM_REQUESTS: Final = _HOP_BY_HOP | _ROUTER_ONLY
 _DROPPED_FROM_RESPONSES: Final = _HOP_BY_HOP | {_SERVER_LOAD, _SERVER_LEAVING}
 
@@ -86,20 +106,25 @@
         now: float,
     ) -> CallerRequest:
         """Parse the head of a caller's request."""
-        fields = dict(headers)
-        host = _single_header(headers, b'host').decode(_ENCODING).lower()
+        fields, forwarded = _split_head(headers)
+        host = fields[b'host'].decode(_ENCODING).lower()
         path = target.partition(b'?')[0].decode(_ENCODING)
         if not path.startswith('/'):
             raise RequestError(
                 ErrorKind.BAD_REQUEST, 'the request path must start with /'
             )
+        sent_id = fields.get(_REQUEST_ID, b'').decode(_ENCODING)
+        request_id = _bounded_id(sent_id)
+        read_bytes = sum(map(len, fields.values()))
         return CallerRequest(
-            request_id=fields.get(_REQUEST_ID, b'').decode(_ENCODING),
+            request_id=request_id,
+            long_id=None if request_id == sent_id else sent_id,
             method=method,
             target=target,
             host=host,
             path=path,
-            forwarded=_header_lines(headers, _DROPPED_FROM_REQUESTS),
+            forwarded=forwarded,
+            head_bytes=2 * (len(forwarded) + len(target) + read_bytes),
             body=b'',
             arrived_seconds=now,
             max_wait_seconds=_parse_seconds(
@@ -108,7 +133,8 @@
             api_key=_bearer_token(fields.get(b'authorization', b'')),
             prompt=_parse_prompt(fields),
             last_event_id=_parse_last_event(fields.get(b'last-event-id')),
-            resumes=fields.get(b'resumes', b'').decode(_ENCODING) or None,
+            resumes=_bounded_id(fields.get(b'resumes', b'').decode(_ENCODING))
+            or None,
         )
 
     def encode_request(
@@ -206,18 +232,35 @@
 
     def own_headers(self, call: CallerRequest) -> bytes:
         """Encode the header line with the request id."""
-        encoded_id = call.request_id.encode(_ENCODING)
+        encoded_id = call.sent_id.encode(_ENCODING)
         return b'%b: %b\r\n' % (_REQUEST_ID, encoded_id)
 
 
-def _single_header(headers: Headers, required: bytes) -> bytes:
-    contents = [content for name, content in headers if name == required]
-    if len(contents) != 1:
+def _split_head(headers: Headers) -> tuple[dict[bytes, bytes], bytes]:
+    """Return the fields that are read here, and the lines to forward.
+
+    :raises RequestError: the host is not given exactly once.
+    """
+    fields: dict[bytes, bytes] = {}
+    forwarded = bytearray()
+    hosts = 0
+    for name, content in headers:
+        hosts += name == b'host'
+        if name in _READ_FROM_REQUESTS:
+            fields[name] = content
+        if name not in _DROPPED_FROM_REQUESTS:
+            forwarded += b'%b: %b\r\n' % (name, content)
+    if hosts != 1:
         raise RequestError(
-            ErrorKind.BAD_REQUEST,
-            f'header {required.decode()} must occur exactly once',
+            ErrorKind.BAD_REQUEST, 'header host must occur exactly once'
         )
-    return contents[0]
+    return fields, bytes(forwarded)
+
+
+def _bounded_id(text: str) -> str:
+    if len(text) <= MAX_ID_LENGTH:
+        return text
+    return f'long-{xxhash.xxh3_128_hexdigest(text.encode())}'
 
 
 def _header_lines(headers: Headers, dropped: frozenset[bytes]) -> bytes:
@@ -284,15 +327,23 @@
 
 
 def _parse_blocks(prefix: bytes) -> tuple[PromptBlock, ...]:
-    blocks: list[PromptBlock] = []
-    for item in prefix.split(b','):
-        block_id, colon, tokens = item.strip().partition(b':')
-        if colon:
-            name = block_id.decode(_ENCODING)
-            blocks.append(PromptBlock(name, _parse_integer(tokens) or 0))
+    items = [item for item in prefix.split(b',') if b':' in item]
+    blocks = [_parse_block(item) for item in items[:MAX_BLOCKS]]
+    if len(items) > MAX_BLOCKS:
+        last = _parse_block(items[-1])
+        more = sum(
+            _parse_block(item).tokens for item in items[MAX_BLOCKS - 1 :]
+        )
+        blocks[-1] = PromptBlock(last.block_id, more)
     return tuple(blocks)
 
 
+def _parse_block(item: bytes) -> PromptBlock:
+    block_id, _, tokens = item.strip().partition(b':')
+    name = _bounded_id(block_id.decode(_ENCODING))
+    return PromptBlock(name, _parse_integer(tokens) or 0)
+
+
 def _parse_load(content: bytes | None) -> int:
     """Add running and waiting requests; the third number is the slots."""
     counts = [_parse_integer(count) for count in (content or b'').split(b',')]
--- a/src/sardinetrack/relay/api.py
+++ b/src/sardinetrack/relay/api.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from collections.abc import Sequence
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import Enum, auto
 
@@ -11,8 +11,9 @@
 from sardinetrack.relay.held_bytes import BodyHold
 from sardinetrack.topology.servers import BackendServer
 
-Headers = Sequence[tuple[bytes, bytes]]
-"""Header names in lower case and their values, in order of arrival."""
+Headers = Iterable[tuple[bytes, bytes]]
+"""Header names in lower case and their values, in order of arrival; they can be
+iterated several times."""
 
 
 @dataclass(slots=True)
@@ -20,6 +21,7 @@
     """One complete request as it arrived."""
 
     request_id: str
+    """Identifies it in logs and messages; bounded in length."""
     method: bytes
     target: bytes
     host: str
@@ -41,7 +43,16 @@
     closes_connection: bool = False
     """The caller asked to close the connection after the response."""
     body_hold: BodyHold | None = None
-    """Of the memory of its body; released when the request has ended."""
+    """Of the memory of head and body; released when the request has ended."""
+    head_bytes: int = 0
+    """Memory of the head, with the copy that is sent to a server."""
+    long_id: str | None = None
+    """The id as the caller sent it, if ``request_id`` is derived from it."""
+
+    @property
+    def sent_id(self) -> str:
+        """The id as the caller sent it, which servers respond with."""
+        return self.request_id if self.long_id is None else self.long_id
 
     @property
     def continues_stream(self) -> bool:
--- a/src/sardinetrack/relay/attempt.py
+++ b/src/sardinetrack/relay/attempt.py
@@ -277,7 +277,7 @@
         A late second response to an earlier request proves nothing about this
         one, whatever its status.
         """
-        if response.request_id == self._call.request_id:
+        if response.request_id == self._call.sent_id:
             return ''
         if response.request_id:
             return 'response to another request'
--- a/src/sardinetrack/relay/caller_connection.py
+++ b/src/sardinetrack/relay/caller_connection.py
@@ -5,39 +5,28 @@
 import asyncio
 import socket
 from collections import deque
-from typing import Final, NamedTuple, cast
+from typing import Final, cast
 
-import httptools
-
-from sardinetrack.errors.api import ErrorKind, RequestError
 from sardinetrack.http.sockets import file_descriptor, has_unread_data
-from sardinetrack.relay.api import CallerRequest, Headers, ProtocolAdapter
+from sardinetrack.relay.api import CallerRequest, ProtocolAdapter
 from sardinetrack.relay.caller_response import CallerResponse
 from sardinetrack.relay.connection_owner import ConnectionOwner
 from sardinetrack.relay.error_response import error_response
 from sardinetrack.relay.flow_control import FlowControl
-from sardinetrack.relay.request_body import RequestBody
+from sardinetrack.relay.request_reader import (
+    Rejection,
+    RequestListener,
+    RequestReader,
+)
 
 _CONTINUE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
-_EXPECTS_CONTINUE: Final = (b'expect', b'100-continue')
 _HEAD: Final = b'HEAD'
-_LENGTH: Final = b'content-length'
-MAX_TARGET_BYTES: Final = 65_536
-"""Allowed for the first line of a request, beside the limit on its headers."""
-_NO_MEMORY: Final = 'This instance has no memory for the body now; not run.'
 _MAX_PIPELINED: Final = 16
 """Pipelined requests that may wait for earlier responses on one connection."""
 
 
-class _Rejection(NamedTuple):
-    error: RequestError
-    bodiless: bool = False
-    call: CallerRequest | None = None
-    """The head of the request, if it can be parsed."""
-
-
-class CallerConnection(asyncio.Protocol):
-    """Parses requests, writes responses and detects a disconnected caller."""
+class CallerConnection(asyncio.Protocol, RequestListener):
+    """Serves the requests of a caller and detects when it disconnects."""
 
     def __init__(
         self, adapter: ProtocolAdapter, owner: ConnectionOwner
@@ -47,30 +36,17 @@
         :param adapter: parses the heads of requests.
         :param owner: the entry that serves the requests.
         """
-        self._adapter = adapter
         self._owner = owner
         self._transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpRequestParser(self)
-        self._headers: list[tuple[bytes, bytes]] = []
-        self._head_bytes = 0
-        self._bodiless_bytes = 0
-        self._target = b''
-        self._head: CallerRequest | None = None
+        self._reader = RequestReader(adapter, owner, self)
         self._call: CallerRequest | None = None
-        self._body: RequestBody | None = None
-        self._rejection: RequestError | None = None
-        self._rejected_early = False
-        self._awaits_continue = False
         self._task: asyncio.Task[None] | None = None
-        self._pipelined: deque[CallerRequest | _Rejection] = deque()
+        self._pipelined: deque[CallerRequest | Rejection] = deque()
         self._closing = False
         self._draining = False
-        self._unreadable = False
-        self._received_any = False
+        self._ended_seconds = float(0)
         self.response = CallerResponse(self._write, self._closes)
         self.flow = FlowControl()
-        self.changed_seconds = float(0)
-        self.reading = False
 
     @property
     def busy(self) -> bool:
@@ -84,36 +60,27 @@
         A connection that has not sent any request yet is about to send one, so
         it is not idle.
         """
-        return self._received_any and not self.busy and not self.reading
+        return self._reader.received_any and not self.busy and not self.reading
+
+    @property
+    def reading(self) -> bool:
+        """Whether a request is partly read."""
+        return self._reader.reading
+
+    @property
+    def changed_seconds(self) -> float:
+        """When a request last began or ended, or the connection was made."""
+        return max(self._ended_seconds, self._reader.began_seconds)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
         self._transport = cast(asyncio.Transport, transport)
-        self.changed_seconds = self._owner.now()
+        self._ended_seconds = self._owner.now()
         self._owner.opened(self)
 
     def data_received(self, data: bytes) -> None:
         """Parse; pipelined requests wait for the responses to earlier ones."""
-        if self._unreadable:
-            return
-        self._bodiless_bytes += len(data)
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            # The request is rejected; the parser reads nothing after its head.
-            self._unreadable = True
-        except httptools.HttpParserCallbackError as error:
-            self._unreadable = True
-            self._owner.failed(error.__context__)
-            self._queue(_Rejection(RequestError(ErrorKind.NOT_RUN_LOST)))
-        except httptools.HttpParserError:
-            # It is unknown where this request ends, so nothing after it may be
-            # parsed: that could be a request smuggled in the body of another
-            # one.
-            self._unreadable = True
-            self._queue(_Rejection(RequestError(ErrorKind.BAD_REQUEST)))
-        else:
-            self._check_head_size()
+        self._reader.feed(data)
 
     def eof_received(self) -> bool:
         """Treat a half-closed connection as a disconnected caller."""
@@ -197,102 +164,28 @@
         """
         self._draining = True
 
-    def on_message_begin(self) -> None:
-        """Start a request."""
-        self.reading = True
-        self._received_any = True
-        self.changed_seconds = self._owner.now()
-        self._headers = []
-        self._head_bytes = 0
-        self._target = b''
-        self._head = None
-        self._rejection = None
-        self._awaits_continue = False
-
-    def on_url(self, url: bytes) -> None:
-        """Collect the target."""
-        self._target += url
-
-    def on_header(self, name: bytes, content: bytes) -> None:
-        """Collect a header."""
-        self._head_bytes += len(name) + len(content)
-        if self._head_bytes > self._owner.limits.header_bytes:
-            self._reject(ErrorKind.HEADERS_TOO_LARGE)
-            return
-        self._headers.append((name.lower(), content))
-
-    def on_headers_complete(self) -> None:
-        """Parse the head; the body is read even if the head is rejected."""
-        self._bodiless_bytes = 0
-        if self._parser.should_upgrade():
-            # The parser would skip the body.
-            self._rejection = self._rejection or RequestError(
-                ErrorKind.BAD_REQUEST, 'protocol upgrades are not supported'
-            )
-            return
-        try:
-            self._head = self._adapter.parse_request(
-                self._parser.get_method(),
-                self._target,
-                self._headers,
-                self._owner.now(),
-            )
-        except RequestError as error:
-            self._rejection = self._rejection or error
-            return
-        self._body = RequestBody(
-            self._owner.hold_body(self._head), self._owner.limits.body_bytes
-        )
-        if not self._body.announce(_announced_bytes(self._headers)):
-            self._refuse_body()
-            return
-        self._awaits_continue = _EXPECTS_CONTINUE in self._headers
-        self._write_continue()
-
-    def on_body(self, body: bytes) -> None:
-        """Collect the body."""
-        self._bodiless_bytes = 0
-        self._awaits_continue = False
-        if self._body is None or self._rejection is not None:
-            return
-        if not self._body.append(body):
-            self._refuse_body()
-        elif self._body.is_too_large:
-            self._reject(ErrorKind.BODY_TOO_LARGE)
-
-    def on_message_complete(self) -> None:
-        """Queue the complete request."""
-        self.reading = False
-        self._awaits_continue = False
-        if self._rejected_early:
-            # All of the request is read, so the close resets nothing.
-            self.close()
-            return
-        call, body = self._head, self._body
-        # Otherwise a thousand idle connections would keep the last prompt of
-        # each.
-        self._head = None
-        self._headers = []
-        self._body = None
-        if call is None or body is None or self._rejection is not None:
-            error = self._rejection or RequestError(ErrorKind.BAD_REQUEST)
-            bodiless = self._parser.get_method() == _HEAD
-            self._queue(_Rejection(error, bodiless, call))
-            return
-        call.body = body.take()
-        call.body_hold = body.hold
-        call.closes_connection = not self._parser.should_keep_alive()
+    def request_read(self, call: CallerRequest) -> None:
+        """Queue a request."""
         self._queue(call)
 
-    def _check_head_size(self) -> None:
-        """Reject a head, or trailers, without end.
+    def request_rejected(self, rejection: Rejection) -> None:
+        """Queue a request that can't be served."""
+        self._queue(rejection)
 
-        The parser keeps an incomplete field, however long it is.
-        """
-        limit_bytes = self._owner.limits.header_bytes + MAX_TARGET_BYTES
-        if self.reading and self._bodiless_bytes > limit_bytes:
-            self._unreadable = True
-            self._queue(_Rejection(RequestError(ErrorKind.HEADERS_TOO_LARGE)))
+    def refuse_early(self, rejection: Rejection) -> bool:
+        """Refuse unless the responses to earlier requests come first."""
+        if self.busy or self._pipelined:
+            return False
+        self._write_final(rejection)
+        return True
+
+    def refused_request_ended(self) -> None:
+        """Close: all of the request is read, so that resets nothing."""
+        self.close()
+
+    def body_expected(self) -> None:
+        """Invite the body of a request."""
+        self._write_continue()
 
     def truncate(self) -> None:
         """Close the connection so that the response can't look complete."""
@@ -307,17 +200,13 @@
         # Requests that were read before an entry stops get their responses.
         return self._closing or (self._draining and not self._pipelined)
 
-    def _queue(self, request: CallerRequest | _Rejection) -> None:
-        if self._rejected_early:
-            # Its response is written; the rest of the request is invalid.
-            self.close()
-            return
+    def _queue(self, request: CallerRequest | Rejection) -> None:
         if len(self._pipelined) >= _MAX_PIPELINED:
             _release(request)
             # The response in progress is not to be broken off; the next one
             # announces the close, and what follows it is not served.
             self._closing = True
-            self._unreadable = True
+            self._reader.unreadable = True
             return
         self._pipelined.append(request)
         if self._task is None:
@@ -327,7 +216,7 @@
         """Serve the next queued request."""
         while self._pipelined and self._task is None:
             request = self._pipelined.popleft()
-            if isinstance(request, _Rejection):
+            if isinstance(request, Rejection):
                 self._write_rejection(request)
                 return
             self._call = request
@@ -337,29 +226,9 @@
             )
             self._task.add_done_callback(self._request_done)
 
-    def _reject(self, kind: ErrorKind) -> None:
-        self._rejection = self._rejection or RequestError(kind)
-
-    def _refuse_body(self) -> None:
-        """Refuse a request that the entry has no memory for.
-
-        Its caller need not send the rest first. That is read nevertheless: a
-        connection that closes with unread data is reset, which may discard the
-        response.
-        """
-        error = RequestError(ErrorKind.INSTANCE_BUSY, _NO_MEMORY)
-        self._rejection = error
-        if self.busy or self._pipelined:
-            # The responses to earlier requests come first.
-            return
-        self._rejected_early = True
-        bodiless = self._parser.get_method() == _HEAD
-        self._write_final(_Rejection(error, bodiless, self._head))
-
     def _release_unserved(self) -> None:
         """Release the memory of requests that nobody waits for any more."""
-        if self._body is not None:
-            self._body.drop()
+        self._reader.close()
         for request in self._pipelined:
             _release(request)
         self._pipelined.clear()
@@ -369,13 +238,13 @@
             self._write, self._closes, bodiless=bodiless
         )
 
-    def _write_rejection(self, rejection: _Rejection) -> None:
+    def _write_rejection(self, rejection: Rejection) -> None:
         # The rejected request may not have been read to its end; the rest of
         # it would be parsed as the next request.
         self._write_final(rejection)
         self.close()
 
-    def _write_final(self, rejection: _Rejection) -> None:
+    def _write_final(self, rejection: Rejection) -> None:
         """Write a response that announces the close."""
         self._closing = True
         self._begin_response(bodiless=rejection.bodiless)
@@ -388,7 +257,7 @@
     def _request_done(self, task: asyncio.Task[None]) -> None:
         self._task = None
         _release(self._call)
-        self.changed_seconds = self._owner.now()
+        self._ended_seconds = self._owner.now()
         if task.cancelled():
             self.truncate()
             return
@@ -412,8 +281,8 @@
 
         Within the response to an earlier request it would corrupt that one.
         """
-        if self._awaits_continue and not self.busy:
-            self._awaits_continue = False
+        if self._reader.awaits_continue and not self.busy:
+            self._reader.awaits_continue = False
             self._write(_CONTINUE)
 
     def _write(self, data: bytes) -> None:
@@ -423,15 +292,7 @@
         transport.write(data)
 
 
-def _announced_bytes(headers: Headers) -> int:
-    """Return the length of the body that follows; 0 if none is announced."""
-    for name, content in headers:
-        if name == _LENGTH:
-            return int(content) if content.isdigit() else 0
-    return 0
-
-
-def _release(request: CallerRequest | _Rejection | None) -> None:
+def _release(request: CallerRequest | Rejection | None) -> None:
     """Release the memory of a request that has ended."""
     if isinstance(request, CallerRequest) and request.body_hold is not None:
         request.body_hold.release()
--- a/src/sardinetrack/relay/connection_owner.py
+++ b/src/sardinetrack/relay/connection_owner.py
@@ -31,9 +31,13 @@
     def closed(self, connection: CallerConnection) -> None:
         """Remove a closed connection."""
 
+    @abstractmethod
+    def hold_head(self) -> BodyHold:
+        """Return a hold of no bytes for a head that is read."""
+
     @abstractmethod
     def hold_body(self, call: CallerRequest) -> BodyHold:
-        """Return a hold of no bytes for the body of a request.
+        """Return a hold of no bytes for a request whose body is read.
 
         :param call: its head.
         """
--- a/src/sardinetrack/relay/entry.py
+++ b/src/sardinetrack/relay/entry.py
@@ -249,6 +249,10 @@
         """Remove a closed connection."""
         self._connections.discard(connection)
 
+    def hold_head(self) -> BodyHold:
+        """Return a hold for a head, whose workspace is not known yet."""
+        return self.held.open('')
+
     def hold_body(self, call: CallerRequest) -> BodyHold:
         """Return a hold for the body of a request of its workspace."""
         return self.held.open(self._state.workspace_name(call.api_key))
--- a/src/sardinetrack/relay/held_bytes.py
+++ b/src/sardinetrack/relay/held_bytes.py
@@ -1,8 +1,8 @@
-"""The bytes of large bodies that an entry holds, bounded for all together.
+"""The bytes of large requests that an entry holds, bounded for all together.
 
-The limits on requests and connections assume bodies of a usual size. What a
-body has beyond that is held here, so that callers who all send the largest body
-allowed can't make the entry exceed its memory.
+The limits on requests and connections assume heads and bodies of a usual size.
+What a request has beyond that is held here, so that callers who all send the
+largest one allowed can't make the entry exceed its memory.
 """
 
 from __future__ import annotations
@@ -12,7 +12,7 @@
 from typing import Final
 
 READING_INCLUDED_BYTES: Final = 16_384
-"""Bytes of a body being read that the limit on connections allows for."""
+"""Bytes of a request being read that the limit on connections allows for."""
 RUNNING_INCLUDED_BYTES: Final = 49_152
 """The same for a request in progress, by the limit on requests."""
 _OVERALLOCATION_DIVISOR: Final = 8
@@ -37,7 +37,7 @@
         self.total_bytes = 0
 
     def open(self, workspace: str) -> BodyHold:
-        """Return a hold of no bytes for one body.
+        """Return a hold of no bytes for one request.
 
         :param workspace: by which the bytes are shared.
         """
@@ -77,7 +77,7 @@
 
 
 class BodyHold:
-    """The bytes that are held for one body."""
+    """The bytes that are held for one request."""
 
     def __init__(self, account: HeldBytes, workspace: str) -> None:
         """Start without any."""
@@ -85,13 +85,13 @@
         self._workspace = workspace
         self._held_bytes = 0
 
-    def grow(self, body_bytes: int) -> bool:
-        """Hold what a body of this size needs while it is being read.
+    def grow(self, request_bytes: int) -> bool:
+        """Hold what a request of this size needs while it is being read.
 
-        :param body_bytes: size of the body so far, or as announced.
+        :param request_bytes: its size so far, or as announced.
         :return: whether there is room for it.
         """
-        more = _needed(body_bytes, READING_INCLUDED_BYTES) - self._held_bytes
+        more = _needed(request_bytes, READING_INCLUDED_BYTES) - self._held_bytes
         if more <= 0:
             return True
         if not self._account.try_add(self._workspace, more):
@@ -99,9 +99,9 @@
         self._held_bytes += more
         return True
 
-    def complete(self, body_bytes: int) -> None:
-        """Hold what a complete body needs until its request has ended."""
-        needed = _needed(body_bytes, RUNNING_INCLUDED_BYTES)
+    def complete(self, request_bytes: int) -> None:
+        """Hold what a complete request needs until it has ended."""
+        needed = _needed(request_bytes, RUNNING_INCLUDED_BYTES)
         self._shrink(min(needed, self._held_bytes))
 
     def release(self) -> None:
@@ -114,6 +114,6 @@
             self._held_bytes = size_bytes
 
 
-def _needed(body_bytes: int, included_bytes: int) -> int:
-    needed = body_bytes + body_bytes // _OVERALLOCATION_DIVISOR
+def _needed(request_bytes: int, included_bytes: int) -> int:
+    needed = request_bytes + request_bytes // _OVERALLOCATION_DIVISOR
     return max(0, needed - included_bytes)
--- a/src/sardinetrack/relay/move_steps.py
+++ b/src/sardinetrack/relay/move_steps.py
@@ -285,7 +285,7 @@
         assert self.destination is not None  # noqa: S101
         source = self._source.candidate.server
         reply = await self._calls.copy(
-            self._tools.call.request_id,
+            self._tools.call.sent_id,
             source,
             self.destination.candidate.server,
             last=last,
--- a/src/sardinetrack/relay/request_body.py
+++ b/src/sardinetrack/relay/request_body.py
@@ -1,4 +1,4 @@
-"""Collects the body of one request."""
+"""Collects the body of one request, and holds the memory of its head."""
 
 from __future__ import annotations
 
@@ -9,14 +9,18 @@
 class RequestBody:
     """Collects pieces while the entry has room for them."""
 
-    def __init__(self, hold: BodyHold, max_bytes: int) -> None:
+    def __init__(
+        self, hold: BodyHold, max_bytes: int, head_bytes: int = 0
+    ) -> None:
         """Start empty.
 
         :param hold: of the memory that the body needs.
         :param max_bytes: the longest body that is allowed.
+        :param head_bytes: memory of the head, which is held with the body.
         """
         self.hold = hold
         self._max_bytes = max_bytes
+        self._head_bytes = head_bytes
         self._size_bytes = 0
         self._buffer = ByteBuffer()
 
@@ -30,7 +34,8 @@
 
         :return: whether there is room for it.
         """
-        return self.hold.grow(min(size_bytes, self._max_bytes))
+        size_bytes = min(size_bytes, self._max_bytes)
+        return self.hold.grow(self._head_bytes + size_bytes)
 
     def append(self, piece: bytes) -> bool:
         """Add a piece, unless more has arrived than is allowed.
@@ -41,7 +46,7 @@
         if self.is_too_large:
             self.drop()
             return True
-        if not self.hold.grow(self._size_bytes):
+        if not self.hold.grow(self._head_bytes + self._size_bytes):
             self.drop()
             return False
         self._buffer.append(piece)
@@ -49,7 +54,7 @@
 
     def take(self) -> bytes | bytearray:
         """Return the complete body, which is held until its request ends."""
-        self.hold.complete(self._size_bytes)
+        self.hold.complete(self._head_bytes + self._size_bytes)
         return self._buffer.content()
 
     def drop(self) -> None:
--- a/src/sardinetrack/relay/sender.py
+++ b/src/sardinetrack/relay/sender.py
@@ -157,7 +157,7 @@
             server.address,
             partial(self._state.connection_limit, server),
             max_idle_seconds=max_idle_seconds,
-            request_id=self._call.request_id,
+            request_id=self._call.sent_id,
         )
 
     def _prepare(
@@ -211,7 +211,7 @@
                 head,
                 attempt,
                 body=self._call.body,
-                request_id=self._call.request_id,
+                request_id=self._call.sent_id,
                 bodiless=self._call.method == _HEAD,
             )
             return await mode.follow(attempt)
--- a/src/sardinetrack/relay/server_notices.py
+++ b/src/sardinetrack/relay/server_notices.py
@@ -57,7 +57,7 @@
             self._apply_rest(response.rest_seconds, response.status)
         if response.leaving:
             self._apply_leaving()
-        is_own = response.request_id == self._call.request_id
+        is_own = response.request_id == self._call.sent_id
         if is_own and not response.misdirected:
             load = self._target.load
             load.report_slowness(loop_now(), response.slowness)
--- a/tests/platform/steps/translation_steps.py
+++ b/tests/platform/steps/translation_steps.py
@@ -255,6 +255,42 @@
     context.call.body = b'body'
 
 
+@given(
+    'a request with an id of {length:d} characters'
+    ' and {count:d} parts of {tokens:d} tokens'
+)
+def very_long_head(context, length, count, tokens):
+    context.sent_id = b'i' * length
+    parts = b','.join(b'%x:%d' % (one, tokens) for one in range(count))
+    head = (
+        (b'host', b'h'),
+        (b'x-sardinetrack-request-id', context.sent_id),
+        (b'x-sardinetrack-token-count', b'%d,1' % (count * tokens)),
+        (b'x-sardinetrack-prefix-hash', parts),
+    )
+    context.adapter = PlatformProtocolAdapter()
+    context.call = context.adapter.parse_request(b'POST', b'/', head, 0)
+
+
+@then(
+    'its id is {length:d} characters long at most, and it has {count:d} parts'
+)
+def bounded_head(context, length, count):
+    assert len(context.call.request_id) <= length
+    assert len(context.call.prompt.blocks) == count
+
+
+@then('its parts have {tokens:d} tokens together')
+def tokens_kept(context, tokens):
+    blocks = context.call.prompt.blocks
+    assert sum(block.tokens for block in blocks) == tokens
+
+
+@then("the caller's response bears the whole id")
+def whole_id(context):
+    assert context.sent_id in context.adapter.own_headers(context.call)
+
+
 @then('its prompt, key, maximum wait and last event are parsed')
 def head_parsed(context):
     call = context.call
--- a/tests/platform/translation.feature
+++ b/tests/platform/translation.feature
@@ -94,6 +94,15 @@
     And the server receives the remaining wait, its name and the workspace
     And neither the key nor a hop-by-hop header is forwarded
 
+  Scenario: A head with a very long id and very many parts of a prompt
+    Guards against lines to a side that are longer than the side reads: it would
+    close the connection, and with it the permits of all requests.
+
+    Given a request with an id of 60000 characters and 16000 parts of 2 tokens
+    Then its id is 128 characters long at most, and it has 64 parts
+    And its parts have 32000 tokens together
+    And the caller's response bears the whole id
+
   Scenario Outline: The last event that a caller has is no number: <content>
     Guards against a run from the start whose events the caller has already.
 
--- a/tests/relay/steps/connection_steps.py
+++ b/tests/relay/steps/connection_steps.py
@@ -437,5 +437,5 @@
     connections = context.world.entry._connections  # noqa: SLF001
     assert len(connections) == 2
     for connection in connections:
-        held = (connection._head, connection._call)  # noqa: SLF001
+        held = (connection._reader._head, connection._call)  # noqa: SLF001
         assert held == (None, None), held
