Connections whose input is costly to parse are read in turn

Callers saw: an entry that lived and answered nobody. 160 connections with bodies in chunks of one byte, or with heads of very short lines sent ahead, kept an ordinary request waiting for more than 30 s.

Cause: input was bounded in bytes, its work is in calls: a piece of 256 KB may hold 40,000 chunks. In each iteration of the event loop such a piece of every connection was parsed before anything else was done.

Pieces are 32 KB now, read into one shared buffer. A connection whose piece took more than 512 calls of the parser is read again only in its turn: one such piece in an iteration of the loop, with a quarter of its cost as a pause.

--- a/src/sardinetrack/relay/caller_connection.py
+++ b/src/sardinetrack/relay/caller_connection.py
@@ -13,6 +13,7 @@
 from sardinetrack.relay.connection_owner import ConnectionOwner
 from sardinetrack.relay.error_response import error_response
 from sardinetrack.relay.flow_control import FlowControl
+from sardinetrack.relay.input_turns import FIRST_COST_SECONDS, CostlyInput
 from sardinetrack.relay.request_reader import (
     Rejection,
     RequestListener,
@@ -21,11 +22,17 @@
 
 _CONTINUE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
 _HEAD: Final = b'HEAD'
+_PIECE_BYTES: Final = 32_768
+_PIECE: Final = memoryview(bytearray(_PIECE_BYTES))
+"""Where a piece of input is read, from one connection at a time."""
+COSTLY_CALLS: Final = 512
+"""Calls of the parser for one piece from which its input is costly; a head has
+some tens."""
 _MAX_PIPELINED: Final = 16
 """Pipelined requests that may wait for earlier responses on one connection."""
 
 
-class CallerConnection(asyncio.Protocol, RequestListener):
+class CallerConnection(asyncio.BufferedProtocol, RequestListener, CostlyInput):
     """Serves the requests of a caller and detects when it disconnects."""
 
     def __init__(
@@ -45,6 +52,7 @@
         self._closing = False
         self._draining = False
         self._ended_seconds = float(0)
+        self._is_costly = False
         self.response = CallerResponse(self._write, self._closes)
         self.flow = FlowControl()
 
@@ -78,9 +86,36 @@
         self._ended_seconds = self._owner.now()
         self._owner.opened(self)
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return where the next piece is read; it is parsed immediately."""
+        return _PIECE
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Parse; pipelined requests wait for the responses to earlier ones."""
-        self._reader.feed(data)
+        cost_seconds = FIRST_COST_SECONDS
+        calls = self._reader.calls
+        if self._is_costly:
+            began_seconds = self._owner.now()
+            self._reader.feed(_PIECE[:nbytes])
+            cost_seconds = self._owner.now() - began_seconds
+        else:
+            self._reader.feed(_PIECE[:nbytes])
+        self._is_costly = self._reader.calls - calls > COSTLY_CALLS
+        if self._is_costly:
+            self._owner.input_turns.defer(self, cost_seconds)
+
+    def pause_reading(self) -> None:
+        """Read nothing until its turn."""
+        if self._transport is not None:
+            self._transport.pause_reading()
+
+    def resume_reading(self) -> bool:
+        """Read on; return whether the connection is open."""
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return False
+        transport.resume_reading()
+        return True
 
     def eof_received(self) -> bool:
         """Treat a half-closed connection as a disconnected caller."""
@@ -147,7 +182,7 @@
 
         :return: whether it was closed.
         """
-        if self.unread_input:
+        if self.unread_input and not self._is_costly:
             return False
         self.close()
         return True
--- a/src/sardinetrack/relay/connection_owner.py
+++ b/src/sardinetrack/relay/connection_owner.py
@@ -8,6 +8,7 @@
 from sardinetrack.errors.api import RequestError
 from sardinetrack.relay.api import CallerRequest
 from sardinetrack.relay.held_bytes import BodyHold
+from sardinetrack.relay.input_turns import InputTurns
 from sardinetrack.topology.configuration import CallerLimits
 
 if TYPE_CHECKING:
@@ -19,6 +20,10 @@
 
     limits: CallerLimits
 
+    def __init__(self) -> None:
+        """Start without connections."""
+        self.input_turns = InputTurns()
+
     @abstractmethod
     def now(self) -> float:
         """Return the time of the event loop's clock."""
--- a/src/sardinetrack/relay/entry.py
+++ b/src/sardinetrack/relay/entry.py
@@ -51,6 +51,7 @@
         :param view: keeps the view of the store up to date; none where a test
             sets the view.
         """
+        super().__init__()
         self.draining = False
         self._state = state
         self._adapter = adapter
@@ -141,6 +142,7 @@
         if self._view is not None:
             self._add_task(self._loop.create_task(self._view.run()))
         self._stack.callback(self._state.close)
+        self._stack.callback(self.input_turns.close)
         self._add_task(self._loop.create_task(self._sweep()))
         return self
 
--- a/src/sardinetrack/relay/listener.py
+++ b/src/sardinetrack/relay/listener.py
@@ -25,7 +25,7 @@
 
     def __init__(
         self,
-        make: Callable[[], asyncio.Protocol],
+        make: Callable[[], asyncio.BaseProtocol],
         address: tuple[str, int],
         log: EventLog,
     ) -> None:
--- a/src/sardinetrack/relay/request_reader.py
+++ b/src/sardinetrack/relay/request_reader.py
@@ -84,6 +84,8 @@
         self.received_any = False
         self.awaits_continue = False
         """Whether the caller waits for an invitation to send the body."""
+        self.calls = 0
+        """Calls of the parser, which cost time whatever they bring."""
         self.unreadable = False
         """Whether the rest of the connection is dropped."""
         self._adapter = adapter
@@ -131,6 +133,7 @@
 
     def on_message_begin(self) -> None:
         """Start a request."""
+        self.calls += 1
         self.reading = True
         self.received_any = True
         self.began_seconds = self._owner.now()
@@ -146,6 +149,7 @@
 
     def on_header(self, name: bytes, content: bytes) -> None:
         """Collect a header."""
+        self.calls += 1
         self._head_bytes += len(name) + len(content)
         if self._head_bytes > self._owner.limits.header_bytes:
             self._reject(ErrorKind.HEADERS_TOO_LARGE)
@@ -168,6 +172,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Collect the body."""
+        self.calls += 1
         self._bodiless_bytes = 0
         self.awaits_continue = False
         if self._body is None or self._rejection is not None:
