Requests sent ahead are held whole, and wait until their caller reads

Callers saw: a process that ran out of memory. 160 connections that sent 40 requests with bodies of 48 KB ahead, and read nothing, made an entry of 110 MB use 126 MB.

Cause: the limit on connections allows for one request on each, and the account of large bodies starts above what that allows for; up to 16 more that waited on the same connection were in neither. A request was also served while the responses to earlier ones lay unread. The class: a limit by connections where requests are kept.

A request that waits behind another one is held with all that it takes; without room it is refused in its place (503, not run) and the connection closes. The next one is served only when the caller has read. A connection on which nothing happens for the idle time-out while its caller does not read is aborted: a close would wait for the caller for ever.

The scenario of a slow caller's next request expected the second request to be sent while the first response lay unread, and bounded what is held then. It is not sent any more before the caller reads; the scenario now checks that, the same bound before and after it is sent, and that it is sent.

--- a/src/sardinetrack/relay/api.py
+++ b/src/sardinetrack/relay/api.py
@@ -44,6 +44,8 @@
     """The caller asked to close the connection after the response."""
     body_hold: BodyHold | None = None
     """Of the memory of head and body; released when the request has ended."""
+    size_bytes: int = 0
+    """Memory of head and body, which the hold is for."""
     head_bytes: int = 0
     """Memory of the head, with the copy that is sent to a server."""
     long_id: str | None = None
--- a/src/sardinetrack/relay/caller_connection.py
+++ b/src/sardinetrack/relay/caller_connection.py
@@ -18,6 +18,7 @@
     Rejection,
     RequestListener,
     RequestReader,
+    no_memory_error,
 )
 
 _CONTINUE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
@@ -68,7 +69,8 @@
         A connection that has not sent any request yet is about to send one, so
         it is not idle.
         """
-        return self._reader.received_any and not self.busy and not self.reading
+        waits = self.reading or self._pipelined
+        return self._reader.received_any and not self.busy and not waits
 
     @property
     def reading(self) -> bool:
@@ -133,8 +135,9 @@
         self.flow.pause()
 
     def resume_writing(self) -> None:
-        """Continue to read from the server."""
+        """Continue to read from the server, and to serve what waits."""
         self.flow.resume()
+        self._serve_next()
 
     @property
     def unread_input(self) -> bool:
@@ -156,7 +159,7 @@
         disconnected caller. An end of connection that was read cancels the
         request only in the next iteration, which may be seconds later.
         """
-        if self._transport is None or self._transport.is_closing():
+        if self._is_closing:
             return True
         return self.unread_input and self._peek_end()
 
@@ -192,6 +195,14 @@
         if self._transport is not None:
             self._transport.close()
 
+    def expire(self) -> None:
+        """Close a connection that nothing has happened on for too long."""
+        if self.has_unsent and self._transport is not None:
+            # Its caller does not read, so it would never be written.
+            self._transport.abort()
+        else:
+            self.close_idle()
+
     def close_after_response(self) -> None:
         """Announce with the last response that the connection closes.
 
@@ -200,8 +211,19 @@
         self._draining = True
 
     def request_read(self, call: CallerRequest) -> None:
-        """Queue a request."""
-        self._queue(call)
+        """Queue a request, if there is memory for it while it waits."""
+        hold = call.body_hold
+        if hold is None or self._may_serve:
+            self._queue(call)
+        elif hold.wait(call.size_bytes):
+            self._queue(call)
+        else:
+            hold.release()
+            self._reader.unreadable = True
+            call.forwarded = b''
+            call.body = b''
+            bodiless = call.method == _HEAD
+            self._queue(Rejection(no_memory_error(), bodiless, call))
 
     def request_rejected(self, rejection: Rejection) -> None:
         """Queue a request that can't be served."""
@@ -209,7 +231,7 @@
 
     def refuse_early(self, rejection: Rejection) -> bool:
         """Refuse unless the responses to earlier requests come first."""
-        if self.busy or self._pipelined:
+        if not self._may_serve:
             return False
         self._write_final(rejection)
         return True
@@ -235,6 +257,15 @@
         # Requests that were read before an entry stops get their responses.
         return self._closing or (self._draining and not self._pipelined)
 
+    @property
+    def _may_serve(self) -> bool:
+        """Whether a request that is read now can be served immediately."""
+        return not (self.busy or self._pipelined or self.flow.paused)
+
+    @property
+    def _is_closing(self) -> bool:
+        return self._transport is None or self._transport.is_closing()
+
     def _queue(self, request: CallerRequest | Rejection) -> None:
         if len(self._pipelined) >= _MAX_PIPELINED:
             _release(request)
@@ -244,17 +275,23 @@
             self._reader.unreadable = True
             return
         self._pipelined.append(request)
-        if self._task is None:
-            self._serve_next()
+        self._serve_next()
 
     def _serve_next(self) -> None:
-        """Serve the next queued request."""
-        while self._pipelined and self._task is None:
+        """Serve the next queued request.
+
+        While the caller does not read, its responses would fill the memory.
+        """
+        if self.busy or self.flow.paused or self._is_closing:
+            return
+        if self._pipelined:
             request = self._pipelined.popleft()
             if isinstance(request, Rejection):
                 self._write_rejection(request)
                 return
             self._call = request
+            if request.body_hold is not None:
+                request.body_hold.complete(request.size_bytes)
             self._begin_response(bodiless=request.method == _HEAD)
             self._task = asyncio.get_running_loop().create_task(
                 self._owner.serve(request, self),
@@ -316,7 +353,7 @@
 
         Within the response to an earlier request it would corrupt that one.
         """
-        if self._reader.awaits_continue and not self.busy:
+        if self._reader.awaits_continue and self._may_serve:
             self._reader.awaits_continue = False
             self._write(_CONTINUE)
 
--- a/src/sardinetrack/relay/entry.py
+++ b/src/sardinetrack/relay/entry.py
@@ -377,7 +377,7 @@
                     limits.header_timeout_seconds + limits.idle_timeout_seconds
                 )
             if now - connection.changed_seconds > allowed:
-                connection.close_idle()
+                connection.expire()
 
 
 def _fault_response(exchange: Exchange) -> RequestError:
--- a/src/sardinetrack/relay/held_bytes.py
+++ b/src/sardinetrack/relay/held_bytes.py
@@ -13,6 +13,9 @@
 
 READING_INCLUDED_BYTES: Final = 16_384
 """Bytes of a request being read that the limit on connections allows for."""
+WAITING_BYTES: Final = 4096
+"""Memory of a request that waits for earlier ones on its connection, beside its
+head and body."""
 RUNNING_INCLUDED_BYTES: Final = 49_152
 """The same for a request in progress, by the limit on requests."""
 _OVERALLOCATION_DIVISOR: Final = 8
@@ -91,7 +94,10 @@
         :param request_bytes: its size so far, or as announced.
         :return: whether there is room for it.
         """
-        more = _needed(request_bytes, READING_INCLUDED_BYTES) - self._held_bytes
+        return self._grow(_needed(request_bytes, READING_INCLUDED_BYTES))
+
+    def _grow(self, needed_bytes: int) -> bool:
+        more = needed_bytes - self._held_bytes
         if more <= 0:
             return True
         if not self._account.try_add(self._workspace, more):
@@ -99,6 +105,15 @@
         self._held_bytes += more
         return True
 
+    def wait(self, request_bytes: int) -> bool:
+        """Hold all of a complete request while earlier ones are served.
+
+        The limit on connections allows for one request on each.
+
+        :return: whether there is room for it.
+        """
+        return self._grow(_needed(request_bytes + WAITING_BYTES, 0))
+
     def complete(self, request_bytes: int) -> None:
         """Hold what a complete request needs until it has ended."""
         needed = _needed(request_bytes, RUNNING_INCLUDED_BYTES)
--- a/src/sardinetrack/relay/request_body.py
+++ b/src/sardinetrack/relay/request_body.py
@@ -46,15 +46,19 @@
         if self.is_too_large:
             self.drop()
             return True
-        if not self.hold.grow(self._head_bytes + self._size_bytes):
+        if not self.hold.grow(self.request_bytes):
             self.drop()
             return False
         self._buffer.append(piece)
         return True
 
+    @property
+    def request_bytes(self) -> int:
+        """The size of head and body so far."""
+        return self._head_bytes + self._size_bytes
+
     def take(self) -> bytes | bytearray:
-        """Return the complete body, which is held until its request ends."""
-        self.hold.complete(self._head_bytes + self._size_bytes)
+        """Return the complete body, whose memory stays held."""
         return self._buffer.content()
 
     def drop(self) -> None:
--- a/src/sardinetrack/relay/request_reader.py
+++ b/src/sardinetrack/relay/request_reader.py
@@ -203,6 +203,7 @@
         else:
             call.body = body.take()
             call.body_hold = body.hold
+            call.size_bytes = body.request_bytes
             call.closes_connection = not self._parser.should_keep_alive()
             self._listener.request_read(call)
 
@@ -262,7 +263,7 @@
 
     def _refuse(self) -> None:
         """Refuse a request that the entry has no memory for."""
-        error = RequestError(ErrorKind.INSTANCE_BUSY, _NO_MEMORY)
+        error = no_memory_error()
         self._rejection = error
         self._refused = True
         self._refused_early = self._listener.refuse_early(
@@ -296,6 +297,11 @@
         return bool(self._parser.get_method() == _HEAD)
 
 
+def no_memory_error() -> RequestError:
+    """Return the error for a request that the entry has no memory for."""
+    return RequestError(ErrorKind.INSTANCE_BUSY, _NO_MEMORY)
+
+
 def _announced_bytes(headers: Headers) -> int:
     """Return the length of the body that follows; 0 if none is announced."""
     for name, content in headers:
--- a/tests/hostile/hostile_callers.feature
+++ b/tests/hostile/hostile_callers.feature
@@ -32,6 +32,7 @@
       | 160   | bodies in chunks of one byte          |
       | 160   | heads of empty lines sent ahead       |
       | 160   | bodies sent ahead                     |
+      | 160   | bodies of 48 KB sent ahead            |
       | 160   | small requests sent ahead             |
       | 160   | requests for large answers sent ahead |
       | 160   | requests for errors sent ahead        |
--- a/tests/relay/slow_callers.feature
+++ b/tests/relay/slow_callers.feature
@@ -78,3 +78,7 @@
     And a time-out of 10 seconds
     When a caller pipelines a long fetch and a long stream, and reads nothing
     Then the entry holds less than 12 MB for the caller
+    And the model server is not asked for the stream
+    When the caller has read the first response, and reads no more
+    Then the model server is asked for the stream
+    And the entry holds less than 12 MB for the caller
--- a/tests/relay/steps/slow_caller_steps.py
+++ b/tests/relay/steps/slow_caller_steps.py
@@ -129,12 +129,36 @@
         context.slow[1].transport.pause_reading()
         for name in ('fetch', 'once-stream'):
             context.slow[1].write(world.request(name, closes=False))
-        await asyncio.wait_for(model.asked.wait(), 5)
+        await asyncio.wait_for(plain.asked.wait(), 5)
         await asyncio.sleep(_READING_SECONDS)
 
     context.world.run(play())
 
 
+@then('the model server is not asked for the stream')
+def stream_not_asked(context):
+    assert not context.world.servers[0].asked.is_set()
+
+
+@when('the caller has read the first response, and reads no more')
+def read_first_response(context):
+    async def play():
+        reader, writer = context.slow
+        writer.transport.resume_reading()
+        head = await reader.readuntil(b'\r\n\r\n')
+        length = int(re.search(rb'content-length: (\d+)', head)[1])
+        await reader.readexactly(length)
+        writer.transport.pause_reading()
+        await asyncio.sleep(_READING_SECONDS)
+
+    context.world.run(play())
+
+
+@then('the model server is asked for the stream')
+def stream_asked(context):
+    assert context.world.servers[0].asked.is_set()
+
+
 def _caller(world):
     return next(iter(world.entry._connections))  # noqa: SLF001
 
--- a/tests/support/hostile_crowd.py
+++ b/tests/support/hostile_crowd.py
@@ -124,6 +124,9 @@
         'bodies sent ahead': lambda: _ahead(
             _head(length=MAX_BODY_BYTES // 2) + bytes(MAX_BODY_BYTES // 2)
         ),
+        'bodies of 48 KB sent ahead': lambda: _ahead(
+            _head(length=48_000) + bytes(48_000)
+        ),
         'small requests sent ahead': lambda: _ahead(_head(), 100 * _AHEAD),
         'requests for large answers sent ahead': lambda: _ahead(
             _head('/report/large')
