Tasks that a process needs are run again after an unexpected error

The process lived, and an entry stayed ready.

Each of them is run by keep_running now: it logs the fault, flushes, pauses 0.5 s and runs the task again. (topology/feed.py did this already.)

--- a/src/sardinetrack/relay/connection_owner.py
+++ b/src/sardinetrack/relay/connection_owner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from sardinetrack.errors.api import RequestError
@@ -18,11 +19,18 @@
 class ConnectionOwner(ABC):
     """Serves requests and tracks the connections."""
 
-    limits: CallerLimits
+    def __init__(self, limits: Callable[[], CallerLimits]) -> None:
+        """Start without connections.
 
-    def __init__(self) -> None:
-        """Start without connections."""
+        :param limits: returns the limits on what a caller may send now.
+        """
         self.input_turns = InputTurns()
+        self._limits = limits
+
+    @property
+    def limits(self) -> CallerLimits:
+        """The limits on what a caller may send."""
+        return self._limits()
 
     @abstractmethod
     def now(self) -> float:
--- a/src/sardinetrack/relay/entry.py
+++ b/src/sardinetrack/relay/entry.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import math
 from collections import Counter
+from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
 from types import TracebackType
 from typing import Final, Self
@@ -12,6 +12,7 @@
 from sardinetrack.errors.api import ErrorKind, RequestError
 from sardinetrack.http.sockets import FINAL_REQUEST_WAIT_SECONDS
 from sardinetrack.logs.events import Event
+from sardinetrack.process.owner_tasks import keep_running
 from sardinetrack.relay.api import CallerRequest, ProtocolAdapter
 from sardinetrack.relay.caller_connection import CallerConnection
 from sardinetrack.relay.capacity import Capacity, RequestCounts
@@ -20,7 +21,6 @@
 from sardinetrack.relay.exchange import Exchange
 from sardinetrack.relay.held_bytes import BodyHold, HeldBytes
 from sardinetrack.relay.listener import Listener
-from sardinetrack.topology.configuration import CallerLimits
 from sardinetrack.views.source import ViewSource
 
 SWEEP_SECONDS: Final = 0.1
@@ -51,7 +51,7 @@
         :param view: keeps the view of the store up to date; none where a test
             sets the view.
         """
-        super().__init__()
+        super().__init__(lambda: state.caller_limits)
         self.draining = False
         self._state = state
         self._adapter = adapter
@@ -72,13 +72,7 @@
             state.settings, held_bytes=lambda: self.held.total_bytes
         )
         self._all_finished = asyncio.Event()
-        self._draining_since = math.inf
-
-    @property
-    def limits(self) -> CallerLimits:  # type: ignore[override]
-        """The limits on what a caller may send."""
-        configuration = self._state.configuration
-        return CallerLimits() if configuration is None else configuration.limits
+        self._draining_since = float('inf')
 
     @property
     def port(self) -> int:
@@ -140,10 +134,10 @@
         """
         await self._stack.enter_async_context(self._listener)
         if self._view is not None:
-            self._add_task(self._loop.create_task(self._view.run()))
+            self._add_task(self._view.run, 'view of the store')
         self._stack.callback(self._state.close)
         self._stack.callback(self.input_turns.close)
-        self._add_task(self._loop.create_task(self._sweep()))
+        self._add_task(self._sweep, 'sweep')
         return self
 
     async def __aexit__(
@@ -313,13 +307,9 @@
         """Log an unexpected exception."""
         self._state.log.write(Event.FAULT, cause=repr(error))
 
-    def _add_task(self, task: asyncio.Task[None]) -> None:
-        self._stack.callback(task.cancel)
-        task.add_done_callback(self._task_ended)
-
-    def _task_ended(self, task: asyncio.Task[None]) -> None:
-        if not task.cancelled() and task.exception() is not None:
-            self.failed(task.exception())
+    def _add_task(self, run: Callable[[], Awaitable[None]], what: str) -> None:
+        task = keep_running(run, self._state.log, what)
+        self._stack.callback(self._loop.create_task(task).cancel)
 
     def _request_finished(self, exchange: Exchange) -> None:
         self._exchanges.discard(exchange)
@@ -336,8 +326,7 @@
             self._update_memory()
             self._state.meters.bodies.held_bytes = self.held.total_bytes
             count += 1
-            for exchange in self._exchanges:
-                exchange.check(self.now())
+            self._check_exchanges()
             self._state.expire_servers()
             self._state.log.flush()
             if not count % _SWEEPS_A_SECOND:
@@ -345,6 +334,14 @@
                 self._state.sides.sweep()
                 self._close_idle()
 
+    def _check_exchanges(self) -> None:
+        """Check each request; a fault of one leaves the others checked."""
+        for exchange in self._exchanges:
+            try:
+                exchange.check(self.now())
+            except Exception as error:
+                self.failed(error)
+
     def _update_lateness(self, late_seconds: float) -> None:
         capacity = self.capacity
         if capacity.update_lateness(late_seconds):
--- a/src/sardinetrack/relay/entry_state.py
+++ b/src/sardinetrack/relay/entry_state.py
@@ -19,7 +19,11 @@
 from sardinetrack.relay.side_links import INITIAL_ENTRIES, SideLinks
 from sardinetrack.relay.stream_directory import StreamDirectory
 from sardinetrack.routing.retries import RetryBudget
-from sardinetrack.topology.configuration import Configuration, Pool
+from sardinetrack.topology.configuration import (
+    CallerLimits,
+    Configuration,
+    Pool,
+)
 from sardinetrack.topology.freshness import Freshness, boot_clock
 from sardinetrack.topology.servers import BackendServer, ServerList
 from sardinetrack.topology.starts import ServerStart
@@ -85,6 +89,12 @@
         self._budgets.clear()
         return changed
 
+    @property
+    def caller_limits(self) -> CallerLimits:
+        """The limits on what a caller may send."""
+        configuration = self.configuration
+        return CallerLimits() if configuration is None else configuration.limits
+
     @property
     def streams(self) -> StreamDirectory:
         """Which software began the streams of this and other entries."""
--- a/src/sardinetrack/turns/engine_monitor.py
+++ b/src/sardinetrack/turns/engine_monitor.py
@@ -12,6 +12,7 @@
 
 from sardinetrack.admission.engine_report import EngineReport
 from sardinetrack.logs.events import EventLog
+from sardinetrack.process.owner_tasks import keep_running
 from sardinetrack.turns.clock import loop_now
 from sardinetrack.turns.engine_connection import (
     EngineConnection,
@@ -84,6 +85,7 @@
         """
         self.polls: Counter[PollOutcome] = Counter()
         """Since the start of this process, by outcome."""
+        self._log = log
         self._source = source
         self._listener = listener
         ip, port = source.address
@@ -95,8 +97,9 @@
 
     async def __aenter__(self) -> Self:
         """Start to poll."""
-        self._task = asyncio.create_task(self._run())
-        self._task.add_done_callback(_report_fault)
+        self._task = asyncio.create_task(
+            keep_running(self._run, self._log, 'polls of the engine')
+        )
         return self
 
     async def __aexit__(
@@ -163,17 +166,3 @@
 def _backoff_seconds(failed_polls: int) -> float:
     factor = 1 << min(failed_polls, _MAX_DOUBLINGS)
     return min(MAX_BACKOFF_SECONDS, INITIAL_BACKOFF_SECONDS * factor)
-
-
-def _report_fault(task: asyncio.Task[None]) -> None:
-    """Pass a fault to the event loop's handler, which logs it.
-
-    Otherwise the side would go on without reports, and no line would say why.
-    """
-    if not task.cancelled() and task.exception() is not None:
-        task.get_loop().call_exception_handler(
-            {
-                'message': 'the monitor of the engine has ended',
-                'exception': task.exception(),
-            }
-        )
--- a/src/sardinetrack/turns/load_report.py
+++ b/src/sardinetrack/turns/load_report.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+import asyncio
+from collections.abc import Callable
+from functools import partial
 from typing import Final
 
 from sardinetrack.admission.prefill import PrefillAdmission
+from sardinetrack.logs.events import EventLog
 from sardinetrack.placement.prefix_index import MAX_RETENTION_SECONDS
+from sardinetrack.process.owner_tasks import keep_running
 from sardinetrack.turns.engine_start import EngineStarts
 from sardinetrack.turns.messages import SideReport
 
@@ -70,3 +75,14 @@
             admission.running if pace.is_known else 0,
             round(admission.recent_pause_seconds(now), 3),
         )
+
+
+async def report_regularly(report: Callable[[], None], log: EventLog) -> None:
+    """Report at each interval until cancelled, also after an error."""
+    await keep_running(partial(_report_forever, report), log, 'load reports')
+
+
+async def _report_forever(report: Callable[[], None]) -> None:
+    while True:
+        await asyncio.sleep(REPORT_INTERVAL_SECONDS)
+        report()
--- a/src/sardinetrack/turns/side.py
+++ b/src/sardinetrack/turns/side.py
@@ -25,8 +25,8 @@
 from sardinetrack.turns.engine_start import EngineStarts, StartUpdate
 from sardinetrack.turns.entry_connection import EntryConnection, EntryListener
 from sardinetrack.turns.load_report import (
-    REPORT_INTERVAL_SECONDS,
     LoadReporter,
+    report_regularly,
 )
 from sardinetrack.turns.messages import (
     Hello,
@@ -88,7 +88,9 @@
         await self._stack.enter_async_context(self._listener)
         self._stack.enter_context(self.watcher)
         loop = asyncio.get_running_loop()
-        self._report_task = loop.create_task(self._report_load())
+        self._report_task = loop.create_task(
+            report_regularly(self._report_load, self._log)
+        )
         self._stack.callback(self._report_task.cancel)
         if self.monitor is not None:
             await self._stack.enter_async_context(self.monitor)
@@ -327,12 +329,10 @@
             waiting=self.admission.waiting,
         )
 
-    async def _report_load(self) -> None:
-        while True:
-            await asyncio.sleep(REPORT_INTERVAL_SECONDS)
-            now = loop_now()
-            self.usage.log_if_due(now, self.admission)
-            report = self._load.next_report(now, self.reported_entries)
-            if report is not None:
-                for entry in self.entry_connections:
-                    entry.send(report)
+    def _report_load(self) -> None:
+        now = loop_now()
+        self.usage.log_if_due(now, self.admission)
+        report = self._load.next_report(now, self.reported_entries)
+        if report is not None:
+            for entry in self.entry_connections:
+                entry.send(report)
--- a/src/sardinetrack/turns/side_link.py
+++ b/src/sardinetrack/turns/side_link.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from sardinetrack.logs.events import Event, EventLog
+from sardinetrack.process.owner_tasks import keep_running
 from sardinetrack.topology.cold import ColdEstimate
 from sardinetrack.topology.starts import ServerStart
 from sardinetrack.turns.messages import (
@@ -106,7 +107,10 @@
             self.send_message(state.start_message(start))
 
     async def run(self) -> None:
-        """Connect and reconnect until cancelled."""
+        """Connect and reconnect until cancelled, also after an error."""
+        await keep_running(self._reconnect, self._log, 'link to a side')
+
+    async def _reconnect(self) -> None:
         backoff_seconds = INITIAL_BACKOFF_SECONDS
         try:
             while True:
@@ -119,6 +123,7 @@
         finally:
             if self.connection is not None:
                 self.connection.abort()
+                self.connection = None
 
     async def _stay_connected(self) -> bool:
         """Connect, and wait until the connection is lost.
