Signals are caught before the first library is loaded; libraries are found

start.py loads nothing but os.path and sys before it catches the signals, and looks for libraries in target/deps after all other places. The interpreter's own start stays open.

--- a/deploy/start.py
+++ b/deploy/start.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import os.path
 import sys
-from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parent.parent / 'src'))
+_ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+sys.path.insert(0, os.path.join(_ROOT, 'src'))
+# Where the build installs the libraries; the last place to look for them.
+sys.path.append(os.path.join(_ROOT, 'target', 'deps'))
 
 from sardinetrack.process.caught_signals import CaughtSignals  # noqa: E402
 
--- a/src/sardinetrack/process/caught_signals.py
+++ b/src/sardinetrack/process/caught_signals.py
@@ -1,15 +1,14 @@
 """The signals of a process, from its first statement to its end.
 
-It is loaded before everything else, so it imports nothing of the package.
+It is loaded before everything else, so it imports no more than it needs.
 """
 
 from __future__ import annotations
 
 import signal
-from typing import Final
 
-_STOPS: Final = (signal.SIGTERM, signal.SIGINT)
-CAUGHT: Final = (*_STOPS, signal.SIGHUP)
+_STOPS = (signal.SIGTERM, signal.SIGINT)
+CAUGHT = (*_STOPS, signal.SIGHUP)
 
 
 class CaughtSignals:
