Incomplete settings are waited for; a stopped start ends at once

- Addresses and ports are validated as the settings are read; those for callers are required of an entry.
Invalid ones are waited for like a torn file.
- Closed standard descriptors are opened on the null device first.
- A stop that came before the loop ends the process without a start.
- Each cause of invalid settings is logged once.

Not closed: a torn file that is valid and only lacks optional tables.

--- a/src/sardinetrack/compose/node.py
+++ b/src/sardinetrack/compose/node.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import gc
-import sys
+import os
 from collections.abc import (
     AsyncIterator,
     Callable,
@@ -56,6 +56,9 @@
 _GC_THRESHOLDS: Final = (20_000, 20, 100)
 """Makes full collections rare: one pauses a busy entry for 0.2 s or more."""
 _BAD_USAGE: Final = 2
+_STANDARD_OUTPUT: Final = 1
+_STANDARD_ERROR: Final = 2
+_ENTRY: Final = 'entry'
 METRICS_PATH: Final = b'/metrics'
 
 
@@ -75,6 +78,7 @@
     :param signals: caught since the start of the process.
     :return: the exit code.
     """
+    _open_standard_descriptors()
     role = arguments[0] if arguments else ''
     runner = _ROLES.get(role)
     if runner is None:
@@ -84,9 +88,11 @@
         path = settings_path()
     except SettingsFileError as error:
         return _refuse_usage(str(error))
-    log = EventLog(sys.stdout.fileno(), '')
+    log = EventLog(_STANDARD_OUTPUT, '')
     with _logged_end(log):
-        settings = wait_for_settings(path, log, signals)
+        settings = wait_for_settings(
+            path, log, signals, serves_callers=role == _ENTRY
+        )
         if settings is not None:
             log.instance = settings.instance
             _run(role, runner, Process(settings, log, signals))
@@ -95,10 +101,22 @@
 
 
 def _refuse_usage(message: str) -> int:
-    sys.stderr.write(f'sardinetrack: {message}\n')
+    os.write(_STANDARD_ERROR, f'sardinetrack: {message}\n'.encode())
     return _BAD_USAGE
 
 
+def _open_standard_descriptors() -> None:
+    """Open those that are closed, before anything else gets their numbers.
+
+    Otherwise the log would be written into a connection.
+    """
+    for number in range(_STANDARD_ERROR + 1):
+        try:
+            os.fstat(number)
+        except OSError:
+            os.open(os.devnull, os.O_RDWR)
+
+
 def _run(role: str, runner: _Runner, process: Process) -> None:
     settings = process.settings
     process.log.write(
@@ -144,21 +162,31 @@
     state = EntryState(settings, log)
     store = PlatformStore(settings.store)
     entry = Entry(state, PlatformProtocolAdapter(), entry_view(state, store))
-    pages = {READY_PATH: lambda: readiness_page(ready=entry.ready)}
     reload = SettingsReload(state, log)
-    async with _served(process, stop.set, reload.start) as ports, entry:
-        assert settings.ready is not None  # noqa: S101
-        await ports.open('ready', _page_server(pages, settings.ready))
-        await ports.open(
-            'metrics',
-            _metrics_server(
-                settings,
-                lambda metrics: metrics.entry_metrics(state, store.counters),
-            ),
-        )
-        await stop.wait()
-        log.write(Event.STOPPING)
-        await entry.drain()
+    async with _served(process, stop.set, reload.start) as ports:
+        if stop.is_set():
+            # It was stopped while it was loaded.
+            return
+        async with entry:
+            await _open_pages(ports, entry, settings)
+            await ports.open(
+                'metrics',
+                _metrics_server(
+                    settings,
+                    lambda page: page.entry_metrics(state, store.counters),
+                ),
+            )
+            await stop.wait()
+            log.write(Event.STOPPING)
+            await entry.drain()
+
+
+async def _open_pages(
+    ports: Ports, entry: Entry, settings: InstanceSettings
+) -> None:
+    assert settings.ready is not None  # noqa: S101
+    pages = {READY_PATH: lambda: readiness_page(ready=entry.ready)}
+    await ports.open('ready', _page_server(pages, settings.ready))
 
 
 async def _run_side(process: Process) -> None:
@@ -240,5 +268,5 @@
 
 _Runner = Callable[[Process], Coroutine[None, None, None]]
 _ROLES: Final[Mapping[str, _Runner]] = MappingProxyType(
-    {'entry': _run_entry, 'side': _run_side},
+    {_ENTRY: _run_entry, 'side': _run_side},
 )
--- a/src/sardinetrack/compose/settings_file.py
+++ b/src/sardinetrack/compose/settings_file.py
@@ -20,7 +20,7 @@
 
 
 def wait_for_settings(
-    path: Path, log: EventLog, signals: CaughtSignals
+    path: Path, log: EventLog, signals: CaughtSignals, *, serves_callers: bool
 ) -> InstanceSettings | None:
     """Read the settings, again while the file is absent or invalid.
 
@@ -28,17 +28,15 @@
 
     :param log: receives each cause once.
     :param signals: one that stops the process ends the wait.
+    :param serves_callers: the addresses for callers are required.
     :return: ``None`` if the process is to stop.
     """
     logged_cause = ''
     while not signals.stop_requested:
         try:
-            return read_settings(path)
+            return read_settings(path, serves_callers=serves_callers)
         except SettingsFileError as error:
-            cause = str(error)
-        if cause != logged_cause:
-            logged_cause = cause
-            log.write(Event.CONFIG_REFUSED, what='settings', cause=cause)
+            logged_cause = _log_refusal(log, str(error), logged_cause)
         log.flush()
         time.sleep(RETRY_SECONDS)
     return None
@@ -58,29 +56,40 @@
 
     def start(self) -> None:
         """Reread the settings now."""
-        self._reload(RETRY_SECONDS)
+        self._reload(RETRY_SECONDS, '')
 
-    def _reload(self, retry_seconds: float) -> None:
+    def _reload(self, retry_seconds: float, logged_cause: str) -> None:
         if self._retry is not None:
             self._retry.cancel()
             self._retry = None
-        if not reload_settings(self._state, self._log):
+        cause = reload_settings(self._state, self._log, logged_cause)
+        if cause:
             self._retry = asyncio.get_running_loop().call_later(
                 retry_seconds,
                 self._reload,
                 min(_MAX_RETRY_SECONDS, _RETRY_FACTOR * retry_seconds),
+                cause,
             )
 
 
-def reload_settings(state: EntryState, log: EventLog) -> bool:
+def reload_settings(
+    state: EntryState, log: EventLog, logged_cause: str = ''
+) -> str:
     """Reread the settings file; if it is invalid, keep the old settings.
 
-    :return: whether it is valid.
+    :param logged_cause: is not logged again.
+    :return: why it is invalid, or ``''``.
     """
     try:
-        changed = state.apply_settings(read_settings(settings_path()))
+        settings = read_settings(settings_path(), serves_callers=True)
     except SettingsFileError as error:
-        log.write(Event.CONFIG_REFUSED, what='settings', cause=str(error))
-        return False
-    log.write(Event.RELOADED, changed=changed)
-    return True
+        return _log_refusal(log, str(error), logged_cause)
+    log.write(Event.RELOADED, changed=state.apply_settings(settings))
+    return ''
+
+
+def _log_refusal(log: EventLog, cause: str, logged_cause: str) -> str:
+    """Log a cause unless it was the last one; return it."""
+    if cause != logged_cause:
+        log.write(Event.CONFIG_REFUSED, what='settings', cause=cause)
+    return cause
--- a/src/sardinetrack/platform/addresses.py
+++ b/src/sardinetrack/platform/addresses.py
@@ -7,7 +7,7 @@
 from typing import Final
 
 _PORT: Final = re.compile('[0-9]{1,5}')
-_MAX_PORT: Final = 65_535
+MAX_PORT: Final = 65_535
 
 
 def parse_endpoint(address: str) -> tuple[str, int]:
@@ -21,6 +21,6 @@
         host = str(IPv4Address(ip))
     except ValueError:
         host = ''
-    if not host or not 0 < number <= _MAX_PORT:
+    if not host or not 0 < number <= MAX_PORT:
         raise ValueError(f'{address!r} is not IP:PORT')
     return host, number
--- a/src/sardinetrack/platform/settings.py
+++ b/src/sardinetrack/platform/settings.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from sardinetrack.platform.addresses import parse_endpoint
+from sardinetrack.platform.addresses import MAX_PORT, parse_endpoint
 from sardinetrack.platform.errors import SettingsFileError
 from sardinetrack.relay.settings import InstanceSettings, SocketAddress
 
@@ -75,31 +75,43 @@
     return Path(name)
 
 
-def read_settings(path: Path) -> InstanceSettings:
+def read_settings(
+    path: Path, *, serves_callers: bool = False
+) -> InstanceSettings:
     """Read and validate the settings.
 
+    :param serves_callers: the addresses for callers are required.
     :raises SettingsFileError: the file can't be read or is invalid.
     """
     try:
         with path.open('rb') as settings_file:
             decoded = tomllib.load(settings_file)
-        return _translate(msgspec.convert(decoded, _SettingsFile, strict=False))
+        converted = msgspec.convert(decoded, _SettingsFile, strict=False)
+        return _translate(converted, serves_callers=serves_callers)
     except (OSError, ValueError, msgspec.ValidationError) as error:
         raise SettingsFileError(f'{path}: {error}') from error
 
 
-def _translate(decoded: _SettingsFile) -> InstanceSettings:
+def _translate(
+    decoded: _SettingsFile, *, serves_callers: bool
+) -> InstanceSettings:
     bounds = decoded.bounds
+    listen = decoded.listen_addresses
+    if serves_callers and not (listen.frontend and listen.ready):
+        raise ValueError('listenAddresses: frontend and ready are required')
+    first_port = decoded.internal_port_range[0]
+    if not 0 < first_port <= MAX_PORT:
+        raise ValueError(f'internalPortRange: {first_port} is not a port')
     revoke_seconds = bounds.revoke_ms / _MILLISECONDS
     return InstanceSettings(
         instance=decoded.node_name,
         ip=decoded.ip,
         failure_domain=decoded.zone,
-        callers=_optional_address(decoded.listen_addresses.frontend),
-        ready=_optional_address(decoded.listen_addresses.ready),
-        turns_port=decoded.internal_port_range[0],
+        callers=_optional_address(listen.frontend),
+        ready=_optional_address(listen.ready),
+        turns_port=first_port,
         metrics_port=METRICS_PORT,
-        store=_parse_address(decoded.platform.address),
+        store=parse_endpoint(decoded.platform.address),
         grace_seconds=bounds.grace_s,
         revoke_seconds=revoke_seconds if bounds.fail_closed else None,
         memory_bytes=decoded.limits.memory_mb * _MEGABYTE,
@@ -122,11 +134,4 @@
 
 
 def _optional_address(text: str) -> SocketAddress | None:
-    return _parse_address(text) if text else None
-
-
-def _parse_address(text: str) -> SocketAddress:
-    ip, colon, port = text.rpartition(':')
-    if not colon or not port.isdigit():
-        raise ValueError(f'{text!r} is not IP:PORT')
-    return (ip, int(port))
+    return parse_endpoint(text) if text else None
