A drain gives up a port that it still waits for

The drain and the end of the listener now stop the wait. A pending connection whose socket fails no longer ends the drain.

--- a/src/sardinetrack/relay/listener.py
+++ b/src/sardinetrack/relay/listener.py
@@ -6,6 +6,7 @@
 import os
 import socket
 from collections.abc import Callable
+from contextlib import suppress
 from types import TracebackType
 from typing import Final, Self
 
@@ -53,7 +54,6 @@
         trace: TracebackType | None,
     ) -> None:
         """Stop listening."""
-        self._ports.close()
         self.close()
 
     @property
@@ -70,16 +70,20 @@
 
     async def accept_pending(self) -> None:
         """Accept the pending connections and stop listening."""
+        self._ports.close()
         if self._listening is None:
             return
         accepted = list(accept_queued(self._listening))
         self.close()
         loop = asyncio.get_running_loop()
         for connection in accepted:
-            await loop.connect_accepted_socket(self._make, connection)
+            # Of a caller that has disconnected meanwhile.
+            with suppress(OSError):
+                await loop.connect_accepted_socket(self._make, connection)
 
     def close(self) -> None:
-        """Stop listening."""
+        """Stop listening, or waiting for the port."""
+        self._ports.close()
         if self._server is not None:
             self._server.close()
         if self._listening is not None:
