--- a/tests/compose/starts.feature
+++ b/tests/compose/starts.feature
@@ -1,27 +1,30 @@
 Feature: Starts and ends of the processes of an instance
 
-  Scenario Outline: Settings change while a process is loaded: <role>
-    The signal comes before the event loop runs. Guards against a process that
-    SIGHUP ends because it has no handler yet.
+  Scenario Outline: Settings change while a process loads <library>: <role>
+    The signal comes before the event loop runs, or before the first library is
+    loaded. Guards against a process that SIGHUP ends because it has no handler
+    yet.
 
-    Given a process of role <role> that loads its libraries slowly
+    Given a process of role <role> that loads <library> slowly
     When it gets SIGHUP while it loads them
     And it has loaded them
     Then it runs, and has read its settings again
 
     Examples:
-      | role  |
-      | entry |
-      | side  |
+      | role  | library   |
+      | entry | httptools |
+      | side  | httptools |
+      | entry | pathlib   |
+      | side  | typing    |
 
   Scenario Outline: A process is stopped while it is loaded: <role>
     Guards against a stop by the default action of SIGTERM, which looks like a
     crash.
 
-    Given a process of role <role> that loads its libraries slowly
+    Given a process of role <role> that loads httptools slowly
     When it gets SIGTERM while it loads them
     And it has loaded them
-    Then it ends with code 0
+    Then it ends with code 0, and has not started
 
     Examples:
       | role  |
@@ -105,3 +108,50 @@
     Then it keeps its settings
     When the settings file is written with another bound
     Then the changed settings take effect
+
+  Scenario Outline: A process starts without <what>
+    Guards against a process that ends at each start because of how it is
+    started.
+
+    Given a process of role <role> without <what>
+    When it is started
+    Then it listens on its port for metrics
+
+    Examples:
+      | role  | what                         |
+      | entry | standard input and output    |
+      | side  | any standard descriptor      |
+      | entry | a path to the libraries      |
+
+  Scenario Outline: The settings of an entry lack <what>
+    Guards against an entry that ends because its settings are incomplete: the
+    file may be in the middle of being written.
+
+    Given a process whose settings lack <what>
+    When it is started
+    Then it waits for its settings
+    When the settings file is written
+    Then it runs
+
+    Examples:
+      | what                      |
+      | the address for callers   |
+      | the address for readiness |
+      | a valid port for callers  |
+
+  Scenario: An invalid settings file is told once
+    Given a process of role entry that runs
+    When its settings file is torn and it gets SIGHUP
+    Then it keeps its settings
+    And after 3 more tries it has told so once
+
+  Scenario: A port that becomes free during a drain
+    Guards against callers that connect to a process which ends a moment later,
+    also where a successor waits for the port.
+
+    Given a process of role entry whose port for callers is taken
+    When it is started
+    Then it waits for its port for callers
+    When it gets SIGTERM and its drain refuses new requests
+    And the port is free
+    Then it ends with code 0, and has not opened the port
--- a/tests/compose/steps/start_steps.py
+++ b/tests/compose/steps/start_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import tempfile
+import time
 
 from behave import given, then, when
 from tests.support.node_process import (
@@ -12,6 +13,8 @@
     wait_until,
 )
 
+from sardinetrack.relay.entry import DRAIN_ACCEPT_SECONDS
+
 
 def _process(context, role, **options):
     folder = tempfile.TemporaryDirectory()
@@ -21,10 +24,10 @@
     return process
 
 
-@given('a process of role {role} that loads its libraries slowly')
-def slow_imports(context, role):
+@given('a process of role {role} that loads {library} slowly')
+def slow_imports(context, role, library):
     context.process = _process(context, role)
-    context.process.slow_down_imports()
+    context.process.slow_down_imports(library)
     context.gate = context.process.gate('IMPORT_GATE')
     context.process.start()
 
@@ -52,10 +55,35 @@
     assert ended == code, ended
 
 
+@then('it ends with code {code:d}, and has not started')
+def ends_unstarted(context, code):
+    ends_with(context, code)
+    assert not context.process.lines('ready')
+    assert not context.process.lines('stopping')
+
+
+@given('a process of role {role} without standard input and output')
+def without_input_and_output(context, role):
+    context.process = _process(context, role)
+    context.process.closed_descriptors = (0, 1)
+
+
+@given('a process of role {role} without any standard descriptor')
+def without_descriptors(context, role):
+    context.process = _process(context, role)
+    context.process.closed_descriptors = (0, 1, 2)
+
+
+@given('a process of role {role} without a path to the libraries')
+def without_path(context, role):
+    context.process = _process(context, role)
+    context.process.hide_libraries()
+
+
 @given('a process of role {role} that takes long to exit')
 def slow_exit(context, role):
     context.process = _process(context, role)
-    context.process.slow_down_imports()
+    context.process.slow_down_imports('httptools')
     context.gate = context.process.gate('EXIT_GATE')
     context.process.start()
     context.process.wait_line('started')
@@ -114,6 +142,13 @@
     assert status == 503, status
 
 
+@when('it gets SIGTERM and its drain refuses new requests')
+def drain_refuses(context):
+    context.process.send('SIGTERM')
+    context.process.wait_line('stopping')
+    time.sleep(DRAIN_ACCEPT_SECONDS)
+
+
 @when('it gets {name}')
 def send(context, name):
     context.process.send(name)
@@ -171,6 +206,33 @@
     assert line['what'] == 'settings', line
 
 
+@given('a process whose settings lack {what}')
+def lacking_settings(context, what):
+    context.process = _process(context, 'entry')
+    process = context.process
+    line, replacement = {
+        'the address for callers': ('frontend', 'other'),
+        'the address for readiness': ('ready =', 'other ='),
+        'a valid port for callers': (':8783', ':78783'),
+    }[what]
+    text = process.settings()
+    assert line in text
+    process.settings_path.write_text(text.replace(line, replacement))
+
+
+@then('after {count:d} more tries it has told so once')
+def told_once(context, count):
+    # The interval between two tries doubles from 0.1 s.
+    time.sleep(0.1 * 2**count)
+    assert len(context.process.lines('config_refused')) == 1
+
+
+@then('it ends with code {code:d}, and has not opened the port')
+def ends_unopened(context, code):
+    ends_with(context, code)
+    assert not context.process.lines('port_opened')
+
+
 @when('the settings file is written')
 def write_settings(context):
     context.process.settings_path.write_text(context.process.settings())
--- a/tests/support/node_process.py
+++ b/tests/support/node_process.py
@@ -12,10 +12,13 @@
 import subprocess
 import sys
 import time
+from functools import partial
 from http.client import HTTPConnection
 from pathlib import Path
 from types import MappingProxyType
 
+import msgspec
+
 from sardinetrack.platform.settings import METRICS_PORT
 
 ROOT = Path(__file__).parents[2]
@@ -58,8 +61,9 @@
 wait_for(os.environ.get('IMPORT_GATE'))
 atexit.register(wait_for, os.environ.get('EXIT_GATE'))
 sys.path.remove(os.path.dirname(__file__))
-del sys.modules[__name__]
-import httptools
+name = __name__
+del sys.modules[name]
+__import__(name)
 """
 """Stands before a library; waits as an import from a slow disk does."""
 
@@ -95,6 +99,11 @@
         time.sleep(_POLL_SECONDS)
 
 
+def _close(descriptors):
+    for number in descriptors:
+        os.close(number)
+
+
 class Gate:
     """A FIFO at which a process waits until it is opened."""
 
@@ -151,6 +160,10 @@
         self._max_descriptors = max_descriptors
         self.store = store
         self._popen = None
+        self._interpreter = [sys.executable]
+        self._start_script = ROOT / 'deploy' / 'start.py'
+        self.closed_descriptors = ()
+        """Standard descriptors that it is started without."""
         self.write_settings()
 
     def write_settings(self):
@@ -172,10 +185,11 @@
         """Start it."""
         with self.log_path.open('ab') as log:
             self._popen = subprocess.Popen(
-                [sys.executable, ROOT / 'deploy' / 'start.py', self.role],
+                [*self._interpreter, self._start_script, self.role],
                 cwd=ROOT,
                 stdout=log,
                 stderr=log,
+                preexec_fn=partial(_close, self.closed_descriptors),
                 env={
                     **os.environ,
                     'SARDINETRACK_BOOT': str(self.settings_path),
@@ -183,13 +197,25 @@
                 },
             )
 
-    def slow_down_imports(self):
-        """Make it wait at a gate as it loads its libraries."""
+    def slow_down_imports(self, library):
+        """Make it wait at a gate as it loads a library."""
         modules = self.folder / 'modules'
         modules.mkdir()
-        (modules / 'httptools.py').write_text(SLOW_MODULE)
+        (modules / f'{library}.py').write_text(SLOW_MODULE)
         self._environment['PYTHONPATH'] = str(modules)
 
+    def hide_libraries(self):
+        """Start it from a checkout whose build alone has its libraries."""
+        checkout = self.folder / 'checkout'
+        (checkout / 'target').mkdir(parents=True)
+        for name in ('src', 'deploy'):
+            (checkout / name).symlink_to(ROOT / name)
+        libraries = Path(msgspec.__file__).parents[1]
+        (checkout / 'target' / 'deps').symlink_to(libraries)
+        self._start_script = checkout / 'deploy' / 'start.py'
+        # Without the folder of installed libraries, and without variables.
+        self._interpreter += ['-S', '-E']
+
     def gate(self, variable):
         """Create a gate of the slow module."""
         gate = Gate(self.folder / variable.lower())
