A connection gets one status page at a time

Looked for after the requests sent ahead: the listeners of metrics and readiness answered each request of a piece at once. A piece holds thousands, a page takes milliseconds, and nothing bounded what lay unread. One is answered; more in the same piece close the connection.

Before: 10,000 pages for one piece (the scenario fails); now one.

--- a/src/sardinetrack/relay/status_pages.py
+++ b/src/sardinetrack/relay/status_pages.py
@@ -32,13 +32,18 @@
         self._transport = cast(asyncio.Transport, transport)
 
     def data_received(self, data: bytes) -> None:
-        """Respond to each complete request head."""
-        self._rest += data
-        while b'\r\n\r\n' in self._rest:
-            head, _, rest = self._rest.partition(b'\r\n\r\n')
-            self._rest = rest
+        """Respond to a complete request head; close if more is sent ahead.
+
+        A page takes milliseconds, and a piece may hold thousands of requests.
+        """
+        head, end, rest = (self._rest + data).partition(b'\r\n\r\n')
+        if end:
+            self._rest = b''
             self._answer(head)
-        if len(self._rest) > _MAX_HEAD_BYTES and self._transport is not None:
+        else:
+            self._rest = head
+            rest = head[_MAX_HEAD_BYTES:]
+        if rest and self._transport is not None:
             self._transport.close()
 
     def _answer(self, head: bytes) -> None:
--- a/tests/relay/metrics.feature
+++ b/tests/relay/metrics.feature
@@ -8,3 +8,10 @@
     And the page has the times to the first event in seconds
     And the page counts the unreadable objects of the store
     And no key stands on the page or in the log
+
+  Scenario: Requests for the page that are sent ahead are not served
+    Guards against one connection that occupies the process for minutes, and
+    fills its memory with pages that nobody reads.
+
+    When 10000 requests for a page arrive in one piece
+    Then the page is rendered once and the connection closes
--- a/tests/relay/steps/metrics_steps.py
+++ b/tests/relay/steps/metrics_steps.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
-from behave import then
+from unittest import mock
+
+from behave import then, when
 from tests.support.relay_world import KEY
 
 from sardinetrack.relay.metrics import entry_metrics, render_metrics
+from sardinetrack.relay.status_pages import StatusPageConnection
 from sardinetrack.store.api import StoreCounters
 
 _STORE = StoreCounters(calls=3, unreadable=2)
@@ -34,3 +37,18 @@
 def no_key(context):
     assert KEY not in context.page
     assert KEY not in str(context.world.lines())
+
+
+@when('{count:d} requests for a page arrive in one piece')
+def request_ahead(context, count):
+    context.render = mock.Mock(return_value=(200, b'page'))
+    context.transport = mock.Mock()
+    connection = StatusPageConnection({b'/metrics': context.render})
+    connection.connection_made(context.transport)
+    connection.data_received(b'GET /metrics HTTP/1.1\r\n\r\n' * count)
+
+
+@then('the page is rendered once and the connection closes')
+def rendered_once(context):
+    assert context.render.call_count == 1
+    context.transport.close.assert_called_once()
