--- a/src/sardinetrack/logs/events.py
+++ b/src/sardinetrack/logs/events.py
@@ -17,6 +17,8 @@
 
 MAX_LINES: Final = 2000
 """Lines that wait for a slow reader; about 500 KB at 250 bytes a line."""
+MAX_BUFFER_BYTES: Final = 1_000_000
+"""The same in bytes: a line may hold ids and parts that a caller has chosen."""
 _MAX_WRITE_BYTES: Final = 65_536
 """Target size of one write: the usual capacity of a pipe."""
 _MIN_ERROR_STATUS: Final = 400
@@ -88,6 +90,7 @@
         self.instance = instance
         self._encode = msgspec.json.Encoder().encode
         self._buffer: deque[bytes] = deque()
+        self._buffered_bytes = 0
         self._partial = b''
         self.dropped = 0
         self._dropped_reported = 0
@@ -98,7 +101,7 @@
         :param event: the kind of line.
         :param fields: the values behind the decision, with units in the names.
         """
-        if len(self._buffer) >= MAX_LINES and not self._evict_for(fields):
+        if self._is_full and not self._evict_for(fields):
             self.dropped += 1
             return
         line = {'time': round(time.time(), 3), 'node': self.instance}
@@ -118,14 +121,26 @@
             self._dropped_reported = self.dropped
             self.write(Event.LINES_DROPPED, lines=self.dropped)
 
+    @property
+    def _is_full(self) -> bool:
+        full = self._buffered_bytes >= MAX_BUFFER_BYTES
+        return full or len(self._buffer) >= MAX_LINES
+
     def _append(self, line: dict[str, object]) -> None:
-        self._buffer.append(b'%b\n' % self._encode(line))
+        encoded = b'%b\n' % self._encode(line)
+        self._buffer.append(encoded)
+        self._buffered_bytes += len(encoded)
+
+    def _take(self) -> bytes:
+        line = self._buffer.popleft()
+        self._buffered_bytes -= len(line)
+        return line
 
     def _evict_for(self, fields: dict[str, object]) -> bool:
         """Drop the oldest line if the new one is about a failed request."""
         status = fields.get('status')
         if isinstance(status, int) and status >= _MIN_ERROR_STATUS:
-            self._buffer.popleft()
+            self._take()
             self.dropped += 1
             return True
         return False
@@ -134,7 +149,7 @@
         lines: list[bytes] = []
         size = 0
         while self._buffer and size < _MAX_WRITE_BYTES:
-            lines.append(self._buffer.popleft())
+            lines.append(self._take())
             size += len(lines[-1])
         return b''.join(lines)
 
@@ -147,6 +162,7 @@
             # The reader has closed its end, so the error cannot be reported.
             self._partial = b''
             self._buffer.clear()
+            self._buffered_bytes = 0
             return False
         self._partial = self._partial[written:]
         return True
--- a/tests/logs/events.feature
+++ b/tests/logs/events.feature
@@ -9,6 +9,14 @@
     Then no write took longer than 0.05 seconds
     And the number of buffered lines is limited
 
+  Scenario: Long lines for a stopped reader take bounded memory
+    Callers choose the ids in a line. Guards against a buffer that is limited in
+    lines and grows with their length.
+
+    Given a log whose reader has stopped
+    When 2000 lines of 8000 bytes are written
+    Then the buffered lines have 1.1 MB at most
+
   Scenario: Dropped lines are reported when the reader resumes
     Given a log whose reader has stopped
     When 20000 lines are written
--- a/tests/logs/steps/events_steps.py
+++ b/tests/logs/steps/events_steps.py
@@ -33,6 +33,19 @@
         context.max_seconds = max(context.max_seconds, took_seconds)
 
 
+@when('{count:d} lines of {size:d} bytes are written')
+def write_long_lines(context, count, size):
+    for _ in range(count):
+        context.log.write(Event.REQUEST_ENDED, request='r' * size)
+        context.log.flush()
+
+
+@then('the buffered lines have {megabytes:g} MB at most')
+def bounded_bytes(context, megabytes):
+    buffered = sum(map(len, context.log._buffer))  # noqa: SLF001
+    assert buffered <= megabytes * 1_000_000, buffered
+
+
 @when('a line about a request with status {status:d} is written')
 def write_failed(context, status):
     context.log.write(Event.REQUEST_ENDED, request='bad', status=status)
