Tests: the task that reads a stream is kept

"A stream waits for a server of its version as long as its caller" failed with "it did not happen in 3 seconds" and "Task was destroyed but it is pending".

Cause: the test's. The step dropped the task that reads its second stream. The event loop refers to tasks weakly, so a garbage collection in those seconds destroys it, and its connection closes: the entry logs "caller disconnected". When that happens depends on how many objects were allocated before, so a change of unrelated code can move it.

The step now keeps the task and also awaits its end; the checks are as they were.

--- a/tests/relay/steps/software_version_steps.py
+++ b/tests/relay/steps/software_version_steps.py
@@ -217,17 +217,20 @@
 async def _play_busy(world):
     await world.open_fleet(['v1', 'v2'], slots=1)
     # The caller of the first leaves it; the second takes the only slot then.
-    streams = []
-    for max_events in (_READ_EVENTS, _ALL):
-        stream = await _begin_at_v1(world, max_events)
-        streams.append(stream)
-    await world.read(streams[0], 1)
-    await until(lambda: streams[1].complete)
-    return streams
+    left, _ = await _begin_at_v1(world, _READ_EVENTS)
+    busy, read = await _begin_at_v1(world, _ALL)
+    await world.read(left, 1)
+    await until(lambda: busy.complete)
+    await read
+    return [left, busy]
 
 
 async def _begin_at_v1(world, max_events):
-    """Begin a stream at v1; others, by their prefix, begin elsewhere."""
+    """Begin a stream at v1; others, by their prefix, begin elsewhere.
+
+    :return: the stream, and the task that reads it: the event loop keeps no
+        reference, and a collected task closes its connection.
+    """
     for number in range(_MAX_TRIES):
         stream = CallerStream(number)
         read = asyncio.ensure_future(world.read(stream, 0, max_events))
@@ -235,7 +238,7 @@
         if stream.versions == {b'v1'}:
             if max_events < EVENTS:
                 await read
-            return stream
+            return stream, read
         read.cancel()
     raise AssertionError('no stream begins at v1')
 
