A stopping entry sends nothing new late in its grace period

Callers saw (reported by another operator, shown here by tests only): in a planned stop, requests that came late in the grace were passed on and cut without an answer at its end, also ones that may not be repeated.

Cause: whether a stopping entry takes a request was asked when its last byte had come (until 2.6 s), not when it was sent. A request may wait in between for a permit, a trial, a connection or the origin of its stream; retries and reliefs had no bound but the deadline.

A request accepted at 2.5 s that waits until 3.5 s is sent then, and has no answer when the drain ends.

Why it works: SendBound decides by the clock, until 2.8 s after the stop. The sender asks it with no await before it writes, so no wait or late loop lies in between. A request that a server has goes on, also if its relief may not be sent or its server is listed as restarted: to abandon it is for a repetition that is not allowed then.

A stream whose caller has a part may still be sent on: else it is truncated at once, with it at the end of the grace at worst.

--- a/src/sardinetrack/relay/entry.py
+++ b/src/sardinetrack/relay/entry.py
@@ -153,6 +153,7 @@
         """Drain: accept nothing new, finish running requests."""
         self.draining = True
         self._draining_since = self.now()
+        self._state.server_states.send_bound.begin(self._draining_since)
         for connection in self._connections:
             connection.close_after_response()
         deadline_seconds = (
--- a/src/sardinetrack/relay/exchange.py
+++ b/src/sardinetrack/relay/exchange.py
@@ -54,6 +54,8 @@
         self._placer = Placer(state, call, self.trace)
         self._run: Run | None = None
         self._newest_run: Run | None = None
+        self._time_limit = asyncio.timeout(None)
+        self._drain_refusal: RequestError | None = None
 
     @property
     def delivered(self) -> bool:
@@ -62,18 +64,43 @@
 
     def check(self, now: float) -> None:
         """Check the server of the request; called several times a second."""
+        self._check_drain(now)
         run = self._watched_run()
         if run is None or run.ended:
             return
         if run.relief is not None and run.relief.pending:
             run.relief.check(now)
             return
-        run.check_restart()
+        if self._send_refusal is None:
+            run.check_restart()
         if run.is_relief_due(now):
             self._relieve(run, now)
         else:
             run.check_move(now)
 
+    def _check_drain(self, now: float) -> None:
+        """Refuse a request that waits though it may not be sent any more.
+
+        Its caller would be told only when the wait ends.
+        """
+        limit, refusal = self._time_limit, self._send_refusal
+        if refusal is None or limit.expired() or not self._waits_to_send:
+            return
+        self._drain_refusal = refusal
+        limit.reschedule(now)
+
+    @property
+    def _send_refusal(self) -> RequestError | None:
+        """Why the request may not be sent any more, if so."""
+        bound = self._state.server_states.send_bound
+        return bound.refusal(self._response)
+
+    @property
+    def _waits_to_send(self) -> bool:
+        """Whether no server has the request, though one may get it."""
+        runs = (self._run, self._newest_run)
+        return all(run is None or run.waits_to_send for run in runs)
+
     async def run(self) -> None:
         """Serve the request."""
         try:
@@ -134,15 +161,20 @@
         refusal = self._crash_refusal(self.plan)
         if refusal is not None:
             raise refusal
+        self._time_limit = asyncio.timeout_at(self.plan.deadline_seconds)
         try:
-            async with asyncio.timeout_at(self.plan.deadline_seconds):
+            async with self._time_limit:
                 self.plan = await self._bind_to_origin(self.plan)
                 await self._serve(self.plan)
         except TimeoutError as error:
-            kind = ErrorKind.NOT_RUN_DEADLINE
-            if self.trace.may_have_run:
-                kind = ErrorKind.TIMED_OUT
-            raise RequestError(kind) from error
+            raise self._limit_error() from error
+
+    def _limit_error(self) -> RequestError:
+        if self._drain_refusal is not None:
+            return self._drain_refusal
+        if self.trace.may_have_run:
+            return RequestError(ErrorKind.TIMED_OUT)
+        return RequestError(ErrorKind.NOT_RUN_DEADLINE)
 
     async def _bind_to_origin(self, plan: Plan) -> Plan:
         """Limit a continued stream to the software that began it.
@@ -174,6 +206,8 @@
 
     async def _serve(self, plan: Plan) -> None:
         while not self.delivered:
+            self._run = None
+            self._newest_run = None
             placement = await self._placer.place(plan)
             self._run = self._new_run(plan)
             try:
@@ -292,7 +326,7 @@
         self, plan: Plan, outcome: SendOutcome, reason: str
     ) -> RequestError:
         if outcome is SendOutcome.NOT_RUN:
-            return self._placer.no_server_error(plan)
+            return self._send_refusal or self._placer.no_server_error(plan)
         return RequestError(ErrorKind.OUTCOME_UNKNOWN, reason)
 
     def _may_retry(self, plan: Plan, outcome: SendOutcome) -> bool:
@@ -302,7 +336,7 @@
             return False
         if not self.progress.splitter.is_continuable:
             return False
-        if self._crash_refusal(plan) is not None:
+        if self._send_refusal or self._crash_refusal(plan):
             return False
         if self._state.rest_seconds(plan.pool.name) > 0:
             return False
--- a/src/sardinetrack/relay/run.py
+++ b/src/sardinetrack/relay/run.py
@@ -65,6 +65,13 @@
         """Whether the latest attempt has ended."""
         return self.attempt is not None and self.attempt.done.done()
 
+    @property
+    def waits_to_send(self) -> bool:
+        """Whether no server has the request from here, but one may get it."""
+        if self.relief is not None and self.finished:
+            return self.relief.pending
+        return self.finished or self.attempt is None
+
     async def send(self, placement: Placement) -> ServerAttempt:
         """Send to one server, or on from there while its engine leaves.
 
--- a/src/sardinetrack/relay/sender.py
+++ b/src/sardinetrack/relay/sender.py
@@ -87,8 +87,8 @@
         :return: the attempt, whose outcome is known.
         :raises NotConnectedError: nothing was sent.
         :raises ServerUnavailableError: nothing was sent.
-        :raises RequestError: the request is no longer allowed; nothing was
-            sent.
+        :raises RequestError: the request is no longer allowed, or the entry
+            stops; nothing was sent.
         """
         server = placement.candidate.server
         # Before a connection is taken, which would be closed unused.
@@ -226,10 +226,15 @@
 
         :raises CancelledError: the caller has disconnected, handled as if that
             had been read.
+        :raises RequestError: it may not be sent any more.
         :raises ServerUnavailableError: the server may get no more requests.
         """
         if self._caller.disconnected:
             raise asyncio.CancelledError
+        bound = self._state.server_states.send_bound
+        refusal = bound.refusal(self._caller.response)
+        if refusal is not None:
+            raise refusal
         check_still_allowed(self._state, plan, self._call)
         check_parts(self._state, plan, self._call, is_trial=placement.is_trial)
         self._state.check_available(
