Tests: what a crowd leaves unread in the sockets is bounded too

Connections that are read in turn leave more to the kernel, which counts as the process's memory on a machine.

--- a/tests/hostile/hostile_callers.feature
+++ b/tests/hostile/hostile_callers.feature
@@ -8,6 +8,7 @@
     Given an entry of 110 MB for heads of 64 KiB and bodies of 1 MiB
     When <count> connections send <form> and stay open
     Then an ordinary caller is served
+    And 40 MB at most wait unread in its sockets
     When they disconnect
     Then an ordinary caller is served
     And the entry still runs
--- a/tests/hostile/steps/hostile_caller_steps.py
+++ b/tests/hostile/steps/hostile_caller_steps.py
@@ -61,6 +61,12 @@
     assert used <= count, used
 
 
+@then('{megabytes:d} MB at most wait unread in its sockets')
+def unread_within(context, megabytes):
+    unread = context.world.entry.unread_bytes('callers')
+    assert unread <= megabytes * _MEGABYTE, f'{unread / _MEGABYTE:.0f} MB'
+
+
 @when('a caller sends one complete request of {form}')
 def send_single(context, form):
     context.status = context.runner.run(
--- a/tests/support/entry_world.py
+++ b/tests/support/entry_world.py
@@ -43,10 +43,13 @@
         self._server.close()
 
     async def _serve(self, reader, writer):
-        with suppress(ConnectionError, asyncio.IncompleteReadError):
+        try:
             while True:
                 await self._serve_request(reader, writer)
-        writer.close()
+        except (ConnectionError, asyncio.IncompleteReadError):
+            """The entry has closed the connection."""
+        finally:
+            writer.close()
 
     async def _serve_request(self, reader, writer):
         fields = {}
--- a/tests/support/node_process.py
+++ b/tests/support/node_process.py
@@ -268,6 +268,14 @@
         """The number of its open descriptors."""
         return len(os.listdir(f'/proc/{self.pid}/fd'))
 
+    def unread_bytes(self, port_name):
+        """The bytes that have arrived at a port and are not read yet."""
+        address = socket.inet_aton(self.ip)[::-1].hex().upper()
+        local = f'{address}:{PORTS[port_name]:04X}'
+        rows = Path('/proc/net/tcp').read_text().splitlines()[1:]
+        queues = [row.split()[4] for row in rows if row.split()[1] == local]
+        return sum(int(one.partition(':')[2], 16) for one in queues)
+
     def responds(self, port_name, target='/'):
         """Return the status of a request, or 0 without a response."""
         address = (self.ip, PORTS[port_name])
