Trailers, holds and unread responses: what the review of the connection found

- Trailers of a request became headers of the next one on its connection (the parser passes the last one on only then).
They are counted, not kept; after a body in chunks the parser is a new one, and what shares a piece with it is not read: the connection closes after the response.
- A request whose trailers exceed the limit kept its memory held until the entry was restarted: 45 of them, and every large body got 503.
- Trailers were held by nobody (500 connections: 125 MB of 110).
- A connection with an unread response that was evicted was counted no more and never closed (72 callers: 129 MB of 110, 118 descriptors of 64).
It is aborted, after those without one.
- A response whose caller reads slowly was cut after the idle time-out.
It is cut only if nothing of it was read for so long.
- An invitation to send a body was lost, and a refusal never sent, if the response before it ended while its caller did not read.
- A refused head is kept only as far as its response needs it.
- A connection whose input never ends is closed after the idle time-out.

--- a/src/sardinetrack/relay/api.py
+++ b/src/sardinetrack/relay/api.py
@@ -56,6 +56,12 @@
         """The id as the caller sent it, which servers respond with."""
         return self.request_id if self.long_id is None else self.long_id
 
+    def drop_content(self) -> None:
+        """Drop what only a server needs, as the request is not served."""
+        self.forwarded = b''
+        self.target = b''
+        self.body = b''
+
     @property
     def continues_stream(self) -> bool:
         """Whether the caller already has a part of the stream."""
--- a/src/sardinetrack/relay/caller_connection.py
+++ b/src/sardinetrack/relay/caller_connection.py
@@ -54,6 +54,8 @@
         self._draining = False
         self._ended_seconds = float(0)
         self._is_costly = False
+        self._unsent_bytes = 0
+        self._written_seconds = float(0)
         self.response = CallerResponse(self._write, self._closes)
         self.flow = FlowControl()
 
@@ -137,7 +139,7 @@
     def resume_writing(self) -> None:
         """Continue to read from the server, and to serve what waits."""
         self.flow.resume()
-        self._serve_next()
+        self._go_on()
 
     @property
     def unread_input(self) -> bool:
@@ -185,24 +187,54 @@
 
         :return: whether it was closed.
         """
-        if self.unread_input and not self._is_costly:
+        if self.unread_input:
             return False
         self.close()
         return True
 
+    def evict(self) -> bool:
+        """Close in favour of another connection, unless data waits unread.
+
+        :return: whether it was closed.
+        """
+        if self.has_unsent and self._transport is not None:
+            # A close would wait for a caller that may never read.
+            self._transport.abort()
+            return True
+        return self.close_idle()
+
     def close(self) -> None:
         """Close after all pending data is written."""
         if self._transport is not None:
             self._transport.close()
 
-    def expire(self) -> None:
-        """Close a connection that nothing has happened on for too long."""
-        if self.has_unsent and self._transport is not None:
+    def expire(self, now: float, allowed_seconds: float) -> None:
+        """Close if nothing has happened on the connection for too long.
+
+        :param now: on the clock of the event loop.
+        """
+        self._observe_unsent(now)
+        since = max(self.changed_seconds, self._written_seconds)
+        if self._transport is None or now - since <= allowed_seconds:
+            return
+        if self.has_unsent:
             # Its caller does not read, so it would never be written.
             self._transport.abort()
+        elif self._is_costly or self._reader.unreadable:
+            # There is always more that is not read.
+            self.close()
         else:
             self.close_idle()
 
+    def _observe_unsent(self, now: float) -> None:
+        """Note when the caller has read something of what waits."""
+        unsent_bytes = 0
+        if self._transport is not None:
+            unsent_bytes = self._transport.get_write_buffer_size()
+        if unsent_bytes != self._unsent_bytes:
+            self._unsent_bytes = unsent_bytes
+            self._written_seconds = now
+
     def close_after_response(self) -> None:
         """Announce with the last response that the connection closes.
 
@@ -220,8 +252,7 @@
         else:
             hold.release()
             self._reader.unreadable = True
-            call.forwarded = b''
-            call.body = b''
+            call.drop_content()
             bodiless = call.method == _HEAD
             self._queue(Rejection(no_memory_error(), bodiless, call))
 
@@ -236,6 +267,10 @@
         self._write_final(rejection)
         return True
 
+    def input_ended(self) -> None:
+        """Close after the response to the last request that was read."""
+        self._closing = True
+
     def refused_request_ended(self) -> None:
         """Close: all of the request is read, so that resets nothing."""
         self.close()
@@ -343,11 +378,17 @@
             self.close()
         elif self.response.complete:
             self._call = None
-            self._serve_next()
-            self._write_continue()
+            self._go_on()
         else:
             self.truncate()
 
+    def _go_on(self) -> None:
+        """Do what had to wait for the response to an earlier request."""
+        self._serve_next()
+        if self._may_serve:
+            self._reader.refuse_pending()
+        self._write_continue()
+
     def _write_continue(self) -> None:
         """Invite the body of a request, after the responses to earlier ones.
 
--- a/src/sardinetrack/relay/entry.py
+++ b/src/sardinetrack/relay/entry.py
@@ -228,9 +228,9 @@
         balancer's health check.
         """
         idle = [one for one in self._connections if one.idle]
-        idle.sort(key=lambda one: one.changed_seconds)
+        idle.sort(key=lambda one: (one.has_unsent, one.changed_seconds))
         longest = idle[: max(1, len(idle) // _EVICT_DIVISOR)]
-        closed = [one for one in longest if one.close_idle()]
+        closed = [one for one in longest if one.evict()]
         if not closed:
             newest.close()
             closed = [newest]
@@ -374,8 +374,7 @@
                 allowed = (
                     limits.header_timeout_seconds + limits.idle_timeout_seconds
                 )
-            if now - connection.changed_seconds > allowed:
-                connection.expire()
+            connection.expire(now, allowed)
 
 
 def _fault_response(exchange: Exchange) -> RequestError:
--- a/src/sardinetrack/relay/request_reader.py
+++ b/src/sardinetrack/relay/request_reader.py
@@ -19,6 +19,7 @@
 _EXPECTS_CONTINUE: Final = (b'expect', b'100-continue')
 _HEAD: Final = b'HEAD'
 _LENGTH: Final = b'content-length'
+_CODING: Final = b'transfer-encoding'
 _NO_MEMORY: Final = 'This instance has no memory for the request now; not run.'
 
 
@@ -54,6 +55,10 @@
             rejected when it is complete.
         """
 
+    @abstractmethod
+    def input_ended(self) -> None:
+        """Handle that no request is read any more, though more has arrived."""
+
     @abstractmethod
     def refused_request_ended(self) -> None:
         """Handle the end of a request that was refused early."""
@@ -93,6 +98,8 @@
         self._listener = listener
         self._parser = httptools.HttpRequestParser(self)
         self._fields = HeaderFields()
+        self._head_read = False
+        self._may_have_trailers = False
         self._head_hold: BodyHold | None = None
         self._head_bytes = 0
         self._bodiless_bytes = 0
@@ -107,6 +114,10 @@
         """Parse what has arrived."""
         if self.unreadable:
             return
+        if self._may_have_trailers and not self.reading:
+            # The parser passes the last trailer on as a header of what follows.
+            self._parser = httptools.HttpRequestParser(self)
+            self._may_have_trailers = False
         self._bodiless_bytes += len(data)
         try:
             self._parser.feed_data(data)
@@ -134,13 +145,18 @@
     def on_message_begin(self) -> None:
         """Start a request."""
         self.calls += 1
+        if self._may_have_trailers:
+            self._end_input()
         self.reading = True
         self.received_any = True
         self.began_seconds = self._owner.now()
         self._head_bytes = 0
+        self._head_read = False
+        self._fields = HeaderFields()
         self._target = b''
         self._rejection = None
         self._refused = False
+        self._refused_early = False
         self.awaits_continue = False
 
     def on_url(self, url: bytes) -> None:
@@ -148,17 +164,18 @@
         self._target += url
 
     def on_header(self, name: bytes, content: bytes) -> None:
-        """Collect a header."""
+        """Collect a header; a trailer is counted and not needed."""
         self.calls += 1
         self._head_bytes += len(name) + len(content)
         if self._head_bytes > self._owner.limits.header_bytes:
             self._reject(ErrorKind.HEADERS_TOO_LARGE)
-        elif not self._refused and not self.unreadable:
+        elif not (self._head_read or self._refused or self.unreadable):
             self._fields.append(name.lower(), content)
 
     def on_headers_complete(self) -> None:
         """Parse the head; the body is read even if the head is rejected."""
         self._bodiless_bytes = 0
+        self._head_read = True
         fields = self._fields
         self._fields = HeaderFields()
         self._release_head()
@@ -198,6 +215,8 @@
             self.unreadable = True
             self._listener.refused_request_ended()
         elif call is None or body is None or self._rejection is not None:
+            if body is not None:
+                body.drop()
             error = self._rejection or RequestError(ErrorKind.BAD_REQUEST)
             self._pass_rejection(error, call)
         else:
@@ -207,7 +226,18 @@
             call.closes_connection = not self._parser.should_keep_alive()
             self._listener.request_read(call)
 
+    def refuse_pending(self) -> None:
+        """Refuse a request that was to be refused after earlier responses."""
+        if self.reading and self._refused and not self._refused_early:
+            self._refuse()
+
+    def _end_input(self) -> None:
+        """Serve no request that shares a piece with trailers."""
+        self.unreadable = True
+        self._listener.input_ended()
+
     def _parse_head(self, fields: HeaderFields) -> None:
+        self._may_have_trailers = any(name == _CODING for name, _ in fields)
         try:
             call = self._adapter.parse_request(
                 self._parser.get_method(),
@@ -267,7 +297,7 @@
         self._rejection = error
         self._refused = True
         self._refused_early = self._listener.refuse_early(
-            Rejection(error, self._bodiless, self._head)
+            Rejection(error, self._bodiless, _stripped(self._head))
         )
         self._fields = HeaderFields()
         self._release_head()
@@ -289,7 +319,7 @@
     ) -> None:
         # The connection closes after the response.
         self.unreadable = True
-        rejection = Rejection(error, self._bodiless, call)
+        rejection = Rejection(error, self._bodiless, _stripped(call))
         self._listener.request_rejected(rejection)
 
     @property
@@ -297,6 +327,13 @@
         return bool(self._parser.get_method() == _HEAD)
 
 
+def _stripped(call: CallerRequest | None) -> CallerRequest | None:
+    """Keep of a head that is not served what its response and its log need."""
+    if call is not None:
+        call.drop_content()
+    return call
+
+
 def no_memory_error() -> RequestError:
     """Return the error for a request that the entry has no memory for."""
     return RequestError(ErrorKind.INSTANCE_BUSY, _NO_MEMORY)
