Token counts out of bounds are refused at the head

One request with 250 digits moved the estimated length of all requests of its route from 100 to 1 token; a negative count lowers what an engine is believed to hold.

Counts beyond 0 to 100,000,000 get 400; such a hint is ignored, and parts of a prompt are clamped. What is read of a prompt moves to platform/prompt_headers.py.

The scenario of counts that can't be computed with expected 503 and when to retry, which promises a request that would be served later; it gets 400 now. Two examples are added. Servers still get none of them.

--- a/src/sardinetrack/platform/protocol_adapter.py
+++ b/src/sardinetrack/platform/protocol_adapter.py
@@ -7,13 +7,15 @@
 from http import HTTPStatus
 from typing import Final
 
-import xxhash
-
 from sardinetrack.errors.api import ErrorKind, RequestError
-from sardinetrack.placement.prompt import Prompt, PromptBlock
 from sardinetrack.platform import kv_transfer
 from sardinetrack.platform.engine_report import REPORT_PATH, decode_report
 from sardinetrack.platform.errors import TranslationError
+from sardinetrack.platform.prompt_headers import (
+    bounded_id,
+    parse_integer,
+    parse_prompt,
+)
 from sardinetrack.relay.api import (
     AttemptContext,
     CallerRequest,
@@ -86,11 +88,6 @@
         b'resumes',
     ),
 )
-MAX_ID_LENGTH: Final = 128
-"""Longer ids are replaced by a hash in logs and in messages between instances,
-where they would take as much memory as a caller likes."""
-MAX_BLOCKS: Final = 64
-"""Blocks of a prompt that are told apart; the rest counts as its last one."""
 _DROPPED_FROM_REQUESTS: Final = _HOP_BY_HOP | _ROUTER_ONLY
 _DROPPED_FROM_RESPONSES: Final = _HOP_BY_HOP | {_SERVER_LOAD, _SERVER_LEAVING}
 
@@ -114,7 +111,7 @@
                 ErrorKind.BAD_REQUEST, 'the request path must start with /'
             )
         sent_id = fields.get(_REQUEST_ID, b'').decode(_ENCODING)
-        request_id = _bounded_id(sent_id)
+        request_id = bounded_id(sent_id)
         read_bytes = sum(map(len, fields.values()))
         return CallerRequest(
             request_id=request_id,
@@ -131,9 +128,9 @@
                 fields.get(b'x-sardinetrack-deadline-ms'),
             ),
             api_key=_bearer_token(fields.get(b'authorization', b'')),
-            prompt=_parse_prompt(fields),
+            prompt=parse_prompt(fields),
             last_event_id=_parse_last_event(fields.get(b'last-event-id')),
-            resumes=_bounded_id(fields.get(b'resumes', b'').decode(_ENCODING))
+            resumes=bounded_id(fields.get(b'resumes', b'').decode(_ENCODING))
             or None,
         )
 
@@ -257,12 +254,6 @@
     return fields, bytes(forwarded)
 
 
-def _bounded_id(text: str) -> str:
-    if len(text) <= MAX_ID_LENGTH:
-        return text
-    return f'long-{xxhash.xxh3_128_hexdigest(text.encode())}'
-
-
 def _header_lines(headers: Headers, dropped: frozenset[bytes]) -> bytes:
     return b''.join(
         b'%b: %b\r\n' % line for line in headers if line[0] not in dropped
@@ -283,13 +274,6 @@
         return None
 
 
-def _parse_integer(content: bytes | None) -> int | None:
-    try:
-        return int(content) if content else None
-    except ValueError:
-        return None
-
-
 def _parse_last_event(content: bytes | None) -> int | None:
     """Parse the number of the last event that a caller has.
 
@@ -306,51 +290,9 @@
     return number
 
 
-def _parse_prompt(fields: dict[bytes, bytes]) -> Prompt:
-    counts = fields.get(b'x-sardinetrack-token-count', b'').split(b',')
-    if len(counts) != 2:
-        return Prompt()
-    tokens = _parse_integer(counts[0]) or 0
-    max_output_tokens = _parse_integer(counts[1]) or 0
-    hint = _parse_integer(fields.get(b'x-sardinetrack-length-hint'))
-    output_tokens = max_output_tokens
-    if hint is not None:
-        output_tokens = min(hint, max_output_tokens or hint)
-    prefix = fields.get(b'x-sardinetrack-prefix-hash', b'')
-    return Prompt(
-        _parse_blocks(prefix, tokens),
-        tokens,
-        output_tokens,
-        max_output_tokens,
-        is_estimated=hint is not None,
-    )
-
-
-def _parse_blocks(prefix: bytes, tokens: int) -> tuple[PromptBlock, ...]:
-    """Parse a list of blocks.
-
-    :param tokens: of the whole prompt; what the first blocks don't have belongs
-        to the last one if there are too many.
-    """
-    items = prefix.split(b',', MAX_BLOCKS - 1)
-    _, comma, last = items[-1].rpartition(b',')
-    items[-1] = last
-    blocks = [_parse_block(item) for item in items if b':' in item]
-    if comma and blocks:
-        own = max(0, tokens - sum(block.tokens for block in blocks[:-1]))
-        blocks[-1] = PromptBlock(blocks[-1].block_id, own)
-    return tuple(blocks)
-
-
-def _parse_block(item: bytes) -> PromptBlock:
-    block_id, _, tokens = item.strip().partition(b':')
-    name = _bounded_id(block_id.decode(_ENCODING))
-    return PromptBlock(name, _parse_integer(tokens) or 0)
-
-
 def _parse_load(content: bytes | None) -> int:
     """Add running and waiting requests; the third number is the slots."""
-    counts = [_parse_integer(count) for count in (content or b'').split(b',')]
+    counts = [parse_integer(count) for count in (content or b'').split(b',')]
     if len(counts) < 2:
         return -1
     return (counts[0] or 0) + (counts[1] or 0)
@@ -383,6 +325,6 @@
     for item in keep_alive.split(b','):
         name, _, content = item.strip().partition(b'=')
         if name.lower() == b'timeout':
-            seconds = _parse_integer(content)
+            seconds = parse_integer(content)
             return None if seconds is None else float(seconds)
     return None
--- a/tests/relay/steps/unexpected_error_steps.py
+++ b/tests/relay/steps/unexpected_error_steps.py
@@ -21,6 +21,8 @@
         '400 digits and 1': (f'{"9" * 400},1',),
         '1 and 400 digits': (f'1,{"9" * 400}',),
         '1 and -5, of which -1 are estimated': ('1,-5', -1),
+        '-5 and 1': ('-5,1',),
+        '1 and 250 digits, of which 1 estimated': (f'1,{"9" * 250}', 1),
     }
 )
 
--- a/tests/relay/unexpected_errors.feature
+++ b/tests/relay/unexpected_errors.feature
@@ -33,11 +33,12 @@
     And the caller got one status line
 
   Scenario Outline: A request with token counts that can't be computed with gets an answer: <counts>
-    Guards against connections that are closed without an answer.
+    Guards against connections that are closed without an answer, and against
+    counts that spoil the sums on which other requests depend.
 
     Given a relay in front of 1 model server
     When a stream is requested whose prompt counts <counts>
-    Then the caller gets status 503 and when to retry
+    Then the caller gets status 400
     And the servers got 0 requests
 
     Examples:
@@ -45,6 +46,8 @@
       | 400 digits and 1                       |
       | 1 and 400 digits                       |
       | 1 and -5, of which -1 are estimated    |
+      | -5 and 1                               |
+      | 1 and 250 digits, of which 1 estimated |
 
   Scenario: An entry without a free descriptor serves pipelined requests
     Guards against a caller who gets no answer because its next request waits
