Permit requests are numbered by their entry

Found by reading in the review: the id of a permit was that of the request with its number of tries. Callers choose the ids, so two requests with one id at a time had permits that released each other, and two that a side granted together raised an error there. The number is now unique among entries and their starts.

--- a/src/sardinetrack/relay/request_terms.py
+++ b/src/sardinetrack/relay/request_terms.py
@@ -111,7 +111,7 @@
         """
         state = self._state
         request_id = self._call.request_id
-        number = self._trace.permit_requests
+        number = state.server_states.permit_numbers.next_number()
         self._trace.permit_requests += 1
         is_trial = bool(self.suspected_part(plan))
         now = self._loop.time()
--- a/src/sardinetrack/relay/server_states.py
+++ b/src/sardinetrack/relay/server_states.py
@@ -8,6 +8,7 @@
 from sardinetrack.relay.cold_start import ColdStartTracker
 from sardinetrack.relay.lengths import OutputLengths
 from sardinetrack.relay.move_limit import MoveLimit
+from sardinetrack.relay.permit_numbers import PermitNumbers
 from sardinetrack.relay.send_bound import SendBound
 from sardinetrack.relay.server_rest import ServerRests
 from sardinetrack.relay.side_links import SideLinks
@@ -34,6 +35,7 @@
         self.rests = ServerRests()
         self.moves = MoveLimit()
         self.send_bound = SendBound()
+        self.permit_numbers = PermitNumbers()
         self.loads: dict[str, EstimatedLoad] = {}
         self._breakers: dict[str, Breaker] = {}
         self._local_admissions: dict[str, LocalAdmission] = {}
