A broken-off head is dropped; what shares a piece with a body in chunks is checked

Found on reading once more: the head of a request that is broken off was kept until the connection ended, unheld. It is dropped with the rest.

The new scenario checks that a connection closes after the response to a request in chunks, and serves no other one from the same piece. It passes without a change.

--- a/src/sardinetrack/relay/request_reader.py
+++ b/src/sardinetrack/relay/request_reader.py
@@ -138,6 +138,7 @@
     def close(self) -> None:
         """Release the memory of a request that is partly read."""
         self._release_head()
+        self._head = None
         if self._body is not None:
             self._body.drop()
             self._body = None
--- a/tests/relay/caller_connection.feature
+++ b/tests/relay/caller_connection.feature
@@ -33,6 +33,15 @@
     When the caller reads
     Then the caller is invited
 
+  Scenario: A request in the same piece as one in chunks
+    It is not read, as trailers could have become its headers. Guards against a
+    connection that stays open and never answers it.
+
+    Given a connection
+    When a request in chunks and another one arrive in one piece
+    And the response ends
+    Then the connection closes, and one request was served
+
   Scenario: A caller without room is refused once the response before it ends
     Guards against a caller that waits for an invitation and gets neither that
     nor a refusal.
--- a/tests/relay/steps/caller_connection_steps.py
+++ b/tests/relay/steps/caller_connection_steps.py
@@ -17,6 +17,10 @@
 """Of the event loop; a request ends in a few."""
 _CONTINUE = b'HTTP/1.1 100 Continue'
 _REQUEST = b'GET /report/a HTTP/1.1\r\nhost: h\r\n\r\n'
+_IN_CHUNKS = (
+    b'POST /report/a HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n'
+    b'\r\n1\r\nx\r\n0\r\n\r\n'
+)
 _EXPECTING = (
     b'POST /report/a HTTP/1.1\r\nhost: h\r\ncontent-length: 100000\r\n'
     b'expect: 100-continue\r\n\r\n'
@@ -107,6 +111,32 @@
     assert context.connection.busy
 
 
+@given('a connection')
+def idle_connection(context):
+    _open(context)
+
+
+@when('a request in chunks and another one arrive in one piece')
+def arrive_together(context):
+    _receive(context, b''.join((_IN_CHUNKS, _REQUEST)))
+
+
+@when('the response ends')
+def end_response(context):
+    async def end():
+        context.finished.set()
+        for _ in range(_ITERATIONS):
+            await asyncio.sleep(0)
+
+    context.runner.run(end())
+
+
+@then('the connection closes, and one request was served')
+def closes_after_one(context):
+    context.transport.close.assert_called()
+    assert _written(context).count(b'HTTP/1.1 200') == 1
+
+
 @when('the next request expects to be invited')
 def expect_invitation(context):
     _receive(context, _EXPECTING)
