Soak: disturbed starts, after which no process may have ended by itself

SIGHUP in series from the moment a start can know it, settings files in the middle of a write, ports that are held while a process restarts. An exit code other than 0 or that of a kill is a violation. Signals that a process doesn't catch yet are not sent to it: the interpreter's own start stays open.

--- a/benchmarks/soak/__main__.py
+++ b/benchmarks/soak/__main__.py
@@ -13,6 +13,7 @@
 from benchmarks.soak.faults import Faults
 from benchmarks.soak.losses import losses
 from benchmarks.soak.planned import PlannedWork
+from benchmarks.soak.starts import Starts, own_ends
 from benchmarks.soak.world import DEFAULTS, Options, World, free_net
 
 _CALLERS_PER_ENTRY = 8
@@ -36,7 +37,9 @@
     async with World(net, seed, options) as world:
         await asyncio.sleep(START_SECONDS)
         log = ResponseLog()
-        injectors = [PlannedWork(world, seed)]
+        injectors: list[Faults] = [PlannedWork(world, seed)]
+        if options.starts:
+            injectors.append(Starts(world, seed))
         if not options.planned_only:
             injectors.append(Faults(world, seed))
         callers = [
@@ -56,6 +59,8 @@
         excuses = await _check(log, world)
         done = sum(len(one.done) for one in injectors)
         _print_run(f'seed {seed}: {done} faults', log, world, excuses)
+        if options.starts:
+            log.violations.extend(own_ends(world))
         if served < _MIN_SERVED_FRACTION:
             log.violations.append(f'only {served:.2f} served after all faults')
         return log.violations
@@ -105,6 +110,11 @@
         action='store_true',
         help='do only planned work, and silence servers',
     )
+    parser.add_argument(
+        '--starts',
+        action='store_true',
+        help='disturb starts too; no process may end by itself',
+    )
     parser.add_argument('--entries', type=int, default=DEFAULTS.entries)
     parser.add_argument('--sides', type=int, default=DEFAULTS.sides)
     parser.add_argument('--logs', default='', help='folder for the logs')
@@ -113,6 +123,7 @@
         arguments.entries,
         arguments.sides,
         arguments.planned_only,
+        arguments.starts,
         arguments.logs,
     )
     violations: list[str] = []
--- a/benchmarks/soak/faults.py
+++ b/benchmarks/soak/faults.py
@@ -73,7 +73,7 @@
 
     async def _kill(self) -> None:
         process = self._choose_process()
-        with _lasting(process.disturbances.unplanned):
+        with lasting(process.disturbances.unplanned):
             process.send(signal.SIGKILL)
 
     async def _stop(self) -> None:
@@ -81,7 +81,7 @@
 
     async def _pause(self) -> None:
         process = self._choose_process()
-        with _lasting(process.disturbances.unplanned):
+        with lasting(process.disturbances.unplanned):
             process.send(signal.SIGSTOP)
             await asyncio.sleep(self._rng.uniform(0.1, 3))
             process.send(signal.SIGCONT)
@@ -157,7 +157,7 @@
         store = self._world.store
         with ExitStack() as stack:
             for one in (*self._world.entries, *self._world.sides):
-                stack.enter_context(_lasting(one.disturbances.store))
+                stack.enter_context(lasting(one.disturbances.store))
             store.fault = self._rng.choice(('busy', 'many', 'silent'))
             await asyncio.sleep(self._rng.uniform(0.2, 4))
             store.fault = ''
@@ -165,7 +165,7 @@
     async def _impair_store_proxy(self) -> None:
         """Impair the connection of one process to the store."""
         process = self._choose_process()
-        with _lasting(process.disturbances.store):
+        with lasting(process.disturbances.store):
             await self._impair(process.store_proxy)
 
     async def _impair(self, proxy: TcpProxy) -> None:
@@ -210,7 +210,7 @@
 
 
 @contextmanager
-def _lasting(periods: list[Period]) -> Iterator[None]:
+def lasting(periods: list[Period]) -> Iterator[None]:
     """Record a fault, which lasts for the block."""
     loop = asyncio.get_running_loop()
     period = Period(loop.time())
--- a/benchmarks/soak/world.py
+++ b/benchmarks/soak/world.py
@@ -82,8 +82,38 @@
         self.store_proxy: TcpProxy
         self._settings = Path(folder) / f'{role}-{ip}.toml'
         Path(logs or folder).mkdir(parents=True, exist_ok=True)
+        self._settings_text = _settings(role, ip, store_ip)
         self._log = Path(logs or folder) / f'{role}-{ip}.log'
-        self._settings.write_text(_settings(role, ip, store_ip))
+        self.ends: list[int] = []
+        """Exit codes; negative where a signal ended it."""
+        self.signalled_if_caught = False
+        """Whether it gets no signal that it does not catch yet."""
+        self.write_settings()
+
+    @property
+    def port(self) -> int:
+        """The port that others connect to."""
+        return _CALLERS_PORT if self.role == 'entry' else _TURNS_PORT
+
+    def write_settings(self) -> None:
+        """Write its settings file."""
+        self._settings.write_text(self._settings_text)
+
+    def tear_settings(self) -> None:
+        """Leave its settings file in the middle of a write."""
+        half = len(self._settings_text) // 2
+        self._settings.write_text(self._settings_text[:half])
+
+    def catches_signals(self) -> bool:
+        """Whether it has handlers for the signals that it handles."""
+        if self.running is None or self.running.returncode is not None:
+            return False
+        try:
+            status = Path('/proc', str(self.running.pid), 'status').read_text()
+        except OSError:
+            return False
+        caught = int(status.partition('SigCgt:')[2].split()[0], 16)
+        return bool(caught >> (signal.SIGHUP - 1) & 1)
 
     async def start(self) -> None:
         """Start the program, with its output appended to a log file."""
@@ -102,11 +132,16 @@
         while True:
             await self.start()
             if self.running is not None:
-                await self.running.wait()
+                self.ends.append(await self.running.wait())
             await asyncio.sleep(0.3)
 
     def send(self, number: signal.Signals) -> None:
         """Send a signal to this process and to no other."""
+        is_lethal = number in {signal.SIGKILL, signal.SIGSTOP, signal.SIGCONT}
+        if self.signalled_if_caught and not is_lethal:
+            # The start of the interpreter catches none.
+            if not self.catches_signals():
+                return
         with suppress(ProcessLookupError):
             if self.running is not None and self.running.returncode is None:
                 if number == signal.SIGTERM:
@@ -124,6 +159,8 @@
     """Number of processes; each side has an engine."""
     planned_only: bool = False
     """Only planned work is done, and servers fall silent."""
+    starts: bool = False
+    """Starts are disturbed too, and no process may end by itself."""
     logs: str = ''
     """Folder where the logs of the processes are left, if any."""
 
@@ -286,7 +323,7 @@
         options = self._options
         count = options.entries if role == 'entry' else options.sides
         third = 4 if role == 'entry' else 5
-        return [
+        processes = [
             Process(
                 role,
                 f'{net}.{number}',
@@ -296,6 +333,9 @@
             )
             for number in range(1, count + 1)
         ]
+        for process in processes:
+            process.signalled_if_caught = options.starts
+        return processes
 
 
 def address(entry: Process) -> tuple[str, int]:
--- a/tests/soak/soak.feature
+++ b/tests/soak/soak.feature
@@ -13,6 +13,11 @@
       | 101  |
       | 102  |
 
+  # Guards against processes that end by themselves at a disturbed start.
+  Scenario: Disturbed starts end no process
+    When the soak test runs disturbed starts of seed 73 for 8 seconds
+    Then no guarantee is violated
+
   # Guards against a stream that is cut because its sound server falls silent
   # beside a new version of the configuration.
   Scenario: Planned work and silent servers leave no request unanswered
--- a/tests/soak/steps/soak_steps.py
+++ b/tests/soak/steps/soak_steps.py
@@ -22,6 +22,15 @@
     context.violations = asyncio.run(soak(seed, seconds, options))
 
 
+@when(
+    'the soak test runs disturbed starts'
+    ' of seed {seed:d} for {seconds:d} seconds'
+)
+def run_disturbed_starts(context, seed, seconds):
+    options = Options(planned_only=True, starts=True)
+    context.violations = asyncio.run(soak(seed, seconds, options))
+
+
 @then('no guarantee is violated')
 def no_violations(context):
     assert not context.violations, context.violations
