Log: what a response that ends with its connection is taken for

The end of a response now has a kind (framed, or closed) from the connection up to the attempt, and each closed one is logged with the reply and what it was taken for. No decision changes.

--- a/src/sardinetrack/logs/events.py
+++ b/src/sardinetrack/logs/events.py
@@ -62,6 +62,7 @@
     REQUEST_RETRIED = 'request_retried'
     STREAM_TAKEN_UP = 'stream_taken_up'
     STREAM_MOVED = 'stream_moved'
+    RESPONSE_CLOSED = 'response_closed'
     RESPONSE_TRUNCATED = 'response_truncated'
     RESPONSE_DISCARDED = 'response_discarded'
     STREAM_LATE = 'stream_late'
--- a/src/sardinetrack/relay/attempt.py
+++ b/src/sardinetrack/relay/attempt.py
@@ -9,17 +9,23 @@
 from http import HTTPStatus
 from typing import Final, Self
 
-from sardinetrack.relay.api import CallerRequest, ProtocolAdapter, ResponseHead
+from sardinetrack.relay.api import (
+    CallerRequest,
+    KvMoveResult,
+    ProtocolAdapter,
+    ResponseHead,
+)
 from sardinetrack.relay.byte_buffer import ByteBuffer
 from sardinetrack.relay.caller_response import CallerResponse
 from sardinetrack.relay.events import EventSplitter
 from sardinetrack.relay.flow_control import FlowControl
 from sardinetrack.relay.pauses import StreamPauses
-from sardinetrack.relay.server_connection import (
+from sardinetrack.relay.response_sink import (
     BreakReason,
+    ResponseEnd,
     ResponseSink,
-    ServerConnection,
 )
+from sardinetrack.relay.server_connection import ServerConnection
 
 _MAX_BUFFERED_BYTES: Final = 16_777_216
 _CUT_STREAM: Final = 'stream ended inside an event'
@@ -138,6 +144,11 @@
         """The head of the response to this request."""
         self.reason = ''
         self.first_event_received = False
+        self.closed = False
+        """Whether the response, of no stated length, ended with its connection.
+        """
+        self.stop_reply: KvMoveResult | None = None
+        """To the call that was to stop the run, if there was one."""
         self.last_data_seconds = loop.time()
         self.body = b''
         self._call = call
@@ -245,10 +256,11 @@
         self._progress.pauses.events_forwarded(now, events)
         self._caller_response.write_chunk(events)
 
-    def completed(self) -> None:
+    def completed(self, end: ResponseEnd) -> None:
         """Handle the end of a complete response."""
         if self.done.done():
             return
+        self.closed = end is ResponseEnd.CLOSED
         if self._forwards:
             self._finish_stream()
         else:
--- a/src/sardinetrack/relay/move_steps.py
+++ b/src/sardinetrack/relay/move_steps.py
@@ -294,6 +294,8 @@
             self._copies.add(KvSource(source, reply.handle))
         if reply.result is not KvMoveResult.COPIED:
             self._cause = reply.cause
+        if last:
+            self._attempt.stop_reply = reply.result
         return reply
 
     async def _drain(self) -> MoveEvent:
--- a/src/sardinetrack/relay/response_collector.py
+++ b/src/sardinetrack/relay/response_collector.py
@@ -6,7 +6,11 @@
 from typing import Final
 
 from sardinetrack.relay.byte_buffer import ByteBuffer
-from sardinetrack.relay.server_connection import BreakReason, ResponseSink
+from sardinetrack.relay.response_sink import (
+    BreakReason,
+    ResponseEnd,
+    ResponseSink,
+)
 
 MAX_BODY_BYTES: Final = 16_777_216
 
@@ -46,7 +50,7 @@
         if len(self._buffer) <= self._max_body_bytes:
             self._buffer.append(piece)
 
-    def completed(self) -> None:
+    def completed(self, end: ResponseEnd) -> None:
         """End with a complete response."""
         if not self.done.done():
             self.done.set_result(None)
--- a/src/sardinetrack/relay/sender.py
+++ b/src/sardinetrack/relay/sender.py
@@ -119,9 +119,11 @@
             target.record_inconclusive()
             raise
         if stopped:
+            self._log_closed(server, attempt)
             # It ended the stream as it was asked to; that is no failure.
             target.record_success()
             return attempt
+        self._log_closed(server, attempt)
         self._outcomes.record(target, attempt)
         self._outcomes.update_suspects(plan, server, attempt)
         await self._confirm_crash(plan, target, attempt)
@@ -257,6 +259,22 @@
             mode.kv_source,
         )
 
+    def _log_closed(
+        self, server: BackendServer, attempt: ServerAttempt
+    ) -> None:
+        """Log what a response that ended with its connection was taken for."""
+        if not attempt.closed:
+            return
+        stop_reply = attempt.stop_reply
+        self._state.log.write(
+            Event.RESPONSE_CLOSED,
+            request=self._call.request_id,
+            server=server.instance,
+            last_event=attempt.last_event,
+            stop_reply=stop_reply and stop_reply.name.lower(),
+            outcome=attempt.done.result().name.lower(),
+        )
+
     def _log_sent(
         self,
         plan: Plan,
--- a/src/sardinetrack/relay/server_connection.py
+++ b/src/sardinetrack/relay/server_connection.py
@@ -9,14 +9,18 @@
 import asyncio
 import re
 import socket
-from abc import ABC, abstractmethod
 from array import array
-from enum import StrEnum
 from http import HTTPStatus
 from typing import Final, cast
 
 import httptools
 
+from sardinetrack.relay.response_sink import (
+    BreakReason,
+    ResponseEnd,
+    ResponseSink,
+)
+
 CONNECT_SECONDS: Final = 0.3
 """A server in the same region responds in 3 ms; a lost packet costs 0.2 s."""
 UNACKNOWLEDGED_SECONDS: Final = 3.5
@@ -54,45 +58,6 @@
 _CHUNKED: Final = (b'transfer-encoding', b'chunked')
 
 
-class BreakReason(StrEnum):
-    """Why a response is incomplete."""
-
-    CLOSED = 'closed'
-    RESET = 'reset'
-    UNREADABLE = 'unreadable'
-    OVERSIZED = 'oversized'
-
-
-class ResponseSink(ABC):
-    """Receives the response to one request, on the event loop's thread."""
-
-    @abstractmethod
-    def head_received(
-        self,
-        status: int,
-        headers: list[tuple[bytes, bytes]],
-        *,
-        skippable: bool,
-    ) -> bool:
-        """Handle the status and the headers.
-
-        :param skippable: the response may be skipped, as its end is known.
-        :return: whether to skip it and wait for the next one.
-        """
-
-    @abstractmethod
-    def body_received(self, piece: bytes) -> None:
-        """Handle bytes of the body."""
-
-    @abstractmethod
-    def completed(self) -> None:
-        """Handle the end of a complete response."""
-
-    @abstractmethod
-    def interrupted(self, reason: BreakReason) -> None:
-        """Handle the failure of a response that stays incomplete."""
-
-
 class ServerConnection(asyncio.Protocol):
     """Parses responses; closes itself on any byte that no request expects."""
 
@@ -242,7 +207,7 @@
         unframed = self._status_seen and not self._framed
         if self._sink is not None and unframed and not self._complete:
             self._complete = True
-            self._take_sink().completed()
+            self._take_sink().completed(ResponseEnd.CLOSED)
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -357,7 +322,7 @@
         elif not self._keep_alive or self._unusable:
             self._close()
         if self._sink is not None:
-            self._take_sink().completed()
+            self._take_sink().completed(ResponseEnd.FRAMED)
 
     def _fail(self, reason: BreakReason) -> None:
         self._abort_transport()
