Tests: responses without a length that end before they are complete

Callers get a complete response that is a part, after the last copy of a move (the reply arrives, or is lost), after an engine's end in mid-response (streams, buffered responses), and where another start has the engine's address.

--- /dev/null
+++ b/tests/relay/steps/closed_response_steps.py
@@ -0,0 +1,103 @@
+"""Steps for responses that end with their connection."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+from types import MappingProxyType
+
+from behave import given, then, when
+from tests.support.relay_servers import EVENTS, SharedActs
+from tests.support.relay_world import Reply
+
+_START_MILLISECONDS = 1_700_000_000_000
+
+
+@given('their responses state no length')
+def state_no_length(context):
+    for server in context.world.servers:
+        server.states_length = False
+
+
+@given('the servers state no length, and report after {seconds:g} s')
+def report_late(context, seconds):
+    state_no_length(context)
+    for server in context.world.servers:
+        server.notices.report_delay_seconds = seconds
+
+
+@when('one of its servers ends in the middle of its next response')
+def end_midway(context):
+    _act_once(context, 'close_midway')
+
+
+@when('one of its servers restarts in the middle of its next response')
+def restart_midway(context):
+    context.world.list_servers(started=_START_MILLISECONDS)
+    _act_once(context, 'restart_midway')
+
+
+def _act_once(context, act):
+    shared = SharedActs(act)
+    for server in context.world.servers:
+        server.acts = shared
+
+
+@when('a caller reads the response to a {name:S} as it comes')
+def send(context, name):
+    world = context.world
+
+    async def read():
+        reader, writer = await asyncio.open_connection('127.0.0.1', world.port)
+        writer.write(world.request(name))
+        raw, context.last_event_seconds = b'', 0
+        async with asyncio.timeout(5):
+            while piece := await reader.read(65_536):
+                raw += piece
+                if b'data: token' in piece:
+                    context.last_event_seconds = world.loop.time()
+        writer.close()
+        return Reply(raw)
+
+    context.reply = world.run(read())
+
+
+@then('its last event came before that report')
+def events_do_not_wait(context):
+    for server in context.world.servers:
+        reported = server.notices.reported_seconds
+        assert not reported or context.last_event_seconds < reported
+
+
+def _numbers(reply):
+    return [int(one) for one in re.findall(rb'data: token (\d+)', reply.body)]
+
+
+def _is_all_events(reply):
+    complete = reply.complete and reply.raw.count(b'HTTP/1.1') == 1
+    return complete and _numbers(reply) == list(range(1, EVENTS + 1))
+
+
+def _is_truncated(reply):
+    got = _numbers(reply)
+    return not reply.complete and got == list(range(1, EVENTS // 2 + 1))
+
+
+def _is_whole(reply):
+    match = re.fullmatch(rb'done by \d+', reply.body)
+    return reply.status == 200 and match is not None
+
+
+_RESULTS = MappingProxyType(
+    {
+        'all events once and the end': _is_all_events,
+        'a truncated stream': _is_truncated,
+        'the whole response': _is_whole,
+        'status 502': lambda reply: reply.status == 502,
+    }
+)
+
+
+@then('what the caller has got is {result}')
+def gets(context, result):
+    assert _RESULTS[result](context.reply), context.reply.raw
--- a/tests/support/moving_servers.py
+++ b/tests/support/moving_servers.py
@@ -199,8 +199,7 @@
         run = _Run(made)
         last = min(EVENTS, made + count)
         self._runs[fields['x-sardinetrack-request-id']] = run
-        head = self._head(fields, '200 OK')
-        writer.write(f'{head}Transfer-Encoding: chunked\r\n\r\n'.encode())
+        writer.write(self._stream_head(fields))
         while run.made < last and run.stopped is False:
             run.made += 1
             self.made.append(run.made)
@@ -217,9 +216,8 @@
         elif last < EVENTS:
             writer.transport.abort()
         else:
-            writer.write(b'0\r\n\r\n')
+            self._end_stream(writer)
 
     async def _write_event(self, fields, writer, number):
-        event = await self._event(fields, number)
-        writer.write(b'%x\r\n%b\r\n' % (len(event), event))
+        writer.write(self._framed(await self._event(fields, number)))
         await writer.drain()
--- a/tests/support/relay_servers.py
+++ b/tests/support/relay_servers.py
@@ -53,6 +53,9 @@
     leaving: bool = False
     leaving_act: str = 'answer'
     """What it does when it first says that it leaves (act ``leave``)."""
+    report_delay_seconds: float = 0
+    reported_seconds: float = 0
+    """When it last reported, by the clock of the event loop."""
     report_fields: deque = field(default_factory=deque)
     """More header lines of its next reports of a start."""
     held_act: str = 'answer'
@@ -72,6 +75,9 @@
     version = ''
     started = None
     event_form = 'id: {number}\ndata: token {number}\n\n'
+    states_length = True
+    """Else its responses have neither a length nor chunks, and end with the
+    connection."""
 
     def __init__(self, instance):
         self.instance = instance
@@ -133,6 +139,8 @@
     async def _perform(self, request, reader, writer):
         head, fields, body = request
         if head.startswith(b'GET /v1/report '):
+            await asyncio.sleep(self.notices.report_delay_seconds)
+            self.notices.reported_seconds = _now()
             self._report_start(writer)
             return
         self.requests.append(request)
@@ -160,7 +168,7 @@
     async def _answer(self, fields, reader, writer):
         if 'x-sardinetrack-token-count' in fields:
             await self._stream(fields, writer, EVENTS)
-            writer.write(b'0\r\n\r\n')
+            self._end_stream(writer)
             return
         self._whole(fields, writer, '200 OK', b'done by %d' % self.port)
 
@@ -238,6 +246,26 @@
     async def _begin_and_crash(self, fields, reader, writer):
         """Send a head without a length, and end as if that were all."""
         writer.write(f'{self._head(fields, "200 OK")}\r\n'.encode())
+        await self._end_process(writer)
+
+    async def _close_midway(self, fields, reader, writer):
+        """Send a part without a length, and end as if that were all."""
+        self.states_length = False
+        if 'x-sardinetrack-token-count' in fields:
+            await self._stream(fields, writer, EVENTS // 2)
+        else:
+            head = f'{self._head(fields, "200 OK")}\r\n'
+            writer.write(f'{head}done by'.encode())
+        await self._end_process(writer)
+
+    async def _restart_midway(self, fields, reader, writer):
+        """The same, and listen again as the next start."""
+        await self._close_midway(fields, reader, writer)
+        self.started += 1
+        await self.open()
+
+    async def _end_process(self, writer):
+        """Close all connections, as the system does for one that has ended."""
         await writer.drain()
         self.down = True
         await self.close()
@@ -297,21 +325,39 @@
         await self._cut(fields, reader, writer)
 
     async def _stream(self, fields, writer, last, padding=b''):
-        head = self._head(fields, '200 OK')
-        writer.write(f'{head}Transfer-Encoding: chunked\r\n\r\n'.encode())
+        writer.write(self._stream_head(fields))
         first = int(fields.get('last-event-id', 0)) + 1
         for number in range(first, last + 1):
             if self.notices.stalls[number]:
                 await asyncio.sleep(self.notices.stalls[number])
             event = padding + await self._event(fields, number)
-            writer.write(b'%x\r\n%b\r\n' % (len(event), event))
+            writer.write(self._framed(event))
             await writer.drain()
 
+    def _stream_head(self, fields):
+        framing = 'Transfer-Encoding: chunked\r\n' if self.states_length else ''
+        return f'{self._head(fields, "200 OK")}{framing}\r\n'.encode()
+
+    def _framed(self, event):
+        if self.states_length:
+            return b'%x\r\n%b\r\n' % (len(event), event)
+        return event
+
+    def _end_stream(self, writer):
+        if self.states_length:
+            writer.write(b'0\r\n\r\n')
+        else:
+            writer.close()
+
     async def _event(self, fields, number):
         return self.event_form.format(number=number).encode()
 
     def _whole(self, fields, writer, status, body):
-        writer.write(self._response(fields, status, body))
+        if self.states_length:
+            writer.write(self._response(fields, status, body))
+            return
+        writer.write(f'{self._head(fields, status)}\r\n'.encode() + body)
+        writer.close()
 
     def _response(self, fields, status, body):
         head = self._head(fields, status)
@@ -339,11 +385,15 @@
 
     def _retry_after(self):
         seconds = self.notices.rests.popleft()
-        until = asyncio.get_running_loop().time() + seconds
+        until = _now() + seconds
         self.notices.rests_until = max(self.notices.rests_until, until)
         return f'Retry-After: {seconds}'
 
 
+def _now():
+    return asyncio.get_running_loop().time()
+
+
 def _block(seconds):
     time.sleep(seconds)
 
