A closed connection completes no response by itself

Cause: a response without a length or chunks states no end, and the entry took the end of its connection for one, whatever had ended it. ServerConnection reported completed(), the attempt ended the caller's response, and the move went from DRAIN to ENDED though the reply to the last copy said that the run had more to do.

Change: the connection reports what marks the end (framed, or closed). An attempt whose response was closed is settled by ClosedResponse alone, for streams and buffered responses, on each path that sends: it is complete only if no call may have stopped the run (the first reply counts; a lost one may have), the server's start of then still runs (its report; plain services: a connection), probed after the close, and no reset followed. Otherwise the rest is missing: the stream goes on where it may, or is cut. Events are passed on as before; only the end waits. The state machine of moves has no new state.

--- a/src/sardinetrack/platform/kv_transfer.py
+++ b/src/sardinetrack/platform/kv_transfer.py
@@ -1,4 +1,4 @@
-"""The platform's calls that move the KV cache of a request between engines."""
+"""The platform's calls to engines: reports, and moves of a KV cache."""
 
 from __future__ import annotations
 
@@ -11,6 +11,7 @@
 import msgspec
 
 from sardinetrack.messages.json_input import JsonDecoder, UnreadableError
+from sardinetrack.platform.engine_report import REPORT_PATH
 from sardinetrack.relay.api import KvMoveReply, KvMoveResult, KvSource
 from sardinetrack.topology.servers import BackendServer
 
@@ -68,6 +69,11 @@
     return b'%b\r\n' % head
 
 
+def encode_report_call(server: BackendServer) -> bytes:
+    """Encode a call for a server's report."""
+    return b'%b\r\n' % _head(b'GET', REPORT_PATH, server)
+
+
 def encode_kv_source(copy: KvSource) -> bytes:
     """Encode the header line of a request that continues from a copy."""
     server = copy.server
--- a/src/sardinetrack/platform/protocol_adapter.py
+++ b/src/sardinetrack/platform/protocol_adapter.py
@@ -9,7 +9,7 @@
 
 from sardinetrack.errors.api import ErrorKind, RequestError
 from sardinetrack.platform import kv_transfer
-from sardinetrack.platform.engine_report import REPORT_PATH, decode_report
+from sardinetrack.platform.engine_report import decode_report
 from sardinetrack.platform.errors import TranslationError
 from sardinetrack.platform.prompt_headers import (
     bounded_id,
@@ -184,11 +184,7 @@
 
     def encode_report_call(self, server: BackendServer) -> bytes:
         """Encode a call for a server's report."""
-        return b'GET %b HTTP/1.1\r\nhost: %b:%d\r\n\r\n' % (
-            REPORT_PATH.encode(),
-            server.ip.encode(),
-            server.port,
-        )
+        return kv_transfer.encode_report_call(server)
 
     def parse_started(self, status: int, body: bytes) -> int | None:
         """Parse the server's start from its report."""
--- a/src/sardinetrack/relay/api.py
+++ b/src/sardinetrack/relay/api.py
@@ -113,6 +113,8 @@
     """No response in time, or the engine is still at an earlier call."""
     FAILED = auto()
     """Not copied; whether the run has stopped is unknown."""
+    NOT_SENT = auto()
+    """No connection was established."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/sardinetrack/relay/attempt.py
+++ b/src/sardinetrack/relay/attempt.py
@@ -4,6 +4,8 @@
 
 import asyncio
 from abc import ABC, abstractmethod
+from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass
 from enum import Enum, auto
 from http import HTTPStatus
@@ -144,11 +146,11 @@
         """The head of the response to this request."""
         self.reason = ''
         self.first_event_received = False
-        self.closed = False
-        """Whether the response, of no stated length, ended with its connection.
-        """
-        self.stop_reply: KvMoveResult | None = None
-        """To the call that was to stop the run, if there was one."""
+        self.closed: asyncio.Future[None] = loop.create_future()
+        """Set when the connection ends a response that states no length, and
+        what has arrived may be all of it; :meth:`settle` follows."""
+        self.stop_reply: asyncio.Future[KvMoveResult] | None = None
+        """To the call that stops the run for a move, if it was sent."""
         self.last_data_seconds = loop.time()
         self.body = b''
         self._call = call
@@ -165,6 +167,11 @@
         self._begun = False
         self._loop = loop
 
+    @property
+    def request_id(self) -> str:
+        """The id of the request, for the log."""
+        return self._call.request_id
+
     @property
     def last_event(self) -> int | None:
         """The number of the last event that the caller has."""
@@ -257,14 +264,39 @@
         self._caller_response.write_chunk(events)
 
     def completed(self, end: ResponseEnd) -> None:
-        """Handle the end of a complete response."""
+        """Handle the end of a response."""
         if self.done.done():
             return
-        self.closed = end is ResponseEnd.CLOSED
-        if self._forwards:
-            self._finish_stream()
+        if self._forwards and self._is_cut:
+            self._finish(SendOutcome.UNKNOWN, _CUT_STREAM)
+        elif end is ResponseEnd.CLOSED:
+            self.closed.set_result(None)
         else:
-            self._finish_buffered()
+            self._finish_response()
+
+    def settle(self, *, complete: bool) -> None:
+        """End an attempt whose response ended with its connection.
+
+        :param complete: whether the response is; else the rest is missing.
+        """
+        if self.done.done():
+            return
+        if complete:
+            self._finish_response()
+        else:
+            self._finish(SendOutcome.UNKNOWN, BreakReason.CLOSED.value)
+
+    @contextmanager
+    def stopping(self) -> Iterator[asyncio.Future[KvMoveResult]]:
+        """Send the call that stops the run in this block.
+
+        :return: to be set to the reply; a block without one cancels it.
+        """
+        self.stop_reply = self._loop.create_future()
+        try:
+            yield self.stop_reply
+        finally:
+            self.stop_reply.cancel()
 
     def interrupted(self, reason: BreakReason) -> None:
         """End the attempt: the rest of the response will not arrive."""
@@ -321,20 +353,22 @@
         status = 0 if self.response is None else self.response.status
         return f'status {status}'
 
-    def _finish_stream(self) -> None:
+    @property
+    def _is_cut(self) -> bool:
+        """Whether a stream that ends now can't be complete."""
         claim = self._start.claim
         if claim is not None and not claim.accepted:
             # It has sent no event, and the other attempt may bring some.
-            self._finish(SendOutcome.UNKNOWN, _CUT_STREAM)
-            return
-        if (
-            self._progress.splitter.ends_inside_event
-            or not self._caller_response.started
-        ):
-            self._finish(SendOutcome.UNKNOWN, _CUT_STREAM)
-            return
-        self._caller_response.finish()
-        self._finish(SendOutcome.DELIVERED, '')
+            return True
+        inside_event = self._progress.splitter.ends_inside_event
+        return inside_event or not self._caller_response.started
+
+    def _finish_response(self) -> None:
+        if self._forwards:
+            self._caller_response.finish()
+            self._finish(SendOutcome.DELIVERED, '')
+        else:
+            self._finish_buffered()
 
     def _finish_buffered(self) -> None:
         if self.response is None:
--- a/src/sardinetrack/relay/entry_state.py
+++ b/src/sardinetrack/relay/entry_state.py
@@ -71,7 +71,7 @@
             self,
             log,
         )
-        self.server_states = ServerStates(self.sides)
+        self.server_states = ServerStates(self.sides, self.connections)
         self._streams = StreamDirectory(
             self.sides, self.freshness, self.meters.streams, log
         )
--- a/src/sardinetrack/relay/kv_calls.py
+++ b/src/sardinetrack/relay/kv_calls.py
@@ -64,7 +64,7 @@
         try:
             reply = await self._send(source.address, call, COPY_SECONDS)
         except NotConnectedError as error:
-            return KvMoveReply(KvMoveResult.FAILED, cause=str(error))
+            return KvMoveReply(KvMoveResult.NOT_SENT, cause=str(error))
         except TimeoutError:
             cause = 'no response in time'
             return KvMoveReply(KvMoveResult.PENDING, cause=cause)
--- a/src/sardinetrack/relay/meters.py
+++ b/src/sardinetrack/relay/meters.py
@@ -127,6 +127,8 @@
         """Responses that were started and not completed, by kind of error."""
         self.discarded: Counter[str] = Counter()
         """Responses that may not be the one to the request, by the reason."""
+        self.closed: Counter[str] = Counter()
+        """Responses that ended with their connection, by what that was."""
         self.workspaces: Counter[str] = Counter()
         self.took = Histogram()
         self.waited = Histogram()
--- a/src/sardinetrack/relay/metrics.py
+++ b/src/sardinetrack/relay/metrics.py
@@ -81,8 +81,13 @@
 
 
 def _stream_metrics(state: EntryState) -> Iterable[Metric]:
-    """Return the metrics of an entry's streams."""
+    """Return the metrics of an entry's streams, and of how responses ended."""
     streams = state.meters.streams
+    yield _counter(
+        'closed_responses',
+        'Responses that ended with their connection, by what that was',
+        state.meters.closed,
+    )
     yield _counter(
         'silent_servers',
         'Silent servers of begun requests, by what became of the request',
--- a/src/sardinetrack/relay/movable_stream.py
+++ b/src/sardinetrack/relay/movable_stream.py
@@ -87,7 +87,9 @@
         attempt, server = self._attempt, self._sender.server
         if attempt is None or server is None or self._due.done():
             return
-        if not attempt.first_event_received or not attempt.is_continuable:
+        if attempt.closed.done() or not attempt.first_event_received:
+            return
+        if not attempt.is_continuable:
             return
         reason = self._reason(now, server)
         if reason is not None:
--- a/src/sardinetrack/relay/move_steps.py
+++ b/src/sardinetrack/relay/move_steps.py
@@ -62,6 +62,7 @@
         KvMoveResult.NO_ROOM: MoveEvent.NO_ROOM,
         KvMoveResult.PENDING: MoveEvent.NO_COPY,
         KvMoveResult.FAILED: MoveEvent.NO_COPY,
+        KvMoveResult.NOT_SENT: MoveEvent.NO_COPY,
     }
 )
 _STOPPING: Final = frozenset(
@@ -245,7 +246,8 @@
         return MoveEvent.WAITED
 
     async def _copy(self) -> MoveEvent:
-        return await self._call(last=False)
+        reply = await self._ask(last=False)
+        return _COPY_EVENTS[reply.result]
 
     async def _stop(self) -> MoveEvent:
         """Stop the run, unless it is known that it could not continue."""
@@ -258,7 +260,10 @@
         except (RequestError, ServerUnavailableError) as error:
             self._cause = str(error) or 'not available'
             return MoveEvent.NOT_ALLOWED
-        return await self._call(last=True)
+        with self._attempt.stopping() as replied:
+            reply = await self._ask(last=True)
+            replied.set_result(reply.result)
+        return _COPY_EVENTS[reply.result]
 
     async def _stop_again(self) -> MoveEvent:
         """Ask for what a source has kept that closed the stream.
@@ -277,10 +282,6 @@
             reply = await self._ask(last=True)
         return _COPY_EVENTS[reply.result]
 
-    async def _call(self, *, last: bool) -> MoveEvent:
-        reply = await self._ask(last=last)
-        return _COPY_EVENTS[reply.result]
-
     async def _ask(self, *, last: bool) -> KvMoveReply:
         assert self.destination is not None  # noqa: S101
         source = self._source.candidate.server
@@ -294,8 +295,6 @@
             self._copies.add(KvSource(source, reply.handle))
         if reply.result is not KvMoveResult.COPIED:
             self._cause = reply.cause
-        if last:
-            self._attempt.stop_reply = reply.result
         return reply
 
     async def _drain(self) -> MoveEvent:
--- a/src/sardinetrack/relay/sender.py
+++ b/src/sardinetrack/relay/sender.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from contextlib import AbstractAsyncContextManager
-from functools import partial
 from typing import Final
 
 from sardinetrack.logs.events import Event
@@ -20,6 +19,7 @@
     StreamStart,
 )
 from sardinetrack.relay.caller_connection import CallerConnection
+from sardinetrack.relay.closed_response import ClosedResponse
 from sardinetrack.relay.connection_pool import IDLE_SECONDS, NotConnectedError
 from sardinetrack.relay.entry_state import EntryState
 from sardinetrack.relay.outcome_recorder import OutcomeRecorder
@@ -119,11 +119,9 @@
             target.record_inconclusive()
             raise
         if stopped:
-            self._log_closed(server, attempt)
             # It ended the stream as it was asked to; that is no failure.
             target.record_success()
             return attempt
-        self._log_closed(server, attempt)
         self._outcomes.record(target, attempt)
         self._outcomes.update_suspects(plan, server, attempt)
         await self._confirm_crash(plan, target, attempt)
@@ -157,7 +155,7 @@
             max_idle_seconds = RUN_ONCE_IDLE_SECONDS
         return self._state.connections.lease(
             server.address,
-            partial(self._state.connection_limit, server),
+            lambda: self._state.connection_limit(server),
             max_idle_seconds=max_idle_seconds,
             request_id=self._call.sent_id,
         )
@@ -216,7 +214,16 @@
                 request_id=self._call.sent_id,
                 bodiless=self._call.method == _HEAD,
             )
-            return await mode.follow(attempt)
+            closed = ClosedResponse(
+                self._state,
+                self._adapter,
+                server,
+                connection,
+                attempt,
+                reports=plan.pool.runs_models,
+            )
+            async with closed:
+                return await mode.follow(attempt)
 
     def _recheck(
         self, plan: Plan, placement: Placement, mode: SendMode
@@ -259,22 +266,6 @@
             mode.kv_source,
         )
 
-    def _log_closed(
-        self, server: BackendServer, attempt: ServerAttempt
-    ) -> None:
-        """Log what a response that ended with its connection was taken for."""
-        if not attempt.closed:
-            return
-        stop_reply = attempt.stop_reply
-        self._state.log.write(
-            Event.RESPONSE_CLOSED,
-            request=self._call.request_id,
-            server=server.instance,
-            last_event=attempt.last_event,
-            stop_reply=stop_reply and stop_reply.name.lower(),
-            outcome=attempt.done.result().name.lower(),
-        )
-
     def _log_sent(
         self,
         plan: Plan,
--- a/src/sardinetrack/relay/server_connection.py
+++ b/src/sardinetrack/relay/server_connection.py
@@ -85,6 +85,8 @@
         self._bodiless_bytes = 0
         self._unsent = memoryview(b'')
         self._write_paused = False
+        self._peer_closed = False
+        self._lost_by_error = False
 
     @property
     def unused(self) -> bool:
@@ -103,12 +105,19 @@
     def reusable(self) -> bool:
         """Whether another request may be sent on this connection."""
         transport = self.transport
-        return (
-            transport is not None
-            and not transport.is_closing()
-            and self._sink is None
-            and len(self._carried) < MAX_REQUESTS
-        )
+        if transport is None or transport.is_closing() or self._peer_closed:
+            return False
+        return self._sink is None and len(self._carried) < MAX_REQUESTS
+
+    @property
+    def was_reset(self) -> bool:
+        """Whether a reset has followed the server's close."""
+        transport = self.transport
+        if transport is None or transport.is_closing():
+            return self._lost_by_error
+        sock = transport.get_extra_info('socket')
+        error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        return bool(error)
 
     def send(
         self,
@@ -203,16 +212,22 @@
             self._fail(BreakReason.OVERSIZED)
 
     def eof_received(self) -> bool:
-        """Close; a response without a length ends here."""
+        """Close; a response without a length may end here.
+
+        :return: whether to stay open, so that a reset which follows is noticed.
+        """
         unframed = self._status_seen and not self._framed
-        if self._sink is not None and unframed and not self._complete:
-            self._complete = True
-            self._take_sink().completed(ResponseEnd.CLOSED)
-        return False
+        if self._sink is None or not unframed or self._complete:
+            return False
+        self._complete = True
+        self._peer_closed = True
+        self._take_sink().completed(ResponseEnd.CLOSED)
+        return True
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Report the failure to the sink."""
         self._unsent = memoryview(b'')
+        self._lost_by_error = exc is not None
         self._fail(BreakReason.CLOSED if exc is None else BreakReason.RESET)
 
     def on_message_begin(self) -> None:
--- a/src/sardinetrack/relay/server_states.py
+++ b/src/sardinetrack/relay/server_states.py
@@ -6,10 +6,12 @@
 
 from sardinetrack.placement.load import EstimatedLoad
 from sardinetrack.relay.cold_start import ColdStartTracker
+from sardinetrack.relay.connection_pool import ConnectionPool
 from sardinetrack.relay.lengths import OutputLengths
 from sardinetrack.relay.move_limit import MoveLimit
 from sardinetrack.relay.permit_numbers import PermitNumbers
 from sardinetrack.relay.send_bound import SendBound
+from sardinetrack.relay.server_probes import ServerProbes
 from sardinetrack.relay.server_rest import ServerRests
 from sardinetrack.relay.side_links import SideLinks
 from sardinetrack.routing.breaker import Breaker
@@ -25,10 +27,11 @@
 class ServerStates:
     """Loads, breakers and local admissions, created on first use."""
 
-    def __init__(self, sides: SideLinks) -> None:
+    def __init__(self, sides: SideLinks, connections: ConnectionPool) -> None:
         """Track no servers yet.
 
         :param sides: report how many entries there are.
+        :param connections: to the servers.
         """
         self.cold_starts = ColdStartTracker(sides)
         self.lengths = OutputLengths()
@@ -36,6 +39,7 @@
         self.moves = MoveLimit()
         self.send_bound = SendBound()
         self.permit_numbers = PermitNumbers()
+        self.probes = ServerProbes(connections)
         self.loads: dict[str, EstimatedLoad] = {}
         self._breakers: dict[str, Breaker] = {}
         self._local_admissions: dict[str, LocalAdmission] = {}
--- a/src/sardinetrack/relay/start_check.py
+++ b/src/sardinetrack/relay/start_check.py
@@ -2,21 +2,18 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import Final
 
 from sardinetrack.relay.api import ProtocolAdapter
 from sardinetrack.relay.connection_pool import NotConnectedError
 from sardinetrack.relay.outcome_recorder import OutcomeRecorder
-from sardinetrack.relay.response_collector import ResponseCollector
 from sardinetrack.relay.server_connection import ServerConnection
+from sardinetrack.relay.server_report import fetch_report
 from sardinetrack.relay.server_states import ServerUnavailableError
 from sardinetrack.relay.target import Target
-from sardinetrack.topology.servers import BackendServer
 
 REPORT_SECONDS: Final = 0.3
 """Longest wait for the report; an engine responds within milliseconds."""
-_MAX_REPORT_BYTES: Final = 1_048_576
 
 
 async def check_start(
@@ -37,7 +34,7 @@
     :raises NotConnectedError: none responds, or the connection closes then.
     """
     server = target.server
-    reply = await _get_report(connection, adapter, server)
+    reply = await fetch_report(connection, adapter, server, REPORT_SECONDS)
     started = adapter.parse_started(reply.status, reply.body)
     if started != server.started_milliseconds:
         outcomes.mark_misaddressed(
@@ -47,20 +44,3 @@
     if not connection.reusable:
         # A request would be written to nobody, and waited for as if it ran.
         raise NotConnectedError('closed after the report')
-
-
-async def _get_report(
-    connection: ServerConnection,
-    adapter: ProtocolAdapter,
-    server: BackendServer,
-) -> ResponseCollector:
-    reply = ResponseCollector(_MAX_REPORT_BYTES)
-    connection.send(adapter.encode_report_call(server), reply)
-    try:
-        async with asyncio.timeout(REPORT_SECONDS):
-            interrupted_by = await reply.done
-    except TimeoutError as error:
-        raise NotConnectedError('no report in time') from error
-    if interrupted_by is not None:
-        raise NotConnectedError(f'no report: {interrupted_by.value}')
-    return reply
--- a/tests/relay/steps/closed_response_steps.py
+++ b/tests/relay/steps/closed_response_steps.py
@@ -16,7 +16,7 @@
 @given('their responses state no length')
 def state_no_length(context):
     for server in context.world.servers:
-        server.states_length = False
+        server.notices.states_length = False
 
 
 @given('the servers state no length, and report after {seconds:g} s')
@@ -50,7 +50,8 @@
     async def read():
         reader, writer = await asyncio.open_connection('127.0.0.1', world.port)
         writer.write(world.request(name))
-        raw, context.last_event_seconds = b'', 0
+        raw = b''
+        context.last_event_seconds = 0
         async with asyncio.timeout(5):
             while piece := await reader.read(65_536):
                 raw += piece
@@ -59,7 +60,9 @@
         writer.close()
         return Reply(raw)
 
+    began = world.loop.time()
     context.reply = world.run(read())
+    context.took_seconds = world.loop.time() - began
 
 
 @then('its last event came before that report')
--- a/tests/support/relay_servers.py
+++ b/tests/support/relay_servers.py
@@ -50,9 +50,15 @@
     endless: tuple[bytes, bytes] = (b'', b'')
     """Beginning of a response that has no end, and what it repeats then;
     ``HEAD`` stands for a usual status line and headers."""
+    sent_status: str = '200'
     leaving: bool = False
     leaving_act: str = 'answer'
     """What it does when it first says that it leaves (act ``leave``)."""
+    states_length: bool = True
+    """Else its responses have neither a length nor chunks, and end with the
+    connection."""
+    restarts: int = 0
+    """Starts since the one that is listed."""
     report_delay_seconds: float = 0
     reported_seconds: float = 0
     """When it last reported, by the clock of the event loop."""
@@ -75,9 +81,6 @@
     version = ''
     started = None
     event_form = 'id: {number}\ndata: token {number}\n\n'
-    states_length = True
-    """Else its responses have neither a length nor chunks, and end with the
-    connection."""
 
     def __init__(self, instance):
         self.instance = instance
@@ -157,7 +160,7 @@
         """Respond to a call that runs nothing."""
         report = {'queued': 0, 'active': 0, 'runs': []}
         if self.started is not None:
-            report['born'] = self.started
+            report['born'] = self.started + self.notices.restarts
         body = json.dumps(report).encode()
         added = ''
         if self.notices.report_fields:
@@ -182,9 +185,13 @@
             writer.write(piece)
             await writer.drain()
 
-    async def _send_and_close(self, fields, reader, writer):
+    async def _send_head_and_body(self, fields, reader, writer):
         begin, _ = self.notices.endless
-        writer.write(begin.replace(b'HEAD', self._head(fields, '200').encode()))
+        head = self._head(fields, self.notices.sent_status).encode()
+        writer.write(begin.replace(b'HEAD', head))
+
+    async def _send_and_close(self, fields, reader, writer):
+        await self._send_head_and_body(fields, reader, writer)
         writer.close()
 
     async def _fail(self, fields, reader, writer):
@@ -250,7 +257,7 @@
 
     async def _close_midway(self, fields, reader, writer):
         """Send a part without a length, and end as if that were all."""
-        self.states_length = False
+        self.notices.states_length = False
         if 'x-sardinetrack-token-count' in fields:
             await self._stream(fields, writer, EVENTS // 2)
         else:
@@ -261,7 +268,7 @@
     async def _restart_midway(self, fields, reader, writer):
         """The same, and listen again as the next start."""
         await self._close_midway(fields, reader, writer)
-        self.started += 1
+        self.notices.restarts += 1
         await self.open()
 
     async def _end_process(self, writer):
@@ -335,16 +342,20 @@
             await writer.drain()
 
     def _stream_head(self, fields):
-        framing = 'Transfer-Encoding: chunked\r\n' if self.states_length else ''
+        framing = (
+            'Transfer-Encoding: chunked\r\n'
+            if self.notices.states_length
+            else ''
+        )
         return f'{self._head(fields, "200 OK")}{framing}\r\n'.encode()
 
     def _framed(self, event):
-        if self.states_length:
+        if self.notices.states_length:
             return b'%x\r\n%b\r\n' % (len(event), event)
         return event
 
     def _end_stream(self, writer):
-        if self.states_length:
+        if self.notices.states_length:
             writer.write(b'0\r\n\r\n')
         else:
             writer.close()
@@ -353,7 +364,7 @@
         return self.event_form.format(number=number).encode()
 
     def _whole(self, fields, writer, status, body):
-        if self.states_length:
+        if self.notices.states_length:
             writer.write(self._response(fields, status, body))
             return
         writer.write(f'{self._head(fields, status)}\r\n'.encode() + body)
