The first path's client checks responses that end with their connection

A service that crashes in a plain response without a length completed it, and so did one that closed its half while most of the request was still on its way. Streams were not concerned: their terminal event decides.

Such a response is complete only if the request has arrived whole and the server still accepts a connection.

Not seen: a server that restarts on its port within the 20 ms before the check.

--- a/src/sardinetrack/http/client.py
+++ b/src/sardinetrack/http/client.py
@@ -2,19 +2,28 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator, Iterable
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass
+from functools import partial
+from http import HTTPStatus
 from types import TracebackType
 from typing import Any, Final, Self
 
+import anyio
 import httpcore
 
 from sardinetrack.http.connections import ClientConnectionPool
+from sardinetrack.http.sockets import unacknowledged_bytes
 
 EXCHANGE_HEADER: Final = 'sardinetrack-exchange'
 """Id of one request; a server may send it back with the response."""
 _LATIN: Final = 'latin-1'
+_NO_BODY: Final = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
+_FRAMING: Final = frozenset(('content-length', 'transfer-encoding'))
+_CHECK_AFTER_SECONDS: Final = 0.02
+"""A process that ends closes its connections and its listener one by one."""
+CheckEnd = Callable[[httpcore.Response], Awaitable[None]]
 
 
 class RequestNotSentError(Exception):
@@ -45,9 +54,16 @@
 class StreamedResponse:
     """A response whose body is still arriving."""
 
-    def __init__(self, response: httpcore.Response) -> None:
-        """Wrap a response whose headers have arrived."""
+    def __init__(
+        self, response: httpcore.Response, check_end: CheckEnd
+    ) -> None:
+        """Wrap a response whose headers have arrived.
+
+        :param check_end: called at the end of a body whose length is not
+            stated.
+        """
         self._response = response
+        self._check_end = check_end
         self.status = response.status
         self.headers = tuple(
             (key.decode(_LATIN).lower(), text.decode(_LATIN))
@@ -61,11 +77,14 @@
     async def chunks(self) -> AsyncIterator[bytes]:
         """Read the body chunk by chunk.
 
-        :raises ConnectionBrokenError: the body was interrupted before its end.
+        :raises ConnectionBrokenError: the body was interrupted before its end,
+            or its connection has ended and that may not be its end.
         """
         try:
             async for chunk in self._response.aiter_stream():
                 yield chunk
+            if not self._states_end:
+                await self._check_end(self._response)
         except _EXCHANGE_ERRORS as error:
             raise ConnectionBrokenError(str(error)) from error
 
@@ -73,6 +92,13 @@
         """Read the rest of the body."""
         return b''.join([chunk async for chunk in self.chunks()])
 
+    @property
+    def _states_end(self) -> bool:
+        """Whether the end of the body is more than that of its connection."""
+        if self.status in _NO_BODY:
+            return True
+        return any(name in _FRAMING for name, _ in self.headers)
+
 
 _EXCHANGE_ERRORS: Final = (
     httpcore.NetworkError,
@@ -148,7 +174,8 @@
                 raise RequestNotSentError(str(error)) from error
             except _EXCHANGE_ERRORS as error:
                 raise ConnectionBrokenError(str(error)) from error
-            streamed = StreamedResponse(response)
+            check_end = partial(self._check_end, request)
+            streamed = StreamedResponse(response, check_end)
             if exchange_id is not None:
                 _check_exchange(streamed, exchange_id)
             yield streamed
@@ -178,6 +205,22 @@
                 await response.read(),
             )
 
+    async def _check_end(
+        self, request: httpcore.Request, response: httpcore.Response
+    ) -> None:
+        """Check a response that has ended with its connection.
+
+        The system ends the connections of a process that crashes, too.
+
+        :raises ConnectionBrokenError: a part of the request has not arrived.
+        :raises httpcore.NetworkError: the server accepts no connection.
+        """
+        sock = response.extensions['network_stream'].get_extra_info('socket')
+        if unacknowledged_bytes(sock):
+            raise ConnectionBrokenError('closed before the request arrived')
+        await anyio.sleep(_CHECK_AFTER_SECONDS)
+        await self._connections.check(request)
+
     def _request(
         self,
         method: str,
--- a/src/sardinetrack/http/connections.py
+++ b/src/sardinetrack/http/connections.py
@@ -101,6 +101,14 @@
             self._in_use.discard(connection)
             await self._release(origin, connection)
 
+    async def check(self, request: httpcore.Request) -> None:
+        """Open a connection to the origin of a request, and close it.
+
+        :raises httpcore.NetworkError: the server accepts none.
+        """
+        connection = await self._connect(request)
+        await _close(connection)
+
     async def aclose(self) -> None:
         """Close all connections, also those in use."""
         for connection in list(self._idle):
--- a/src/sardinetrack/http/sockets.py
+++ b/src/sardinetrack/http/sockets.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import select
 import socket
+import termios
+from array import array
 from collections.abc import Iterator
+from contextlib import suppress
 from typing import Final
 
 FINAL_REQUEST_WAIT_SECONDS: Final = 0.3
@@ -34,6 +38,17 @@
     return bool(poll.poll(0))
 
 
+def unacknowledged_bytes(sock: socket.socket) -> int:
+    """Return how much of what was sent the peer's system has not received.
+
+    :return: 0 if the system does not tell.
+    """
+    unacknowledged = array('i', (0,))
+    with suppress(OSError):
+        fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, unacknowledged)
+    return unacknowledged[0]
+
+
 def accept_queued(listener: socket.socket) -> Iterator[socket.socket]:
     """Accept the connections that are pending at a listener.
 
