--- a/benchmarks/soak/callers.py
+++ b/benchmarks/soak/callers.py
@@ -137,6 +137,8 @@
             log.violations.append(f'{name} read the answer of {marks}')
         if route in _KEYED_ROUTES:
             self._check_stream(name, body, complete=complete)
+        elif complete and body != name.encode():
+            log.violations.append(f'{name} read {body!r} as complete')
 
     def _check_stream(self, name: str, body: bytes, *, complete: bool) -> None:
         """Check what a caller has of a stream, over all its requests."""
--- a/benchmarks/soak/engine.py
+++ b/benchmarks/soak/engine.py
@@ -21,6 +21,8 @@
 _STEP_SECONDS = 0.01
 _RETENTION_SECONDS = 5.0
 _FAULT_FRACTION = 0.2
+_CLOSING_FRACTION = 0.4
+"""Of the servers; their responses end with the connection."""
 _MAX_CRASHES = 8
 """By one part: five, and three more requests afterwards. Source: the users'
 pages."""
@@ -31,14 +33,19 @@
 class SoakServer(ScriptedServer):
     """Counts its runs over all its starts."""
 
-    def __init__(self, ip: str, pool: str, runs: Counter[str]) -> None:
+    def __init__(
+        self, ip: str, pool: str, runs: Counter[str], seed: int
+    ) -> None:
         """Build a server that is not started.
 
         :param ip: its own IP address.
         :param pool: its pool.
         :param runs: counts the runs by request, for all servers.
+        :param seed: decides whether its responses state a length.
         """
         super().__init__('')
+        drawn = Random(f'{seed} {ip} length').random()  # noqa: S311
+        self.notices.states_length = drawn >= _CLOSING_FRACTION
         self.ip = ip
         self.pool = pool
         self.runs = runs
@@ -63,13 +70,17 @@
         await self.open(self.ip)
 
     async def crash(self) -> None:
-        """Stop immediately and abort all connections."""
+        """Stop immediately and end all connections."""
         self.record.crash_times.append(_now())
         for silence in self.record.silences:
             silence.ended_seconds = min(silence.ended_seconds, _now())
         await self.close()
         for writer in list(self.writers):
-            writer.transport.abort()
+            if self.notices.states_length:
+                writer.transport.abort()
+            else:
+                # As the system does for a process that has ended.
+                writer.close()
 
     def fall_silent(self, seconds: float) -> None:
         """Do nothing for a time and go on, as a process that is suspended."""
@@ -113,14 +124,25 @@
             self._whole(fields, writer, '500 Oops', b'broken')
             return
         if 'x-sardinetrack-token-count' not in fields:
-            await self._sleep(EVENT_SECONDS)
-            response = self._response(fields, '200 OK', self._mark(fields))
-            writer.write(response)
-            if self.responds_twice:
-                self._late[writer] = response
+            await self._respond(fields, writer)
             return
         await self._stream_run(fields, reader, writer)
 
+    async def _respond(self, fields, writer):
+        await self._sleep(EVENT_SECONDS)
+        mark = self._mark(fields)
+        if not self.notices.states_length:
+            # Some end in the middle of it.
+            writer.write(self._stream_head(fields) + mark[:1])
+            await self._sleep(EVENT_SECONDS)
+            writer.write(mark[1:])
+            writer.close()
+            return
+        response = self._response(fields, '200 OK', mark)
+        writer.write(response)
+        if self.responds_twice:
+            self._late[writer] = response
+
     def _admits(self, fields):
         self.runs[fields['x-sardinetrack-request-id']] += 1
         return True
@@ -228,7 +250,7 @@
     ) -> None:
         """Build an engine that is not started."""
         ip, port = address.split(':')
-        super().__init__(ip, 'models', runs)
+        super().__init__(ip, 'models', runs, seed)
         self.port = int(port)
         self._address = address
         self._moves = moves
@@ -353,8 +375,7 @@
         run = Run(request_id, name, self.instance, made, _now())
         run.record = self.record
         self._moves.runs.append(run)
-        head = self._head(fields, '200 OK')
-        writer.write(f'{head}Transfer-Encoding: chunked\r\n\r\n'.encode())
+        writer.write(self._stream_head(fields))
         try:
             while run.made < EVENTS:
                 event = await self._event(fields, run.made + 1)
@@ -362,11 +383,11 @@
                     writer.close()
                     return
                 run.made += 1
-                writer.write(b'%x\r\n%b\r\n' % (len(event), event))
+                writer.write(self._framed(event))
                 await writer.drain()
         finally:
             run.ended_seconds = min(run.ended_seconds, _now())
-        writer.write(b'0\r\n\r\n')
+        self._end_stream(writer)
 
 
 def _now():
--- a/benchmarks/soak/world.py
+++ b/benchmarks/soak/world.py
@@ -205,8 +205,8 @@
             engine.sound = options.planned_only
         self.servers = [
             *self.engines,
-            SoakServer(f'127.{net}.3.1', 'plain', self.runs),
-            SoakServer(f'127.{net}.3.2', 'plain', self.runs),
+            SoakServer(f'127.{net}.3.1', 'plain', self.runs, seed),
+            SoakServer(f'127.{net}.3.2', 'plain', self.runs, seed),
         ]
         self._tasks: list[asyncio.Task[None]] = []
         self._stack = AsyncExitStack()
