A response that ends before its request has arrived is incomplete

Cause: as for closed connections; and the part of the request that had not reached the server was not looked at. A response without an end of its own that closes before then is interrupted: bytes wait in the process, or the peer's system has not acknowledged them. With a length or chunks it stays complete.

--- a/src/sardinetrack/relay/server_connection.py
+++ b/src/sardinetrack/relay/server_connection.py
@@ -15,6 +15,7 @@
 
 import httptools
 
+from sardinetrack.http.sockets import unacknowledged_bytes
 from sardinetrack.relay.response_sink import (
     BreakReason,
     ResponseEnd,
@@ -219,6 +220,9 @@
         unframed = self._status_seen and not self._framed
         if self._sink is None or not unframed or self._complete:
             return False
+        if self._has_unsent_request():
+            self._fail(BreakReason.CLOSED)
+            return False
         self._complete = True
         self._peer_closed = True
         self._take_sink().completed(ResponseEnd.CLOSED)
@@ -320,6 +324,18 @@
         self._framed = False
         self._status_seen = False
 
+    def _has_unsent_request(self) -> bool:
+        """Whether a part of the request has not reached the server's system.
+
+        The server has left it unread, and closes without an end of its own.
+        """
+        transport = self.transport
+        if transport is None or self._unsent:
+            return True
+        sock = transport.get_extra_info('socket')
+        waiting_bytes = transport.get_write_buffer_size()
+        return bool(waiting_bytes or unacknowledged_bytes(sock))
+
     def _write_unsent(self) -> None:
         """Write the rest of a body as far as the server reads it."""
         while self._unsent and not self._write_paused:
