A status is a number from 100 to 599

Seen on other systems (MIXED): an answer whose status is 000 reaches the client. Here 000, 001 and 099 with a length or chunks were taken for interim responses: the request waited until its deadline with its slot (504), and the server did not count as failing. 600 and 999 were passed on as answers, on both paths.

Any other number is no HTTP response: 502 at once, and the server counts as failing.

--- a/src/sardinetrack/http/client.py
+++ b/src/sardinetrack/http/client.py
@@ -15,6 +15,7 @@
 
 from sardinetrack.http.connections import ClientConnectionPool
 from sardinetrack.http.sockets import unacknowledged_bytes
+from sardinetrack.http.statuses import is_status
 
 EXCHANGE_HEADER: Final = 'sardinetrack-exchange'
 """Id of one request; a server may send it back with the response."""
@@ -174,6 +175,8 @@
                 raise RequestNotSentError(str(error)) from error
             except _EXCHANGE_ERRORS as error:
                 raise ConnectionBrokenError(str(error)) from error
+            if not is_status(response.status):
+                raise ConnectionBrokenError(f'status {response.status}')
             check_end = partial(self._check_end, request)
             streamed = StreamedResponse(response, check_end)
             if exchange_id is not None:
--- a/src/sardinetrack/relay/server_connection.py
+++ b/src/sardinetrack/relay/server_connection.py
@@ -16,6 +16,7 @@
 import httptools
 
 from sardinetrack.http.sockets import unacknowledged_bytes
+from sardinetrack.http.statuses import is_status
 from sardinetrack.relay.response_sink import (
     BreakReason,
     ResponseEnd,
@@ -262,6 +263,8 @@
             self._unusable = True
             return
         status = parser.get_status_code()
+        if not is_status(status):
+            raise ValueError(f'{status} is no status')
         if status < HTTPStatus.OK:
             # An interim response; the response itself follows.
             self._headers = []
--- a/tests/http/response_ends.feature
+++ b/tests/http/response_ends.feature
@@ -16,3 +16,18 @@
       | resets the connection           | 0         | broken   |
       | closes its half, 1 KB read      | 3000      | broken   |
       | closes its half, 1 KB read      | 1000      | broken   |
+
+  Scenario Outline: a response with status <status>
+    Guards against bytes that are no response and are taken for one: a status is
+    a number from 100 to 599.
+    Given a server that responds with status <status> and a length
+    When a client reads a response of that server
+    Then the client reports a response that is <outcome>
+
+    Examples:
+      | status | outcome  |
+      | 000    | broken   |
+      | 099    | broken   |
+      | 599    | complete |
+      | 600    | broken   |
+      | 999    | broken   |
