A server that leaves within its report's lag confirms no closed response

An engine that leaves cuts what still runs, and may respond to a probe a moment later. Its report says how long it still serves (leaves_ms, if known): a response without a length that ends within the lag of a report of that time is not taken for complete. A time that can't be read counts as not known.

Not covered: a server that cuts streams, says nothing of leaving and lives on.

--- a/src/sardinetrack/admission/engine_report.py
+++ b/src/sardinetrack/admission/engine_report.py
@@ -27,6 +27,8 @@
     active: int
     """Running requests, those that are being prefilled included."""
     runs: tuple[EngineRun, ...]
+    leaves_seconds: float | None = None
+    """How long it still serves, if it leaves and knows it."""
 
     @property
     def is_idle(self) -> bool:
--- a/src/sardinetrack/platform/engine_report.py
+++ b/src/sardinetrack/platform/engine_report.py
@@ -12,6 +12,7 @@
 from sardinetrack.platform.errors import TranslationError
 
 REPORT_PATH: Final = '/v1/report'
+_MILLISECONDS: Final = 1000
 
 
 class _Run(msgspec.Struct, array_like=True):
@@ -32,6 +33,8 @@
     active: Count
     runs: list[_Run]
     born: Count | msgspec.UnsetType = msgspec.UNSET
+    leaves_ms: object = msgspec.field(name='leaves_ms', default=None)
+    """A report whose time can't be read is used for the rest."""
 
 
 _REPORTS: Final = JsonDecoder[_Report](_Report)
@@ -56,4 +59,11 @@
             EngineRun(run.request_id, run.tokens, run.events)
             for run in decoded.runs
         ),
+        leaves_seconds=_parse_seconds(decoded.leaves_ms),
     )
+
+
+def _parse_seconds(milliseconds: object) -> float | None:
+    if isinstance(milliseconds, int | float):
+        return milliseconds / _MILLISECONDS
+    return None
--- a/src/sardinetrack/platform/protocol_adapter.py
+++ b/src/sardinetrack/platform/protocol_adapter.py
@@ -24,6 +24,7 @@
     KvSource,
     ProtocolAdapter,
     ResponseHead,
+    ServerReport,
 )
 from sardinetrack.relay.events import parse_number
 from sardinetrack.topology.servers import BackendServer
@@ -186,14 +187,15 @@
         """Encode a call for a server's report."""
         return kv_transfer.encode_report_call(server)
 
-    def parse_started(self, status: int, body: bytes) -> int | None:
-        """Parse the server's start from its report."""
+    def parse_report(self, status: int, body: bytes) -> ServerReport | None:
+        """Parse the report of a server."""
         if status != HTTPStatus.OK:
             return None
         try:
-            return decode_report(body).started_milliseconds
+            report = decode_report(body)
         except TranslationError:
             return None
+        return ServerReport(report.started_milliseconds, report.leaves_seconds)
 
     def parse_response_head(
         self, status: int, headers: Headers
--- a/src/sardinetrack/relay/api.py
+++ b/src/sardinetrack/relay/api.py
@@ -149,6 +149,16 @@
     """The request continues from this copy, as the same run."""
 
 
+@dataclass(frozen=True, slots=True)
+class ServerReport:
+    """What a server reports of itself to an entry."""
+
+    started_milliseconds: int | None = None
+    """Unix time of its start, if it reports one."""
+    leaves_seconds: float | None = None
+    """How long it still serves, if it leaves and knows it."""
+
+
 class ProtocolAdapter(ABC):
     """Translates between the relay and the headers of callers and servers."""
 
@@ -198,8 +208,8 @@
         """Serialise a call that a server responds to with its own report."""
 
     @abstractmethod
-    def parse_started(self, status: int, body: bytes) -> int | None:
-        """Parse the start of a server in Unix milliseconds from its report.
+    def parse_report(self, status: int, body: bytes) -> ServerReport | None:
+        """Parse the report of a server.
 
         :return: ``None`` if it can't be read.
         """
--- a/src/sardinetrack/relay/server_probes.py
+++ b/src/sardinetrack/relay/server_probes.py
@@ -6,7 +6,7 @@
 from http import HTTPStatus
 from typing import Final
 
-from sardinetrack.relay.api import ProtocolAdapter
+from sardinetrack.relay.api import ProtocolAdapter, ServerReport
 from sardinetrack.relay.connection_pool import ConnectionPool, NotConnectedError
 from sardinetrack.relay.server_report import fetch_report
 from sardinetrack.topology.servers import BackendServer
@@ -20,6 +20,9 @@
 RESPONSE_SECONDS: Final = 2.4
 """A sound server may be silent for so long and go on."""
 _AGAIN_SECONDS: Final = 0.1
+_REPORT_LAG_SECONDS: Final = 0.5
+"""A report is as old as some hundred milliseconds; a server that leaves cuts
+what still runs then."""
 
 
 class ServerProbes:
@@ -41,7 +44,7 @@
         *,
         reports: bool,
     ) -> bool:
-        """Return whether the listed start of a server runs.
+        """Return whether the listed start of a server serves on.
 
         :param reports: it is a model engine, which reports its start; else it
             is enough that it accepts a connection.
@@ -93,12 +96,19 @@
             )
         if reply.status == HTTPStatus.MISDIRECTED_REQUEST:
             return False
-        if reply.status != HTTPStatus.OK:
+        report = adapter.parse_report(reply.status, reply.body)
+        if report is None:
             raise NotConnectedError(f'no report: status {reply.status}')
-        if server.started_milliseconds is None:
-            return True
-        started = adapter.parse_started(reply.status, reply.body)
-        return started == server.started_milliseconds
+        return _is_serving(server, report)
+
+
+def _is_serving(server: BackendServer, report: ServerReport) -> bool:
+    """Whether a report is of the listed start, and it cuts no requests now."""
+    leaves_seconds = report.leaves_seconds
+    if leaves_seconds is not None and leaves_seconds < _REPORT_LAG_SECONDS:
+        return False
+    listed = server.started_milliseconds
+    return listed is None or report.started_milliseconds == listed
 
 
 def _keep_none() -> float:
--- a/src/sardinetrack/relay/start_check.py
+++ b/src/sardinetrack/relay/start_check.py
@@ -4,7 +4,7 @@
 
 from typing import Final
 
-from sardinetrack.relay.api import ProtocolAdapter
+from sardinetrack.relay.api import ProtocolAdapter, ServerReport
 from sardinetrack.relay.connection_pool import NotConnectedError
 from sardinetrack.relay.outcome_recorder import OutcomeRecorder
 from sardinetrack.relay.server_connection import ServerConnection
@@ -35,8 +35,8 @@
     """
     server = target.server
     reply = await fetch_report(connection, adapter, server, REPORT_SECONDS)
-    started = adapter.parse_started(reply.status, reply.body)
-    if started != server.started_milliseconds:
+    report = adapter.parse_report(reply.status, reply.body) or ServerReport()
+    if report.started_milliseconds != server.started_milliseconds:
         outcomes.mark_misaddressed(
             target, 'another start responds at this address'
         )
--- a/tests/relay/closed_responses.feature
+++ b/tests/relay/closed_responses.feature
@@ -91,3 +91,33 @@
       | once-stream | model | 0       | all events once and the end |
       | once-stream | model | 0.8     | all events once and the end |
       | report      | plain | 0       | the whole response          |
+
+  Scenario Outline: A server that leaves cuts such a <name>
+    Guards against a part that is taken for the complete stream because the
+    server which has cut it still responds.
+
+    Given a relay in front of 2 model servers
+    When one of its servers, which leaves now, cuts its next response
+    And a caller reads the response to a <name> as it comes
+    Then what the caller has got is <result>
+
+    Examples:
+      | name        | result                      |
+      | stream      | all events once and the end |
+      | once-stream | a truncated stream          |
+
+  Scenario Outline: Such a stream ends by itself at a server that leaves in <reported>
+    Guards against a sound stream that is cut because its server leaves later,
+    or says when in a form that can't be read.
+
+    Given a relay in front of 1 model server
+    And their responses state no length
+    And the servers report that they leave in <reported>
+    When a caller reads the response to a once-stream as it comes
+    Then what the caller has got is all events once and the end
+
+    Examples:
+      | reported |
+      | 2000     |
+      | null     |
+      | "soon"   |
--- a/tests/relay/steps/closed_response_steps.py
+++ b/tests/relay/steps/closed_response_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import re
 from types import MappingProxyType
 
@@ -37,6 +38,19 @@
     _act_once(context, 'restart_midway')
 
 
+@when('one of its servers, which leaves now, cuts its next response')
+def leave_midway(context):
+    for server in context.world.servers:
+        server.notices.leaves_milliseconds = 0
+    _act_once(context, 'leave_midway')
+
+
+@given('the servers report that they leave in {reported}')
+def report_leaving(context, reported):
+    for server in context.world.servers:
+        server.notices.leaves_milliseconds = json.loads(reported)
+
+
 def _act_once(context, act):
     shared = SharedActs(act)
     for server in context.world.servers:
--- a/tests/support/relay_servers.py
+++ b/tests/support/relay_servers.py
@@ -59,6 +59,8 @@
     connection."""
     restarts: int = 0
     """Starts since the one that is listed."""
+    leaves_milliseconds: object = None
+    """In its reports."""
     report_delay_seconds: float = 0
     reported_seconds: float = 0
     """When it last reported, by the clock of the event loop."""
@@ -161,6 +163,8 @@
         report = {'queued': 0, 'active': 0, 'runs': []}
         if self.started is not None:
             report['born'] = self.started + self.notices.restarts
+        if self.notices.leaves_milliseconds is not None:
+            report['leaves_ms'] = self.notices.leaves_milliseconds
         body = json.dumps(report).encode()
         added = ''
         if self.notices.report_fields:
@@ -265,6 +269,12 @@
             writer.write(f'{head}done by'.encode())
         await self._end_process(writer)
 
+    async def _leave_midway(self, fields, reader, writer):
+        """Send a part without a length, close, and respond to other calls."""
+        self.notices.states_length = False
+        await self._stream(fields, writer, EVENTS // 2)
+        writer.close()
+
     async def _restart_midway(self, fields, reader, writer):
         """The same, and listen again as the next start."""
         await self._close_midway(fields, reader, writer)
