--- a/src/sardinetrack/relay/closed_response.py
+++ b/src/sardinetrack/relay/closed_response.py
@@ -66,10 +66,12 @@
         self._attempt = attempt
         self._reports = reports
         self._loop = asyncio.get_running_loop()
+        self._entered = False
         self._task: asyncio.Task[None] | None = None
 
     async def __aenter__(self) -> Self:
         """Watch the attempt."""
+        self._entered = True
         self._attempt.closed.add_done_callback(self._begin)
         return self
 
@@ -80,6 +82,7 @@
         trace: TracebackType | None,
     ) -> None:
         """Stop watching it."""
+        self._entered = False
         self._attempt.closed.remove_done_callback(self._begin)
         task = self._task
         if task is None:
@@ -90,7 +93,9 @@
             task.result()
 
     def _begin(self, _: object) -> None:
-        self._task = self._loop.create_task(self._settle())
+        # The callback of a close in the last moment comes after the block.
+        if self._entered and not self._attempt.done.done():
+            self._task = self._loop.create_task(self._settle())
 
     async def _settle(self) -> None:
         began_seconds = self._loop.time()
--- a/src/sardinetrack/relay/server_connection.py
+++ b/src/sardinetrack/relay/server_connection.py
@@ -220,7 +220,8 @@
         """
         unframed = self._status_seen and not self._framed
         if self._sink is None or not unframed or self._complete:
-            return False
+            # Again after a pause of reading, if it stays open.
+            return self._peer_closed
         if self._has_unsent_request():
             self._fail(BreakReason.CLOSED)
             return False
