Chaos: the virtual client says that its pipes state the end of a response

The client's check of closed responses has no default; 3 scenarios of tests/chaos/virtual.feature failed in the first whole run of the tests. A virtual pipe tells an end from a break, as chunks do.

--- a/benchmarks/chaos/virtual/client.py
+++ b/benchmarks/chaos/virtual/client.py
@@ -70,7 +70,8 @@
         with self._network.connected(connection):
             if target != RUN_PATH or not self._diverts(connection, request):
                 connection.forward.send(request)
-            yield StreamedResponse(await _response(connection.backward))
+            response = await _response(connection.backward)
+            yield StreamedResponse(response, _accept_end)
 
     def _diverts(self, connection: Connection, request: VirtualRequest) -> bool:
         """Let some run requests arrive late, their responses being discarded.
@@ -107,6 +108,10 @@
         asyncio.get_running_loop().call_later(_LATE_CONNECTION_SECONDS, end)
 
 
+async def _accept_end(_: httpcore.Response) -> None:
+    """Accept an end, which a pipe tells from a break, as chunks do."""
+
+
 class _WebSocket:
     """The part of the library's connection interface that a dialer uses."""
 
