--- a/src/sardinetrack/http/client.py
+++ b/src/sardinetrack/http/client.py
@@ -14,12 +14,13 @@
 import httpcore
 
 from sardinetrack.http.connections import ClientConnectionPool
-from sardinetrack.http.sockets import unacknowledged_bytes
+from sardinetrack.http.sockets import has_failed, unacknowledged_bytes
 from sardinetrack.http.statuses import is_status
 
 EXCHANGE_HEADER: Final = 'sardinetrack-exchange'
 """Id of one request; a server may send it back with the response."""
 _LATIN: Final = 'latin-1'
+_HEAD: Final = b'HEAD'
 _NO_BODY: Final = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 _FRAMING: Final = frozenset(('content-length', 'transfer-encoding'))
 _CHECK_AFTER_SECONDS: Final = 0.02
@@ -219,9 +220,13 @@
         :raises httpcore.NetworkError: the server accepts no connection.
         """
         sock = response.extensions['network_stream'].get_extra_info('socket')
+        if request.method == _HEAD:
+            return
         if unacknowledged_bytes(sock):
             raise ConnectionBrokenError('closed before the request arrived')
         await anyio.sleep(_CHECK_AFTER_SECONDS)
+        if has_failed(sock):
+            raise ConnectionBrokenError('reset after its close')
         await self._connections.check(request)
 
     def _request(
--- a/src/sardinetrack/http/sockets.py
+++ b/src/sardinetrack/http/sockets.py
@@ -49,6 +49,11 @@
     return unacknowledged[0]
 
 
+def has_failed(sock: socket.socket) -> bool:
+    """Whether a connection has been reset, or has failed otherwise."""
+    return bool(sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR))
+
+
 def accept_queued(listener: socket.socket) -> Iterator[socket.socket]:
     """Accept the connections that are pending at a listener.
 
--- a/src/sardinetrack/platform/engine_report.py
+++ b/src/sardinetrack/platform/engine_report.py
@@ -8,7 +8,7 @@
 
 from sardinetrack.admission.engine_report import EngineReport, EngineRun
 from sardinetrack.messages.json_input import JsonDecoder, UnreadableError
-from sardinetrack.platform.counts import Count
+from sardinetrack.platform.counts import MAX_COUNT, Count
 from sardinetrack.platform.errors import TranslationError
 
 REPORT_PATH: Final = '/v1/report'
@@ -64,6 +64,9 @@
 
 
 def _parse_seconds(milliseconds: object) -> float | None:
-    if isinstance(milliseconds, int | float):
-        return milliseconds / _MILLISECONDS
-    return None
+    if isinstance(milliseconds, bool) or not isinstance(
+        milliseconds, int | float
+    ):
+        return None
+    # An integer may be too large for a float.
+    return min(milliseconds, MAX_COUNT) / _MILLISECONDS
--- a/src/sardinetrack/platform/protocol_adapter.py
+++ b/src/sardinetrack/platform/protocol_adapter.py
@@ -195,7 +195,11 @@
             report = decode_report(body)
         except TranslationError:
             return None
-        return ServerReport(report.started_milliseconds, report.leaves_seconds)
+        return ServerReport(
+            report.started_milliseconds,
+            report.leaves_seconds,
+            {run.request_id: run.events for run in report.runs},
+        )
 
     def parse_response_head(
         self, status: int, headers: Headers
--- a/src/sardinetrack/relay/api.py
+++ b/src/sardinetrack/relay/api.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from enum import Enum, auto
+from types import MappingProxyType
 
 from sardinetrack.placement.prompt import Prompt
 from sardinetrack.relay.held_bytes import BodyHold
@@ -157,6 +158,10 @@
     """Unix time of its start, if it reports one."""
     leaves_seconds: float | None = None
     """How long it still serves, if it leaves and knows it."""
+    events: Mapping[str, int] = field(
+        default_factory=lambda: MappingProxyType({})
+    )
+    """Made so far, by the id of the running request."""
 
 
 class ProtocolAdapter(ABC):
--- a/src/sardinetrack/relay/attempt.py
+++ b/src/sardinetrack/relay/attempt.py
@@ -149,6 +149,8 @@
         self.closed: asyncio.Future[None] = loop.create_future()
         """Set when the connection ends a response that states no length, and
         what has arrived may be all of it; :meth:`settle` follows."""
+        self.opened: asyncio.Future[None] = loop.create_future()
+        """Set at the head of a response that may be closed."""
         self.stop_reply: asyncio.Future[KvMoveResult] | None = None
         """To the call that stops the run for a move, if it was sent."""
         self.last_data_seconds = loop.time()
@@ -168,9 +170,9 @@
         self._loop = loop
 
     @property
-    def request_id(self) -> str:
-        """The id of the request, for the log."""
-        return self._call.request_id
+    def call(self) -> CallerRequest:
+        """The request that it sends."""
+        return self._call
 
     @property
     def last_event(self) -> int | None:
@@ -227,6 +229,8 @@
             )
             return
         self._forwards = self._streams and response.status == HTTPStatus.OK
+        if not self._connection.states_end:
+            self.opened.set_result(None)
         claim = self._start.claim
         if self._forwards and claim is not None:
             claim.announce(self.done)
--- a/src/sardinetrack/relay/closed_response.py
+++ b/src/sardinetrack/relay/closed_response.py
@@ -8,15 +8,22 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import dataclass
 from enum import StrEnum
 from types import TracebackType
 from typing import Final, Self
 
 from sardinetrack.logs.events import Event
-from sardinetrack.relay.api import KvMoveResult, ProtocolAdapter
+from sardinetrack.relay.api import (
+    KvMoveResult,
+    ProtocolAdapter,
+    ServerReport,
+)
 from sardinetrack.relay.attempt import ServerAttempt
 from sardinetrack.relay.entry_state import EntryState
 from sardinetrack.relay.server_connection import ServerConnection
+from sardinetrack.relay.server_probes import ServerProbes
+from sardinetrack.relay.trace import Placement
 from sardinetrack.topology.servers import BackendServer
 
 _NOT_STOPPED: Final = frozenset((KvMoveResult.NO_RUN, KvMoveResult.NOT_SENT))
@@ -33,12 +40,26 @@
     """Its run was stopped for a move, or may have been."""
     SERVER_ENDED = 'server_ended'
     """The server does not respond any more, or another start of it does."""
+    CUT = 'cut'
+    """The server has made more events than have arrived."""
     RESET = 'reset'
     """A reset followed the close."""
     UNDECIDED = 'undecided'
     """The attempt ended for another reason before this was known."""
 
 
+@dataclass(frozen=True, slots=True)
+class _Close:
+    """What was known when the connection ended."""
+
+    at_seconds: float
+    """On the clock of the event loop."""
+    stop_reply: asyncio.Future[KvMoveResult] | None
+    """A call that is sent later has not ended it."""
+    former_report: ServerReport | None
+    """The newest one of the server at that time, if there was one."""
+
+
 class ClosedResponse:
     """Settles an attempt whose response ends with its connection.
 
@@ -49,7 +70,7 @@
         self,
         state: EntryState,
         adapter: ProtocolAdapter,
-        server: BackendServer,
+        placement: Placement,
         connection: ServerConnection,
         attempt: ServerAttempt,
         *,
@@ -57,21 +78,25 @@
     ) -> None:
         """Watch one attempt.
 
+        :param placement: its server, and the permit, which is released before
+            the check: the server has ended its work.
         :param reports: whether the server is a model engine.
         """
         self._state = state
         self._adapter = adapter
-        self._server = server
+        self._placement = placement
         self._connection = connection
         self._attempt = attempt
         self._reports = reports
         self._loop = asyncio.get_running_loop()
         self._entered = False
-        self._task: asyncio.Task[None] | None = None
+        self._first_probe: asyncio.Task[ServerReport | None] | None = None
+        self._check: asyncio.Task[None] | None = None
 
     async def __aenter__(self) -> Self:
         """Watch the attempt."""
         self._entered = True
+        self._attempt.opened.add_done_callback(self._ask_at_head)
         self._attempt.closed.add_done_callback(self._begin)
         return self
 
@@ -83,67 +108,108 @@
     ) -> None:
         """Stop watching it."""
         self._entered = False
+        self._attempt.opened.remove_done_callback(self._ask_at_head)
         self._attempt.closed.remove_done_callback(self._begin)
-        task = self._task
-        if task is None:
-            return
-        task.cancel()
-        await asyncio.wait({task})
-        if not task.cancelled():
-            task.result()
+        tasks = {one for one in (self._first_probe, self._check) if one}
+        for task in tasks:
+            task.cancel()
+        if tasks:
+            await asyncio.wait(tasks)
+        for task in tasks:
+            if not task.cancelled():
+                task.result()
+
+    @property
+    def _server(self) -> BackendServer:
+        return self._placement.candidate.server
+
+    @property
+    def _probes(self) -> ServerProbes:
+        return self._state.server_states.probes
+
+    def _ask_at_head(self, _: object) -> None:
+        """Find out which start responds, of a server that keeps its id.
+
+        The list lags behind a restart; what the report at the end says would
+        then not be about the start that is listed.
+        """
+        if self._entered and self._server.started_milliseconds is not None:
+            self._first_probe = self._loop.create_task(self._probe())
 
     def _begin(self, _: object) -> None:
         # The callback of a close in the last moment comes after the block.
-        if self._entered and not self._attempt.done.done():
-            self._task = self._loop.create_task(self._settle())
+        if not self._entered or self._attempt.done.done():
+            return
+        close = _Close(
+            self._loop.time(),
+            self._attempt.stop_reply,
+            self._probes.reports.get(self._server.instance),
+        )
+        self._check = self._loop.create_task(self._settle(close))
 
-    async def _settle(self) -> None:
-        began_seconds = self._loop.time()
+    async def _settle(self, close: _Close) -> None:
         verdict = EndVerdict.UNDECIDED
         try:
-            verdict = await self._decide()
+            verdict = await self._decide(close)
         finally:
-            self._record(verdict, self._loop.time() - began_seconds)
+            self._record(verdict, close)
             self._attempt.settle(complete=verdict is EndVerdict.COMPLETE)
 
-    async def _decide(self) -> EndVerdict:
-        if await self._may_be_stopped():
-            return EndVerdict.RUN_STOPPED
-        is_running = await self._state.server_states.probes.is_running(
-            self._adapter, self._server, reports=self._reports
-        )
-        if await self._may_be_stopped():
+    async def _decide(self, close: _Close) -> EndVerdict:
+        if await _may_be_stopped(close.stop_reply):
             return EndVerdict.RUN_STOPPED
+        self._placement.permit.release(complete=True)
+        report = await self._probe()
         if self._connection.was_reset:
             return EndVerdict.RESET
-        return EndVerdict.COMPLETE if is_running else EndVerdict.SERVER_ENDED
-
-    async def _may_be_stopped(self) -> bool:
-        """Whether a move has stopped the run, as far as is known.
+        if report is None or not self._is_same_start(report, close):
+            return EndVerdict.SERVER_ENDED
+        made = report.events.get(self._attempt.call.sent_id, 0)
+        if made > (self._attempt.last_event or made):
+            return EndVerdict.CUT
+        return EndVerdict.COMPLETE
+
+    async def _probe(self) -> ServerReport | None:
+        return await self._probes.ask(
+            self._adapter, self._server, reports=self._reports
+        )
 
-        A server that has stopped a run, and whose reply was lost, may respond
-        to a second call that it has no such run: only the first reply counts.
-        """
-        reply = self._attempt.stop_reply
-        if reply is None:
-            return False
-        await asyncio.wait({reply})
-        return reply.cancelled() or reply.result() not in _NOT_STOPPED
+    def _is_same_start(self, report: ServerReport, close: _Close) -> bool:
+        """Whether a report is of the start that has sent the response."""
+        listed = self._server.started_milliseconds
+        if listed is None:
+            return not self._state.servers.is_replaced(self._server)
+        former = close.former_report
+        began = listed if former is None else former.started_milliseconds
+        return report.started_milliseconds == began
 
-    def _record(self, verdict: EndVerdict, seconds: float) -> None:
+    def _record(self, verdict: EndVerdict, close: _Close) -> None:
         attempt, state = self._attempt, self._state
+        seconds = self._loop.time() - close.at_seconds
         state.meters.closed[verdict] += 1
         state.log.write(
             Event.RESPONSE_CLOSED,
-            request=attempt.request_id,
+            request=attempt.call.request_id,
             server=self._server.instance,
             last_event=attempt.last_event,
-            stop_reply=_name_of(attempt.stop_reply),
+            stop_reply=_name_of(close.stop_reply),
             verdict=verdict.value,
             seconds=round(seconds, _DIGITS),
         )
 
 
+async def _may_be_stopped(reply: asyncio.Future[KvMoveResult] | None) -> bool:
+    """Whether a move has stopped a run, as far as is known.
+
+    A server that has stopped a run, and whose reply was lost, may respond to a
+    second call that it has no such run: only the first reply counts.
+    """
+    if reply is None:
+        return False
+    await asyncio.wait({reply})
+    return reply.cancelled() or reply.result() not in _NOT_STOPPED
+
+
 def _name_of(reply: asyncio.Future[KvMoveResult] | None) -> str | None:
     if reply is None or not reply.done() or reply.cancelled():
         return None
--- a/src/sardinetrack/relay/run.py
+++ b/src/sardinetrack/relay/run.py
@@ -77,10 +77,10 @@
 
         :return: as :meth:`Sender.send`, with the same errors.
         """
-        held = self._tools.plan.has_movable_streams
-        placement = placement.held() if held else placement
+        moves = self._tools.plan.has_movable_streams
+        placement = placement.held()
         try:
-            return await (self._move if held else self._stay)(placement)
+            return await (self._move if moves else self._stay)(placement)
         finally:
             self.finished = True
             placement.permit.release(complete=self._sender.caller_has_all)
@@ -165,6 +165,9 @@
         attempt = self.attempt
         if attempt is None or self.ended or self._is_moving:
             return False
+        if attempt.closed.done():
+            # Its server has ended the response, and only that end is checked.
+            return False
         allowed = max_silence_seconds(
             self._tools.plan.route, started=attempt.first_event_received
         )
--- a/src/sardinetrack/relay/sender.py
+++ b/src/sardinetrack/relay/sender.py
@@ -217,7 +217,7 @@
             closed = ClosedResponse(
                 self._state,
                 self._adapter,
-                server,
+                placement,
                 connection,
                 attempt,
                 reports=plan.pool.runs_models,
--- a/src/sardinetrack/relay/server_connection.py
+++ b/src/sardinetrack/relay/server_connection.py
@@ -15,7 +15,7 @@
 
 import httptools
 
-from sardinetrack.http.sockets import unacknowledged_bytes
+from sardinetrack.http.sockets import has_failed, unacknowledged_bytes
 from sardinetrack.http.statuses import is_status
 from sardinetrack.relay.response_sink import (
     BreakReason,
@@ -111,15 +111,18 @@
             return False
         return self._sink is None and len(self._carried) < MAX_REQUESTS
 
+    @property
+    def states_end(self) -> bool:
+        """Whether the response has an end of its own, as its head says."""
+        return self._framed or self._bodiless
+
     @property
     def was_reset(self) -> bool:
         """Whether a reset has followed the server's close."""
         transport = self.transport
         if transport is None or transport.is_closing():
             return self._lost_by_error
-        sock = transport.get_extra_info('socket')
-        error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        return bool(error)
+        return has_failed(transport.get_extra_info('socket'))
 
     def send(
         self,
--- a/src/sardinetrack/relay/server_probes.py
+++ b/src/sardinetrack/relay/server_probes.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-from http import HTTPStatus
+from functools import partial
 from typing import Final
 
 from sardinetrack.relay.api import ProtocolAdapter, ServerReport
-from sardinetrack.relay.connection_pool import ConnectionPool, NotConnectedError
+from sardinetrack.relay.connection_pool import (
+    Address,
+    ConnectionPool,
+    NotConnectedError,
+)
 from sardinetrack.relay.server_report import fetch_report
 from sardinetrack.topology.servers import BackendServer
 
@@ -21,8 +25,8 @@
 """A sound server may be silent for so long and go on."""
 _AGAIN_SECONDS: Final = 0.1
 _REPORT_LAG_SECONDS: Final = 0.5
-"""A report is as old as some hundred milliseconds; a server that leaves cuts
-what still runs then."""
+"""A report is as old as some hundred milliseconds. A server that leaves before
+is asked again after it: at its end it cuts what still runs, and is gone."""
 
 
 class ServerProbes:
@@ -34,51 +38,66 @@
 
     def __init__(self, connections: ConnectionPool) -> None:
         """Use a pool of connections."""
+        self.reports: dict[str, ServerReport] = {}
+        """The newest one by instance."""
         self._connections = connections
-        self._next: dict[str, asyncio.Task[bool]] = {}
+        self._next: dict[Address, asyncio.Task[ServerReport | None]] = {}
 
-    async def is_running(
+    async def ask(
         self,
         adapter: ProtocolAdapter,
         server: BackendServer,
         *,
         reports: bool,
-    ) -> bool:
-        """Return whether the listed start of a server serves on.
+    ) -> ServerReport | None:
+        """Ask a server for its report.
 
-        :param reports: it is a model engine, which reports its start; else it
-            is enough that it accepts a connection.
+        :param reports: it is a model engine, which has one; else it is enough
+            that it accepts a connection.
+        :return: ``None`` if no server responds at its address.
         """
-        probe = self._next.get(server.instance)
+        probe = self._next.get(server.address)
         if probe is None:
             probe = asyncio.create_task(self._probe(adapter, server, reports))
-            self._next[server.instance] = probe
+            self._next[server.address] = probe
         # A caller that leaves must not end the probe of the others.
         return await asyncio.shield(probe)
 
     async def _probe(
         self, adapter: ProtocolAdapter, server: BackendServer, reports: bool
-    ) -> bool:
+    ) -> ServerReport | None:
         await asyncio.sleep(GATHER_SECONDS)
-        self._next.pop(server.instance)
+        self._next.pop(server.address)
+        ask = partial(self._ask_in_time, adapter, server, reports)
+        report = await ask()
+        if report is not None and _leaves_soon(report):
+            await asyncio.sleep(_REPORT_LAG_SECONDS)
+            report = await ask()
+        if report is not None and reports:
+            self.reports[server.instance] = report
+        return report
+
+    async def _ask_in_time(
+        self, adapter: ProtocolAdapter, server: BackendServer, reports: bool
+    ) -> ServerReport | None:
         loop = asyncio.get_running_loop()
         due = loop.time() + RESPONSE_SECONDS
         while loop.time() < due:
             try:
-                return await self._ask(adapter, server, reports, due)
+                return await self._ask_once(adapter, server, reports, due)
             except NotConnectedError as error:
                 if isinstance(error.__cause__, ConnectionRefusedError):
-                    return False
+                    return None
             await asyncio.sleep(_AGAIN_SECONDS)
-        return False
+        return None
 
-    async def _ask(
+    async def _ask_once(
         self,
         adapter: ProtocolAdapter,
         server: BackendServer,
         reports: bool,
         due: float,
-    ) -> bool:
+    ) -> ServerReport:
         """Ask once.
 
         :param due: the end of the wait, on the clock of the event loop.
@@ -89,26 +108,20 @@
         )
         async with lease as connection:
             if not reports:
-                return True
+                return ServerReport()
             left_seconds = due - asyncio.get_running_loop().time()
             reply = await fetch_report(
                 connection, adapter, server, left_seconds
             )
-        if reply.status == HTTPStatus.MISDIRECTED_REQUEST:
-            return False
         report = adapter.parse_report(reply.status, reply.body)
         if report is None:
             raise NotConnectedError(f'no report: status {reply.status}')
-        return _is_serving(server, report)
+        return report
 
 
-def _is_serving(server: BackendServer, report: ServerReport) -> bool:
-    """Whether a report is of the listed start, and it cuts no requests now."""
-    leaves_seconds = report.leaves_seconds
-    if leaves_seconds is not None and leaves_seconds < _REPORT_LAG_SECONDS:
-        return False
-    listed = server.started_milliseconds
-    return listed is None or report.started_milliseconds == listed
+def _leaves_soon(report: ServerReport) -> bool:
+    seconds = report.leaves_seconds
+    return seconds is not None and seconds < _REPORT_LAG_SECONDS
 
 
 def _keep_none() -> float:
--- a/src/sardinetrack/relay/server_states.py
+++ b/src/sardinetrack/relay/server_states.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Collection
+from typing import Any
 
 from sardinetrack.placement.load import EstimatedLoad
 from sardinetrack.relay.cold_start import ColdStartTracker
@@ -49,6 +50,15 @@
         kept = {*self.loads, *self._breakers, *self._local_admissions}
         return len(kept) + len(self.rests)
 
+    @property
+    def _kept(self) -> tuple[dict[str, Any], ...]:
+        return (
+            self.loads,
+            self.probes.reports,
+            self._breakers,
+            self._local_admissions,
+        )
+
     def load(self, server: BackendServer) -> EstimatedLoad:
         """Return the estimated load of a server."""
         load = self.loads.get(server.instance)
@@ -94,7 +104,7 @@
 
         A rest, of a few seconds, stays: it is not known which start asked.
         """
-        for kept in (self.loads, self._breakers, self._local_admissions):
+        for kept in self._kept:
             kept.pop(instance, None)
 
     def keep(self, instances: Collection[str]) -> None:
@@ -103,7 +113,7 @@
         An attempt that ends after its server was removed creates state for it
         again.
         """
-        for kept in (self.loads, self._breakers, self._local_admissions):
+        for kept in self._kept:
             for stale in set(kept) - set(instances):
                 kept.pop(stale)
         self.cold_starts.keep(instances)
--- a/src/sardinetrack/topology/servers.py
+++ b/src/sardinetrack/topology/servers.py
@@ -236,6 +236,15 @@
         """All listed servers, also those that are draining."""
         return self._instances
 
+    def is_replaced(self, server: BackendServer) -> bool:
+        """Whether another server has been listed at its address since."""
+        return any(
+            other.address == server.address
+            and other.instance != server.instance
+            and other.revision > server.revision
+            for other in self._instances.values()
+        )
+
     def _newest(self, server: BackendServer) -> BackendServer:
         """Return the known record if the given one is older."""
         known = self._listed.get(server.instance)
--- a/tests/http/response_ends.feature
+++ b/tests/http/response_ends.feature
@@ -15,6 +15,7 @@
       | ends                            | 0         | broken   |
       | resets the connection           | 0         | broken   |
       | closes its half, 1 KB read      | 3000      | broken   |
+      | closes its half, then resets    | 2         | broken   |
       | closes its half, 1 KB read      | 1000      | broken   |
 
   Scenario Outline: a response with status <status>
--- a/tests/http/steps/response_end_steps.py
+++ b/tests/http/steps/response_end_steps.py
@@ -13,6 +13,7 @@
 _READ_BYTES = 1024
 _KILOBYTE = 1000
 _STAY_SECONDS = 1
+_RESET_AFTER_SECONDS = 0.01
 _READ_TIMEOUT_SECONDS = 3
 
 
@@ -48,6 +49,10 @@
             sock.close()
         elif self.end:
             sock.shutdown(socket.SHUT_WR)
+        if 'then resets' in self.end:
+            # With bytes that were not read the system resets it.
+            await anyio.sleep(_RESET_AFTER_SECONDS)
+            sock.close()
         await anyio.sleep(_STAY_SECONDS)
 
 
--- a/tests/relay/closed_responses.feature
+++ b/tests/relay/closed_responses.feature
@@ -106,9 +106,50 @@
       | stream      | all events once and the end |
       | once-stream | a truncated stream          |
 
+  Scenario: A server that reports more events than have arrived has cut a stream
+    Guards against a part that is taken for the complete stream although the
+    server's own report says that there is more.
+
+    Given a relay in front of 2 model servers
+    When one of its servers reports more events than its next response has
+    And a caller reads the response to a once-stream as it comes
+    Then what the caller has got is a truncated stream
+
+  Scenario: Another server is listed at the address before the end is checked
+    Guards against a check that is answered by a new server at the address: an
+    entry that was suspended reads the close late.
+
+    Given a relay in front of 2 model servers
+    When one of its servers is another one, which is listed, in the middle of its next response
+    And a caller reads the response to a once-stream as it comes
+    Then what the caller has got is a truncated stream
+
+  Scenario: Such a stream ends by itself while the list lags behind a restart
+    Guards against sound streams that are all cut, because the start that has
+    sent them is compared with the one that is listed.
+
+    Given a relay in front of 1 model server
+    And their responses state no length
+    And the list lags behind a restart of each
+    And their streams pause for 0.1 s
+    When a caller reads the response to a once-stream as it comes
+    Then what the caller has got is all events once and the end
+    When their streams pause no more
+    And a caller reads the response to a once-stream as it comes
+    Then what the caller has got is all events once and the end
+
+  Scenario: Many such streams end at the same time
+    Guards against requests that are refused because ended streams hold their
+    permits while their ends are checked.
+
+    Given a relay in front of 1 model server
+    And the servers state no length, and report after 0.3 s
+    When 60 callers request streams at the same time
+    Then each of them has all events once and the end
+
   Scenario Outline: Such a stream ends by itself at a server that leaves in <reported>
     Guards against a sound stream that is cut because its server leaves later,
-    or says when in a form that can't be read.
+    serves on for longer than it says, or says when in a form that can't be read.
 
     Given a relay in front of 1 model server
     And their responses state no length
@@ -119,5 +160,19 @@
     Examples:
       | reported |
       | 2000     |
+      | 0        |
+      | 300      |
       | null     |
+      | true     |
       | "soon"   |
+      | 400 digits |
+
+  Scenario: No other server takes over a response whose end is checked
+    Guards against a second run of a complete stream, by the relief of servers
+    that are silent.
+
+    Given a relay in front of 2 model servers
+    And the servers state no length, and report after 1.6 s
+    When a caller reads the response to a stream as it comes
+    Then what the caller has got is all events once and the end
+    And the servers got 1 request
--- a/tests/relay/steps/closed_response_steps.py
+++ b/tests/relay/steps/closed_response_steps.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import re
+from dataclasses import replace
 from types import MappingProxyType
 
 from behave import given, then, when
@@ -45,8 +46,75 @@
     _act_once(context, 'leave_midway')
 
 
+@when('one of its servers reports more events than its next response has')
+def cut_midway(context):
+    _act_once(context, 'cut_midway')
+
+
+@when(
+    'one of its servers is another one, which is listed,'
+    ' in the middle of its next response'
+)
+def rename_midway(context):
+    _act_once(context, 'rename_midway')
+    world = context.world
+
+    async def list_again():
+        renamed = [one.notices.renamed.wait() for one in world.servers]
+        tasks = {asyncio.ensure_future(one) for one in renamed}
+        await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        state = world.entry_state
+        former = {one.address: one for one in state.servers.in_pool('models')}
+        for server in world.servers:
+            listed = former[server.ip, server.port]
+            if listed.instance != server.instance:
+                new = replace(listed, instance=server.instance, revision=9)
+                state.servers.put(new)
+
+    context.relisting = world.loop.create_task(list_again())
+
+
+@given('the list lags behind a restart of each')
+def restart_unlisted(context):
+    context.world.list_servers(started=_START_MILLISECONDS)
+    for server in context.world.servers:
+        server.notices.restarts = 1
+
+
+@given('their streams pause for {seconds:g} s')
+def pause_streams(context, seconds):
+    for server in context.world.servers:
+        server.notices.stalls[EVENTS // 2] = seconds
+
+
+@when('their streams pause no more')
+def pause_no_more(context):
+    for server in context.world.servers:
+        server.notices.stalls.clear()
+
+
+@when('{count:d} callers request streams at the same time')
+def request_at_once(context, count):
+    world = context.world
+
+    async def play():
+        calls = (world.call('stream') for _ in range(count))
+        return await asyncio.gather(*calls)
+
+    context.replies = world.run(play())
+
+
+@then('each of them has all events once and the end')
+def all_have_all(context):
+    assert all(_is_all_events(one) for one in context.replies), [
+        one.lines[0] for one in context.replies
+    ]
+
+
 @given('the servers report that they leave in {reported}')
 def report_leaving(context, reported):
+    if 'digits' in reported:
+        reported = '1'.ljust(400, '0')
     for server in context.world.servers:
         server.notices.leaves_milliseconds = json.loads(reported)
 
--- a/tests/relay/unread_requests.feature
+++ b/tests/relay/unread_requests.feature
@@ -16,6 +16,8 @@
       | report      | plain | 4000      | closes its half, then resets       | status 502         |
       | report      | plain | 1000      | closes its half, then resets       | status 502         |
       | report      | plain | 64        | closes its half, then resets       | status 502         |
+      | report      | plain | 2         | closes its half, then resets       | status 502         |
+      | report      | plain | 3         | closes its half, then resets       | status 502         |
       | report      | plain | 4000      | resets                             | status 502         |
       | report      | plain | 4000      | closes                             | status 502         |
       | once-stream | model | 4000      | closes its half                    | a truncated stream |
--- a/tests/support/relay_servers.py
+++ b/tests/support/relay_servers.py
@@ -57,6 +57,8 @@
     states_length: bool = True
     """Else its responses have neither a length nor chunks, and end with the
     connection."""
+    reported_runs: list = field(default_factory=list)
+    renamed: asyncio.Event = field(default_factory=asyncio.Event)
     restarts: int = 0
     """Starts since the one that is listed."""
     leaves_milliseconds: object = None
@@ -160,7 +162,8 @@
 
     def _report_start(self, writer):
         """Respond to a call that runs nothing."""
-        report = {'queued': 0, 'active': 0, 'runs': []}
+        runs = self.notices.reported_runs
+        report = {'queued': 0, 'active': len(runs), 'runs': runs}
         if self.started is not None:
             report['born'] = self.started + self.notices.restarts
         if self.notices.leaves_milliseconds is not None:
@@ -270,10 +273,28 @@
         await self._end_process(writer)
 
     async def _leave_midway(self, fields, reader, writer):
-        """Send a part without a length, close, and respond to other calls."""
+        """Send a part without a length, and end a moment after closing."""
         self.notices.states_length = False
         await self._stream(fields, writer, EVENTS // 2)
         writer.close()
+        await asyncio.sleep(_LATE_SECONDS)
+        await self._end_process(writer)
+
+    async def _cut_midway(self, fields, reader, writer):
+        """Send a part without a length, close, and serve on."""
+        self.notices.states_length = False
+        self.notices.reported_runs = [
+            (fields['x-sardinetrack-request-id'], 100, EVENTS, 0)
+        ]
+        await self._stream(fields, writer, EVENTS // 2)
+        writer.close()
+
+    async def _rename_midway(self, fields, reader, writer):
+        """End in the middle of a response, and start again with another id."""
+        await self._close_midway(fields, reader, writer)
+        await self.open()
+        self.instance = f'{self.instance}-again'
+        self.notices.renamed.set()
 
     async def _restart_midway(self, fields, reader, writer):
         """The same, and listen again as the next start."""
@@ -283,7 +304,8 @@
 
     async def _end_process(self, writer):
         """Close all connections, as the system does for one that has ended."""
-        await writer.drain()
+        if not writer.is_closing():
+            await writer.drain()
         self.down = True
         await self.close()
         for one in self.writers:
