Closed responses: a busy engine has stopped nothing; a server names its id

Where the id is that of one start, the server's health response is asked for it (services name the path in the configuration). - sound streams cut after a last copy that the engine had refused with 409, as a call was in progress. It was told like a call without a reply; 409 is a result of its own now (busy), and has stopped nothing.

--- a/benchmarks/soak/engine.py
+++ b/benchmarks/soak/engine.py
@@ -98,6 +98,10 @@
             raise ConnectionAbortedError
 
     async def _perform(self, request, reader, writer):
+        if request[0].startswith(b'GET /healthz '):
+            await self._sleep(0)
+            self._report_health(writer)
+            return
         self.record.sent.add(request[1].get('x-sardinetrack-request-id', ''))
         await self._sleep(0)
         await super()._perform(request, reader, writer)
@@ -270,6 +274,12 @@
             self.started += 1
         await super().start()
 
+    async def crash(self) -> None:
+        """Stop immediately; what it ran has ended."""
+        await super().crash()
+        for run in self.running():
+            run.ended_seconds = _now()
+
     async def _perform(self, request, reader, writer):
         if request[0].startswith(b'GET /v1/report '):
             await self._sleep(0)
--- a/benchmarks/soak/world.py
+++ b/benchmarks/soak/world.py
@@ -271,6 +271,7 @@
     def configure(self) -> None:
         """Write a new version of the configuration to the store."""
         self.version += 1
+        health = {'healthPath': '/healthz'}
         engine = {'slots': 16, 'kvCapacity': 200_000, 'moves': True}
         tenants = [
             {'name': name, 'apiKeys': [key]} for key, name in self.keys.items()
@@ -282,8 +283,8 @@
                 'version': self.version,
                 'routes': self._routes(),
                 'services': [
-                    {'name': 'models', 'engine': engine},
-                    {'name': 'plain'},
+                    {'name': 'models', 'engine': engine, **health},
+                    {'name': 'plain', **health},
                     {'name': EMPTY_POOL},
                 ],
                 'tenants': tenants,
--- a/src/sardinetrack/platform/catalogue.py
+++ b/src/sardinetrack/platform/catalogue.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import replace
 from types import MappingProxyType
 from typing import Final, Literal
@@ -25,6 +26,8 @@
 EVACUATIONS_PREFIX: Final = 'evacuations/'
 """Holds one object for each zone that is evacuated, named after the zone."""
 _MILLISECONDS: Final = 1000.0
+_PATH: Final = re.compile('/[!-~]*')
+"""It is sent in a request line; one with a line break would add headers."""
 _ROUTE_KINDS: Final = MappingProxyType(
     {
         'streaming': RouteKind.STREAMING,
@@ -74,6 +77,7 @@
 
 class _Service(_CamelCase):
     name: str
+    health_path: str = ''
     max_connections: int = 64
     engine: _Engine | None = None
     warmup_s: float = 0
@@ -179,6 +183,9 @@
     pool = Pool(
         decoded.name,
         decoded.max_connections,
+        health_path=decoded.health_path
+        if _PATH.fullmatch(decoded.health_path)
+        else '',
         cold_per_second=decoded.warmup_per_s,
         cold_seconds=decoded.warmup_s,
     )
--- a/src/sardinetrack/platform/kv_transfer.py
+++ b/src/sardinetrack/platform/kv_transfer.py
@@ -23,7 +23,7 @@
     {
         HTTPStatus.OK: KvMoveResult.COPIED,
         HTTPStatus.NOT_FOUND: KvMoveResult.NO_RUN,
-        HTTPStatus.CONFLICT: KvMoveResult.PENDING,
+        HTTPStatus.CONFLICT: KvMoveResult.BUSY,
         HTTPStatus.SERVICE_UNAVAILABLE: KvMoveResult.NO_ROOM,
     },
 )
@@ -74,6 +74,11 @@
     return b'%b\r\n' % _head(b'GET', REPORT_PATH, server)
 
 
+def encode_health_call(server: BackendServer, path: str) -> bytes:
+    """Encode a call for a server's health."""
+    return b'%b\r\n' % _head(b'GET', path, server)
+
+
 def encode_kv_source(copy: KvSource) -> bytes:
     """Encode the header line of a request that continues from a copy."""
     server = copy.server
--- a/src/sardinetrack/platform/protocol_adapter.py
+++ b/src/sardinetrack/platform/protocol_adapter.py
@@ -37,6 +37,7 @@
 _REQUEST_ID: Final = b'x-sardinetrack-request-id'
 _SERVER_STAMP: Final = b'x-sardinetrack-server-stamp'
 _SERVER_LOAD: Final = b'x-sardinetrack-server-load'
+_INSTANCE_ID: Final = b'x-sardinetrack-instance-id'
 _SERVER_LEAVING: Final = b'server-leaving'
 _NOT_PROCESSED: Final = b'x-sardinetrack-not-processed'
 _STATUS_LINE: Final = re.compile(rb'HTTP/1\.\d \d{3} [^\r\n]*\r\n')
@@ -187,6 +188,15 @@
         """Encode a call for a server's report."""
         return kv_transfer.encode_report_call(server)
 
+    def encode_health_call(self, server: BackendServer, path: str) -> bytes:
+        """Encode a call for a server's health."""
+        return kv_transfer.encode_health_call(server, path)
+
+    def parse_instance(self, headers: Headers) -> str | None:
+        """Parse the id of the server that responds."""
+        instance = dict(headers).get(_INSTANCE_ID)
+        return None if instance is None else instance.decode(_ENCODING)
+
     def parse_report(self, status: int, body: bytes) -> ServerReport | None:
         """Parse the report of a server."""
         if status != HTTPStatus.OK:
@@ -198,7 +208,7 @@
         return ServerReport(
             report.started_milliseconds,
             report.leaves_seconds,
-            {run.request_id: run.events for run in report.runs},
+            events={run.request_id: run.events for run in report.runs},
         )
 
     def parse_response_head(
--- a/src/sardinetrack/relay/api.py
+++ b/src/sardinetrack/relay/api.py
@@ -110,8 +110,10 @@
     """The engine runs no such request."""
     NO_ROOM = auto()
     """Not copied; if the run was to stop, it has, and kept its memory."""
+    BUSY = auto()
+    """Not begun: the engine is still at an earlier call."""
     PENDING = auto()
-    """No response in time, or the engine is still at an earlier call."""
+    """No response in time; the engine may still do it."""
     FAILED = auto()
     """Not copied; whether the run has stopped is unknown."""
     NOT_SENT = auto()
@@ -158,6 +160,8 @@
     """Unix time of its start, if it reports one."""
     leaves_seconds: float | None = None
     """How long it still serves, if it leaves and knows it."""
+    instance: str | None = None
+    """Its id, if it was asked for and given."""
     events: Mapping[str, int] = field(
         default_factory=lambda: MappingProxyType({})
     )
@@ -212,6 +216,17 @@
     def encode_report_call(self, server: BackendServer) -> bytes:
         """Serialise a call that a server responds to with its own report."""
 
+    @abstractmethod
+    def encode_health_call(self, server: BackendServer, path: str) -> bytes:
+        """Serialise a call for a server's health."""
+
+    @abstractmethod
+    def parse_instance(self, headers: Headers) -> str | None:
+        """Parse the id of the server that responds to a call for its health.
+
+        :return: ``None`` if the response doesn't name it.
+        """
+
     @abstractmethod
     def parse_report(self, status: int, body: bytes) -> ServerReport | None:
         """Parse the report of a server.
--- a/src/sardinetrack/relay/closed_response.py
+++ b/src/sardinetrack/relay/closed_response.py
@@ -24,9 +24,12 @@
 from sardinetrack.relay.server_connection import ServerConnection
 from sardinetrack.relay.server_probes import ServerProbes
 from sardinetrack.relay.trace import Placement
+from sardinetrack.topology.configuration import Pool
 from sardinetrack.topology.servers import BackendServer
 
-_NOT_STOPPED: Final = frozenset((KvMoveResult.NO_RUN, KvMoveResult.NOT_SENT))
+_NOT_STOPPED: Final = frozenset(
+    (KvMoveResult.BUSY, KvMoveResult.NO_RUN, KvMoveResult.NOT_SENT)
+)
 """Replies after which the call has stopped no run, now or later."""
 _DIGITS: Final = 3
 
@@ -74,20 +77,20 @@
         connection: ServerConnection,
         attempt: ServerAttempt,
         *,
-        reports: bool,
+        pool: Pool,
     ) -> None:
         """Watch one attempt.
 
         :param placement: its server, and the permit, which is released before
             the check: the server has ended its work.
-        :param reports: whether the server is a model engine.
+        :param pool: of the server.
         """
         self._state = state
         self._adapter = adapter
         self._placement = placement
         self._connection = connection
         self._attempt = attempt
-        self._reports = reports
+        self._pool = pool
         self._loop = asyncio.get_running_loop()
         self._entered = False
         self._first_probe: asyncio.Task[ServerReport | None] | None = None
@@ -170,12 +173,12 @@
         return EndVerdict.COMPLETE
 
     async def _probe(self) -> ServerReport | None:
-        return await self._probes.ask(
-            self._adapter, self._server, reports=self._reports
-        )
+        return await self._probes.ask(self._adapter, self._server, self._pool)
 
     def _is_same_start(self, report: ServerReport, close: _Close) -> bool:
         """Whether a report is of the start that has sent the response."""
+        if report.instance not in {None, self._server.instance}:
+            return False
         listed = self._server.started_milliseconds
         if listed is None:
             return not self._state.servers.is_replaced(self._server)
--- a/src/sardinetrack/relay/move_steps.py
+++ b/src/sardinetrack/relay/move_steps.py
@@ -60,11 +60,13 @@
         KvMoveResult.COPIED: MoveEvent.COPIED,
         KvMoveResult.NO_RUN: MoveEvent.NO_RUN,
         KvMoveResult.NO_ROOM: MoveEvent.NO_ROOM,
+        KvMoveResult.BUSY: MoveEvent.NO_COPY,
         KvMoveResult.PENDING: MoveEvent.NO_COPY,
         KvMoveResult.FAILED: MoveEvent.NO_COPY,
         KvMoveResult.NOT_SENT: MoveEvent.NO_COPY,
     }
 )
+_UNDECIDED: Final = frozenset((KvMoveResult.BUSY, KvMoveResult.PENDING))
 _STOPPING: Final = frozenset(
     (
         MoveStep.STOP,
@@ -277,7 +279,7 @@
             return MoveEvent.UNNUMBERED
         due = self._loop.time() + SILENCE_SECONDS
         reply = await self._ask(last=True)
-        while reply.result is KvMoveResult.PENDING and self._loop.time() < due:
+        while reply.result in _UNDECIDED and self._loop.time() < due:
             await asyncio.sleep(_ASK_AGAIN_SECONDS)
             reply = await self._ask(last=True)
         return _COPY_EVENTS[reply.result]
--- a/src/sardinetrack/relay/response_collector.py
+++ b/src/sardinetrack/relay/response_collector.py
@@ -26,6 +26,7 @@
         loop = asyncio.get_running_loop()
         self.done: asyncio.Future[BreakReason | None] = loop.create_future()
         self.status = 0
+        self.headers: list[tuple[bytes, bytes]] = []
         self._buffer = ByteBuffer()
         self._max_body_bytes = max_body_bytes
 
@@ -41,8 +42,9 @@
         *,
         skippable: bool,
     ) -> bool:
-        """Store the status."""
+        """Store the status and the headers."""
         self.status = status
+        self.headers = headers
         return False
 
     def body_received(self, piece: bytes) -> None:
--- a/src/sardinetrack/relay/sender.py
+++ b/src/sardinetrack/relay/sender.py
@@ -220,7 +220,7 @@
                 placement,
                 connection,
                 attempt,
-                reports=plan.pool.runs_models,
+                pool=plan.pool,
             )
             async with closed:
                 return await mode.follow(attempt)
--- a/src/sardinetrack/relay/server_report.py
+++ b/src/sardinetrack/relay/server_report.py
@@ -26,8 +26,20 @@
     :param seconds: the longest wait.
     :raises NotConnectedError: there is no whole response in time.
     """
+    return await fetch(connection, adapter.encode_report_call(server), seconds)
+
+
+async def fetch(
+    connection: ServerConnection, call: bytes, seconds: float
+) -> ResponseCollector:
+    """Call a server.
+
+    :param connection: no request with an id was sent on it.
+    :param seconds: the longest wait.
+    :raises NotConnectedError: there is no whole response in time.
+    """
     reply = ResponseCollector(_MAX_REPORT_BYTES)
-    connection.send(adapter.encode_report_call(server), reply)
+    connection.send(call, reply)
     try:
         async with asyncio.timeout(seconds):
             interrupted_by = await reply.done
--- a/src/sardinetrack/topology/configuration.py
+++ b/src/sardinetrack/topology/configuration.py
@@ -70,6 +70,8 @@
     """Requests a second that a cold server handles; 0 for no limit."""
     cold_seconds: float = 0
     """How long a server is cold after its start."""
+    health_path: str = ''
+    """Where its servers respond with their ids; empty if nowhere."""
     moves: bool = False
     """Whether streams are moved off an engine that leaves."""
     copy_retention_seconds: float = 5
--- a/tests/support/relay_servers.py
+++ b/tests/support/relay_servers.py
@@ -150,6 +150,9 @@
             self.notices.reported_seconds = _now()
             self._report_start(writer)
             return
+        if head.startswith(b'GET /healthz '):
+            self._report_health(writer)
+            return
         self.requests.append(request)
         self.asked.set()
         if body == self.deadly:
@@ -175,6 +178,12 @@
         head = f'HTTP/1.1 200 OK\r\n{added}Content-Length: {len(body)}\r\n\r\n'
         writer.write(head.encode() + body)
 
+    def _report_health(self, writer):
+        writer.write(
+            b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n'
+            b'X-Sardinetrack-Instance-Id: %b\r\n\r\n' % self.instance.encode()
+        )
+
     async def _answer(self, fields, reader, writer):
         if 'x-sardinetrack-token-count' in fields:
             await self._stream(fields, writer, EVENTS)
