A report refutes an end only by two events more than the last number

Servers may number their events from 0, and a report that lags may still list a run that has just ended: with one event more than its last number a sound stream was cut by reading (not seen).

--- a/src/sardinetrack/relay/closed_response.py
+++ b/src/sardinetrack/relay/closed_response.py
@@ -167,11 +167,17 @@
             return EndVerdict.RESET
         if report is None or not self._is_same_start(report, close):
             return EndVerdict.SERVER_ENDED
-        made = report.events.get(self._attempt.call.sent_id, 0)
-        if made > (self._attempt.last_event or made):
+        if self._lacks_events(report):
             return EndVerdict.CUT
         return EndVerdict.COMPLETE
 
+    def _lacks_events(self, report: ServerReport) -> bool:
+        """Whether a report lists more events than have arrived."""
+        made = report.events.get(self._attempt.call.sent_id, 0)
+        last_event = self._attempt.last_event
+        # Servers may number events from 0.
+        return last_event is not None and made > last_event + 1
+
     async def _probe(self) -> ServerReport | None:
         return await self._probes.ask(self._adapter, self._server, self._pool)
 
