--- a/tests/support/relay_servers.py
+++ b/tests/support/relay_servers.py
@@ -64,6 +64,9 @@
     leaves_milliseconds: object = None
     """In its reports."""
     report_delay_seconds: float = 0
+    report_calls: int = 0
+    cut_reports: int = 0
+    """How many of its next reports it cuts."""
     reported_seconds: float = 0
     """When it last reported, by the clock of the event loop."""
     report_fields: deque = field(default_factory=deque)
@@ -146,7 +149,12 @@
     async def _perform(self, request, reader, writer):
         head, fields, body = request
         if head.startswith(b'GET /v1/report '):
+            self.notices.report_calls += 1
             await asyncio.sleep(self.notices.report_delay_seconds)
+            if self.notices.cut_reports:
+                self.notices.cut_reports -= 1
+                writer.transport.abort()
+                return
             self.notices.reported_seconds = _now()
             self._report_start(writer)
             return
