Log: by which source, at which revision and how late a leaving was learned

A request reached a server after its leaving, and the log could not tell why: a listing that shows a leaving or lacks a server wrote no line, no line named the source of the list, and none its age when a request was sent.

Two histograms have the same for all leavings and the age of the list at each send. No decision changes.

--- a/src/sardinetrack/relay/entry_state.py
+++ b/src/sardinetrack/relay/entry_state.py
@@ -43,6 +43,7 @@
 MIN_ALLOWED_FRACTION: Final = 0.5
 """If fewer of a pool's breakers are closed than this fraction, breakers are
 ignored."""
+_DIGITS: Final = 3
 
 
 class EntryState(RestartListener):
@@ -261,6 +262,8 @@
         """
         news = self.servers.record_leaving(server.start)
         if news:
+            # Logged with the request whose response says it.
+            self.servers.leavings.take_news()
             self.apply_server_changes()
         return news
 
@@ -276,8 +279,28 @@
         listed = self.servers.instances.get(server.instance)
         return listed is not None and listed.start.supersedes(server.start)
 
+    def servers_age_seconds(self) -> float:
+        """Return for how long the list of servers was not complete for sure."""
+        return boot_clock() - self.servers.confirmed_seconds
+
+    def _report_leavings(self) -> None:
+        """Log by which way, and how late, each leaving was learned."""
+        now = boot_clock()
+        for leaving in self.servers.leavings.take_news():
+            late_seconds = now - leaving.since_seconds
+            self.meters.leavings_learned.add(late_seconds)
+            self.log.write(
+                Event.SERVER_LEAVING,
+                server=leaving.instance,
+                source=self.sides.views.source,
+                listed=leaving.is_listed,
+                revision=leaving.revision,
+                late_seconds=round(late_seconds, _DIGITS),
+            )
+
     def apply_server_changes(self) -> None:
         """Open links to new sides, forget removed servers."""
+        self._report_leavings()
         for instance, known in self._known.items():
             if self.is_superseded(known):
                 self._restarted(known, self.servers.instances[instance])
--- a/src/sardinetrack/relay/feed_listeners.py
+++ b/src/sardinetrack/relay/feed_listeners.py
@@ -165,7 +165,8 @@
         self._state.apply_server_changes()
 
     def confirmed(self, asked_seconds: float) -> None:
-        """Do nothing: the list does not age; changes arrive by themselves."""
+        """Record when the list was complete."""
+        self._state.servers.confirm(asked_seconds)
 
     def lost(self) -> None:
         """Keep servers whose records expire during the outage for a while."""
--- a/src/sardinetrack/relay/meters.py
+++ b/src/sardinetrack/relay/meters.py
@@ -10,6 +10,8 @@
 from sardinetrack.relay.relief import ReliefOutcome
 
 BOUNDS_SECONDS: Final = (0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8)
+LEAVING_BOUNDS_SECONDS: Final = (0.25, 0.5, 1.0, 1.25, 1.5, 1.75, 2.0, 3.0, 5.0)
+"""A leaving must be in effect after 2 s."""
 PAUSE_RATIO_BOUNDS: Final = (0.1, 0.25, 0.5, 0.75, 1.0, 1.5, 2.0, 4.0)
 """Of the longest pause of a stream to the objective of its route."""
 MAX_WORKSPACES: Final = 200
@@ -111,6 +113,11 @@
         """Rests that servers asked for, as far as lines report them."""
         self.announced_leavings = 0
         """Servers that said in a response that they leave."""
+        self.leavings_learned = Histogram(LEAVING_BOUNDS_SECONDS)
+        """Seconds from the earliest time at which the store can have accepted
+        a leaving until it is known here."""
+        self.list_ages = Histogram(LEAVING_BOUNDS_SECONDS)
+        """Age of the list of servers at each send, in seconds."""
 
 
 class Meters(ServerMeters):
--- a/src/sardinetrack/relay/metrics.py
+++ b/src/sardinetrack/relay/metrics.py
@@ -180,6 +180,16 @@
         'Servers that said in a response that they leave',
         meters.announced_leavings,
     )
+    yield _histogram(
+        'leaving_learned',
+        'From the earliest acceptance of a leaving until it is known',
+        meters.leavings_learned,
+    )
+    yield _histogram(
+        'servers_age_at_send',
+        'Age of the list of servers when a request is sent',
+        meters.list_ages,
+    )
     yield _total(
         'server_rests',
         'Rests that servers asked for',
--- a/src/sardinetrack/relay/sender.py
+++ b/src/sardinetrack/relay/sender.py
@@ -275,6 +275,8 @@
     ) -> None:
         state, trace = self._state, self._trace
         candidate = placement.candidate
+        servers_age_seconds = state.servers_age_seconds()
+        state.meters.list_ages.add(servers_age_seconds)
         if attempt.last_event is not None:
             state.meters.streams.count_continued(
                 first=not trace.sent, moves=mode.kv_source is not None
@@ -299,6 +301,7 @@
             entries=state.entries,
             config_version=plan.version,
             config_age_seconds=round(state.freshness.age_seconds(), _DIGITS),
+            servers_age_seconds=round(servers_age_seconds, _DIGITS),
             waited_seconds=round(trace.waited_seconds, _DIGITS),
             server_wait_seconds=round(candidate.wait_seconds, _DIGITS),
             shared_parts=self._call.prompt.shared_ids,
--- a/src/sardinetrack/topology/servers.py
+++ b/src/sardinetrack/topology/servers.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, replace
 from typing import Final
 
 from sardinetrack.topology.announced import AnnouncedLeavings
+from sardinetrack.topology.leavings import KnownLeavings
 from sardinetrack.topology.starts import ServerStart, written_before
 
 RELIST_GRACE_SECONDS: Final = 1.6
@@ -68,6 +70,9 @@
     def __init__(self) -> None:
         """Start without servers."""
         self.announced = AnnouncedLeavings()
+        self.leavings = KnownLeavings()
+        self.confirmed_seconds = -math.inf
+        """When the list was complete last, by the boot clock."""
         self._instances: dict[str, BackendServer] = {}
         self._listed: dict[str, BackendServer] = {}
         self._missing: dict[str, float] = {}
@@ -99,6 +104,10 @@
             for server in self._instances.values()
         )
 
+    def confirm(self, asked_seconds: float) -> None:
+        """Record that the list was complete at a time of the boot clock."""
+        self.confirmed_seconds = max(self.confirmed_seconds, asked_seconds)
+
     def replace(self, now: float, servers: Iterable[BackendServer]) -> None:
         """Replace all servers by a complete listing."""
         listed = {server.instance: self._newest(server) for server in servers}
@@ -272,6 +281,7 @@
             self._missing.pop(instance, None)
             return
         listed[instance] = self._listed[instance]
+        self.leavings.note(instance, self.confirmed_seconds)
         self._missing.setdefault(instance, self._grace_until_seconds)
 
     def _rebuild_pools(self) -> None:
@@ -285,6 +295,9 @@
             instance: self._announced(server)
             for instance, server in self._listed.items()
         }
+        self.leavings.update(
+            self._instances, self._missing, self.confirmed_seconds
+        )
         at_address: dict[tuple[str, int], BackendServer] = {}
         for server in self._instances.values():
             other = at_address.get(server.address)
--- a/src/sardinetrack/views/api.py
+++ b/src/sardinetrack/views/api.py
@@ -4,9 +4,13 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Sequence
+from typing import Final
 
 from sardinetrack.views.messages import FromFollower, FromWatcher
 
+STORE_SOURCE: Final = 'store'
+"""The source of a view that is read directly."""
+
 
 class Neighbour(ABC):
     """Another instance, which may watch the store for this one."""
@@ -42,6 +46,11 @@
     def borrowed(self) -> bool:
         """Whether a neighbour's view is in effect."""
 
+    @property
+    @abstractmethod
+    def source(self) -> str:
+        """Name of the neighbour whose view is in effect, else the store."""
+
     @abstractmethod
     def take(self, name: str, message: FromWatcher) -> None:
         """Handle a message of a neighbour."""
@@ -59,6 +68,11 @@
         """Whether a neighbour's view is in effect: never."""
         return False
 
+    @property
+    def source(self) -> str:
+        """The store, as there are no neighbours."""
+        return STORE_SOURCE
+
     def take(self, name: str, message: FromWatcher) -> None:
         """Ignore the message: no view was subscribed to."""
 
--- a/src/sardinetrack/views/source.py
+++ b/src/sardinetrack/views/source.py
@@ -12,7 +12,12 @@
 from sardinetrack.logs.events import Event, EventLog
 from sardinetrack.topology.feed import Feed
 from sardinetrack.topology.outage import StoreAccess
-from sardinetrack.views.api import Neighbour, NeighbourList, ViewReceiver
+from sardinetrack.views.api import (
+    STORE_SOURCE,
+    Neighbour,
+    NeighbourList,
+    ViewReceiver,
+)
 from sardinetrack.views.borrowed import BorrowedView
 from sardinetrack.views.messages import (
     ClockView,
@@ -119,6 +124,13 @@
         """Whether a neighbour's view is in effect."""
         return self._chart.state is ViewState.BORROWED
 
+    @property
+    def source(self) -> str:
+        """Name of the neighbour whose view is in effect, else the store."""
+        if self._neighbour is None or not self.borrowed:
+            return STORE_SOURCE
+        return self._neighbour.name
+
     async def run(self) -> None:
         """Keep the views up to date until cancelled."""
         while True:
--- a/tests/platform/server_objects.feature
+++ b/tests/platform/server_objects.feature
@@ -106,3 +106,17 @@
     And everything is listed 2 times
     Then only the second server is available
     And no line lists the first server again
+
+  # Guards against leavings of which no log says how they were learned.
+  Scenario Outline: A leaving is logged with its source and how late it was learned
+    Given a fleet that lists 2 valid servers
+    When the list is confirmed, and 0.3 seconds later <change>
+    Then one line reports the leaving of the first from the store, 0.3 seconds late
+    And that line says that the first is <listed>
+
+    Examples:
+      | change                                 | listed     |
+      | a change shows that the first leaves   | listed     |
+      | a listing shows that the first leaves  | listed     |
+      | the record of the first is removed     | not listed |
+      | a listing lacks the first              | not listed |
--- a/tests/platform/steps/server_object_steps.py
+++ b/tests/platform/steps/server_object_steps.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+from dataclasses import replace
 from types import MappingProxyType
 
 from behave import given, then, when
@@ -18,6 +19,7 @@
 from sardinetrack.relay.entry_state import EntryState
 from sardinetrack.relay.feed_listeners import ServersListener
 from sardinetrack.store.api import Listing, StoredObject
+from sardinetrack.topology.freshness import boot_clock
 
 _FIRST_KEY = 'servers/i-0'
 _PREFIX = 'servers/'
@@ -174,6 +176,51 @@
     assert context.state.meters.refused_entries == 1
 
 
+@when('the list is confirmed, and {seconds:g} seconds later {change}')
+def leave_after(context, seconds, change):
+    record = json.dumps(_valid_object(0) | {'state': 'draining'})
+
+    async def act():
+        context.follower.confirmed(boot_clock())
+        await asyncio.sleep(seconds)
+        if change == 'a change shows that the first leaves':
+            context.follower.changed(_write(context, _FIRST_KEY, record))
+        elif change == 'the record of the first is removed':
+            removed = replace(_write(context, _FIRST_KEY, ''), deleted=True)
+            context.follower.changed(removed)
+        elif change == 'a listing shows that the first leaves':
+            _write(context, _FIRST_KEY, record)
+        else:
+            context.objects.pop(_FIRST_KEY)
+
+    context.loop.run_until_complete(act())
+    if 'listing' in change:
+        _list_all(context)
+
+
+@then(
+    'one line reports the leaving of the first from the {source}, '
+    '{seconds:g} seconds late'
+)
+def leaving_logged(context, source, seconds):
+    context.log.flush()
+    lines = os.read(context.log_read, 1_000_000).splitlines()
+    events = [json.loads(line) for line in lines]
+    left = [line for line in events if line['event'] == 'server_leaving']
+    assert len(left) == 1, left
+    context.line = left[0]
+    assert context.line['server'] == 'i-0', context.line
+    assert context.line['source'] == source, context.line
+    assert context.line['revision'] in {11, context.revision}, context.line
+    late_seconds = context.line['late_seconds']
+    assert seconds <= late_seconds <= seconds + 0.2, context.line
+
+
+@then('that line says that the first is {listed}')
+def leaving_listed(context, listed):
+    assert context.line['listed'] == (listed == 'listed'), context.line
+
+
 @when('objects of another writer are stored among them')
 def write_unreadable(context):
     context.store.put_raw('servers', _UNREADABLE)
