Soak and stand-ins: servers that leave, and requests that reach them late

The soak drained servers and never looked whether they got requests later, so it could not see that requests reached servers after their leaving. It does now, in every run and by the terms of the users' rules: a request counts if the store was sound when it accepted the leaving, and the entry that took and sent the request was undisturbed, with its path to the store, for 3 s before.

--- a/benchmarks/soak/__main__.py
+++ b/benchmarks/soak/__main__.py
@@ -11,6 +11,7 @@
 
 from benchmarks.soak.callers import Caller, ResponseLog
 from benchmarks.soak.faults import Faults
+from benchmarks.soak.leavings import TROUBLES, Leavings, late_requests
 from benchmarks.soak.losses import losses
 from benchmarks.soak.planned import PlannedWork
 from benchmarks.soak.starts import Starts, own_ends
@@ -37,11 +38,7 @@
     async with World(net, seed, options) as world:
         await asyncio.sleep(START_SECONDS)
         log = ResponseLog()
-        injectors: list[Faults] = [PlannedWork(world, seed)]
-        if options.starts:
-            injectors.append(Starts(world, seed))
-        if not options.planned_only:
-            injectors.append(Faults(world, seed))
+        injectors = _injectors(world, seed, options)
         callers = [
             asyncio.create_task(Caller(world, log, number).run())
             for number in range(_CALLERS_PER_ENTRY * options.entries)
@@ -66,6 +63,17 @@
         return log.violations
 
 
+def _injectors(world: World, seed: int, options: Options) -> list[Faults]:
+    if options.leavings:
+        return [Leavings(world, seed, options.trouble)]
+    injectors: list[Faults] = [PlannedWork(world, seed)]
+    if options.starts:
+        injectors.append(Starts(world, seed))
+    if not options.planned_only:
+        injectors.append(Faults(world, seed))
+    return injectors
+
+
 async def _check(log: ResponseLog, world: World) -> Counter[str]:
     """Check what callers and servers have seen.
 
@@ -77,6 +85,7 @@
     log.violations.extend(world.moves.violations())
     log.violations.extend(await world.uncounted_streams())
     log.violations.extend(world.runs_after_revocation())
+    log.violations.extend(late_requests(log.taken, world))
     return excuses
 
 
@@ -115,6 +124,14 @@
         action='store_true',
         help='disturb starts too; no process may end by itself',
     )
+    parser.add_argument(
+        '--leavings',
+        action='store_true',
+        help='let servers leave beside trouble of the store, and nothing else',
+    )
+    parser.add_argument(
+        '--trouble', default='', choices=('', *TROUBLES), help='the only one'
+    )
     parser.add_argument('--entries', type=int, default=DEFAULTS.entries)
     parser.add_argument('--sides', type=int, default=DEFAULTS.sides)
     parser.add_argument('--logs', default='', help='folder for the logs')
@@ -125,6 +142,8 @@
         arguments.planned_only,
         arguments.starts,
         arguments.logs,
+        arguments.leavings,
+        arguments.trouble,
     )
     violations: list[str] = []
     for seed in arguments.seeds:
--- a/benchmarks/soak/callers.py
+++ b/benchmarks/soak/callers.py
@@ -36,6 +36,8 @@
     violations: list[str] = field(default_factory=list)
     cuts: list[Cut] = field(default_factory=list)
     """Requests that were sent and whose responses aren't complete."""
+    taken: dict[str, Cut] = field(default_factory=dict)
+    """All requests that were sent, by id."""
     slowest_seconds: float = 0
 
     def check(self, runs: Counter[str]) -> None:
@@ -187,6 +189,7 @@
         reader, writer = await self._connected()
         cut.entry = str(writer.get_extra_info('peername')[0])
         cut.began_seconds = asyncio.get_running_loop().time()
+        self._log.taken[cut.request_id] = cut
         writer.write(request)
         head = (await reader.readuntil(b'\r\n\r\n')).decode().lower()
         cut.outcome = 'incomplete response'
--- a/benchmarks/soak/engine.py
+++ b/benchmarks/soak/engine.py
@@ -72,8 +72,8 @@
     async def crash(self) -> None:
         """Stop immediately and end all connections."""
         self.record.crash_times.append(_now())
-        for silence in self.record.silences:
-            silence.ended_seconds = min(silence.ended_seconds, _now())
+        for period in (*self.record.silences, *self.record.leavings):
+            period.ended_seconds = min(period.ended_seconds, _now())
         await self.close()
         for writer in list(self.writers):
             if self.notices.states_length:
@@ -82,6 +82,10 @@
                 # As the system does for a process that has ended.
                 writer.close()
 
+    def leave(self) -> None:
+        """Record that the store has accepted its leaving."""
+        self.record.leavings.append(Period(_now()))
+
     def fall_silent(self, seconds: float) -> None:
         """Do nothing for a time and go on, as a process that is suspended."""
         self.record.silences.append(Period(_now(), _now() + seconds))
@@ -103,6 +107,7 @@
             self._report_health(writer)
             return
         self.record.sent.add(request[1].get('x-sardinetrack-request-id', ''))
+        request[1]['arrived'] = _now()
         await self._sleep(0)
         await super()._perform(request, reader, writer)
 
@@ -118,6 +123,8 @@
         if expected != self.instance:
             writer.write(b'HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n')
             return
+        request_id = fields['x-sardinetrack-request-id']
+        self.record.arrivals[request_id] = fields['arrived']
         rest_seconds = self.rest_until_seconds - _now()
         if rest_seconds > 0 or not self._admits(fields):
             self._turn_away(fields, writer, max(0, rest_seconds))
--- a/benchmarks/soak/faults.py
+++ b/benchmarks/soak/faults.py
@@ -33,6 +33,8 @@
         :param seed: seed of everything drawn.
         """
         self.done: list[str] = []
+        self._gap_seconds = (0.2, 1.5)
+        """Shortest and longest time between two faults."""
         self._world = world
         self._rng = Random(seed)
         self._tasks: set[asyncio.Task[None]] = set()
@@ -65,7 +67,7 @@
                 task = asyncio.create_task(kind())
                 self._tasks.add(task)
                 task.add_done_callback(self._tasks.discard)
-                await asyncio.sleep(self._rng.uniform(0.2, 1.5))
+                await asyncio.sleep(self._rng.uniform(*self._gap_seconds))
             await asyncio.gather(*self._tasks)
 
     def _choose_process(self) -> Process:
@@ -118,6 +120,7 @@
         async with server.restart_lock:
             server.notices.leaving = self._rng.choice((True, False))
             self._world.list_server(server, 'draining')
+            server.leave()
             await asyncio.sleep(_LEAVING_SECONDS)
             server.notices.leaving = False
             await self._crash(server, 0)
@@ -156,6 +159,8 @@
     async def _store_unreachable(self) -> None:
         store = self._world.store
         with ExitStack() as stack:
+            disturbances = store.disturbances
+            stack.enter_context(lasting(disturbances.store))
             for one in (*self._world.entries, *self._world.sides):
                 stack.enter_context(lasting(one.disturbances.store))
             store.fault = self._rng.choice(('busy', 'many', 'silent'))
--- a/benchmarks/soak/losses.py
+++ b/benchmarks/soak/losses.py
@@ -22,6 +22,8 @@
 """A request may cross the end of its connection for so long, if no server has
 received it."""
 _LAST_GRACE_SECONDS = GRACE_SECONDS / 6
+CONTACT_SECONDS = 3.0
+"""A process is bound by limits of time if it was undisturbed for so long."""
 _PROMPT_SECONDS = 3.0
 """After an entry is signalled to stop: the requests that it has to refuse are
 sent later."""
@@ -63,6 +65,26 @@
     """Times in which its store is disturbed, or its path there."""
     stops: list[float] = field(default_factory=list)
     """Times of signals to stop."""
+    starts: list[float] = field(default_factory=list)
+
+    def in_touch(self, seconds: float) -> bool:
+        """Tell whether the process is bound by limits of time.
+
+        It is if it ran, and reached a sound store, all the time before.
+        """
+        times = (*self.starts, *self.stops)
+        since = seconds - CONTACT_SECONDS
+        return not self.disturbed(seconds) and not any(
+            since < one <= seconds for one in times
+        )
+
+    def disturbed(self, seconds: float) -> bool:
+        """Tell whether a fault has just hit the process or its store."""
+        since = seconds - CONTACT_SECONDS
+        return any(
+            one.began_seconds <= seconds and since < one.ended_seconds
+            for one in (*self.unplanned, *self.store)
+        )
 
     def excuse(self, cut: Cut) -> bool:
         """Tell whether an unplanned fault hit the process meanwhile."""
@@ -94,6 +116,11 @@
     broken: set[str] = field(default_factory=set)
     """Ids of the requests whose copy or continuation it has failed."""
     silences: list[Period] = field(default_factory=list)
+    leavings: list[Period] = field(default_factory=list)
+    """From the store's acceptance of a leaving to the end of the server."""
+    arrivals: dict[str, float] = field(default_factory=dict)
+    """When each request arrived last that it did not turn away as meant for
+    another server."""
 
     def is_silent(self, seconds: float) -> bool:
         """Tell whether it was silent at a time."""
--- a/benchmarks/soak/world.py
+++ b/benchmarks/soak/world.py
@@ -117,6 +117,8 @@
 
     async def start(self) -> None:
         """Start the program, with its output appended to a log file."""
+        now = asyncio.get_running_loop().time()
+        self.disturbances.starts.append(now)
         with self._log.open('ab') as log:
             self.running = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -150,6 +152,15 @@
                 self.running.send_signal(number)
 
 
+class SoakStore(ObjectStore):
+    """The store, and what was done to it for all processes."""
+
+    def __init__(self) -> None:
+        """Build a store that is not open."""
+        super().__init__()
+        self.disturbances = Disturbances()
+
+
 @dataclass(frozen=True)
 class Options:
     """How a run differs from others of its seed."""
@@ -163,6 +174,10 @@
     """Starts are disturbed too, and no process may end by itself."""
     logs: str = ''
     """Folder where the logs of the processes are left, if any."""
+    leavings: bool = False
+    """Servers leave beside trouble of the store, instead of other faults."""
+    trouble: str = ''
+    """The only one beside leavings; drawn each time by default."""
 
 
 DEFAULTS = Options()
@@ -187,7 +202,7 @@
         """Start and end of the times in which a workspace's requests must not
         begin to run."""
         self.runs: Counter[str] = Counter()
-        self.store = ObjectStore()
+        self.store = SoakStore()
         self.store.port = _STORE_PORT
         self.changed_routes: dict[str, dict[str, object] | None] = {}
         """New values of some fields by route; none if it is removed."""
--- a/tests/soak/soak.feature
+++ b/tests/soak/soak.feature
@@ -23,3 +23,9 @@
   Scenario: Planned work and silent servers leave no request unanswered
     When the soak test runs planned work of seed 3 for 8 seconds
     Then no guarantee is violated
+
+  # Guards against requests that reach a server more than 2 s after the store
+  # has accepted its leaving, while only the sides are cut off from the store.
+  Scenario: Servers that leave while the sides lose the store get nothing late
+    When the soak test lets servers leave beside sides cut, seed 2, for 20 seconds
+    Then no guarantee is violated
--- a/tests/soak/steps/soak_steps.py
+++ b/tests/soak/steps/soak_steps.py
@@ -31,6 +31,15 @@
     context.violations = asyncio.run(soak(seed, seconds, options))
 
 
+@when(
+    'the soak test lets servers leave beside {trouble},'
+    ' seed {seed:d}, for {seconds:d} seconds'
+)
+def run_leavings(context, trouble, seed, seconds):
+    options = Options(leavings=True, trouble=trouble)
+    context.violations = asyncio.run(soak(seed, seconds, options))
+
+
 @then('no guarantee is violated')
 def no_violations(context):
     assert not context.violations, context.violations
--- a/tests/support/object_store.py
+++ b/tests/support/object_store.py
@@ -25,6 +25,9 @@
         self.calls = []
         self.fault = ''
         self.writes_lost = False
+        self.page_seconds = 0
+        """Time to make each page of a listing."""
+        self._loss = asyncio.Event()
         self._objects = {}
         self._raw = {}
         self._texts = {}
@@ -84,6 +87,11 @@
         if (kind, name) in self._objects:
             self.remove(kind, name)
 
+    def lose_watches(self):
+        """Lose the responses to all watches that wait; connections stay."""
+        self._loss.set()
+        self._loss = asyncio.Event()
+
     def compact(self):
         """Drop the history of changes."""
         self._compacted_revision = self.revision
@@ -145,6 +153,7 @@
             return (200, stored) if stored else (404, {})
         if 'watch' in query:
             return await self._watch(kind, query)
+        await asyncio.sleep(self.page_seconds)
         return 200, self._list(kind, query.get('after', ''))
 
     def _write(self, method, kind, name, sent):
@@ -175,6 +184,7 @@
     async def _watch(self, kind, query):
         since = int(query['watch'])
         deadline = asyncio.timeout(int(query['waitMs']) / 1000)
+        loss = self._loss
         with suppress(TimeoutError):
             async with deadline:
                 while (
@@ -182,6 +192,8 @@
                     and since >= self._compacted_revision
                 ):
                     await self._changed.wait()
+        if loss.is_set():
+            await asyncio.sleep(60)
         if since < self._compacted_revision:
             return 410, {}
         return 200, {
