A listing of several pages has the revision of its first page

A change of an object of an earlier page, made between the pages, was in no page and in no event.

The listing has the revision of its first page, so the first watch repeats what changed meanwhile. What is repeated may be older than what a later page showed: records are compared by revision already, removals are now too.

--- a/src/sardinetrack/platform/store.py
+++ b/src/sardinetrack/platform/store.py
@@ -94,18 +94,26 @@
         return expected_version
 
     async def list(self, prefix: str) -> Listing:
-        """Read all objects of a kind, page by page."""
+        """Read all objects of a kind, page by page.
+
+        The listing has the revision of its first page: what changes while the
+        other pages are read is watched from there. With the last page's
+        revision, a change of an object of an earlier page would be lost.
+        """
         kind = prefix.rstrip('/')
         found: list[StoredObject] = []
         query: dict[str, str | int] = {}
+        revision: int | None = None
         while True:
             status, body = await self._call(_READ, kind, query=query)
             self._check_status(_READ, kind, status, body)
             page = self._read(_READ, partial(self._reader.page, kind), body)
             listing = page.listing
             found.extend(listing.objects)
+            if revision is None:
+                revision = listing.revision
             if not page.truncated or not listing.objects:
-                return Listing(listing.revision, tuple(found))
+                return Listing(revision, tuple(found))
             query = {'after': listing.objects[-1].key.partition('/')[2]}
 
     async def watch(
--- a/src/sardinetrack/relay/feed_listeners.py
+++ b/src/sardinetrack/relay/feed_listeners.py
@@ -13,6 +13,7 @@
 from sardinetrack.topology.feed import FeedListener
 from sardinetrack.topology.freshness import boot_clock
 from sardinetrack.topology.servers import BackendServer
+from sardinetrack.topology.starts import written_before
 
 MAX_REFUSED: Final = 1000
 """Unreadable records that are remembered, so that each is logged once."""
@@ -158,8 +159,7 @@
     def changed(self, stored: StoredObject) -> None:
         """Apply one change."""
         if stored.deleted:
-            self._refused.pop(stored.key, None)
-            self._state.servers.remove(boot_clock(), _name(stored))
+            self._remove(stored)
         else:
             self._put(stored)
         self._state.apply_server_changes()
@@ -172,6 +172,15 @@
         """Keep servers whose records expire during the outage for a while."""
         self._state.servers.outage(boot_clock())
 
+    def _remove(self, stored: StoredObject) -> None:
+        servers = self._state.servers
+        known = servers.instances.get(_name(stored))
+        if known and written_before(stored.version, known.revision):
+            # The later record was listed on a page that was read afterwards.
+            return
+        self._refused.pop(stored.key, None)
+        servers.remove(boot_clock(), _name(stored))
+
     def _put(self, stored: StoredObject) -> None:
         server = self._read(stored)
         if server is None:
--- a/tests/platform/server_objects.feature
+++ b/tests/platform/server_objects.feature
@@ -107,6 +107,13 @@
     Then only the second server is available
     And no line lists the first server again
 
+  # Guards against a server that is dropped with all that is known of it, by a
+  # removal that is older than its record.
+  Scenario: A removal that is older than the record of a server changes nothing
+    Given a fleet that lists 2 valid servers
+    When a removal of the first arrives that is older than its record
+    Then both servers are available
+
   # Guards against leavings of which no log says how they were learned.
   Scenario Outline: A leaving is logged with its source and how late it was learned
     Given a fleet that lists 2 valid servers
--- a/tests/platform/steps/server_object_steps.py
+++ b/tests/platform/steps/server_object_steps.py
@@ -161,6 +161,15 @@
     assert _available(context) == {'i-1'}, _available(context)
 
 
+@when('a removal of the first arrives that is older than its record')
+def remove_late(context):
+    async def act():
+        removed = StoredObject(_FIRST_KEY, 5, b'', deleted=True)
+        context.follower.changed(removed)
+
+    context.loop.run_until_complete(act())
+
+
 @then('both servers are available')
 def both_available(context):
     assert _available(context) == {'i-0', 'i-1'}, _available(context)
--- a/tests/platform/steps/store_steps.py
+++ b/tests/platform/steps/store_steps.py
@@ -66,6 +66,36 @@
     context.took_seconds = loop.time() - began
 
 
+@when('{name} is {change} after the first page of a list was read')
+def change_between_pages(context, name, change):
+    store = context.store
+    store.page_seconds = 0.1
+
+    async def list_all():
+        loop = asyncio.get_running_loop()
+        if change == 'written':
+            loop.call_later(0.15, store.put, 'servers', name, {'slots': 9})
+        else:
+            loop.call_later(0.15, store.drop, 'servers', name)
+        return await context.client.list(_PREFIX)
+
+    context.listing = _run(context, list_all())
+
+
+@then('a watch from that list returns the change of {name}')
+def watch_returns(context, name):
+    changes = _run(
+        context,
+        context.client.watch(
+            _PREFIX,
+            after_revision=context.listing.revision,
+            wait_seconds=0.2,
+        ),
+    )
+    names = [one.key for one in changes.objects]
+    assert names == [f'{_PREFIX}{name}'], names
+
+
 @when('a server is added while the client watches')
 def add_server(context):
     def make_change():
--- a/tests/platform/store.feature
+++ b/tests/platform/store.feature
@@ -4,6 +4,18 @@
     Given a store with 7 servers
     Then the client lists 7 objects
 
+  # Guards against a leaving that is never learned, because it was accepted
+  # after the page with the server and before the last page.
+  Scenario Outline: A change between two pages of a list is watched: <change>
+    Given a store with 7 servers
+    When i-1 is <change> after the first page of a list was read
+    Then a watch from that list returns the change of i-1
+
+    Examples:
+      | change  |
+      | written |
+      | removed |
+
   Scenario: A watch returns a change immediately
     Given a store with 1 server
     When a server is added while the client watches
