A grace period needs an outage of the store that this process has seen

Callers' requests reached servers up to 3.4 s after the store had accepted that their records were removed (2 s are allowed), while only the sides were cut off from the store; the entries and the store were sound. ViewLost of a neighbour, and any failed call of a feed, opened the grace period for records that expire in an outage, and it counted from the moment at which the entry learned of the return.

Records expire only if the store could not be written to for three missed heartbeats. So servers that are missing are kept only if calls of this process have failed and the store has not responded for 2 s, until 1.6 s after the return and 2.6 s after the last failed call: the store may have returned just after that one. A neighbour's news opens no grace period; if its view ends, the entry reads the store itself and knows.

Replaced: two steps of tests/views demanded that entries extend the grace period after a watch that ends for 0.05 s, and looked at a time stamp. No record can expire in 0.05 s; extending it then is the fault. Now a removed server must get no work 0.5 s after such an end, and after an outage of 10 s all servers must get work for a second, and the one that does not come back none 2 s after the return.

--- a/src/sardinetrack/relay/entry_state.py
+++ b/src/sardinetrack/relay/entry_state.py
@@ -281,7 +281,7 @@
 
     def servers_age_seconds(self) -> float:
         """Return for how long the list of servers was not complete for sure."""
-        return boot_clock() - self.servers.confirmed_seconds
+        return boot_clock() - self.servers.times.confirmed_seconds
 
     def _report_leavings(self) -> None:
         """Log by which way, and how late, each leaving was learned."""
--- a/src/sardinetrack/relay/feed_listeners.py
+++ b/src/sardinetrack/relay/feed_listeners.py
@@ -92,7 +92,7 @@
         """Reset the age of the view."""
         self._state.freshness.confirm(asked_seconds)
 
-    def lost(self) -> None:
+    def lost(self, failed_seconds: float) -> None:
         """Let the age of the view grow."""
 
 
@@ -123,7 +123,7 @@
     def confirmed(self, asked_seconds: float) -> None:
         """Do nothing: evacuations do not age; changes arrive by themselves."""
 
-    def lost(self) -> None:
+    def lost(self, failed_seconds: float) -> None:
         """Do nothing: evacuations stay until the store reports a change."""
 
 
@@ -166,11 +166,11 @@
 
     def confirmed(self, asked_seconds: float) -> None:
         """Record when the list was complete."""
-        self._state.servers.confirm(asked_seconds)
+        self._state.servers.times.confirm(boot_clock(), asked_seconds)
 
-    def lost(self) -> None:
-        """Keep servers whose records expire during the outage for a while."""
-        self._state.servers.outage(boot_clock())
+    def lost(self, failed_seconds: float) -> None:
+        """Keep servers whose records expire in an outage for a while."""
+        self._state.servers.times.record_failure(failed_seconds)
 
     def _remove(self, stored: StoredObject) -> None:
         servers = self._state.servers
@@ -191,7 +191,7 @@
             return
         self._refused.pop(stored.key, None)
         known = self._state.servers.instances.get(server.instance)
-        self._state.servers.put(server)
+        self._state.servers.put(boot_clock(), server)
         listed = self._state.servers.instances[server.instance]
         if known is None or known.leaving != listed.leaving:
             self._state.log.write(
--- a/src/sardinetrack/topology/feed.py
+++ b/src/sardinetrack/topology/feed.py
@@ -55,8 +55,12 @@
         """Record that the view was complete at a time of the boot clock."""
 
     @abstractmethod
-    def lost(self) -> None:
-        """Handle that the store does not respond."""
+    def lost(self, failed_seconds: float) -> None:
+        """Handle that the store does not respond, or has not until now.
+
+        :param failed_seconds: when the last call that failed was sent, by the
+            boot clock.
+        """
 
 
 class Feed:
@@ -84,6 +88,7 @@
         self._wait_seconds = wait_seconds
         self._backoff_seconds = INITIAL_BACKOFF_SECONDS
         self._unreachable = False
+        self._asked_seconds = access.clock()
 
     @property
     def unreachable(self) -> bool:
@@ -107,14 +112,14 @@
                 await asyncio.sleep(FAULT_BACKOFF_SECONDS)
 
     async def _follow(self) -> None:
-        asked_seconds = self._access.clock()
+        self._asked_seconds = self._access.clock()
         listing = await self._access.store.list(self._prefix)
         self._handle_response()
         self._follower.listed(listing)
-        self._follower.confirmed(asked_seconds)
+        self._follower.confirmed(self._asked_seconds)
         revision = listing.revision
         while True:
-            asked_seconds = self._access.clock()
+            self._asked_seconds = self._access.clock()
             changes = await self._access.store.watch(
                 self._prefix,
                 after_revision=revision,
@@ -123,7 +128,7 @@
             for stored in changes.objects:
                 self._follower.changed(stored)
             self._handle_response()
-            self._follower.confirmed(asked_seconds)
+            self._follower.confirmed(self._asked_seconds)
             revision = max(revision, changes.revision)
             if changes.objects:
                 await asyncio.sleep(CHANGE_BATCH_SECONDS)
@@ -132,7 +137,7 @@
         if self._unreachable:
             self._log.write(Event.STORE_BACK, what=self._prefix)
             self._unreachable = False
-            self._follower.lost()
+            self._follower.lost(self._access.backoff.failed_seconds)
         self._backoff_seconds = INITIAL_BACKOFF_SECONDS
         self._access.backoff.record_response()
 
@@ -144,8 +149,9 @@
                 cause=str(error),
             )
         self._unreachable = True
-        self._follower.lost()
         backoff = self._access.backoff
+        backoff.record_failure(self._asked_seconds)
+        self._follower.lost(backoff.failed_seconds)
         await backoff.wait(self._backoff_seconds)
         grown = self._backoff_seconds * _BACKOFF_FACTOR
         self._backoff_seconds = min(grown, backoff.maximum_seconds)
--- a/src/sardinetrack/topology/leavings.py
+++ b/src/sardinetrack/topology/leavings.py
@@ -33,8 +33,8 @@
     is_listed: bool
     """Whether it still has a record, which says that it leaves."""
     since_seconds: float
-    """The store accepted it after this time, by the boot clock: the list was
-    complete then and did not show it."""
+    """When the store responded last before it was known, by the boot clock: it
+    accepted the leaving no earlier."""
 
 
 class KnownLeavings:
@@ -43,33 +43,36 @@
     def __init__(self) -> None:
         """Start without any."""
         self._working: dict[str, int] = {}
-        self._since: dict[str, float] = {}
+        self._accepted: dict[str, float] = {}
         self._news: deque[Leaving] = deque(maxlen=MAX_KNOWN)
 
-    def since_seconds(self, instance: str) -> float | None:
-        """Return after which time the store accepted a leaving.
+    def accepted_seconds(self, instance: str) -> float | None:
+        """Return when the store has accepted a leaving, or a little earlier.
 
         :return: by the boot clock; ``None`` if it is not known to leave.
         """
-        return self._since.get(instance)
+        return self._accepted.get(instance)
 
-    def note(self, instance: str, since_seconds: float) -> None:
+    def note(self, instance: str, accepted_seconds: float) -> None:
         """Record a leaving, unless one is known."""
-        self._since.setdefault(instance, since_seconds)
-        while len(self._since) > MAX_KNOWN:
-            self._since.pop(next(iter(self._since)))
+        self._accepted.setdefault(instance, accepted_seconds)
+        while len(self._accepted) > MAX_KNOWN:
+            self._accepted.pop(next(iter(self._accepted)))
 
     def update(
         self,
         listed: Mapping[str, _Listed],
         kept: Collection[str],
+        *,
+        accepted_seconds: float,
         since_seconds: float,
     ) -> None:
         """Compare the servers that get work with those of the last call.
 
         :param listed: all servers, also those that are leaving.
         :param kept: those that have no record and are kept for a while.
-        :param since_seconds: when the list was complete before.
+        :param accepted_seconds: see :meth:`accepted_seconds`.
+        :param since_seconds: see :class:`Leaving`.
         """
         working = {
             instance: server.revision
@@ -79,17 +82,17 @@
         for instance, revision in self._working.items():
             if instance in working:
                 continue
-            self.note(instance, since_seconds)
+            self.note(instance, accepted_seconds)
             self._news.append(
                 Leaving(
                     instance,
                     max(revision, _revision(listed.get(instance))),
                     instance in listed,
-                    self._since[instance],
+                    since_seconds,
                 ),
             )
         for instance in working.keys() - set(kept):
-            self._since.pop(instance, None)
+            self._accepted.pop(instance, None)
         self._working = working
 
     def take_news(self) -> list[Leaving]:
--- a/src/sardinetrack/topology/outage.py
+++ b/src/sardinetrack/topology/outage.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
@@ -32,6 +33,8 @@
         """Start with a reachable store."""
         self.neighbour_retries = False
         """Whether a neighbour retries too."""
+        self.failed_seconds = -math.inf
+        """When the last call that failed was sent, by the boot clock."""
         self._retrying = False
         self._reachable = asyncio.Event()
 
@@ -44,6 +47,13 @@
             else MAX_BACKOFF_SECONDS
         )
 
+    def record_failure(self, sent_seconds: float) -> None:
+        """Record that a call got no response.
+
+        :param sent_seconds: when it was sent, by the boot clock.
+        """
+        self.failed_seconds = max(self.failed_seconds, sent_seconds)
+
     def record_response(self) -> None:
         """Record a response of the store; all waiting feeds retry now."""
         self._reachable.set()
--- a/src/sardinetrack/topology/servers.py
+++ b/src/sardinetrack/topology/servers.py
@@ -2,24 +2,15 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, replace
 from typing import Final
 
 from sardinetrack.topology.announced import AnnouncedLeavings
 from sardinetrack.topology.leavings import KnownLeavings
+from sardinetrack.topology.list_times import ListTimes
 from sardinetrack.topology.starts import ServerStart, written_before
 
-RELIST_GRACE_SECONDS: Final = 1.6
-"""How long after an outage a server missing from the list still gets work.
-
-Source: the platform's pages say that servers whose records expired while the
-store was unreachable are listed again within about two seconds of its return,
-and that one still missing then is removed. A removed server must get no
-requests 2 s after this instance has read of the removal, so the grace period
-ends before that.
-"""
 ADDRESS_CONFLICT_SECONDS: Final = 4.0
 """How long a server gets no work after another responded at its address.
 
@@ -71,14 +62,12 @@
         """Start without servers."""
         self.announced = AnnouncedLeavings()
         self.leavings = KnownLeavings()
-        self.confirmed_seconds = -math.inf
-        """When the list was complete last, by the boot clock."""
+        self.times = ListTimes()
         self._instances: dict[str, BackendServer] = {}
         self._listed: dict[str, BackendServer] = {}
         self._missing: dict[str, float] = {}
         self._misaddressed: dict[str, float] = {}
         self._available: dict[str, BackendServer] = {}
-        self._grace_until_seconds = float(0)
         self._by_pool: dict[str, tuple[BackendServer, ...]] = {}
         self._evacuated: frozenset[str] = frozenset()
 
@@ -104,12 +93,9 @@
             for server in self._instances.values()
         )
 
-    def confirm(self, asked_seconds: float) -> None:
-        """Record that the list was complete at a time of the boot clock."""
-        self.confirmed_seconds = max(self.confirmed_seconds, asked_seconds)
-
     def replace(self, now: float, servers: Iterable[BackendServer]) -> None:
         """Replace all servers by a complete listing."""
+        self.times.begin_listing(now)
         listed = {server.instance: self._newest(server) for server in servers}
         for instance in listed:
             self._missing.pop(instance, None)
@@ -118,8 +104,9 @@
         self._listed = listed
         self._rebuild_pools()
 
-    def put(self, server: BackendServer) -> None:
-        """Add or update a server."""
+    def put(self, now: float, server: BackendServer) -> None:
+        """Add or update a server, of which the store has just reported."""
+        self.times.begin_change(now)
         known = self._listed.get(server.instance)
         if known is not None and server.start.supersedes(known.start):
             # It is what has responded in place of the former start.
@@ -162,6 +149,7 @@
 
     def remove(self, now: float, instance: str) -> None:
         """Remove a server that is no longer listed."""
+        self.times.begin_change(now)
         if instance in self._listed:
             listed = dict(self._listed)
             listed.pop(instance)
@@ -169,15 +157,6 @@
             self._listed = listed
             self._rebuild_pools()
 
-    def outage(self, now: float) -> None:
-        """Extend the grace period: the list is or was unreadable until now.
-
-        Records expire while the store is unreachable, though the servers run.
-        If they were removed immediately, every request would be refused for
-        two seconds after each outage, while all servers are idle.
-        """
-        self._grace_until_seconds = now + RELIST_GRACE_SECONDS
-
     def record_misaddressed(self, now: float, instance: str) -> None:
         """Send a server no work: another one responded at its address.
 
@@ -199,6 +178,7 @@
         if former or start in self.announced:
             return False
         self.announced.add(start)
+        self.times.begin_announcement()
         self._rebuild_pools()
         return known is None or not known.leaving
 
@@ -277,12 +257,12 @@
         taken = any(
             other.address == server.address for other in listed.values()
         )
-        if server.leaving or taken or now >= self._grace_until_seconds:
+        if server.leaving or taken or now >= self.times.grace_until_seconds:
             self._missing.pop(instance, None)
             return
         listed[instance] = self._listed[instance]
-        self.leavings.note(instance, self.confirmed_seconds)
-        self._missing.setdefault(instance, self._grace_until_seconds)
+        self.leavings.note(instance, self.times.accepted_seconds)
+        self._missing.setdefault(instance, self.times.grace_until_seconds)
 
     def _rebuild_pools(self) -> None:
         """Compute which servers are leaving, and which get work.
@@ -296,7 +276,10 @@
             for instance, server in self._listed.items()
         }
         self.leavings.update(
-            self._instances, self._missing, self.confirmed_seconds
+            self._instances,
+            self._missing,
+            accepted_seconds=self.times.accepted_seconds,
+            since_seconds=self.times.responded_seconds,
         )
         at_address: dict[tuple[str, int], BackendServer] = {}
         for server in self._instances.values():
--- a/src/sardinetrack/views/borrowed.py
+++ b/src/sardinetrack/views/borrowed.py
@@ -81,10 +81,10 @@
         if not self.borrowed:
             self._listener.confirmed(asked_seconds)
 
-    def lost(self) -> None:
+    def lost(self, failed_seconds: float) -> None:
         """Handle that the store does not respond to the direct feed."""
         if not self.borrowed:
-            self._listener.lost()
+            self._listener.lost(failed_seconds)
 
     def borrow(self) -> None:
         """Put the neighbour's view in effect and ignore the direct feed."""
@@ -93,10 +93,6 @@
         self._apply(list(self._pending.values()), complete=True)
         self._listener.confirmed(self._confirmed_seconds)
 
-    def handle_outage(self) -> None:
-        """Handle that the neighbour could not read the store for a moment."""
-        self._listener.lost()
-
     def reset(self) -> None:
         """Discard the neighbour's view; the direct feed lists again."""
         self.borrowed = False
--- a/src/sardinetrack/views/source.py
+++ b/src/sardinetrack/views/source.py
@@ -172,9 +172,8 @@
         retries for both.
         """
         if self.borrowed:
-            for view in self._views.values():
-                view.handle_outage()
-        elif self._own.unreachable:
+            return
+        if self._own.unreachable:
             self._own.access.backoff.neighbour_retries = True
         else:
             self._fail(message.cause)
--- a/src/sardinetrack/views/watcher.py
+++ b/src/sardinetrack/views/watcher.py
@@ -237,7 +237,7 @@
             )
         self._watcher.broadcast_confirmation(self._prefix, asked_seconds)
 
-    def lost(self) -> None:
+    def lost(self, failed_seconds: float) -> None:
         """Report that the store does not respond to this instance."""
         self._watcher.broadcast(
             ViewLost(f'{self._prefix} unread at the neighbour')
--- a/tests/relay/steps/closed_response_steps.py
+++ b/tests/relay/steps/closed_response_steps.py
@@ -12,6 +12,8 @@
 from tests.support.relay_servers import EVENTS, SharedActs
 from tests.support.relay_world import Reply
 
+from sardinetrack.topology.freshness import boot_clock
+
 _START_MILLISECONDS = 1_700_000_000_000
 
 
@@ -77,7 +79,7 @@
             listed = former[server.ip, server.port]
             if listed.instance != server.instance:
                 new = replace(listed, instance=server.instance, revision=9)
-                state.servers.put(new)
+                state.servers.put(boot_clock(), new)
 
     context.relisting = world.loop.create_task(list_again())
 
--- a/tests/relay/steps/evacuation_steps.py
+++ b/tests/relay/steps/evacuation_steps.py
@@ -115,7 +115,7 @@
 
 @when('the store becomes unreachable')
 def lose_store(context):
-    context.follower.lost()
+    context.follower.lost(boot_clock())
 
 
 @when('all evacuations are listed again')
--- a/tests/relay/steps/leaving_steps.py
+++ b/tests/relay/steps/leaving_steps.py
@@ -101,7 +101,7 @@
 
 @when('the store is unreachable for a moment')
 def lose_store(context):
-    context.world.entry_state.servers.outage(boot_clock())
+    context.world.entry_state.servers.times.record_failure(boot_clock())
 
 
 @when('the leaving server has restarted')
--- a/tests/relay/steps/relay_steps.py
+++ b/tests/relay/steps/relay_steps.py
@@ -231,7 +231,8 @@
 def remove_after_outage(context):
     world = context.world
     now = boot_clock()
-    world.entry_state.servers.outage(now)
+    world.entry_state.servers.times.confirm(now - 10, now - 10)
+    world.entry_state.servers.times.record_failure(now)
     world.entry_state.servers.remove(now, world.servers[0].instance)
     world.entry_state.apply_server_changes()
 
--- a/tests/support/relay_world.py
+++ b/tests/support/relay_world.py
@@ -198,7 +198,10 @@
             for server in self.servers
         ]
         for state in self.entry_states:
-            state.servers.replace(boot_clock(), listed)
+            # The list was confirmed all the time until now.
+            now = boot_clock()
+            state.servers.times.confirm(now, now)
+            state.servers.replace(now, listed)
             state.apply_server_changes()
 
     @property
--- a/tests/support/view_world.py
+++ b/tests/support/view_world.py
@@ -18,6 +18,7 @@
     FeedListener,
 )
 from sardinetrack.topology.outage import StoreAccess
+from sardinetrack.topology.servers import BackendServer, ServerList
 from sardinetrack.views.api import Neighbour, NeighbourList, ViewSubscriber
 from sardinetrack.views.borrowed import BorrowedView
 from sardinetrack.views.choice import ranked_neighbours
@@ -36,6 +37,10 @@
 
 CONFIG = 'config/'
 SERVERS = 'servers/'
+LEAVING = b'leaving'
+"""Content of the object of a server that has reported that it leaves."""
+_WATCH_GRACE_SECONDS = 0.6
+"""How long a client waits for the late response to a watch."""
 _RESPONSE_SECONDS = 0.004
 _LINK_DELAY_SECONDS = 0.0014
 _SIDE_WATCH_SECONDS = (
@@ -54,14 +59,28 @@
     def __init__(self):
         self.revision = 1
         self.objects = {}
+        self.removals = {}
         self.calls = Counter()
         self.away = False
+        self.losses = Counter()
+        """How often the watches that waited for a kind have lost their
+        responses, by prefix."""
         self.changed = asyncio.Condition()
 
-    async def write(self, key):
+    async def write(self, key, content=b'{}'):
         async with self.changed:
             self.revision += 1
-            self.objects[key] = StoredObject(key, self.revision, b'{}')
+            self.objects[key] = StoredObject(key, self.revision, content)
+            self.removals.pop(key, None)
+            self.changed.notify_all()
+
+    async def remove(self, key):
+        async with self.changed:
+            self.revision += 1
+            self.objects.pop(key)
+            self.removals[key] = StoredObject(
+                key, self.revision, b'', deleted=True
+            )
             self.changed.notify_all()
 
     async def wake(self):
@@ -85,17 +104,35 @@
     async def watch(self, prefix, *, after_revision, wait_seconds):
         await self._respond()
         table = self._table
+        losses = table.losses[prefix]
+        ends_seconds = asyncio.get_running_loop().time() + wait_seconds
         try:
             async with asyncio.timeout(wait_seconds), table.changed:
                 await table.changed.wait_for(
                     lambda: (
-                        self._under(prefix, after_revision) or self._fails()
+                        self._changed(prefix, after_revision) or self._fails()
                     ),
                 )
         except TimeoutError:
+            await self._lose(losses, prefix, ends_seconds)
             return Listing(table.revision, ())
         await self._apply_faults()
-        return Listing(table.revision, self._under(prefix, after_revision))
+        await self._lose(losses, prefix, ends_seconds)
+        return Listing(table.revision, self._changed(prefix, after_revision))
+
+    async def _lose(self, losses, prefix, ends_seconds):
+        if self._table.losses[prefix] > losses:
+            left_seconds = ends_seconds - asyncio.get_running_loop().time()
+            await asyncio.sleep(left_seconds + _WATCH_GRACE_SECONDS)
+            raise NoResponseError('lost')
+
+    def _changed(self, prefix, after):
+        removed = tuple(
+            one
+            for key, one in self._table.removals.items()
+            if key.startswith(prefix) and one.version > after
+        )
+        return self._under(prefix, after) + removed
 
     def _under(self, prefix, after):
         return tuple(
@@ -142,7 +179,7 @@
     def confirmed(self, asked_seconds):
         self.confirmed_seconds = max(self.confirmed_seconds, asked_seconds)
 
-    def lost(self):
+    def lost(self, failed_seconds):
         self.outage_seconds = self._loop.time()
 
     def _since(self, one):
@@ -150,6 +187,52 @@
         return since if version == one.version else self._loop.time()
 
 
+class ServerTaker(Taker):
+    """The same for the servers, in the list that decides who gets work."""
+
+    def __init__(self, loop):
+        super().__init__(loop)
+        self.servers = ServerList()
+
+    def listed(self, listing):
+        super().listed(listing)
+        self.servers.replace(self._loop.time(), map(_server, listing.objects))
+
+    def changed(self, stored):
+        if stored.deleted:
+            self.known.pop(stored.key, None)
+            self.servers.remove(self._loop.time(), stored.key)
+            return
+        super().changed(stored)
+        self.servers.put(self._loop.time(), _server(stored))
+
+    def confirmed(self, asked_seconds):
+        super().confirmed(asked_seconds)
+        self.servers.times.confirm(self._loop.time(), asked_seconds)
+
+    def lost(self, failed_seconds):
+        super().lost(failed_seconds)
+        self.servers.times.record_failure(failed_seconds)
+
+    def working(self):
+        self.servers.expire(self._loop.time())
+        return {one.instance for one in self.servers.in_pool('models')}
+
+
+def _server(stored):
+    number = int(stored.key.rpartition('-')[2])
+    return BackendServer(
+        stored.key,
+        'models',
+        f'10.1.0.{number}',
+        80,
+        'galata',
+        8,
+        stored.value == LEAVING,
+        revision=stored.version,
+    )
+
+
 class _SideFeeds(FeedFactory):
     def __init__(self, end, log, clock):
         self._arguments = (end, log, clock)
@@ -236,7 +319,8 @@
         self.way = StoreClient(world.table, name)
         self.links = {one.name: _Link(self, one) for one in world.sides}
         self.takers = {
-            prefix: Taker(world.loop) for prefix in (CONFIG, SERVERS)
+            CONFIG: Taker(world.loop),
+            SERVERS: ServerTaker(world.loop),
         }
         self._domain = domain
         self._world = world
--- a/tests/topology/servers.feature
+++ b/tests/topology/servers.feature
@@ -15,6 +15,27 @@
     And 1.7 seconds pass
     Then 0 servers get work
 
+  # Guards against a removed server that gets requests as if its record had
+  # expired in an outage.
+  Scenario: An outage too short for records to expire gives no grace period
+    Given 3 listed servers
+    When a call to the store fails, and it returns after 1.5 seconds with an empty list
+    Then 0 servers get work
+
+  # Guards against the same after an outage of a neighbour's path to the store.
+  Scenario: A neighbour's outage gives no grace period
+    Given 3 listed servers
+    When a neighbour reports an outage, and lists no server afterwards
+    Then 0 servers get work
+
+  # Guards against a grace period that counts from when the return was noticed.
+  Scenario: The grace period counts from the last call that failed
+    Given 3 listed servers
+    When the last call to the store fails 1.4 seconds before it returns with an empty list
+    Then 3 servers get work
+    When 1.3 seconds pass
+    Then 0 servers get work
+
   Scenario: A server that is listed again stays
     Given 3 listed servers
     When the store is unreachable and returns with an empty list
--- a/tests/topology/steps/feed_steps.py
+++ b/tests/topology/steps/feed_steps.py
@@ -45,7 +45,7 @@
     def confirmed(self, asked_seconds):
         self.confirmed_in_outage += self.store.failing_calls > 0
 
-    def lost(self):
+    def lost(self, failed_seconds):
         """Do nothing: the objects here have no age."""
 
 
--- a/tests/topology/steps/topology_steps.py
+++ b/tests/topology/steps/topology_steps.py
@@ -28,7 +28,9 @@
     'and revision {revision:d}',
 )
 def list_start(context, started, revision):
-    context.servers.put(_server(0, started=started, revision=revision))
+    context.servers.put(
+        context.now, _server(0, started=started, revision=revision)
+    )
 
 
 @when(
@@ -60,7 +62,7 @@
     'the first server',
 )
 def invalidate_first(context):
-    context.servers.outage(context.now)
+    _lose_store(context)
     context.servers.drop_unreadable('i-0', 30)
 
 
@@ -79,10 +81,17 @@
     context.servers.replace(context.now, map(_server, range(count)))
 
 
+def _lose_store(context, seconds=10.0):
+    context.servers.times.confirm(context.now, context.now)
+    context.now += seconds
+    context.servers.times.record_failure(context.now)
+
+
 @step('the store is unreachable and returns with an empty list')
 def return_empty(context):
-    context.servers.outage(context.now)
+    _lose_store(context)
     context.servers.replace(context.now, ())
+    context.servers.times.confirm(context.now, context.now)
 
 
 def _tick(context, seconds):
@@ -96,7 +105,9 @@
     'the store returns, and the records of all expire over {seconds:g} seconds',
 )
 def expire_one_by_one(context, seconds):
-    context.servers.outage(context.now)
+    _lose_store(context)
+    context.servers.replace(context.now, context.servers.instances.values())
+    context.servers.times.confirm(context.now, context.now)
     names = sorted(context.servers.instances)
     context.fewest_available = len(names)
     for name in names:
@@ -109,7 +120,7 @@
     count = len(context.servers.instances)
     for number in range(count):
         _tick(context, seconds / count)
-        context.servers.put(_server(number))
+        context.servers.put(context.now, _server(number))
 
 
 @then('none of them was ever left out')
@@ -117,18 +128,49 @@
     assert context.fewest_available == len(context.servers.instances)
 
 
+@when(
+    'a call to the store fails, and it returns after {seconds:g} seconds'
+    ' with an empty list'
+)
+def return_soon(context, seconds):
+    _lose_store(context, seconds)
+    return_listed(context, ())
+
+
+@when('a neighbour reports an outage, and lists no server afterwards')
+def neighbour_lists_none(context):
+    context.servers.times.confirm(context.now, context.now)
+    context.now += 4
+    return_listed(context, ())
+
+
+@when(
+    'the last call to the store fails {seconds:g} seconds before it returns'
+    ' with an empty list'
+)
+def return_late(context, seconds):
+    _lose_store(context)
+    context.now += seconds
+    return_listed(context, ())
+
+
+def return_listed(context, servers):
+    context.servers.replace(context.now, servers)
+    context.servers.times.confirm(context.now, context.now)
+
+
 @step(
     'the store is unreachable and returns with a new server '
     'at the first address',
 )
 def return_new(context):
-    context.servers.outage(context.now)
+    _lose_store(context)
     context.servers.replace(context.now, [_server(9, ip='10.0.0.0')])
 
 
 @step('the first server is listed again')
 def list_again(context):
-    context.servers.put(_server(0))
+    context.servers.put(context.now, _server(0))
 
 
 @step('the first server is no longer listed')
@@ -138,7 +180,7 @@
 
 @step('the first server is draining')
 def drain(context):
-    context.servers.put(_server(0, leaving=True))
+    context.servers.put(context.now, _server(0, leaving=True))
 
 
 @step('{seconds:g} seconds pass')
@@ -181,7 +223,7 @@
 
 @when('a later server is listed at the first address')
 def list_later(context):
-    context.servers.put(_server(9, ip='10.0.0.0', revision=50))
+    context.servers.put(context.now, _server(9, ip='10.0.0.0', revision=50))
 
 
 @when('another server responds at the first address')
@@ -240,7 +282,7 @@
 def announce_many(context, count):
     for number in range(10, 10 + count):
         server = _server(number, ip='10.0.1.1')
-        context.servers.put(server)
+        context.servers.put(context.now, server)
         context.servers.record_leaving(server.start)
         context.servers.remove(context.now, server.instance)
 
--- a/tests/views/steps/view_steps.py
+++ b/tests/views/steps/view_steps.py
@@ -5,13 +5,18 @@
 import asyncio
 import os
 
-from behave import given, then, when
+from behave import given, step, then, when
 from tests.support.loop_tasks import cancel_other_tasks
-from tests.support.view_world import CONFIG, SERVERS, Taker, ViewWorld
+from tests.support.view_world import (
+    CONFIG,
+    LEAVING,
+    SERVERS,
+    Taker,
+    ViewWorld,
+)
 from tests.support.virtual_time import VirtualTimeLoop
 
 from sardinetrack.store.api import Listing, StoredObject
-from sardinetrack.topology.servers import RELIST_GRACE_SECONDS
 from sardinetrack.views.borrowed import BorrowedView
 from sardinetrack.views.messages import ViewConfirmed, ViewObject, ViewObjects
 
@@ -218,12 +223,97 @@
     )
 
 
-@then('every entry keeps servers that are not listed around the outage')
-def keeps_servers(context):
-    _run(context, asyncio.sleep(1))
-    for entry in context.world.entries:
-        since = entry.takers[SERVERS].outage_seconds
-        assert since >= context.returned - RELIST_GRACE_SECONDS, since
+@given('{count:d} servers in the store')
+def write_servers(context, count):
+    async def write():
+        for number in range(1, count + 1):
+            await context.world.table.write(f'{SERVERS}i-{number}')
+
+    _run(context, write())
+
+
+@when('all is well')
+def no_trouble(context):
+    """Leave everything as it is."""
+
+
+@when('the responses for the servers are lost')
+def lose_responses(context):
+    context.world.table.losses[SERVERS] += 1
+
+
+@when('the store refuses all sides')
+def refuse_sides(context):
+    for side in context.world.sides:
+        side.way.refused = True
+    _run(context, context.world.table.wake())
+
+
+@when('the store refuses all sides by turns')
+def refuse_by_turns(context):
+    async def turn():
+        for number in range(8):
+            for side in context.world.sides:
+                side.way.refused = not number % 2
+            await context.world.table.wake()
+            await asyncio.sleep(0.6)
+
+    context.turns = context.loop.create_task(turn())
+    _run(context, asyncio.sleep(0.1))
+
+
+@step('server {number:d} leaves')
+def report_leaving(context, number):
+    table = context.world.table
+    _run(context, table.write(f'{SERVERS}i-{number}', LEAVING))
+
+
+@step('server {number:d} is removed')
+def remove_server(context, number):
+    _run(context, context.world.table.remove(f'{SERVERS}i-{number}'))
+
+
+def _working(context):
+    """Return the servers that some entry sends work, and that all do."""
+    sets = [entry.takers[SERVERS].working() for entry in context.world.entries]
+    return set.union(*sets), set.intersection(*sets)
+
+
+@then('server {number:d} gets no work after {seconds:g} seconds')
+def gets_none(context, number, seconds):
+    _run(context, asyncio.sleep(seconds))
+    by_any, _ = _working(context)
+    assert f'{SERVERS}i-{number}' not in by_any, by_any
+
+
+@then('servers 2 and 3 get work')
+def others_work(context):
+    _, by_all = _working(context)
+    assert by_all == {f'{SERVERS}i-{one}' for one in (2, 3)}, by_all
+
+
+@when(
+    'the store is unreachable for {seconds:d} seconds, and all servers expire'
+)
+def expire_in_outage(context, seconds):
+    outage(context, seconds)
+    for key in list(context.world.table.objects):
+        if key.startswith(SERVERS):
+            _run(context, context.world.table.remove(key))
+
+
+@then('all servers get work during the next {seconds:d} second')
+def all_work(context, seconds):
+    for _ in range(10 * seconds):
+        _run(context, asyncio.sleep(0.1))
+        _, by_all = _working(context)
+        assert len(by_all) == 3, by_all
+
+
+@when('servers 2 and 3 are listed again')
+def list_again(context):
+    for number in (2, 3):
+        _run(context, context.world.table.write(f'{SERVERS}i-{number}'))
 
 
 @when('all entries stop')
@@ -256,6 +346,43 @@
     context.view.listed(Listing(7, (_object('own', 7),)))
 
 
+@given('an entry that has read nothing')
+def no_view(context):
+    loop = VirtualTimeLoop()
+    context.add_cleanup(loop.close)
+    context.now = 10
+    context.taker = Taker(loop)
+    context.view = BorrowedView(context.taker, lambda: context.now)
+
+
+@when('a neighbour sends a view that it does not confirm')
+def send_unconfirmed(context):
+    _send(context, ('lent',), 6, None)
+
+
+@when('that neighbour sends a deletion at {seconds:f} seconds, and is lost')
+def delete_through_neighbour(context, seconds):
+    context.now = seconds
+    removed = ViewObject(f'{CONFIG}lent', 9, b'', deleted=True)
+    context.view.receive_objects(
+        ViewObjects(CONFIG, 9, complete=False, objects=(removed,)),
+    )
+    context.view.reset()
+
+
+@when(
+    'a neighbour sends an older view that was complete at {seconds:f} seconds'
+)
+def send_older(context, seconds):
+    context.taker.known = {}
+    _send(context, ('lent',), 6, seconds)
+
+
+@then('the older view is not in effect')
+def older_not_in_effect(context):
+    borrowed_not_in_effect(context)
+
+
 def _object(name, version):
     return StoredObject(f'{CONFIG}{name}', version, b'{}')
 
@@ -294,7 +421,8 @@
     view.receive_objects(
         ViewObjects(CONFIG, version, complete=True, objects=sent),
     )
-    view.receive_confirmation(ViewConfirmed(CONFIG, seconds))
+    if seconds is not None:
+        view.receive_confirmation(ViewConfirmed(CONFIG, seconds))
     if view.ready:
         view.borrow()
 
--- a/tests/views/view.feature
+++ b/tests/views/view.feature
@@ -78,7 +78,16 @@
     When they have run for 10 seconds
     And the store ends the watches
     Then no entry has called the store in the next 5 seconds
-    And every entry keeps servers that are not listed around the outage
+
+  # Guards against a removed server that is kept as if its record had expired
+  # in an outage, because a neighbour's call failed.
+  Scenario: A server that is removed while the watches end gets no more work
+    Given 26 entries, 3 sides and a store with a configuration
+    And 3 servers in the store
+    When they have run for 10 seconds
+    And the store ends the watches
+    And server 1 is removed
+    Then server 1 gets no work after 0.5 seconds
 
   Scenario: An entry without the store continues through its neighbour
     Requests with an API key are refused when the view of the keys is older than
@@ -110,7 +119,39 @@
     And the store is unreachable for 10 seconds
     Then it was called at most 500 times during that time
     And every entry reads it again within 0.7 seconds
-    And every entry keeps servers that are not listed around the outage
+
+  Scenario: Servers whose records expire in an outage get work after it
+    One of them does not come back, and gets none 2 s after the store's return.
+
+    Given 26 entries, 24 sides and a store with a configuration
+    And 3 servers in the store
+    When they have run for 10 seconds
+    And the store is unreachable for 10 seconds, and all servers expire
+    Then all servers get work during the next 1 second
+    When servers 2 and 3 are listed again
+    Then server 1 gets no work after 0.9 seconds
+    And servers 2 and 3 get work
+
+  # Guards against requests that reach a server more than 2 s after the store
+  # has accepted its leaving; 0.2 s of these are the request's own.
+  Scenario Outline: A leaving is in effect in time: <form>, <trouble>
+    Given <entries> entries, <sides> sides and a store with a configuration
+    And 3 servers in the store
+    When they have run for 10 seconds
+    And <trouble>
+    And server 1 <form>
+    Then server 1 gets no work after 1.8 seconds
+    And servers 2 and 3 get work
+
+    Examples:
+      | entries | sides | form           | trouble                                       |
+      | 5       | 2     | leaves         | all is well                                   |
+      | 5       | 2     | is removed     | all is well                                   |
+      | 5       | 2     | leaves         | the store refuses all sides                   |
+      | 5       | 2     | is removed     | the store refuses all sides                   |
+      | 5       | 2     | is removed     | the store refuses all sides by turns          |
+      | 5       | 2     | is removed     | the watcher crashes                           |
+
 
   Scenario: After an outage all entries subscribe to a watcher again
     Given 26 entries, 24 sides and a store with a configuration
