Silence of the list of servers is bounded, for each kind of object

Callers' requests reached servers more than 2 s after the store had accepted their leaving: silence was taken for no change. A watch of the servers whose response was lost was noticed after 8.6 s at an entry and 2.6 s at a side, and a neighbour was kept as long as any of its feeds was confirmed. Keep-alive probes don't help: what holds the connection open answers them.

Each borrowed view ends by itself now, 0.5 s after the next response to the neighbour's watch is due, whatever its other feeds do, and counted from when a response was made, not from when it left a buffer. A view that was never confirmed, or has ended, is not taken either. An entry's own watches wait 0.8 s for servers and 1.0 s for the configuration, which had the same fault (2.2 s of 2 s), a side's 1.0 s for both.

Cost: a watcher makes 2 calls a second in place of 1.5, an entry that reads the store itself 2.25 in place of 0.75; tests/views still allows 500 calls for 26 entries in 60 s with a change each second, and they make fewer.

--- a/src/sardinetrack/compose/store_view.py
+++ b/src/sardinetrack/compose/store_view.py
@@ -27,8 +27,9 @@
 from sardinetrack.store.api import StoredObject
 from sardinetrack.topology.configuration import Configuration
 from sardinetrack.topology.feed import (
-    CHANGE_WATCH_SECONDS,
-    CONFIRMING_WATCH_SECONDS,
+    CONFIGURATION_WATCH_SECONDS,
+    EVACUATIONS_WATCH_SECONDS,
+    SERVERS_WATCH_SECONDS,
     Feed,
 )
 from sardinetrack.topology.freshness import boot_clock
@@ -37,8 +38,8 @@
 from sardinetrack.views.borrowed import BorrowedView
 from sardinetrack.views.source import DirectFeeds, ViewSource
 from sardinetrack.views.watcher import (
-    CONFIGURATION_WATCH_SECONDS,
-    OBJECT_WATCH_SECONDS,
+    EVACUATIONS_VIEW_SECONDS,
+    VIEW_WATCH_SECONDS,
     FeedFactory,
     Mirror,
     Watcher,
@@ -46,12 +47,20 @@
 
 _SIDE_WATCH_SECONDS: Final = MappingProxyType(
     {
-        CONFIGURATION_PREFIX: CONFIGURATION_WATCH_SECONDS,
-        SERVERS_PREFIX: OBJECT_WATCH_SECONDS,
-        EVACUATIONS_PREFIX: OBJECT_WATCH_SECONDS,
+        CONFIGURATION_PREFIX: VIEW_WATCH_SECONDS,
+        SERVERS_PREFIX: VIEW_WATCH_SECONDS,
+        EVACUATIONS_PREFIX: EVACUATIONS_VIEW_SECONDS,
     },
 )
 """How long each watch call of a side waits, by the prefix of the objects."""
+_ENTRY_WATCH_SECONDS: Final = MappingProxyType(
+    {
+        CONFIGURATION_PREFIX: CONFIGURATION_WATCH_SECONDS,
+        SERVERS_PREFIX: SERVERS_WATCH_SECONDS,
+        EVACUATIONS_PREFIX: EVACUATIONS_WATCH_SECONDS,
+    },
+)
+"""The same of an entry that reads the store itself."""
 
 
 def watched_prefixes(settings: InstanceSettings) -> tuple[str, ...]:
@@ -103,12 +112,14 @@
         EVACUATIONS_PREFIX: EvacuationsListener(state),
     }
     views = {
-        prefix: BorrowedView(listeners[prefix], boot_clock)
+        prefix: BorrowedView(
+            listeners[prefix], boot_clock, _SIDE_WATCH_SECONDS[prefix]
+        )
         for prefix in watched_prefixes(state.settings)
     }
     access = StoreAccess(store)
     feeds = [
-        Feed(access, prefix, view, state.log, _direct_watch_seconds(prefix))
+        Feed(access, prefix, view, state.log, _ENTRY_WATCH_SECONDS[prefix])
         for prefix, view in views.items()
     ]
     direct = DirectFeeds(feeds, access)
@@ -128,9 +139,3 @@
         watched_prefixes(settings),
         log,
     )
-
-
-def _direct_watch_seconds(prefix: str) -> float:
-    if prefix == CONFIGURATION_PREFIX:
-        return CONFIRMING_WATCH_SECONDS
-    return CHANGE_WATCH_SECONDS
--- a/src/sardinetrack/topology/feed.py
+++ b/src/sardinetrack/topology/feed.py
@@ -15,18 +15,18 @@
 )
 from sardinetrack.topology.outage import StoreAccess
 
-CONFIRMING_WATCH_SECONDS: Final = 1.6
-"""How long a watch call waits whose responses confirm the view.
+CONFIGURATION_WATCH_SECONDS: Final = 1.0
+"""How long a watch of the configuration waits.
 
-The view is two waits old at most: 3.2 s, and requests with an API key are
-served up to an age of 4.3 s. Changes arrive immediately in any case.
-"""
-CHANGE_WATCH_SECONDS: Final = 8.0
-"""How long a watch call waits that only delivers changes.
-
-A silent connection is detected by its keep-alive probes, not by the wait.
-Both waits together cost an entry 0.75 calls a second in place of 2.
+Changes arrive immediately. If the response to a watch is lost, this shows only
+after the wait and the time for the response; a change must be in effect 2 s
+after the store has accepted it.
 """
+SERVERS_WATCH_SECONDS: Final = 0.8
+"""The same for the servers: a server that leaves must get no request 2 s
+later, and the request takes time too."""
+EVACUATIONS_WATCH_SECONDS: Final = 2.0
+"""The same for evacuations, which must be in effect after 5 s."""
 CHANGE_BATCH_SECONDS: Final = 0.2
 """Delay after a change, so that one response delivers several changes.
 
--- a/src/sardinetrack/views/borrowed.py
+++ b/src/sardinetrack/views/borrowed.py
@@ -4,6 +4,7 @@
 
 import math
 from collections.abc import Callable
+from typing import Final
 
 from sardinetrack.store.api import Listing, StoredObject
 from sardinetrack.topology.feed import FeedListener
@@ -13,6 +14,17 @@
     decode_object,
 )
 
+_LAG_SECONDS: Final = 0.5
+"""For the way of a confirmation, and the time before the next watch begins."""
+
+
+def max_silence_seconds(wait_seconds: float) -> float:
+    """Return how long a neighbour's view is relied on without confirmation.
+
+    :param wait_seconds: how long the neighbour's watches wait.
+    """
+    return wait_seconds + _LAG_SECONDS
+
 
 class BorrowedView(FeedListener):
     """Uses the direct feed until a neighbour's view is at least as new.
@@ -22,52 +34,61 @@
     get work again. So the neighbour's view is not in effect until it is
     confirmed for a time after the last change read directly from the store.
     The store's responses are linearizable, so it then contains that change.
+
+    A view that is not confirmed for some time is not relied on.
     """
 
     def __init__(
         self,
         listener: FeedListener,
         clock: Callable[[], float],
+        wait_seconds: float,
     ) -> None:
         """Start without objects.
 
         :param listener: receives the view that is in effect.
         :param clock: the boot clock, in seconds.
+        :param wait_seconds: how long the watches of a neighbour wait.
         """
         self.borrowed = False
         self._listener = listener
-        self._own_versions: dict[str, int] = {}
-        self._own_change_seconds = -math.inf
-        self._own_deletion_seconds = -math.inf
+        self._wait_seconds = wait_seconds
+        self._complete_seconds = -math.inf
+        self._versions: dict[str, int] = {}
+        self._changed_seconds = -math.inf
+        self._deleted_seconds = -math.inf
         self._confirmed_seconds = -math.inf
         self._pending: dict[str, StoredObject] | None = None
         self._revision = 0
         self._clock = clock
 
+    @property
+    def expires_seconds(self) -> float:
+        """Until when the neighbour's view is relied on, by the boot clock."""
+        return self._complete_seconds + max_silence_seconds(self._wait_seconds)
+
     @property
     def ready(self) -> bool:
         """Whether the neighbour's view is new enough to take effect."""
-        pending = self._pending
-        if (
-            pending is None
-            or self._confirmed_seconds < self._own_deletion_seconds
-        ):
+        pending, confirmed = self._pending, self._confirmed_seconds
+        # Of a view that was never confirmed nothing is known at all.
+        if pending is None or self._clock() >= self.expires_seconds:
+            return False
+        if confirmed < self._deleted_seconds:
             return False
-        if self._confirmed_seconds >= self._own_change_seconds:
+        if confirmed >= self._changed_seconds:
             return True
         return all(
             key in pending and pending[key].version >= version
-            for key, version in self._own_versions.items()
+            for key, version in self._versions.items()
         )
 
     def listed(self, listing: Listing) -> None:
         """Apply a listing of the direct feed."""
         if not self.borrowed:
-            self._own_versions = {
-                one.key: one.version for one in listing.objects
-            }
-            self._own_change_seconds = self._clock()
-            self._own_deletion_seconds = self._own_change_seconds
+            self._versions = {one.key: one.version for one in listing.objects}
+            self._changed_seconds = self._clock()
+            self._deleted_seconds = self._changed_seconds
             self._listener.listed(listing)
 
     def changed(self, stored_object: StoredObject) -> None:
@@ -98,6 +119,7 @@
         self.borrowed = False
         self._pending = None
         self._confirmed_seconds = -math.inf
+        self._complete_seconds = -math.inf
 
     def receive_objects(self, message: ViewObjects) -> None:
         """Apply objects of the neighbour."""
@@ -112,17 +134,22 @@
 
     def receive_confirmation(self, message: ViewConfirmed) -> None:
         """Apply a confirmation of the neighbour."""
-        self._confirmed_seconds = message.confirmed_seconds
+        asked_seconds = message.confirmed_seconds
+        self._confirmed_seconds = max(self._confirmed_seconds, asked_seconds)
+        # A response without changes was made after the wait. One that has
+        # been in a buffer since then says nothing of the time after.
+        made_seconds = min(self._clock(), asked_seconds + self._wait_seconds)
+        self._complete_seconds = max(self._complete_seconds, made_seconds)
         if self.borrowed:
             self._listener.confirmed(message.confirmed_seconds)
 
     def _record_own(self, stored_object: StoredObject) -> None:
-        self._own_change_seconds = self._clock()
+        self._changed_seconds = self._clock()
         if stored_object.deleted:
-            self._own_deletion_seconds = self._own_change_seconds
-            self._own_versions.pop(stored_object.key, None)
+            self._deleted_seconds = self._changed_seconds
+            self._versions.pop(stored_object.key, None)
         else:
-            self._own_versions[stored_object.key] = stored_object.version
+            self._versions[stored_object.key] = stored_object.version
 
     def _apply(self, objects: list[StoredObject], *, complete: bool) -> None:
         if complete:
--- a/src/sardinetrack/views/source.py
+++ b/src/sardinetrack/views/source.py
@@ -29,14 +29,6 @@
     ViewObjects,
 )
 
-CONFIRMATION_TIMEOUT_SECONDS: Final = 1.5
-"""Longest time between two confirmations of a neighbour that is in use.
-
-A watcher's calls wait 1 s. If it is silently disconnected from the store, its
-subscribers leave it after this time and read the store directly: a change
-made during that time is in effect at most 1.6 s later, of the 2 s that the
-users allow.
-"""
 JOIN_TIMEOUT_SECONDS: Final = 6.0
 """How long a neighbour may take until its view is as new as the direct one."""
 INITIAL_BACKOFF_SECONDS: Final = 0.5
@@ -161,7 +153,7 @@
             self._fail('gone')
 
     def _handle_store_lost(self, message: ViewLost) -> None:
-        """Stay with a neighbour whose call has failed until it times out.
+        """Stay with a neighbour whose call has failed until its view is old.
 
         It retries within 0.1 s, and single calls fail often: when the store
         drops its history, it ends every watch. If its subscribers left it each
@@ -232,13 +224,15 @@
         )
 
     async def _stay(self) -> None:
-        """Return when the neighbour is lost or has timed out."""
+        """Return when the neighbour is lost, or one of its views is too old.
+
+        One feed of the neighbour may be silent while the others respond.
+        """
         while self.borrowed:
-            left_seconds = (
-                self._received_seconds
-                + CONFIRMATION_TIMEOUT_SECONDS
-                - self._clock()
+            expires_seconds = min(
+                view.expires_seconds for view in self._views.values()
             )
+            left_seconds = expires_seconds - self._clock()
             if left_seconds <= 0:
                 self._fail('late')
             else:
--- a/src/sardinetrack/views/watcher.py
+++ b/src/sardinetrack/views/watcher.py
@@ -24,14 +24,14 @@
     encode_object,
 )
 
-CONFIGURATION_WATCH_SECONDS: Final = 1.0
-"""How long a watcher's call waits whose responses confirm the configuration.
+VIEW_WATCH_SECONDS: Final = 1.0
+"""How long a watcher's call waits for a change.
 
-Subscribers take a longer time without confirmation for a loss. It costs one
-call a second for all of them together.
+Each response confirms the view to all subscribers. Without one they leave the
+watcher after this time and a lag.
 """
-OBJECT_WATCH_SECONDS: Final = 2.0
-"""The same for objects whose view needs no bound on its age."""
+EVACUATIONS_VIEW_SECONDS: Final = 2.0
+"""The same for evacuations, which must be in effect after 5 s."""
 IDLE_SECONDS: Final = 1.0
 """How long the store is still watched after the last subscriber has left."""
 
--- a/tests/support/view_world.py
+++ b/tests/support/view_world.py
@@ -12,8 +12,8 @@
 from sardinetrack.logs.events import EventLog
 from sardinetrack.store.api import Listing, NoResponseError, StoredObject
 from sardinetrack.topology.feed import (
-    CHANGE_WATCH_SECONDS,
-    CONFIRMING_WATCH_SECONDS,
+    CONFIGURATION_WATCH_SECONDS,
+    SERVERS_WATCH_SECONDS,
     Feed,
     FeedListener,
 )
@@ -29,8 +29,7 @@
 )
 from sardinetrack.views.source import DirectFeeds, ViewSource
 from sardinetrack.views.watcher import (
-    CONFIGURATION_WATCH_SECONDS,
-    OBJECT_WATCH_SECONDS,
+    VIEW_WATCH_SECONDS,
     FeedFactory,
     Watcher,
 )
@@ -43,13 +42,9 @@
 """How long a client waits for the late response to a watch."""
 _RESPONSE_SECONDS = 0.004
 _LINK_DELAY_SECONDS = 0.0014
-_SIDE_WATCH_SECONDS = (
-    (CONFIG, CONFIGURATION_WATCH_SECONDS),
-    (SERVERS, OBJECT_WATCH_SECONDS),
-)
 _DIRECT_WATCH_SECONDS = (
-    (CONFIG, CONFIRMING_WATCH_SECONDS),
-    (SERVERS, CHANGE_WATCH_SECONDS),
+    (CONFIG, CONFIGURATION_WATCH_SECONDS),
+    (SERVERS, SERVERS_WATCH_SECONDS),
 )
 
 
@@ -241,8 +236,8 @@
         end, log, clock = self._arguments
         way = StoreAccess(end, clock=clock)
         return [
-            Feed(way, prefix, mirrors[prefix], log, wait)
-            for prefix, wait in _SIDE_WATCH_SECONDS
+            Feed(way, prefix, mirrors[prefix], log, VIEW_WATCH_SECONDS)
+            for prefix in (CONFIG, SERVERS)
         ]
 
 
@@ -326,7 +321,7 @@
         self._world = world
         clock = world.loop.time
         views = {
-            prefix: BorrowedView(taker, clock)
+            prefix: BorrowedView(taker, clock, VIEW_WATCH_SECONDS)
             for prefix, taker in self.takers.items()
         }
         way = StoreAccess(self.way, clock=clock)
--- a/tests/views/steps/view_steps.py
+++ b/tests/views/steps/view_steps.py
@@ -19,6 +19,7 @@
 from sardinetrack.store.api import Listing, StoredObject
 from sardinetrack.views.borrowed import BorrowedView
 from sardinetrack.views.messages import ViewConfirmed, ViewObject, ViewObjects
+from sardinetrack.views.watcher import VIEW_WATCH_SECONDS
 
 
 @given('{entries:d} entries, {sides:d} sides and a store with a configuration')
@@ -342,7 +343,9 @@
     context.add_cleanup(loop.close)
     context.now = seconds
     context.taker = Taker(loop)
-    context.view = BorrowedView(context.taker, lambda: context.now)
+    context.view = BorrowedView(
+        context.taker, lambda: context.now, VIEW_WATCH_SECONDS
+    )
     context.view.listed(Listing(7, (_object('own', 7),)))
 
 
@@ -352,7 +355,9 @@
     context.add_cleanup(loop.close)
     context.now = 10
     context.taker = Taker(loop)
-    context.view = BorrowedView(context.taker, lambda: context.now)
+    context.view = BorrowedView(
+        context.taker, lambda: context.now, VIEW_WATCH_SECONDS
+    )
 
 
 @when('a neighbour sends a view that it does not confirm')
--- a/tests/views/view.feature
+++ b/tests/views/view.feature
@@ -36,6 +36,12 @@
     And a neighbour sends the changed object, complete at 10.5 seconds
     Then the neighbour's view is not in effect
 
+  # Guards against the list of a neighbour that has not confirmed it.
+  Scenario: A view that was never confirmed is not taken
+    Given an entry that has read nothing
+    When a neighbour sends a view that it does not confirm
+    Then the neighbour's view is not in effect
+
   Scenario: The direct feed is ignored once the neighbour's view is in effect
     The direct feed is being stopped. A response that was in transit to it is
     older than what the neighbour has sent since.
@@ -147,10 +153,16 @@
       | entries | sides | form           | trouble                                       |
       | 5       | 2     | leaves         | all is well                                   |
       | 5       | 2     | is removed     | all is well                                   |
+      | 5       | 2     | leaves         | the responses for the servers are lost        |
+      | 5       | 2     | is removed     | the responses for the servers are lost        |
       | 5       | 2     | leaves         | the store refuses all sides                   |
       | 5       | 2     | is removed     | the store refuses all sides                   |
       | 5       | 2     | is removed     | the store refuses all sides by turns          |
+      | 5       | 2     | leaves         | the watcher receives nothing more from the store |
+      | 5       | 2     | is removed     | the watcher receives nothing more from the store |
       | 5       | 2     | is removed     | the watcher crashes                           |
+      | 5       | 0     | leaves         | the responses for the servers are lost        |
+      | 5       | 0     | is removed     | the responses for the servers are lost        |
 
 
   Scenario: After an outage all entries subscribe to a watcher again
