A second neighbour's view is not older than that of the first

A server whose removal a neighbour had reported got requests again: when that neighbour was lost, the next one's view was compared with what the entry itself had read, perhaps minutes ago, and not with what the first one had sent. Versions don't tell: the removed record has none.

Objects, changes and removals count alike, whoever has sent them.

The new scenario of tests/views failed before and passes now.

--- a/src/sardinetrack/views/borrowed.py
+++ b/src/sardinetrack/views/borrowed.py
@@ -34,6 +34,7 @@
     get work again. So the neighbour's view is not in effect until it is
     confirmed for a time after the last change read directly from the store.
     The store's responses are linearizable, so it then contains that change.
+    The same holds for what another neighbour has sent.
 
     A view that is not confirmed for some time is not relied on.
     """
@@ -86,16 +87,12 @@
     def listed(self, listing: Listing) -> None:
         """Apply a listing of the direct feed."""
         if not self.borrowed:
-            self._versions = {one.key: one.version for one in listing.objects}
-            self._changed_seconds = self._clock()
-            self._deleted_seconds = self._changed_seconds
-            self._listener.listed(listing)
+            self._use_listing(listing)
 
     def changed(self, stored_object: StoredObject) -> None:
         """Apply a change of the direct feed."""
         if not self.borrowed:
-            self._record_own(stored_object)
-            self._listener.changed(stored_object)
+            self._use_change(stored_object)
 
     def confirmed(self, asked_seconds: float) -> None:
         """Apply a confirmation of the direct feed."""
@@ -143,20 +140,27 @@
         if self.borrowed:
             self._listener.confirmed(message.confirmed_seconds)
 
-    def _record_own(self, stored_object: StoredObject) -> None:
+    def _apply(self, objects: list[StoredObject], *, complete: bool) -> None:
+        if complete:
+            self._use_listing(Listing(self._revision, tuple(objects)))
+            return
+        for one in objects:
+            self._use_change(one)
+
+    def _use_listing(self, listing: Listing) -> None:
+        self._versions = {one.key: one.version for one in listing.objects}
+        self._changed_seconds = self._clock()
+        self._deleted_seconds = self._changed_seconds
+        self._listener.listed(listing)
+
+    def _use_change(self, stored_object: StoredObject) -> None:
         self._changed_seconds = self._clock()
         if stored_object.deleted:
             self._deleted_seconds = self._changed_seconds
             self._versions.pop(stored_object.key, None)
         else:
             self._versions[stored_object.key] = stored_object.version
-
-    def _apply(self, objects: list[StoredObject], *, complete: bool) -> None:
-        if complete:
-            self._listener.listed(Listing(self._revision, tuple(objects)))
-            return
-        for one in objects:
-            self._listener.changed(one)
+        self._listener.changed(stored_object)
 
 
 def _update(
--- a/tests/views/view.feature
+++ b/tests/views/view.feature
@@ -42,6 +42,15 @@
     When a neighbour sends a view that it does not confirm
     Then the neighbour's view is not in effect
 
+  # Guards against a server that gets work again, because a second neighbour's
+  # view is older than what the first one had sent.
+  Scenario: The view of a second neighbour is not older than that of the first
+    Given an entry that has read the store at 10.0 seconds
+    When a neighbour sends a view that was complete at 10.1 seconds
+    And that neighbour sends a deletion at 12.0 seconds, and is lost
+    And a neighbour sends an older view that was complete at 11.0 seconds
+    Then the older view is not in effect
+
   Scenario: The direct feed is ignored once the neighbour's view is in effect
     The direct feed is being stopped. A response that was in transit to it is
     older than what the neighbour has sent since.
