A stream returns to a leaving server only while a request may arrive there

A stream whose move fails after its run has stopped was sent back to the engine that leaves, however long ago that had been accepted: 'no new work', said the code. To the engine it is a request like any other, and the platform allows none 2 s (3 s, 4 s) after the leaving. A move begins 1 s after it was learned, 2 s if there was no destination at first, and waits up to 2.4 s for a source that is silent.

A return has the same bound as every request now, drainMs of the settings from the store's acceptance, less 0.2 s to arrive. What is reported by a watch was accepted at most 0.4 s before, what a listing shows after the last response before it. Later a stream that may be resumed goes on elsewhere, any other is cut: there is no other engine that could continue it.

The soak counted such a cut as lost. It is excused now if the copy that stops the run has failed for want of room at an engine whose leaving is 1.4 s old or more: no request may reach it in time.

The two new scenarios of tests/relay fail without the bound (the stream returns; run on a copy).

--- a/benchmarks/soak/leavings.py
+++ b/benchmarks/soak/leavings.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 from benchmarks.soak.faults import Faults, lasting
+from benchmarks.soak.losses import DRAIN_SECONDS
 from sardinetrack.standin.tcp_proxy import Direction
 
 if TYPE_CHECKING:
@@ -16,8 +17,6 @@
     from benchmarks.soak.losses import Cut
     from benchmarks.soak.world import Process, World
 
-DRAIN_SECONDS = 2.0
-"""After the store has accepted a leaving, no request may arrive later."""
 _SERVES_SECONDS = 7.0
 """How long a leaving server serves: the bound and some seconds more."""
 _LOST_SECONDS = 0.3
--- a/benchmarks/soak/losses.py
+++ b/benchmarks/soak/losses.py
@@ -24,6 +24,11 @@
 _LAST_GRACE_SECONDS = GRACE_SECONDS / 6
 CONTACT_SECONDS = 3.0
 """A process is bound by limits of time if it was undisturbed for so long."""
+DRAIN_SECONDS = 2.0
+"""After the store has accepted a leaving, no request may arrive later."""
+_RETURN_SECONDS = 0.6
+"""From the end of a run until the request that sends it back arrives, with the
+time for which an entry may take the leaving to be older than it is."""
 _PROMPT_SECONDS = 3.0
 """After an entry is signalled to stop: the requests that it has to refuse are
 sent later."""
@@ -122,6 +127,14 @@
     """When each request arrived last that it did not turn away as meant for
     another server."""
 
+    def is_long_gone(self, seconds: float) -> bool:
+        """Tell whether a request could arrive too late after its leaving."""
+        return any(
+            one.began_seconds + DRAIN_SECONDS - _RETURN_SECONDS <= seconds
+            for one in self.leavings
+            if seconds < one.ended_seconds
+        )
+
     def is_silent(self, seconds: float) -> bool:
         """Tell whether it was silent at a time."""
         return any(
--- a/src/sardinetrack/platform/settings.py
+++ b/src/sardinetrack/platform/settings.py
@@ -113,6 +113,7 @@
         metrics_port=METRICS_PORT,
         store=parse_endpoint(decoded.platform.address),
         grace_seconds=bounds.grace_s,
+        drain_seconds=bounds.drain_ms / _MILLISECONDS,
         revoke_seconds=revoke_seconds if bounds.fail_closed else None,
         memory_bytes=decoded.limits.memory_mb * _MEGABYTE,
         max_descriptors=decoded.limits.max_fds,
--- a/src/sardinetrack/relay/entry_state.py
+++ b/src/sardinetrack/relay/entry_state.py
@@ -43,6 +43,8 @@
 MIN_ALLOWED_FRACTION: Final = 0.5
 """If fewer of a pool's breakers are closed than this fraction, breakers are
 ignored."""
+ARRIVAL_SECONDS: Final = 0.2
+"""Longest usual time for a request to arrive after it was checked."""
 _DIGITS: Final = 3
 
 
@@ -219,12 +221,12 @@
         """Check that a server that was chosen before still gets requests.
 
         :param is_return: it goes on with a run of its own, which is allowed
-            also while it leaves.
+            for a while after it has begun to leave.
         :raises ServerUnavailableError: it drains, is evacuated, rests or has
             restarted with other software.
         """
         if is_return:
-            if self.is_superseded(server):
+            if self.is_superseded(server) or self._has_left(server):
                 raise ServerUnavailableError
             return
         rests = self.server_states.rests
@@ -274,6 +276,14 @@
             return False
         return not listed.start.supersedes(server.start)
 
+    def _has_left(self, server: BackendServer) -> bool:
+        """Whether a request could arrive too late after a server's leaving."""
+        accepted = self.servers.leavings.accepted_seconds(server.instance)
+        if accepted is None:
+            return False
+        due_seconds = accepted + self.settings.drain_seconds
+        return boot_clock() >= due_seconds - ARRIVAL_SECONDS
+
     def is_superseded(self, server: BackendServer) -> bool:
         """Whether a later start of the server is known."""
         listed = self.servers.instances.get(server.instance)
--- a/src/sardinetrack/relay/send_mode.py
+++ b/src/sardinetrack/relay/send_mode.py
@@ -26,7 +26,7 @@
     kv_source: KvSource | None = None
     """The attempt continues a run from this copy."""
     is_return: bool = False
-    """The server, which leaves, has stopped the run itself and goes on with it;
-    that is no new work."""
+    """The server, which leaves, has stopped the run itself and goes on with it.
+    It accepts that like any other request only for a while."""
     relief: Relief | None = None
     """The attempt takes over from one whose server is silent."""
--- a/src/sardinetrack/relay/settings.py
+++ b/src/sardinetrack/relay/settings.py
@@ -23,6 +23,9 @@
     store: SocketAddress
     grace_seconds: float
     """From the signal to stop until the process is killed."""
+    drain_seconds: float
+    """From the store's acceptance of a server's leaving until no request may
+    arrive there any more."""
     revoke_seconds: float | None
     max_descriptors: int
     """Files and sockets that the process may have open."""
--- a/tests/relay/steps/stream_move_steps.py
+++ b/tests/relay/steps/stream_move_steps.py
@@ -91,6 +91,12 @@
         server.late_form = 'data: token {number}\n\n'
 
 
+@given('no request may arrive {seconds:g} seconds after a leaving')
+def bound_arrivals(context, seconds):
+    state = context.world.entry_state
+    state.settings = replace(state.settings, drain_seconds=seconds)
+
+
 @when("the source's replies are {copy:w} and {stop:w}")
 def reply_so(context, copy, stop):
     for server in context.world.servers:
--- a/tests/relay/stream_moves.feature
+++ b/tests/relay/stream_moves.feature
@@ -146,6 +146,24 @@
       | falls silent | ok_asleep | complete  | returned |
       | crashes      | ok_crash  | truncated | rejected |
 
+  # Guards against a stream that returns to a leaving server later than any
+  # request may arrive there.
+  Scenario Outline: A stream returns to a leaving source only for a while
+    Given a relay in front of 2 engines whose streams move
+    And no request may arrive 0.25 seconds after a leaving
+    When the source's replies are ok and kept
+    And the destination's act is answer, and the source's act after it is answer
+    And a caller requests a <route> whose engine is listed as leaving
+    Then the caller's stream is <response>
+    And the move ends as rejected, with 1 copies freed
+    And no event of a once-stream was made twice
+    And nothing of the move is held any more
+
+    Examples:
+      | route       | response  |
+      | once-stream | truncated |
+      | stream      | complete  |
+
   Scenario Outline: The reply to a stop is late or lost at a sound engine: <stop>, then <again>
     Guards against a stream that is cut though its engine goes on, or has stopped
     as it was asked to and kept the memory of the run.
--- a/tests/support/example_settings.py
+++ b/tests/support/example_settings.py
@@ -36,6 +36,7 @@
             'metrics_port': 0,
             'store': (ip, 1),
             'grace_seconds': 4.0,
+            'drain_seconds': 3.0,
             'revoke_seconds': 5.0,
             'memory_bytes': 256_000_000,
             'max_descriptors': 4096,
