--- a/benchmarks/soak/__main__.py
+++ b/benchmarks/soak/__main__.py
@@ -11,7 +11,7 @@
 
 from benchmarks.soak.callers import Caller, ResponseLog
 from benchmarks.soak.faults import Faults
-from benchmarks.soak.leavings import TROUBLES, Leavings, late_requests
+from benchmarks.soak.leavings import Leavings, late_requests
 from benchmarks.soak.losses import losses
 from benchmarks.soak.planned import PlannedWork
 from benchmarks.soak.starts import Starts, own_ends
@@ -85,7 +85,9 @@
     log.violations.extend(world.moves.violations())
     log.violations.extend(await world.uncounted_streams())
     log.violations.extend(world.runs_after_revocation())
-    log.violations.extend(late_requests(log.taken, world))
+    counts, late = late_requests(log.taken, world)
+    log.late.update(counts)
+    log.violations.extend(late)
     return excuses
 
 
@@ -95,6 +97,7 @@
     sys.stdout.write(
         f'{run}, told {dict(log.responses.most_common())},'
         f' cut, by excuse {dict(excuses)},'
+        f' late {dict(log.late)},'
         f' moves {dict(world.moves.counts)},'
         f' deadly {dict(world.moves.deadly.crashes)},'
         f' slowest {log.slowest_seconds:.1f} s\n',
@@ -129,9 +132,7 @@
         action='store_true',
         help='let servers leave beside trouble of the store, and nothing else',
     )
-    parser.add_argument(
-        '--trouble', default='', choices=('', *TROUBLES), help='the only one'
-    )
+    parser.add_argument('--trouble', default='', help='the only one')
     parser.add_argument('--entries', type=int, default=DEFAULTS.entries)
     parser.add_argument('--sides', type=int, default=DEFAULTS.sides)
     parser.add_argument('--logs', default='', help='folder for the logs')
--- a/benchmarks/soak/callers.py
+++ b/benchmarks/soak/callers.py
@@ -38,6 +38,9 @@
     """Requests that were sent and whose responses aren't complete."""
     taken: dict[str, Cut] = field(default_factory=dict)
     """All requests that were sent, by id."""
+    late: Counter[str] = field(default_factory=Counter)
+    """Requests that reached a leaving server late, by whether their entry was
+    bound."""
     slowest_seconds: float = 0
 
     def check(self, runs: Counter[str]) -> None:
--- a/benchmarks/soak/leavings.py
+++ b/benchmarks/soak/leavings.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import signal
+from collections import Counter
 from collections.abc import Mapping
 from contextlib import ExitStack
 from typing import TYPE_CHECKING
@@ -23,47 +24,44 @@
 _CUT_SECONDS = 4.0
 _FLAP_SECONDS = 0.6
 _FLAPS = 3
+_LEAVE_IN_TURN_SECONDS = 2.5
+_PAUSE_SECONDS = 1.2
 _PAGE_SECONDS = 0.15
 _LISTING_SECONDS = 2.0
 _GAP_SECONDS = (4.0, 9.0)
 """Mostly longer than a process is not bound after trouble."""
 FORMS = ('draining', 'removed')
-TROUBLES = (
-    'none',
-    'sides cut',
-    'sides cut by turns',
-    'one side killed',
-    'bytes lost',
-    'watches lost',
-    'watches lost, sides cut',
-    'slow pages',
-)
 
 
-def late_requests(taken: Mapping[str, Cut], world: World) -> list[str]:
-    """Describe the requests that reached a leaving server too late.
+def late_requests(
+    taken: Mapping[str, Cut], world: World
+) -> tuple[Counter[str], list[str]]:
+    """Judge the requests that reached a leaving server too late.
 
-    Counted are those of entries that were undisturbed, with the store and
-    their path there, when they took and when they sent the request.
+    An entry is bound if it was undisturbed, with the store and its path there,
+    when it took and when it sent the request.
 
     :param taken: each request, by its id.
+    :return: number of requests by whether their entry was bound, and those of
+        entries that were.
     """
     entries = {entry.ip: entry.disturbances for entry in world.entries}
+    counts: Counter[str] = Counter()
     late: list[str] = []
     for server, name, delay_seconds in _late_arrivals(world):
         request = taken.get(name)
         if request is None:
             continue
-        entry = entries[request.entry]
-        sent_seconds = server.record.arrivals[name]
-        if entry.in_touch(request.began_seconds) and entry.in_touch(
-            sent_seconds
-        ):
-            late.append(
-                f'{name} from {request.entry} reached {server.ip}'
-                f' {delay_seconds:.2f} s after its leaving was accepted',
-            )
-    return late
+        moments = (request.began_seconds, server.record.arrivals[name])
+        if not all(map(entries[request.entry].in_touch, moments)):
+            counts['disturbed'] += 1
+            continue
+        counts['bound'] += 1
+        late.append(
+            f'{name} from {request.entry} reached {server.ip}'
+            f' {delay_seconds:.2f} s after its leaving was accepted',
+        )
+    return counts, late
 
 
 def _late_arrivals(world: World) -> list[tuple[SoakServer, str, float]]:
@@ -92,8 +90,21 @@
         """
         super().__init__(world, f'{seed} leavings')
         self._gap_seconds = _GAP_SECONDS
-        self._troubles = (trouble,) if trouble else TROUBLES
         self._kinds = (self._leave_beside_trouble,)
+        self._disturb = {
+            'none': _do_nothing,
+            'sides cut': self._cut_sides,
+            'sides cut by turns': self._cut_by_turns,
+            'one side killed': self._kill_side,
+            'bytes lost': self._lose_bytes,
+            'watches lost': self._lose_watches,
+            'watches lost, sides cut': self._lose_and_cut,
+            'slow pages': self._list_slowly,
+            'all leave': self._leave_in_turn,
+            'store throttles': self._throttle,
+            'entries paused': self._pause_entries,
+        }
+        self._troubles = (trouble,) if trouble else tuple(self._disturb)
 
     async def _leave_beside_trouble(self) -> None:
         """Let a server of each pool leave while something else is wrong."""
@@ -104,10 +115,18 @@
         chosen = [self._rng.choice(one) for one in (plain, world.engines)]
         leaving = [one for one in chosen if not one.restart_lock.locked()]
         async with asyncio.TaskGroup() as group:
-            group.create_task(self._disturb(trouble))
+            group.create_task(self._disturb[trouble]())
             for server in leaving:
                 group.create_task(self._leave(server))
 
+    async def _leave_in_turn(self) -> None:
+        """Let the engines leave one after the other, as in a release."""
+        async with asyncio.TaskGroup() as group:
+            for engine in self._world.engines:
+                if not engine.restart_lock.locked():
+                    group.create_task(self._leave(engine))
+                await asyncio.sleep(_LEAVE_IN_TURN_SECONDS)
+
     async def _leave(self, server: SoakServer) -> None:
         async with server.restart_lock:
             server.notices.leaving = False
@@ -120,27 +139,12 @@
             await asyncio.sleep(_SERVES_SECONDS)
             await self._crash(server, 0)
 
-    async def _disturb(self, trouble: str) -> None:
-        match trouble:
-            case 'sides cut':
-                await self._cut_sides(_CUT_SECONDS)
-            case 'sides cut by turns':
-                for _ in range(_FLAPS):
-                    await self._cut_sides(_FLAP_SECONDS)
-                    await asyncio.sleep(_FLAP_SECONDS)
-            case 'one side killed':
-                await self._kill_side()
-            case 'bytes lost':
-                await self._lose_bytes()
-            case 'watches lost':
-                self._lose_watches()
-            case 'watches lost, sides cut':
-                self._lose_watches()
-                await self._cut_sides(_CUT_SECONDS)
-            case 'slow pages':
-                await self._list_slowly()
-
-    async def _cut_sides(self, seconds: float) -> None:
+    async def _cut_by_turns(self) -> None:
+        for _ in range(_FLAPS):
+            await self._cut_sides(_FLAP_SECONDS)
+            await asyncio.sleep(_FLAP_SECONDS)
+
+    async def _cut_sides(self, seconds: float = _CUT_SECONDS) -> None:
         """Refuse the sides' connections to the store, and no others."""
         sides = self._world.sides
         with ExitStack() as stack:
@@ -169,7 +173,11 @@
             for lossy in processes:
                 lossy.store_proxy.stop_dropping()
 
-    def _lose_watches(self) -> None:
+    async def _lose_and_cut(self) -> None:
+        await self._lose_watches()
+        await self._cut_sides()
+
+    async def _lose_watches(self) -> None:
         """Lose the responses to the watches that wait; the next ones come."""
         world = self._world
         with ExitStack() as stack:
@@ -178,6 +186,29 @@
                 stack.enter_context(lasting(process.disturbances.store))
             world.store.lose_watches()
 
+    async def _throttle(self) -> None:
+        """Let the store refuse all calls for their number."""
+        world = self._world
+        with ExitStack() as stack:
+            stack.enter_context(lasting(world.store.disturbances.store))
+            for process in (*world.entries, *world.sides):
+                stack.enter_context(lasting(process.disturbances.store))
+            world.store.fault = 'many'
+            world.store.compact()
+            await asyncio.sleep(_PAUSE_SECONDS)
+            world.store.fault = ''
+
+    async def _pause_entries(self) -> None:
+        """Suspend all entries for a moment, with what they were about to do."""
+        entries = self._world.entries
+        with ExitStack() as stack:
+            for entry in entries:
+                stack.enter_context(lasting(entry.disturbances.unplanned))
+                entry.send(signal.SIGSTOP)
+            await asyncio.sleep(_PAUSE_SECONDS)
+            for paused in entries:
+                paused.send(signal.SIGCONT)
+
     async def _list_slowly(self) -> None:
         """Let all list in pages that come slowly, while servers leave."""
         store = self._world.store
@@ -185,3 +216,7 @@
         store.compact()
         await asyncio.sleep(_LISTING_SECONDS)
         store.page_seconds = 0
+
+
+async def _do_nothing() -> None:
+    """Let servers leave without trouble."""
