--- a/src/sardinetrack/relay/entry_state.py
+++ b/src/sardinetrack/relay/entry_state.py
@@ -290,7 +290,7 @@
         return listed is not None and listed.start.supersedes(server.start)
 
     def servers_age_seconds(self) -> float:
-        """Return for how long the list of servers was not complete for sure."""
+        """Return the age of the list of servers, from its last confirmation."""
         return boot_clock() - self.servers.times.confirmed_seconds
 
     def _report_leavings(self) -> None:
--- a/src/sardinetrack/topology/list_times.py
+++ b/src/sardinetrack/topology/list_times.py
@@ -71,14 +71,14 @@
         self._begin_grace(now)
 
     def begin_change(self, now: float) -> None:
-        """Handle a change; the store responds to a watch as soon as it is."""
+        """Handle a change; a watch is answered as soon as something changes."""
         self.accepted_seconds = max(
             self.responded_seconds, now - CHANGE_LAG_SECONDS
         )
         self._begin_grace(now)
 
     def begin_announcement(self) -> None:
-        """Handle news that do not come from the store."""
+        """Handle that a server has announced its end in a response."""
         self.accepted_seconds = self.responded_seconds
 
     def _begin_grace(self, now: float) -> None:
