--- a/benchmarks/soak/leavings.py
+++ b/benchmarks/soak/leavings.py
@@ -26,6 +26,8 @@
 _FLAPS = 3
 _LEAVE_IN_TURN_SECONDS = 2.5
 _PAUSE_SECONDS = 1.2
+_OUTAGE_SECONDS = 5.0
+_RELIST_SECONDS = 0.4
 _PAGE_SECONDS = 0.15
 _LISTING_SECONDS = 2.0
 _GAP_SECONDS = (4.0, 9.0)
@@ -103,6 +105,7 @@
             'all leave': self._leave_in_turn,
             'store throttles': self._throttle,
             'entries paused': self._pause_entries,
+            'records expire': self._expire_records,
         }
         self._troubles = (trouble,) if trouble else tuple(self._disturb)
 
@@ -209,6 +212,23 @@
             for paused in entries:
                 paused.send(signal.SIGCONT)
 
+    async def _expire_records(self) -> None:
+        """Let all records expire in an outage; most are back after it."""
+        world = self._world
+        with ExitStack() as stack:
+            stack.enter_context(lasting(world.store.disturbances.store))
+            for process in (*world.entries, *world.sides):
+                stack.enter_context(lasting(process.disturbances.store))
+            world.store.fault = 'busy'
+            await asyncio.sleep(_OUTAGE_SECONDS)
+            for server in world.servers:
+                world.store.drop('servers', server.instance)
+            world.store.fault = ''
+        for running in world.servers:
+            await asyncio.sleep(self._rng.uniform(0, _RELIST_SECONDS))
+            if not running.restart_lock.locked():
+                world.list_server(running)
+
     async def _list_slowly(self) -> None:
         """Let all list in pages that come slowly, while servers leave."""
         store = self._world.store
