Soak: one context records a fault of the store for everybody

A time stamp in the fake of a listener that no step reads any more is gone. Checks, bounds and draws stay as they are.

--- a/benchmarks/soak/faults.py
+++ b/benchmarks/soak/faults.py
@@ -158,11 +158,7 @@
 
     async def _store_unreachable(self) -> None:
         store = self._world.store
-        with ExitStack() as stack:
-            disturbances = store.disturbances
-            stack.enter_context(lasting(disturbances.store))
-            for one in (*self._world.entries, *self._world.sides):
-                stack.enter_context(lasting(one.disturbances.store))
+        with disturbed_store(self._world):
             store.fault = self._rng.choice(('busy', 'many', 'silent'))
             await asyncio.sleep(self._rng.uniform(0.2, 4))
             store.fault = ''
@@ -222,3 +218,12 @@
     periods.append(period)
     yield
     period.ended_seconds = loop.time()
+
+
+@contextmanager
+def disturbed_store(world: World) -> Iterator[None]:
+    """Record a fault of the store, for itself and for all processes."""
+    with ExitStack() as stack:
+        for one in (world.store, *world.entries, *world.sides):
+            stack.enter_context(lasting(one.disturbances.store))
+        yield
--- a/benchmarks/soak/leavings.py
+++ b/benchmarks/soak/leavings.py
@@ -9,7 +9,7 @@
 from contextlib import ExitStack
 from typing import TYPE_CHECKING
 
-from benchmarks.soak.faults import Faults, lasting
+from benchmarks.soak.faults import Faults, disturbed_store, lasting
 from benchmarks.soak.losses import DRAIN_SECONDS
 from sardinetrack.standin.tcp_proxy import Direction
 
@@ -167,10 +167,8 @@
         """Lose what the store sends to anyone; the connections stay open."""
         world = self._world
         processes: list[Process] = [*world.entries, *world.sides]
-        with ExitStack() as stack:
-            stack.enter_context(lasting(world.store.disturbances.store))
+        with disturbed_store(world):
             for process in processes:
-                stack.enter_context(lasting(process.disturbances.store))
                 process.store_proxy.drop(Direction.TO_CALLER)
             await asyncio.sleep(_LOST_SECONDS)
             for lossy in processes:
@@ -183,19 +181,13 @@
     async def _lose_watches(self) -> None:
         """Lose the responses to the watches that wait; the next ones come."""
         world = self._world
-        with ExitStack() as stack:
-            stack.enter_context(lasting(world.store.disturbances.store))
-            for process in (*world.entries, *world.sides):
-                stack.enter_context(lasting(process.disturbances.store))
+        with disturbed_store(world):
             world.store.lose_watches()
 
     async def _throttle(self) -> None:
         """Let the store refuse all calls for their number."""
         world = self._world
-        with ExitStack() as stack:
-            stack.enter_context(lasting(world.store.disturbances.store))
-            for process in (*world.entries, *world.sides):
-                stack.enter_context(lasting(process.disturbances.store))
+        with disturbed_store(world):
             world.store.fault = 'many'
             world.store.compact()
             await asyncio.sleep(_PAUSE_SECONDS)
@@ -215,10 +207,7 @@
     async def _expire_records(self) -> None:
         """Let all records expire in an outage; most are back after it."""
         world = self._world
-        with ExitStack() as stack:
-            stack.enter_context(lasting(world.store.disturbances.store))
-            for process in (*world.entries, *world.sides):
-                stack.enter_context(lasting(process.disturbances.store))
+        with disturbed_store(world):
             world.store.fault = 'busy'
             await asyncio.sleep(_OUTAGE_SECONDS)
             for server in world.servers:
--- a/tests/support/view_world.py
+++ b/tests/support/view_world.py
@@ -160,7 +160,6 @@
     def __init__(self, loop):
         self.known = {}
         self.confirmed_seconds = float('-inf')
-        self.outage_seconds = float('-inf')
         self._loop = loop
 
     def listed(self, listing):
@@ -175,7 +174,7 @@
         self.confirmed_seconds = max(self.confirmed_seconds, asked_seconds)
 
     def lost(self, failed_seconds):
-        self.outage_seconds = self._loop.time()
+        """Do nothing: only the list of servers has a grace period."""
 
     def _since(self, one):
         version, since = self.known.get(one.key, (0, 0))
@@ -206,7 +205,6 @@
         self.servers.times.confirm(self._loop.time(), asked_seconds)
 
     def lost(self, failed_seconds):
-        super().lost(failed_seconds)
         self.servers.times.record_failure(failed_seconds)
 
     def working(self):
