Servers: a store that fails again does not end the grace period

The grace period went by the clock, and each missing server kept the end of its first one. It is one time for the list now, is not over while the store is unreachable, and continues after the next return; it still ends 2.6 s after the last call that failed. And an entry with a neighbour's view noticed the second outage only when that view was late, after 1.5 s: it stays with a neighbour whose call has failed. Within 3 s of a failed call of its own it now asks the store itself at once.

The three new scenarios failed before. tests/topology 45 and tests/views 34 passed.

--- a/benchmarks/soak/leavings.py
+++ b/benchmarks/soak/leavings.py
@@ -28,6 +28,8 @@
 _PAUSE_SECONDS = 1.2
 _OUTAGE_SECONDS = 5.0
 _RELIST_SECONDS = 0.4
+_RETURN_SECONDS = 0.7
+"""How long the store responds between two outages."""
 _PAGE_SECONDS = 0.15
 _LISTING_SECONDS = 2.0
 _GAP_SECONDS = (4.0, 9.0)
@@ -106,6 +108,7 @@
             'store throttles': self._throttle,
             'entries paused': self._pause_entries,
             'records expire': self._expire_records,
+            'records expire, store fails again': self._expire_and_fail,
         }
         self._troubles = (trouble,) if trouble else tuple(self._disturb)
 
@@ -206,6 +209,17 @@
 
     async def _expire_records(self) -> None:
         """Let all records expire in an outage; most are back after it."""
+        await self._lose_records()
+        await self._list_again()
+
+    async def _expire_and_fail(self) -> None:
+        """Let the store fail again before a server is listed again."""
+        await self._lose_records()
+        await asyncio.sleep(_RETURN_SECONDS)
+        await self._lose_records()
+        await self._list_again()
+
+    async def _lose_records(self) -> None:
         world = self._world
         with disturbed_store(world):
             world.store.fault = 'busy'
@@ -213,6 +227,9 @@
             for server in world.servers:
                 world.store.drop('servers', server.instance)
             world.store.fault = ''
+
+    async def _list_again(self) -> None:
+        world = self._world
         for running in world.servers:
             await asyncio.sleep(self._rng.uniform(0, _RELIST_SECONDS))
             if not running.restart_lock.locked():
--- a/src/sardinetrack/topology/list_times.py
+++ b/src/sardinetrack/topology/list_times.py
@@ -50,6 +50,11 @@
         """Until then servers that are missing get work."""
         self._failed_seconds = -math.inf
 
+    @property
+    def unreachable(self) -> bool:
+        """Whether the store has not responded since a call that failed."""
+        return self._failed_seconds > self.confirmed_seconds
+
     def confirm(self, now: float, asked_seconds: float) -> None:
         """Record that the store has responded.
 
@@ -90,11 +95,19 @@
 
         What a neighbour reports begins no grace period: only its own path to
         the store may be broken, and a record that is missing then was removed.
+
+        A store that fails again within the grace period interrupts it: the
+        servers could not be listed meanwhile.
         """
-        if self._failed_seconds <= self.confirmed_seconds:
+        if not self.unreachable:
             return
-        if now - self.responded_seconds >= MIN_OUTAGE_SECONDS:
-            self.grace_until_seconds = min(
-                now + RELIST_GRACE_SECONDS,
-                self._failed_seconds + MAX_GRACE_SECONDS,
-            )
+        silent_seconds = now - self.responded_seconds
+        if silent_seconds >= MIN_OUTAGE_SECONDS:
+            until_seconds = now + RELIST_GRACE_SECONDS
+        elif self.grace_until_seconds > self.responded_seconds:
+            until_seconds = self.grace_until_seconds + silent_seconds
+        else:
+            return
+        self.grace_until_seconds = min(
+            until_seconds, self._failed_seconds + MAX_GRACE_SECONDS
+        )
--- a/src/sardinetrack/topology/servers.py
+++ b/src/sardinetrack/topology/servers.py
@@ -65,7 +65,7 @@
         self.times = ListTimes()
         self._instances: dict[str, BackendServer] = {}
         self._listed: dict[str, BackendServer] = {}
-        self._missing: dict[str, float] = {}
+        self._missing: set[str] = set()
         self._misaddressed: dict[str, float] = {}
         self._available: dict[str, BackendServer] = {}
         self._by_pool: dict[str, tuple[BackendServer, ...]] = {}
@@ -97,8 +97,7 @@
         """Replace all servers by a complete listing."""
         self.times.begin_listing(now)
         listed = {server.instance: self._newest(server) for server in servers}
-        for instance in listed:
-            self._missing.pop(instance, None)
+        self._missing.difference_update(listed)
         for missing in set(self._listed) - set(listed):
             self._unlist(now, missing, listed)
         self._listed = listed
@@ -112,7 +111,7 @@
             # It is what has responded in place of the former start.
             self._misaddressed.pop(server.instance, None)
         self._listed[server.instance] = self._newest(server)
-        self._missing.pop(server.instance, None)
+        self._missing.discard(server.instance)
         self._rebuild_pools()
 
     def started(self, start: ServerStart) -> bool:
@@ -144,7 +143,7 @@
         if known is None or written_before(revision, known.revision):
             return
         self._listed.pop(instance)
-        self._missing.pop(instance, None)
+        self._missing.discard(instance)
         self._rebuild_pools()
 
     def remove(self, now: float, instance: str) -> None:
@@ -187,13 +186,12 @@
 
         :return: their instances.
         """
-        expired = tuple(
-            instance
-            for instance, until in self._missing.items()
-            if until <= now
-        )
+        in_grace = now < self.times.grace_until_seconds
+        expired: tuple[str, ...] = ()
+        if not in_grace and not self.times.unreachable:
+            expired = tuple(self._missing)
+            self._missing.clear()
         for instance in expired:
-            self._missing.pop(instance)
             self._listed.pop(instance, None)
         resolved = [
             one for one, until in self._misaddressed.items() if until <= now
@@ -258,11 +256,11 @@
             other.address == server.address for other in listed.values()
         )
         if server.leaving or taken or now >= self.times.grace_until_seconds:
-            self._missing.pop(instance, None)
+            self._missing.discard(instance)
             return
         listed[instance] = self._listed[instance]
         self.leavings.note(instance, self.times.accepted_seconds)
-        self._missing.setdefault(instance, self.times.grace_until_seconds)
+        self._missing.add(instance)
 
     def _rebuild_pools(self) -> None:
         """Compute which servers are leaving, and which get work.
--- a/src/sardinetrack/views/source.py
+++ b/src/sardinetrack/views/source.py
@@ -36,6 +36,9 @@
 MAX_BACKOFF_SECONDS: Final = 4.0
 """The same after consecutive failures: each try makes another side watch."""
 _BACKOFF_FACTOR: Final = 2.0
+RETURN_SECONDS: Final = 3.0
+"""How long after a failed call of this instance the store is asked directly as
+soon as a neighbour can't reach it."""
 AVOID_SECONDS: Final = 10.0
 """How long a neighbour that has failed is not tried again."""
 MIN_STAY_SECONDS: Final = 30.0
@@ -162,11 +165,18 @@
         A neighbour that fails during the subscription, while this instance
         can't reach the store either, is probably in the same outage. It then
         retries for both.
+
+        Soon after an outage the store is probably unreachable again. This
+        instance then has to know it before the grace period of its servers
+        ends.
         """
+        backoff = self._own.access.backoff
         if self.borrowed:
+            if self._clock() < backoff.failed_seconds + RETURN_SECONDS:
+                self._fail(message.cause)
             return
         if self._own.unreachable:
-            self._own.access.backoff.neighbour_retries = True
+            backoff.neighbour_retries = True
         else:
             self._fail(message.cause)
 
--- a/tests/topology/servers.feature
+++ b/tests/topology/servers.feature
@@ -36,6 +36,31 @@
     When 1.3 seconds pass
     Then 0 servers get work
 
+  # Guards against servers that all get no work until the store returns a second
+  # time: their records were missing when it failed again.
+  Scenario: The grace period does not end while the store is unreachable again
+    Given 3 listed servers
+    When the store is unreachable and returns with an empty list
+    And 0.5 seconds pass
+    And the store is unreachable again for 5 seconds
+    Then 3 servers get work
+    When the store returns with an empty list
+    And 1.5 seconds pass
+    Then 3 servers get work
+    When 0.2 seconds pass
+    Then 0 servers get work
+
+  Scenario: A short outage only interrupts the grace period
+    Given 3 listed servers
+    When the store is unreachable and returns with an empty list
+    And 0.5 seconds pass
+    And the store is unreachable again for 1.4 seconds
+    And the store returns with an empty list
+    And 1 second passes
+    Then 3 servers get work
+    When 0.2 seconds pass
+    Then 0 servers get work
+
   Scenario: A server that is listed again stays
     Given 3 listed servers
     When the store is unreachable and returns with an empty list
--- a/tests/topology/steps/topology_steps.py
+++ b/tests/topology/steps/topology_steps.py
@@ -101,6 +101,17 @@
     context.fewest_available = min(available, context.fewest_available)
 
 
+@step('the store is unreachable again for {seconds:g} seconds')
+def lose_again(context, seconds):
+    _lose_store(context, seconds)
+    context.servers.expire(context.now)
+
+
+@step('the store returns with an empty list')
+def return_with_none(context):
+    return_listed(context, ())
+
+
 @when(
     'the store returns, and the records of all expire over {seconds:g} seconds',
 )
@@ -184,6 +195,7 @@
 
 
 @step('{seconds:g} seconds pass')
+@step('{seconds:g} second passes')
 def wait(context, seconds):
     context.now += seconds
     context.servers.expire(context.now)
--- a/tests/views/steps/view_steps.py
+++ b/tests/views/steps/view_steps.py
@@ -303,7 +303,18 @@
             _run(context, context.world.table.remove(key))
 
 
+@when('{seconds:g} seconds later it is unreachable again')
+def fail_again(context, seconds):
+    async def play():
+        await asyncio.sleep(seconds)
+        context.world.table.away = True
+        await context.world.table.wake()
+
+    _run(context, play())
+
+
 @then('all servers get work during the next {seconds:d} second')
+@then('all servers get work during the next {seconds:d} seconds')
 def all_work(context, seconds):
     for _ in range(10 * seconds):
         _run(context, asyncio.sleep(0.1))
--- a/tests/views/view.feature
+++ b/tests/views/view.feature
@@ -147,6 +147,16 @@
     Then server 1 gets no work after 0.9 seconds
     And servers 2 and 3 get work
 
+  # Guards against servers that all get no work until the store returns a second
+  # time: entries learned too late from their neighbour that it had failed again.
+  Scenario: The store fails again before the servers are listed
+    Given 26 entries, 24 sides and a store with a configuration
+    And 3 servers in the store
+    When they have run for 10 seconds
+    And the store is unreachable for 5 seconds, and all servers expire
+    And 0.7 seconds later it is unreachable again
+    Then all servers get work during the next 10 seconds
+
   # Guards against requests that reach a server more than 2 s after the store
   # has accepted its leaving; 0.2 s of these are the request's own.
   Scenario Outline: A leaving is in effect in time: <form>, <trouble>
