--- a/src/sardinetrack/relay/entry_state.py
+++ b/src/sardinetrack/relay/entry_state.py
@@ -89,7 +89,6 @@
         changed = settings.changed_from(self.settings)
         self.settings = settings
         self.freshness.set_bound(settings.revoke_seconds)
-        self._budgets.clear()
         return changed
 
     @property
@@ -180,12 +179,12 @@
         settings = self.settings
         slack = _BUDGET_SLACK_FRACTION * settings.retry_slack / self.entries
         burst = max(1, slack)
+        ratio = _BUDGET_RATIO_FRACTION * settings.retry_ratio
         budget = self._budgets.get(pool)
         if budget is None:
-            ratio = _BUDGET_RATIO_FRACTION * settings.retry_ratio
             budget = RetryBudget(ratio, burst)
             self._budgets[pool] = budget
-        budget.resize(burst)
+        budget.resize(ratio, burst)
         return budget
 
     def usable_servers(
--- a/src/sardinetrack/routing/retries.py
+++ b/src/sardinetrack/routing/retries.py
@@ -25,8 +25,9 @@
         self._burst = burst
         self._tokens = burst
 
-    def resize(self, burst: float) -> None:
-        """Change the most retries that the budget holds."""
+    def resize(self, ratio: float, burst: float) -> None:
+        """Change the limits; what was spent stays spent."""
+        self._ratio = ratio
         self._burst = burst
         self._tokens = min(self._tokens, burst)
 
