Feeds: the store's return is not reported as a loss

A feed told its listener lost() when the store responded again, so that the list of servers knew of calls of other feeds that had failed. A watcher sent its subscribers that as "the store does not respond". Entries that were about to subscribe left it at the return; since those that had subscribed did too. Listeners get returned() now, and a watcher sends nothing for it.

--- a/src/sardinetrack/relay/feed_listeners.py
+++ b/src/sardinetrack/relay/feed_listeners.py
@@ -95,6 +95,9 @@
     def lost(self, failed_seconds: float) -> None:
         """Let the age of the view grow."""
 
+    def returned(self, failed_seconds: float) -> None:
+        """Do nothing: the view is confirmed next."""
+
 
 class EvacuationsListener(FeedListener):
     """Tracks the failure domains that get no new requests.
@@ -126,6 +129,9 @@
     def lost(self, failed_seconds: float) -> None:
         """Do nothing: evacuations stay until the store reports a change."""
 
+    def returned(self, failed_seconds: float) -> None:
+        """Do nothing: they are listed next."""
+
 
 class ServersListener(FeedListener):
     """Maintains the list of servers."""
@@ -172,6 +178,10 @@
         """Keep servers whose records expire in an outage for a while."""
         self._state.servers.times.record_failure(failed_seconds)
 
+    def returned(self, failed_seconds: float) -> None:
+        """Record the outage, which another feed may have noticed alone."""
+        self._state.servers.times.record_failure(failed_seconds)
+
     def _remove(self, stored: StoredObject) -> None:
         servers = self._state.servers
         known = servers.instances.get(_name(stored))
--- a/src/sardinetrack/topology/feed.py
+++ b/src/sardinetrack/topology/feed.py
@@ -56,12 +56,20 @@
 
     @abstractmethod
     def lost(self, failed_seconds: float) -> None:
-        """Handle that the store does not respond, or has not until now.
+        """Handle that the store does not respond.
 
         :param failed_seconds: when the last call that failed was sent, by the
             boot clock.
         """
 
+    @abstractmethod
+    def returned(self, failed_seconds: float) -> None:
+        """Handle that the store responds again.
+
+        :param failed_seconds: see :meth:`lost`; another feed may have failed
+            later.
+        """
+
 
 class Feed:
     """Lists, then watches; lists again when the store dropped its history."""
@@ -137,7 +145,7 @@
         if self._unreachable:
             self._log.write(Event.STORE_BACK, what=self._prefix)
             self._unreachable = False
-            self._follower.lost(self._access.backoff.failed_seconds)
+            self._follower.returned(self._access.backoff.failed_seconds)
         self._backoff_seconds = INITIAL_BACKOFF_SECONDS
         self._access.backoff.record_response()
 
--- a/src/sardinetrack/topology/list_times.py
+++ b/src/sardinetrack/topology/list_times.py
@@ -47,7 +47,8 @@
         """When the store has accepted what is applied now, or a little
         earlier."""
         self.grace_until_seconds = -math.inf
-        """Until then servers that are missing get work."""
+        """Until then servers that are missing get work; also after it while
+        the store is unreachable."""
         self._failed_seconds = -math.inf
 
     @property
@@ -55,6 +56,13 @@
         """Whether the store has not responded since a call that failed."""
         return self._failed_seconds > self.confirmed_seconds
 
+    def grace_is_over(self, now: float) -> bool:
+        """Return whether servers that are missing get no work any more.
+
+        While the store is unreachable, they could not have been listed again.
+        """
+        return now >= self.grace_until_seconds and not self.unreachable
+
     def confirm(self, now: float, asked_seconds: float) -> None:
         """Record that the store has responded.
 
@@ -96,8 +104,7 @@
         What a neighbour reports begins no grace period: only its own path to
         the store may be broken, and a record that is missing then was removed.
 
-        A store that fails again within the grace period interrupts it: the
-        servers could not be listed meanwhile.
+        A store that fails again within the grace period interrupts it.
         """
         if not self.unreachable:
             return
--- a/src/sardinetrack/topology/servers.py
+++ b/src/sardinetrack/topology/servers.py
@@ -186,9 +186,8 @@
 
         :return: their instances.
         """
-        in_grace = now < self.times.grace_until_seconds
         expired: tuple[str, ...] = ()
-        if not in_grace and not self.times.unreachable:
+        if self.times.grace_is_over(now):
             expired = tuple(self._missing)
             self._missing.clear()
         for instance in expired:
--- a/src/sardinetrack/views/borrowed.py
+++ b/src/sardinetrack/views/borrowed.py
@@ -104,6 +104,11 @@
         if not self.borrowed:
             self._listener.lost(failed_seconds)
 
+    def returned(self, failed_seconds: float) -> None:
+        """Handle that the store responds to the direct feed again."""
+        if not self.borrowed:
+            self._listener.returned(failed_seconds)
+
     def borrow(self) -> None:
         """Put the neighbour's view in effect and ignore the direct feed."""
         assert self._pending is not None  # noqa: S101
--- a/src/sardinetrack/views/watcher.py
+++ b/src/sardinetrack/views/watcher.py
@@ -243,6 +243,9 @@
             ViewLost(f'{self._prefix} unread at the neighbour')
         )
 
+    def returned(self, failed_seconds: float) -> None:
+        """Do nothing: the objects are sent next."""
+
     def _full_view(self, objects: Mapping[str, ViewObject]) -> ViewObjects:
         return ViewObjects(
             self._prefix,
--- a/tests/support/view_world.py
+++ b/tests/support/view_world.py
@@ -176,6 +176,9 @@
     def lost(self, failed_seconds):
         """Do nothing: only the list of servers has a grace period."""
 
+    def returned(self, failed_seconds):
+        """Do nothing, as above."""
+
     def _since(self, one):
         version, since = self.known.get(one.key, (0, 0))
         return since if version == one.version else self._loop.time()
@@ -207,6 +210,9 @@
     def lost(self, failed_seconds):
         self.servers.times.record_failure(failed_seconds)
 
+    def returned(self, failed_seconds):
+        self.servers.times.record_failure(failed_seconds)
+
     def working(self):
         self.servers.expire(self._loop.time())
         return {one.instance for one in self.servers.in_pool('models')}
--- a/tests/topology/steps/feed_steps.py
+++ b/tests/topology/steps/feed_steps.py
@@ -48,6 +48,9 @@
     def lost(self, failed_seconds):
         """Do nothing: the objects here have no age."""
 
+    def returned(self, failed_seconds):
+        """Do nothing, as above."""
+
 
 class _Store:
     """Objects in memory; watches end when something changes."""
