Soak: a server serves no connection of its former start

A connection belongs to the start that accepted it now, and a request that was read before the crash is dropped. Checks are as they were.

--- a/benchmarks/soak/engine.py
+++ b/benchmarks/soak/engine.py
@@ -6,6 +6,7 @@
 import math
 from collections import Counter
 from dataclasses import dataclass, field
+from functools import partial
 from itertools import combinations
 from random import Random
 
@@ -69,6 +70,13 @@
             self.instance = f'i-{self.ip}-{self.starts}'
         await self.open(self.ip)
 
+    async def open(self, ip=None):
+        """Listen; a connection belongs to the start that has accepted it."""
+        self._server = await asyncio.start_server(
+            partial(self._serve_start, self.starts), ip or self.ip, self.port
+        )
+        self.port = self._server.sockets[0].getsockname()[1]
+
     async def crash(self) -> None:
         """Stop immediately and end all connections."""
         self.record.crash_times.append(_now())
@@ -102,6 +110,9 @@
             raise ConnectionAbortedError
 
     async def _perform(self, request, reader, writer):
+        if writer.transport.is_closing():
+            # Read before the crash.
+            raise ConnectionAbortedError
         if request[0].startswith(b'GET /healthz '):
             await self._sleep(0)
             self._report_health(writer)
@@ -111,12 +122,12 @@
         await self._sleep(0)
         await super()._perform(request, reader, writer)
 
-    async def _serve(self, reader, writer):
-        if not self._server.is_serving():
+    async def _serve_start(self, start, reader, writer):
+        if start != self.starts or not self._server.is_serving():
             # Accepted just before the crash.
             writer.transport.abort()
             return
-        await super()._serve(reader, writer)
+        await self._serve(reader, writer)
 
     async def _answer(self, fields, reader, writer):
         expected = fields.get('x-sardinetrack-expect-instance')
--- a/tests/soak/soak.feature
+++ b/tests/soak/soak.feature
@@ -24,6 +24,12 @@
     When 20 processes of the soak test are killed amid other signals
     Then each has ended by SIGKILL
 
+  # Guards against a stand-in whose next start responds on a connection that was
+  # accepted before its crash: streams then mix two versions.
+  Scenario: A server that starts again serves no connection of its former start
+    When servers of the soak test crash and start while connections are accepted
+    Then no response came from the next start
+
   # Guards against a stream that is cut because its sound server falls silent
   # beside a new version of the configuration.
   Scenario: Planned work and silent servers leave no request unanswered
