--- a/tests/support/held_requests.py
+++ b/tests/support/held_requests.py
@@ -9,6 +9,7 @@
 
 REQUESTS = 12
 """More than the permits that an entry grants itself for one server."""
+_SETTLE_SECONDS = 5
 ROUTES = MappingProxyType({'fetch': 'fetch', 'request streams': 'stream'})
 """Routes by what the sentence of a step says."""
 
@@ -66,13 +67,22 @@
     calls = [
         asyncio.ensure_future(world.call('stream')) for _ in range(REQUESTS)
     ]
-    await asyncio.sleep(0.2)
-    held = len(server.requests)
+    held = await _settled_requests(server)
     assert 0 < held < REQUESTS, held
     assert not any(one.done() for one in calls)
     return calls
 
 
+async def _settled_requests(server):
+    """Return the number of a server's requests once it no longer grows."""
+    held = 0
+    async with asyncio.timeout(_SETTLE_SECONDS):
+        while not held or held < len(server.requests):
+            held = len(server.requests)
+            await asyncio.sleep(0.2)
+    return held
+
+
 async def release_streams(world, act, calls):
     """Let the server perform an act for each stream that it holds."""
     server = world.servers[0]
